--- /dev/null
+++ b/src/core/address.cpp
@@ -0,0 +1,69 @@
+/*
+    This file is part of cloverbarrow.
+
+    SPDX-FileCopyrightText: 2026 The cloverbarrow authors
+    SPDX-License-Identifier: Apache-2.0
+*/
+
+#include "core/address.h"
+
+#include <charconv>
+
+namespace Cloverbarrow
+{
+
+namespace
+{
+
+/// Reads the whole of @p text as a number up to @p highest.
+std::optional<int> parseNumber(std::string_view text, int highest)
+{
+    int value = 0;
+    const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
+    const bool isWhole = error == std::errc() && end == text.data() + text.size();
+    if (!isWhole || value < 0 || value > highest) {
+        return std::nullopt;
+    }
+    return value;
+}
+
+bool isIpNumber(std::string_view text)
+{
+    constexpr int Parts = 4;
+    for (int part = 1; part <= Parts; ++part) {
+        const std::size_t dot = text.find('.');
+        const bool isLast = part == Parts;
+        if (isLast != (dot == std::string_view::npos) || !parseNumber(text.substr(0, dot), 255)) {
+            return false;
+        }
+        text.remove_prefix(isLast ? text.size() : dot + 1);
+    }
+    return true;
+}
+
+} // namespace
+
+std::string SocketAddress::toString() const
+{
+    return host + ":" + std::to_string(port);
+}
+
+std::optional<SocketAddress> parseSocketAddress(std::string_view text)
+{
+    const std::size_t colon = text.find(':');
+    if (colon == std::string_view::npos || !isIpNumber(text.substr(0, colon))) {
+        return std::nullopt;
+    }
+    const auto port = parseNumber(text.substr(colon + 1), 65535);
+    if (!port) {
+        return std::nullopt;
+    }
+    return SocketAddress{std::string(text.substr(0, colon)), static_cast<std::uint16_t>(*port)};
+}
+
+bool isSocketAddress(std::string_view text)
+{
+    return parseSocketAddress(text).has_value();
+}
+
+} // namespace Cloverbarrow
--- /dev/null
+++ b/src/core/backendpool.cpp
@@ -0,0 +1,209 @@
+/*
+    This file is part of cloverbarrow.
+
+    SPDX-FileCopyrightText: 2026 The cloverbarrow authors
+    SPDX-License-Identifier: Apache-2.0
+*/
+
+#include "core/backendpool.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace Cloverbarrow
+{
+
+namespace
+{
+
+constexpr int FailuresToEject = 3;
+constexpr Duration FirstEjection = seconds(1);
+constexpr int MaxEjectionDoublings = 5;
+constexpr Duration SilenceWorthProbe = milliseconds(500);
+constexpr double LatencyWeight = 0.1;
+
+bool isIn(std::span<const std::string> names, std::string_view name)
+{
+    return std::find(names.begin(), names.end(), name) != names.end();
+}
+
+} // namespace
+
+BackendPool::BackendPool(PickPolicy policy)
+    : policy_(policy)
+{
+}
+
+void BackendPool::configure(const Service &service)
+{
+    std::vector<Backend> next;
+    for (const BackendServer &server : service.backendServers) {
+        Backend backend;
+        if (const Backend *known = find(server.name); known && known->server.address == server.address) {
+            backend = *known;
+        }
+        backend.server = server;
+        next.push_back(std::move(backend));
+    }
+    backends_ = std::move(next);
+}
+
+void BackendPool::setLeaving(std::span<const std::string> names)
+{
+    for (Backend &backend : backends_) {
+        backend.isLeaving = isIn(names, backend.server.name);
+    }
+}
+
+void BackendPool::markLeaving(std::string_view name)
+{
+    if (Backend *backend = findMutable(name)) {
+        backend->isLeaving = true;
+    }
+}
+
+void BackendPool::setInFlightCap(int cap)
+{
+    inFlightCap_ = std::max(1, cap);
+}
+
+std::optional<std::size_t> BackendPool::take(TimePoint now, Random &random, std::span<const std::string> tried)
+{
+    const std::vector<std::size_t> open = candidates(now, tried);
+    if (open.empty()) {
+        return std::nullopt;
+    }
+    const std::size_t index = pickBackend(policy_, backends_, open, now, random);
+    ++backends_[index].inFlight;
+    return index;
+}
+
+bool BackendPool::hasCandidate() const
+{
+    return std::any_of(backends_.begin(), backends_.end(), [](const Backend &backend) { return !backend.isLeaving; });
+}
+
+void BackendPool::release(std::string_view name, AttemptQuality quality, Duration latency, TimePoint now)
+{
+    Backend *backend = findMutable(name);
+    if (!backend) {
+        return;
+    }
+    backend->inFlight = std::max(0, backend->inFlight - 1);
+    backend->heardAt = now;
+    if (quality == AttemptQuality::Failed) {
+        countFailure(*backend, now);
+    } else if (quality == AttemptQuality::Good) {
+        const double sample = toMilliseconds(latency);
+        backend->latencyMs = backend->latencyMs == 0 ? sample : backend->latencyMs + LatencyWeight * (sample - backend->latencyMs);
+        backend->failureStreak = 0;
+        backend->ejections = 0;
+        backend->isOnTrial = false;
+    }
+}
+
+void BackendPool::report(std::string_view name, int load, TimePoint now)
+{
+    if (Backend *backend = findMutable(name)) {
+        // Own attempts are counted exactly; only the others' part of the report is news.
+        backend->reportedLoad = std::max(0, load - backend->inFlight);
+        backend->reportedAt = now;
+    }
+}
+
+void BackendPool::probed(std::string_view name, bool isHealthy, TimePoint now)
+{
+    Backend *backend = findMutable(name);
+    if (!backend) {
+        return;
+    }
+    backend->heardAt = now;
+    if (!isHealthy) {
+        countFailure(*backend, now);
+        return;
+    }
+    // Answering a probe is not running a request: the server stays on trial until it has.
+    backend->ejectedUntil = std::min(backend->ejectedUntil, now);
+    backend->failureStreak = 0;
+}
+
+std::optional<std::size_t> BackendPool::wantsProbe(TimePoint now) const
+{
+    std::optional<std::size_t> best;
+    for (std::size_t index = 0; index < backends_.size(); ++index) {
+        const Backend &backend = backends_[index];
+        // Servers that carry requests tell of themselves for nothing.
+        const bool isSilent = !backend.heardAt || now - *backend.heardAt >= SilenceWorthProbe;
+        if (backend.isLeaving || !isSilent) {
+            continue;
+        }
+        if (!best || backend.heardAt < backends_[*best].heardAt) {
+            best = index;
+        }
+    }
+    return best;
+}
+
+std::span<const Backend> BackendPool::backends() const
+{
+    return backends_;
+}
+
+const Backend *BackendPool::find(std::string_view name) const
+{
+    const auto found = std::find_if(backends_.begin(), backends_.end(), [name](const Backend &backend) { return backend.server.name == name; });
+    return found == backends_.end() ? nullptr : &*found;
+}
+
+Backend *BackendPool::findMutable(std::string_view name)
+{
+    return const_cast<Backend *>(std::as_const(*this).find(name));
+}
+
+bool BackendPool::mayTake(const Backend &backend, TimePoint now, bool ignoreEjection) const
+{
+    if (backend.isLeaving || backend.inFlight >= inFlightCap_) {
+        return false;
+    }
+    if (ignoreEjection) {
+        return true;
+    }
+    const bool isTrialTaken = backend.isOnTrial && backend.inFlight > 0;
+    return now >= backend.ejectedUntil && !isTrialTaken;
+}
+
+std::vector<std::size_t> BackendPool::candidates(TimePoint now, std::span<const std::string> tried) const
+{
+    // In falling order of preference: fresh and healthy, fresh, any. An ejection is only a guess
+    // of this entry VM, so it never empties the pool.
+    for (const bool ignoreEjection : {false, true}) {
+        for (const bool ignoreTried : {false, true}) {
+            std::vector<std::size_t> open;
+            for (std::size_t index = 0; index < backends_.size(); ++index) {
+                const Backend &backend = backends_[index];
+                const bool isFresh = ignoreTried || !isIn(tried, backend.server.name);
+                if (isFresh && mayTake(backend, now, ignoreEjection)) {
+                    open.push_back(index);
+                }
+            }
+            if (!open.empty()) {
+                return open;
+            }
+        }
+    }
+    return {};
+}
+
+void BackendPool::countFailure(Backend &backend, TimePoint now)
+{
+    ++backend.failureStreak;
+    if (backend.failureStreak < FailuresToEject && !backend.isOnTrial) {
+        return;
+    }
+    backend.ejectedUntil = now + FirstEjection * (1 << std::min(backend.ejections, MaxEjectionDoublings));
+    ++backend.ejections;
+    backend.failureStreak = 0;
+    backend.isOnTrial = true;
+}
+
+} // namespace Cloverbarrow
--- /dev/null
+++ b/src/core/backendpool.h
@@ -0,0 +1,91 @@
+/*
+    This file is part of cloverbarrow.
+
+    SPDX-FileCopyrightText: 2026 The cloverbarrow authors
+    SPDX-License-Identifier: Apache-2.0
+*/
+
+#pragma once
+
+#include "core/configuration.h"
+#include "core/pickpolicy.h"
+#include "core/random.h"
+#include "core/time.h"
+
+#include <cstddef>
+#include <optional>
+#include <span>
+#include <string>
+#include <vector>
+
+namespace Cloverbarrow
+{
+
+/// What one entry VM knows of one backend server.
+struct Backend {
+    BackendServer server;
+    int inFlight = 0; ///< Attempts of this entry VM.
+    int reportedLoad = 0; ///< Requests in hand at the server, as it last said.
+    std::optional<TimePoint> reportedAt;
+    double latencyMs = 0; ///< Moving average over good answers; 0 when none was seen.
+    int failureStreak = 0;
+    int ejections = 0;
+    TimePoint ejectedUntil;
+    bool isOnTrial = false; ///< Was ejected and has given no good answer since.
+    bool isLeaving = false;
+    std::optional<TimePoint> heardAt; ///< Last answer of any kind, good or bad.
+};
+
+/// How an attempt ended, as far as choosing a server is concerned.
+enum class AttemptQuality {
+    Good,
+    Failed, ///< No answer, or an answer that says the server is ill.
+    Neutral, ///< Says nothing of the server's health, as a shed request does.
+};
+
+/// The backend servers of one service, with the rules for which of them gets an attempt.
+class BackendPool
+{
+public:
+    explicit BackendPool(PickPolicy policy);
+
+    /// Takes over a service's servers; what is known of those that stay is kept.
+    void configure(const Service &service);
+    void setLeaving(std::span<const std::string> names);
+    void markLeaving(std::string_view name);
+    /// @param cap most attempts of this entry VM at one server at a time.
+    void setInFlightCap(int cap);
+
+    /// Chooses a server and counts the attempt.
+    /// @param tried servers that earlier attempts of the request used; taken only when no other is left.
+    /// @return its index, or nothing when none may take an attempt now.
+    std::optional<std::size_t> take(TimePoint now, Random &random, std::span<const std::string> tried);
+
+    /// @return whether any server might take requests of this service, now or soon.
+    bool hasCandidate() const;
+
+    /// Counts an attempt's end. Names of servers that were removed meanwhile are ignored.
+    void release(std::string_view name, AttemptQuality quality, Duration latency, TimePoint now);
+    void report(std::string_view name, int load, TimePoint now);
+
+    /// Takes a probe's result: a good one ends an ejection, a bad one is a failure.
+    void probed(std::string_view name, bool isHealthy, TimePoint now);
+    /// @return the server whose state a probe would tell most about, if any is worth one.
+    std::optional<std::size_t> wantsProbe(TimePoint now) const;
+
+    std::span<const Backend> backends() const;
+    /// @return the server called @p name, or nullptr.
+    const Backend *find(std::string_view name) const;
+
+private:
+    Backend *findMutable(std::string_view name);
+    bool mayTake(const Backend &backend, TimePoint now, bool ignoreEjection) const;
+    std::vector<std::size_t> candidates(TimePoint now, std::span<const std::string> tried) const;
+    void countFailure(Backend &backend, TimePoint now);
+
+    PickPolicy policy_;
+    std::vector<Backend> backends_;
+    int inFlightCap_ = 1000;
+};
+
+} // namespace Cloverbarrow
--- /dev/null
+++ b/src/core/configuration.h
@@ -0,0 +1,122 @@
+/*
+    This file is part of cloverbarrow.
+
+    SPDX-FileCopyrightText: 2026 The cloverbarrow authors
+    SPDX-License-Identifier: Apache-2.0
+*/
+
+#pragma once
+
+#include "core/time.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace Cloverbarrow
+{
+
+/// How a request may be repeated.
+enum class KindClass {
+    Read, ///< Retried freely, within the retry budget.
+    Write, ///< Retried only when it certainly was not run.
+    Payout, ///< At most once; recorded at the platform before it is sent.
+};
+
+/// A group of requests of one service that share their rules.
+struct RequestKind {
+    std::string name;
+    std::vector<std::string> methods;
+    std::string path; ///< Pattern: `*` is one segment, a last `**` is any rest.
+    KindClass kindClass = KindClass::Read;
+    Duration deadline = seconds(2); ///< Used when the caller names none; also the upper bound.
+
+    bool operator==(const RequestKind &) const = default;
+};
+
+/// One backend server of a service.
+struct BackendServer {
+    std::string name;
+    std::string address; ///< `IP:port`.
+    std::string zone;
+
+    bool operator==(const BackendServer &) const = default;
+};
+
+/// Bounds on repeated attempts.
+struct RetryRules {
+    int maxAttempts = 3;
+    int budgetPercent = 10; ///< Retries as a share of first attempts.
+    std::vector<int> statuses = {502, 503, 504}; ///< Answers on which a read is tried again.
+
+    bool operator==(const RetryRules &) const = default;
+};
+
+/// Bounds on load.
+struct ServiceLimits {
+    int slotsPerServer = 3;
+    int connectionsPerServer = 200; ///< All entry VMs together.
+    int maxInFlight = 1000; ///< Requests of this service held by one entry VM.
+
+    bool operator==(const ServiceLimits &) const = default;
+};
+
+/// Most measurements of one service's backend servers by all entry VMs together, in any window.
+struct MeasuringBudget {
+    int probes = 0;
+    Duration window = seconds(1);
+    std::string path = "/load";
+
+    bool operator==(const MeasuringBudget &) const = default;
+};
+
+/// Service-level objective of one request kind.
+struct Objective {
+    std::string kind;
+    double availabilityPercent = 99.9;
+    Duration latency = milliseconds(500);
+    double latencyPercent = 99.0; ///< Share of answers that must come within `latency`.
+
+    bool operator==(const Objective &) const = default;
+};
+
+/// A service, the places where it may run and its rules.
+struct Service {
+    std::string name;
+    std::string host; ///< Host header; empty when only the path prefix counts.
+    std::string pathPrefix; ///< Empty when only the host counts.
+    std::vector<std::string> places; ///< Availability zones in which requests may be served.
+    bool echoesExchangeTag = false; ///< Backend servers echo the tag, so connections may be reused.
+    std::vector<RequestKind> kinds;
+    std::vector<BackendServer> backendServers;
+    RetryRules retry;
+    ServiceLimits limits;
+    MeasuringBudget measuring;
+    std::vector<Objective> objectives;
+
+    /// @return whether a request may be served in @p zone.
+    bool allows(const std::string &zone) const;
+
+    bool operator==(const Service &) const = default;
+};
+
+/// Everything that operators decide, as one document.
+struct Configuration {
+    std::vector<Service> services;
+
+    /// @return the service called @p name, or nullptr.
+    const Service *findService(const std::string &name) const;
+
+    bool operator==(const Configuration &) const = default;
+};
+
+/// An accepted configuration. A higher version is newer; versions come from the platform.
+struct VersionedConfiguration {
+    std::int64_t version = 0;
+    std::string document;
+    Configuration configuration;
+};
+
+} // namespace Cloverbarrow
--- /dev/null
+++ b/src/core/controlevents.h
@@ -0,0 +1,195 @@
+/*
+    This file is part of cloverbarrow.
+
+    SPDX-FileCopyrightText: 2026 The cloverbarrow authors
+    SPDX-License-Identifier: Apache-2.0
+*/
+
+#pragma once
+
+#include "core/intentkeeper.h"
+#include "core/measuringshares.h"
+#include "core/member.h"
+#include "core/shutdownsequence.h"
+#include "core/storecall.h"
+#include "core/time.h"
+
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace Cloverbarrow
+{
+
+// Events
+
+/// Time has passed; comes several times a second.
+struct ControlTick {
+    WorkLeft left; ///< Requests and payouts only.
+};
+
+/// A peer's heartbeat, or its answer to the own one.
+struct HeartbeatReceived {
+    Heartbeat heartbeat;
+};
+
+/// No answer to the own heartbeat.
+struct HeartbeatFailed {
+    std::string address;
+};
+
+/// A peer was asked how long ago it heard of another.
+struct PeerVouched {
+    Incarnation subject;
+    Duration age{0};
+};
+
+struct IntentFetched {
+    std::string address;
+    std::int64_t version = 0;
+    std::string value;
+};
+
+struct IntentFetchFailed {
+    std::string address;
+};
+
+/// The platform answered a watch; nothing means that there is nothing newer.
+struct WatchAnswered {
+    std::optional<StoreFound> newer;
+};
+
+struct WatchFailed {
+};
+
+struct StoreAnswered {
+    StoreObject object;
+    StoreResult result;
+};
+
+/// One machine of the platform's VM list.
+struct ListedVm {
+    std::string name;
+    std::string peerAddress; ///< Entry VMs only; else empty.
+    bool isLeaving = false;
+
+    bool operator==(const ListedVm &) const = default;
+};
+
+struct VmsListed {
+    std::vector<ListedVm> vms;
+};
+
+/// A backend server said that it is leaving.
+struct LeavingSeen {
+    std::string service;
+    std::string backend;
+};
+
+struct ProbeFinished {
+    std::string service;
+    int share = 0;
+};
+
+struct PermitReturned {
+    std::string service;
+    int share = 0;
+};
+
+struct StopRequested {
+};
+
+using ControlEvent = std::variant<ControlTick,
+                                  HeartbeatReceived,
+                                  HeartbeatFailed,
+                                  PeerVouched,
+                                  IntentFetched,
+                                  IntentFetchFailed,
+                                  WatchAnswered,
+                                  WatchFailed,
+                                  StoreAnswered,
+                                  VmsListed,
+                                  LeavingSeen,
+                                  ProbeFinished,
+                                  PermitReturned,
+                                  StopRequested>;
+
+// Actions
+
+struct SendHeartbeat {
+    std::string address;
+    Heartbeat heartbeat;
+
+    bool operator==(const SendHeartbeat &) const = default;
+};
+
+/// Ask a peer how long ago it heard of @p subject.
+struct AskPeer {
+    std::string address;
+    Incarnation subject;
+
+    bool operator==(const AskPeer &) const = default;
+};
+
+struct AskStore {
+    StoreCall call;
+
+    bool operator==(const AskStore &) const = default;
+};
+
+struct ListVms {
+    bool operator==(const ListVms &) const = default;
+};
+
+/// The set of leaving backend servers has changed.
+struct LeavingUpdated {
+    bool operator==(const LeavingUpdated &) const = default;
+};
+
+struct FleetResized {
+    int entryVms = 1;
+
+    bool operator==(const FleetResized &) const = default;
+};
+
+/// Tell the platform's balancer whether to send callers here.
+struct SetReady {
+    bool isReady = false;
+    std::string reason;
+
+    bool operator==(const SetReady &) const = default;
+};
+
+/// Take no more connections of callers.
+struct StopAccepting {
+    bool operator==(const StopAccepting &) const = default;
+};
+
+/// The process may end.
+struct Exit {
+    WorkLeft left;
+
+    bool operator==(const Exit &other) const
+    {
+        return left.requests == other.left.requests && left.payouts == other.left.payouts && left.holdsShares == other.left.holdsShares;
+    }
+};
+
+using ControlAction = std::variant<SendHeartbeat,
+                                   AskPeer,
+                                   AskStore,
+                                   ListVms,
+                                   InstallIntent,
+                                   FetchIntent,
+                                   WatchIntent,
+                                   ReportBadIntent,
+                                   PermitProbe,
+                                   LeavingUpdated,
+                                   FleetResized,
+                                   SetReady,
+                                   StopAccepting,
+                                   Exit>;
+using ControlActions = std::vector<ControlAction>;
+
+} // namespace Cloverbarrow
--- /dev/null
+++ b/src/core/controlshard.cpp
@@ -0,0 +1,335 @@
+/*
+    This file is part of cloverbarrow.
+
+    SPDX-FileCopyrightText: 2026 The cloverbarrow authors
+    SPDX-License-Identifier: Apache-2.0
+*/
+
+#include "core/controlshard.h"
+
+#include <algorithm>
+
+namespace Cloverbarrow
+{
+
+namespace
+{
+
+constexpr Duration BeatInterval = seconds(1);
+constexpr Duration HurriedBeatInterval = milliseconds(100);
+// News doubles its audience with each beat; a few quick ones carry it through a fleet of hundreds.
+constexpr int HurriedBeats = 4;
+constexpr Duration ListInterval = seconds(2);
+constexpr std::size_t WatchersPerZone = 2;
+constexpr std::size_t MembersTold = 12;
+
+} // namespace
+
+ControlShard::ControlShard(ControlSettings settings)
+    : settings_(std::move(settings))
+    , random_(settings_.seed)
+    , membership_(settings_.self, settings_.firstPeers)
+    , shares_({settings_.self.id, settings_.self.peerAddress})
+    , shutdown_(settings_.shutdownNotice, settings_.shutdownLimit)
+    , unansweredPeers_(settings_.firstPeers.begin(), settings_.firstPeers.end())
+{
+    unansweredPeers_.erase(settings_.self.peerAddress);
+}
+
+void ControlShard::handle(TimePoint now, const ControlEvent &event, ControlActions &actions)
+{
+    std::visit([this, now, &actions](const auto &typed) { on(now, typed, actions); }, event);
+    updateReadiness(now, actions);
+}
+
+Heartbeat ControlShard::heartbeat(TimePoint now)
+{
+    return {membership_.self(), membership_.news(MembersTold), leaving_.signs(now)};
+}
+
+const Membership &ControlShard::membership() const
+{
+    return membership_;
+}
+
+const IntentKeeper &ControlShard::intent() const
+{
+    return intent_;
+}
+
+const MeasuringShares &ControlShard::shares() const
+{
+    return shares_;
+}
+
+std::vector<std::string> ControlShard::leaving(const std::string &service) const
+{
+    return leaving_.leaving(service);
+}
+
+bool ControlShard::isReady() const
+{
+    return isReady_;
+}
+
+ShutdownSequence::Phase ControlShard::phase() const
+{
+    return shutdown_.phase();
+}
+
+void ControlShard::on(TimePoint now, const ControlTick &event, ControlActions &actions)
+{
+    beat(now, actions);
+    checkMembers(now, actions);
+    listVms(now, actions);
+    if (leaving_.fade(now)) {
+        actions.emplace_back(LeavingUpdated{});
+    }
+    std::vector<IntentAction> intentActions;
+    intent_.tick(now, isWatcher(), intentActions);
+    carryOut(now, std::move(intentActions), actions);
+    tickShares(now, actions);
+    tickShutdown(now, event.left, actions);
+}
+
+void ControlShard::on(TimePoint now, const HeartbeatReceived &event, ControlActions &actions)
+{
+    const Heartbeat &heartbeat = event.heartbeat;
+    hasPeerAnswered_ = true;
+    unansweredPeers_.erase(heartbeat.sender.peerAddress);
+    membership_.merge(now, std::span(&heartbeat.sender, 1));
+    membership_.merge(now, heartbeat.members);
+    if (leaving_.merge(now, heartbeat.leaving)) {
+        actions.emplace_back(LeavingUpdated{});
+        hurry();
+    }
+    std::vector<IntentAction> intentActions;
+    intent_.peerHasVersion(now, heartbeat.sender.peerAddress, heartbeat.sender.configurationVersion, intentActions);
+    carryOut(now, std::move(intentActions), actions);
+    updateFleetSize(actions);
+}
+
+void ControlShard::on(TimePoint, const HeartbeatFailed &event, ControlActions &)
+{
+    unansweredPeers_.erase(event.address);
+}
+
+void ControlShard::on(TimePoint now, const PeerVouched &event, ControlActions &)
+{
+    membership_.vouch(now, event.subject, event.age);
+}
+
+void ControlShard::on(TimePoint now, const IntentFetched &event, ControlActions &actions)
+{
+    std::vector<IntentAction> intentActions;
+    intent_.peerSent(now, event.address, event.version, event.value, intentActions);
+    carryOut(now, std::move(intentActions), actions);
+}
+
+void ControlShard::on(TimePoint, const IntentFetchFailed &, ControlActions &)
+{
+    intent_.fetchFailed();
+}
+
+void ControlShard::on(TimePoint now, const WatchAnswered &event, ControlActions &actions)
+{
+    std::vector<IntentAction> intentActions;
+    intent_.platformAnswered(now, event.newer, intentActions);
+    carryOut(now, std::move(intentActions), actions);
+}
+
+void ControlShard::on(TimePoint now, const WatchFailed &, ControlActions &)
+{
+    intent_.platformFailed(now);
+}
+
+void ControlShard::on(TimePoint now, const StoreAnswered &event, ControlActions &)
+{
+    shares_.storeAnswered(now, event.object, event.result, membership_, random_);
+}
+
+void ControlShard::on(TimePoint now, const VmsListed &event, ControlActions &actions)
+{
+    std::vector<std::string> addresses;
+    bool isNews = false;
+    for (const ListedVm &vm : event.vms) {
+        if (!vm.peerAddress.empty() && !vm.isLeaving) {
+            addresses.push_back(vm.peerAddress);
+        }
+        if (!vm.isLeaving || !intent_.inForce()) {
+            continue;
+        }
+        for (const Service &service : intent_.inForce()->configuration.services) {
+            const auto isNamed = [&vm](const BackendServer &server) { return server.name == vm.name; };
+            if (std::any_of(service.backendServers.begin(), service.backendServers.end(), isNamed)) {
+                isNews = leaving_.sign(now, service.name, vm.name) || isNews;
+            }
+        }
+    }
+    membership_.addAddresses(addresses);
+    if (isNews) {
+        actions.emplace_back(LeavingUpdated{});
+        hurry();
+    }
+}
+
+void ControlShard::on(TimePoint now, const LeavingSeen &event, ControlActions &actions)
+{
+    if (leaving_.sign(now, event.service, event.backend)) {
+        actions.emplace_back(LeavingUpdated{});
+        hurry();
+    }
+}
+
+void ControlShard::on(TimePoint now, const ProbeFinished &event, ControlActions &)
+{
+    shares_.probeFinished(now, event.service, event.share);
+}
+
+void ControlShard::on(TimePoint now, const PermitReturned &event, ControlActions &)
+{
+    shares_.permitReturned(now, event.service, event.share);
+}
+
+void ControlShard::on(TimePoint now, const StopRequested &, ControlActions &)
+{
+    shutdown_.requested(now);
+    membership_.setLeaving();
+    shares_.startRelease();
+    hurry();
+}
+
+bool ControlShard::isWatcher() const
+{
+    return membership_.isRanked("watch", settings_.self.zone, WatchersPerZone);
+}
+
+void ControlShard::beat(TimePoint now, ControlActions &actions)
+{
+    if (now < nextBeat_) {
+        return;
+    }
+    const bool isHurried = hurriedBeats_ > 0;
+    hurriedBeats_ -= isHurried ? 1 : 0;
+    nextBeat_ = now + (isHurried ? HurriedBeatInterval : BeatInterval);
+    membership_.beat();
+    for (const std::string &address : membership_.targets(random_)) {
+        actions.emplace_back(SendHeartbeat{address, heartbeat(now)});
+    }
+}
+
+void ControlShard::checkMembers(TimePoint now, ControlActions &actions)
+{
+    for (const Suspicion &suspicion : membership_.check(now, random_)) {
+        for (const std::string &address : suspicion.askAddresses) {
+            actions.emplace_back(AskPeer{address, suspicion.subject});
+        }
+    }
+    updateFleetSize(actions);
+}
+
+void ControlShard::listVms(TimePoint now, ControlActions &actions)
+{
+    if (now >= nextList_ && isWatcher()) {
+        nextList_ = now + ListInterval;
+        actions.emplace_back(ListVms{});
+    }
+}
+
+void ControlShard::tickShares(TimePoint now, ControlActions &actions)
+{
+    std::vector<StoreCall> calls;
+    std::vector<PermitProbe> permits;
+    shares_.tick(now, membership_, random_, calls, permits);
+    for (StoreCall &call : calls) {
+        actions.emplace_back(AskStore{std::move(call)});
+    }
+    for (PermitProbe &permit : permits) {
+        actions.emplace_back(std::move(permit));
+    }
+}
+
+void ControlShard::tickShutdown(TimePoint now, const WorkLeft &left, ControlActions &actions)
+{
+    const WorkLeft all{left.requests, left.payouts, shares_.holdsAny()};
+    const auto phase = shutdown_.advance(now, all);
+    const bool isPastNotice = phase == ShutdownSequence::Phase::Finishing || phase == ShutdownSequence::Phase::Done;
+    if (isPastNotice && !hasStoppedAccepting_) {
+        hasStoppedAccepting_ = true;
+        actions.emplace_back(StopAccepting{});
+    }
+    if (phase == ShutdownSequence::Phase::Done && !hasExited_) {
+        hasExited_ = true;
+        actions.emplace_back(Exit{all});
+    }
+}
+
+void ControlShard::updateReadiness(TimePoint now, ControlActions &actions)
+{
+    std::string reason = unreadyReason(now);
+    const bool isReady = reason.empty();
+    if (isReady == isReady_ && reason == reason_) {
+        return;
+    }
+    isReady_ = isReady;
+    reason_ = std::move(reason);
+    actions.emplace_back(SetReady{isReady_, reason_});
+}
+
+void ControlShard::updateFleetSize(ControlActions &actions)
+{
+    if (const int size = static_cast<int>(membership_.liveCount()); size != fleetSize_) {
+        fleetSize_ = size;
+        actions.emplace_back(FleetResized{size});
+    }
+}
+
+void ControlShard::carryOut(TimePoint now, std::vector<IntentAction> intentActions, ControlActions &actions)
+{
+    for (IntentAction &intentAction : intentActions) {
+        if (const auto *installed = std::get_if<InstallIntent>(&intentAction)) {
+            install(now, *installed->intent, actions);
+        }
+        std::visit([&actions](auto &typed) { actions.emplace_back(std::move(typed)); }, intentAction);
+    }
+}
+
+void ControlShard::install(TimePoint, const IntentInForce &intent, ControlActions &)
+{
+    membership_.setConfigurationVersion(intent.version);
+    leaving_.setDrains(intent.intent.drains);
+    std::vector<ServiceBudget> budgets;
+    for (const Service &service : intent.configuration.services) {
+        budgets.push_back({service.name, service.measuring.probes, service.measuring.window});
+    }
+    shares_.configure(budgets);
+    hurry();
+}
+
+void ControlShard::hurry()
+{
+    hurriedBeats_ = HurriedBeats;
+    nextBeat_ = TimePoint();
+}
+
+std::string ControlShard::unreadyReason(TimePoint now) const
+{
+    if (shutdown_.phase() != ShutdownSequence::Phase::Serving) {
+        return "shutting down";
+    }
+    if (!intent_.inForce()) {
+        return "no configuration yet";
+    }
+    if (!hasStartedSafely()) {
+        return "not yet sure to have the newest configuration";
+    }
+    return intent_.isFresh(now) ? std::string() : "neither the platform nor a peer answers";
+}
+
+bool ControlShard::hasStartedSafely() const
+{
+    // With the platform silent, the newest version that any first peer has is the best there is.
+    return intent_.hasAskedPlatform() || (hasPeerAnswered_ && unansweredPeers_.empty());
+}
+
+} // namespace Cloverbarrow
--- /dev/null
+++ b/src/core/controlshard.h
@@ -0,0 +1,103 @@
+/*
+    This file is part of cloverbarrow.
+
+    SPDX-FileCopyrightText: 2026 The cloverbarrow authors
+    SPDX-License-Identifier: Apache-2.0
+*/
+
+#pragma once
+
+#include "core/controlevents.h"
+#include "core/intentkeeper.h"
+#include "core/leavingregistry.h"
+#include "core/measuringshares.h"
+#include "core/membership.h"
+#include "core/random.h"
+#include "core/shutdownsequence.h"
+
+#include <set>
+#include <string>
+#include <vector>
+
+namespace Cloverbarrow
+{
+
+/// What an entry VM is told at its start.
+struct ControlSettings {
+    Member self;
+    std::vector<std::string> firstPeers;
+    Duration shutdownNotice = seconds(2);
+    Duration shutdownLimit = seconds(60);
+    std::uint64_t seed = 1;
+};
+
+/// Everything one entry VM decides together with others: membership, the operators' intent, leaving
+/// backend servers, shares of measuring budgets, readiness and shutdown. Feed it events in time order
+/// and carry out the actions. Not thread-safe; the daemon keeps it under its own lock.
+class ControlShard
+{
+public:
+    explicit ControlShard(ControlSettings settings);
+
+    void handle(TimePoint now, const ControlEvent &event, ControlActions &actions);
+
+    /// @return what to tell a peer.
+    Heartbeat heartbeat(TimePoint now);
+    const Membership &membership() const;
+    const IntentKeeper &intent() const;
+    const MeasuringShares &shares() const;
+    std::vector<std::string> leaving(const std::string &service) const;
+    bool isReady() const;
+    ShutdownSequence::Phase phase() const;
+
+private:
+    void on(TimePoint now, const ControlTick &event, ControlActions &actions);
+    void on(TimePoint now, const HeartbeatReceived &event, ControlActions &actions);
+    void on(TimePoint now, const HeartbeatFailed &event, ControlActions &actions);
+    void on(TimePoint now, const PeerVouched &event, ControlActions &actions);
+    void on(TimePoint now, const IntentFetched &event, ControlActions &actions);
+    void on(TimePoint now, const IntentFetchFailed &event, ControlActions &actions);
+    void on(TimePoint now, const WatchAnswered &event, ControlActions &actions);
+    void on(TimePoint now, const WatchFailed &event, ControlActions &actions);
+    void on(TimePoint now, const StoreAnswered &event, ControlActions &actions);
+    void on(TimePoint now, const VmsListed &event, ControlActions &actions);
+    void on(TimePoint now, const LeavingSeen &event, ControlActions &actions);
+    void on(TimePoint now, const ProbeFinished &event, ControlActions &actions);
+    void on(TimePoint now, const PermitReturned &event, ControlActions &actions);
+    void on(TimePoint now, const StopRequested &event, ControlActions &actions);
+
+    bool isWatcher() const;
+    void beat(TimePoint now, ControlActions &actions);
+    void checkMembers(TimePoint now, ControlActions &actions);
+    void listVms(TimePoint now, ControlActions &actions);
+    void tickShares(TimePoint now, ControlActions &actions);
+    void tickShutdown(TimePoint now, const WorkLeft &left, ControlActions &actions);
+    void updateReadiness(TimePoint now, ControlActions &actions);
+    void updateFleetSize(ControlActions &actions);
+    void carryOut(TimePoint now, std::vector<IntentAction> intentActions, ControlActions &actions);
+    void install(TimePoint now, const IntentInForce &intent, ControlActions &actions);
+    /// Tells peers at once rather than with the next heartbeat.
+    void hurry();
+    std::string unreadyReason(TimePoint now) const;
+    bool hasStartedSafely() const;
+
+    ControlSettings settings_;
+    Random random_;
+    Membership membership_;
+    IntentKeeper intent_;
+    LeavingRegistry leaving_;
+    MeasuringShares shares_;
+    ShutdownSequence shutdown_;
+    std::set<std::string> unansweredPeers_; ///< First peers that have neither answered nor failed yet.
+    bool hasPeerAnswered_ = false;
+    bool isReady_ = false;
+    std::string reason_;
+    int fleetSize_ = 1;
+    bool hasStoppedAccepting_ = false;
+    bool hasExited_ = false;
+    TimePoint nextBeat_;
+    TimePoint nextList_;
+    int hurriedBeats_ = 0;
+};
+
+} // namespace Cloverbarrow
--- /dev/null
+++ b/src/core/intentchange.cpp
@@ -0,0 +1,93 @@
+/*
+    This file is part of cloverbarrow.
+
+    SPDX-FileCopyrightText: 2026 The cloverbarrow authors
+    SPDX-License-Identifier: Apache-2.0
+*/
+
+#include "core/intentchange.h"
+
+#include <algorithm>
+
+namespace Cloverbarrow
+{
+
+namespace
+{
+constexpr int MaxReads = 5;
+}
+
+IntentChange::IntentChange(std::int64_t expectedVersion, const OperatorIntent &next)
+    : expectedVersion_(expectedVersion)
+    , changeId_(next.history.back().id)
+    , value_(encodeIntent(next))
+    , readsLeft_(MaxReads)
+{
+}
+
+StoreCall IntentChange::start() const
+{
+    return {IntentObject, StoreWrite{expectedVersion_, value_}};
+}
+
+std::optional<StoreCall> IntentChange::answered(const StoreResult &result)
+{
+    if (const auto *written = std::get_if<StoreWritten>(&result)) {
+        outcome_ = ChangeAccepted{written->version};
+    } else if (const auto *found = std::get_if<StoreFound>(&result)) {
+        judge(*found);
+    } else if (std::holds_alternative<StoreUnknown>(result)) {
+        mayStand_ = true;
+        return readBack();
+    } else if (std::holds_alternative<StoreConflict>(result)) {
+        return readBack();
+    } else if (std::holds_alternative<StoreDown>(result)) {
+        if (mayStand_) {
+            return readBack();
+        }
+        outcome_ = ChangeNotMade{};
+    } else if (mayStand_) {
+        // Missing, though the write may still be on its way.
+        outcome_ = ChangeUnknown{};
+    } else {
+        outcome_ = ChangeConflict{};
+    }
+    return std::nullopt;
+}
+
+const std::optional<ChangeOutcome> &IntentChange::outcome() const
+{
+    return outcome_;
+}
+
+std::optional<StoreCall> IntentChange::readBack()
+{
+    if (readsLeft_ == 0) {
+        outcome_ = ChangeUnknown{};
+        return std::nullopt;
+    }
+    --readsLeft_;
+    return StoreCall{IntentObject, StoreRead{}};
+}
+
+void IntentChange::judge(const StoreFound &found)
+{
+    const auto decoded = decodeIntent(found.version, found.value);
+    if (decoded) {
+        const auto &history = decoded.value()->intent.history;
+        const auto isOwn = [this](const AcceptedChange &change) { return change.id == changeId_; };
+        if (std::any_of(history.begin(), history.end(), isOwn)) {
+            // Possibly with later changes on top: the own change is in force either way.
+            outcome_ = ChangeAccepted{found.version};
+            return;
+        }
+    }
+    if (mayStand_ && found.version == expectedVersion_) {
+        // Nothing has changed yet, but the lost write may still be on its way.
+        outcome_ = ChangeUnknown{};
+        return;
+    }
+    outcome_ = ChangeConflict{found.version, found.value};
+}
+
+} // namespace Cloverbarrow
--- /dev/null
+++ b/src/core/intentkeeper.h
@@ -0,0 +1,96 @@
+/*
+    This file is part of cloverbarrow.
+
+    SPDX-FileCopyrightText: 2026 The cloverbarrow authors
+    SPDX-License-Identifier: Apache-2.0
+*/
+
+#pragma once
+
+#include "core/operatorintent.h"
+#include "core/time.h"
+
+#include <memory>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace Cloverbarrow
+{
+
+/// Put this intent in force.
+struct InstallIntent {
+    std::shared_ptr<const IntentInForce> intent;
+
+    bool operator==(const InstallIntent &other) const
+    {
+        return intent->version == other.intent->version && intent->value == other.intent->value;
+    }
+};
+
+/// Ask a peer for its intent.
+struct FetchIntent {
+    std::string address;
+
+    bool operator==(const FetchIntent &) const = default;
+};
+
+/// Read the platform's object; answer at once, or when it is newer than @p afterVersion or @p wait is over.
+struct WatchIntent {
+    std::int64_t afterVersion = 0;
+    Duration wait{0};
+
+    bool operator==(const WatchIntent &) const = default;
+};
+
+/// What was received cannot be read; the intent in force stays.
+struct ReportBadIntent {
+    std::string source;
+    std::int64_t version = 0;
+    std::string reason;
+
+    bool operator==(const ReportBadIntent &) const = default;
+};
+
+using IntentAction = std::variant<InstallIntent, FetchIntent, WatchIntent, ReportBadIntent>;
+
+/// Keeps the newest accepted intent in force in this process. Versions only rise, whichever of the platform
+/// and the peers brings them. A few entry VMs of each zone watch the platform; the others learn from peers
+/// and ask the platform only when peers are silent.
+class IntentKeeper
+{
+public:
+    const std::shared_ptr<const IntentInForce> &inForce() const;
+    std::int64_t version() const;
+
+    /// @param isWatcher whether this entry VM is one of its zone's watchers.
+    void tick(TimePoint now, bool isWatcher, std::vector<IntentAction> &actions);
+    /// The platform answered: with a newer object, or that there is none newer.
+    void platformAnswered(TimePoint now, const std::optional<StoreFound> &newer, std::vector<IntentAction> &actions);
+    void platformFailed(TimePoint now);
+    /// A peer said which version it has in force.
+    void peerHasVersion(TimePoint now, const std::string &address, std::int64_t version, std::vector<IntentAction> &actions);
+    void peerSent(TimePoint now, const std::string &address, std::int64_t version, std::string_view value, std::vector<IntentAction> &actions);
+    void fetchFailed();
+
+    /// @return whether the platform or a peer has been heard lately enough to trust the intent.
+    bool isFresh(TimePoint now) const;
+    /// @return whether the platform has answered at least once.
+    bool hasAskedPlatform() const;
+    bool isPlatformSilent(TimePoint now) const;
+
+private:
+    void offer(const std::string &source, std::int64_t version, std::string_view value, std::vector<IntentAction> &actions);
+
+    std::shared_ptr<const IntentInForce> inForce_;
+    std::optional<TimePoint> platformHeardAt_;
+    std::optional<TimePoint> peerHeardAt_;
+    std::optional<TimePoint> watchSince_; ///< Set while a watch is under way.
+    TimePoint nextWatch_;
+    std::int64_t fetching_ = 0; ///< Version that a peer was asked for; 0 when none.
+    std::int64_t knownBad_ = 0; ///< Newest version that could not be read.
+    int failures_ = 0;
+};
+
+} // namespace Cloverbarrow
--- /dev/null
+++ b/src/core/lease.cpp
@@ -0,0 +1,126 @@
+/*
+    This file is part of cloverbarrow.
+
+    SPDX-FileCopyrightText: 2026 The cloverbarrow authors
+    SPDX-License-Identifier: Apache-2.0
+*/
+
+#include "core/lease.h"
+
+#include <nlohmann/json.hpp>
+
+namespace Cloverbarrow
+{
+
+namespace
+{
+constexpr Duration PauseAfterFailure = seconds(1);
+}
+
+std::string encodeLease(const LeaseContent &content)
+{
+    return nlohmann::json{{"name", content.holder.name}, {"nonce", content.holder.nonce}, {"renewal", content.renewal}}.dump();
+}
+
+std::optional<LeaseContent> decodeLease(std::string_view value)
+{
+    try {
+        const auto json = nlohmann::json::parse(value);
+        return LeaseContent{{json.at("name").get<std::string>(), json.at("nonce").get<std::string>()}, json.at("renewal").get<std::uint64_t>()};
+    } catch (const nlohmann::json::exception &) {
+        return std::nullopt;
+    }
+}
+
+StoreObject leaseObject(const std::string &name)
+{
+    return {"lease", name};
+}
+
+Lease::Lease(Incarnation self)
+    : self_(std::move(self))
+{
+}
+
+std::optional<StoreCall> Lease::due(TimePoint now)
+{
+    if (isAsking_ || now < nextAt_) {
+        return std::nullopt;
+    }
+    isAsking_ = true;
+    const StoreObject object = leaseObject(self_.name);
+    if (!version_ || isReadingBack_) {
+        return StoreCall{object, StoreRead{}};
+    }
+    sentAt_ = now;
+    ++renewal_;
+    return StoreCall{object, StoreWrite{*version_, encodeLease({self_, renewal_})}};
+}
+
+void Lease::answered(TimePoint now, const StoreResult &result)
+{
+    isAsking_ = false;
+    nextAt_ = now;
+    if (const auto *written = std::get_if<StoreWritten>(&result)) {
+        confirmed(now, written->version);
+    } else if (const auto *found = std::get_if<StoreFound>(&result)) {
+        const auto content = decodeLease(found->value);
+        const bool isOwn = content && content->holder == self_;
+        if (isReadingBack_ && isOwn && content->renewal == renewal_) {
+            confirmed(now, found->version);
+        } else {
+            if (!isOwn && firstHeldAt_) {
+                taken();
+            }
+            version_ = found->version;
+        }
+        isReadingBack_ = false;
+    } else if (std::holds_alternative<StoreMissing>(result)) {
+        if (firstHeldAt_) {
+            taken();
+        }
+        version_ = 0;
+        isReadingBack_ = false;
+    } else if (std::holds_alternative<StoreConflict>(result)) {
+        taken();
+        version_.reset();
+    } else if (std::holds_alternative<StoreUnknown>(result)) {
+        isReadingBack_ = true;
+    } else {
+        nextAt_ = now + PauseAfterFailure;
+    }
+}
+
+bool Lease::isValid(TimePoint now) const
+{
+    return validUntil_ && now < *validUntil_;
+}
+
+std::uint64_t Lease::losses() const
+{
+    return losses_;
+}
+
+std::optional<TimePoint> Lease::firstHeldAt() const
+{
+    return firstHeldAt_;
+}
+
+void Lease::confirmed(TimePoint now, std::int64_t version)
+{
+    version_ = version;
+    validUntil_ = sentAt_ + LeaseDuration - LeaseMargin;
+    if (!firstHeldAt_) {
+        firstHeldAt_ = now;
+    }
+    nextAt_ = sentAt_ + RenewalInterval;
+}
+
+void Lease::taken()
+{
+    validUntil_.reset();
+    firstHeldAt_.reset();
+    ++losses_;
+}
+
+} // namespace Cloverbarrow
--- /dev/null
+++ b/src/core/leavingregistry.cpp
@@ -0,0 +1,80 @@
+/*
+    This file is part of cloverbarrow.
+
+    SPDX-FileCopyrightText: 2026 The cloverbarrow authors
+    SPDX-License-Identifier: Apache-2.0
+*/
+
+#include "core/leavingregistry.h"
+
+namespace Cloverbarrow
+{
+
+namespace
+{
+// Longer than any drain takes, so that a lagging VM list does not bring a server back too soon.
+constexpr Duration SignLasts = seconds(300);
+} // namespace
+
+void LeavingRegistry::setDrains(std::span<const std::string> drains)
+{
+    drains_.clear();
+    for (const std::string &drain : drains) {
+        if (const std::size_t slash = drain.find('/'); slash != std::string::npos) {
+            drains_.emplace(drain.substr(0, slash), drain.substr(slash + 1));
+        }
+    }
+}
+
+bool LeavingRegistry::sign(TimePoint now, const std::string &service, const std::string &backend)
+{
+    const LeavingSign own{service, backend, Duration(0)};
+    return merge(now, std::span(&own, 1));
+}
+
+bool LeavingRegistry::merge(TimePoint now, std::span<const LeavingSign> signs)
+{
+    bool isNews = false;
+    for (const LeavingSign &told : signs) {
+        if (told.age < Duration(0) || told.age >= SignLasts) {
+            continue;
+        }
+        const TimePoint at = now - told.age;
+        const auto [found, isNew] = signedAt_.try_emplace({told.service, told.backend}, at);
+        found->second = std::max(found->second, at);
+        isNews = isNews || isNew;
+    }
+    return isNews;
+}
+
+bool LeavingRegistry::fade(TimePoint now)
+{
+    return std::erase_if(signedAt_, [now](const auto &entry) { return now - entry.second >= SignLasts; }) > 0;
+}
+
+std::vector<LeavingSign> LeavingRegistry::signs(TimePoint now) const
+{
+    std::vector<LeavingSign> told;
+    for (const auto &[key, at] : signedAt_) {
+        told.push_back({key.first, key.second, now - at});
+    }
+    return told;
+}
+
+std::vector<std::string> LeavingRegistry::leaving(const std::string &service) const
+{
+    std::set<std::string> names;
+    for (const auto &[key, at] : signedAt_) {
+        if (key.first == service) {
+            names.insert(key.second);
+        }
+    }
+    for (const auto &[drained, backend] : drains_) {
+        if (drained == service) {
+            names.insert(backend);
+        }
+    }
+    return {names.begin(), names.end()};
+}
+
+} // namespace Cloverbarrow
--- /dev/null
+++ b/src/core/measuringshares.cpp
@@ -0,0 +1,373 @@
+/*
+    This file is part of cloverbarrow.
+
+    SPDX-FileCopyrightText: 2026 The cloverbarrow authors
+    SPDX-License-Identifier: Apache-2.0
+*/
+
+#include "core/measuringshares.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace Cloverbarrow
+{
+
+namespace
+{
+
+constexpr Duration PollInterval = seconds(10);
+constexpr Duration PollSoon = milliseconds(500);
+constexpr Duration UnusedPermitPause = milliseconds(250);
+// A silent lease is looked at this often.
+constexpr Duration StaleAfter = LeaseDuration + LeaseMargin;
+
+std::string sharePurpose(const std::string &service, int share)
+{
+    return "share/" + service + "/" + std::to_string(share);
+}
+
+} // namespace
+
+MeasuringShares::MeasuringShares(ShareHolder self)
+    : self_(std::move(self))
+    , lease_(self_.id)
+{
+}
+
+void MeasuringShares::configure(const std::vector<ServiceBudget> &budgets)
+{
+    std::map<std::string, ServiceState> next;
+    for (const ServiceBudget &budget : budgets) {
+        ServiceState &state = next[budget.service];
+        if (const auto known = services_.find(budget.service); known != services_.end()) {
+            state = std::move(known->second);
+        }
+        state.budget = budget;
+        for (auto &[share, held] : state.held) {
+            held.isDropped = held.isDropped || share >= static_cast<int>(shareCount(budget.probes));
+        }
+        state.nextPoll = TimePoint();
+    }
+    services_ = std::move(next);
+}
+
+void MeasuringShares::tick(TimePoint now, const Membership &members, Random &random, std::vector<StoreCall> &calls, std::vector<PermitProbe> &permits)
+{
+    if (lease_.losses() != lossesSeen_) {
+        lossesSeen_ = lease_.losses();
+        dropAll();
+    }
+    if (holdsAny() || (!isReleasing_ && wantsAny())) {
+        if (auto call = lease_.due(now)) {
+            calls.push_back(std::move(*call));
+        }
+    }
+    for (auto &[name, state] : services_) {
+        tickService(now, state, members, calls, permits);
+    }
+    observeLeases(now, calls);
+    // Spreads the polls of the fleet.
+    for (auto &[name, state] : services_) {
+        if (state.nextPoll == TimePoint()) {
+            state.nextPoll = now + microseconds(static_cast<std::int64_t>(random.below(static_cast<std::size_t>(PollSoon.count()))));
+        }
+    }
+}
+
+void MeasuringShares::tickService(TimePoint now,
+                                  ServiceState &state,
+                                  const Membership &members,
+                                  std::vector<StoreCall> &calls,
+                                  std::vector<PermitProbe> &permits)
+{
+    permitDue(now, state, permits);
+    const bool isPollDue = !state.isAsking && now >= state.nextPoll && state.nextPoll != TimePoint();
+    if (!isPollDue) {
+        return;
+    }
+    state.wanted = isReleasing_ ? std::vector<int>() : wanted(state, members);
+    state.nextPoll = now + PollInterval;
+    if (state.held.empty() && state.wanted.empty()) {
+        return;
+    }
+    state.isAsking = true;
+    state.isWriting = state.nextWrite.has_value();
+    calls.push_back(state.isWriting ? *state.nextWrite : StoreCall{shareTableObject(state.budget.service), StoreRead{}});
+    state.nextWrite.reset();
+}
+
+void MeasuringShares::permitDue(TimePoint now, ServiceState &state, std::vector<PermitProbe> &permits)
+{
+    if (isReleasing_ || !lease_.isValid(now)) {
+        return;
+    }
+    for (auto &[share, held] : state.held) {
+        if (!held.isDropped && !held.isOut && now >= held.nextAllowed) {
+            held.isOut = true;
+            permits.push_back({state.budget.service, share});
+        }
+    }
+}
+
+void MeasuringShares::storeAnswered(TimePoint now, const StoreObject &object, const StoreResult &result, const Membership &members, Random &random)
+{
+    if (object == leaseObject(self_.id.name)) {
+        lease_.answered(now, result);
+        return;
+    }
+    if (object.kind == leaseObject({}).kind) {
+        leaseObserved(now, object.name, result);
+        return;
+    }
+    const auto found = services_.find(object.name);
+    if (object.kind != shareTableObject({}).kind || found == services_.end()) {
+        return;
+    }
+    ServiceState &state = found->second;
+    state.isAsking = false;
+    const bool isWrite = std::exchange(state.isWriting, false);
+    const std::vector<int> claimed = std::exchange(state.claiming, {});
+    if (const auto *table = std::get_if<StoreFound>(&result)) {
+        reconcile(now, state, table->version, decodeShares(table->value).value_or(ShareTable{}), members);
+    } else if (std::holds_alternative<StoreMissing>(result)) {
+        reconcile(now, state, 0, {}, members);
+    } else if (std::holds_alternative<StoreWritten>(result)) {
+        for (const int share : claimed) {
+            state.held[share] = {now + state.budget.window, false, false};
+        }
+        std::erase_if(state.held, [](const auto &entry) { return entry.second.isDropped && !entry.second.isOut; });
+    } else if (isWrite) {
+        // A conflict or a lost answer: what stands is read, and a claim that took effect is found then.
+        state.nextPoll = now + microseconds(static_cast<std::int64_t>(1 + random.below(static_cast<std::size_t>(PollSoon.count()))));
+    }
+}
+
+void MeasuringShares::reconcile(TimePoint now, ServiceState &state, std::int64_t version, ShareTable table, const Membership &members)
+{
+    for (auto &[share, held] : state.held) {
+        const auto index = static_cast<std::size_t>(share);
+        const bool isOwn = index < table.shares.size() && table.shares[index].holder == self_;
+        held.isDropped = held.isDropped || !isOwn;
+    }
+    const ShareTable before = table;
+    std::vector<int> claims = plan(now, state, table, members);
+    std::erase_if(state.held, [&table, this](const auto &entry) {
+        const auto index = static_cast<std::size_t>(entry.first);
+        const bool isOwn = index < table.shares.size() && table.shares[index].holder == self_;
+        return entry.second.isDropped && !entry.second.isOut && !isOwn;
+    });
+    adoptStanding(now, state, before, claims);
+    if (table == before) {
+        return;
+    }
+    state.claiming = std::move(claims);
+    state.nextPoll = now;
+    state.nextWrite = StoreCall{shareTableObject(state.budget.service), StoreWrite{version, encodeShares(table)}};
+}
+
+void MeasuringShares::adoptStanding(TimePoint now, ServiceState &state, const ShareTable &before, std::vector<int> &claims)
+{
+    // A claim whose answer was lost stands in the table already: no write is needed.
+    const auto stands = [this, now, &state, &before](int number) {
+        const auto index = static_cast<std::size_t>(number);
+        if (index >= before.shares.size() || before.shares[index].holder != self_) {
+            return false;
+        }
+        state.held[number] = {now + state.budget.window, false, false};
+        return true;
+    };
+    std::erase_if(claims, stands);
+}
+
+std::vector<int> MeasuringShares::plan(TimePoint now, ServiceState &state, ShareTable &table, const Membership &members)
+{
+    const std::size_t count = shareCount(state.budget.probes);
+    table.shares.resize(std::max(count, table.shares.size()));
+    for (std::size_t index = 0; index < table.shares.size(); ++index) {
+        Share &share = table.shares[index];
+        const int number = static_cast<int>(index);
+        const bool isQuiet = !isOut(state, number);
+        if ((share.unconfirmed == self_ && isQuiet) || hasEnded(share.unconfirmed)) {
+            share.unconfirmed = {};
+        }
+        if (hasEnded(share.holder)) {
+            share.holder = {};
+        }
+        const bool isGivenBack = isReleasing_ || index >= count;
+        if (share.holder == self_ && isQuiet && (isGivenBack || !state.held.contains(number) || state.held.at(number).isDropped)) {
+            // Also a claim whose answer was lost: it is taken again below, with a whole window's wait.
+            share.holder = {};
+        }
+    }
+    std::vector<int> claims;
+    if (isReleasing_ || !lease_.isValid(now)) {
+        return claims;
+    }
+    for (const int number : state.wanted) {
+        Share &share = table.shares[static_cast<std::size_t>(number)];
+        if (share.holder == self_ || isOut(state, number)) {
+            continue;
+        }
+        if (!share.holder.isNone()) {
+            if (!mayTakeOver(now, share, members)) {
+                continue;
+            }
+            share.unconfirmed = share.holder;
+        }
+        share.holder = self_;
+        claims.push_back(number);
+    }
+    return claims;
+}
+
+bool MeasuringShares::mayTakeOver(TimePoint now, const Share &share, const Membership &members)
+{
+    const auto state = members.stateOf(share.holder.id);
+    const bool isHeard = state == MemberState::Live || state == MemberState::Suspect;
+    if (isHeard || !share.unconfirmed.isNone()) {
+        observations_.erase(share.holder.id);
+        return false;
+    }
+    const auto [found, isNew] = observations_.try_emplace(share.holder.id);
+    if (isNew) {
+        found->second.since = now;
+    }
+    return found->second.isFenced;
+}
+
+bool MeasuringShares::hasEnded(const ShareHolder &holder) const
+{
+    // This process listens on the address that the other would still hold if it lived.
+    return holder.id.name == self_.id.name && holder.id.nonce != self_.id.nonce && holder.address == self_.address;
+}
+
+void MeasuringShares::observeLeases(TimePoint now, std::vector<StoreCall> &calls)
+{
+    for (auto &[id, observation] : observations_) {
+        if (observation.isAsking || observation.isFenced) {
+            continue;
+        }
+        const bool isStale = observation.isSeen && now - observation.since >= StaleAfter;
+        if (observation.isSeen && !isStale) {
+            continue;
+        }
+        observation.isAsking = true;
+        observation.isFencing = isStale;
+        const StoreObject object = leaseObject(id.name);
+        if (isStale && observation.nonce == id.nonce) {
+            calls.push_back({object, StoreDelete{observation.version}});
+        } else {
+            calls.push_back({object, StoreRead{}});
+        }
+    }
+}
+
+void MeasuringShares::leaseObserved(TimePoint now, const std::string &name, const StoreResult &result)
+{
+    for (auto &[id, observation] : observations_) {
+        if (id.name != name || !observation.isAsking) {
+            continue;
+        }
+        observation.isAsking = false;
+        const bool wasFencing = std::exchange(observation.isFencing, false);
+        if (const auto *found = std::get_if<StoreFound>(&result)) {
+            const auto content = decodeLease(found->value);
+            const std::string nonce = content ? content->holder.nonce : std::string();
+            const bool isReplaced = nonce != id.nonce;
+            // Another incarnation has the object, so the holder's renewals have failed since at least the first look.
+            observation.isFenced = wasFencing && isReplaced && observation.nonce == nonce;
+            if (!observation.isSeen || observation.nonce != nonce || (!isReplaced && observation.version != found->version)) {
+                observation.since = now;
+            }
+            observation.isSeen = true;
+            observation.nonce = nonce;
+            observation.version = found->version;
+        } else if (std::holds_alternative<StoreMissing>(result) || std::holds_alternative<StoreWritten>(result)) {
+            // Deleted, here or by another taker that had waited as long.
+            observation.isFenced = true;
+        } else {
+            // Renewed, or nothing known: look again from the start.
+            observation.isSeen = false;
+        }
+    }
+}
+
+void MeasuringShares::probeFinished(TimePoint now, const std::string &service, int share)
+{
+    if (const auto found = services_.find(service); found != services_.end()) {
+        if (const auto held = found->second.held.find(share); held != found->second.held.end()) {
+            held->second.isOut = false;
+            // Counted from the end, since the sending lies somewhere before it.
+            held->second.nextAllowed = now + found->second.budget.window;
+        }
+    }
+}
+
+void MeasuringShares::permitReturned(TimePoint now, const std::string &service, int share)
+{
+    if (const auto found = services_.find(service); found != services_.end()) {
+        if (const auto held = found->second.held.find(share); held != found->second.held.end()) {
+            held->second.isOut = false;
+            held->second.nextAllowed = std::max(held->second.nextAllowed, now + UnusedPermitPause);
+        }
+    }
+}
+
+void MeasuringShares::startRelease()
+{
+    isReleasing_ = true;
+    for (auto &[name, state] : services_) {
+        state.nextPoll = TimePoint() + microseconds(1);
+    }
+}
+
+bool MeasuringShares::holdsAny() const
+{
+    return std::any_of(services_.begin(), services_.end(), [](const auto &entry) { return !entry.second.held.empty(); });
+}
+
+std::size_t MeasuringShares::heldCount(const std::string &service) const
+{
+    const auto found = services_.find(service);
+    if (found == services_.end()) {
+        return 0;
+    }
+    const auto &held = found->second.held;
+    return static_cast<std::size_t>(std::count_if(held.begin(), held.end(), [](const auto &entry) { return !entry.second.isDropped; }));
+}
+
+bool MeasuringShares::wantsAny() const
+{
+    return std::any_of(services_.begin(), services_.end(), [](const auto &entry) { return !entry.second.wanted.empty(); });
+}
+
+std::vector<int> MeasuringShares::wanted(const ServiceState &state, const Membership &members) const
+{
+    std::vector<int> numbers;
+    const int count = static_cast<int>(shareCount(state.budget.probes));
+    for (int share = 0; share < count; ++share) {
+        if (members.isFirst(sharePurpose(state.budget.service, share))) {
+            numbers.push_back(share);
+        }
+    }
+    return numbers;
+}
+
+void MeasuringShares::dropAll()
+{
+    for (auto &[name, state] : services_) {
+        for (auto &[share, held] : state.held) {
+            held.isDropped = true;
+        }
+        state.nextPoll = TimePoint();
+    }
+}
+
+bool MeasuringShares::isOut(const ServiceState &state, int share) const
+{
+    const auto found = state.held.find(share);
+    return found != state.held.end() && found->second.isOut;
+}
+
+} // namespace Cloverbarrow
--- /dev/null
+++ b/src/core/node.cpp
@@ -0,0 +1,187 @@
+/*
+    This file is part of cloverbarrow.
+
+    SPDX-FileCopyrightText: 2026 The cloverbarrow authors
+    SPDX-License-Identifier: Apache-2.0
+*/
+
+#include "core/node.h"
+
+#include "core/stablehash.h"
+
+#include <deque>
+
+namespace Cloverbarrow
+{
+
+Node::Node(ControlSettings settings, PickPolicy policy)
+    : settings_(settings)
+    , policy_(policy)
+    , control_(std::move(settings))
+{
+}
+
+void Node::handle(TimePoint now, const NodeEvent &event, NodeActions &actions)
+{
+    std::vector<NodeEvent> internal;
+    handleOne(now, event, actions, internal);
+    // What shards tell each other is handled before the caller gets the actions; such news never goes in circles.
+    for (std::size_t index = 0; index < internal.size(); ++index) {
+        const NodeEvent next = std::move(internal[index]);
+        handleOne(now, next, actions, internal);
+    }
+}
+
+std::shared_ptr<const IntentInForce> Node::intent() const
+{
+    const std::lock_guard lock(mapMutex_);
+    return intent_;
+}
+
+Heartbeat Node::heartbeat(TimePoint now)
+{
+    const std::lock_guard lock(controlMutex_);
+    return control_.heartbeat(now);
+}
+
+WorkLeft Node::workLeft() const
+{
+    WorkLeft left;
+    withServices([&left](const std::string &, const ServiceShard &shard) {
+        left.requests += shard.openRequests();
+        left.payouts += shard.openPayouts();
+    });
+    return left;
+}
+
+void Node::handleOne(TimePoint now, const NodeEvent &event, NodeActions &actions, std::vector<NodeEvent> &internal)
+{
+    if (const auto *service = std::get_if<ForService>(&event)) {
+        handleService(now, *service, actions, internal);
+    } else {
+        handleControl(now, std::get<ControlEvent>(event), actions, internal);
+    }
+}
+
+void Node::handleService(TimePoint now, const ForService &event, NodeActions &actions, std::vector<NodeEvent> &internal)
+{
+    const ShardPointer shard = findShard(event.service);
+    if (!shard) {
+        if (const auto *arrived = std::get_if<RequestArrived>(&event.event)) {
+            const Problem problem{503, Fate::NotRun, "admit", event.service, "the service is not in force here", std::nullopt};
+            actions.emplace_back(OfService{event.service, Refuse{arrived->request, problem}});
+        }
+        return;
+    }
+    ServiceActions own;
+    {
+        const std::lock_guard lock(shard->mutex);
+        shard->shard.handle(now, event.event, own);
+    }
+    for (ServiceAction &action : own) {
+        if (const auto *leaving = std::get_if<TellLeaving>(&action)) {
+            internal.emplace_back(ControlEvent(LeavingSeen{event.service, leaving->backend}));
+        } else if (const auto *returned = std::get_if<ReturnPermit>(&action)) {
+            internal.emplace_back(ControlEvent(PermitReturned{event.service, returned->share}));
+        } else {
+            actions.emplace_back(OfService{event.service, std::move(action)});
+        }
+    }
+}
+
+void Node::handleControl(TimePoint now, const ControlEvent &event, NodeActions &actions, std::vector<NodeEvent> &internal)
+{
+    ControlActions own;
+    {
+        const std::lock_guard lock(controlMutex_);
+        control_.handle(now, event, own);
+    }
+    for (ControlAction &action : own) {
+        if (const auto *permit = std::get_if<PermitProbe>(&action)) {
+            internal.emplace_back(ForService{permit->service, ProbePermitted{permit->share}});
+            continue;
+        }
+        if (std::holds_alternative<LeavingUpdated>(action)) {
+            tellLeaving(internal);
+            continue;
+        }
+        if (const auto *fleet = std::get_if<FleetResized>(&action)) {
+            resize(fleet->entryVms, internal);
+        }
+        if (const auto *installed = std::get_if<InstallIntent>(&action)) {
+            install(installed->intent, internal);
+            tellLeaving(internal);
+        }
+        actions.emplace_back(std::move(action));
+    }
+    if (std::holds_alternative<ControlTick>(event)) {
+        tellAll(Tick{}, internal);
+    }
+}
+
+void Node::install(const std::shared_ptr<const IntentInForce> &intent, std::vector<NodeEvent> &internal)
+{
+    const std::lock_guard lock(mapMutex_);
+    if (intent_ && intent_->version >= intent->version) {
+        return;
+    }
+    intent_ = intent;
+    for (const Service &service : intent->configuration.services) {
+        ShardPointer &shard = services_[service.name];
+        if (!shard) {
+            const std::uint64_t seed = settings_.seed ^ stableHash({service.name});
+            shard = std::make_shared<GuardedShard>(service.name, ServiceShard(settings_.self.id, service.name, policy_, seed));
+            internal.emplace_back(ForService{service.name, FleetSizeChanged{entryVms_}});
+        }
+        internal.emplace_back(ForService{service.name, ServiceConfigured{intent->version, service}});
+    }
+    // A service that is gone keeps its shard until its requests have ended; without servers it takes no new ones.
+    for (const auto &[name, shard] : services_) {
+        if (!intent->configuration.findService(name)) {
+            internal.emplace_back(ForService{name, ServiceConfigured{intent->version, Service{}}});
+        }
+    }
+}
+
+void Node::resize(int entryVms, std::vector<NodeEvent> &internal)
+{
+    {
+        const std::lock_guard lock(mapMutex_);
+        entryVms_ = entryVms;
+    }
+    tellAll(FleetSizeChanged{entryVms}, internal);
+}
+
+void Node::tellLeaving(std::vector<NodeEvent> &internal) const
+{
+    for (const ShardPointer &shard : shards()) {
+        const std::lock_guard lock(controlMutex_);
+        internal.emplace_back(ForService{shard->name, LeavingChanged{control_.leaving(shard->name)}});
+    }
+}
+
+void Node::tellAll(const ServiceEvent &event, std::vector<NodeEvent> &internal) const
+{
+    for (const ShardPointer &shard : shards()) {
+        internal.emplace_back(ForService{shard->name, event});
+    }
+}
+
+Node::ShardPointer Node::findShard(const std::string &service) const
+{
+    const std::lock_guard lock(mapMutex_);
+    const auto found = services_.find(service);
+    return found == services_.end() ? nullptr : found->second;
+}
+
+std::vector<Node::ShardPointer> Node::shards() const
+{
+    const std::lock_guard lock(mapMutex_);
+    std::vector<ShardPointer> all;
+    for (const auto &[name, shard] : services_) {
+        all.push_back(shard);
+    }
+    return all;
+}
+
+} // namespace Cloverbarrow
--- /dev/null
+++ b/src/core/operatorintent.cpp
@@ -0,0 +1,91 @@
+/*
+    This file is part of cloverbarrow.
+
+    SPDX-FileCopyrightText: 2026 The cloverbarrow authors
+    SPDX-License-Identifier: Apache-2.0
+*/
+
+#include "core/operatorintent.h"
+
+#include "core/configurationparser.h"
+
+#include <nlohmann/json.hpp>
+
+namespace Cloverbarrow
+{
+
+namespace
+{
+
+using Json = nlohmann::json;
+
+Json toJson(const AcceptedChange &change)
+{
+    return {
+        {"id", change.id},
+        {"author", change.author},
+        {"reason", change.reason},
+        {"time_ms", change.timeMs},
+        {"what", change.what},
+        {"over_version", change.overVersion},
+    };
+}
+
+AcceptedChange changeFrom(const Json &json)
+{
+    return {json.at("id").get<std::string>(),
+            json.at("author").get<std::string>(),
+            json.at("reason").get<std::string>(),
+            json.at("time_ms").get<std::int64_t>(),
+            json.at("what").get<std::string>(),
+            json.at("over_version").get<std::int64_t>()};
+}
+
+OperatorIntent intentFrom(std::string_view value)
+{
+    const Json json = Json::parse(value);
+    OperatorIntent intent;
+    intent.document = json.at("document").get<std::string>();
+    intent.drains = json.at("drains").get<std::vector<std::string>>();
+    for (const Json &change : json.at("history")) {
+        intent.history.push_back(changeFrom(change));
+    }
+    return intent;
+}
+
+Error unreadable(const std::string &message)
+{
+    return {ErrorCode::Invalid, "read configuration", {}, message};
+}
+
+} // namespace
+
+std::string encodeIntent(const OperatorIntent &intent)
+{
+    Json history = Json::array();
+    for (const AcceptedChange &change : intent.history) {
+        history.push_back(toJson(change));
+    }
+    const Json json = {{"document", intent.document}, {"drains", intent.drains}, {"history", std::move(history)}};
+    return json.dump(-1, ' ', false, Json::error_handler_t::replace);
+}
+
+Result<std::shared_ptr<const IntentInForce>> decodeIntent(std::int64_t version, std::string_view value)
+{
+    auto decoded = std::make_shared<IntentInForce>();
+    decoded->version = version;
+    decoded->value = std::string(value);
+    try {
+        decoded->intent = intentFrom(value);
+    } catch (const Json::exception &exception) {
+        return unreadable(exception.what());
+    }
+    auto parsed = parseConfiguration(decoded->intent.document);
+    if (const auto *faults = std::get_if<std::vector<DocumentFault>>(&parsed)) {
+        return unreadable(faults->front().toString("configuration"));
+    }
+    decoded->configuration = std::move(std::get<Configuration>(parsed));
+    return std::shared_ptr<const IntentInForce>(std::move(decoded));
+}
+
+} // namespace Cloverbarrow
--- /dev/null
+++ b/src/core/payoutledger.cpp
@@ -0,0 +1,319 @@
+/*
+    This file is part of cloverbarrow.
+
+    SPDX-FileCopyrightText: 2026 The cloverbarrow authors
+    SPDX-License-Identifier: Apache-2.0
+*/
+
+#include "core/payoutledger.h"
+
+namespace Cloverbarrow
+{
+
+namespace
+{
+
+constexpr Duration RetryPause = milliseconds(200);
+constexpr Duration ComeBackAfterOutage = seconds(5);
+constexpr Duration ComeBackWhileOpen = seconds(2);
+
+Problem storeDown()
+{
+    return {503, Fate::NotRun, "record payout", "platform", "the platform does not answer, so the payout was not sent", ComeBackAfterOutage};
+}
+
+Problem createUnknown()
+{
+    // Nothing was sent, but the record may stand; it is closed in the background.
+    return {503, Fate::NotRun, "record payout", "platform", "the payout was not sent in time", ComeBackAfterOutage};
+}
+
+Problem otherBody()
+{
+    return {422, Fate::NotRun, "record payout", "platform", "the idempotency key was used before with another request", std::nullopt};
+}
+
+Problem unreadableRecord()
+{
+    return {409, Fate::Unknown, "read payout record", "platform", "the record under this idempotency key cannot be read", std::nullopt};
+}
+
+Problem settledButLong(const PayoutRecord &record)
+{
+    return {409,
+            Fate::Unknown,
+            "read payout record",
+            record.creator.name,
+            "the instruction was run and answered with status " + std::to_string(record.status) + "; its answer was too long to keep",
+            std::nullopt};
+}
+
+Problem unknownRepeat(const PayoutRecord &record)
+{
+    return {409,
+            Fate::Unknown,
+            "read payout record",
+            record.creator.name,
+            "the instruction was accepted before and its result is not known; it is not sent again",
+            ComeBackWhileOpen};
+}
+
+} // namespace
+
+PayoutLedger::PayoutLedger(Incarnation self, std::string service)
+    : self_(std::move(self))
+    , service_(std::move(service))
+{
+}
+
+void PayoutLedger::open(const RequestArrived &request, ServiceActions &actions)
+{
+    Entry entry;
+    entry.object = service_ + "/" + request.idempotencyKey;
+    entry.record = {PayoutState::Intent, request.digest, self_, nextMark_++, 0, {}};
+    entry.deadline = request.deadline;
+    Entry &stored = entries_.insert_or_assign(request.request, std::move(entry)).first->second;
+    ask(request.request, stored, StoreWrite{0, encodePayout(stored.record)}, actions);
+}
+
+PayoutLedger::Decision PayoutLedger::storeAnswered(const PayoutStoreAnswered &event, TimePoint now, ServiceActions &actions)
+{
+    const auto found = entries_.find(event.request);
+    if (found == entries_.end()) {
+        return Decision::Finished;
+    }
+    Entry &entry = found->second;
+    entry.isAsking = false;
+    entry.nextTry = now + RetryPause;
+    switch (entry.step) {
+    case Step::Creating:
+    case Step::ReadingBack:
+    case Step::Reopening:
+        return answerOpening(event.request, entry, event.result, now, actions);
+    case Step::Closing:
+    case Step::CheckingClose:
+        return answerClosing(event.request, entry, event.result, now, actions);
+    case Step::Sending:
+        break;
+    }
+    return Decision::Wait;
+}
+
+PayoutLedger::Decision
+PayoutLedger::answerOpening(RequestId request, Entry &entry, const StoreResult &result, TimePoint now, ServiceActions &actions)
+{
+    if (const auto *written = std::get_if<StoreWritten>(&result)) {
+        return created(request, entry, written->version, now, actions);
+    }
+    if (const auto *found = std::get_if<StoreFound>(&result)) {
+        const auto record = decodePayout(found->value);
+        const bool isOwn = record && isOwnTry(entry, *record);
+        return isOwn ? created(request, entry, found->version, now, actions) : foundOther(request, entry, found->version, record, actions);
+    }
+    const bool isLost = std::holds_alternative<StoreUnknown>(result);
+    const bool isReadBack = entry.step == Step::ReadingBack;
+    if (std::holds_alternative<StoreDown>(result) && !isReadBack) {
+        actions.emplace_back(Refuse{request, storeDown()});
+        return finish(request);
+    }
+    if (std::holds_alternative<StoreMissing>(result) && entry.isCallerAnswered) {
+        // The lost create may still be on its way; tick() looks again until it is sure to have ended.
+        return now > entry.deadline + ComeBackAfterOutage ? finish(request) : Decision::Wait;
+    }
+    if (now >= entry.deadline) {
+        entry.step = Step::ReadingBack;
+        entry.answer = Refuse{request, createUnknown()};
+        answerCaller(entry, actions);
+        return Decision::Wait;
+    }
+    entry.step = Step::ReadingBack;
+    if (std::holds_alternative<StoreMissing>(result)) {
+        // The same create again: if the lost one lands first, it carries the same mark and is found.
+        ask(request, entry, StoreWrite{0, encodePayout(entry.record)}, actions);
+    } else if (isLost || std::holds_alternative<StoreConflict>(result)) {
+        ask(request, entry, StoreRead{}, actions);
+    }
+    return Decision::Wait;
+}
+
+PayoutLedger::Decision PayoutLedger::created(RequestId request, Entry &entry, std::int64_t version, TimePoint now, ServiceActions &actions)
+{
+    entry.version = version;
+    if (entry.isCallerAnswered || now >= entry.deadline) {
+        // Given up: nothing was sent and nothing will be.
+        if (!entry.isCallerAnswered) {
+            entry.answer = Refuse{request, createUnknown()};
+        }
+        close(request, entry, PayoutState::Refused, actions);
+        return Decision::Wait;
+    }
+    entry.step = Step::Sending;
+    return Decision::Send;
+}
+
+PayoutLedger::Decision PayoutLedger::foundOther(RequestId request, Entry &entry, std::int64_t version, const std::optional<PayoutRecord> &found, ServiceActions &actions)
+{
+    if (entry.isCallerAnswered) {
+        return finish(request);
+    }
+    if (!found) {
+        actions.emplace_back(Refuse{request, unreadableRecord()});
+        return finish(request);
+    }
+    if (found->digest != entry.record.digest) {
+        actions.emplace_back(Refuse{request, otherBody()});
+        return finish(request);
+    }
+    switch (found->state) {
+    case PayoutState::Settled:
+        if (!found->isResultWhole) {
+            actions.emplace_back(Refuse{request, settledButLong(*found)});
+            return finish(request);
+        }
+        actions.emplace_back(ReplayAnswer{request, found->status, found->result});
+        return finish(request);
+    case PayoutState::Refused:
+        entry.step = Step::Reopening;
+        ask(request, entry, StoreWrite{version, encodePayout(entry.record)}, actions);
+        return Decision::Wait;
+    case PayoutState::Intent:
+    case PayoutState::Unknown:
+        break;
+    }
+    actions.emplace_back(Refuse{request, unknownRepeat(*found)});
+    return finish(request);
+}
+
+void PayoutLedger::settled(RequestId request, int attempt, const AnsweredWhole &answer, ServiceActions &actions)
+{
+    if (const auto found = entries_.find(request); found != entries_.end()) {
+        Entry &entry = found->second;
+        entry.record.status = answer.status;
+        entry.record.result = answer.shortResult;
+        entry.record.isResultWhole = answer.isResultWhole;
+        entry.answer = PassAnswer{request, attempt};
+        close(request, entry, PayoutState::Settled, actions);
+    }
+}
+
+void PayoutLedger::notSent(RequestId request, const Problem &problem, ServiceActions &actions)
+{
+    if (const auto found = entries_.find(request); found != entries_.end()) {
+        found->second.answer = Refuse{request, problem};
+        close(request, found->second, PayoutState::Refused, actions);
+    }
+}
+
+void PayoutLedger::lost(RequestId request, const Problem &problem, ServiceActions &actions)
+{
+    if (const auto found = entries_.find(request); found != entries_.end()) {
+        found->second.answer = Refuse{request, problem};
+        answerCaller(found->second, actions);
+        close(request, found->second, PayoutState::Unknown, actions);
+    }
+}
+
+void PayoutLedger::tick(TimePoint now, ServiceActions &actions)
+{
+    for (auto &[request, entry] : entries_) {
+        const bool isOpening = entry.step == Step::ReadingBack || entry.step == Step::Creating || entry.step == Step::Reopening;
+        if (isOpening && now >= entry.deadline && !entry.isCallerAnswered) {
+            entry.answer = Refuse{request, createUnknown()};
+            answerCaller(entry, actions);
+        }
+        const bool isClosing = entry.step == Step::Closing || entry.step == Step::CheckingClose;
+        if (isClosing && now >= entry.deadline) {
+            answerWithoutRecord(entry, actions);
+        }
+        if (entry.isAsking || entry.step == Step::Sending || now < entry.nextTry) {
+            continue;
+        }
+        if (entry.step == Step::Closing) {
+            ask(request, entry, StoreWrite{entry.version, encodePayout(entry.record)}, actions);
+        } else {
+            ask(request, entry, StoreRead{}, actions);
+        }
+    }
+}
+
+std::size_t PayoutLedger::openCount() const
+{
+    return entries_.size();
+}
+
+bool PayoutLedger::isOwnTry(const Entry &entry, const PayoutRecord &record) const
+{
+    return record.creator == self_ && record.mark == entry.record.mark;
+}
+
+void PayoutLedger::close(RequestId request, Entry &entry, PayoutState state, ServiceActions &actions)
+{
+    entry.record.state = state;
+    entry.step = Step::Closing;
+    ask(request, entry, StoreWrite{entry.version, encodePayout(entry.record)}, actions);
+}
+
+PayoutLedger::Decision
+PayoutLedger::answerClosing(RequestId request, Entry &entry, const StoreResult &result, TimePoint now, ServiceActions &actions)
+{
+    if (std::holds_alternative<StoreWritten>(result)) {
+        answerCaller(entry, actions);
+        return finish(request);
+    }
+    if (const auto *found = std::get_if<StoreFound>(&result)) {
+        const auto record = decodePayout(found->value);
+        if (!record || !isOwnTry(entry, *record) || record->state == entry.record.state) {
+            // Closed already; if it was reopened since, the newer try owns it.
+            answerCaller(entry, actions);
+            return finish(request);
+        }
+        entry.version = found->version;
+        entry.step = Step::Closing;
+        ask(request, entry, StoreWrite{entry.version, encodePayout(entry.record)}, actions);
+        return Decision::Wait;
+    }
+    if (std::holds_alternative<StoreMissing>(result)) {
+        answerCaller(entry, actions);
+        return finish(request);
+    }
+    answerWithoutRecord(entry, actions);
+    entry.step = Step::CheckingClose;
+    entry.nextTry = now + RetryPause;
+    return Decision::Wait;
+}
+
+void PayoutLedger::answerWithoutRecord(Entry &entry, ServiceActions &actions)
+{
+    // The answer of the backend server is the caller's by right and is not held back for the record.
+    // "Not run" is only said with the record closed, since a repeat would else be told "unknown".
+    if (entry.answer && !entry.isCallerAnswered) {
+        if (auto *refusal = std::get_if<Refuse>(&*entry.answer)) {
+            refusal->problem.fate = Fate::Unknown;
+            refusal->problem.detail += "; its record could not be closed yet";
+        }
+    }
+    answerCaller(entry, actions);
+}
+
+void PayoutLedger::answerCaller(Entry &entry, ServiceActions &actions)
+{
+    if (entry.answer && !entry.isCallerAnswered) {
+        actions.push_back(*entry.answer);
+    }
+    entry.answer.reset();
+    entry.isCallerAnswered = true;
+}
+
+void PayoutLedger::ask(RequestId request, Entry &entry, StoreOperation operation, ServiceActions &actions)
+{
+    entry.isAsking = true;
+    actions.emplace_back(AskPayoutStore{request, StoreCall{{PayoutObjectKind, entry.object}, std::move(operation)}});
+}
+
+PayoutLedger::Decision PayoutLedger::finish(RequestId request)
+{
+    entries_.erase(request);
+    return Decision::Finished;
+}
+
+} // namespace Cloverbarrow
--- /dev/null
+++ b/src/core/payoutrecord.cpp
@@ -0,0 +1,76 @@
+/*
+    This file is part of cloverbarrow.
+
+    SPDX-FileCopyrightText: 2026 The cloverbarrow authors
+    SPDX-License-Identifier: Apache-2.0
+*/
+
+#include "core/payoutrecord.h"
+
+#include <nlohmann/json.hpp>
+
+#include <array>
+
+namespace Cloverbarrow
+{
+
+namespace
+{
+
+constexpr std::array<std::string_view, 4> StateNames = {"intent", "settled", "refused", "unknown"};
+
+std::optional<PayoutState> stateOf(const std::string &name)
+{
+    for (std::size_t index = 0; index < StateNames.size(); ++index) {
+        if (StateNames[index] == name) {
+            return static_cast<PayoutState>(index);
+        }
+    }
+    return std::nullopt;
+}
+
+} // namespace
+
+std::string_view toString(PayoutState state)
+{
+    return StateNames[static_cast<std::size_t>(state)];
+}
+
+std::string encodePayout(const PayoutRecord &record)
+{
+    const nlohmann::json json = {
+        {"state", toString(record.state)},
+        {"digest", record.digest},
+        {"creator", {{"name", record.creator.name}, {"nonce", record.creator.nonce}}},
+        {"mark", record.mark},
+        {"status", record.status},
+        {"result", record.result},
+        {"whole", record.isResultWhole},
+    };
+    // A result that is no UTF-8 must not stop the record; its bytes were passed to the caller as they came.
+    return json.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+}
+
+std::optional<PayoutRecord> decodePayout(std::string_view value)
+{
+    try {
+        const auto json = nlohmann::json::parse(value);
+        const auto state = stateOf(json.at("state").get<std::string>());
+        if (!state) {
+            return std::nullopt;
+        }
+        PayoutRecord record;
+        record.state = *state;
+        record.digest = json.at("digest").get<std::string>();
+        record.creator = {json.at("creator").at("name").get<std::string>(), json.at("creator").at("nonce").get<std::string>()};
+        record.mark = json.at("mark").get<std::uint64_t>();
+        record.status = json.at("status").get<int>();
+        record.result = json.at("result").get<std::string>();
+        record.isResultWhole = json.at("whole").get<bool>();
+        return record;
+    } catch (const nlohmann::json::exception &) {
+        return std::nullopt;
+    }
+}
+
+} // namespace Cloverbarrow
--- /dev/null
+++ b/src/core/pickpolicy.cpp
@@ -0,0 +1,108 @@
+/*
+    This file is part of cloverbarrow.
+
+    SPDX-FileCopyrightText: 2026 The cloverbarrow authors
+    SPDX-License-Identifier: Apache-2.0
+*/
+
+#include "core/pickpolicy.h"
+
+#include "core/backendpool.h"
+
+#include <cmath>
+
+namespace Cloverbarrow
+{
+
+namespace
+{
+
+/// Chooses by the lowest score; among equals each has the same chance.
+template<typename Score>
+std::size_t lowest(std::span<const std::size_t> candidates, Random &random, const Score &score)
+{
+    std::size_t best = candidates.front();
+    double bestScore = score(best);
+    std::size_t equals = 1;
+    for (const std::size_t candidate : candidates.subspan(1)) {
+        const double candidateScore = score(candidate);
+        if (candidateScore < bestScore) {
+            best = candidate;
+            bestScore = candidateScore;
+            equals = 1;
+        } else if (candidateScore == bestScore && random.below(++equals) == 0) {
+            best = candidate;
+        }
+    }
+    return best;
+}
+
+/// Visitor that applies a policy to one choice.
+struct Picker {
+    std::span<const Backend> backends;
+    std::span<const std::size_t> candidates;
+    TimePoint now;
+    Random &random;
+
+    std::size_t any() const
+    {
+        return candidates[random.below(candidates.size())];
+    }
+
+    std::size_t operator()(RandomPick &) const
+    {
+        return any();
+    }
+
+    std::size_t operator()(RoundRobinPick &policy) const
+    {
+        return candidates[policy.next++ % candidates.size()];
+    }
+
+    std::size_t operator()(LeastInFlightPick &) const
+    {
+        return lowest(candidates, random, [this](std::size_t index) { return static_cast<double>(backends[index].inFlight); });
+    }
+
+    std::size_t operator()(TwoChoicesPick &) const
+    {
+        const std::size_t first = any();
+        const std::size_t second = any();
+        return backends[second].inFlight < backends[first].inFlight ? second : first;
+    }
+
+    std::size_t operator()(LoadReportPick &policy) const
+    {
+        const auto score = [this, &policy](std::size_t index) { return estimatedLoad(backends[index], policy.halfLife); };
+        if (policy.choices == 0) {
+            return lowest(candidates, random, score);
+        }
+        std::size_t best = any();
+        for (int choice = 1; choice < policy.choices; ++choice) {
+            const std::size_t other = any();
+            if (score(other) < score(best)) {
+                best = other;
+            }
+        }
+        return best;
+    }
+
+    double estimatedLoad(const Backend &backend, Duration halfLife) const
+    {
+        double others = 0;
+        if (backend.reportedAt) {
+            const double age = toMilliseconds(now - *backend.reportedAt);
+            others = backend.reportedLoad * std::exp2(-age / toMilliseconds(halfLife));
+        }
+        return backend.inFlight + others;
+    }
+};
+
+} // namespace
+
+std::size_t pickBackend(PickPolicy &policy, std::span<const Backend> backends, std::span<const std::size_t> candidates, TimePoint now, Random &random)
+{
+    return std::visit(Picker{backends, candidates, now, random}, policy);
+}
+
+} // namespace Cloverbarrow
--- /dev/null
+++ b/src/core/serviceevents.h
@@ -0,0 +1,225 @@
+/*
+    This file is part of cloverbarrow.
+
+    SPDX-FileCopyrightText: 2026 The cloverbarrow authors
+    SPDX-License-Identifier: Apache-2.0
+*/
+
+#pragma once
+
+#include "core/configuration.h"
+#include "core/storecall.h"
+#include "core/time.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace Cloverbarrow
+{
+
+/// Names a caller's request within one entry VM; never used twice.
+using RequestId = std::uint64_t;
+
+/// What a caller is told about a request that got no answer of a backend server.
+enum class Fate {
+    NotRun, ///< It was certainly not run; repeating it is safe.
+    Unknown, ///< It may have been run.
+};
+
+/// A refusal, told to the caller as application/problem+json.
+struct Problem {
+    int status = 503;
+    Fate fate = Fate::NotRun;
+    std::string step;
+    std::string peer;
+    std::string detail;
+    std::optional<Duration> retryAfter;
+
+    bool operator==(const Problem &) const = default;
+};
+
+// Events
+
+/// A checked request of a caller.
+struct RequestArrived {
+    RequestId request = 0;
+    std::size_t kind = 0;
+    KindClass kindClass = KindClass::Read; ///< As routed, whatever the configuration says later.
+    TimePoint deadline;
+    bool isRetryAbove = false; ///< A level above is already retrying; only what never left is tried again here.
+    std::string idempotencyKey; ///< Payouts only.
+    std::string digest; ///< Of method, target and body; payouts only.
+};
+
+/// The caller has gone; nobody waits for the answer.
+struct CallerGone {
+    RequestId request = 0;
+};
+
+/// A whole answer.
+struct AnsweredWhole {
+    int status = 200;
+    bool isNotRun = false; ///< The backend server declares that it did not run the request.
+    bool isLeaving = false; ///< The backend server says that it is leaving.
+    std::string shortResult; ///< The body, where short enough to keep with a payout.
+    bool isResultWhole = true; ///< False when the body is too long to keep.
+};
+
+/// Nothing of the request left this entry VM.
+struct NeverLeft {
+    std::string reason;
+};
+
+/// The request left, and no whole answer came.
+struct LostAnswer {
+    std::string reason;
+    bool isTimeout = false;
+};
+
+using AttemptOutcome = std::variant<AnsweredWhole, NeverLeft, LostAnswer>;
+
+/// An attempt has ended, however it did.
+struct AttemptEnded {
+    RequestId request = 0;
+    int attempt = 1;
+    AttemptOutcome outcome;
+    std::optional<int> reportedLoad; ///< Requests in hand at the backend server when it answered.
+};
+
+/// A share of the measuring budget may be used for one probe now.
+struct ProbePermitted {
+    int share = 0;
+};
+
+/// The result of a probe.
+struct ProbeEnded {
+    std::string backend;
+    bool isHealthy = false;
+    bool isLeaving = false;
+    std::optional<int> reportedLoad;
+};
+
+/// The platform's answer about a payout's record.
+struct PayoutStoreAnswered {
+    RequestId request = 0;
+    StoreResult result;
+};
+
+/// The part of a configuration that concerns this service.
+struct ServiceConfigured {
+    std::int64_t version = 0;
+    Service service;
+};
+
+/// Which backend servers are known to be leaving, by name.
+struct LeavingChanged {
+    std::vector<std::string> leaving;
+};
+
+/// How many entry VMs share the connections of the backend servers.
+struct FleetSizeChanged {
+    int entryVms = 1;
+};
+
+struct Tick {
+};
+
+using ServiceEvent = std::variant<RequestArrived,
+                                  CallerGone,
+                                  AttemptEnded,
+                                  ProbePermitted,
+                                  ProbeEnded,
+                                  PayoutStoreAnswered,
+                                  ServiceConfigured,
+                                  LeavingChanged,
+                                  FleetSizeChanged,
+                                  Tick>;
+
+// Actions
+
+/// Send the request to a backend server.
+struct StartAttempt {
+    RequestId request = 0;
+    int attempt = 1;
+    std::string backend;
+    std::string address;
+    TimePoint deadline;
+    bool mayReuseConnection = false;
+
+    bool operator==(const StartAttempt &) const = default;
+};
+
+/// Nobody needs the attempt's answer any more.
+struct CancelAttempt {
+    RequestId request = 0;
+    int attempt = 1;
+
+    bool operator==(const CancelAttempt &) const = default;
+};
+
+/// Give the caller the answer of this attempt.
+struct PassAnswer {
+    RequestId request = 0;
+    int attempt = 1;
+
+    bool operator==(const PassAnswer &) const = default;
+};
+
+/// Give the caller the recorded result of an earlier instruction with the same key.
+struct ReplayAnswer {
+    RequestId request = 0;
+    int status = 200;
+    std::string body;
+
+    bool operator==(const ReplayAnswer &) const = default;
+};
+
+/// Tell the caller at once that the request gets no answer of a backend server.
+struct Refuse {
+    RequestId request = 0;
+    Problem problem;
+
+    bool operator==(const Refuse &) const = default;
+};
+
+/// Ask the platform about a payout's record.
+struct AskPayoutStore {
+    RequestId request = 0;
+    StoreCall call;
+
+    bool operator==(const AskPayoutStore &) const = default;
+};
+
+/// Measure a backend server.
+struct StartProbe {
+    int share = 0;
+    std::string backend;
+    std::string address;
+    std::string path;
+
+    bool operator==(const StartProbe &) const = default;
+};
+
+/// No server is worth a probe now.
+struct ReturnPermit {
+    int share = 0;
+
+    bool operator==(const ReturnPermit &) const = default;
+};
+
+/// Tell all entry VMs that a backend server is leaving.
+struct TellLeaving {
+    std::string backend;
+
+    bool operator==(const TellLeaving &) const = default;
+};
+
+using ServiceAction = std::variant<StartAttempt, CancelAttempt, PassAnswer, ReplayAnswer, Refuse, AskPayoutStore, StartProbe, ReturnPermit, TellLeaving>;
+using ServiceActions = std::vector<ServiceAction>;
+
+} // namespace Cloverbarrow
--- /dev/null
+++ b/src/core/serviceshard.cpp
@@ -0,0 +1,376 @@
+/*
+    This file is part of cloverbarrow.
+
+    SPDX-FileCopyrightText: 2026 The cloverbarrow authors
+    SPDX-License-Identifier: Apache-2.0
+*/
+
+#include "core/serviceshard.h"
+
+#include <algorithm>
+
+namespace Cloverbarrow
+{
+
+namespace
+{
+
+constexpr Duration ComeBackWhenBusy = seconds(1);
+constexpr Duration ComeBackWithoutServer = seconds(5);
+constexpr int ServerError = 500;
+
+AttemptQuality qualityOf(const AttemptOutcome &outcome)
+{
+    if (const auto *answer = std::get_if<AnsweredWhole>(&outcome)) {
+        if (answer->isNotRun) {
+            return AttemptQuality::Neutral;
+        }
+        return answer->status < ServerError ? AttemptQuality::Good : AttemptQuality::Failed;
+    }
+    return AttemptQuality::Failed;
+}
+
+/// Visitor that words the refusal for an attempt that ended without an answer to pass.
+struct ProblemOf {
+    std::string peer;
+    bool mayHaveRun;
+
+    Fate fate(bool isNotRun) const
+    {
+        return isNotRun && !mayHaveRun ? Fate::NotRun : Fate::Unknown;
+    }
+
+    Problem operator()(const AnsweredWhole &answer) const
+    {
+        return {503, fate(answer.isNotRun), "run request", peer, "the backend server did not run the request", ComeBackWhenBusy};
+    }
+
+    Problem operator()(const NeverLeft &failure) const
+    {
+        return {503, fate(true), "connect", peer, failure.reason, ComeBackWhenBusy};
+    }
+
+    Problem operator()(const LostAnswer &failure) const
+    {
+        return {failure.isTimeout ? 504 : 502, fate(false), "await answer", peer, failure.reason, std::nullopt};
+    }
+};
+
+} // namespace
+
+ServiceShard::ServiceShard(Incarnation self, std::string name, PickPolicy policy, std::uint64_t seed)
+    : self_(std::move(self))
+    , name_(std::move(name))
+    , pool_(policy)
+    , ledger_(self_, name_)
+    , random_(seed)
+{
+}
+
+void ServiceShard::handle(TimePoint now, const ServiceEvent &event, ServiceActions &actions)
+{
+    std::visit([this, now, &actions](const auto &typed) { on(now, typed, actions); }, event);
+}
+
+std::size_t ServiceShard::openRequests() const
+{
+    return requests_.size();
+}
+
+std::size_t ServiceShard::openPayouts() const
+{
+    return ledger_.openCount();
+}
+
+const BackendPool &ServiceShard::pool() const
+{
+    return pool_;
+}
+
+void ServiceShard::on(TimePoint now, const RequestArrived &event, ServiceActions &actions)
+{
+    if (const auto problem = admissionProblem(now, event)) {
+        actions.emplace_back(Refuse{event.request, *problem});
+        return;
+    }
+    Request &request = requests_[event.request];
+    request.arrival = event;
+    retryBudget_.addFirstAttempt();
+    if (isPayout(request)) {
+        ledger_.open(event, actions);
+    } else {
+        start(now, request, actions);
+    }
+}
+
+std::optional<Problem> ServiceShard::admissionProblem(TimePoint now, const RequestArrived &event) const
+{
+    if (event.kind >= service_.kinds.size()) {
+        return Problem{503, Fate::NotRun, "admit", name_, "the service's configuration is changing", ComeBackWhenBusy};
+    }
+    if (now >= event.deadline) {
+        return Problem{504, Fate::NotRun, "admit", name_, "the deadline has passed", std::nullopt};
+    }
+    if (!pool_.hasCandidate()) {
+        return Problem{503, Fate::NotRun, "choose backend server", name_, "no backend server in an allowed place", ComeBackWithoutServer};
+    }
+    const std::size_t held = std::max(requests_.size(), ledger_.openCount());
+    if (held >= static_cast<std::size_t>(service_.limits.maxInFlight)) {
+        return Problem{503, Fate::NotRun, "admit", name_, "too many requests in flight", ComeBackWhenBusy};
+    }
+    return std::nullopt;
+}
+
+void ServiceShard::on(TimePoint now, const CallerGone &event, ServiceActions &actions)
+{
+    const auto found = requests_.find(event.request);
+    if (found == requests_.end()) {
+        return;
+    }
+    Request &request = found->second;
+    if (kindClass(request) != KindClass::Read) {
+        // Cutting a write short would leave it half known; it ends by its deadline.
+        request.isCallerGone = true;
+        return;
+    }
+    if (!request.backend.empty()) {
+        actions.emplace_back(CancelAttempt{event.request, request.attempts});
+        releaseAttempt(now, request, AttemptQuality::Neutral);
+    }
+    requests_.erase(found);
+    startWaiting(now, actions);
+}
+
+void ServiceShard::on(TimePoint now, const AttemptEnded &event, ServiceActions &actions)
+{
+    const auto found = requests_.find(event.request);
+    const bool isCurrent = found != requests_.end() && found->second.attempts == event.attempt && !found->second.backend.empty();
+    if (!isCurrent) {
+        return;
+    }
+    Request &request = found->second;
+    const std::string backend = request.backend;
+    releaseAttempt(now, request, qualityOf(event.outcome));
+    if (event.reportedLoad) {
+        pool_.report(backend, *event.reportedLoad, now);
+    }
+    if (const auto *answer = std::get_if<AnsweredWhole>(&event.outcome); answer && answer->isLeaving) {
+        pool_.markLeaving(backend);
+        actions.emplace_back(TellLeaving{backend});
+    }
+    const Verdict verdict = judge(request, event.outcome);
+    const bool wantsRetry = verdict == Verdict::RetryOrPass || verdict == Verdict::RetryOrRefuse;
+    if (wantsRetry && mayRetry(now, request)) {
+        const auto *answer = std::get_if<AnsweredWhole>(&event.outcome);
+        const bool isNotRun = std::holds_alternative<NeverLeft>(event.outcome) || (answer && answer->isNotRun);
+        request.mayHaveRun = request.mayHaveRun || !isNotRun;
+        request.tried.push_back(backend);
+        start(now, request, actions);
+    } else {
+        request.tried.push_back(backend);
+        conclude(request, event, verdict, actions);
+        requests_.erase(found);
+    }
+    startWaiting(now, actions);
+}
+
+ServiceShard::Verdict ServiceShard::judge(const Request &request, const AttemptOutcome &outcome) const
+{
+    const bool isFreelyRetried = kindClass(request) == KindClass::Read && !request.arrival.isRetryAbove;
+    if (std::holds_alternative<NeverLeft>(outcome)) {
+        return Verdict::RetryOrRefuse;
+    }
+    if (std::holds_alternative<LostAnswer>(outcome)) {
+        return isFreelyRetried ? Verdict::RetryOrRefuse : Verdict::Refuse;
+    }
+    const auto &answer = std::get<AnsweredWhole>(outcome);
+    if (answer.isNotRun) {
+        return request.arrival.isRetryAbove ? Verdict::Refuse : Verdict::RetryOrRefuse;
+    }
+    const auto &statuses = service_.retry.statuses;
+    const bool isRetriedStatus = std::find(statuses.begin(), statuses.end(), answer.status) != statuses.end();
+    return isFreelyRetried && isRetriedStatus ? Verdict::RetryOrPass : Verdict::Pass;
+}
+
+bool ServiceShard::mayRetry(TimePoint now, const Request &request)
+{
+    const bool hasAttempts = request.attempts < service_.retry.maxAttempts;
+    const bool isWanted = !request.isCallerGone || isPayout(request);
+    return hasAttempts && isWanted && now < request.arrival.deadline && pool_.hasCandidate() && retryBudget_.take();
+}
+
+void ServiceShard::conclude(Request &request, const AttemptEnded &event, Verdict verdict, ServiceActions &actions)
+{
+    const RequestId id = request.arrival.request;
+    if (verdict == Verdict::Pass || verdict == Verdict::RetryOrPass) {
+        if (isPayout(request)) {
+            ledger_.settled(id, event.attempt, std::get<AnsweredWhole>(event.outcome), actions);
+        } else {
+            actions.emplace_back(PassAnswer{id, event.attempt});
+        }
+        return;
+    }
+    refuse(request, std::visit(ProblemOf{request.tried.back(), request.mayHaveRun}, event.outcome), actions);
+}
+
+void ServiceShard::refuse(const Request &request, Problem problem, ServiceActions &actions)
+{
+    const RequestId id = request.arrival.request;
+    if (!isPayout(request)) {
+        actions.emplace_back(Refuse{id, std::move(problem)});
+    } else if (problem.fate == Fate::NotRun) {
+        ledger_.notSent(id, problem, actions);
+    } else {
+        ledger_.lost(id, problem, actions);
+    }
+}
+
+void ServiceShard::on(TimePoint now, const ProbePermitted &event, ServiceActions &actions)
+{
+    if (const auto index = pool_.wantsProbe(now)) {
+        const BackendServer &server = pool_.backends()[*index].server;
+        actions.emplace_back(StartProbe{event.share, server.name, server.address, service_.measuring.path});
+    } else {
+        actions.emplace_back(ReturnPermit{event.share});
+    }
+}
+
+void ServiceShard::on(TimePoint now, const ProbeEnded &event, ServiceActions &actions)
+{
+    // A probe takes no slot in the count of attempts; only its news is used.
+    if (event.isLeaving) {
+        pool_.markLeaving(event.backend);
+        actions.emplace_back(TellLeaving{event.backend});
+    }
+    pool_.probed(event.backend, event.isHealthy, now);
+    if (event.reportedLoad) {
+        pool_.report(event.backend, *event.reportedLoad, now);
+    }
+    startWaiting(now, actions);
+}
+
+void ServiceShard::on(TimePoint now, const PayoutStoreAnswered &event, ServiceActions &actions)
+{
+    const auto decision = ledger_.storeAnswered(event, now, actions);
+    const auto found = requests_.find(event.request);
+    if (found == requests_.end()) {
+        return;
+    }
+    if (decision == PayoutLedger::Decision::Send) {
+        start(now, found->second, actions);
+    } else if (decision == PayoutLedger::Decision::Finished) {
+        requests_.erase(found);
+    }
+}
+
+void ServiceShard::on(TimePoint now, const ServiceConfigured &event, ServiceActions &actions)
+{
+    if (event.version <= version_) {
+        return;
+    }
+    version_ = event.version;
+    service_ = event.service;
+    pool_.configure(service_);
+    retryBudget_.setPercent(service_.retry.budgetPercent);
+    applyCap();
+    startWaiting(now, actions);
+}
+
+void ServiceShard::on(TimePoint, const LeavingChanged &event, ServiceActions &)
+{
+    pool_.setLeaving(event.leaving);
+}
+
+void ServiceShard::on(TimePoint, const FleetSizeChanged &event, ServiceActions &)
+{
+    entryVms_ = std::max(1, event.entryVms);
+    applyCap();
+}
+
+void ServiceShard::on(TimePoint now, const Tick &, ServiceActions &actions)
+{
+    expireWaiting(now, actions);
+    startWaiting(now, actions);
+    ledger_.tick(now, actions);
+}
+
+KindClass ServiceShard::kindClass(const Request &request) const
+{
+    return request.arrival.kindClass;
+}
+
+bool ServiceShard::isPayout(const Request &request) const
+{
+    return kindClass(request) == KindClass::Payout;
+}
+
+void ServiceShard::start(TimePoint now, Request &request, ServiceActions &actions)
+{
+    // Those that wait already go first.
+    if (!waiting_.empty() || !tryStart(now, request, actions)) {
+        waiting_.push_back(request.arrival.request);
+    }
+}
+
+bool ServiceShard::tryStart(TimePoint now, Request &request, ServiceActions &actions)
+{
+    const auto index = pool_.take(now, random_, request.tried);
+    if (!index) {
+        return false;
+    }
+    const Backend &backend = pool_.backends()[*index];
+    ++request.attempts;
+    request.backend = backend.server.name;
+    request.attemptStarted = now;
+    // The C library's HTTP client may resend on a connection that turns out dead, and only the echoed tag
+    // tells an answer from a stray one; so only tagged reads go on a used connection.
+    const bool mayReuse = service_.echoesExchangeTag && kindClass(request) == KindClass::Read;
+    actions.emplace_back(
+        StartAttempt{request.arrival.request, request.attempts, backend.server.name, backend.server.address, request.arrival.deadline, mayReuse});
+    return true;
+}
+
+void ServiceShard::startWaiting(TimePoint now, ServiceActions &actions)
+{
+    while (!waiting_.empty()) {
+        const auto found = requests_.find(waiting_.front());
+        if (found != requests_.end() && !tryStart(now, found->second, actions)) {
+            return;
+        }
+        waiting_.pop_front();
+    }
+}
+
+void ServiceShard::expireWaiting(TimePoint now, ServiceActions &actions)
+{
+    const bool hasServer = pool_.hasCandidate();
+    const auto isOver = [this, now, hasServer, &actions](RequestId id) {
+        const auto found = requests_.find(id);
+        if (found == requests_.end()) {
+            return true;
+        }
+        Request &request = found->second;
+        if (hasServer && now < request.arrival.deadline) {
+            return false;
+        }
+        const Fate fate = request.mayHaveRun ? Fate::Unknown : Fate::NotRun;
+        const auto comeBack = hasServer ? ComeBackWhenBusy : ComeBackWithoutServer;
+        refuse(request, {503, fate, "wait for backend server", name_, "no backend server had room before the deadline", comeBack}, actions);
+        requests_.erase(found);
+        return true;
+    };
+    std::erase_if(waiting_, isOver);
+}
+
+void ServiceShard::releaseAttempt(TimePoint now, Request &request, AttemptQuality quality)
+{
+    pool_.release(request.backend, quality, now - request.attemptStarted, now);
+    request.backend.clear();
+}
+
+void ServiceShard::applyCap()
+{
+    pool_.setInFlightCap(service_.limits.connectionsPerServer / entryVms_);
+}
+
+} // namespace Cloverbarrow
--- /dev/null
+++ b/src/core/serviceshard.h
@@ -0,0 +1,100 @@
+/*
+    This file is part of cloverbarrow.
+
+    SPDX-FileCopyrightText: 2026 The cloverbarrow authors
+    SPDX-License-Identifier: Apache-2.0
+*/
+
+#pragma once
+
+#include "core/backendpool.h"
+#include "core/payoutledger.h"
+#include "core/random.h"
+#include "core/retrybudget.h"
+#include "core/serviceevents.h"
+
+#include <cstddef>
+#include <deque>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace Cloverbarrow
+{
+
+/// Everything one entry VM decides about the requests of one service: admission, the choice of a
+/// backend server, retries, deadlines and payouts. Feed it events in time order and carry out the
+/// actions it adds, in their order. Not thread-safe; the daemon keeps each shard under its own lock.
+class ServiceShard
+{
+public:
+    ServiceShard(Incarnation self, std::string name, PickPolicy policy, std::uint64_t seed);
+
+    /// @param actions receives what is to be done; existing entries stay.
+    void handle(TimePoint now, const ServiceEvent &event, ServiceActions &actions);
+
+    /// @return requests that have no final answer yet.
+    std::size_t openRequests() const;
+    /// @return payouts whose record is not yet as it should be.
+    std::size_t openPayouts() const;
+    const BackendPool &pool() const;
+
+private:
+    struct Request {
+        RequestArrived arrival;
+        int attempts = 0; ///< Started so far.
+        std::string backend; ///< Of the attempt under way; empty when there is none.
+        TimePoint attemptStarted;
+        std::vector<std::string> tried;
+        bool mayHaveRun = false; ///< An earlier attempt may have been run.
+        bool isCallerGone = false;
+    };
+
+    /// What to do after an attempt.
+    enum class Verdict {
+        Pass,
+        RetryOrPass,
+        RetryOrRefuse,
+        Refuse,
+    };
+
+    void on(TimePoint now, const RequestArrived &event, ServiceActions &actions);
+    void on(TimePoint now, const CallerGone &event, ServiceActions &actions);
+    void on(TimePoint now, const AttemptEnded &event, ServiceActions &actions);
+    void on(TimePoint now, const ProbePermitted &event, ServiceActions &actions);
+    void on(TimePoint now, const ProbeEnded &event, ServiceActions &actions);
+    void on(TimePoint now, const PayoutStoreAnswered &event, ServiceActions &actions);
+    void on(TimePoint now, const ServiceConfigured &event, ServiceActions &actions);
+    void on(TimePoint now, const LeavingChanged &event, ServiceActions &actions);
+    void on(TimePoint now, const FleetSizeChanged &event, ServiceActions &actions);
+    void on(TimePoint now, const Tick &event, ServiceActions &actions);
+
+    std::optional<Problem> admissionProblem(TimePoint now, const RequestArrived &event) const;
+    bool isPayout(const Request &request) const;
+    KindClass kindClass(const Request &request) const;
+    /// Starts the next attempt, or lets the request wait for a server with room.
+    void start(TimePoint now, Request &request, ServiceActions &actions);
+    bool tryStart(TimePoint now, Request &request, ServiceActions &actions);
+    void startWaiting(TimePoint now, ServiceActions &actions);
+    void expireWaiting(TimePoint now, ServiceActions &actions);
+    void releaseAttempt(TimePoint now, Request &request, AttemptQuality quality);
+    Verdict judge(const Request &request, const AttemptOutcome &outcome) const;
+    bool mayRetry(TimePoint now, const Request &request);
+    void conclude(Request &request, const AttemptEnded &event, Verdict verdict, ServiceActions &actions);
+    void refuse(const Request &request, Problem problem, ServiceActions &actions);
+    void applyCap();
+
+    Incarnation self_;
+    std::string name_;
+    std::int64_t version_ = 0;
+    Service service_;
+    BackendPool pool_;
+    RetryBudget retryBudget_;
+    PayoutLedger ledger_;
+    Random random_;
+    int entryVms_ = 1;
+    std::map<RequestId, Request> requests_;
+    std::deque<RequestId> waiting_;
+};
+
+} // namespace Cloverbarrow
--- /dev/null
+++ b/src/core/shutdownsequence.cpp
@@ -0,0 +1,47 @@
+/*
+    This file is part of cloverbarrow.
+
+    SPDX-FileCopyrightText: 2026 The cloverbarrow authors
+    SPDX-License-Identifier: Apache-2.0
+*/
+
+#include "core/shutdownsequence.h"
+
+namespace Cloverbarrow
+{
+
+ShutdownSequence::ShutdownSequence(Duration notice, Duration limit)
+    : notice_(notice)
+    , limit_(limit)
+{
+}
+
+void ShutdownSequence::requested(TimePoint now)
+{
+    if (phase_ == Phase::Serving) {
+        phase_ = Phase::NotReady;
+        requestedAt_ = now;
+    } else {
+        phase_ = Phase::Done;
+    }
+}
+
+ShutdownSequence::Phase ShutdownSequence::advance(TimePoint now, const WorkLeft &left)
+{
+    if (phase_ == Phase::NotReady && now - requestedAt_ >= notice_) {
+        phase_ = Phase::Finishing;
+    }
+    const bool isFinished = phase_ == Phase::Finishing && left.isNone();
+    const bool isOverdue = phase_ != Phase::Serving && now - requestedAt_ >= limit_;
+    if (isFinished || isOverdue) {
+        phase_ = Phase::Done;
+    }
+    return phase_;
+}
+
+ShutdownSequence::Phase ShutdownSequence::phase() const
+{
+    return phase_;
+}
+
+} // namespace Cloverbarrow
--- /dev/null
+++ b/src/core/storecall.h
@@ -0,0 +1,83 @@
+/*
+    This file is part of cloverbarrow.
+
+    SPDX-FileCopyrightText: 2026 The cloverbarrow authors
+    SPDX-License-Identifier: Apache-2.0
+*/
+
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <variant>
+
+namespace Cloverbarrow
+{
+
+/// Name of an object at the platform.
+struct StoreObject {
+    std::string kind;
+    std::string name;
+
+    auto operator<=>(const StoreObject &) const = default;
+};
+
+struct StoreRead {
+    bool operator==(const StoreRead &) const = default;
+};
+
+/// Writes the object if it still has @p expectedVersion; 0 means that it does not exist.
+struct StoreWrite {
+    std::int64_t expectedVersion = 0;
+    std::string value;
+
+    bool operator==(const StoreWrite &) const = default;
+};
+
+/// Deletes the object if it still has @p expectedVersion.
+struct StoreDelete {
+    std::int64_t expectedVersion = 0;
+
+    bool operator==(const StoreDelete &) const = default;
+};
+
+using StoreOperation = std::variant<StoreRead, StoreWrite, StoreDelete>;
+
+/// One call of the platform's object API.
+struct StoreCall {
+    StoreObject object;
+    StoreOperation operation;
+
+    bool operator==(const StoreCall &) const = default;
+};
+
+/// The object as it stands.
+struct StoreFound {
+    std::int64_t version = 0;
+    std::string value;
+};
+
+/// There is no such object.
+struct StoreMissing {
+};
+
+/// The write or deletion took effect.
+struct StoreWritten {
+    std::int64_t version = 0;
+};
+
+/// The write did not take effect: the version was another.
+struct StoreConflict {
+};
+
+/// The call certainly had no effect.
+struct StoreDown {
+};
+
+/// A write may or may not have taken effect: read it back.
+struct StoreUnknown {
+};
+
+using StoreResult = std::variant<StoreFound, StoreMissing, StoreWritten, StoreConflict, StoreDown, StoreUnknown>;
+
+} // namespace Cloverbarrow
--- /dev/null
+++ b/src/core/yamlreader.h
@@ -0,0 +1,72 @@
+/*
+    This file is part of cloverbarrow.
+
+    SPDX-FileCopyrightText: 2026 The cloverbarrow authors
+    SPDX-License-Identifier: Apache-2.0
+*/
+
+#pragma once
+
+#include "core/time.h"
+
+#include <functional>
+#include <set>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace YAML
+{
+class Node;
+}
+
+namespace Cloverbarrow
+{
+
+/// One fault of a YAML document.
+struct DocumentFault {
+    int line = 0; ///< Counted from 1.
+    std::string key;
+    std::string expected;
+
+    /// @return `file:line: key: expected ...`.
+    std::string toString(std::string_view file) const;
+};
+
+/// Reads one mapping strictly: each key is known, of its type and within its range.
+/// Faults are collected, so that an operator sees all of them at once.
+class YamlReader
+{
+public:
+    YamlReader(const YAML::Node &node, std::string path, std::vector<DocumentFault> &faults);
+
+    /// Reads text; @p required text may not be empty.
+    void text(const char *key, std::string &value, bool required);
+    void flag(const char *key, bool &value);
+    void integer(const char *key, int &value, int lowest, int highest, bool required = false);
+    void real(const char *key, double &value, double lowest, double highest);
+    /// Reads a whole number of milliseconds.
+    void milliseconds(const char *key, Duration &value, int lowest, int highest, bool required = false);
+    void texts(const char *key, std::vector<std::string> &values, bool required);
+    void integers(const char *key, std::vector<int> &values, int lowest, int highest);
+    /// Calls @p read with a reader for the mapping under @p key, if there is one.
+    void mapping(const char *key, const std::function<void(YamlReader &)> &read, bool required = false);
+    /// Calls @p read for each mapping in the list under @p key.
+    void mappings(const char *key, bool required, const std::function<void(YamlReader &)> &read);
+    /// Adds a fault at @p key.
+    void fault(const std::string &key, const std::string &expected);
+    /// Adds a fault for each key that was not read. Call last.
+    void finish();
+
+private:
+    YAML::Node child(const char *key, bool required);
+    int line() const;
+    std::string pathOf(const std::string &key) const;
+
+    const YAML::Node &node_;
+    std::string path_;
+    std::vector<DocumentFault> &faults_;
+    std::set<std::string> known_;
+};
+
+} // namespace Cloverbarrow
