--- /dev/null
+++ b/src/core/burncounter.h
@@ -0,0 +1,53 @@
+/*
+    This file is part of cloverbarrow.
+
+    SPDX-FileCopyrightText: 2026 The cloverbarrow authors
+    SPDX-License-Identifier: Apache-2.0
+*/
+
+#pragma once
+
+#include "core/time.h"
+
+#include <array>
+#include <cstdint>
+#include <vector>
+
+namespace Cloverbarrow
+{
+
+/// Counts of answered requests over a span of time.
+struct BurnCounts {
+    std::int64_t total = 0;
+    std::int64_t unavailable = 0; ///< Got no good answer through the system's or the backend server's fault.
+    std::int64_t slow = 0; ///< Got a good answer later than the objective's latency.
+
+    BurnCounts &operator+=(const BurnCounts &other);
+    bool operator==(const BurnCounts &) const = default;
+};
+
+/// The windows over which burn rates are reported.
+constexpr std::array<Duration, 3> BurnWindows = {seconds(300), seconds(3600), seconds(6 * 3600)};
+
+/// Counts one service and kind over the last six hours, in steps of ten seconds and constant memory.
+class BurnCounter
+{
+public:
+    BurnCounter();
+
+    void add(TimePoint now, bool isAvailable, bool isSlow);
+    /// @return the counts of the last @p window, at most the longest of BurnWindows.
+    BurnCounts counts(TimePoint now, Duration window) const;
+
+private:
+    struct Step {
+        std::int64_t number = -1; ///< Of the step since the clock's start; tells old content from new.
+        std::uint32_t total = 0;
+        std::uint32_t unavailable = 0;
+        std::uint32_t slow = 0;
+    };
+
+    std::vector<Step> steps_;
+};
+
+} // namespace Cloverbarrow
--- a/src/core/configurationparser.cpp
+++ b/src/core/configurationparser.cpp
@@ -12,6 +12,7 @@
 #include <yaml-cpp/yaml.h>
 
 #include <algorithm>
+#include <cctype>
 #include <map>
 #include <set>
 
@@ -24,9 +25,27 @@
 constexpr int MaxDeadlineMs = 600'000;
 constexpr int MaxPerServer = 10'000;
 
+constexpr std::size_t MaxNameBytes = 64;
+
+/// Names stand in object names, metrics and commands, so their characters are few.
+bool isName(std::string_view text)
+{
+    const auto isAllowed = [](unsigned char character) { return std::isalnum(character) != 0 || character == '-' || character == '_' || character == '.'; };
+    return !text.empty() && text.size() <= MaxNameBytes && std::isalnum(static_cast<unsigned char>(text.front())) != 0
+        && std::all_of(text.begin(), text.end(), isAllowed);
+}
+
+void readName(YamlReader &reader, const char *key, std::string &name)
+{
+    reader.text(key, name, true);
+    if (!name.empty() && !isName(name)) {
+        reader.fault(key, "1 to 64 letters, digits, dots, dashes and underscores, the first a letter or digit");
+    }
+}
+
 void readKind(YamlReader &reader, RequestKind &kind)
 {
-    reader.text("name", kind.name, true);
+    readName(reader, "name", kind.name);
     reader.texts("methods", kind.methods, true);
     reader.text("path", kind.path, true);
     if (!kind.path.empty() && kind.path.front() != '/') {
@@ -45,7 +64,7 @@
 
 void readBackendServer(YamlReader &reader, const Service &service, BackendServer &server)
 {
-    reader.text("name", server.name, true);
+    readName(reader, "name", server.name);
     reader.text("address", server.address, true);
     if (!isSocketAddress(server.address)) {
         reader.fault("address", "an IP number and a port, as in 10.0.0.1:8080");
@@ -105,7 +124,7 @@
 
 void readService(YamlReader &reader, Service &service)
 {
-    reader.text("name", service.name, true);
+    readName(reader, "name", service.name);
     reader.text("host", service.host, false);
     reader.text("path_prefix", service.pathPrefix, false);
     if (service.host.empty() && service.pathPrefix.empty()) {
--- a/src/core/controlevents.h
+++ b/src/core/controlevents.h
@@ -55,6 +55,12 @@
     std::string address;
 };
 
+/// An operator's change was accepted through this entry VM.
+struct IntentAccepted {
+    std::int64_t version = 0;
+    std::string value;
+};
+
 /// The platform answered a watch; nothing means that there is nothing newer.
 struct WatchAnswered {
     std::optional<StoreFound> newer;
@@ -106,6 +112,7 @@
                                   PeerVouched,
                                   IntentFetched,
                                   IntentFetchFailed,
+                                  IntentAccepted,
                                   WatchAnswered,
                                   WatchFailed,
                                   StoreAnswered,
--- a/src/core/controlshard.cpp
+++ b/src/core/controlshard.cpp
@@ -72,6 +72,11 @@
     return isReady_;
 }
 
+const std::string &ControlShard::reason() const
+{
+    return reason_;
+}
+
 ShutdownSequence::Phase ControlShard::phase() const
 {
     return shutdown_.phase();
@@ -131,6 +136,13 @@
     intent_.fetchFailed();
 }
 
+void ControlShard::on(TimePoint now, const IntentAccepted &event, ControlActions &actions)
+{
+    std::vector<IntentAction> intentActions;
+    intent_.accepted(event.version, event.value, intentActions);
+    carryOut(now, std::move(intentActions), actions);
+}
+
 void ControlShard::on(TimePoint now, const WatchAnswered &event, ControlActions &actions)
 {
     std::vector<IntentAction> intentActions;
--- a/src/core/controlshard.h
+++ b/src/core/controlshard.h
@@ -48,6 +48,8 @@
     const MeasuringShares &shares() const;
     std::vector<std::string> leaving(const std::string &service) const;
     bool isReady() const;
+    /// @return why it is not ready; empty when it is.
+    const std::string &reason() const;
     ShutdownSequence::Phase phase() const;
 
 private:
@@ -57,6 +59,7 @@
     void on(TimePoint now, const PeerVouched &event, ControlActions &actions);
     void on(TimePoint now, const IntentFetched &event, ControlActions &actions);
     void on(TimePoint now, const IntentFetchFailed &event, ControlActions &actions);
+    void on(TimePoint now, const IntentAccepted &event, ControlActions &actions);
     void on(TimePoint now, const WatchAnswered &event, ControlActions &actions);
     void on(TimePoint now, const WatchFailed &event, ControlActions &actions);
     void on(TimePoint now, const StoreAnswered &event, ControlActions &actions);
--- a/src/core/intentchange.cpp
+++ b/src/core/intentchange.cpp
@@ -33,7 +33,7 @@
 std::optional<StoreCall> IntentChange::answered(const StoreResult &result)
 {
     if (const auto *written = std::get_if<StoreWritten>(&result)) {
-        outcome_ = ChangeAccepted{written->version};
+        outcome_ = ChangeAccepted{written->version, value_};
     } else if (const auto *found = std::get_if<StoreFound>(&result)) {
         judge(*found);
     } else if (std::holds_alternative<StoreUnknown>(result)) {
@@ -78,7 +78,7 @@
         const auto isOwn = [this](const AcceptedChange &change) { return change.id == changeId_; };
         if (std::any_of(history.begin(), history.end(), isOwn)) {
             // Possibly with later changes on top: the own change is in force either way.
-            outcome_ = ChangeAccepted{found.version};
+            outcome_ = ChangeAccepted{found.version, found.value};
             return;
         }
     }
--- a/src/core/intentchange.h
+++ b/src/core/intentchange.h
@@ -22,6 +22,7 @@
 /// The change is accepted: the platform has confirmed it or it was read back.
 struct ChangeAccepted {
     std::int64_t version = 0;
+    std::string value; ///< What stands under that version; later changes may have been made on top.
 };
 
 /// Another change came first; nothing was written.
--- a/src/core/intentkeeper.cpp
+++ b/src/core/intentkeeper.cpp
@@ -76,6 +76,11 @@
     ++failures_;
 }
 
+void IntentKeeper::accepted(std::int64_t version, std::string_view value, std::vector<IntentAction> &actions)
+{
+    offer("operator", version, value, actions);
+}
+
 void IntentKeeper::peerHasVersion(TimePoint now, const std::string &address, std::int64_t version, std::vector<IntentAction> &actions)
 {
     peerHeardAt_ = now;
--- a/src/core/intentkeeper.h
+++ b/src/core/intentkeeper.h
@@ -69,6 +69,8 @@
     /// The platform answered: with a newer object, or that there is none newer.
     void platformAnswered(TimePoint now, const std::optional<StoreFound> &newer, std::vector<IntentAction> &actions);
     void platformFailed(TimePoint now);
+    /// A change was accepted through this entry VM.
+    void accepted(std::int64_t version, std::string_view value, std::vector<IntentAction> &actions);
     /// A peer said which version it has in force.
     void peerHasVersion(TimePoint now, const std::string &address, std::int64_t version, std::vector<IntentAction> &actions);
     void peerSent(TimePoint now, const std::string &address, std::int64_t version, std::string_view value, std::vector<IntentAction> &actions);
--- a/src/core/measuringshares.cpp
+++ b/src/core/measuringshares.cpp
@@ -75,11 +75,8 @@
     }
 }
 
-void MeasuringShares::tickService(TimePoint now,
-                                  ServiceState &state,
-                                  const Membership &members,
-                                  std::vector<StoreCall> &calls,
-                                  std::vector<PermitProbe> &permits)
+void MeasuringShares::tickService(
+    TimePoint now, ServiceState &state, const Membership &members, std::vector<StoreCall> &calls, std::vector<PermitProbe> &permits)
 {
     permitDue(now, state, permits);
     const bool isPollDue = !state.isAsking && now >= state.nextPoll && state.nextPoll != TimePoint();
--- a/src/core/membership.cpp
+++ b/src/core/membership.cpp
@@ -189,16 +189,27 @@
     return found == entries_.end() ? std::nullopt : std::optional(found->second.state);
 }
 
-std::vector<Member> Membership::live() const
+template<typename Filter>
+std::vector<Member> Membership::members(const Filter &isWanted) const
 {
-    std::vector<Member> members = {self_};
+    std::vector<Member> chosen = {self_};
     for (const auto &[id, entry] : entries_) {
-        if (isUsable(entry)) {
-            members.push_back(entry.member);
+        if (isWanted(entry)) {
+            chosen.push_back(entry.member);
         }
     }
-    std::sort(members.begin(), members.end(), [](const Member &left, const Member &right) { return left.id < right.id; });
-    return members;
+    std::sort(chosen.begin(), chosen.end(), [](const Member &left, const Member &right) { return left.id < right.id; });
+    return chosen;
+}
+
+std::vector<Member> Membership::all() const
+{
+    return members([](const Entry &) { return true; });
+}
+
+std::vector<Member> Membership::live() const
+{
+    return members([this](const Entry &entry) { return isUsable(entry); });
 }
 
 std::size_t Membership::liveCount() const
--- a/src/core/membership.h
+++ b/src/core/membership.h
@@ -66,6 +66,8 @@
     /// @return since when the subject has not been heard of, if it is known.
     std::optional<Duration> silence(TimePoint now, const Incarnation &subject) const;
     std::optional<MemberState> stateOf(const Incarnation &subject) const;
+    /// @return every member that is known, with the own entry, by name.
+    std::vector<Member> all() const;
     /// @return live members with the own entry, by name.
     std::vector<Member> live() const;
     std::size_t liveCount() const;
@@ -87,6 +89,8 @@
         std::uint64_t told = 0; ///< Counter when last told on.
     };
 
+    template<typename Filter>
+    std::vector<Member> members(const Filter &isWanted) const;
     bool isUsable(const Entry &entry) const;
     std::vector<std::string> liveAddresses(std::string_view zone) const;
     std::vector<std::string> unknownAddresses() const;
--- a/src/core/payoutledger.cpp
+++ b/src/core/payoutledger.cpp
@@ -69,8 +69,8 @@
 void PayoutLedger::open(const RequestArrived &request, ServiceActions &actions)
 {
     Entry entry;
-    entry.object = service_ + "/" + request.idempotencyKey;
-    entry.record = {PayoutState::Intent, request.digest, self_, nextMark_++, 0, {}};
+    entry.object = payoutObject(service_, request.idempotencyKey);
+    entry.record = {PayoutState::Intent, request.digest, self_, nextMark_++, 0, {}, {}, true};
     entry.deadline = request.deadline;
     Entry &stored = entries_.insert_or_assign(request.request, std::move(entry)).first->second;
     ask(request.request, stored, StoreWrite{0, encodePayout(stored.record)}, actions);
@@ -99,8 +99,7 @@
     return Decision::Wait;
 }
 
-PayoutLedger::Decision
-PayoutLedger::answerOpening(RequestId request, Entry &entry, const StoreResult &result, TimePoint now, ServiceActions &actions)
+PayoutLedger::Decision PayoutLedger::answerOpening(RequestId request, Entry &entry, const StoreResult &result, TimePoint now, ServiceActions &actions)
 {
     if (const auto *written = std::get_if<StoreWritten>(&result)) {
         return created(request, entry, written->version, now, actions);
@@ -151,7 +150,8 @@
     return Decision::Send;
 }
 
-PayoutLedger::Decision PayoutLedger::foundOther(RequestId request, Entry &entry, std::int64_t version, const std::optional<PayoutRecord> &found, ServiceActions &actions)
+PayoutLedger::Decision PayoutLedger::foundOther(
+    RequestId request, Entry &entry, std::int64_t version, const std::optional<PayoutRecord> &found, ServiceActions &actions)
 {
     if (entry.isCallerAnswered) {
         return finish(request);
@@ -170,7 +170,7 @@
             actions.emplace_back(Refuse{request, settledButLong(*found)});
             return finish(request);
         }
-        actions.emplace_back(ReplayAnswer{request, found->status, found->result});
+        actions.emplace_back(ReplayAnswer{request, found->status, found->contentType, found->result});
         return finish(request);
     case PayoutState::Refused:
         entry.step = Step::Reopening;
@@ -189,6 +189,7 @@
     if (const auto found = entries_.find(request); found != entries_.end()) {
         Entry &entry = found->second;
         entry.record.status = answer.status;
+        entry.record.contentType = answer.contentType;
         entry.record.result = answer.shortResult;
         entry.record.isResultWhole = answer.isResultWhole;
         entry.answer = PassAnswer{request, attempt};
@@ -253,8 +254,7 @@
     ask(request, entry, StoreWrite{entry.version, encodePayout(entry.record)}, actions);
 }
 
-PayoutLedger::Decision
-PayoutLedger::answerClosing(RequestId request, Entry &entry, const StoreResult &result, TimePoint now, ServiceActions &actions)
+PayoutLedger::Decision PayoutLedger::answerClosing(RequestId request, Entry &entry, const StoreResult &result, TimePoint now, ServiceActions &actions)
 {
     if (std::holds_alternative<StoreWritten>(result)) {
         answerCaller(entry, actions);
@@ -307,7 +307,7 @@
 void PayoutLedger::ask(RequestId request, Entry &entry, StoreOperation operation, ServiceActions &actions)
 {
     entry.isAsking = true;
-    actions.emplace_back(AskPayoutStore{request, StoreCall{{PayoutObjectKind, entry.object}, std::move(operation)}});
+    actions.emplace_back(AskPayoutStore{request, StoreCall{entry.object, std::move(operation)}});
 }
 
 PayoutLedger::Decision PayoutLedger::finish(RequestId request)
--- a/src/core/payoutledger.h
+++ b/src/core/payoutledger.h
@@ -59,7 +59,7 @@
     };
 
     struct Entry {
-        std::string object;
+        StoreObject object;
         PayoutRecord record;
         std::int64_t version = 0;
         Step step = Step::Creating;
--- a/src/core/payoutrecord.cpp
+++ b/src/core/payoutrecord.cpp
@@ -31,6 +31,12 @@
 
 } // namespace
 
+StoreObject payoutObject(const std::string &service, const std::string &key)
+{
+    // Neither part may hold a colon, so no two instructions share an object.
+    return {"payout", service + ":" + key};
+}
+
 std::string_view toString(PayoutState state)
 {
     return StateNames[static_cast<std::size_t>(state)];
@@ -44,6 +50,7 @@
         {"creator", {{"name", record.creator.name}, {"nonce", record.creator.nonce}}},
         {"mark", record.mark},
         {"status", record.status},
+        {"content_type", record.contentType},
         {"result", record.result},
         {"whole", record.isResultWhole},
     };
@@ -65,6 +72,7 @@
         record.creator = {json.at("creator").at("name").get<std::string>(), json.at("creator").at("nonce").get<std::string>()};
         record.mark = json.at("mark").get<std::uint64_t>();
         record.status = json.at("status").get<int>();
+        record.contentType = json.at("content_type").get<std::string>();
         record.result = json.at("result").get<std::string>();
         record.isResultWhole = json.at("whole").get<bool>();
         return record;
--- a/src/core/payoutrecord.h
+++ b/src/core/payoutrecord.h
@@ -8,6 +8,7 @@
 #pragma once
 
 #include "core/incarnation.h"
+#include "core/storecall.h"
 
 #include <cstdint>
 #include <optional>
@@ -17,8 +18,8 @@
 namespace Cloverbarrow
 {
 
-/// Kind of the platform's objects that hold payout records; their names are `service/key`.
-constexpr const char *PayoutObjectKind = "payout";
+/// @return the platform's object that holds the record of the instruction under @p key.
+StoreObject payoutObject(const std::string &service, const std::string &key);
 
 /// How far a payout instruction has come.
 enum class PayoutState {
@@ -35,6 +36,7 @@
     Incarnation creator;
     std::uint64_t mark = 0; ///< The creator's own number of the try.
     int status = 0;
+    std::string contentType;
     std::string result;
     bool isResultWhole = true; ///< False when the answer was too long to keep.
 
--- a/src/core/serviceevents.h
+++ b/src/core/serviceevents.h
@@ -66,6 +66,7 @@
     int status = 200;
     bool isNotRun = false; ///< The backend server declares that it did not run the request.
     bool isLeaving = false; ///< The backend server says that it is leaving.
+    std::string contentType;
     std::string shortResult; ///< The body, where short enough to keep with a payout.
     bool isResultWhole = true; ///< False when the body is too long to keep.
 };
@@ -158,6 +159,7 @@
 struct CancelAttempt {
     RequestId request = 0;
     int attempt = 1;
+    std::string address;
 
     bool operator==(const CancelAttempt &) const = default;
 };
@@ -174,6 +176,7 @@
 struct ReplayAnswer {
     RequestId request = 0;
     int status = 200;
+    std::string contentType;
     std::string body;
 
     bool operator==(const ReplayAnswer &) const = default;
--- a/src/core/serviceshard.cpp
+++ b/src/core/serviceshard.cpp
@@ -134,7 +134,7 @@
         return;
     }
     if (!request.backend.empty()) {
-        actions.emplace_back(CancelAttempt{event.request, request.attempts});
+        actions.emplace_back(CancelAttempt{event.request, request.attempts, request.address});
         releaseAttempt(now, request, AttemptQuality::Neutral);
     }
     requests_.erase(found);
@@ -321,6 +321,7 @@
     const Backend &backend = pool_.backends()[*index];
     ++request.attempts;
     request.backend = backend.server.name;
+    request.address = backend.server.address;
     request.attemptStarted = now;
     // The C library's HTTP client may resend on a connection that turns out dead, and only the echoed tag
     // tells an answer from a stray one; so only tagged reads go on a used connection.
--- a/src/core/serviceshard.h
+++ b/src/core/serviceshard.h
@@ -44,6 +44,7 @@
         RequestArrived arrival;
         int attempts = 0; ///< Started so far.
         std::string backend; ///< Of the attempt under way; empty when there is none.
+        std::string address; ///< Of that backend server.
         TimePoint attemptStarted;
         std::vector<std::string> tried;
         bool mayHaveRun = false; ///< An earlier attempt may have been run.
--- /dev/null
+++ b/src/core/textdiff.cpp
@@ -0,0 +1,102 @@
+/*
+    This file is part of cloverbarrow.
+
+    SPDX-FileCopyrightText: 2026 The cloverbarrow authors
+    SPDX-License-Identifier: Apache-2.0
+*/
+
+#include "core/textdiff.h"
+
+#include <algorithm>
+#include <vector>
+
+namespace Cloverbarrow
+{
+
+namespace
+{
+
+using Lines = std::vector<std::string_view>;
+
+// Beyond this many differing lines an exact diff costs too much; the whole parts are shown then.
+constexpr std::size_t MaxExact = 2000;
+
+Lines splitLines(std::string_view text)
+{
+    Lines lines;
+    while (!text.empty()) {
+        const std::size_t end = text.find('\n');
+        lines.push_back(text.substr(0, end));
+        text.remove_prefix(end == std::string_view::npos ? text.size() : end + 1);
+    }
+    return lines;
+}
+
+void add(std::string &diff, char sign, std::string_view line)
+{
+    diff += sign;
+    diff += line;
+    diff += '\n';
+}
+
+/// Lengths of the longest common subsequences of all tails.
+std::vector<std::vector<int>> tailLengths(const Lines &before, const Lines &after)
+{
+    std::vector<std::vector<int>> lengths(before.size() + 1, std::vector<int>(after.size() + 1, 0));
+    for (std::size_t row = before.size(); row-- > 0;) {
+        for (std::size_t column = after.size(); column-- > 0;) {
+            const bool isSame = before[row] == after[column];
+            lengths[row][column] = isSame ? lengths[row + 1][column + 1] + 1 : std::max(lengths[row + 1][column], lengths[row][column + 1]);
+        }
+    }
+    return lengths;
+}
+
+std::string exactDiff(const Lines &before, const Lines &after)
+{
+    const auto lengths = tailLengths(before, after);
+    std::string diff;
+    std::size_t row = 0;
+    std::size_t column = 0;
+    while (row < before.size() || column < after.size()) {
+        if (row < before.size() && column < after.size() && before[row] == after[column]) {
+            ++row;
+            ++column;
+        } else if (column == after.size() || (row < before.size() && lengths[row + 1][column] >= lengths[row][column + 1])) {
+            add(diff, '-', before[row++]);
+        } else {
+            add(diff, '+', after[column++]);
+        }
+    }
+    return diff;
+}
+
+std::string wholeDiff(const Lines &before, const Lines &after)
+{
+    std::string diff;
+    for (const std::string_view line : before) {
+        add(diff, '-', line);
+    }
+    for (const std::string_view line : after) {
+        add(diff, '+', line);
+    }
+    return diff;
+}
+
+} // namespace
+
+std::string diffLines(std::string_view before, std::string_view after)
+{
+    Lines old = splitLines(before);
+    Lines fresh = splitLines(after);
+    const auto [oldEnd, freshEnd] = std::mismatch(old.begin(), old.end(), fresh.begin(), fresh.end());
+    old.erase(old.begin(), oldEnd);
+    fresh.erase(fresh.begin(), freshEnd);
+    while (!old.empty() && !fresh.empty() && old.back() == fresh.back()) {
+        old.pop_back();
+        fresh.pop_back();
+    }
+    return std::max(old.size(), fresh.size()) > MaxExact ? wholeDiff(old, fresh) : exactDiff(old, fresh);
+}
+
+} // namespace Cloverbarrow
--- /dev/null
+++ b/src/ctl/commands.cpp
@@ -0,0 +1,517 @@
+/*
+    This file is part of cloverbarrow.
+
+    SPDX-FileCopyrightText: 2026 The cloverbarrow authors
+    SPDX-License-Identifier: Apache-2.0
+*/
+
+#include "ctl/commands.h"
+
+#include "core/burnreport.h"
+#include "core/configurationparser.h"
+#include "ctl/burnplot.h"
+#include "ctl/output.h"
+#include "net/thriftclient.h"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <chrono>
+#include <ctime>
+#include <fstream>
+#include <functional>
+#include <map>
+#include <optional>
+#include <sstream>
+#include <thread>
+
+namespace Cloverbarrow
+{
+
+namespace
+{
+
+using Json = nlohmann::ordered_json;
+using Admin = ThriftClient<Wire::AdminClient>;
+
+constexpr int ConnectTimeoutMs = 2000;
+constexpr int CallTimeoutMs = 20'000;
+constexpr auto WaitPause = std::chrono::milliseconds(100);
+
+/// What a sub-command works with.
+struct Session {
+    const CtlOptions &options;
+    std::vector<std::string> arguments;
+    std::ostream &out;
+    std::ostream &err;
+
+    Admin connect() const
+    {
+        return {options.admin, ConnectTimeoutMs, CallTimeoutMs};
+    }
+    void print(const Json &json) const
+    {
+        out << json.dump(2, ' ', false, Json::error_handler_t::replace) << "\n";
+    }
+};
+
+struct Command {
+    const char *name;
+    std::size_t argumentCount;
+    const char *help;
+    std::function<CtlExit(const Session &)> run;
+};
+
+std::optional<std::string> readFile(const std::string &path)
+{
+    std::ifstream file(path);
+    if (!file) {
+        return std::nullopt;
+    }
+    std::ostringstream content;
+    content << file.rdbuf();
+    return content.str();
+}
+
+std::string timeText(std::int64_t milliseconds)
+{
+    const std::time_t seconds = milliseconds / 1000;
+    std::tm parts{};
+    gmtime_r(&seconds, &parts);
+    constexpr std::size_t Size = 32;
+    char buffer[Size];
+    std::strftime(buffer, Size, "%Y-%m-%dT%H:%M:%SZ", &parts);
+    return buffer;
+}
+
+void requireWhoAndWhy(const CtlOptions &options)
+{
+    if (options.author.empty() || options.reason.empty()) {
+        throw std::invalid_argument("each change needs --author and --reason");
+    }
+}
+
+void printChange(const Session &session, const Wire::ApplyResult &result, bool isMade)
+{
+    if (session.options.isJson) {
+        session.print({{"version", result.version}, {"accepted", isMade}, {"diff", result.diff}});
+        return;
+    }
+    session.out << result.diff << (isMade ? "accepted as version " : "dry run; in force is version ") << result.version << "\n";
+}
+
+CtlExit apply(const Session &session)
+{
+    const auto document = readFile(session.arguments[0]);
+    if (!document) {
+        session.err << "read configuration: cannot open " << session.arguments[0] << "\n";
+        return CtlExit::Usage;
+    }
+    if (session.options.expectedVersion < 0) {
+        throw std::invalid_argument("apply needs --expect_version; 0 means that no configuration is in force yet");
+    }
+    requireWhoAndWhy(session.options);
+    Wire::ApplyRequest request;
+    request.document = *document;
+    request.expectedVersion = session.options.expectedVersion;
+    request.author = session.options.author;
+    request.reason = session.options.reason;
+    request.isDryRun = session.options.isDryRun;
+    Wire::ApplyResult result;
+    session.connect()->apply(result, request);
+    printChange(session, result, !request.isDryRun);
+    return CtlExit::Done;
+}
+
+CtlExit get(const Session &session)
+{
+    Wire::AcceptedIntent intent;
+    session.connect()->get(intent);
+    if (session.options.isJson) {
+        session.print({{"version", intent.version}, {"document", intent.document}, {"drains", intent.drains}});
+        return CtlExit::Done;
+    }
+    session.out << "# version " << intent.version << "\n";
+    for (const std::string &drain : intent.drains) {
+        session.out << "# drained: " << drain << "\n";
+    }
+    session.out << intent.document;
+    return CtlExit::Done;
+}
+
+CtlExit history(const Session &session)
+{
+    std::vector<Wire::Change> changes;
+    session.connect()->history(changes);
+    Json json = Json::array();
+    Table table({"OVER VERSION", "TIME", "AUTHOR", "WHAT", "REASON"});
+    for (const Wire::Change &change : changes) {
+        json.push_back(
+            {{"over_version", change.overVersion}, {"time_ms", change.timeMs}, {"author", change.author}, {"what", change.what}, {"reason", change.reason}});
+        table.add({std::to_string(change.overVersion), timeText(change.timeMs), change.author, change.what, change.reason});
+    }
+    if (session.options.isJson) {
+        session.print(json);
+    } else {
+        session.out << table.toString();
+    }
+    return CtlExit::Done;
+}
+
+bool isCounted(const Wire::EntryVmStatus &vm)
+{
+    return vm.state == "live" || vm.state == "suspect";
+}
+
+/// @return names of live entry VMs that have not told of having @p version in force.
+std::vector<std::string> behind(const Wire::Status &status, std::int64_t version)
+{
+    std::vector<std::string> names;
+    for (const Wire::EntryVmStatus &vm : status.entryVms) {
+        if (isCounted(vm) && vm.configurationVersion < version) {
+            names.push_back(vm.name);
+        }
+    }
+    return names;
+}
+
+CtlExit wait(const Session &session)
+{
+    if (session.options.version <= 0) {
+        throw std::invalid_argument("wait needs --version");
+    }
+    const auto end = std::chrono::steady_clock::now() + std::chrono::milliseconds(session.options.timeoutMs);
+    while (true) {
+        Wire::Status status;
+        session.connect()->status(status);
+        const auto late = behind(status, session.options.version);
+        const bool isOver = late.empty() || std::chrono::steady_clock::now() >= end;
+        if (!isOver) {
+            std::this_thread::sleep_for(WaitPause);
+            continue;
+        }
+        if (session.options.isJson) {
+            session.print({{"version", session.options.version}, {"in_force_everywhere", late.empty()}, {"behind", late}});
+        } else if (late.empty()) {
+            session.out << "version " << session.options.version << " is in force on every live entry VM\n";
+        } else {
+            session.out << "version " << session.options.version << " is not in force on:\n";
+            for (const std::string &name : late) {
+                session.out << "  " << name << "\n";
+            }
+        }
+        return late.empty() ? CtlExit::Done : CtlExit::Incomplete;
+    }
+}
+
+Json statusJson(const Wire::Status &status)
+{
+    Json json = {{"served_by", status.servedBy},
+                 {"configuration_version", status.configurationVersion},
+                 {"ready", status.isReady},
+                 {"reason", status.reason},
+                 {"platform_silent", status.isPlatformSilent},
+                 {"entry_vms", Json::array()},
+                 {"backend_servers", Json::array()},
+                 {"measuring_shares", Json::array()}};
+    for (const Wire::EntryVmStatus &vm : status.entryVms) {
+        json["entry_vms"].push_back({{"name", vm.name},
+                                     {"admin", vm.adminAddress},
+                                     {"zone", vm.zone},
+                                     {"region", vm.region},
+                                     {"configuration_version", vm.configurationVersion},
+                                     {"state", vm.state},
+                                     {"silence_ms", vm.silenceMs}});
+    }
+    for (const Wire::BackendStatus &backend : status.backends) {
+        json["backend_servers"].push_back({{"service", backend.serviceName},
+                                           {"name", backend.name},
+                                           {"address", backend.address},
+                                           {"zone", backend.zone},
+                                           {"state", backend.state},
+                                           {"in_flight", backend.inFlight},
+                                           {"reported_load", backend.reportedLoad},
+                                           {"latency_ms", backend.latencyMs}});
+    }
+    for (const Wire::ShareStatus &share : status.shares) {
+        json["measuring_shares"].push_back({{"service", share.serviceName}, {"held", share.held}});
+    }
+    return json;
+}
+
+void printStatus(const Session &session, const Wire::Status &status)
+{
+    session.out << "served by " << status.servedBy << ", " << (status.isReady ? "ready" : "not ready: " + status.reason) << ", configuration "
+                << status.configurationVersion << (status.isPlatformSilent ? ", the platform does not answer" : "") << "\n\n";
+    Table vms({"ENTRY VM", "ZONE", "REGION", "STATE", "CONFIGURATION", "HEARD MS AGO"});
+    for (const Wire::EntryVmStatus &vm : status.entryVms) {
+        vms.add({vm.name, vm.zone, vm.region, vm.state, std::to_string(vm.configurationVersion), std::to_string(vm.silenceMs)});
+    }
+    Table backends({"SERVICE", "BACKEND SERVER", "ZONE", "STATE", "IN FLIGHT", "REPORTED", "LATENCY MS"});
+    for (const Wire::BackendStatus &backend : status.backends) {
+        backends.add({backend.serviceName,
+                      backend.name,
+                      backend.zone,
+                      backend.state,
+                      std::to_string(backend.inFlight),
+                      std::to_string(backend.reportedLoad),
+                      fixed(backend.latencyMs, 2)});
+    }
+    Table shares({"SERVICE", "MEASURING SHARES HELD HERE"});
+    for (const Wire::ShareStatus &share : status.shares) {
+        shares.add({share.serviceName, std::to_string(share.held)});
+    }
+    session.out << vms.toString() << "\n" << backends.toString() << "\n" << shares.toString();
+}
+
+CtlExit status(const Session &session)
+{
+    Wire::Status status;
+    session.connect()->status(status);
+    if (session.options.isJson) {
+        session.print(statusJson(status));
+    } else {
+        printStatus(session, status);
+    }
+    return CtlExit::Done;
+}
+
+CtlExit drain(const Session &session)
+{
+    requireWhoAndWhy(session.options);
+    const std::string &name = session.arguments[0];
+    const std::size_t slash = name.find('/');
+    if (slash == std::string::npos) {
+        throw std::invalid_argument("drain takes SERVICE/BACKEND");
+    }
+    Wire::DrainRequest request;
+    request.serviceName = name.substr(0, slash);
+    request.backend = name.substr(slash + 1);
+    request.isDrained = !session.options.isUndo;
+    request.author = session.options.author;
+    request.reason = session.options.reason;
+    Wire::ApplyResult result;
+    session.connect()->drain(result, request);
+    printChange(session, result, true);
+    return CtlExit::Done;
+}
+
+CtlExit payout(const Session &session)
+{
+    std::vector<Wire::PayoutStatus> records;
+    session.connect()->payout(records, session.arguments[0]);
+    Json json = Json::array();
+    Table table({"SERVICE", "KEY", "STATE", "CREATED BY", "STATUS", "RESULT"});
+    for (const Wire::PayoutStatus &record : records) {
+        json.push_back({{"service", record.serviceName},
+                        {"key", record.key},
+                        {"state", record.state},
+                        {"creator", record.creator},
+                        {"status", record.status},
+                        {"result", record.result}});
+        std::string result = record.result;
+        std::replace(result.begin(), result.end(), '\n', ' ');
+        table.add({record.serviceName, record.key, record.state, record.creator, std::to_string(record.status), result});
+    }
+    if (session.options.isJson) {
+        session.print(json);
+    } else if (records.empty()) {
+        session.out << "no payout instruction is known under " << session.arguments[0] << "\n";
+    } else {
+        session.out << table.toString();
+    }
+    return records.empty() ? CtlExit::Failed : CtlExit::Done;
+}
+
+/// Counts of the entry VMs that answered, and the names of those that did not.
+struct GatheredBurn {
+    FleetCounts counts;
+    std::vector<std::string> answered;
+    std::vector<std::string> silent;
+};
+
+void addCount(FleetCounts &counts, const Wire::BurnCount &count)
+{
+    for (std::size_t window = 0; window < BurnWindows.size(); ++window) {
+        if (BurnWindows[window] == seconds(count.windowSeconds)) {
+            counts[{count.serviceName, count.kind}][window] += {count.total, count.unavailable, count.slow};
+        }
+    }
+}
+
+GatheredBurn gatherBurn(const Wire::Status &status)
+{
+    GatheredBurn gathered;
+    for (const Wire::EntryVmStatus &vm : status.entryVms) {
+        // One that is dead may have counted too: the report says that its counts are missing.
+        if (vm.state == "left") {
+            continue;
+        }
+        try {
+            std::vector<Wire::BurnCount> counts;
+            Admin admin(vm.adminAddress, ConnectTimeoutMs, CallTimeoutMs);
+            admin->burn(counts);
+            std::for_each(counts.begin(), counts.end(), [&gathered](const Wire::BurnCount &count) { addCount(gathered.counts, count); });
+            gathered.answered.push_back(vm.name);
+        } catch (const apache::thrift::TException &) {
+            gathered.silent.push_back(vm.name);
+        }
+    }
+    return gathered;
+}
+
+void printBurn(const Session &session, const std::vector<BurnLine> &lines, const GatheredBurn &gathered)
+{
+    Table table({"SERVICE", "KIND", "PROMISE", "OBJECTIVE %", "BURN 5 MIN", "BURN 1 H", "BURN 6 H", "REQUESTS 6 H", "ALERT"});
+    for (const BurnLine &line : lines) {
+        table.add({line.service,
+                   line.kind,
+                   std::string(toString(line.promise)),
+                   fixed(line.objectivePercent, 3),
+                   fixed(line.rates[0], 2),
+                   fixed(line.rates[1], 2),
+                   fixed(line.rates[2], 2),
+                   std::to_string(line.requests),
+                   std::string(toString(line.alert))});
+    }
+    if (!gathered.silent.empty()) {
+        session.out << "PARTIAL: counts are missing of entry VMs that did not answer:";
+        for (const std::string &name : gathered.silent) {
+            session.out << " " << name;
+        }
+        session.out << "\n";
+    }
+    session.out << "counted on " << gathered.answered.size() << " entry VMs\n" << table.toString();
+}
+
+Json burnJson(const std::vector<BurnLine> &lines, const GatheredBurn &gathered)
+{
+    Json json = {{"whole", gathered.silent.empty()}, {"answered", gathered.answered}, {"not_answered", gathered.silent}, {"lines", Json::array()}};
+    for (const BurnLine &line : lines) {
+        json["lines"].push_back({{"service", line.service},
+                                 {"kind", line.kind},
+                                 {"promise", toString(line.promise)},
+                                 {"objective_percent", line.objectivePercent},
+                                 {"burn_5m", line.rates[0]},
+                                 {"burn_1h", line.rates[1]},
+                                 {"burn_6h", line.rates[2]},
+                                 {"requests_6h", line.requests},
+                                 {"alert", toString(line.alert)}});
+    }
+    return json;
+}
+
+CtlExit report(const Session &session)
+{
+    if (session.arguments[0] != "burn") {
+        throw std::invalid_argument("the only report is burn");
+    }
+    Admin admin = session.connect();
+    Wire::AcceptedIntent intent;
+    Wire::Status status;
+    admin->get(intent);
+    admin->status(status);
+    const auto parsed = parseConfiguration(intent.document);
+    const GatheredBurn gathered = gatherBurn(status);
+    const auto lines = burnLines(std::get<Configuration>(parsed), gathered.counts);
+    if (session.options.isJson) {
+        session.print(burnJson(lines, gathered));
+    } else {
+        printBurn(session, lines, gathered);
+    }
+    if (!session.options.plot.empty()) {
+        std::ofstream(session.options.plot) << burnPlot(lines, gathered.silent.empty());
+    }
+    return gathered.silent.empty() ? CtlExit::Done : CtlExit::Incomplete;
+}
+
+const std::vector<Command> &commands()
+{
+    static const std::vector<Command> all = {
+        {"apply", 1, "apply FILE --expect_version=N --author=A --reason=R [--dry_run]: change the configuration", apply},
+        {"get", 0, "get: print the configuration in force", get},
+        {"history", 0, "history: list accepted changes", history},
+        {"wait", 0, "wait --version=N [--timeout_ms=T]: until every live entry VM has it in force", wait},
+        {"status", 0, "status: entry VMs, backend servers, measuring shares", status},
+        {"drain", 1, "drain SERVICE/BACKEND --author=A --reason=R [--undo]: send it no new work", drain},
+        {"payout", 1, "payout KEY: what is known of a payout instruction", payout},
+        {"report", 1, "report burn [--plot=FILE.svg]: burn of the service-level objectives", report},
+    };
+    return all;
+}
+
+CtlExit exitOf(Wire::FailureKind::type kind)
+{
+    switch (kind) {
+    case Wire::FailureKind::CONFLICT:
+        return CtlExit::Conflict;
+    case Wire::FailureKind::INVALID:
+        return CtlExit::Refused;
+    case Wire::FailureKind::UNKNOWN:
+        return CtlExit::Unknown;
+    case Wire::FailureKind::UNAVAILABLE:
+        return CtlExit::Unavailable;
+    case Wire::FailureKind::NOT_FOUND:
+        break;
+    }
+    return CtlExit::Failed;
+}
+
+CtlExit printFailure(const Session &session, const Wire::Failure &failure)
+{
+    session.err << failure.step << " at " << failure.peer << ": " << failure.message << "\n";
+    for (const std::string &fault : failure.faults) {
+        session.err << "  " << fault << "\n";
+    }
+    if (failure.kind == Wire::FailureKind::CONFLICT) {
+        session.err << "in force is version " << failure.currentVersion << "; from it to what was sent:\n" << failure.diff;
+    }
+    return exitOf(failure.kind);
+}
+
+bool isChange(const std::string &name)
+{
+    return name == "apply" || name == "drain";
+}
+
+} // namespace
+
+CtlExit runCommand(const CtlOptions &options, const std::vector<std::string> &words, std::ostream &out, std::ostream &err)
+{
+    const auto &all = commands();
+    const auto found = std::find_if(all.begin(), all.end(), [&words](const Command &command) { return !words.empty() && command.name == words.front(); });
+    if (found == all.end() || words.size() != found->argumentCount + 1) {
+        err << usageText();
+        return CtlExit::Usage;
+    }
+    const Session session{options, {words.begin() + 1, words.end()}, out, err};
+    try {
+        return found->run(session);
+    } catch (const Wire::Failure &failure) {
+        return printFailure(session, failure);
+    } catch (const std::invalid_argument &exception) {
+        err << exception.what() << "\n";
+        return CtlExit::Usage;
+    } catch (const apache::thrift::transport::TTransportException &exception) {
+        const bool mayStand = isChange(words.front()) && !options.isDryRun && exception.getType() != apache::thrift::transport::TTransportException::NOT_OPEN;
+        err << "call administration API at " << options.admin << ": " << exception.what() << "\n";
+        if (mayStand) {
+            err << "the change may or may not stand; look with history\n";
+        }
+        return mayStand ? CtlExit::Unknown : CtlExit::Failed;
+    } catch (const apache::thrift::TException &exception) {
+        err << "call administration API at " << options.admin << ": " << exception.what() << "\n";
+        return CtlExit::Failed;
+    }
+}
+
+std::string usageText()
+{
+    std::string text = "cloverbarrowctl --admin=IP:PORT [--output=json] COMMAND\n";
+    for (const Command &command : commands()) {
+        text += std::string("  ") + command.help + "\n";
+    }
+    return text;
+}
+
+} // namespace Cloverbarrow
--- /dev/null
+++ b/src/ctl/output.h
@@ -0,0 +1,32 @@
+/*
+    This file is part of cloverbarrow.
+
+    SPDX-FileCopyrightText: 2026 The cloverbarrow authors
+    SPDX-License-Identifier: Apache-2.0
+*/
+
+#pragma once
+
+#include <string>
+#include <vector>
+
+namespace Cloverbarrow
+{
+
+/// A table of texts, printed with aligned columns.
+class Table
+{
+public:
+    explicit Table(std::vector<std::string> titles);
+
+    void add(std::vector<std::string> row);
+    std::string toString() const;
+
+private:
+    std::vector<std::vector<std::string>> rows_;
+};
+
+/// @return @p value with @p digits after the point.
+std::string fixed(double value, int digits);
+
+} // namespace Cloverbarrow
--- /dev/null
+++ b/src/daemon/adminservice.h
@@ -0,0 +1,60 @@
+/*
+    This file is part of cloverbarrow.
+
+    SPDX-FileCopyrightText: 2026 The cloverbarrow authors
+    SPDX-License-Identifier: Apache-2.0
+*/
+
+#pragma once
+
+#include "core/intentchange.h"
+#include "core/node.h"
+#include "daemon/peerservice.h"
+#include "daemon/telemetry.h"
+#include "net/platformclient.h"
+#include "net/wire.h"
+
+#include <atomic>
+#include <string>
+#include <vector>
+
+namespace Cloverbarrow
+{
+
+/// Answers operators. Any entry VM does; what must be agreed goes through the platform.
+class AdminService : public Wire::AdminIf
+{
+public:
+    AdminService(PlatformClient &platform, Telemetry &telemetry);
+
+    /// Lets calls in; before that they fail.
+    void open(ServiceContext context);
+
+    void apply(Wire::ApplyResult &result, const Wire::ApplyRequest &request) override;
+    void get(Wire::AcceptedIntent &result) override;
+    void history(std::vector<Wire::Change> &result) override;
+    void drain(Wire::ApplyResult &result, const Wire::DrainRequest &request) override;
+    void status(Wire::Status &result) override;
+    void payout(std::vector<Wire::PayoutStatus> &result, const std::string &key) override;
+    void burn(std::vector<Wire::BurnCount> &result) override;
+
+private:
+    void requireOpen() const;
+    /// Calls the platform and waits for its answer.
+    StoreResult callStore(StoreCall call);
+    /// @return the platform's own state, with version 0 when there is none yet. @throws Wire::Failure when it cannot be read.
+    StoreFound readIntent();
+    /// @return version 0 when there is none yet.
+    OperatorIntent decode(const StoreFound &found) const;
+    /// Makes one change at the platform. @return the accepted version. @throws Wire::Failure otherwise.
+    std::int64_t accept(std::int64_t expectedVersion, const OperatorIntent &next);
+    void addEntryVms(Wire::Status &result) const;
+    void addBackends(Wire::Status &result) const;
+
+    PlatformClient &platform_;
+    Telemetry &telemetry_;
+    ServiceContext context_;
+    std::atomic<bool> isOpen_{false};
+};
+
+} // namespace Cloverbarrow
--- /dev/null
+++ b/src/daemon/daemon.cpp
@@ -0,0 +1,301 @@
+/*
+    This file is part of cloverbarrow.
+
+    SPDX-FileCopyrightText: 2026 The cloverbarrow authors
+    SPDX-License-Identifier: Apache-2.0
+*/
+
+#include "daemon/daemon.h"
+
+#include "core/address.h"
+#include "net/bootclock.h"
+#include "net/digest.h"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <limits>
+#include <thread>
+
+namespace Cloverbarrow
+{
+
+namespace
+{
+
+constexpr std::size_t NonceBytes = 8;
+constexpr auto TickInterval = std::chrono::milliseconds(20);
+constexpr int TicksPerSweep = 3;
+constexpr int TicksPerGauges = 50;
+
+std::string withPort(const std::string &address, std::uint16_t port)
+{
+    auto parsed = parseSocketAddress(address).value();
+    parsed.port = port;
+    return parsed.toString();
+}
+
+std::uint64_t seedOf(const std::string &nonce)
+{
+    constexpr int HexBase = 16;
+    return std::stoull(nonce, nullptr, HexBase);
+}
+
+} // namespace
+
+std::string ListenAddresses::toJson() const
+{
+    return nlohmann::ordered_json{{"callers", callers}, {"peers", peers}, {"admin", admin}, {"operations", operations}}.dump();
+}
+
+Daemon::Daemon(Settings settings)
+    : settings_(std::move(settings))
+    , nonce_(randomHex(NonceBytes))
+    , log_("daemon")
+    , peerService_(std::make_shared<PeerService>())
+    , adminService_(std::make_shared<AdminService>(platform_, telemetry_))
+    , platform_(settings_.platformAddress)
+    , peerServer_(settings_.peersAddress, std::make_shared<Wire::PeerProcessor>(peerService_))
+    , adminServer_(settings_.adminAddress, std::make_shared<Wire::AdminProcessor>(adminService_))
+    , backends_(static_cast<std::size_t>(settings_.backendThreads))
+{
+    addresses_.peers = peerServer_.address();
+    addresses_.admin = adminServer_.address();
+    node_ = std::make_unique<Node>(controlSettings(), LoadReportPick{});
+    gateway_ = std::make_unique<Gateway>(*node_, *this, backends_, platform_, telemetry_, nonce_);
+    peerClient_ = std::make_unique<PeerClient>(*this);
+    CallerServerOptions options{settings_.callersAddress, static_cast<std::size_t>(settings_.callerThreads), {}, settings_.slowCallerBound};
+    options.limits.body = static_cast<std::size_t>(settings_.maxBodyBytes);
+    callerServer_ = std::make_unique<CallerServer>(
+        options, [this](const std::shared_ptr<CallerConnection> &connection, HttpRequest request) { gateway_->accept(connection, std::move(request)); });
+    addresses_.callers = withPort(settings_.callersAddress, callerServer_->port());
+    operationsServer_ = std::make_unique<OperationsServer>(settings_.operationsAddress,
+                                                           OperationsSource{[this] { return telemetry_.exposition(); }, [this] { return unreadyReason(); }});
+    addresses_.operations = withPort(settings_.operationsAddress, operationsServer_->port());
+    peerService_->open({node_.get(), this});
+    adminService_->open({node_.get(), this});
+}
+
+Daemon::~Daemon()
+{
+    hasEnded_ = true;
+    operationsServer_->stop();
+    adminServer_.stop();
+    peerServer_.stop();
+    peerClient_->stop();
+    platform_.stop();
+    backends_.stop();
+    callerServer_.reset();
+}
+
+const ListenAddresses &Daemon::addresses() const
+{
+    return addresses_;
+}
+
+WorkLeft Daemon::run()
+{
+    int ticks = 0;
+    while (true) {
+        takeStopRequests();
+        tick();
+        if (ticks % TicksPerSweep == 0) {
+            sweep();
+        }
+        if (ticks % TicksPerGauges == 0) {
+            const auto live = node_->withControl([](const ControlShard &control) { return control.membership().liveCount(); });
+            const auto intent = node_->intent();
+            telemetry_.setGauges(live, intent ? intent->version : 0, unreadyReason().empty(), platform_.calls());
+        }
+        ++ticks;
+        {
+            const std::lock_guard lock(exitMutex_);
+            if (exit_) {
+                return *exit_;
+            }
+        }
+        std::this_thread::sleep_for(TickInterval);
+    }
+}
+
+void Daemon::requestStop()
+{
+    ++stopRequests_;
+}
+
+void Daemon::handle(NodeEvent event)
+{
+    if (hasEnded_) {
+        return;
+    }
+    NodeActions actions;
+    node_->handle(bootNow(), event, actions);
+    for (const NodeAction &action : actions) {
+        if (const auto *service = std::get_if<OfService>(&action)) {
+            gateway_->perform(*service);
+        } else {
+            perform(std::get<ControlAction>(action));
+        }
+    }
+}
+
+ControlSettings Daemon::controlSettings() const
+{
+    ControlSettings control;
+    control.self.id = {settings_.name, nonce_};
+    control.self.peerAddress = addresses_.peers;
+    control.self.adminAddress = addresses_.admin;
+    control.self.zone = settings_.zone;
+    control.self.region = settings_.region;
+    control.firstPeers = settings_.firstPeers;
+    control.shutdownNotice = settings_.shutdownNotice;
+    control.shutdownLimit = settings_.shutdownLimit;
+    control.seed = seedOf(nonce_);
+    return control;
+}
+
+void Daemon::perform(const ControlAction &action)
+{
+    struct Performer {
+        Daemon &daemon;
+
+        void operator()(const SendHeartbeat &typed) const
+        {
+            daemon.peerClient_->add(typed);
+        }
+        void operator()(const AskPeer &typed) const
+        {
+            daemon.peerClient_->add(typed);
+        }
+        void operator()(const FetchIntent &typed) const
+        {
+            daemon.peerClient_->add(typed);
+        }
+        void operator()(const AskStore &typed) const
+        {
+            daemon.askStore(typed);
+        }
+        void operator()(const WatchIntent &typed) const
+        {
+            daemon.watch(typed);
+        }
+        void operator()(const ListVms &) const
+        {
+            daemon.listVms();
+        }
+        void operator()(const InstallIntent &typed) const
+        {
+            daemon.install(*typed.intent);
+        }
+        void operator()(const ReportBadIntent &typed) const
+        {
+            daemon.log_.error("configuration " + std::to_string(typed.version) + " from " + typed.source + " cannot be read: " + typed.reason);
+        }
+        void operator()(const PermitProbe &) const
+        {
+            // Handled inside the core.
+        }
+        void operator()(const LeavingUpdated &) const
+        {
+            // Handled inside the core.
+        }
+        void operator()(const FleetResized &typed) const
+        {
+            daemon.setFleetSize(typed.entryVms);
+        }
+        void operator()(const SetReady &typed) const
+        {
+            daemon.setReady(typed);
+        }
+        void operator()(const StopAccepting &) const
+        {
+            daemon.gateway_->stopAccepting();
+            daemon.callerServer_->closeConnections();
+        }
+        void operator()(const Exit &typed) const
+        {
+            const std::lock_guard lock(daemon.exitMutex_);
+            daemon.exit_ = typed.left;
+        }
+    };
+    std::visit(Performer{*this}, action);
+}
+
+void Daemon::askStore(const AskStore &action)
+{
+    platform_.call(action.call, [this, object = action.call.object](StoreResult result) { handle(ControlEvent(StoreAnswered{object, std::move(result)})); });
+}
+
+void Daemon::watch(const WatchIntent &action)
+{
+    platform_.watch(IntentObject, action.afterVersion, action.wait, [this](WatchResult result) {
+        if (result.hasAnswered) {
+            handle(ControlEvent(WatchAnswered{std::move(result.newer)}));
+        } else {
+            handle(ControlEvent(WatchFailed{}));
+        }
+    });
+}
+
+void Daemon::listVms()
+{
+    platform_.listVms([this](VmListResult result) {
+        if (result.hasAnswered) {
+            handle(ControlEvent(VmsListed{std::move(result.vms)}));
+        }
+    });
+}
+
+void Daemon::setReady(const SetReady &action)
+{
+    log_.info(action.isReady ? "ready" : "not ready: " + action.reason);
+}
+
+void Daemon::install(const IntentInForce &intent)
+{
+    log_.info("configuration " + std::to_string(intent.version) + " is in force");
+    int fewest = std::numeric_limits<int>::max();
+    for (const Service &service : intent.configuration.services) {
+        fewest = std::min(fewest, service.limits.connectionsPerServer);
+    }
+    connectionsPerServer_ = fewest;
+    applyConnectionCap();
+}
+
+void Daemon::setFleetSize(int entryVms)
+{
+    entryVms_ = entryVms;
+    applyConnectionCap();
+}
+
+void Daemon::applyConnectionCap()
+{
+    backends_.setConnectionsPerAddress(std::max(1, connectionsPerServer_ / entryVms_));
+}
+
+void Daemon::tick()
+{
+    handle(ControlEvent(ControlTick{node_->workLeft()}));
+}
+
+void Daemon::sweep()
+{
+    callerServer_->sweep(bootNow());
+    gateway_->sweep();
+}
+
+void Daemon::takeStopRequests()
+{
+    while (stopsTaken_ < stopRequests_) {
+        ++stopsTaken_;
+        log_.info(stopsTaken_ == 1 ? "stop requested" : "stop at once requested");
+        handle(ControlEvent(StopRequested{}));
+    }
+}
+
+std::string Daemon::unreadyReason() const
+{
+    return node_->withControl([](const ControlShard &control) { return control.isReady() ? std::string() : control.reason(); });
+}
+
+} // namespace Cloverbarrow
--- /dev/null
+++ b/src/daemon/eventhandler.h
@@ -0,0 +1,24 @@
+/*
+    This file is part of cloverbarrow.
+
+    SPDX-FileCopyrightText: 2026 The cloverbarrow authors
+    SPDX-License-Identifier: Apache-2.0
+*/
+
+#pragma once
+
+#include "core/node.h"
+
+namespace Cloverbarrow
+{
+
+/// Takes events for the core and has their actions carried out; may be called from any thread.
+class EventHandler
+{
+public:
+    virtual ~EventHandler() = default;
+
+    virtual void handle(NodeEvent event) = 0;
+};
+
+} // namespace Cloverbarrow
--- /dev/null
+++ b/src/daemon/gateway.h
@@ -0,0 +1,89 @@
+/*
+    This file is part of cloverbarrow.
+
+    SPDX-FileCopyrightText: 2026 The cloverbarrow authors
+    SPDX-License-Identifier: Apache-2.0
+*/
+
+#pragma once
+
+#include "core/node.h"
+#include "core/routingtable.h"
+#include "daemon/eventhandler.h"
+#include "daemon/telemetry.h"
+#include "net/callerconnection.h"
+#include "net/httpclient.h"
+#include "net/platformclient.h"
+
+#include <array>
+#include <atomic>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <string>
+
+namespace Cloverbarrow
+{
+
+/// Carries callers' requests: turns them into events for the core, and the core's actions into exchanges with
+/// backend servers and answers to callers. Exchanges stand in shards, each under its own lock.
+class Gateway
+{
+public:
+    /// @param nonce of this process; begins every exchange tag.
+    Gateway(Node &node, EventHandler &events, HttpClient &backends, PlatformClient &platform, Telemetry &telemetry, std::string nonce);
+
+    /// Takes a caller's whole request.
+    void accept(const std::shared_ptr<CallerConnection> &connection, HttpRequest request);
+    /// Carries out an action of the core.
+    void perform(const OfService &action);
+    /// Refuses requests that come from now on.
+    void stopAccepting();
+    /// Gives up requests whose callers have gone.
+    void sweep();
+
+private:
+    struct Exchange {
+        std::shared_ptr<CallerConnection> connection;
+        std::shared_ptr<const HttpRequest> request;
+        std::shared_ptr<const IntentInForce> intent; ///< Under which it was routed.
+        Route route;
+        TimePoint arrivedAt;
+        int attemptAbove = 1; ///< Highest attempt number of the levels above.
+        std::map<int, HttpAnswer> answers;
+    };
+
+    static constexpr std::size_t ShardCount = 16;
+
+    struct Shard {
+        std::mutex mutex;
+        std::map<RequestId, Exchange> exchanges;
+    };
+
+    void start(const OfService &of, const StartAttempt &action);
+    void cancel(const CancelAttempt &action);
+    void pass(const PassAnswer &action);
+    void replay(const ReplayAnswer &action);
+    void refuse(const Refuse &action);
+    void askStore(const OfService &of, const AskPayoutStore &action);
+    void probe(const OfService &of, const StartProbe &action);
+
+    void attemptDone(const std::string &service, RequestId request, int attempt, HttpOutcome outcome);
+    HttpCall callFor(const Exchange &exchange, const StartAttempt &action) const;
+    std::optional<Exchange> takeExchange(RequestId request);
+    void finish(const Exchange &exchange, HttpAnswer answer, CallerOutcome outcome);
+    Shard &shardOf(RequestId request);
+
+    Node &node_;
+    EventHandler &events_;
+    HttpClient &backends_;
+    PlatformClient &platform_;
+    Telemetry &telemetry_;
+    std::string nonce_;
+    std::atomic<RequestId> nextRequest_{1};
+    std::atomic<HttpCallId> nextProbe_;
+    std::atomic<bool> isAccepting_{true};
+    std::array<Shard, ShardCount> shards_;
+};
+
+} // namespace Cloverbarrow
--- /dev/null
+++ b/src/daemon/peerservice.h
@@ -0,0 +1,43 @@
+/*
+    This file is part of cloverbarrow.
+
+    SPDX-FileCopyrightText: 2026 The cloverbarrow authors
+    SPDX-License-Identifier: Apache-2.0
+*/
+
+#pragma once
+
+#include "core/node.h"
+#include "daemon/eventhandler.h"
+#include "net/wire.h"
+
+#include <atomic>
+
+namespace Cloverbarrow
+{
+
+/// What the services need of the daemon; set once it has been put together.
+struct ServiceContext {
+    Node *node = nullptr;
+    EventHandler *events = nullptr;
+};
+
+/// Answers other entry VMs.
+class PeerService : public Wire::PeerIf
+{
+public:
+    /// Lets calls in; before that they fail.
+    void open(ServiceContext context);
+
+    void exchange(Wire::Heartbeat &answer, const Wire::Heartbeat &heartbeat) override;
+    void fetchIntent(Wire::Intent &answer) override;
+    std::int64_t silenceMs(const std::string &name, const std::string &nonce) override;
+
+private:
+    const ServiceContext &context() const;
+
+    ServiceContext context_;
+    std::atomic<bool> isOpen_{false};
+};
+
+} // namespace Cloverbarrow
--- /dev/null
+++ b/src/daemon/settings.cpp
@@ -0,0 +1,105 @@
+/*
+    This file is part of cloverbarrow.
+
+    SPDX-FileCopyrightText: 2026 The cloverbarrow authors
+    SPDX-License-Identifier: Apache-2.0
+*/
+
+#include "daemon/settings.h"
+
+#include "core/address.h"
+
+#include <yaml-cpp/yaml.h>
+
+#include <algorithm>
+#include <array>
+
+namespace Cloverbarrow
+{
+
+namespace
+{
+
+constexpr int MaxThreads = 64;
+constexpr int MaxBody = 64 * 1024 * 1024;
+constexpr int MaxShutdownMs = 3'600'000;
+constexpr int MaxSlowMs = 600'000;
+
+void readAddress(YamlReader &reader, const char *key, std::string &address)
+{
+    reader.text(key, address, true);
+    if (!address.empty() && !isSocketAddress(address)) {
+        reader.fault(key, "an IP number and a port, as in 10.0.0.1:8080");
+    }
+}
+
+void readListen(YamlReader &reader, Settings &settings)
+{
+    readAddress(reader, "callers", settings.callersAddress);
+    readAddress(reader, "peers", settings.peersAddress);
+    readAddress(reader, "admin", settings.adminAddress);
+    readAddress(reader, "operations", settings.operationsAddress);
+}
+
+void readFirstPeers(YamlReader &reader, Settings &settings)
+{
+    reader.texts("first_peers", settings.firstPeers, false);
+    if (!std::all_of(settings.firstPeers.begin(), settings.firstPeers.end(), isSocketAddress)) {
+        reader.fault("first_peers", "a list of IP numbers with ports");
+    }
+}
+
+void readLogLevel(YamlReader &reader, Settings &settings)
+{
+    constexpr std::array<std::string_view, 5> Levels = {"debug", "info", "warn", "error", "off"};
+    reader.text("log_level", settings.logLevel, false);
+    if (std::find(Levels.begin(), Levels.end(), settings.logLevel) == Levels.end()) {
+        reader.fault("log_level", "debug, info, warn, error or off");
+    }
+}
+
+void readAll(YamlReader &reader, Settings &settings)
+{
+    reader.text("name", settings.name, true);
+    reader.text("zone", settings.zone, true);
+    reader.text("region", settings.region, true);
+    reader.mapping(
+        "listen", [&settings](YamlReader &item) { readListen(item, settings); }, true);
+    readAddress(reader, "platform", settings.platformAddress);
+    readFirstPeers(reader, settings);
+    reader.mapping("shutdown", [&settings](YamlReader &item) {
+        item.milliseconds("notice_ms", settings.shutdownNotice, 0, MaxShutdownMs);
+        item.milliseconds("limit_ms", settings.shutdownLimit, 1, MaxShutdownMs);
+    });
+    reader.mapping("threads", [&settings](YamlReader &item) {
+        item.integer("callers", settings.callerThreads, 1, MaxThreads);
+        item.integer("backends", settings.backendThreads, 1, MaxThreads);
+    });
+    reader.mapping("limits", [&settings](YamlReader &item) {
+        item.integer("max_body_bytes", settings.maxBodyBytes, 0, MaxBody);
+        item.milliseconds("slow_caller_ms", settings.slowCallerBound, 100, MaxSlowMs);
+    });
+    readLogLevel(reader, settings);
+}
+
+} // namespace
+
+std::variant<Settings, std::vector<DocumentFault>> parseSettings(std::string_view document)
+{
+    std::vector<DocumentFault> faults;
+    Settings settings;
+    try {
+        const YAML::Node root = YAML::Load(std::string(document));
+        YamlReader reader(root, "", faults);
+        readAll(reader, settings);
+        reader.finish();
+    } catch (const YAML::Exception &exception) {
+        faults.push_back({exception.mark.line + 1, "document", "YAML, but: " + exception.msg});
+    }
+    if (!faults.empty()) {
+        return faults;
+    }
+    return settings;
+}
+
+} // namespace Cloverbarrow
--- /dev/null
+++ b/src/daemon/settings.h
@@ -0,0 +1,47 @@
+/*
+    This file is part of cloverbarrow.
+
+    SPDX-FileCopyrightText: 2026 The cloverbarrow authors
+    SPDX-License-Identifier: Apache-2.0
+*/
+
+#pragma once
+
+#include "core/time.h"
+#include "core/yamlreader.h"
+
+#include <cstddef>
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+namespace Cloverbarrow
+{
+
+/// What one process of cloverbarrowd is told at its start. Everything that operators decide lives in the
+/// configuration at the platform instead.
+struct Settings {
+    std::string name;
+    std::string zone;
+    std::string region;
+    std::string callersAddress; ///< All addresses are `IP:port`; port 0 lets the kernel choose.
+    std::string peersAddress;
+    std::string adminAddress;
+    std::string operationsAddress;
+    std::string platformAddress;
+    std::vector<std::string> firstPeers;
+    Duration shutdownNotice = seconds(2);
+    Duration shutdownLimit = seconds(60);
+    int callerThreads = 2;
+    int backendThreads = 2;
+    int maxBodyBytes = 8 * 1024 * 1024;
+    Duration slowCallerBound = seconds(10);
+    std::string logLevel = "info";
+};
+
+/// Reads and checks a whole settings document.
+/// @return the settings, or each fault found.
+std::variant<Settings, std::vector<DocumentFault>> parseSettings(std::string_view document);
+
+} // namespace Cloverbarrow
--- /dev/null
+++ b/src/daemon/telemetry.cpp
@@ -0,0 +1,118 @@
+/*
+    This file is part of cloverbarrow.
+
+    SPDX-FileCopyrightText: 2026 The cloverbarrow authors
+    SPDX-License-Identifier: Apache-2.0
+*/
+
+#include "daemon/telemetry.h"
+
+#include <prometheus/counter.h>
+#include <prometheus/gauge.h>
+#include <prometheus/histogram.h>
+#include <prometheus/registry.h>
+#include <prometheus/text_serializer.h>
+
+#include <algorithm>
+
+namespace Cloverbarrow
+{
+
+namespace
+{
+
+std::string nameOf(CallerOutcome outcome)
+{
+    switch (outcome) {
+    case CallerOutcome::Answered:
+        return "answered";
+    case CallerOutcome::ServerError:
+        return "server_error";
+    case CallerOutcome::NotRun:
+        return "not_run";
+    case CallerOutcome::Unknown:
+        break;
+    }
+    return "unknown";
+}
+
+const prometheus::Histogram::BucketBoundaries &latencyBuckets()
+{
+    static const prometheus::Histogram::BucketBoundaries seconds = {0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1, 2, 5, 10};
+    return seconds;
+}
+
+} // namespace
+
+struct Telemetry::Families {
+    explicit Families(prometheus::Registry &registry)
+        : latency(prometheus::BuildHistogram().Name("cloverbarrow_request_seconds").Help("Time from a caller's whole request to its answer").Register(registry))
+        , attempts(prometheus::BuildCounter().Name("cloverbarrow_attempts_total").Help("Attempts sent to backend servers").Register(registry))
+        , probes(prometheus::BuildCounter().Name("cloverbarrow_probes_total").Help("Measurements sent to backend servers").Register(registry))
+        , state(prometheus::BuildGauge().Name("cloverbarrow_state").Help("State of this entry VM").Register(registry))
+    {
+    }
+
+    prometheus::Family<prometheus::Histogram> &latency;
+    prometheus::Family<prometheus::Counter> &attempts;
+    prometheus::Family<prometheus::Counter> &probes;
+    prometheus::Family<prometheus::Gauge> &state;
+};
+
+Telemetry::Telemetry()
+    : registry_(std::make_shared<prometheus::Registry>())
+    , families_(std::make_unique<Families>(*registry_))
+{
+}
+
+Telemetry::~Telemetry() = default;
+
+void Telemetry::requestEnded(TimePoint now, const Service &service, const RequestKind &kind, CallerOutcome outcome, Duration latency)
+{
+    families_->latency.Add({{"service", service.name}, {"kind", kind.name}, {"outcome", nameOf(outcome)}}, latencyBuckets())
+        .Observe(std::chrono::duration<double>(latency).count());
+    const auto &objectives = service.objectives;
+    const auto objective = std::find_if(objectives.begin(), objectives.end(), [&kind](const Objective &item) { return item.kind == kind.name; });
+    if (objective == objectives.end()) {
+        return;
+    }
+    const std::lock_guard lock(burnMutex_);
+    burn_[{service.name, kind.name}].add(now, outcome == CallerOutcome::Answered, latency > objective->latency);
+}
+
+void Telemetry::attemptStarted(const std::string &service, bool isRetry)
+{
+    families_->attempts.Add({{"service", service}, {"retry", isRetry ? "yes" : "no"}}).Increment();
+}
+
+void Telemetry::probeStarted(const std::string &service)
+{
+    families_->probes.Add({{"service", service}}).Increment();
+}
+
+void Telemetry::setGauges(std::size_t liveEntryVms, std::int64_t configurationVersion, bool isReady, std::uint64_t platformCalls)
+{
+    families_->state.Add({{"of", "live_entry_vms"}}).Set(static_cast<double>(liveEntryVms));
+    families_->state.Add({{"of", "configuration_version"}}).Set(static_cast<double>(configurationVersion));
+    families_->state.Add({{"of", "ready"}}).Set(isReady ? 1 : 0);
+    families_->state.Add({{"of", "platform_calls"}}).Set(static_cast<double>(platformCalls));
+}
+
+std::vector<Telemetry::Burn> Telemetry::burn(TimePoint now) const
+{
+    const std::lock_guard lock(burnMutex_);
+    std::vector<Burn> all;
+    for (const auto &[key, counter] : burn_) {
+        for (const Duration window : BurnWindows) {
+            all.push_back({key.first, key.second, window, counter.counts(now, window)});
+        }
+    }
+    return all;
+}
+
+std::string Telemetry::exposition() const
+{
+    return prometheus::TextSerializer().Serialize(registry_->Collect());
+}
+
+} // namespace Cloverbarrow
--- /dev/null
+++ b/src/daemon/telemetry.h
@@ -0,0 +1,78 @@
+/*
+    This file is part of cloverbarrow.
+
+    SPDX-FileCopyrightText: 2026 The cloverbarrow authors
+    SPDX-License-Identifier: Apache-2.0
+*/
+
+#pragma once
+
+#include "core/burncounter.h"
+#include "core/configuration.h"
+#include "core/time.h"
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace prometheus
+{
+class Counter;
+class Gauge;
+class Histogram;
+class Registry;
+}
+
+namespace Cloverbarrow
+{
+
+/// How a caller's request ended, as metrics tell it apart.
+enum class CallerOutcome {
+    Answered, ///< By a backend server, with a status below 500.
+    ServerError, ///< By a backend server, with a status of 500 or more.
+    NotRun,
+    Unknown,
+};
+
+/// Metrics of this entry VM and the counts behind the report on service-level burn.
+/// Labels come from the configuration only, so callers cannot make their number grow.
+class Telemetry
+{
+public:
+    Telemetry();
+    ~Telemetry();
+
+    /// Counts a caller's request.
+    void requestEnded(TimePoint now, const Service &service, const RequestKind &kind, CallerOutcome outcome, Duration latency);
+    void attemptStarted(const std::string &service, bool isRetry);
+    void probeStarted(const std::string &service);
+    void setGauges(std::size_t liveEntryVms, std::int64_t configurationVersion, bool isReady, std::uint64_t platformCalls);
+
+    /// One service and kind over one window.
+    struct Burn {
+        std::string service;
+        std::string kind;
+        Duration window;
+        BurnCounts counts;
+    };
+
+    std::vector<Burn> burn(TimePoint now) const;
+    /// @return all metrics in the Prometheus text format.
+    std::string exposition() const;
+
+private:
+    using Key = std::pair<std::string, std::string>;
+
+    struct Families;
+
+    std::shared_ptr<prometheus::Registry> registry_;
+    std::unique_ptr<Families> families_;
+    mutable std::mutex burnMutex_;
+    std::map<Key, BurnCounter> burn_;
+};
+
+} // namespace Cloverbarrow
--- /dev/null
+++ b/src/net/bootclock.h
@@ -0,0 +1,23 @@
+/*
+    This file is part of cloverbarrow.
+
+    SPDX-FileCopyrightText: 2026 The cloverbarrow authors
+    SPDX-License-Identifier: Apache-2.0
+*/
+
+#pragma once
+
+#include "core/time.h"
+
+#include <cstdint>
+
+namespace Cloverbarrow
+{
+
+/// @return the time since boot, with the time during which the machine was suspended.
+TimePoint bootNow();
+
+/// @return wall-clock milliseconds since 1970, for people only.
+std::int64_t wallMilliseconds();
+
+} // namespace Cloverbarrow
--- /dev/null
+++ b/src/net/callerserver.cpp
@@ -0,0 +1,201 @@
+/*
+    This file is part of cloverbarrow.
+
+    SPDX-FileCopyrightText: 2026 The cloverbarrow authors
+    SPDX-License-Identifier: Apache-2.0
+*/
+
+#include "net/callerserver.h"
+
+#include "core/address.h"
+#include "net/bootclock.h"
+
+#include <pistache/listener.h>
+#include <pistache/peer.h>
+#include <pistache/tcp.h>
+
+#include <algorithm>
+#include <mutex>
+#include <vector>
+
+namespace Cloverbarrow
+{
+
+namespace
+{
+
+constexpr const char *ConnectionKey = "connection";
+constexpr int Backlog = 1024;
+
+/// The connections that are open, for sweeping and closing.
+class ConnectionList
+{
+public:
+    void add(std::shared_ptr<CallerConnection> connection)
+    {
+        const std::lock_guard lock(mutex_);
+        if (isClosing_) {
+            connection->closeSoon();
+        }
+        connections_.push_back(std::move(connection));
+    }
+
+    std::vector<std::shared_ptr<CallerConnection>> all() const
+    {
+        const std::lock_guard lock(mutex_);
+        return connections_;
+    }
+
+    void removeClosed()
+    {
+        const std::lock_guard lock(mutex_);
+        std::erase_if(connections_, [](const auto &connection) { return connection->isClosed(); });
+    }
+
+    void closeAll()
+    {
+        std::vector<std::shared_ptr<CallerConnection>> open;
+        {
+            const std::lock_guard lock(mutex_);
+            isClosing_ = true;
+            open = connections_;
+        }
+        for (const auto &connection : open) {
+            connection->closeSoon();
+        }
+    }
+
+private:
+    mutable std::mutex mutex_;
+    bool isClosing_ = false;
+    std::vector<std::shared_ptr<CallerConnection>> connections_;
+};
+
+/// Hands bytes from Pistache to the connection they belong to.
+class CallerHandler : public Pistache::Tcp::Handler
+{
+public:
+    CallerHandler(RequestLimits limits, RequestSink sink, std::shared_ptr<ConnectionList> connections)
+        : limits_(limits)
+        , sink_(std::move(sink))
+        , connections_(std::move(connections))
+    {
+    }
+
+    std::shared_ptr<Pistache::Tcp::Handler> clone() const override
+    {
+        return std::make_shared<CallerHandler>(limits_, sink_, connections_);
+    }
+
+    void onConnection(const std::shared_ptr<Pistache::Tcp::Peer> &peer) override
+    {
+        auto connection = std::make_shared<CallerConnection>(peer->fd(), limits_, sink_);
+        peer->putData(ConnectionKey, connection);
+        connections_->add(std::move(connection));
+    }
+
+    void onInput(const char *bytes, std::size_t count, const std::shared_ptr<Pistache::Tcp::Peer> &peer) override
+    {
+        if (const auto connection = connectionOf(peer)) {
+            connection->received({bytes, count}, bootNow());
+        }
+    }
+
+    void onDisconnection(const std::shared_ptr<Pistache::Tcp::Peer> &peer) override
+    {
+        if (const auto connection = connectionOf(peer)) {
+            connection->inputEnded();
+        }
+    }
+
+private:
+    static std::shared_ptr<CallerConnection> connectionOf(const std::shared_ptr<Pistache::Tcp::Peer> &peer)
+    {
+        return std::static_pointer_cast<CallerConnection>(peer->tryGetData(ConnectionKey));
+    }
+
+    RequestLimits limits_;
+    RequestSink sink_;
+    std::shared_ptr<ConnectionList> connections_;
+};
+
+} // namespace
+
+class CallerServer::Impl
+{
+public:
+    Impl(const CallerServerOptions &options, RequestSink sink)
+        : slowBound_(options.slowBound)
+        , connections_(std::make_shared<ConnectionList>())
+    {
+        using Pistache::Tcp::Options;
+        const Pistache::Flags<Options> flags = Pistache::Flags<Options>(Options::ReuseAddr) | Options::NoDelay;
+        const auto address = parseSocketAddress(options.address).value();
+        listener_.init(options.threads, flags, "callers", Backlog);
+        listener_.setHandler(std::make_shared<CallerHandler>(options.limits, std::move(sink), connections_));
+        listener_.bind(Pistache::Address(address.host, Pistache::Port(address.port)));
+        listener_.runThreaded();
+    }
+
+    ~Impl()
+    {
+        listener_.shutdown();
+    }
+
+    std::uint16_t port() const
+    {
+        return static_cast<std::uint16_t>(listener_.getPort());
+    }
+
+    void sweep(TimePoint now)
+    {
+        for (const auto &connection : connections_->all()) {
+            connection->sweep(now, slowBound_);
+        }
+        connections_->removeClosed();
+    }
+
+    void closeConnections()
+    {
+        connections_->closeAll();
+    }
+
+    std::size_t openConnections() const
+    {
+        return connections_->all().size();
+    }
+
+private:
+    Duration slowBound_;
+    std::shared_ptr<ConnectionList> connections_;
+    Pistache::Tcp::Listener listener_;
+};
+
+CallerServer::CallerServer(CallerServerOptions options, RequestSink sink)
+    : impl_(std::make_unique<Impl>(options, std::move(sink)))
+{
+}
+
+CallerServer::~CallerServer() = default;
+
+std::uint16_t CallerServer::port() const
+{
+    return impl_->port();
+}
+
+void CallerServer::sweep(TimePoint now)
+{
+    impl_->sweep(now);
+}
+
+void CallerServer::closeConnections()
+{
+    impl_->closeConnections();
+}
+
+std::size_t CallerServer::openConnections() const
+{
+    return impl_->openConnections();
+}
+
+} // namespace Cloverbarrow
--- /dev/null
+++ b/src/net/callerserver.h
@@ -0,0 +1,54 @@
+/*
+    This file is part of cloverbarrow.
+
+    SPDX-FileCopyrightText: 2026 The cloverbarrow authors
+    SPDX-License-Identifier: Apache-2.0
+*/
+
+#pragma once
+
+#include "core/time.h"
+#include "net/callerconnection.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <memory>
+#include <string>
+
+namespace Cloverbarrow
+{
+
+/// How callers are listened to.
+struct CallerServerOptions {
+    std::string address; ///< `IP:port`; port 0 lets the kernel choose.
+    std::size_t threads = 2;
+    RequestLimits limits;
+    Duration slowBound = seconds(10); ///< For sending a request or reading an answer.
+};
+
+/// Listens to callers on Pistache's TCP layer. Its HTTP layer is not used: it answers pipelined requests
+/// out of order or not at all, loses repeated headers and query keys, and cuts answers when it shuts down.
+class CallerServer
+{
+public:
+    CallerServer(CallerServerOptions options, RequestSink sink);
+    ~CallerServer();
+    CallerServer(const CallerServer &) = delete;
+    CallerServer &operator=(const CallerServer &) = delete;
+
+    /// @return the port that is listened on.
+    std::uint16_t port() const;
+    /// Looks after slow callers; to be called several times a second.
+    void sweep(TimePoint now);
+    /// Closes idle connections, and each other one after its answer. New ones are still answered.
+    void closeConnections();
+    /// @return connections that are not closed yet.
+    std::size_t openConnections() const;
+
+private:
+    class Impl;
+
+    std::unique_ptr<Impl> impl_;
+};
+
+} // namespace Cloverbarrow
--- /dev/null
+++ b/src/net/digest.h
@@ -0,0 +1,23 @@
+/*
+    This file is part of cloverbarrow.
+
+    SPDX-FileCopyrightText: 2026 The cloverbarrow authors
+    SPDX-License-Identifier: Apache-2.0
+*/
+
+#pragma once
+
+#include <initializer_list>
+#include <string>
+#include <string_view>
+
+namespace Cloverbarrow
+{
+
+/// @return the SHA-256 of @p parts put together, in hexadecimal.
+std::string sha256(std::initializer_list<std::string_view> parts);
+
+/// @return @p bytes random bytes of the operating system, in hexadecimal.
+std::string randomHex(std::size_t bytes);
+
+} // namespace Cloverbarrow
--- /dev/null
+++ b/src/net/httpmessage.cpp
@@ -0,0 +1,144 @@
+/*
+    This file is part of cloverbarrow.
+
+    SPDX-FileCopyrightText: 2026 The cloverbarrow authors
+    SPDX-License-Identifier: Apache-2.0
+*/
+
+#include "net/httpmessage.h"
+
+#include <algorithm>
+#include <array>
+#include <cctype>
+#include <map>
+
+namespace Cloverbarrow
+{
+
+namespace
+{
+
+constexpr std::array<std::string_view, 9> HopByHop = {
+    "connection", "keep-alive", "proxy-authenticate", "proxy-authorization", "proxy-connection", "te", "trailer", "transfer-encoding", "upgrade"};
+
+char lower(char character)
+{
+    return static_cast<char>(std::tolower(static_cast<unsigned char>(character)));
+}
+
+std::string_view trimmed(std::string_view text)
+{
+    const std::size_t first = text.find_first_not_of(" \t");
+    if (first == std::string_view::npos) {
+        return {};
+    }
+    return text.substr(first, text.find_last_not_of(" \t") - first + 1);
+}
+
+/// Names that the message's own Connection headers add.
+std::vector<std::string_view> namedByConnection(const Headers &headers)
+{
+    std::vector<std::string_view> names;
+    for (const Header &header : headers) {
+        if (!isSameName(header.name, "connection")) {
+            continue;
+        }
+        std::string_view rest = header.value;
+        while (!rest.empty()) {
+            const std::size_t comma = rest.find(',');
+            names.push_back(trimmed(rest.substr(0, comma)));
+            rest.remove_prefix(comma == std::string_view::npos ? rest.size() : comma + 1);
+        }
+    }
+    return names;
+}
+
+} // namespace
+
+bool isSameName(std::string_view left, std::string_view right)
+{
+    return std::equal(left.begin(), left.end(), right.begin(), right.end(), [](char a, char b) { return lower(a) == lower(b); });
+}
+
+std::optional<std::string_view> findHeader(const Headers &headers, std::string_view name)
+{
+    for (const Header &header : headers) {
+        if (isSameName(header.name, name)) {
+            return header.value;
+        }
+    }
+    return std::nullopt;
+}
+
+std::size_t countHeader(const Headers &headers, std::string_view name)
+{
+    return static_cast<std::size_t>(std::count_if(headers.begin(), headers.end(), [name](const Header &header) { return isSameName(header.name, name); }));
+}
+
+Headers withoutHopByHop(const Headers &headers)
+{
+    const auto named = namedByConnection(headers);
+    Headers kept;
+    for (const Header &header : headers) {
+        const auto isNamed = [&header](std::string_view name) { return isSameName(header.name, name); };
+        if (std::none_of(HopByHop.begin(), HopByHop.end(), isNamed) && std::none_of(named.begin(), named.end(), isNamed)) {
+            kept.push_back(header);
+        }
+    }
+    return kept;
+}
+
+std::string serialize(const HttpAnswer &answer, bool isHead, bool closes)
+{
+    const std::string_view reason = answer.reason.empty() ? reasonOf(answer.status) : std::string_view(answer.reason);
+    std::string text = "HTTP/1.1 " + std::to_string(answer.status) + " " + std::string(reason) + "\r\n";
+    const bool isBodiless = answer.status == 204 || answer.status == 304;
+    for (const Header &header : answer.headers) {
+        const bool isLength = isSameName(header.name, "content-length");
+        // To HEAD and 304 the backend server's own length stands, since there is no body to count.
+        if (!isLength || ((isHead || answer.status == 304) && answer.body.empty())) {
+            text += header.name + ": " + header.value + "\r\n";
+        }
+    }
+    const bool hasLength = (isHead || answer.status == 304) && answer.body.empty() && findHeader(answer.headers, "content-length");
+    if (!isBodiless && !hasLength) {
+        text += "Content-Length: " + std::to_string(answer.body.size()) + "\r\n";
+    }
+    text += closes ? "Connection: close\r\n\r\n" : "Connection: keep-alive\r\n\r\n";
+    if (!isHead && !isBodiless) {
+        text += answer.body;
+    }
+    return text;
+}
+
+std::string_view reasonOf(int status)
+{
+    static const std::map<int, std::string_view> reasons = {
+        {200, "OK"},
+        {201, "Created"},
+        {202, "Accepted"},
+        {204, "No Content"},
+        {304, "Not Modified"},
+        {400, "Bad Request"},
+        {404, "Not Found"},
+        {405, "Method Not Allowed"},
+        {408, "Request Timeout"},
+        {409, "Conflict"},
+        {413, "Content Too Large"},
+        {414, "URI Too Long"},
+        {417, "Expectation Failed"},
+        {422, "Unprocessable Content"},
+        {429, "Too Many Requests"},
+        {431, "Request Header Fields Too Large"},
+        {500, "Internal Server Error"},
+        {501, "Not Implemented"},
+        {502, "Bad Gateway"},
+        {503, "Service Unavailable"},
+        {504, "Gateway Timeout"},
+        {505, "HTTP Version Not Supported"},
+    };
+    const auto found = reasons.find(status);
+    return found == reasons.end() ? std::string_view("Status") : found->second;
+}
+
+} // namespace Cloverbarrow
--- /dev/null
+++ b/src/net/httpplatformclient.cpp
@@ -0,0 +1,188 @@
+/*
+    This file is part of cloverbarrow.
+
+    SPDX-FileCopyrightText: 2026 The cloverbarrow authors
+    SPDX-License-Identifier: Apache-2.0
+*/
+
+#include "net/httpplatformclient.h"
+
+#include <nlohmann/json.hpp>
+
+namespace Cloverbarrow
+{
+
+namespace
+{
+
+using Json = nlohmann::json;
+
+constexpr Duration CallTimeout = seconds(1);
+constexpr Duration WatchSlack = seconds(2);
+constexpr int Ok = 200;
+constexpr int NotModified = 304;
+constexpr int NotFound = 404;
+constexpr int Conflict = 409;
+
+std::string hexByte(unsigned char byte)
+{
+    constexpr std::string_view Digits = "0123456789ABCDEF";
+    constexpr unsigned Base = 16;
+    return {'%', Digits[byte / Base], Digits[byte % Base]};
+}
+
+/// Object names may hold any byte; one path segment may not.
+std::string encodeSegment(std::string_view text)
+{
+    std::string encoded;
+    for (const char character : text) {
+        const bool isPlain = std::isalnum(static_cast<unsigned char>(character)) != 0 || character == '-' || character == '_' || character == '.';
+        encoded += isPlain ? std::string(1, character) : hexByte(static_cast<unsigned char>(character));
+    }
+    return encoded;
+}
+
+std::string targetOf(const StoreObject &object)
+{
+    return "/objects/" + encodeSegment(object.kind) + "/" + encodeSegment(object.name);
+}
+
+std::optional<StoreFound> foundIn(const HttpAnswer &answer)
+{
+    try {
+        const Json json = Json::parse(answer.body);
+        return StoreFound{json.at("version").get<std::int64_t>(), json.value("value", std::string())};
+    } catch (const Json::exception &) {
+        return std::nullopt;
+    }
+}
+
+StoreResult writeResult(const HttpOutcome &outcome)
+{
+    if (const auto *failure = std::get_if<HttpFailure>(&outcome)) {
+        return failure->hasLeft ? StoreResult(StoreUnknown{}) : StoreResult(StoreDown{});
+    }
+    const auto &answer = std::get<HttpAnswer>(outcome);
+    if (answer.status == Ok) {
+        const auto found = foundIn(answer);
+        return found ? StoreResult(StoreWritten{found->version}) : StoreResult(StoreUnknown{});
+    }
+    if (answer.status == Conflict) {
+        return StoreConflict{};
+    }
+    // A refusal of load says that nothing was done; of any other answer it cannot be told.
+    const bool isRefusal = answer.status == 429 || answer.status == 503;
+    return isRefusal ? StoreResult(StoreDown{}) : StoreResult(StoreUnknown{});
+}
+
+StoreResult readResult(const HttpOutcome &outcome)
+{
+    if (const auto *answer = std::get_if<HttpAnswer>(&outcome)) {
+        if (answer->status == NotFound) {
+            return StoreMissing{};
+        }
+        if (answer->status == Ok) {
+            if (auto found = foundIn(*answer)) {
+                return std::move(*found);
+            }
+        }
+    }
+    return StoreDown{};
+}
+
+WatchResult watchResult(const HttpOutcome &outcome)
+{
+    const auto *answer = std::get_if<HttpAnswer>(&outcome);
+    if (!answer) {
+        return {};
+    }
+    if (answer->status == Ok) {
+        auto found = foundIn(*answer);
+        return {found.has_value(), std::move(found)};
+    }
+    return {answer->status == NotModified || answer->status == NotFound, std::nullopt};
+}
+
+VmListResult vmListResult(const HttpOutcome &outcome)
+{
+    const auto *answer = std::get_if<HttpAnswer>(&outcome);
+    if (!answer || answer->status != Ok) {
+        return {};
+    }
+    try {
+        VmListResult result{true, {}};
+        const Json json = Json::parse(answer->body);
+        for (const Json &vm : json.at("vms")) {
+            result.vms.push_back({vm.at("name").get<std::string>(), vm.value("peer_address", std::string()), vm.at("state").get<std::string>() == "leaving"});
+        }
+        return result;
+    } catch (const Json::exception &) {
+        return {};
+    }
+}
+
+} // namespace
+
+HttpPlatformClient::HttpPlatformClient(std::string address)
+    : address_(std::move(address))
+    , client_(1)
+{
+}
+
+void HttpPlatformClient::call(StoreCall call, std::function<void(StoreResult)> done)
+{
+    const std::string target = targetOf(call.object);
+    if (std::holds_alternative<StoreRead>(call.operation)) {
+        send("GET", target, {}, CallTimeout, [done = std::move(done)](const HttpOutcome &outcome) { done(readResult(outcome)); });
+        return;
+    }
+    auto finish = [done = std::move(done)](const HttpOutcome &outcome) { done(writeResult(outcome)); };
+    if (const auto *write = std::get_if<StoreWrite>(&call.operation)) {
+        const Json body = {{"expected_version", write->expectedVersion}, {"value", write->value}};
+        send("PUT", target, body.dump(-1, ' ', false, Json::error_handler_t::replace), CallTimeout, std::move(finish));
+    } else {
+        const auto version = std::get<StoreDelete>(call.operation).expectedVersion;
+        send("DELETE", target + "?expected_version=" + std::to_string(version), {}, CallTimeout, std::move(finish));
+    }
+}
+
+void HttpPlatformClient::watch(const StoreObject &object, std::int64_t afterVersion, Duration wait, std::function<void(WatchResult)> done)
+{
+    const auto waitMs = static_cast<std::int64_t>(toMilliseconds(wait));
+    const std::string target = targetOf(object) + "?after=" + std::to_string(afterVersion) + "&wait_ms=" + std::to_string(waitMs);
+    send("GET", target, {}, wait + WatchSlack, [done = std::move(done)](const HttpOutcome &outcome) { done(watchResult(outcome)); });
+}
+
+void HttpPlatformClient::listVms(std::function<void(VmListResult)> done)
+{
+    send("GET", "/vms", {}, CallTimeout, [done = std::move(done)](const HttpOutcome &outcome) { done(vmListResult(outcome)); });
+}
+
+std::uint64_t HttpPlatformClient::calls() const
+{
+    return nextId_.load() - 1;
+}
+
+void HttpPlatformClient::stop()
+{
+    client_.stop();
+}
+
+void HttpPlatformClient::send(std::string method, std::string target, std::string body, Duration timeout, HttpDone done)
+{
+    HttpCall call;
+    call.address = address_;
+    call.request.method = std::move(method);
+    call.request.target = std::move(target);
+    call.request.body = std::move(body);
+    if (!call.request.body.empty()) {
+        call.request.headers.push_back({"Content-Type", "application/json"});
+    }
+    call.timeout = timeout;
+    // A connection of its own for each call: the platform is not known to echo an exchange tag, and without one a
+    // stray answer on a used connection could pass for this call's.
+    call.mayReuseConnection = false;
+    client_.start(nextId_++, std::move(call), std::move(done));
+}
+
+} // namespace Cloverbarrow
--- /dev/null
+++ b/src/net/platformclient.h
@@ -0,0 +1,46 @@
+/*
+    This file is part of cloverbarrow.
+
+    SPDX-FileCopyrightText: 2026 The cloverbarrow authors
+    SPDX-License-Identifier: Apache-2.0
+*/
+
+#pragma once
+
+#include "core/controlevents.h"
+#include "core/storecall.h"
+#include "core/time.h"
+
+#include <functional>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace Cloverbarrow
+{
+
+/// The platform's answer to a watch.
+struct WatchResult {
+    bool hasAnswered = false;
+    std::optional<StoreFound> newer; ///< Nothing when the object is not newer, or is not there.
+};
+
+/// The platform's answer to a question for its VM list.
+struct VmListResult {
+    bool hasAnswered = false;
+    std::vector<ListedVm> vms;
+};
+
+/// The platform, as docs/PLATFORM.md describes it. Each function calls its callback once, from another thread.
+class PlatformClient
+{
+public:
+    virtual ~PlatformClient() = default;
+
+    virtual void call(StoreCall call, std::function<void(StoreResult)> done) = 0;
+    /// Answers when the object is newer than @p afterVersion, or after @p wait.
+    virtual void watch(const StoreObject &object, std::int64_t afterVersion, Duration wait, std::function<void(WatchResult)> done) = 0;
+    virtual void listVms(std::function<void(VmListResult)> done) = 0;
+};
+
+} // namespace Cloverbarrow
--- /dev/null
+++ b/src/net/problemjson.h
@@ -0,0 +1,19 @@
+/*
+    This file is part of cloverbarrow.
+
+    SPDX-FileCopyrightText: 2026 The cloverbarrow authors
+    SPDX-License-Identifier: Apache-2.0
+*/
+
+#pragma once
+
+#include "core/serviceevents.h"
+#include "net/httpmessage.h"
+
+namespace Cloverbarrow
+{
+
+/// @return the answer that tells a caller of @p problem, as application/problem+json.
+HttpAnswer problemAnswer(const Problem &problem);
+
+} // namespace Cloverbarrow
--- /dev/null
+++ b/src/net/wire.cpp
@@ -0,0 +1,75 @@
+/*
+    This file is part of cloverbarrow.
+
+    SPDX-FileCopyrightText: 2026 The cloverbarrow authors
+    SPDX-License-Identifier: Apache-2.0
+*/
+
+#include "net/wire.h"
+
+namespace Cloverbarrow
+{
+
+namespace
+{
+
+Wire::Member toWire(const Member &member)
+{
+    Wire::Member wire;
+    wire.name = member.id.name;
+    wire.nonce = member.id.nonce;
+    wire.peerAddress = member.peerAddress;
+    wire.adminAddress = member.adminAddress;
+    wire.zone = member.zone;
+    wire.region = member.region;
+    wire.counter = static_cast<std::int64_t>(member.counter);
+    wire.configurationVersion = member.configurationVersion;
+    wire.isLeaving = member.isLeaving;
+    return wire;
+}
+
+Member fromWire(const Wire::Member &wire)
+{
+    return {{wire.name, wire.nonce},
+            wire.peerAddress,
+            wire.adminAddress,
+            wire.zone,
+            wire.region,
+            static_cast<std::uint64_t>(wire.counter),
+            wire.configurationVersion,
+            wire.isLeaving};
+}
+
+} // namespace
+
+Wire::Heartbeat toWire(const Heartbeat &heartbeat)
+{
+    Wire::Heartbeat wire;
+    wire.sender = toWire(heartbeat.sender);
+    for (const Member &member : heartbeat.members) {
+        wire.members.push_back(toWire(member));
+    }
+    for (const LeavingSign &sign : heartbeat.leaving) {
+        Wire::LeavingSign told;
+        told.serviceName = sign.service;
+        told.backend = sign.backend;
+        told.ageMs = std::chrono::ceil<milliseconds>(sign.age).count();
+        wire.leaving.push_back(std::move(told));
+    }
+    return wire;
+}
+
+Heartbeat fromWire(const Wire::Heartbeat &wire)
+{
+    Heartbeat heartbeat;
+    heartbeat.sender = fromWire(wire.sender);
+    for (const Wire::Member &member : wire.members) {
+        heartbeat.members.push_back(fromWire(member));
+    }
+    for (const Wire::LeavingSign &sign : wire.leaving) {
+        heartbeat.leaving.push_back({sign.serviceName, sign.backend, milliseconds(sign.ageMs)});
+    }
+    return heartbeat;
+}
+
+} // namespace Cloverbarrow
--- /dev/null
+++ b/src/net/wire.h
@@ -0,0 +1,23 @@
+/*
+    This file is part of cloverbarrow.
+
+    SPDX-FileCopyrightText: 2026 The cloverbarrow authors
+    SPDX-License-Identifier: Apache-2.0
+*/
+
+#pragma once
+
+#include "Admin.h"
+#include "Peer.h"
+#include "core/member.h"
+
+namespace Cloverbarrow
+{
+
+/// Largest Thrift message in bytes; a configuration of a megabyte fits.
+constexpr int MaxThriftMessage = 4 * 1024 * 1024;
+
+Wire::Heartbeat toWire(const Heartbeat &heartbeat);
+Heartbeat fromWire(const Wire::Heartbeat &heartbeat);
+
+} // namespace Cloverbarrow
--- /dev/null
+++ b/tests/standins/platform.cpp
@@ -0,0 +1,284 @@
+/*
+    This file is part of cloverbarrow.
+
+    SPDX-FileCopyrightText: 2026 The cloverbarrow authors
+    SPDX-License-Identifier: Apache-2.0
+*/
+
+#include "platform.h"
+
+#include "net/bootclock.h"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+
+namespace Cloverbarrow::Standins
+{
+
+namespace
+{
+
+using Json = nlohmann::json;
+
+HttpAnswer jsonAnswer(int status, const Json &json)
+{
+    HttpAnswer answer;
+    answer.status = status;
+    answer.headers.push_back({"Content-Type", "application/json"});
+    answer.body = json.dump();
+    return answer;
+}
+
+std::string queryValue(const std::string &query, const std::string &key)
+{
+    const std::string name = key + "=";
+    std::size_t at = query.rfind(name, 0) == 0 ? 0 : query.find("&" + name);
+    if (at == std::string::npos) {
+        return "0";
+    }
+    at += query[at] == '&' ? 1 : 0;
+    return query.substr(at + name.size(), query.find('&', at) - at - name.size());
+}
+
+std::string kindOf(const std::string &key)
+{
+    return key.substr(0, key.find('/'));
+}
+
+/// Name under which a call is counted.
+std::string callKind(const HttpRequest &request, bool isWrite)
+{
+    if (isWrite) {
+        return "write";
+    }
+    if (request.target == "/vms") {
+        return "list";
+    }
+    const std::size_t query = request.target.find('?');
+    const bool isWatch = query != std::string::npos && queryValue(request.target.substr(query + 1), "wait_ms") != "0";
+    return isWatch ? "watch" : "read";
+}
+
+} // namespace
+
+Platform::Platform(const std::string &address)
+{
+    CallerServerOptions options;
+    options.address = address;
+    server_ = std::make_unique<CallerServer>(
+        options, [this](const std::shared_ptr<CallerConnection> &connection, HttpRequest request) { accept(connection, std::move(request)); });
+}
+
+Platform::~Platform() = default;
+
+std::uint16_t Platform::port() const
+{
+    return server_->port();
+}
+
+void Platform::tick()
+{
+    const TimePoint now = bootNow();
+    Replies replies;
+    {
+        const std::lock_guard lock(mutex_);
+        std::erase_if(waiting_, [&](const Waiting &waiting) {
+            if (now >= waiting.until) {
+                replies.push_back({waiting.connection, false, jsonAnswer(304, {})});
+                return true;
+            }
+            return waiting.connection->isClosed();
+        });
+        std::vector<Delayed> due;
+        std::erase_if(delayed_, [&](Delayed &delayed) {
+            if (now < delayed.at) {
+                return false;
+            }
+            due.push_back(std::move(delayed));
+            return true;
+        });
+        for (const Delayed &delayed : due) {
+            serve(delayed.connection, delayed.request, replies);
+        }
+    }
+    send(replies);
+    server_->sweep(now);
+}
+
+void Platform::accept(const std::shared_ptr<CallerConnection> &connection, HttpRequest request)
+{
+    Replies replies;
+    {
+        const std::lock_guard lock(mutex_);
+        if (request.target.starts_with("/control/")) {
+            replies.push_back({connection, false, control(request)});
+        } else if (faults_.slowMs > 0) {
+            delayed_.push_back({connection, std::move(request), bootNow() + milliseconds(faults_.slowMs)});
+        } else {
+            serve(connection, request, replies);
+        }
+    }
+    send(replies);
+}
+
+void Platform::serve(const std::shared_ptr<CallerConnection> &connection, const HttpRequest &request, Replies &replies)
+{
+    const bool isWrite = request.method == "PUT" || request.method == "DELETE";
+    ++calls_[callKind(request, isWrite)];
+    if (faults_.isDown) {
+        replies.push_back({connection, true, {}});
+    } else if (faults_.isRefusing) {
+        replies.push_back({connection, false, jsonAnswer(503, {{"error", "refusing"}})});
+    } else if (!takesRate(isWrite, bootNow())) {
+        replies.push_back({connection, false, jsonAnswer(429, {{"error", "too many calls"}})});
+    } else if (request.target == "/vms") {
+        replies.push_back({connection, false, jsonAnswer(200, Json::parse(vms_))});
+    } else if (request.target.starts_with("/objects/")) {
+        serveObject(connection, request, replies);
+    } else {
+        replies.push_back({connection, false, jsonAnswer(404, {{"error", "no such path"}})});
+    }
+}
+
+void Platform::serveObject(const std::shared_ptr<CallerConnection> &connection, const HttpRequest &request, Replies &replies)
+{
+    const std::string path = request.target.substr(std::string("/objects/").size());
+    const std::size_t mark = path.find('?');
+    const std::string key = path.substr(0, mark);
+    const std::string query = mark == std::string::npos ? std::string() : path.substr(mark + 1);
+    if (request.method == "GET") {
+        read(connection, key, query, replies);
+    } else {
+        write(connection, key, request, replies);
+    }
+}
+
+void Platform::read(const std::shared_ptr<CallerConnection> &connection, const std::string &key, const std::string &query, Replies &replies)
+{
+    const std::int64_t after = std::stoll(queryValue(query, "after"));
+    const int waitMs = std::stoi(queryValue(query, "wait_ms"));
+    const auto found = objects_.find(key);
+    if (found != objects_.end() && found->second.version > after) {
+        replies.push_back({connection, false, jsonAnswer(200, {{"version", found->second.version}, {"value", found->second.value}})});
+    } else if (waitMs > 0) {
+        waiting_.push_back({connection, key, after, bootNow() + milliseconds(waitMs)});
+    } else {
+        replies.push_back({connection, false, jsonAnswer(found == objects_.end() ? 404 : 304, {})});
+    }
+}
+
+void Platform::write(const std::shared_ptr<CallerConnection> &connection, const std::string &key, const HttpRequest &request, Replies &replies)
+{
+    const bool isDelete = request.method == "DELETE";
+    std::int64_t expected = 0;
+    std::string value;
+    if (isDelete) {
+        expected = std::stoll(queryValue(request.target.substr(request.target.find('?') + 1), "expected_version"));
+    } else {
+        const Json body = Json::parse(request.body, nullptr, false);
+        if (body.is_discarded() || !body.contains("expected_version") || !body.contains("value")) {
+            replies.push_back({connection, false, jsonAnswer(400, {{"error", "malformed write"}})});
+            return;
+        }
+        expected = body["expected_version"].get<std::int64_t>();
+        value = body["value"].get<std::string>();
+    }
+    const auto found = objects_.find(key);
+    const std::int64_t current = found == objects_.end() ? 0 : found->second.version;
+    const bool isMade = current == expected && !(isDelete && current == 0);
+    const std::int64_t version = isMade ? nextVersion_++ : current;
+    if (isMade && isDelete) {
+        objects_.erase(found);
+    } else if (isMade) {
+        objects_[key] = {version, value};
+        wake(key, replies);
+    }
+    const bool isLost = faults_.loseAnswers > 0 && (faults_.loseKind.empty() || faults_.loseKind == kindOf(key));
+    faults_.loseAnswers -= isLost ? 1 : 0;
+    replies.push_back({connection, isLost, jsonAnswer(isMade ? 200 : 409, {{"version", version}})});
+}
+
+HttpAnswer Platform::control(const HttpRequest &request)
+{
+    if (request.target == "/control/faults") {
+        return setFaults(request.body);
+    }
+    if (request.target == "/control/vms") {
+        vms_ = request.body;
+        return jsonAnswer(200, {});
+    }
+    if (request.target == "/control/calls") {
+        return jsonAnswer(200, calls_);
+    }
+    if (request.target == "/control/objects") {
+        Json json = Json::object();
+        for (const auto &[key, object] : objects_) {
+            json[key] = {{"version", object.version}, {"value", object.value}};
+        }
+        return jsonAnswer(200, json);
+    }
+    return jsonAnswer(404, {});
+}
+
+HttpAnswer Platform::setFaults(const std::string &body)
+{
+    const Json json = Json::parse(body, nullptr, false);
+    if (!json.is_object()) {
+        return jsonAnswer(400, {});
+    }
+    faults_ = {};
+    faults_.isDown = json.value("down", false);
+    faults_.isRefusing = json.value("refusing", false);
+    faults_.slowMs = json.value("slow_ms", 0);
+    faults_.loseAnswers = json.value("lose_answers", 0);
+    faults_.loseKind = json.value("lose_kind", std::string());
+    faults_.writesPerSecond = json.value("writes_per_second", 0);
+    faults_.readsPerSecond = json.value("reads_per_second", 0);
+    if (faults_.isDown) {
+        for (const Waiting &waiting : waiting_) {
+            waiting.connection->abort();
+        }
+        waiting_.clear();
+    }
+    return jsonAnswer(200, {});
+}
+
+bool Platform::takesRate(bool isWrite, TimePoint now)
+{
+    const std::int64_t second = std::chrono::floor<seconds>(now.time_since_epoch()).count();
+    if (second != rateSecond_) {
+        rateSecond_ = second;
+        writesInSecond_ = 0;
+        readsInSecond_ = 0;
+    }
+    int &count = isWrite ? writesInSecond_ : readsInSecond_;
+    const int limit = isWrite ? faults_.writesPerSecond : faults_.readsPerSecond;
+    ++count;
+    return limit == 0 || count <= limit;
+}
+
+void Platform::wake(const std::string &key, Replies &replies)
+{
+    const Object &object = objects_[key];
+    std::erase_if(waiting_, [&](const Waiting &waiting) {
+        if (waiting.key != key || object.version <= waiting.after) {
+            return false;
+        }
+        replies.push_back({waiting.connection, false, jsonAnswer(200, {{"version", object.version}, {"value", object.value}})});
+        return true;
+    });
+}
+
+void Platform::send(Replies &replies)
+{
+    for (Reply &reply : replies) {
+        if (reply.isDropped) {
+            reply.connection->abort();
+        } else {
+            reply.connection->answer(std::move(reply.answer), false);
+        }
+    }
+}
+
+} // namespace Cloverbarrow::Standins
