--- a/src/net/thriftserver.cpp
+++ b/src/net/thriftserver.cpp
@@ -87,8 +87,7 @@
     {
         // The library would print each closed connection to the standard error.
         apache::thrift::GlobalOutput.setOutputFunction([](const char *) {});
-        server_ =
-            std::make_unique<TThreadedServer>(processor, socket_, std::make_shared<BoundedFrames>(), std::make_shared<TCompactProtocolFactory>());
+        server_ = std::make_unique<TThreadedServer>(processor, socket_, std::make_shared<BoundedFrames>(), std::make_shared<TCompactProtocolFactory>());
         server_->setConcurrentClientLimit(MaxClients);
         auto notice = std::make_shared<ListenNotice>();
         auto listening = notice->future();
--- a/tests/process/callertests.cpp
+++ b/tests/process/callertests.cpp
@@ -132,11 +132,14 @@
     }
     SECTION("a backend server that does not echo the tag is answered whole on connections of their own")
     {
-        fleet.apply("entry-1", [&fleet] {
-            std::string document = fleet.document();
-            document.replace(document.find("tag: true"), 9, "tag: false");
-            return document;
-        }(), fleet.status("entry-1").configurationVersion);
+        fleet.apply(
+            "entry-1",
+            [&fleet] {
+                std::string document = fleet.document();
+                document.replace(document.find("tag: true"), 9, "tag: false");
+                return document;
+            }(),
+            fleet.status("entry-1").configurationVersion);
         fleet.behave(1, R"({"stray_next":3,"echoes_tag":false})");
         for (const std::string id : {"a", "b", "c", "d", "e"}) {
             CHECK(bodyOf(fleet.get("entry-1", "/state/" + id, {{"X-Id", id}})).find("id=" + id + " ") != std::string::npos);
--- a/tests/process/faulttests.cpp
+++ b/tests/process/faulttests.cpp
@@ -295,9 +295,14 @@
     }
     SECTION("a kept connection is told to close and new ones are refused as not run")
     {
+        fleet.behave(1, R"({"service_us":3000000})");
+        fleet.behave(2, R"({"service_us":3000000})");
         RawCaller kept(fleet.address("entry-1", "callers"));
         kept.send("GET /state/a HTTP/1.1\r\nHost: liquidacion.example\r\nX-Id: a\r\n\r\n");
         CHECK(eventually([&] { return fleet.runs("id=a") == 1; }));
+        // The late callers' own requests must not take longer than the shutdown.
+        fleet.behave(1, R"({"service_us":1000})");
+        fleet.behave(2, R"({"service_us":1000})");
         fleet.entryVm("entry-1").signal(SIGTERM);
         CHECK(eventually([&] { return tells(fleet.get("entry-1", "/state/late"), 503, "not-run"); }));
         const std::string read = kept.readAll();
--- a/tests/process/fleet.h
+++ b/tests/process/fleet.h
@@ -59,7 +59,6 @@
     std::optional<HttpAnswer> pay(const std::string &entryVm, const std::string &key, const std::string &body = "monto=1", int timeoutMs = 10'000);
 
 private:
-
     std::string folder_;
     std::unique_ptr<Process> platform_;
     std::vector<std::unique_ptr<Process>> backends_;
--- a/tests/property/attemptproperties.cpp
+++ b/tests/property/attemptproperties.cpp
@@ -164,9 +164,8 @@
     {
         // Allowed places, leaving servers and the deadline hold at the moment of sending.
         const auto &servers = service_.backendServers;
-        RC_ASSERT(std::any_of(servers.begin(), servers.end(), [&start](const BackendServer &server) {
-            return server.name == start.backend && server.address == start.address;
-        }));
+        RC_ASSERT(std::any_of(
+            servers.begin(), servers.end(), [&start](const BackendServer &server) { return server.name == start.backend && server.address == start.address; }));
         RC_ASSERT(std::find(leaving_.begin(), leaving_.end(), start.backend) == leaving_.end());
         RC_ASSERT(now_ < start.deadline);
         RC_ASSERT(!answered_.contains(start.request));
--- a/tests/property/budgetproperties.cpp
+++ b/tests/property/budgetproperties.cpp
@@ -7,8 +7,8 @@
 
 #include "core/measuringshares.h"
 #include "core/membership.h"
-#include "generate.h"
 #include "fakestore.h"
+#include "generate.h"
 
 #include <catch2/catch.hpp>
 #include <rapidcheck.h>
@@ -97,9 +97,8 @@
     void check() const
     {
         for (std::size_t first = 0; first < probes_.size(); ++first) {
-            const auto inWindow = std::count_if(probes_.begin(), probes_.end(), [this, first](TimePoint at) {
-                return at >= probes_[first] && at < probes_[first] + Window;
-            });
+            const auto inWindow =
+                std::count_if(probes_.begin(), probes_.end(), [this, first](TimePoint at) { return at >= probes_[first] && at < probes_[first] + Window; });
             RC_ASSERT(inWindow <= Budget);
         }
     }
@@ -191,8 +190,8 @@
             }
             return true;
         }
-        const StoreFate fate = *rc::gen::weightedElement<StoreFate>(
-            {{8, StoreFate::Normal}, {1, StoreFate::Down}, {1, StoreFate::LostAfter}, {1, StoreFate::LostBefore}});
+        const StoreFate fate =
+            *rc::gen::weightedElement<StoreFate>({{8, StoreFate::Normal}, {1, StoreFate::Down}, {1, StoreFate::LostAfter}, {1, StoreFate::LostBefore}});
         const StoreResult result = store_.call(pending.call, fate);
         if (isAlive) {
             machine.shares->storeAnswered(now_, pending.call.object, result, *machine.members, random_);
--- a/tests/property/inputproperties.cpp
+++ b/tests/property/inputproperties.cpp
@@ -10,8 +10,8 @@
 #include "core/payoutrecord.h"
 #include "core/sharetable.h"
 #include "daemon/settings.h"
-#include "net/requestframer.h"
 #include "generate.h"
+#include "net/requestframer.h"
 #include "sampleservice.h"
 
 #include <catch2/catch.hpp>
--- a/tests/property/intentproperties.cpp
+++ b/tests/property/intentproperties.cpp
@@ -7,8 +7,8 @@
 
 #include "core/intentchange.h"
 #include "core/intentkeeper.h"
-#include "generate.h"
 #include "fakestore.h"
+#include "generate.h"
 #include "sampleservice.h"
 
 #include <catch2/catch.hpp>
--- a/tests/property/payoutproperties.cpp
+++ b/tests/property/payoutproperties.cpp
@@ -7,8 +7,8 @@
 
 #include "core/payoutrecord.h"
 #include "core/serviceshard.h"
-#include "generate.h"
 #include "fakestore.h"
+#include "generate.h"
 #include "sampleservice.h"
 
 #include <catch2/catch.hpp>
@@ -116,8 +116,7 @@
         shards_.resize(EntryVms);
         lives_.resize(EntryVms);
         const std::string nonce = std::to_string(++lives_[index]);
-        shards_[index] =
-            std::make_unique<ServiceShard>(Incarnation{"entry-" + std::to_string(number), nonce}, "liquidacion", LeastInFlightPick{}, 1);
+        shards_[index] = std::make_unique<ServiceShard>(Incarnation{"entry-" + std::to_string(number), nonce}, "liquidacion", LeastInFlightPick{}, 1);
         handle(number, ServiceConfigured{1, sampleService()});
         // What had left the dead process may still arrive: store calls and attempts stay pending.
     }
@@ -164,11 +163,9 @@
 
     void callStore(const Pending &pending, const AskPayoutStore &ask)
     {
-        const StoreFate fate = isCalm_ ? StoreFate::Normal
-                                       : *rc::gen::weightedElement<StoreFate>({{6, StoreFate::Normal},
-                                                                               {1, StoreFate::Down},
-                                                                               {2, StoreFate::LostAfter},
-                                                                               {1, StoreFate::LostBefore}});
+        const StoreFate fate = isCalm_
+            ? StoreFate::Normal
+            : *rc::gen::weightedElement<StoreFate>({{6, StoreFate::Normal}, {1, StoreFate::Down}, {2, StoreFate::LostAfter}, {1, StoreFate::LostBefore}});
         const StoreResult result = store_.call(ask.call, fate);
         reply(pending, PayoutStoreAnswered{ask.request, result});
         // A write that was given up as lost may take effect later.
