Connections that come during a shutdown are answered; a driver for choosing policies

Cause: a connection that came after the shutdown's notice was half closed before its request was read, so its caller got no answer. Found by the shutdown test. Change: such a connection is told to close after its answer. A virtual-clock driver feeds the core's service shards with fake backend servers. Conclusion: the policies can be compared.

--- /dev/null
+++ b/bench/policy/eventqueue.h
@@ -0,0 +1,64 @@
+/*
+    This file is part of cloverbarrow.
+
+    SPDX-FileCopyrightText: 2026 The cloverbarrow authors
+    SPDX-License-Identifier: Apache-2.0
+*/
+
+#pragma once
+
+#include "core/time.h"
+
+#include <cstdint>
+#include <functional>
+#include <queue>
+#include <vector>
+
+namespace Cloverbarrow::Bench
+{
+
+/// A virtual clock: runs what is planned in order of time, and in order of planning within one instant.
+class EventQueue
+{
+public:
+    TimePoint now() const
+    {
+        return now_;
+    }
+
+    void after(Duration delay, std::function<void()> run)
+    {
+        events_.push({now_ + delay, next_++, std::move(run)});
+    }
+
+    /// Runs all events up to @p end.
+    void runUntil(TimePoint end)
+    {
+        while (!events_.empty() && events_.top().at <= end) {
+            // The queue gives only const access to what it is about to drop.
+            Event event = std::move(const_cast<Event &>(events_.top()));
+            events_.pop();
+            now_ = event.at;
+            event.run();
+        }
+        now_ = end;
+    }
+
+private:
+    struct Event {
+        TimePoint at;
+        std::uint64_t number = 0;
+        std::function<void()> run;
+
+        bool operator<(const Event &other) const
+        {
+            return at != other.at ? at > other.at : number > other.number;
+        }
+    };
+
+    TimePoint now_ = TimePoint(seconds(100));
+    std::uint64_t next_ = 0;
+    std::priority_queue<Event> events_;
+};
+
+} // namespace Cloverbarrow::Bench
--- /dev/null
+++ b/bench/policy/fakebackend.cpp
@@ -0,0 +1,116 @@
+/*
+    This file is part of cloverbarrow.
+
+    SPDX-FileCopyrightText: 2026 The cloverbarrow authors
+    SPDX-License-Identifier: Apache-2.0
+*/
+
+#include "fakebackend.h"
+
+#include <cmath>
+
+namespace Cloverbarrow::Bench
+{
+
+namespace
+{
+
+// A neighbour takes the machine for 30 ms twice a second on average, and it then runs at a third of its speed.
+constexpr Duration MeanQuiet = milliseconds(500);
+constexpr Duration MeanNoisy = milliseconds(30);
+constexpr double NoisyFactor = 3;
+constexpr Duration FastError = microseconds(200);
+
+Duration exponential(Random &random, Duration mean)
+{
+    return Duration(static_cast<Duration::rep>(-std::log(1 - random.uniform()) * static_cast<double>(mean.count())));
+}
+
+} // namespace
+
+FakeBackend::FakeBackend(EventQueue &events, std::string name, std::string zone, std::uint64_t seed)
+    : events_(events)
+    , name_(std::move(name))
+    , zone_(std::move(zone))
+    , random_(seed)
+{
+}
+
+void FakeBackend::setShape(const BackendShape &shape)
+{
+    shape_ = shape;
+}
+
+const BackendShape &FakeBackend::shape() const
+{
+    return shape_;
+}
+
+const std::string &FakeBackend::name() const
+{
+    return name_;
+}
+
+const std::string &FakeBackend::zone() const
+{
+    return zone_;
+}
+
+void FakeBackend::arrive(OnDone done)
+{
+    if (shape_.isGone) {
+        done({false, true, 0});
+        return;
+    }
+    if (shape_.failsFast) {
+        events_.after(FastError, [done = std::move(done)] { done({true, true, 0}); });
+        return;
+    }
+    queue_.push_back(std::move(done));
+    startNext();
+}
+
+bool FakeBackend::hasFreeSlot() const
+{
+    return !shape_.isGone && !shape_.failsFast && running_ + static_cast<int>(queue_.size()) < shape_.slots;
+}
+
+std::size_t FakeBackend::served() const
+{
+    return served_;
+}
+
+Duration FakeBackend::drawService()
+{
+    // Half fixed, half exponential: work on the same kind of request differs, but not wildly.
+    const Duration half = shape_.meanService / 2;
+    const Duration work = half + exponential(random_, half);
+    return Duration(static_cast<Duration::rep>(static_cast<double>(work.count()) * shape_.slowFactor * noise()));
+}
+
+void FakeBackend::startNext()
+{
+    if (running_ >= shape_.slots || queue_.empty()) {
+        return;
+    }
+    OnDone done = std::move(queue_.front());
+    queue_.pop_front();
+    ++running_;
+    events_.after(drawService(), [this, done = std::move(done)] {
+        --running_;
+        ++served_;
+        startNext();
+        done({true, false, running_ + static_cast<int>(queue_.size())});
+    });
+}
+
+double FakeBackend::noise()
+{
+    while (events_.now() >= noisyUntil_) {
+        noisyFrom_ = std::max(noisyUntil_, events_.now() - MeanQuiet) + exponential(random_, MeanQuiet);
+        noisyUntil_ = noisyFrom_ + exponential(random_, MeanNoisy);
+    }
+    return events_.now() >= noisyFrom_ ? NoisyFactor : 1;
+}
+
+} // namespace Cloverbarrow::Bench
--- /dev/null
+++ b/bench/policy/trial.cpp
@@ -0,0 +1,348 @@
+/*
+    This file is part of cloverbarrow.
+
+    SPDX-FileCopyrightText: 2026 The cloverbarrow authors
+    SPDX-License-Identifier: Apache-2.0
+*/
+
+#include "trial.h"
+
+#include "core/serviceshard.h"
+
+#include <algorithm>
+#include <cmath>
+#include <deque>
+#include <map>
+#include <memory>
+
+namespace Cloverbarrow::Bench
+{
+
+namespace
+{
+
+constexpr Duration SameZone = microseconds(150); // One way.
+constexpr Duration OtherZone = microseconds(1500); // One way, as the brief says.
+constexpr Duration HandOverCost = microseconds(100); // Processing on the entry VM that a call is handed to.
+constexpr Duration WarmUp = seconds(2);
+constexpr Duration FaultAt = seconds(3);
+constexpr Duration FaultSettles = seconds(1); // What comes before is not counted.
+constexpr Duration TickInterval = milliseconds(20);
+constexpr Duration Deadline = seconds(2);
+constexpr double StragglerFactor = 10;
+constexpr double SurgeFactor = 1.5;
+constexpr Duration SurgeLength = seconds(1);
+// Neighbours' noise takes this share of the slots' time away; loads are given against what is left.
+constexpr double NoiseShare = 30.0 / 530 * 2;
+
+std::string zoneName(int number)
+{
+    return "zone-" + std::to_string(number);
+}
+
+Duration oneWay(const std::string &from, const std::string &to)
+{
+    return from == to ? SameZone : OtherZone;
+}
+
+class Trial
+{
+public:
+    Trial(const Deployment &deployment, const Arrangement &arrangement, double load, Fault fault, std::uint64_t seed)
+        : deployment_(deployment)
+        , arrangement_(arrangement)
+        , fault_(fault)
+        , random_(seed)
+    {
+        const double slots = deployment.backends * BackendShape{}.slots;
+        callsPerSecond_ = load * slots / (std::chrono::duration<double>(deployment.meanService).count() * (1 + NoiseShare));
+        addBackends(seed);
+        addEntryVms(seed);
+    }
+
+    Figures run(Duration length)
+    {
+        const TimePoint end = events_.now() + length;
+        start_ = events_.now();
+        planArrival();
+        planTick();
+        if (fault_ != Fault::None) {
+            events_.after(FaultAt, [this] { bringFault(); });
+        }
+        events_.runUntil(end);
+        return figures();
+    }
+
+private:
+    struct EntryVm {
+        std::string zone;
+        std::unique_ptr<ServiceShard> shard;
+    };
+
+    struct Call {
+        TimePoint arrived;
+        Duration extra{0}; ///< Way to and from the entry VM that it was handed to.
+    };
+
+    void addBackends(std::uint64_t seed)
+    {
+        service_.name = deployment_.service;
+        service_.echoesExchangeTag = true;
+        service_.kinds = {{"read", {"GET"}, "/**", KindClass::Read, Deadline}};
+        service_.limits.connectionsPerServer = arrangement_.connectionsPerServer;
+        for (int zone = 0; zone < deployment_.zones; ++zone) {
+            service_.places.push_back(zoneName(zone));
+        }
+        for (int number = 0; number < deployment_.backends; ++number) {
+            const std::string name = "b" + std::to_string(number);
+            const std::string zone = zoneName(number % deployment_.zones);
+            auto backend = std::make_unique<FakeBackend>(events_, name, zone, seed * 1000 + static_cast<std::uint64_t>(number));
+            BackendShape shape;
+            shape.meanService = deployment_.meanService;
+            backend->setShape(shape);
+            service_.backendServers.push_back({name, name, zone});
+            backends_.push_back(std::move(backend));
+        }
+    }
+
+    void addEntryVms(std::uint64_t seed)
+    {
+        for (int number = 0; number < deployment_.entryVms; ++number) {
+            const std::string name = "entry-" + std::to_string(number);
+            EntryVm vm{zoneName(number % deployment_.zones), nullptr};
+            vm.shard = std::make_unique<ServiceShard>(Incarnation{name, "n"}, service_.name, arrangement_.policy, seed * 77 + static_cast<std::uint64_t>(number));
+            ServiceActions actions;
+            vm.shard->handle(events_.now(), ServiceConfigured{1, service_}, actions);
+            const int senders = arrangement_.dispatchers == 0 ? deployment_.entryVms : arrangement_.dispatchers;
+            vm.shard->handle(events_.now(), FleetSizeChanged{senders}, actions);
+            entryVms_.push_back(std::move(vm));
+        }
+    }
+
+    void planArrival()
+    {
+        const bool isSurging = fault_ == Fault::Surge && events_.now() >= start_ + FaultAt && events_.now() < start_ + FaultAt + SurgeLength;
+        const double rate = callsPerSecond_ * (isSurging ? SurgeFactor : 1);
+        const double wait = -std::log(1 - random_.uniform()) / rate;
+        events_.after(Duration(static_cast<Duration::rep>(wait * 1e6)), [this] {
+            arrive();
+            planArrival();
+        });
+    }
+
+    void planTick()
+    {
+        events_.after(TickInterval, [this] {
+            for (std::size_t index = 0; index < entryVms_.size(); ++index) {
+                handle(index, Tick{});
+            }
+            planTick();
+        });
+    }
+
+    void arrive()
+    {
+        const auto index = random_.below(entryVms_.size());
+        const RequestId id = ++lastCall_;
+        calls_[id] = {events_.now(), Duration(0)};
+        if (arrangement_.isPerfect) {
+            waiting_.push_back({id, index});
+            servePerfectly();
+            return;
+        }
+        if (arrangement_.dispatchers == 0) {
+            give(index, id);
+            return;
+        }
+        handOver(index, id);
+    }
+
+    /// Hands a call on to one of the dispatchers, one of the own zone where there is one.
+    void handOver(std::size_t from, RequestId id)
+    {
+        const auto count = static_cast<std::size_t>(arrangement_.dispatchers);
+        std::size_t to = random_.below(count);
+        for (std::size_t candidate = 0; candidate < count; ++candidate) {
+            if (entryVms_[candidate].zone == entryVms_[from].zone) {
+                to = candidate;
+            }
+        }
+        if (to == from) {
+            give(to, id);
+            return;
+        }
+        const Duration way = oneWay(entryVms_[from].zone, entryVms_[to].zone);
+        calls_[id].extra = way + HandOverCost;
+        events_.after(way + HandOverCost, [this, to, id] { give(to, id); });
+    }
+
+    void give(std::size_t index, RequestId id)
+    {
+        RequestArrived event;
+        event.request = id;
+        event.deadline = events_.now() + Deadline;
+        handle(index, event);
+    }
+
+    void handle(std::size_t index, const ServiceEvent &event)
+    {
+        ServiceActions actions;
+        entryVms_[index].shard->handle(events_.now(), event, actions);
+        for (const ServiceAction &action : actions) {
+            if (const auto *start = std::get_if<StartAttempt>(&action)) {
+                attempt(index, *start);
+            } else if (const auto *pass = std::get_if<PassAnswer>(&action)) {
+                finish(pass->request, true);
+            } else if (const auto *refusal = std::get_if<Refuse>(&action)) {
+                finish(refusal->request, false);
+            }
+        }
+    }
+
+    void attempt(std::size_t index, const StartAttempt &start)
+    {
+        retries_ += start.attempt > 1 ? 1 : 0;
+        FakeBackend &backend = *backends_[static_cast<std::size_t>(std::stoi(start.backend.substr(1)))];
+        const Duration way = oneWay(entryVms_[index].zone, backend.zone());
+        events_.after(way, [this, index, way, start, &backend] {
+            backend.arrive([this, index, way, start](FakeBackend::Done done) {
+                events_.after(way, [this, index, start, done] { attemptEnded(index, start, done); });
+            });
+        });
+    }
+
+    void attemptEnded(std::size_t index, const StartAttempt &start, FakeBackend::Done done)
+    {
+        AttemptEnded ended{start.request, start.attempt, NeverLeft{"refused"}, std::nullopt};
+        if (done.isConnected) {
+            AnsweredWhole answer;
+            answer.status = done.isError ? 500 : 200;
+            ended.outcome = answer;
+            ended.reportedLoad = done.load;
+            if (done.isError) {
+                failed_.insert_or_assign(start.request, true);
+            }
+        }
+        handle(index, ended);
+    }
+
+    void finish(RequestId id, bool isAnswered)
+    {
+        const auto found = calls_.find(id);
+        const Call call = found->second;
+        calls_.erase(found);
+        const bool isError = failed_.erase(id) > 0;
+        const Duration from = fault_ == Fault::None ? WarmUp : FaultAt + FaultSettles;
+        const bool isSurge = fault_ == Fault::Surge;
+        const TimePoint counted = start_ + (isSurge ? FaultAt : from);
+        if (call.arrived < counted) {
+            return;
+        }
+        ++counted_;
+        if (!isAnswered) {
+            ++refused_;
+        } else if (isError) {
+            ++errors_;
+        } else {
+            latencies_.push_back(toMilliseconds(events_.now() - call.arrived + call.extra));
+        }
+    }
+
+    void servePerfectly()
+    {
+        while (!waiting_.empty()) {
+            const auto [id, index] = waiting_.front();
+            FakeBackend *chosen = nullptr;
+            for (const auto &backend : backends_) {
+                const bool isNear = backend->zone() == entryVms_[index].zone;
+                const bool isBetter = !chosen || (isNear && chosen->zone() != entryVms_[index].zone);
+                // A straggler is known as such.
+                if (backend->hasFreeSlot() && backend->shape().slowFactor == 1 && isBetter) {
+                    chosen = backend.get();
+                }
+            }
+            if (!chosen) {
+                return;
+            }
+            waiting_.pop_front();
+            calls_[id].extra = 2 * oneWay(entryVms_[index].zone, chosen->zone());
+            chosen->arrive([this, id = id](FakeBackend::Done) {
+                finish(id, true);
+                servePerfectly();
+            });
+        }
+    }
+
+    void bringFault()
+    {
+        for (const auto &backend : backends_) {
+            BackendShape shape = backend->shape();
+            const bool isFirst = backend == backends_.front();
+            shape.slowFactor = fault_ == Fault::Straggler && isFirst ? StragglerFactor : 1;
+            shape.failsFast = fault_ == Fault::FailFast && isFirst;
+            shape.isGone = fault_ == Fault::ZoneGone && backend->zone() == zoneName(0);
+            backend->setShape(shape);
+        }
+    }
+
+    double quantile(double share) const
+    {
+        if (latencies_.empty()) {
+            return 0;
+        }
+        const auto index = static_cast<std::size_t>(share * static_cast<double>(latencies_.size() - 1));
+        return latencies_[index];
+    }
+
+    Figures figures()
+    {
+        std::sort(latencies_.begin(), latencies_.end());
+        const double counted = std::max(1.0, static_cast<double>(counted_));
+        constexpr double Percent = 100;
+        std::size_t most = 0;
+        std::size_t all = 0;
+        for (const auto &backend : backends_) {
+            most = std::max(most, backend->served());
+            all += backend->served();
+        }
+        Figures result;
+        result.p50 = quantile(0.5);
+        result.p99 = quantile(0.99);
+        result.p999 = quantile(0.999);
+        result.refusedPercent = Percent * static_cast<double>(refused_) / counted;
+        result.errorPercent = Percent * static_cast<double>(errors_) / counted;
+        result.retriesPercent = Percent * static_cast<double>(retries_) / static_cast<double>(std::max<RequestId>(1, lastCall_));
+        result.spread = static_cast<double>(most) * static_cast<double>(backends_.size()) / static_cast<double>(std::max<std::size_t>(1, all));
+        result.calls = counted_;
+        return result;
+    }
+
+    Deployment deployment_;
+    Arrangement arrangement_;
+    Fault fault_;
+    Random random_;
+    EventQueue events_;
+    TimePoint start_;
+    double callsPerSecond_ = 0;
+    Service service_;
+    std::vector<std::unique_ptr<FakeBackend>> backends_;
+    std::vector<EntryVm> entryVms_;
+    RequestId lastCall_ = 0;
+    std::map<RequestId, Call> calls_;
+    std::map<RequestId, bool> failed_;
+    std::deque<std::pair<RequestId, std::size_t>> waiting_;
+    std::vector<double> latencies_;
+    std::size_t counted_ = 0;
+    std::size_t refused_ = 0;
+    std::size_t errors_ = 0;
+    std::size_t retries_ = 0;
+};
+
+} // namespace
+
+Figures runTrial(const Deployment &deployment, const Arrangement &arrangement, double load, Fault fault, std::uint64_t seed, Duration length)
+{
+    return Trial(deployment, arrangement, load, fault, seed).run(length);
+}
+
+} // namespace Cloverbarrow::Bench
--- a/src/core/time.h
+++ b/src/core/time.h
@@ -18,7 +18,6 @@
     using period = std::chrono::microseconds::period;
     using duration = std::chrono::microseconds;
     using time_point = std::chrono::time_point<BootClock, duration>;
-    static constexpr bool is_steady = true;
 };
 
 /// Span of time in microseconds.
--- a/src/net/callerconnection.cpp
+++ b/src/net/callerconnection.cpp
@@ -83,6 +83,12 @@
     }
 }
 
+void CallerConnection::closeAfterAnswer()
+{
+    const std::lock_guard lock(mutex_);
+    closesAfterAnswer_ = true;
+}
+
 void CallerConnection::closeSoon()
 {
     const std::unique_lock lock(mutex_);
--- a/src/net/callerconnection.h
+++ b/src/net/callerconnection.h
@@ -44,6 +44,8 @@
     void answer(const HttpAnswer &answer, bool isHead);
     /// Sends an answer that is written out already. @param closes whether the connection ends with it.
     void answerBytes(std::string_view bytes, bool closes);
+    /// Closes after the next answer; until then a request may come.
+    void closeAfterAnswer();
     /// Closes after the request in flight, or now when there is none.
     void closeSoon();
     /// Drops the connection without an answer.
--- a/src/net/callerserver.cpp
+++ b/src/net/callerserver.cpp
@@ -35,7 +35,7 @@
     {
         const std::lock_guard lock(mutex_);
         if (isClosing_) {
-            connection->closeSoon();
+            connection->closeAfterAnswer();
         }
         connections_.push_back(std::move(connection));
     }
--- a/tests/process/faulttests.cpp
+++ b/tests/process/faulttests.cpp
@@ -120,8 +120,10 @@
     }
     SECTION("with many repeats at once through both entry VMs")
     {
+        constexpr int Repeats = 16;
         std::vector<std::future<std::optional<HttpAnswer>>> answers;
-        for (int repeat = 0; repeat < 16; ++repeat) {
+        answers.reserve(Repeats);
+        for (int repeat = 0; repeat < Repeats; ++repeat) {
             answers.push_back(payLater(fleet, repeat % 2 == 0 ? "entry-1" : "entry-2", "k1"));
         }
         for (auto &answer : answers) {
--- a/tests/process/process.cpp
+++ b/tests/process/process.cpp
@@ -32,6 +32,7 @@
     posix_spawn_file_actions_init(&actions);
     posix_spawn_file_actions_adddup2(&actions, writeEnd.get(), 1);
     std::vector<char *> arguments;
+    arguments.reserve(command.size() + 1);
     for (std::string &word : command) {
         arguments.push_back(word.data());
     }
