Choose by load reports that fade to the mean, near servers first; eject stragglers

Cause: with 16 entry VMs each sees a sixteenth of the calls, so its own count of requests in flight says little, and an old report that fades to zero makes unheard servers look idle. Change: the last report fades to the mean of all servers with half the mean latency as half-life; a far server counts 0.8 requests more; a server three times slower than the median is ejected, with slow readmission.

--- a/bench/policy/trial.h
+++ b/bench/policy/trial.h
@@ -46,6 +46,9 @@
     int connectionsPerServer = 200;
     /// Entry VMs that send a service's calls to backend servers; the others hand theirs on to these. 0: every one sends.
     int dispatchers = 0;
+    /// How often entry VMs tell each other their attempts; zero is never.
+    Duration shareEvery{0};
+    bool sharesZoneOnly = true;
     bool isPerfect = false; ///< The bound: one queue over all slots, with full knowledge and no delay of news.
 };
 
--- /dev/null
+++ b/bench/processes/controlbench.cpp
@@ -0,0 +1,151 @@
+/*
+    This file is part of cloverbarrow.
+
+    SPDX-FileCopyrightText: 2026 The cloverbarrow authors
+    SPDX-License-Identifier: Apache-2.0
+*/
+
+#include "fleet.h"
+#include "procstat.h"
+
+#include <nlohmann/json.hpp>
+
+#include <chrono>
+#include <cstdio>
+#include <cstdlib>
+#include <string>
+#include <thread>
+#include <vector>
+
+using namespace Cloverbarrow;
+using namespace Cloverbarrow::Tests;
+
+namespace
+{
+
+using Clock = std::chrono::steady_clock;
+
+constexpr auto Settling = std::chrono::seconds(6);
+constexpr auto Measured = std::chrono::seconds(10);
+
+std::vector<std::string> startMany(Fleet &fleet, int count)
+{
+    std::vector<std::string> names;
+    for (int number = 0; number < count; ++number) {
+        names.push_back("entry-" + std::to_string(number));
+        fleet.startEntryVm(names.back(), "zone-" + std::to_string(number % 8));
+    }
+    return names;
+}
+
+/// A configuration of the planned shape: services with equal shares of @p servers backend servers.
+std::string plannedDocument(int services, int servers)
+{
+    std::string text = "services:\n";
+    for (int service = 0; service < services; ++service) {
+        const std::string name = "service-" + std::to_string(service);
+        text += "  - name: " + name + "\n    host: " + name + ".example\n    places: [zone-0, zone-1, zone-2, zone-3, zone-4, zone-5, zone-6, zone-7]\n"
+            + "    echoes_exchange_tag: true\n    kinds:\n      - {name: read, methods: [GET], path: /**, class: read}\n"
+            + "      - {name: pay, methods: [POST], path: /pay, class: payout}\n    measuring: {probes: 10, window_ms: 1000}\n    backend_servers:\n";
+        for (int server = service; server < servers; server += services) {
+            text += "      - {name: " + name + "-" + std::to_string(server) + ", address: 127.0.0.1:1, zone: zone-" + std::to_string(server % 8) + "}\n";
+        }
+    }
+    return text;
+}
+
+std::int64_t platformCalls(Fleet &fleet)
+{
+    HttpRequest request;
+    request.method = "GET";
+    request.target = "/control/calls";
+    const auto counts = nlohmann::json::parse(fleet.send(fleet.platformAddress(), request).value().body);
+    std::int64_t sum = 0;
+    for (const auto &count : counts) {
+        sum += count.get<std::int64_t>();
+    }
+    return sum;
+}
+
+/// Time until each entry VM has @p version in force, in seconds.
+double spreadTime(Fleet &fleet, const std::vector<std::string> &names, std::int64_t version, Clock::time_point since)
+{
+    for (const std::string &name : names) {
+        eventually([&] { return fleet.status(name).configurationVersion >= version; });
+    }
+    return std::chrono::duration<double>(Clock::now() - since).count();
+}
+
+struct Idle {
+    double kilobytesPerSecond = 0; ///< Sent and received by one entry VM, headers included.
+    double corePercent = 0;
+    double megabytes = 0;
+    double platformCallsPerHour = 0; ///< By the whole fleet.
+};
+
+Idle measureIdle(Fleet &fleet, const std::vector<std::string> &names)
+{
+    const double count = static_cast<double>(names.size());
+    const std::int64_t bytes = loopbackBytes();
+    const std::int64_t calls = platformCalls(fleet);
+    double processor = 0;
+    for (const std::string &name : names) {
+        processor -= processorSeconds(fleet.entryVm(name).pid());
+    }
+    std::this_thread::sleep_for(Measured);
+    Idle idle;
+    const double time = std::chrono::duration<double>(Measured).count();
+    // Each byte that one process sends another receives.
+    idle.kilobytesPerSecond = 2 * static_cast<double>(loopbackBytes() - bytes) / count / time / 1000;
+    idle.platformCallsPerHour = static_cast<double>(platformCalls(fleet) - calls) * 3600 / time;
+    for (const std::string &name : names) {
+        processor += processorSeconds(fleet.entryVm(name).pid());
+        idle.megabytes += residentMegabytes(fleet.entryVm(name).pid()) / count;
+    }
+    idle.corePercent = 100 * processor / count / time;
+    return idle;
+}
+
+void measure(int entryVms, int services, int servers)
+{
+    Fleet fleet(0);
+    const auto names = startMany(fleet, entryVms);
+    eventually([&] { return fleet.status(names.back()).entryVms.size() == names.size(); });
+    const std::string document = plannedDocument(services, servers);
+    const auto start = Clock::now();
+    const std::int64_t version = fleet.apply(names.front(), document, 0);
+    const double firstSpread = spreadTime(fleet, names, version, start);
+    std::this_thread::sleep_for(Settling);
+    const Idle idle = measureIdle(fleet, names);
+    const auto second = Clock::now();
+    const std::int64_t next = fleet.apply(names.front(), document + "\n", version);
+    const double spread = spreadTime(fleet, names, next, second);
+    std::printf("| %d | %d | %d | %.2f | %.2f | %.1f | %.0f | %.2f | %.2f | %zu |\n",
+                entryVms,
+                services,
+                servers,
+                idle.kilobytesPerSecond,
+                idle.corePercent,
+                idle.megabytes,
+                idle.platformCallsPerHour,
+                firstSpread,
+                spread,
+                document.size() / 1000);
+    std::fflush(stdout);
+}
+
+} // namespace
+
+int main()
+{
+    std::printf("| entry VMs | services | backend servers | KB/s a node | core %% | MB | platform calls/h | first spread s | spread s | document KB |\n"
+                "|---|---|---|---|---|---|---|---|---|---|\n");
+    for (const int entryVms : {2, 4, 8, 16, 32, 64}) {
+        measure(entryVms, 3, 38);
+    }
+    for (const int servers : {100, 300, 1000}) {
+        measure(16, 33, servers);
+    }
+    measure(64, 33, 1000);
+    return 0;
+}
--- a/src/core/backendpool.cpp
+++ b/src/core/backendpool.cpp
@@ -19,6 +19,13 @@
 constexpr int FailuresToEject = 3;
 constexpr Duration FirstEjection = seconds(1);
 constexpr int MaxEjectionDoublings = 5;
+// A server this many times slower than the median is a straggler: it costs callers more than its slots are worth.
+constexpr double StragglerFactor = 3;
+constexpr int SamplesToJudge = 5;
+// After so many good answers in a row an ejection counts as the first again.
+constexpr int SamplesToForgive = 50;
+// Too many stragglers are no stragglers but an overload.
+constexpr std::size_t MaxStragglerPart = 3;
 constexpr Duration SilenceWorthProbe = milliseconds(500);
 constexpr double LatencyWeight = 0.1;
 
@@ -29,8 +36,9 @@
 
 } // namespace
 
-BackendPool::BackendPool(PickPolicy policy)
+BackendPool::BackendPool(PickPolicy policy, std::string ownZone)
     : policy_(policy)
+    , ownZone_(std::move(ownZone))
 {
 }
 
@@ -44,6 +52,7 @@
         }
         backend.server = server;
         backend.isLeaving = leaving_.contains(server.name);
+        backend.isNear = server.zone == ownZone_;
         next.push_back(std::move(backend));
     }
     backends_ = std::move(next);
@@ -97,11 +106,14 @@
     if (quality == AttemptQuality::Failed) {
         countFailure(*backend, now);
     } else if (quality == AttemptQuality::Good) {
-        const double sample = toMilliseconds(latency);
-        backend->latencyMs = backend->latencyMs == 0 ? sample : backend->latencyMs + LatencyWeight * (sample - backend->latencyMs);
-        backend->failureStreak = 0;
-        backend->ejections = 0;
-        backend->isOnTrial = false;
+        countGood(*backend, latency, now);
+    }
+}
+
+void BackendPool::setPeersInFlight(std::string_view name, int count)
+{
+    if (Backend *backend = findMutable(name)) {
+        backend->peersInFlight = count;
     }
 }
 
@@ -197,15 +209,59 @@
     return {};
 }
 
+void BackendPool::countGood(Backend &backend, Duration latency, TimePoint now)
+{
+    const double sample = toMilliseconds(latency);
+    const bool isFirst = backend.isOnTrial || backend.latencyMs == 0;
+    backend.latencyMs = isFirst ? sample : backend.latencyMs + LatencyWeight * (sample - backend.latencyMs);
+    ++backend.samples;
+    backend.failureStreak = 0;
+    if (isStraggler(backend, now)) {
+        eject(backend, now);
+        return;
+    }
+    backend.isOnTrial = false;
+    if (backend.samples >= SamplesToForgive) {
+        backend.ejections = 0;
+    }
+}
+
+bool BackendPool::isStraggler(const Backend &backend, TimePoint now) const
+{
+    if (backend.samples < SamplesToJudge && !backend.isOnTrial) {
+        return false;
+    }
+    std::vector<double> latencies;
+    std::size_t ejected = 0;
+    for (const Backend &other : backends_) {
+        if (other.latencyMs > 0) {
+            latencies.push_back(other.latencyMs);
+        }
+        ejected += &other != &backend && now < other.ejectedUntil ? 1 : 0;
+    }
+    if ((ejected + 1) * MaxStragglerPart > backends_.size()) {
+        return false;
+    }
+    const auto middle = latencies.begin() + static_cast<std::ptrdiff_t>(latencies.size() / 2);
+    std::nth_element(latencies.begin(), middle, latencies.end());
+    return backend.latencyMs > StragglerFactor * *middle;
+}
+
 void BackendPool::countFailure(Backend &backend, TimePoint now)
 {
     ++backend.failureStreak;
     if (backend.failureStreak < FailuresToEject && !backend.isOnTrial) {
         return;
     }
+    eject(backend, now);
+}
+
+void BackendPool::eject(Backend &backend, TimePoint now)
+{
     backend.ejectedUntil = now + FirstEjection * (1 << std::min(backend.ejections, MaxEjectionDoublings));
     ++backend.ejections;
     backend.failureStreak = 0;
+    backend.samples = 0;
     backend.isOnTrial = true;
 }
 
--- a/src/core/backendpool.h
+++ b/src/core/backendpool.h
@@ -25,10 +25,13 @@
 /// What one entry VM knows of one backend server.
 struct Backend {
     BackendServer server;
+    bool isNear = false; ///< In this entry VM's own availability zone.
     int inFlight = 0; ///< Attempts of this entry VM.
+    int peersInFlight = 0; ///< Attempts of peers, as they last told.
     int reportedLoad = 0; ///< Requests in hand at the server, as it last said.
     std::optional<TimePoint> reportedAt;
     double latencyMs = 0; ///< Moving average over good answers; 0 when none was seen.
+    int samples = 0; ///< Good answers since the last ejection.
     int failureStreak = 0;
     int ejections = 0;
     TimePoint ejectedUntil;
@@ -48,7 +51,8 @@
 class BackendPool
 {
 public:
-    explicit BackendPool(PickPolicy policy);
+    /// @param ownZone availability zone of this entry VM.
+    BackendPool(PickPolicy policy, std::string ownZone);
 
     /// Takes over a service's servers; what is known of those that stay is kept.
     void configure(const Service &service);
@@ -67,6 +71,7 @@
 
     /// Counts an attempt's end. Names of servers that were removed meanwhile are ignored.
     void release(std::string_view name, AttemptQuality quality, Duration latency, TimePoint now);
+    void setPeersInFlight(std::string_view name, int count);
     void report(std::string_view name, int load, TimePoint now);
 
     /// Takes a probe's result: a good one ends an ejection, a bad one is a failure.
@@ -82,9 +87,13 @@
     Backend *findMutable(std::string_view name);
     bool mayTake(const Backend &backend, TimePoint now, bool ignoreEjection) const;
     std::vector<std::size_t> candidates(TimePoint now, std::span<const std::string> tried) const;
+    void countGood(Backend &backend, Duration latency, TimePoint now);
+    bool isStraggler(const Backend &backend, TimePoint now) const;
+    void eject(Backend &backend, TimePoint now);
     void countFailure(Backend &backend, TimePoint now);
 
     PickPolicy policy_;
+    std::string ownZone_;
     std::vector<Backend> backends_;
     std::set<std::string, std::less<>> leaving_; ///< Names, also of servers that come back into the configuration.
     int inFlightCap_ = 1000;
--- a/src/core/pickpolicy.cpp
+++ b/src/core/pickpolicy.cpp
@@ -73,7 +73,11 @@
 
     std::size_t operator()(LoadReportPick &policy) const
     {
-        const auto score = [this, &policy](std::size_t index) { return estimatedLoad(backends[index], policy.halfLife); };
+        const double mean = meanReport();
+        const double halfLifeMs = policy.halfLife == Duration(0) ? policy.latencyShare * meanLatencyMs() : toMilliseconds(policy.halfLife);
+        const auto score = [this, &policy, mean, halfLifeMs](std::size_t index) {
+            return estimatedLoad(backends[index], halfLifeMs, mean) + (backends[index].isNear ? 0 : policy.farPenalty);
+        };
         if (policy.choices == 0) {
             return lowest(candidates, random, score);
         }
@@ -87,12 +91,45 @@
         return best;
     }
 
-    double estimatedLoad(const Backend &backend, Duration halfLife) const
+    std::size_t operator()(SharedInFlightPick &) const
     {
-        double others = 0;
+        return lowest(candidates, random, [this](std::size_t index) { return static_cast<double>(backends[index].inFlight + backends[index].peersInFlight); });
+    }
+
+    double meanReport() const
+    {
+        double sum = 0;
+        int count = 0;
+        for (const std::size_t index : candidates) {
+            if (backends[index].reportedAt) {
+                sum += backends[index].reportedLoad;
+                ++count;
+            }
+        }
+        return count == 0 ? 0 : sum / count;
+    }
+
+    /// How long what a server has in hand takes it, about; news older than that says little.
+    double meanLatencyMs() const
+    {
+        constexpr double Unknown = 10;
+        double sum = 0;
+        int count = 0;
+        for (const std::size_t index : candidates) {
+            if (backends[index].latencyMs > 0) {
+                sum += backends[index].latencyMs;
+                ++count;
+            }
+        }
+        return count == 0 ? Unknown : sum / count;
+    }
+
+    double estimatedLoad(const Backend &backend, double halfLifeMs, double mean) const
+    {
+        double others = mean;
         if (backend.reportedAt) {
             const double age = toMilliseconds(now - *backend.reportedAt);
-            others = backend.reportedLoad * std::exp2(-age / toMilliseconds(halfLife));
+            others += (backend.reportedLoad - mean) * std::exp2(-age / halfLifeMs);
         }
         return backend.inFlight + others;
     }
--- a/src/core/pickpolicy.h
+++ b/src/core/pickpolicy.h
@@ -37,13 +37,19 @@
 };
 
 /// The server with the least estimated load: own attempts, and what the server's last report says
-/// that others had there, faded by its age.
+/// that others had there. An old report says little, so with age the estimate goes to the mean of all servers.
 struct LoadReportPick {
-    Duration halfLife = milliseconds(50); ///< Age at which a report counts half.
+    Duration halfLife{0}; ///< Age at which a report counts half; 0 means the servers' mean latency.
+    double latencyShare = 0.5; ///< Of the mean latency, where that is the half-life.
     int choices = 0; ///< Random servers compared; 0 compares all.
+    double farPenalty = 0.8; ///< Load that being in another availability zone counts for.
 };
 
-using PickPolicy = std::variant<RandomPick, RoundRobinPick, LeastInFlightPick, TwoChoicesPick, LoadReportPick>;
+/// The server with the fewest attempts of this entry VM and, as last told, of its peers.
+struct SharedInFlightPick {
+};
+
+using PickPolicy = std::variant<RandomPick, RoundRobinPick, LeastInFlightPick, TwoChoicesPick, LoadReportPick, SharedInFlightPick>;
 
 /// Chooses one of @p candidates, which are indices into @p backends. There is at least one.
 std::size_t pickBackend(PickPolicy &policy, std::span<const Backend> backends, std::span<const std::size_t> candidates, TimePoint now, Random &random);
--- a/src/core/serviceevents.h
+++ b/src/core/serviceevents.h
@@ -127,6 +127,12 @@
     int entryVms = 1;
 };
 
+/// Attempts of peers at one backend server, as they last told.
+struct PeersInFlightTold {
+    std::string backend;
+    int count = 0;
+};
+
 struct Tick {
 };
 
@@ -139,6 +145,7 @@
                                   ServiceConfigured,
                                   LeavingChanged,
                                   FleetSizeChanged,
+                                  PeersInFlightTold,
                                   Tick>;
 
 // Actions
--- a/src/core/serviceshard.cpp
+++ b/src/core/serviceshard.cpp
@@ -58,10 +58,10 @@
 
 } // namespace
 
-ServiceShard::ServiceShard(Incarnation self, std::string name, PickPolicy policy, std::uint64_t seed)
+ServiceShard::ServiceShard(Incarnation self, std::string ownZone, std::string name, PickPolicy policy, std::uint64_t seed)
     : self_(std::move(self))
     , name_(std::move(name))
-    , pool_(policy)
+    , pool_(policy, std::move(ownZone))
     , ledger_(self_, name_)
     , random_(seed)
 {
@@ -287,6 +287,11 @@
     applyCap();
 }
 
+void ServiceShard::on(TimePoint, const PeersInFlightTold &event, ServiceActions &)
+{
+    pool_.setPeersInFlight(event.backend, event.count);
+}
+
 void ServiceShard::on(TimePoint now, const Tick &, ServiceActions &actions)
 {
     expireWaiting(now, actions);
--- a/src/core/serviceshard.h
+++ b/src/core/serviceshard.h
@@ -28,7 +28,8 @@
 class ServiceShard
 {
 public:
-    ServiceShard(Incarnation self, std::string name, PickPolicy policy, std::uint64_t seed);
+    /// @param self this process, @param ownZone its availability zone, @param name of the service.
+    ServiceShard(Incarnation self, std::string ownZone, std::string name, PickPolicy policy, std::uint64_t seed);
 
     /// @param actions receives what is to be done; existing entries stay.
     void handle(TimePoint now, const ServiceEvent &event, ServiceActions &actions);
@@ -68,6 +69,7 @@
     void on(TimePoint now, const ServiceConfigured &event, ServiceActions &actions);
     void on(TimePoint now, const LeavingChanged &event, ServiceActions &actions);
     void on(TimePoint now, const FleetSizeChanged &event, ServiceActions &actions);
+    void on(TimePoint now, const PeersInFlightTold &event, ServiceActions &actions);
     void on(TimePoint now, const Tick &event, ServiceActions &actions);
 
     std::optional<Problem> admissionProblem(TimePoint now, const RequestArrived &event) const;
--- a/tests/process/process.cpp
+++ b/tests/process/process.cpp
@@ -63,6 +63,11 @@
     return firstLine_;
 }
 
+pid_t Process::pid() const
+{
+    return pid_;
+}
+
 void Process::signal(int number) const
 {
     if (!hasEnded_) {
--- a/tests/process/process.h
+++ b/tests/process/process.h
@@ -27,6 +27,7 @@
     Process &operator=(const Process &) = delete;
 
     const std::string &firstLine() const;
+    pid_t pid() const;
     void signal(int number) const;
     /// Waits for the end. @return its exit code, or 128 + signal.
     int wait();
