--- a/bench/policy/fakebackend.cpp
+++ b/bench/policy/fakebackend.cpp
@@ -56,7 +56,7 @@
     return zone_;
 }
 
-void FakeBackend::arrive(OnDone done)
+void FakeBackend::arrive(TimePoint deadline, OnDone done)
 {
     if (shape_.isGone) {
         done({false, true, 0});
@@ -66,7 +66,7 @@
         events_.after(FastError, [done = std::move(done)] { done({true, true, 0}); });
         return;
     }
-    queue_.push_back(std::move(done));
+    queue_.push_back({deadline, std::move(done)});
     startNext();
 }
 
@@ -90,10 +90,13 @@
 
 void FakeBackend::startNext()
 {
+    while (!queue_.empty() && queue_.front().deadline <= events_.now()) {
+        queue_.pop_front();
+    }
     if (running_ >= shape_.slots || queue_.empty()) {
         return;
     }
-    OnDone done = std::move(queue_.front());
+    OnDone done = std::move(queue_.front().done);
     queue_.pop_front();
     ++running_;
     events_.after(drawService(), [this, done = std::move(done)] {
--- a/bench/policy/fakebackend.h
+++ b/bench/policy/fakebackend.h
@@ -47,8 +47,8 @@
     const BackendShape &shape() const;
     const std::string &name() const;
     const std::string &zone() const;
-    /// A request arrives.
-    void arrive(OnDone done);
+    /// A request arrives. One whose deadline passes while it waits is dropped unanswered.
+    void arrive(TimePoint deadline, OnDone done);
     bool hasFreeSlot() const;
     std::size_t served() const;
     /// @return a service time, with the noise of this instant.
@@ -64,7 +64,12 @@
     Random random_;
     BackendShape shape_;
     int running_ = 0;
-    std::deque<OnDone> queue_;
+    struct Waiting {
+        TimePoint deadline;
+        OnDone done;
+    };
+
+    std::deque<Waiting> queue_;
     std::size_t served_ = 0;
     TimePoint noisyFrom_;
     TimePoint noisyUntil_;
--- a/bench/policy/main.cpp
+++ b/bench/policy/main.cpp
@@ -100,7 +100,7 @@
 
 void printRow(const Deployment &deployment, const Arrangement &arrangement, const char *what, double load, const Row &row)
 {
-    std::printf("| %s | %s %.0f%% | %s | %s | %s | %s | %s | %s | %s | %s |\n",
+    std::printf("| %s | %s %.0f%% | %s | %s | %s | %s | %s | %s | %s | %s | %s |\n",
                 deployment.service.c_str(),
                 what,
                 load * 100,
@@ -111,7 +111,8 @@
                 row.of(&Figures::refusedPercent).c_str(),
                 row.of(&Figures::errorPercent).c_str(),
                 row.of(&Figures::retriesPercent).c_str(),
-                row.of(&Figures::spread).c_str());
+                row.of(&Figures::spread).c_str(),
+                row.of(&Figures::goodPerSecond).c_str());
     std::fflush(stdout);
 }
 
@@ -124,10 +125,11 @@
     const std::vector<std::pair<const char *, Fault>> faults = isFaults ? std::vector<std::pair<const char *, Fault>>{{"straggler", Fault::Straggler},
                                                                                                                       {"zone gone", Fault::ZoneGone},
                                                                                                                       {"fail fast", Fault::FailFast},
-                                                                                                                      {"surge", Fault::Surge}}
+                                                                                                                      {"surge", Fault::Surge},
+                                                                                                                      {"overload", Fault::Overload}}
                                                                         : std::vector<std::pair<const char *, Fault>>{{"steady", Fault::None}};
     std::printf("| service | case | policy | p50 ms | p99 ms | p99.9 ms | refused %% | errors %% | retries %% | busiest/mean "
-                "|\n|---|---|---|---|---|---|---|---|---|---|\n");
+                "|\n|---|---|---|---|---|---|---|---|---|---|---|\n");
     for (const Deployment &deployment : deployments()) {
         if (only != "all" && deployment.service != only) {
             continue;
--- a/bench/policy/trial.cpp
+++ b/bench/policy/trial.cpp
@@ -71,6 +71,7 @@
             events_.after(FaultAt, [this] { bringFault(); });
         }
         events_.runUntil(end);
+        countedSeconds_ = std::chrono::duration<double>(length - (fault_ == Fault::None ? WarmUp : FaultAt + FaultSettles)).count();
         return figures();
     }
 
@@ -101,7 +102,7 @@
             BackendShape shape;
             shape.meanService = deployment_.meanService;
             backend->setShape(shape);
-            service_.backendServers.push_back({name, name, zone});
+            service_.backendServers.push_back({name, name, zone, {}});
             backends_.push_back(std::move(backend));
         }
     }
@@ -112,7 +113,7 @@
             const std::string name = "entry-" + std::to_string(number);
             EntryVm vm{zoneName(number % deployment_.zones), nullptr};
             vm.shard = std::make_unique<ServiceShard>(
-                Incarnation{name, "n"}, vm.zone, service_.name, arrangement_.policy, seed * 77 + static_cast<std::uint64_t>(number));
+                Incarnation{name, "n"}, Location{vm.zone, {}}, service_.name, arrangement_.policy, seed * 77 + static_cast<std::uint64_t>(number));
             ServiceActions actions;
             vm.shard->handle(events_.now(), ServiceConfigured{1, service_}, actions);
             const int senders = arrangement_.dispatchers == 0 ? deployment_.entryVms : arrangement_.dispatchers;
@@ -123,8 +124,9 @@
 
     void planArrival()
     {
+        const bool isOver = fault_ == Fault::Overload && events_.now() >= start_ + FaultAt;
         const bool isSurging = fault_ == Fault::Surge && events_.now() >= start_ + FaultAt && events_.now() < start_ + FaultAt + SurgeLength;
-        const double rate = callsPerSecond_ * (isSurging ? SurgeFactor : 1);
+        const double rate = callsPerSecond_ * (isSurging || isOver ? SurgeFactor : 1);
         const double wait = -std::log(1 - random_.uniform()) / rate;
         events_.after(Duration(static_cast<Duration::rep>(wait * 1e6)), [this] {
             arrive();
@@ -233,9 +235,14 @@
         retries_ += start.attempt > 1 ? 1 : 0;
         FakeBackend &backend = *backends_[static_cast<std::size_t>(std::stoi(start.backend.substr(1)))];
         const Duration way = oneWay(entryVms_[index].zone, backend.zone());
+        events_.after(start.deadline - events_.now(), [this, index, start] {
+            // Ignored by the core when the attempt has ended before.
+            handle(index, AttemptEnded{start.request, start.attempt, LostAnswer{"deadline", true}, std::nullopt});
+        });
         events_.after(way, [this, index, way, start, &backend] {
-            backend.arrive(
-                [this, index, way, start](FakeBackend::Done done) { events_.after(way, [this, index, start, done] { attemptEnded(index, start, done); }); });
+            backend.arrive(start.deadline, [this, index, way, start](FakeBackend::Done done) {
+                events_.after(way, [this, index, start, done] { attemptEnded(index, start, done); });
+            });
         });
     }
 
@@ -257,6 +264,9 @@
     void finish(RequestId id, bool isAnswered)
     {
         const auto found = calls_.find(id);
+        if (found == calls_.end()) {
+            return;
+        }
         const Call call = found->second;
         calls_.erase(found);
         const bool isError = failed_.erase(id) > 0;
@@ -265,7 +275,9 @@
             return;
         }
         ++counted_;
-        if (!isAnswered) {
+        if (!isAnswered && events_.now() - call.arrived >= Deadline) {
+            ++errors_;
+        } else if (!isAnswered) {
             ++refused_;
         } else if (isError) {
             ++errors_;
@@ -292,7 +304,7 @@
             }
             waiting_.pop_front();
             calls_[id].extra = 2 * oneWay(entryVms_[index].zone, chosen->zone());
-            chosen->arrive([this, id = id](FakeBackend::Done) {
+            chosen->arrive(events_.now() + Deadline, [this, id = id](FakeBackend::Done) {
                 finish(id, true);
                 servePerfectly();
             });
@@ -339,6 +351,7 @@
         result.errorPercent = Percent * static_cast<double>(errors_) / counted;
         result.retriesPercent = Percent * static_cast<double>(retries_) / static_cast<double>(std::max<RequestId>(1, lastCall_));
         result.spread = static_cast<double>(most) * static_cast<double>(backends_.size()) / static_cast<double>(std::max<std::size_t>(1, all));
+        result.goodPerSecond = static_cast<double>(latencies_.size()) / countedSeconds_;
         result.calls = counted_;
         return result;
     }
@@ -358,6 +371,7 @@
     std::map<RequestId, bool> failed_;
     std::deque<std::pair<RequestId, std::size_t>> waiting_;
     std::vector<double> latencies_;
+    double countedSeconds_ = 1;
     std::size_t counted_ = 0;
     std::size_t refused_ = 0;
     std::size_t errors_ = 0;
--- a/bench/policy/trial.h
+++ b/bench/policy/trial.h
@@ -37,6 +37,7 @@
     ZoneGone, ///< The servers of one zone refuse connections.
     FailFast, ///< One server answers with an error at once.
     Surge, ///< Half as many calls again for a second.
+    Overload, ///< Half as many calls again from then on.
 };
 
 /// How entry VMs choose.
@@ -58,7 +59,8 @@
     double p99 = 0;
     double p999 = 0;
     double refusedPercent = 0;
-    double errorPercent = 0;
+    double errorPercent = 0; ///< Errors of servers, and answers that came too late.
+    double goodPerSecond = 0;
     double retriesPercent = 0;
     double spread = 0; ///< Busiest server's share over the mean share.
     std::size_t calls = 0;
--- a/idl/admin.thrift
+++ b/idl/admin.thrift
@@ -124,6 +124,13 @@
     6: i64 slow,
 }
 
+/** What one entry VM has counted. */
+struct BurnCounts {
+    /** How long it has been counting; older windows are not covered whole. */
+    1: i64 countedSeconds,
+    2: list<BurnCount> counts,
+}
+
 service Admin {
     ApplyResult apply(1: ApplyRequest request) throws (1: Failure failure),
     AcceptedIntent get() throws (1: Failure failure),
@@ -133,5 +140,5 @@
     /** Every record under this idempotency key, of any service. */
     list<PayoutStatus> payout(1: string key) throws (1: Failure failure),
     /** What this entry VM alone has counted. */
-    list<BurnCount> burn() throws (1: Failure failure),
+    BurnCounts burn() throws (1: Failure failure),
 }
--- a/idl/peer.thrift
+++ b/idl/peer.thrift
@@ -7,7 +7,14 @@
 
 namespace cpp Cloverbarrow.Wire
 
-/** What an entry VM says of itself. */
+enum MemberClaim {
+    ALIVE = 0,
+    LEAVING = 1,
+    /** Others could not reach it; it refutes this with a higher number if it lives. */
+    DEAD = 2,
+}
+
+/** News of an entry VM. */
 struct Member {
     1: string name,
     2: string nonce,
@@ -15,9 +22,9 @@
     4: string adminAddress,
     5: string zone,
     6: string region,
-    7: i64 counter,
+    7: i64 number,
     8: i64 configurationVersion,
-    9: bool isLeaving,
+    9: MemberClaim claim,
 }
 
 /** A backend server is leaving; ages travel instead of times, since clocks differ. */
@@ -43,6 +50,6 @@
     /** Tells the own news and returns the receiver's. */
     Heartbeat exchange(1: Heartbeat heartbeat),
     Intent fetchIntent(),
-    /** Returns how many milliseconds ago the receiver heard of the process; -1 when it does not know it. */
-    i64 silenceMs(1: string name, 2: string nonce),
+    /** Calls on another entry VM and returns whether that very process answered. */
+    bool canReach(1: string name, 2: string nonce, 3: string peerAddress),
 }
--- a/src/core/backendpool.cpp
+++ b/src/core/backendpool.cpp
@@ -36,9 +36,9 @@
 
 } // namespace
 
-BackendPool::BackendPool(PickPolicy policy, std::string ownZone)
+BackendPool::BackendPool(PickPolicy policy, Location own)
     : policy_(policy)
-    , ownZone_(std::move(ownZone))
+    , own_(std::move(own))
 {
 }
 
@@ -52,7 +52,7 @@
         }
         backend.server = server;
         backend.isLeaving = leaving_.contains(server.name);
-        backend.isNear = server.zone == ownZone_;
+        backend.distance = distanceTo(server);
         next.push_back(std::move(backend));
     }
     backends_ = std::move(next);
@@ -90,9 +90,27 @@
     return index;
 }
 
+double BackendPool::meanLatencyMs() const
+{
+    double sum = 0;
+    int count = 0;
+    for (const Backend &backend : backends_) {
+        if (!backend.isLeaving && backend.latencyMs > 0) {
+            sum += backend.latencyMs;
+            ++count;
+        }
+    }
+    return count == 0 ? 0 : sum / count;
+}
+
+std::size_t BackendPool::servingCount() const
+{
+    return static_cast<std::size_t>(std::count_if(backends_.begin(), backends_.end(), [](const Backend &backend) { return !backend.isLeaving; }));
+}
+
 bool BackendPool::hasCandidate() const
 {
-    return std::any_of(backends_.begin(), backends_.end(), [](const Backend &backend) { return !backend.isLeaving; });
+    return servingCount() > 0;
 }
 
 void BackendPool::release(std::string_view name, AttemptQuality quality, Duration latency, TimePoint now)
@@ -170,6 +188,14 @@
     return found == backends_.end() ? nullptr : &*found;
 }
 
+Distance BackendPool::distanceTo(const BackendServer &server) const
+{
+    if (server.zone == own_.zone) {
+        return Distance::SameZone;
+    }
+    return server.region.empty() || server.region == own_.region ? Distance::SameRegion : Distance::OtherRegion;
+}
+
 Backend *BackendPool::findMutable(std::string_view name)
 {
     return const_cast<Backend *>(std::as_const(*this).find(name));
--- a/src/core/backendpool.h
+++ b/src/core/backendpool.h
@@ -22,10 +22,23 @@
 namespace Cloverbarrow
 {
 
+/// How far a backend server is from this entry VM.
+enum class Distance {
+    SameZone,
+    SameRegion, ///< Or nothing is known of regions.
+    OtherRegion,
+};
+
+/// Where this entry VM stands.
+struct Location {
+    std::string zone;
+    std::string region;
+};
+
 /// What one entry VM knows of one backend server.
 struct Backend {
     BackendServer server;
-    bool isNear = false; ///< In this entry VM's own availability zone.
+    Distance distance = Distance::SameRegion;
     int inFlight = 0; ///< Attempts of this entry VM.
     int peersInFlight = 0; ///< Attempts of peers, as they last told.
     int reportedLoad = 0; ///< Requests in hand at the server, as it last said.
@@ -51,8 +64,8 @@
 class BackendPool
 {
 public:
-    /// @param ownZone availability zone of this entry VM.
-    BackendPool(PickPolicy policy, std::string ownZone);
+    /// @param own where this entry VM stands.
+    BackendPool(PickPolicy policy, Location own);
 
     /// Takes over a service's servers; what is known of those that stay is kept.
     void configure(const Service &service);
@@ -66,6 +79,10 @@
     /// @return its index, or nothing when none may take an attempt now.
     std::optional<std::size_t> take(TimePoint now, Random &random, std::span<const std::string> tried);
 
+    /// @return the mean latency of the servers that take requests, in milliseconds; 0 when none was seen.
+    double meanLatencyMs() const;
+    /// @return servers that are not leaving.
+    std::size_t servingCount() const;
     /// @return whether any server might take requests of this service, now or soon.
     bool hasCandidate() const;
 
@@ -84,6 +101,7 @@
     const Backend *find(std::string_view name) const;
 
 private:
+    Distance distanceTo(const BackendServer &server) const;
     Backend *findMutable(std::string_view name);
     bool mayTake(const Backend &backend, TimePoint now, bool ignoreEjection) const;
     std::vector<std::size_t> candidates(TimePoint now, std::span<const std::string> tried) const;
@@ -93,7 +111,7 @@
     void countFailure(Backend &backend, TimePoint now);
 
     PickPolicy policy_;
-    std::string ownZone_;
+    Location own_;
     std::vector<Backend> backends_;
     std::set<std::string, std::less<>> leaving_; ///< Names, also of servers that come back into the configuration.
     int inFlightCap_ = 1000;
--- a/src/core/configuration.h
+++ b/src/core/configuration.h
@@ -41,6 +41,7 @@
     std::string name;
     std::string address; ///< `IP:port`.
     std::string zone;
+    std::string region; ///< Of the zone, as the configuration's regions say; empty when they do not.
 
     bool operator==(const BackendServer &) const = default;
 };
@@ -102,8 +103,17 @@
     bool operator==(const Service &) const = default;
 };
 
+/// A region and its availability zones.
+struct Region {
+    std::string name;
+    std::vector<std::string> zones;
+
+    bool operator==(const Region &) const = default;
+};
+
 /// Everything that operators decide, as one document.
 struct Configuration {
+    std::vector<Region> regions;
     std::vector<Service> services;
 
     /// @return the service called @p name, or nullptr.
--- a/src/core/configurationparser.cpp
+++ b/src/core/configurationparser.cpp
@@ -142,9 +142,36 @@
     requireDistinct(reader, "backend_servers", service.backendServers);
 }
 
+void readRegion(YamlReader &reader, Region &region)
+{
+    readName(reader, "name", region.name);
+    reader.texts("zones", region.zones, true);
+}
+
+/// @return the region of @p zone, or an empty name.
+std::string regionOf(const Configuration &configuration, const std::string &zone)
+{
+    for (const Region &region : configuration.regions) {
+        if (std::find(region.zones.begin(), region.zones.end(), zone) != region.zones.end()) {
+            return region.name;
+        }
+    }
+    return {};
+}
+
+void setRegions(Configuration &configuration)
+{
+    for (Service &service : configuration.services) {
+        for (BackendServer &server : service.backendServers) {
+            server.region = regionOf(configuration, server.zone);
+        }
+    }
+}
+
 void readDocument(const YAML::Node &root, Configuration &configuration, std::vector<DocumentFault> &faults)
 {
     YamlReader reader(root, "", faults);
+    reader.mappings("regions", false, [&configuration](YamlReader &item) { readRegion(item, configuration.regions.emplace_back()); });
     reader.mappings("services", true, [&configuration](YamlReader &item) { readService(item, configuration.services.emplace_back()); });
     requireDistinct(reader, "services", configuration.services);
     reader.finish();
@@ -169,6 +196,7 @@
     if (!faults.empty()) {
         return faults;
     }
+    setRegions(configuration);
     return configuration;
 }
 
--- a/src/core/controlevents.h
+++ b/src/core/controlevents.h
@@ -39,10 +39,9 @@
     std::string address;
 };
 
-/// A peer was asked how long ago it heard of another.
+/// A peer that was asked has reached another.
 struct PeerVouched {
     Incarnation subject;
-    Duration age{0};
 };
 
 struct IntentFetched {
@@ -131,10 +130,11 @@
     bool operator==(const SendHeartbeat &) const = default;
 };
 
-/// Ask a peer how long ago it heard of @p subject.
+/// Ask a peer whether it can reach @p subject.
 struct AskPeer {
     std::string address;
     Incarnation subject;
+    std::string subjectAddress;
 
     bool operator==(const AskPeer &) const = default;
 };
--- a/src/core/controlshard.cpp
+++ b/src/core/controlshard.cpp
@@ -21,7 +21,9 @@
 constexpr int HurriedBeats = 4;
 constexpr Duration ListInterval = seconds(2);
 constexpr std::size_t WatchersPerZone = 2;
-constexpr std::size_t MembersTold = 12;
+// A fleet that looks smaller may only be cut in two; were connection caps raised at once, both halves together would
+// open too many connections to a backend server.
+constexpr Duration ShrinkInterval = seconds(60);
 
 } // namespace
 
@@ -42,9 +44,9 @@
     updateReadiness(now, actions);
 }
 
-Heartbeat ControlShard::heartbeat(TimePoint now)
+Heartbeat ControlShard::heartbeat(TimePoint now, const std::string &receiverAddress)
 {
-    return {membership_.self(), membership_.news(MembersTold), leaving_.signs(now)};
+    return {membership_.self(), membership_.news(receiverAddress), leaving_.signs(now)};
 }
 
 const Membership &ControlShard::membership() const
@@ -102,8 +104,7 @@
     const Heartbeat &heartbeat = event.heartbeat;
     hasPeerAnswered_ = true;
     unansweredPeers_.erase(heartbeat.sender.peerAddress);
-    membership_.merge(now, std::span(&heartbeat.sender, 1));
-    membership_.merge(now, heartbeat.members);
+    membership_.merge(now, heartbeat.sender, heartbeat.members);
     if (leaving_.merge(now, heartbeat.leaving)) {
         actions.emplace_back(LeavingUpdated{});
         hurry();
@@ -111,17 +112,22 @@
     std::vector<IntentAction> intentActions;
     intent_.peerHasVersion(now, heartbeat.sender.peerAddress, heartbeat.sender.configurationVersion, intentActions);
     carryOut(now, std::move(intentActions), actions);
-    updateFleetSize(actions);
+    updateFleetSize(now, actions);
 }
 
-void ControlShard::on(TimePoint, const HeartbeatFailed &event, ControlActions &)
+void ControlShard::on(TimePoint now, const HeartbeatFailed &event, ControlActions &actions)
 {
     unansweredPeers_.erase(event.address);
+    if (const auto suspicion = membership_.contactFailed(now, event.address, random_)) {
+        for (const std::string &address : suspicion->askAddresses) {
+            actions.emplace_back(AskPeer{address, suspicion->subject, suspicion->subjectAddress});
+        }
+    }
 }
 
-void ControlShard::on(TimePoint now, const PeerVouched &event, ControlActions &)
+void ControlShard::on(TimePoint, const PeerVouched &event, ControlActions &)
 {
-    membership_.vouch(now, event.subject, event.age);
+    membership_.vouch(event.subject);
 }
 
 void ControlShard::on(TimePoint now, const IntentFetched &event, ControlActions &actions)
@@ -213,7 +219,7 @@
 
 bool ControlShard::isWatcher() const
 {
-    return membership_.isRanked("watch", settings_.self.zone, WatchersPerZone);
+    return membership_.isRankedInZone("watch", WatchersPerZone);
 }
 
 void ControlShard::beat(TimePoint now, ControlActions &actions)
@@ -226,18 +232,14 @@
     nextBeat_ = now + (isHurried ? HurriedBeatInterval : BeatInterval);
     membership_.beat();
     for (const std::string &address : membership_.targets(random_)) {
-        actions.emplace_back(SendHeartbeat{address, heartbeat(now)});
+        actions.emplace_back(SendHeartbeat{address, heartbeat(now, address)});
     }
 }
 
 void ControlShard::checkMembers(TimePoint now, ControlActions &actions)
 {
-    for (const Suspicion &suspicion : membership_.check(now, random_)) {
-        for (const std::string &address : suspicion.askAddresses) {
-            actions.emplace_back(AskPeer{address, suspicion.subject});
-        }
-    }
-    updateFleetSize(actions);
+    membership_.check(now);
+    updateFleetSize(now, actions);
 }
 
 void ControlShard::listVms(TimePoint now, ControlActions &actions)
@@ -288,12 +290,19 @@
     actions.emplace_back(SetReady{isReady_, reason_});
 }
 
-void ControlShard::updateFleetSize(ControlActions &actions)
+void ControlShard::updateFleetSize(TimePoint now, ControlActions &actions)
 {
-    if (const int size = static_cast<int>(membership_.liveCount()); size != fleetSize_) {
-        fleetSize_ = size;
-        actions.emplace_back(FleetResized{size});
+    const int size = static_cast<int>(membership_.liveCount());
+    if (size >= fleetSize_) {
+        nextShrink_ = now + ShrinkInterval;
+    }
+    const bool isShrinkDue = size < fleetSize_ && now >= nextShrink_;
+    if (size == fleetSize_ || (size < fleetSize_ && !isShrinkDue)) {
+        return;
     }
+    fleetSize_ = isShrinkDue ? fleetSize_ - 1 : size;
+    nextShrink_ = now + ShrinkInterval;
+    actions.emplace_back(FleetResized{fleetSize_});
 }
 
 void ControlShard::carryOut(TimePoint now, std::vector<IntentAction> intentActions, ControlActions &actions)
--- a/src/core/controlshard.h
+++ b/src/core/controlshard.h
@@ -42,7 +42,7 @@
     void handle(TimePoint now, const ControlEvent &event, ControlActions &actions);
 
     /// @return what to tell a peer.
-    Heartbeat heartbeat(TimePoint now);
+    Heartbeat heartbeat(TimePoint now, const std::string &receiverAddress);
     const Membership &membership() const;
     const IntentKeeper &intent() const;
     const MeasuringShares &shares() const;
@@ -76,7 +76,7 @@
     void tickShares(TimePoint now, ControlActions &actions);
     void tickShutdown(TimePoint now, const WorkLeft &left, ControlActions &actions);
     void updateReadiness(TimePoint now, ControlActions &actions);
-    void updateFleetSize(ControlActions &actions);
+    void updateFleetSize(TimePoint now, ControlActions &actions);
     void carryOut(TimePoint now, std::vector<IntentAction> intentActions, ControlActions &actions);
     void install(TimePoint now, const IntentInForce &intent, ControlActions &actions);
     /// Tells peers at once rather than with the next heartbeat.
@@ -96,6 +96,7 @@
     bool isReady_ = false;
     std::string reason_;
     int fleetSize_ = 1;
+    TimePoint nextShrink_;
     bool hasStoppedAccepting_ = false;
     bool hasExited_ = false;
     TimePoint nextBeat_;
--- a/src/core/member.h
+++ b/src/core/member.h
@@ -17,16 +17,23 @@
 namespace Cloverbarrow
 {
 
-/// What an entry VM says of itself; spread from peer to peer.
+/// What is said of an entry VM. With equal numbers the later of these counts.
+enum class MemberClaim {
+    Alive,
+    Leaving, ///< It says goodbye.
+    Dead, ///< Others could not reach it; it refutes this with a higher number if it lives.
+};
+
+/// News of an entry VM, told from peer to peer.
 struct Member {
     Incarnation id;
     std::string peerAddress; ///< `IP:port` of the protocol between entry VMs.
     std::string adminAddress; ///< `IP:port` of the administration API.
     std::string zone;
     std::string region;
-    std::uint64_t counter = 0; ///< Rises with each of its heartbeats.
+    std::uint64_t number = 1; ///< Rises with each news that the entry VM tells of itself.
     std::int64_t configurationVersion = 0; ///< In force there.
-    bool isLeaving = false;
+    MemberClaim claim = MemberClaim::Alive;
 
     bool operator==(const Member &) const = default;
 };
@@ -43,7 +50,7 @@
 /// What two entry VMs exchange.
 struct Heartbeat {
     Member sender;
-    std::vector<Member> members; ///< Others, those with the latest news first.
+    std::vector<Member> members; ///< News of others.
     std::vector<LeavingSign> leaving;
 
     bool operator==(const Heartbeat &) const = default;
--- a/src/core/membership.cpp
+++ b/src/core/membership.cpp
@@ -10,6 +10,7 @@
 #include "core/stablehash.h"
 
 #include <algorithm>
+#include <bit>
 
 namespace Cloverbarrow
 {
@@ -17,13 +18,15 @@
 namespace
 {
 
-// News crosses the fleet in a few heartbeats; a counter that stands still for longer than this is odd.
-constexpr Duration SuspectAfter = seconds(4);
 constexpr Duration DeadAfterSuspicion = seconds(3);
-// Kept so that late gossip does not revive them.
+// Kept so that late news does not revive them.
 constexpr Duration ForgetAfter = seconds(120);
 constexpr std::size_t PeersAsked = 3;
+constexpr std::size_t NewsLimit = 12;
+// Each telling doubles the audience at best; three times the doublings reach everyone almost surely.
+constexpr int TellingsPerDoubling = 3;
 constexpr std::uint64_t BeatsBetweenUnknown = 8;
+constexpr std::uint64_t BeatsBetweenWhole = 32;
 
 std::optional<std::string> pickOne(const std::vector<std::string> &addresses, Random &random)
 {
@@ -40,6 +43,24 @@
     }
 }
 
+MemberState stateFor(MemberClaim claim)
+{
+    switch (claim) {
+    case MemberClaim::Leaving:
+        return MemberState::Left;
+    case MemberClaim::Dead:
+        return MemberState::Dead;
+    case MemberClaim::Alive:
+        break;
+    }
+    return MemberState::Live;
+}
+
+bool isNewer(const Member &told, const Member &known)
+{
+    return told.number > known.number || (told.number == known.number && told.claim > known.claim);
+}
+
 } // namespace
 
 Membership::Membership(Member self, std::vector<std::string> firstPeers)
@@ -56,11 +77,13 @@
 void Membership::setConfigurationVersion(std::int64_t version)
 {
     self_.configurationVersion = version;
+    renewSelf();
 }
 
 void Membership::setLeaving()
 {
-    self_.isLeaving = true;
+    self_.claim = MemberClaim::Leaving;
+    renewSelf();
 }
 
 void Membership::addAddresses(std::span<const std::string> addresses)
@@ -74,7 +97,6 @@
 
 void Membership::beat()
 {
-    ++self_.counter;
     ++beats_;
 }
 
@@ -84,100 +106,95 @@
     addOnce(chosen, pickOne(liveAddresses(self_.zone), random));
     addOnce(chosen, pickOne(liveAddresses({}), random));
     // Heals a fleet that fell into parts, and finds the first peers.
-    const bool isAlone = chosen.empty();
-    if (isAlone || beats_ % BeatsBetweenUnknown == 0) {
+    if (chosen.empty() || beats_ % BeatsBetweenUnknown == 0) {
         addOnce(chosen, pickOne(unknownAddresses(), random));
     }
     return chosen;
 }
 
-std::vector<Member> Membership::news(std::size_t limit)
+std::vector<Member> Membership::news(const std::string &address)
 {
-    std::vector<Entry *> fresh;
+    const bool isWhole = !knows(address) || beats_ % BeatsBetweenWhole == 0;
+    std::vector<Entry *> chosen;
     for (auto &[id, entry] : entries_) {
-        if (entry.state == MemberState::Live || entry.state == MemberState::Left) {
-            fresh.push_back(&entry);
+        // Someone who is taken for dead must hear it, to refute it.
+        const bool isAboutReceiver = entry.state == MemberState::Dead && entry.member.peerAddress == address;
+        if (isWhole || isAboutReceiver || entry.tellings > 0) {
+            chosen.push_back(&entry);
         }
     }
-    // Those whose counter rose most since they were last told come first.
-    std::stable_sort(fresh.begin(), fresh.end(), [](const Entry *left, const Entry *right) {
-        return left->member.counter - left->told > right->member.counter - right->told;
-    });
-    fresh.resize(std::min(limit, fresh.size()));
+    std::stable_sort(chosen.begin(), chosen.end(), [](const Entry *left, const Entry *right) { return left->tellings > right->tellings; });
+    if (!isWhole && chosen.size() > NewsLimit) {
+        chosen.resize(NewsLimit);
+    }
     std::vector<Member> told;
-    for (Entry *entry : fresh) {
-        entry->told = entry->member.counter;
+    told.reserve(chosen.size());
+    for (Entry *entry : chosen) {
+        entry->tellings = std::max(0, entry->tellings - 1);
         told.push_back(entry->member);
     }
     return told;
 }
 
-void Membership::merge(TimePoint now, std::span<const Member> members)
+void Membership::merge(TimePoint now, const Member &sender, std::span<const Member> members)
 {
+    if (sender.id != self_.id) {
+        heardFrom(now, sender);
+    }
     for (const Member &member : members) {
         if (member.id == self_.id) {
-            continue;
-        }
-        const auto [found, isNew] = entries_.try_emplace(member.id, Entry{member, MemberState::Live, now, now, 0});
-        Entry &entry = found->second;
-        const bool hasRisen = isNew || member.counter > entry.member.counter;
-        if (!hasRisen) {
-            continue;
+            refute(member);
+        } else if (member.id != sender.id) {
+            mergeOther(now, member);
         }
-        if (entry.state == MemberState::Suspect) {
-            ++clearedSuspicions_;
-        }
-        entry.member = member;
-        entry.roseAt = now;
-        entry.state = member.isLeaving ? MemberState::Left : MemberState::Live;
     }
 }
 
-std::vector<Suspicion> Membership::check(TimePoint now, Random &random)
+std::optional<Suspicion> Membership::contactFailed(TimePoint now, const std::string &address, Random &random)
 {
-    std::vector<Suspicion> suspicions;
     for (auto &[id, entry] : entries_) {
-        if (entry.state == MemberState::Live && now - entry.roseAt > SuspectAfter) {
-            entry.state = MemberState::Suspect;
-            entry.suspectSince = now;
-            Suspicion suspicion{id, {}};
-            const auto others = liveAddresses({});
-            for (std::size_t ask = 0; ask < PeersAsked; ++ask) {
-                addOnce(suspicion.askAddresses, pickOne(others, random));
-            }
-            suspicions.push_back(std::move(suspicion));
-        } else if (entry.state == MemberState::Suspect && now - entry.suspectSince > DeadAfterSuspicion) {
-            entry.state = MemberState::Dead;
+        if (entry.member.peerAddress != address || entry.state != MemberState::Live) {
+            continue;
+        }
+        enter(entry, MemberState::Suspect, now);
+        entry.tellings = 0;
+        Suspicion suspicion{id, address, {}};
+        const auto others = liveAddresses({});
+        for (std::size_t ask = 0; ask < PeersAsked; ++ask) {
+            addOnce(suspicion.askAddresses, pickOne(others, random));
         }
+        return suspicion;
     }
-    std::erase_if(entries_, [now](const auto &item) {
-        const bool isGone = item.second.state == MemberState::Dead || item.second.state == MemberState::Left;
-        return isGone && now - item.second.roseAt > ForgetAfter;
-    });
-    return suspicions;
+    return std::nullopt;
 }
 
-void Membership::vouch(TimePoint now, const Incarnation &subject, Duration age)
+void Membership::vouch(const Incarnation &subject)
 {
     const auto found = entries_.find(subject);
-    if (found == entries_.end() || age > SuspectAfter) {
-        return;
-    }
-    Entry &entry = found->second;
-    if (entry.state == MemberState::Suspect || entry.state == MemberState::Dead) {
+    if (found != entries_.end() && found->second.state == MemberState::Suspect) {
         ++clearedSuspicions_;
-        entry.state = MemberState::Live;
-        entry.roseAt = now - age;
+        found->second.state = MemberState::Live;
     }
 }
 
+void Membership::check(TimePoint now)
+{
+    for (auto &[id, entry] : entries_) {
+        if (entry.state == MemberState::Suspect && now - entry.since > DeadAfterSuspicion) {
+            entry.member.claim = MemberClaim::Dead;
+            enter(entry, MemberState::Dead, now);
+        }
+    }
+    std::erase_if(entries_, [now](const auto &item) { return !isUsable(item.second) && now - item.second.since > ForgetAfter; });
+}
+
 std::optional<Duration> Membership::silence(TimePoint now, const Incarnation &subject) const
 {
     const auto found = entries_.find(subject);
     if (found == entries_.end()) {
         return std::nullopt;
     }
-    return now - found->second.roseAt;
+    return now - found->second.heardAt;
 }
 
 std::optional<MemberState> Membership::stateOf(const Incarnation &subject) const
@@ -209,36 +226,22 @@
 
 std::vector<Member> Membership::live() const
 {
-    return members([this](const Entry &entry) { return isUsable(entry); });
+    return members(isUsable);
 }
 
 std::size_t Membership::liveCount() const
 {
-    return 1 + static_cast<std::size_t>(std::count_if(entries_.begin(), entries_.end(), [this](const auto &item) { return isUsable(item.second); }));
-}
-
-std::vector<Member> Membership::ranked(std::string_view purpose, std::string_view zone, std::size_t count) const
-{
-    std::vector<Member> members = live();
-    std::erase_if(members, [zone](const Member &member) { return (!zone.empty() && member.zone != zone) || member.isLeaving; });
-    const auto weight = [purpose](const Member &member) { return stableHash({purpose, member.id.name}); };
-    std::sort(members.begin(), members.end(), [&weight](const Member &left, const Member &right) { return weight(left) > weight(right); });
-    members.resize(std::min(count, members.size()));
-    return members;
+    return 1 + static_cast<std::size_t>(std::count_if(entries_.begin(), entries_.end(), [](const auto &item) { return isUsable(item.second); }));
 }
 
-bool Membership::isRanked(std::string_view purpose, std::string_view zone, std::size_t count) const
+bool Membership::isRankedInZone(std::string_view purpose, std::size_t count) const
 {
-    const auto members = ranked(purpose, zone, count);
-    return std::any_of(members.begin(), members.end(), [this](const Member &member) { return member.id == self_.id; });
+    return isRankedAmong(purpose, count, true);
 }
 
 bool Membership::isFirst(std::string_view purpose) const
 {
-    const std::uint64_t own = stableHash({purpose, self_.id.name});
-    return std::none_of(entries_.begin(), entries_.end(), [this, purpose, own](const auto &item) {
-        return isUsable(item.second) && !item.second.member.isLeaving && stableHash({purpose, item.first.name}) > own;
-    });
+    return isRankedAmong(purpose, 1, false);
 }
 
 std::size_t Membership::clearedSuspicions() const
@@ -246,12 +249,87 @@
     return clearedSuspicions_;
 }
 
-bool Membership::isUsable(const Entry &entry) const
+bool Membership::isUsable(const Entry &entry)
 {
     // A suspect still counts: taking work from it on a mere suspicion costs more than a little waiting.
     return entry.state == MemberState::Live || entry.state == MemberState::Suspect;
 }
 
+bool Membership::isRankedAmong(std::string_view purpose, std::size_t count, bool isZoneOnly) const
+{
+    const std::uint64_t own = stableHash({purpose, self_.id.name});
+    const auto isAhead = [&](const auto &item) {
+        const Entry &entry = item.second;
+        const bool isCandidate = isUsable(entry) && (!isZoneOnly || entry.member.zone == self_.zone);
+        return isCandidate && stableHash({purpose, item.first.name}) > own;
+    };
+    return static_cast<std::size_t>(std::count_if(entries_.begin(), entries_.end(), isAhead)) < count;
+}
+
+void Membership::renewSelf()
+{
+    // The own entry goes with every heartbeat; whoever hears it tells it on.
+    ++self_.number;
+}
+
+int Membership::tellingsOfChange() const
+{
+    return TellingsPerDoubling * static_cast<int>(std::bit_width(entries_.size() + 1));
+}
+
+void Membership::mergeOther(TimePoint now, const Member &member)
+{
+    const auto found = entries_.find(member.id);
+    if (found == entries_.end()) {
+        Entry entry{member, stateFor(member.claim), now, now, tellingsOfChange()};
+        entries_.emplace(member.id, std::move(entry));
+        return;
+    }
+    Entry &entry = found->second;
+    if (isNewer(member, entry.member)) {
+        entry.member = member;
+        enter(entry, stateFor(member.claim), now);
+    }
+}
+
+void Membership::refute(const Member &claim)
+{
+    const bool isWrong = claim.claim != self_.claim || claim.number > self_.number;
+    if (isWrong && claim.number >= self_.number) {
+        self_.number = claim.number + 1;
+    }
+}
+
+void Membership::heardFrom(TimePoint now, const Member &sender)
+{
+    for (auto &[id, entry] : entries_) {
+        // Another process listens there now, so this one has ended.
+        if (entry.member.peerAddress == sender.peerAddress && id != sender.id && isUsable(entry)) {
+            entry.member.claim = MemberClaim::Dead;
+            enter(entry, MemberState::Dead, now);
+        }
+    }
+    mergeOther(now, sender);
+    Entry &entry = entries_.at(sender.id);
+    entry.heardAt = now;
+    if (entry.state == MemberState::Suspect) {
+        ++clearedSuspicions_;
+        entry.state = MemberState::Live;
+    }
+}
+
+void Membership::enter(Entry &entry, MemberState state, TimePoint now)
+{
+    entry.state = state;
+    entry.since = now;
+    entry.tellings = tellingsOfChange();
+}
+
+bool Membership::knows(const std::string &address) const
+{
+    return std::any_of(entries_.begin(), entries_.end(), [&address](const auto &item) { return item.second.member.peerAddress == address; });
+}
+
 std::vector<std::string> Membership::liveAddresses(std::string_view zone) const
 {
     std::vector<std::string> addresses;
@@ -272,6 +350,12 @@
             unknown.push_back(address);
         }
     }
+    // A peer taken for dead may only have been cut off: it is called on again, and refutes it.
+    for (const auto &[id, entry] : entries_) {
+        if (entry.state == MemberState::Dead) {
+            unknown.push_back(entry.member.peerAddress);
+        }
+    }
     return unknown;
 }
 
--- a/src/core/membership.h
+++ b/src/core/membership.h
@@ -12,6 +12,7 @@
 #include "core/time.h"
 
 #include <cstddef>
+#include <cstdint>
 #include <map>
 #include <optional>
 #include <set>
@@ -26,19 +27,22 @@
 /// How sure this entry VM is of a peer.
 enum class MemberState {
     Live,
-    Suspect, ///< Its counter has not risen for long; other peers are being asked.
-    Dead, ///< Nobody who was asked has heard of it lately.
+    Suspect, ///< It did not answer; other peers are being asked to reach it.
+    Dead, ///< Nobody who was asked could reach it.
     Left, ///< It said goodbye.
 };
 
-/// Whom this entry VM would like to ask about a suspect.
+/// Whom to ask to reach a suspect.
 struct Suspicion {
     Incarnation subject;
+    std::string subjectAddress;
     std::vector<std::string> askAddresses;
 };
 
-/// The entry VMs that this one knows. Each spreads a rising counter from peer to peer; whose counter
-/// stands still is suspected, and counts as dead only when other peers have not heard of it either.
+/// The entry VMs that this one knows. Each calls on a peer or two a second; who does not answer is suspected, and
+/// counts as dead only when other peers cannot reach it either. Only changes are told on, each a few times,
+/// so that the traffic of an entry VM does not grow with the fleet; now and then the whole table is told, which
+/// heals what was missed.
 class Membership
 {
 public:
@@ -50,20 +54,22 @@
     /// Adds addresses at which entry VMs may be found, as from the VM list.
     void addAddresses(std::span<const std::string> addresses);
 
-    /// Starts a heartbeat: the own counter rises.
+    /// Starts a round of heartbeats.
     void beat();
-    /// @return the addresses for this heartbeat: one of the own zone, one of any, and now and then one unknown.
+    /// @return the addresses for this round: one of the own zone, one of any, and now and then one unknown.
     std::vector<std::string> targets(Random &random);
-    /// @return what to tell a peer, at most @p limit members beside the own entry.
-    std::vector<Member> news(std::size_t limit);
-    /// Takes what a peer told.
-    void merge(TimePoint now, std::span<const Member> members);
-    /// Moves peers to Suspect or Dead. @return whom to ask about new suspects.
-    std::vector<Suspicion> check(TimePoint now, Random &random);
-    /// A peer that was asked has heard of the subject @p age ago.
-    void vouch(TimePoint now, const Incarnation &subject, Duration age);
+    /// @return what to tell the peer at @p address: all to one that is not known, else the latest changes.
+    std::vector<Member> news(const std::string &address);
+    /// Takes what the peer @p sender told.
+    void merge(TimePoint now, const Member &sender, std::span<const Member> members);
+    /// The peer at @p address did not answer. @return whom to ask about it, if it is a new suspect.
+    std::optional<Suspicion> contactFailed(TimePoint now, const std::string &address, Random &random);
+    /// A peer that was asked has reached the subject.
+    void vouch(const Incarnation &subject);
+    /// Suspects for whom nobody vouched in time count as dead.
+    void check(TimePoint now);
 
-    /// @return since when the subject has not been heard of, if it is known.
+    /// @return since when the subject has not been heard of directly, if it is known.
     std::optional<Duration> silence(TimePoint now, const Incarnation &subject) const;
     std::optional<MemberState> stateOf(const Incarnation &subject) const;
     /// @return every member that is known, with the own entry, by name.
@@ -71,27 +77,33 @@
     /// @return live members with the own entry, by name.
     std::vector<Member> live() const;
     std::size_t liveCount() const;
-    /// @return the first @p count live members of @p zone by rendezvous hash for @p purpose; an empty zone means all.
-    std::vector<Member> ranked(std::string_view purpose, std::string_view zone, std::size_t count) const;
-    /// @return whether the own entry is among ranked().
-    bool isRanked(std::string_view purpose, std::string_view zone, std::size_t count) const;
+    /// @return whether the own entry is among the first @p count live members of the own zone by rendezvous hash.
+    bool isRankedInZone(std::string_view purpose, std::size_t count) const;
     /// @return whether the own entry ranks first of all for @p purpose.
     bool isFirst(std::string_view purpose) const;
-    /// Counts false alarms: suspects that turned out alive.
+    /// Counts suspects that turned out alive.
     std::size_t clearedSuspicions() const;
 
 private:
     struct Entry {
         Member member;
         MemberState state = MemberState::Live;
-        TimePoint roseAt; ///< When the counter last rose, on the own clock.
-        TimePoint suspectSince;
-        std::uint64_t told = 0; ///< Counter when last told on.
+        TimePoint heardAt; ///< Last direct contact, or when it was first told of.
+        TimePoint since; ///< When the state was entered.
+        int tellings = 0; ///< How often the latest change is still to be told.
     };
 
     template<typename Filter>
     std::vector<Member> members(const Filter &isWanted) const;
-    bool isUsable(const Entry &entry) const;
+    static bool isUsable(const Entry &entry);
+    bool isRankedAmong(std::string_view purpose, std::size_t count, bool isZoneOnly) const;
+    void renewSelf();
+    int tellingsOfChange() const;
+    void mergeOther(TimePoint now, const Member &member);
+    void refute(const Member &claim);
+    void heardFrom(TimePoint now, const Member &sender);
+    void enter(Entry &entry, MemberState state, TimePoint now);
+    bool knows(const std::string &address) const;
     std::vector<std::string> liveAddresses(std::string_view zone) const;
     std::vector<std::string> unknownAddresses() const;
 
--- a/src/core/node.cpp
+++ b/src/core/node.cpp
@@ -38,10 +38,10 @@
     return intent_;
 }
 
-Heartbeat Node::heartbeat(TimePoint now)
+Heartbeat Node::heartbeat(TimePoint now, const std::string &receiverAddress)
 {
     const std::lock_guard lock(controlMutex_);
-    return control_.heartbeat(now);
+    return control_.heartbeat(now, receiverAddress);
 }
 
 WorkLeft Node::workLeft() const
@@ -130,7 +130,8 @@
         ShardPointer &shard = services_[service.name];
         if (!shard) {
             const std::uint64_t seed = settings_.seed ^ stableHash({service.name});
-            shard = std::make_shared<GuardedShard>(service.name, ServiceShard(settings_.self.id, settings_.self.zone, service.name, policy_, seed));
+            shard = std::make_shared<GuardedShard>(service.name,
+                                                   ServiceShard(settings_.self.id, {settings_.self.zone, settings_.self.region}, service.name, policy_, seed));
             internal.emplace_back(ForService{service.name, FleetSizeChanged{entryVms_}});
         }
         internal.emplace_back(ForService{service.name, ServiceConfigured{intent->version, service}});
--- a/src/core/node.h
+++ b/src/core/node.h
@@ -56,7 +56,7 @@
     /// @return the intent in force, or nullptr.
     std::shared_ptr<const IntentInForce> intent() const;
     /// @return what to tell a peer.
-    Heartbeat heartbeat(TimePoint now);
+    Heartbeat heartbeat(TimePoint now, const std::string &receiverAddress);
     /// @return requests and payouts under way.
     WorkLeft workLeft() const;
 
--- a/src/core/pickpolicy.cpp
+++ b/src/core/pickpolicy.cpp
@@ -76,7 +76,7 @@
         const double mean = meanReport();
         const double halfLifeMs = policy.halfLife == Duration(0) ? policy.latencyShare * meanLatencyMs() : toMilliseconds(policy.halfLife);
         const auto score = [this, &policy, mean, halfLifeMs](std::size_t index) {
-            return estimatedLoad(backends[index], halfLifeMs, mean) + (backends[index].isNear ? 0 : policy.farPenalty);
+            return estimatedLoad(backends[index], halfLifeMs, mean) + distancePenalty(policy, backends[index].distance);
         };
         if (policy.choices == 0) {
             return lowest(candidates, random, score);
@@ -96,6 +96,19 @@
         return lowest(candidates, random, [this](std::size_t index) { return static_cast<double>(backends[index].inFlight + backends[index].peersInFlight); });
     }
 
+    static double distancePenalty(const LoadReportPick &policy, Distance distance)
+    {
+        switch (distance) {
+        case Distance::SameZone:
+            return 0;
+        case Distance::SameRegion:
+            return policy.farPenalty;
+        case Distance::OtherRegion:
+            break;
+        }
+        return policy.farRegionPenalty;
+    }
+
     double meanReport() const
     {
         double sum = 0;
--- a/src/core/pickpolicy.h
+++ b/src/core/pickpolicy.h
@@ -43,6 +43,7 @@
     double latencyShare = 0.5; ///< Of the mean latency, where that is the half-life.
     int choices = 0; ///< Random servers compared; 0 compares all.
     double farPenalty = 0.8; ///< Load that being in another availability zone counts for.
+    double farRegionPenalty = 8; ///< The same for another region: it gets what the own one cannot take.
 };
 
 /// The server with the fewest attempts of this entry VM and, as last told, of its peers.
--- a/src/core/serviceshard.cpp
+++ b/src/core/serviceshard.cpp
@@ -58,10 +58,10 @@
 
 } // namespace
 
-ServiceShard::ServiceShard(Incarnation self, std::string ownZone, std::string name, PickPolicy policy, std::uint64_t seed)
+ServiceShard::ServiceShard(Incarnation self, Location own, std::string name, PickPolicy policy, std::uint64_t seed)
     : self_(std::move(self))
     , name_(std::move(name))
-    , pool_(policy, std::move(ownZone))
+    , pool_(policy, std::move(own))
     , ledger_(self_, name_)
     , random_(seed)
 {
@@ -118,9 +118,28 @@
     if (held >= static_cast<std::size_t>(service_.limits.maxInFlight)) {
         return Problem{503, Fate::NotRun, "admit", name_, "too many requests in flight", ComeBackWhenBusy};
     }
+    if (requests_.size() >= room(event.deadline - now)) {
+        return Problem{503, Fate::NotRun, "admit", name_, "more requests are waiting than can be answered in time", ComeBackWhenBusy};
+    }
     return std::nullopt;
 }
 
+std::size_t ServiceShard::room(Duration timeLeft) const
+{
+    const std::size_t slots = pool_.servingCount() * static_cast<std::size_t>(service_.limits.slotsPerServer);
+    const double latencyMs = pool_.meanLatencyMs();
+    if (latencyMs == 0) {
+        return static_cast<std::size_t>(service_.limits.maxInFlight);
+    }
+    // The latency has the waiting at the servers in it, so the room shrinks as they fill: with service time s and
+    // deadline d the waiting settles near the root of s * d / 2, far below the deadline. All slots may always be
+    // filled, which leaves bursts of one entry VM their room.
+    constexpr double PartOfDeadline = 0.5;
+    const double rounds = PartOfDeadline * toMilliseconds(timeLeft) / latencyMs;
+    const double share = static_cast<double>(slots) * rounds / entryVms_;
+    return std::max(slots, static_cast<std::size_t>(share));
+}
+
 void ServiceShard::on(TimePoint now, const CallerGone &event, ServiceActions &actions)
 {
     const auto found = requests_.find(event.request);
--- a/src/core/serviceshard.h
+++ b/src/core/serviceshard.h
@@ -28,8 +28,8 @@
 class ServiceShard
 {
 public:
-    /// @param self this process, @param ownZone its availability zone, @param name of the service.
-    ServiceShard(Incarnation self, std::string ownZone, std::string name, PickPolicy policy, std::uint64_t seed);
+    /// @param self this process, @param own where it stands, @param name of the service.
+    ServiceShard(Incarnation self, Location own, std::string name, PickPolicy policy, std::uint64_t seed);
 
     /// @param actions receives what is to be done; existing entries stay.
     void handle(TimePoint now, const ServiceEvent &event, ServiceActions &actions);
@@ -73,6 +73,8 @@
     void on(TimePoint now, const Tick &event, ServiceActions &actions);
 
     std::optional<Problem> admissionProblem(TimePoint now, const RequestArrived &event) const;
+    /// @return most requests that this entry VM may hold for the rest of them to be answered in time.
+    std::size_t room(Duration timeLeft) const;
     bool isPayout(const Request &request) const;
     KindClass kindClass(const Request &request) const;
     /// Starts the next attempt, or lets the request wait for a server with room.
--- a/src/ctl/commands.cpp
+++ b/src/ctl/commands.cpp
@@ -328,6 +328,7 @@
     FleetCounts counts;
     std::vector<std::string> answered;
     std::vector<std::string> silent;
+    std::vector<std::pair<std::string, std::int64_t>> young; ///< Started within the longest window, and seconds since.
 };
 
 void addCount(FleetCounts &counts, const Wire::BurnCount &count)
@@ -348,11 +349,17 @@
             continue;
         }
         try {
-            std::vector<Wire::BurnCount> counts;
+            Wire::BurnCounts told;
             Admin admin(vm.adminAddress, ConnectTimeoutMs, CallTimeoutMs);
-            admin->burn(counts);
-            std::for_each(counts.begin(), counts.end(), [&gathered](const Wire::BurnCount &count) { addCount(gathered.counts, count); });
+            admin->burn(told);
+            for (const Wire::BurnCount &count : told.counts) {
+                addCount(gathered.counts, count);
+            }
             gathered.answered.push_back(vm.name);
+            const auto longest = std::chrono::floor<seconds>(BurnWindows.back()).count();
+            if (told.countedSeconds < longest) {
+                gathered.young.emplace_back(vm.name, told.countedSeconds);
+            }
         } catch (const apache::thrift::TException &) {
             gathered.silent.push_back(vm.name);
         }
@@ -381,12 +388,27 @@
         }
         session.out << "\n";
     }
+    if (!gathered.young.empty()) {
+        session.out << "counting for less than 6 hours (what their predecessors counted is gone):";
+        for (const auto &[name, counted] : gathered.young) {
+            session.out << " " << name << " (" << counted << " s)";
+        }
+        session.out << "\n";
+    }
     session.out << "counted on " << gathered.answered.size() << " entry VMs\n" << table.toString();
 }
 
 Json burnJson(const std::vector<BurnLine> &lines, const GatheredBurn &gathered)
 {
-    Json json = {{"whole", gathered.silent.empty()}, {"answered", gathered.answered}, {"not_answered", gathered.silent}, {"lines", Json::array()}};
+    Json young = Json::object();
+    for (const auto &[name, counted] : gathered.young) {
+        young[name] = counted;
+    }
+    Json json = {{"whole", gathered.silent.empty()},
+                 {"answered", gathered.answered},
+                 {"not_answered", gathered.silent},
+                 {"counting_for_less_than_6h_seconds", young},
+                 {"lines", Json::array()}};
     for (const BurnLine &line : lines) {
         json["lines"].push_back({{"service", line.service},
                                  {"kind", line.kind},
--- a/src/daemon/adminservice.cpp
+++ b/src/daemon/adminservice.cpp
@@ -126,6 +126,7 @@
 AdminService::AdminService(PlatformClient &platform, Telemetry &telemetry)
     : platform_(platform)
     , telemetry_(telemetry)
+    , startedAt_(bootNow())
 {
 }
 
@@ -300,10 +301,12 @@
     }
 }
 
-void AdminService::burn(std::vector<Wire::BurnCount> &result)
+void AdminService::burn(Wire::BurnCounts &result)
 {
     requireOpen();
-    for (const Telemetry::Burn &burn : telemetry_.burn(bootNow())) {
+    const TimePoint now = bootNow();
+    result.countedSeconds = std::chrono::floor<seconds>(now - startedAt_).count();
+    for (const Telemetry::Burn &burn : telemetry_.burn(now)) {
         Wire::BurnCount told;
         told.serviceName = burn.service;
         told.kind = burn.kind;
@@ -311,7 +314,7 @@
         told.total = burn.counts.total;
         told.unavailable = burn.counts.unavailable;
         told.slow = burn.counts.slow;
-        result.push_back(std::move(told));
+        result.counts.push_back(std::move(told));
     }
 }
 
--- a/src/daemon/adminservice.h
+++ b/src/daemon/adminservice.h
@@ -36,7 +36,7 @@
     void drain(Wire::ApplyResult &result, const Wire::DrainRequest &request) override;
     void status(Wire::Status &result) override;
     void payout(std::vector<Wire::PayoutStatus> &result, const std::string &key) override;
-    void burn(std::vector<Wire::BurnCount> &result) override;
+    void burn(Wire::BurnCounts &result) override;
 
 private:
     void requireOpen() const;
@@ -53,6 +53,7 @@
 
     PlatformClient &platform_;
     Telemetry &telemetry_;
+    TimePoint startedAt_;
     ServiceContext context_;
     std::atomic<bool> isOpen_{false};
 };
--- a/src/daemon/peerclient.cpp
+++ b/src/daemon/peerclient.cpp
@@ -95,8 +95,8 @@
 {
     try {
         Client client(task.address, ConnectTimeoutMs, CallTimeoutMs);
-        if (const std::int64_t silence = client->silenceMs(task.subject.name, task.subject.nonce); silence >= 0) {
-            events_.handle(ControlEvent(PeerVouched{task.subject, milliseconds(silence)}));
+        if (client->canReach(task.subject.name, task.subject.nonce, task.subjectAddress)) {
+            events_.handle(ControlEvent(PeerVouched{task.subject}));
         }
     } catch (const apache::thrift::TException &) {
         // No word from this peer; others were asked too.
--- a/src/daemon/peerservice.cpp
+++ b/src/daemon/peerservice.cpp
@@ -8,12 +8,20 @@
 #include "daemon/peerservice.h"
 
 #include "net/bootclock.h"
+#include "net/thriftclient.h"
 
 #include <thrift/TApplicationException.h>
 
 namespace Cloverbarrow
 {
 
+namespace
+{
+// Shorter than the asker's own patience.
+constexpr int PeerConnectTimeoutMs = 300;
+constexpr int PeerCallTimeoutMs = 500;
+} // namespace
+
 void PeerService::open(ServiceContext context)
 {
     context_ = context;
@@ -23,7 +31,7 @@
 void PeerService::exchange(Wire::Heartbeat &answer, const Wire::Heartbeat &heartbeat)
 {
     const ServiceContext &own = context();
-    answer = toWire(own.node->heartbeat(bootNow()));
+    answer = toWire(own.node->heartbeat(bootNow(), heartbeat.sender.peerAddress));
     own.events->handle(ControlEvent(HeartbeatReceived{fromWire(heartbeat)}));
 }
 
@@ -35,12 +43,17 @@
     }
 }
 
-std::int64_t PeerService::silenceMs(const std::string &name, const std::string &nonce)
+bool PeerService::canReach(const std::string &name, const std::string &nonce, const std::string &peerAddress)
 {
-    const TimePoint now = bootNow();
-    const auto silence = context().node->withControl([&](const ControlShard &control) { return control.membership().silence(now, {name, nonce}); });
-    constexpr std::int64_t NotKnown = -1;
-    return silence ? std::chrono::floor<milliseconds>(*silence).count() : NotKnown;
+    const ServiceContext &own = context();
+    try {
+        ThriftClient<Wire::PeerClient> peer(peerAddress, PeerConnectTimeoutMs, PeerCallTimeoutMs);
+        Wire::Heartbeat answer;
+        peer->exchange(answer, toWire(own.node->heartbeat(bootNow(), peerAddress)));
+        return answer.sender.name == name && answer.sender.nonce == nonce;
+    } catch (const apache::thrift::TException &) {
+        return false;
+    }
 }
 
 const ServiceContext &PeerService::context() const
--- a/src/daemon/peerservice.h
+++ b/src/daemon/peerservice.h
@@ -31,7 +31,7 @@
 
     void exchange(Wire::Heartbeat &answer, const Wire::Heartbeat &heartbeat) override;
     void fetchIntent(Wire::Intent &answer) override;
-    std::int64_t silenceMs(const std::string &name, const std::string &nonce) override;
+    bool canReach(const std::string &name, const std::string &nonce, const std::string &peerAddress) override;
 
 private:
     const ServiceContext &context() const;
--- a/src/net/wire.cpp
+++ b/src/net/wire.cpp
@@ -22,12 +22,25 @@
     wire.adminAddress = member.adminAddress;
     wire.zone = member.zone;
     wire.region = member.region;
-    wire.counter = static_cast<std::int64_t>(member.counter);
+    wire.number = static_cast<std::int64_t>(member.number);
     wire.configurationVersion = member.configurationVersion;
-    wire.isLeaving = member.isLeaving;
+    wire.claim = static_cast<Wire::MemberClaim::type>(member.claim);
     return wire;
 }
 
+MemberClaim claimFrom(Wire::MemberClaim::type claim)
+{
+    switch (claim) {
+    case Wire::MemberClaim::LEAVING:
+        return MemberClaim::Leaving;
+    case Wire::MemberClaim::DEAD:
+        return MemberClaim::Dead;
+    case Wire::MemberClaim::ALIVE:
+        break;
+    }
+    return MemberClaim::Alive;
+}
+
 Member fromWire(const Wire::Member &wire)
 {
     return {{wire.name, wire.nonce},
@@ -35,9 +48,9 @@
             wire.adminAddress,
             wire.zone,
             wire.region,
-            static_cast<std::uint64_t>(wire.counter),
+            static_cast<std::uint64_t>(wire.number),
             wire.configurationVersion,
-            wire.isLeaving};
+            claimFrom(wire.claim)};
 }
 
 } // namespace
--- a/tests/golden/sessiontests.cpp
+++ b/tests/golden/sessiontests.cpp
@@ -147,7 +147,7 @@
     heartbeat.sender.id = {"entry-2", "n2"};
     heartbeat.sender.peerAddress = "127.0.0.1:7011";
     heartbeat.sender.zone = "bog-b";
-    heartbeat.sender.counter = counter;
+    heartbeat.sender.number = counter;
     heartbeat.sender.configurationVersion = version;
     return heartbeat;
 }
--- a/tests/property/attemptproperties.cpp
+++ b/tests/property/attemptproperties.cpp
@@ -29,7 +29,7 @@
 {
 public:
     AttemptModel()
-        : shard_({"entry-1", "n"}, "bog-a", "liquidacion", LoadReportPick{}, 7)
+        : shard_({"entry-1", "n"}, {"bog-a", {}}, "liquidacion", LoadReportPick{}, 7)
     {
         configure();
     }
--- a/tests/property/budgetproperties.cpp
+++ b/tests/property/budgetproperties.cpp
@@ -137,12 +137,17 @@
             }
             machine.members->beat();
             for (Machine &other : machines_) {
-                // Some news is lost, so that the living are taken for dead.
-                if (&other != &machine && !other.isPaused && pick(0, 4) != 0) {
-                    other.members->merge(now_, std::span(&machine.members->self(), 1));
+                if (&other == &machine) {
+                    continue;
+                }
+                // Some calls are lost and nobody vouches, so that the living are taken for dead.
+                if (other.isPaused || pick(0, 4) == 0) {
+                    machine.members->contactFailed(now_, other.members->self().peerAddress, random_);
+                } else {
+                    other.members->merge(now_, machine.members->self(), machine.members->news(other.members->self().peerAddress));
                 }
             }
-            machine.members->check(now_, random_);
+            machine.members->check(now_);
         }
     }
 
--- a/tests/property/payoutproperties.cpp
+++ b/tests/property/payoutproperties.cpp
@@ -116,7 +116,8 @@
         shards_.resize(EntryVms);
         lives_.resize(EntryVms);
         const std::string nonce = std::to_string(++lives_[index]);
-        shards_[index] = std::make_unique<ServiceShard>(Incarnation{"entry-" + std::to_string(number), nonce}, "bog-a", "liquidacion", LeastInFlightPick{}, 1);
+        shards_[index] =
+            std::make_unique<ServiceShard>(Incarnation{"entry-" + std::to_string(number), nonce}, Location{"bog-a", {}}, "liquidacion", LeastInFlightPick{}, 1);
         handle(number, ServiceConfigured{1, sampleService()});
         // What had left the dead process may still arrive: store calls and attempts stay pending.
     }
--- a/tests/support/describe.cpp
+++ b/tests/support/describe.cpp
@@ -84,8 +84,8 @@
     std::string operator()(const SendHeartbeat &action) const
     {
         const Heartbeat &heartbeat = action.heartbeat;
-        std::string line = "heartbeat to " + action.address + " counter " + std::to_string(heartbeat.sender.counter) + " version "
-            + std::to_string(heartbeat.sender.configurationVersion) + (heartbeat.sender.isLeaving ? " leaving" : "");
+        std::string line = "heartbeat to " + action.address + " number " + std::to_string(heartbeat.sender.number) + " version "
+            + std::to_string(heartbeat.sender.configurationVersion) + (heartbeat.sender.claim == MemberClaim::Leaving ? " leaving" : "");
         for (const Member &member : heartbeat.members) {
             line += " +" + member.id.name;
         }
--- a/tests/support/sampleservice.h
+++ b/tests/support/sampleservice.h
@@ -34,7 +34,7 @@
     };
     for (int number = 1; number <= servers; ++number) {
         const std::string digits = std::to_string(number);
-        service.backendServers.push_back({"b" + digits, "127.0.0.1:" + std::to_string(9000 + number), number % 2 == 1 ? "bog-a" : "bog-b"});
+        service.backendServers.push_back({"b" + digits, "127.0.0.1:" + std::to_string(9000 + number), number % 2 == 1 ? "bog-a" : "bog-b", {}});
     }
     return service;
 }
--- a/tests/unit/routingtabletests.cpp
+++ b/tests/unit/routingtabletests.cpp
@@ -28,7 +28,7 @@
     byHost.name = "polizas";
     byHost.host = "polizas.example";
     byHost.kinds = {{"terms", {"GET", "HEAD"}, "/terms", KindClass::Read}};
-    return {{claims, old, byHost}};
+    return {{}, {claims, old, byHost}};
 }
 
 bool finds(std::string_view host, std::string_view method, std::string_view target, Route route)
