--- /dev/null
+++ b/bench/policy/plot.h
@@ -0,0 +1,24 @@
+/*
+    This file is part of cloverbarrow.
+
+    SPDX-FileCopyrightText: 2026 The cloverbarrow authors
+    SPDX-License-Identifier: Apache-2.0
+*/
+
+#pragma once
+
+#include <map>
+#include <string>
+#include <vector>
+
+namespace Cloverbarrow::Bench
+{
+
+/// Median p99 in milliseconds by service and policy.
+using PlotValues = std::map<std::string, std::map<std::string, double>>;
+
+/// Writes an SVG picture: a group of bars for each service.
+/// @param policies in the order of their bars.
+void writePlot(const std::string &path, const std::vector<std::string> &services, const std::vector<std::string> &policies, const PlotValues &values);
+
+} // namespace Cloverbarrow::Bench
--- a/src/core/measuringshares.cpp
+++ b/src/core/measuringshares.cpp
@@ -19,8 +19,6 @@
 constexpr Duration PollInterval = seconds(10);
 constexpr Duration PollSoon = milliseconds(500);
 constexpr Duration UnusedPermitPause = milliseconds(250);
-// A silent lease is looked at this often.
-constexpr Duration StaleAfter = LeaseDuration + LeaseMargin;
 
 std::string sharePurpose(const std::string &service, int share)
 {
@@ -66,7 +64,7 @@
     for (auto &[name, state] : services_) {
         tickService(now, state, members, calls, permits);
     }
-    observeLeases(now, calls);
+    fence_.tick(now, calls);
     // Spreads the polls of the fleet.
     for (auto &[name, state] : services_) {
         if (state.nextPoll == TimePoint()) {
@@ -114,7 +112,7 @@
         return;
     }
     if (object.kind == leaseObject({}).kind) {
-        leaseObserved(now, object.name, result);
+        fence_.answered(now, object.name, result);
         return;
     }
     const auto found = services_.find(object.name);
@@ -223,14 +221,10 @@
     const auto state = members.stateOf(share.holder.id);
     const bool isHeard = state == MemberState::Live || state == MemberState::Suspect;
     if (isHeard || !share.unconfirmed.isNone()) {
-        observations_.erase(share.holder.id);
+        fence_.forget(share.holder.id);
         return false;
     }
-    const auto [found, isNew] = observations_.try_emplace(share.holder.id);
-    if (isNew) {
-        found->second.since = now;
-    }
-    return found->second.isFenced;
+    return fence_.isOver(now, share.holder.id);
 }
 
 bool MeasuringShares::hasEnded(const ShareHolder &holder) const
@@ -239,57 +233,6 @@
     return holder.id.name == self_.id.name && holder.id.nonce != self_.id.nonce && holder.address == self_.address;
 }
 
-void MeasuringShares::observeLeases(TimePoint now, std::vector<StoreCall> &calls)
-{
-    for (auto &[id, observation] : observations_) {
-        if (observation.isAsking || observation.isFenced) {
-            continue;
-        }
-        const bool isStale = observation.isSeen && now - observation.since >= StaleAfter;
-        if (observation.isSeen && !isStale) {
-            continue;
-        }
-        observation.isAsking = true;
-        observation.isFencing = isStale;
-        const StoreObject object = leaseObject(id.name);
-        if (isStale && observation.nonce == id.nonce) {
-            calls.push_back({object, StoreDelete{observation.version}});
-        } else {
-            calls.push_back({object, StoreRead{}});
-        }
-    }
-}
-
-void MeasuringShares::leaseObserved(TimePoint now, const std::string &name, const StoreResult &result)
-{
-    for (auto &[id, observation] : observations_) {
-        if (id.name != name || !observation.isAsking) {
-            continue;
-        }
-        observation.isAsking = false;
-        const bool wasFencing = std::exchange(observation.isFencing, false);
-        if (const auto *found = std::get_if<StoreFound>(&result)) {
-            const auto content = decodeLease(found->value);
-            const std::string nonce = content ? content->holder.nonce : std::string();
-            const bool isReplaced = nonce != id.nonce;
-            // Another incarnation has the object, so the holder's renewals have failed since at least the first look.
-            observation.isFenced = wasFencing && isReplaced && observation.nonce == nonce;
-            if (!observation.isSeen || observation.nonce != nonce || (!isReplaced && observation.version != found->version)) {
-                observation.since = now;
-            }
-            observation.isSeen = true;
-            observation.nonce = nonce;
-            observation.version = found->version;
-        } else if (std::holds_alternative<StoreMissing>(result) || std::holds_alternative<StoreWritten>(result)) {
-            // Deleted, here or by another taker that had waited as long.
-            observation.isFenced = true;
-        } else {
-            // Renewed, or nothing known: look again from the start.
-            observation.isSeen = false;
-        }
-    }
-}
-
 void MeasuringShares::probeFinished(TimePoint now, const std::string &service, int share)
 {
     if (const auto found = services_.find(service); found != services_.end()) {
--- a/src/core/measuringshares.h
+++ b/src/core/measuringshares.h
@@ -8,6 +8,7 @@
 #pragma once
 
 #include "core/lease.h"
+#include "core/leasefence.h"
 #include "core/membership.h"
 #include "core/random.h"
 #include "core/sharetable.h"
@@ -77,17 +78,6 @@
         TimePoint nextPoll;
     };
 
-    /// What is known of the lease of a silent holder.
-    struct Observation {
-        std::int64_t version = 0;
-        std::string nonce;
-        TimePoint since;
-        bool isAsking = false;
-        bool isFencing = false;
-        bool isFenced = false;
-        bool isSeen = false;
-    };
-
     bool wantsAny() const;
     std::vector<int> wanted(const ServiceState &state, const Membership &members) const;
     void reconcile(TimePoint now, ServiceState &state, std::int64_t version, ShareTable table, const Membership &members);
@@ -95,8 +85,6 @@
     std::vector<int> plan(TimePoint now, ServiceState &state, ShareTable &table, const Membership &members);
     bool mayTakeOver(TimePoint now, const Share &share, const Membership &members);
     bool hasEnded(const ShareHolder &holder) const;
-    void observeLeases(TimePoint now, std::vector<StoreCall> &calls);
-    void leaseObserved(TimePoint now, const std::string &name, const StoreResult &result);
     void adoptStanding(TimePoint now, ServiceState &state, const ShareTable &before, std::vector<int> &claims);
     void permitDue(TimePoint now, ServiceState &state, std::vector<PermitProbe> &permits);
     void dropAll();
@@ -107,7 +95,7 @@
     Lease lease_;
     std::uint64_t lossesSeen_ = 0;
     std::map<std::string, ServiceState> services_;
-    std::map<Incarnation, Observation> observations_;
+    LeaseFence fence_;
     bool isReleasing_ = false;
 };
 
--- a/src/core/serviceevents.h
+++ b/src/core/serviceevents.h
@@ -66,6 +66,7 @@
     int status = 200;
     bool isNotRun = false; ///< The backend server declares that it did not run the request.
     bool isLeaving = false; ///< The backend server says that it is leaving.
+    bool isRetriedBelow = false; ///< A level below has done the retrying that there was to do.
     std::string contentType;
     std::string shortResult; ///< The body, where short enough to keep with a payout.
     bool isResultWhole = true; ///< False when the body is too long to keep.
--- a/src/core/serviceshard.cpp
+++ b/src/core/serviceshard.cpp
@@ -208,7 +208,8 @@
     }
     const auto &statuses = service_.retry.statuses;
     const bool isRetriedStatus = std::find(statuses.begin(), statuses.end(), answer.status) != statuses.end();
-    return isFreelyRetried && isRetriedStatus ? Verdict::RetryOrPass : Verdict::Pass;
+    // Were each level of a deep call to retry what the next has retried, the attempts would multiply.
+    return isFreelyRetried && isRetriedStatus && !answer.isRetriedBelow ? Verdict::RetryOrPass : Verdict::Pass;
 }
 
 bool ServiceShard::mayRetry(TimePoint now, const Request &request)
--- a/src/ctl/commands.cpp
+++ b/src/ctl/commands.cpp
@@ -7,20 +7,16 @@
 
 #include "ctl/commands.h"
 
-#include "core/burnreport.h"
-#include "core/configurationparser.h"
-#include "ctl/burnplot.h"
+#include "ctl/burncommand.h"
 #include "ctl/output.h"
-#include "net/thriftclient.h"
-
-#include <nlohmann/json.hpp>
+#include "ctl/session.h"
+#include "ctl/statuscommand.h"
 
 #include <algorithm>
 #include <chrono>
 #include <ctime>
 #include <fstream>
 #include <functional>
-#include <map>
 #include <optional>
 #include <sstream>
 #include <thread>
@@ -31,30 +27,8 @@
 namespace
 {
 
-using Json = nlohmann::ordered_json;
-using Admin = ThriftClient<Wire::AdminClient>;
-
-constexpr int ConnectTimeoutMs = 2000;
-constexpr int CallTimeoutMs = 20'000;
 constexpr auto WaitPause = std::chrono::milliseconds(100);
 
-/// What a sub-command works with.
-struct Session {
-    const CtlOptions &options;
-    std::vector<std::string> arguments;
-    std::ostream &out;
-    std::ostream &err;
-
-    Admin connect() const
-    {
-        return {options.admin, ConnectTimeoutMs, CallTimeoutMs};
-    }
-    void print(const Json &json) const
-    {
-        out << json.dump(2, ' ', false, Json::error_handler_t::replace) << "\n";
-    }
-};
-
 struct Command {
     const char *name;
     std::size_t argumentCount;
@@ -204,78 +178,6 @@
     }
 }
 
-Json statusJson(const Wire::Status &status)
-{
-    Json json = {{"served_by", status.servedBy},
-                 {"configuration_version", status.configurationVersion},
-                 {"ready", status.isReady},
-                 {"reason", status.reason},
-                 {"platform_silent", status.isPlatformSilent},
-                 {"entry_vms", Json::array()},
-                 {"backend_servers", Json::array()},
-                 {"measuring_shares", Json::array()}};
-    for (const Wire::EntryVmStatus &vm : status.entryVms) {
-        json["entry_vms"].push_back({{"name", vm.name},
-                                     {"admin", vm.adminAddress},
-                                     {"zone", vm.zone},
-                                     {"region", vm.region},
-                                     {"configuration_version", vm.configurationVersion},
-                                     {"state", vm.state},
-                                     {"silence_ms", vm.silenceMs}});
-    }
-    for (const Wire::BackendStatus &backend : status.backends) {
-        json["backend_servers"].push_back({{"service", backend.serviceName},
-                                           {"name", backend.name},
-                                           {"address", backend.address},
-                                           {"zone", backend.zone},
-                                           {"state", backend.state},
-                                           {"in_flight", backend.inFlight},
-                                           {"reported_load", backend.reportedLoad},
-                                           {"latency_ms", backend.latencyMs}});
-    }
-    for (const Wire::ShareStatus &share : status.shares) {
-        json["measuring_shares"].push_back({{"service", share.serviceName}, {"held", share.held}});
-    }
-    return json;
-}
-
-void printStatus(const Session &session, const Wire::Status &status)
-{
-    session.out << "served by " << status.servedBy << ", " << (status.isReady ? "ready" : "not ready: " + status.reason) << ", configuration "
-                << status.configurationVersion << (status.isPlatformSilent ? ", the platform does not answer" : "") << "\n\n";
-    Table vms({"ENTRY VM", "ZONE", "REGION", "STATE", "CONFIGURATION", "HEARD MS AGO"});
-    for (const Wire::EntryVmStatus &vm : status.entryVms) {
-        vms.add({vm.name, vm.zone, vm.region, vm.state, std::to_string(vm.configurationVersion), std::to_string(vm.silenceMs)});
-    }
-    Table backends({"SERVICE", "BACKEND SERVER", "ZONE", "STATE", "IN FLIGHT", "REPORTED", "LATENCY MS"});
-    for (const Wire::BackendStatus &backend : status.backends) {
-        backends.add({backend.serviceName,
-                      backend.name,
-                      backend.zone,
-                      backend.state,
-                      std::to_string(backend.inFlight),
-                      std::to_string(backend.reportedLoad),
-                      fixed(backend.latencyMs, 2)});
-    }
-    Table shares({"SERVICE", "MEASURING SHARES HELD HERE"});
-    for (const Wire::ShareStatus &share : status.shares) {
-        shares.add({share.serviceName, std::to_string(share.held)});
-    }
-    session.out << vms.toString() << "\n" << backends.toString() << "\n" << shares.toString();
-}
-
-CtlExit status(const Session &session)
-{
-    Wire::Status status;
-    session.connect()->status(status);
-    if (session.options.isJson) {
-        session.print(statusJson(status));
-    } else {
-        printStatus(session, status);
-    }
-    return CtlExit::Done;
-}
-
 CtlExit drain(const Session &session)
 {
     requireWhoAndWhy(session.options);
@@ -323,130 +225,6 @@
     return records.empty() ? CtlExit::Failed : CtlExit::Done;
 }
 
-/// Counts of the entry VMs that answered, and the names of those that did not.
-struct GatheredBurn {
-    FleetCounts counts;
-    std::vector<std::string> answered;
-    std::vector<std::string> silent;
-    std::vector<std::pair<std::string, std::int64_t>> young; ///< Started within the longest window, and seconds since.
-};
-
-void addCount(FleetCounts &counts, const Wire::BurnCount &count)
-{
-    for (std::size_t window = 0; window < BurnWindows.size(); ++window) {
-        if (BurnWindows[window] == seconds(count.windowSeconds)) {
-            counts[{count.serviceName, count.kind}][window] += {count.total, count.unavailable, count.slow};
-        }
-    }
-}
-
-GatheredBurn gatherBurn(const Wire::Status &status)
-{
-    GatheredBurn gathered;
-    for (const Wire::EntryVmStatus &vm : status.entryVms) {
-        // One that is dead may have counted too: the report says that its counts are missing.
-        if (vm.state == "left") {
-            continue;
-        }
-        try {
-            Wire::BurnCounts told;
-            Admin admin(vm.adminAddress, ConnectTimeoutMs, CallTimeoutMs);
-            admin->burn(told);
-            for (const Wire::BurnCount &count : told.counts) {
-                addCount(gathered.counts, count);
-            }
-            gathered.answered.push_back(vm.name);
-            const auto longest = std::chrono::floor<seconds>(BurnWindows.back()).count();
-            if (told.countedSeconds < longest) {
-                gathered.young.emplace_back(vm.name, told.countedSeconds);
-            }
-        } catch (const apache::thrift::TException &) {
-            gathered.silent.push_back(vm.name);
-        }
-    }
-    return gathered;
-}
-
-void printBurn(const Session &session, const std::vector<BurnLine> &lines, const GatheredBurn &gathered)
-{
-    Table table({"SERVICE", "KIND", "PROMISE", "OBJECTIVE %", "BURN 5 MIN", "BURN 1 H", "BURN 6 H", "REQUESTS 6 H", "ALERT"});
-    for (const BurnLine &line : lines) {
-        table.add({line.service,
-                   line.kind,
-                   std::string(toString(line.promise)),
-                   fixed(line.objectivePercent, 3),
-                   fixed(line.rates[0], 2),
-                   fixed(line.rates[1], 2),
-                   fixed(line.rates[2], 2),
-                   std::to_string(line.requests),
-                   std::string(toString(line.alert))});
-    }
-    if (!gathered.silent.empty()) {
-        session.out << "PARTIAL: counts are missing of entry VMs that did not answer:";
-        for (const std::string &name : gathered.silent) {
-            session.out << " " << name;
-        }
-        session.out << "\n";
-    }
-    if (!gathered.young.empty()) {
-        session.out << "counting for less than 6 hours (what their predecessors counted is gone):";
-        for (const auto &[name, counted] : gathered.young) {
-            session.out << " " << name << " (" << counted << " s)";
-        }
-        session.out << "\n";
-    }
-    session.out << "counted on " << gathered.answered.size() << " entry VMs\n" << table.toString();
-}
-
-Json burnJson(const std::vector<BurnLine> &lines, const GatheredBurn &gathered)
-{
-    Json young = Json::object();
-    for (const auto &[name, counted] : gathered.young) {
-        young[name] = counted;
-    }
-    Json json = {{"whole", gathered.silent.empty()},
-                 {"answered", gathered.answered},
-                 {"not_answered", gathered.silent},
-                 {"counting_for_less_than_6h_seconds", young},
-                 {"lines", Json::array()}};
-    for (const BurnLine &line : lines) {
-        json["lines"].push_back({{"service", line.service},
-                                 {"kind", line.kind},
-                                 {"promise", toString(line.promise)},
-                                 {"objective_percent", line.objectivePercent},
-                                 {"burn_5m", line.rates[0]},
-                                 {"burn_1h", line.rates[1]},
-                                 {"burn_6h", line.rates[2]},
-                                 {"requests_6h", line.requests},
-                                 {"alert", toString(line.alert)}});
-    }
-    return json;
-}
-
-CtlExit report(const Session &session)
-{
-    if (session.arguments[0] != "burn") {
-        throw std::invalid_argument("the only report is burn");
-    }
-    Admin admin = session.connect();
-    Wire::AcceptedIntent intent;
-    Wire::Status status;
-    admin->get(intent);
-    admin->status(status);
-    const auto parsed = parseConfiguration(intent.document);
-    const GatheredBurn gathered = gatherBurn(status);
-    const auto lines = burnLines(std::get<Configuration>(parsed), gathered.counts);
-    if (session.options.isJson) {
-        session.print(burnJson(lines, gathered));
-    } else {
-        printBurn(session, lines, gathered);
-    }
-    if (!session.options.plot.empty()) {
-        std::ofstream(session.options.plot) << burnPlot(lines, gathered.silent.empty());
-    }
-    return gathered.silent.empty() ? CtlExit::Done : CtlExit::Incomplete;
-}
-
 const std::vector<Command> &commands()
 {
     static const std::vector<Command> all = {
@@ -454,10 +232,10 @@
         {"get", 0, "get: print the configuration in force", get},
         {"history", 0, "history: list accepted changes", history},
         {"wait", 0, "wait --version=N [--timeout_ms=T]: until every live entry VM has it in force", wait},
-        {"status", 0, "status: entry VMs, backend servers, measuring shares", status},
+        {"status", 0, "status: entry VMs, backend servers, measuring shares", printStatus},
         {"drain", 1, "drain SERVICE/BACKEND --author=A --reason=R [--undo]: send it no new work", drain},
         {"payout", 1, "payout KEY: what is known of a payout instruction", payout},
-        {"report", 1, "report burn [--plot=FILE.svg]: burn of the service-level objectives", report},
+        {"report", 1, "report burn [--plot=FILE.svg]: burn of the service-level objectives", reportBurn},
     };
     return all;
 }
--- a/src/daemon/gateway.cpp
+++ b/src/daemon/gateway.cpp
@@ -59,6 +59,7 @@
     whole.status = answer.status;
     whole.isNotRun = isSet(answer.headers, OutcomeHeader, "not-run");
     whole.isLeaving = isSet(answer.headers, LeavingHeader, "true");
+    whole.isRetriedBelow = isSet(answer.headers, RetriedHeader, "true");
     whole.contentType = std::string(findHeader(answer.headers, "content-type").value_or(""));
     whole.isResultWhole = answer.body.size() <= MaxShortResult;
     if (whole.isResultWhole) {
@@ -269,6 +270,9 @@
     }
     HttpAnswer answer = std::move(found->second);
     answer.headers = forCaller(answer.headers);
+    if (action.attempt > 1 && answer.status >= ServerError && !findHeader(answer.headers, RetriedHeader)) {
+        answer.headers.push_back({RetriedHeader, "true"});
+    }
     const auto outcome = answer.status < ServerError ? CallerOutcome::Answered : CallerOutcome::ServerError;
     finish(*exchange, answer, outcome);
 }
--- /dev/null
+++ b/src/net/httptransfer.cpp
@@ -0,0 +1,182 @@
+/*
+    This file is part of cloverbarrow.
+
+    SPDX-FileCopyrightText: 2026 The cloverbarrow authors
+    SPDX-License-Identifier: Apache-2.0
+*/
+
+#include "net/httptransfer.h"
+
+#include <algorithm>
+
+namespace Cloverbarrow
+{
+
+namespace
+{
+
+constexpr long ConnectTimeoutMs = 1000;
+constexpr std::size_t MaxAnswerHead = 64 * 1024;
+
+/// libcurl asks right before it sends. A second question for one call means that it wants to send the
+/// request again by itself, on a fresh connection after a dead one; only the core may decide that.
+int beforeSend(void *context, char *, char *, int, int)
+{
+    auto *transfer = static_cast<Transfer *>(context);
+    if (transfer->hasLeft) {
+        transfer->isResend = true;
+        return CURL_PREREQFUNC_ABORT;
+    }
+    transfer->hasLeft = true;
+    return CURL_PREREQFUNC_OK;
+}
+
+std::size_t takeBody(char *bytes, std::size_t, std::size_t count, void *context)
+{
+    auto *transfer = static_cast<Transfer *>(context);
+    if (transfer->answer.body.size() + count > transfer->call.maxAnswerBytes) {
+        transfer->isTooLong = true;
+        return 0;
+    }
+    transfer->answer.body.append(bytes, count);
+    return count;
+}
+
+void startAnswer(std::string_view statusLine, HttpAnswer &answer)
+{
+    // A new status line begins the final answer after interim ones.
+    answer = {};
+    const std::size_t space = statusLine.find(' ');
+    const std::size_t reason = statusLine.find(' ', space + 1);
+    if (space != std::string_view::npos && reason != std::string_view::npos) {
+        answer.reason = std::string(statusLine.substr(reason + 1));
+    }
+}
+
+std::size_t takeHeader(char *bytes, std::size_t, std::size_t count, void *context)
+{
+    auto *transfer = static_cast<Transfer *>(context);
+    std::string_view line(bytes, count);
+    while (!line.empty() && (line.back() == '\r' || line.back() == '\n')) {
+        line.remove_suffix(1);
+    }
+    if (line.starts_with("HTTP/")) {
+        startAnswer(line, transfer->answer);
+        transfer->headBytes = 0;
+    } else if (const std::size_t colon = line.find(':'); colon != std::string_view::npos) {
+        std::string_view value = line.substr(colon + 1);
+        value.remove_prefix(std::min(value.find_first_not_of(" \t"), value.size()));
+        transfer->answer.headers.push_back({std::string(line.substr(0, colon)), std::string(value)});
+    }
+    transfer->headBytes += count;
+    if (transfer->headBytes > MaxAnswerHead) {
+        transfer->isTooLong = true;
+        return 0;
+    }
+    return count;
+}
+
+HeaderList headerList(const HttpCall &call)
+{
+    curl_slist *list = nullptr;
+    const auto add = [&list](const std::string &line) { list = curl_slist_append(list, line.c_str()); };
+    for (const Header &header : call.request.headers) {
+        // The library takes "Name;" for an empty value.
+        add(header.value.empty() ? header.name + ";" : header.name + ": " + header.value);
+    }
+    if (!call.tag.empty()) {
+        add(std::string(ExchangeTagHeader) + ": " + call.tag);
+    }
+    // The library adds these by itself unless told not to.
+    for (const char *name : {"Accept", "Content-Type", "User-Agent"}) {
+        if (!findHeader(call.request.headers, name)) {
+            add(std::string(name) + ":");
+        }
+    }
+    add("Expect:");
+    return HeaderList(list);
+}
+
+void setMethod(CURL *easy, const HttpRequest &request)
+{
+    const bool isBodiless =
+        request.body.empty() && (request.method == "GET" || request.method == "HEAD" || request.method == "DELETE" || request.method == "OPTIONS");
+    if (request.method == "HEAD") {
+        curl_easy_setopt(easy, CURLOPT_NOBODY, 1L);
+    } else if (!isBodiless) {
+        curl_easy_setopt(easy, CURLOPT_POST, 1L);
+        curl_easy_setopt(easy, CURLOPT_POSTFIELDSIZE_LARGE, static_cast<curl_off_t>(request.body.size()));
+        curl_easy_setopt(easy, CURLOPT_POSTFIELDS, request.body.data());
+    }
+    curl_easy_setopt(easy, CURLOPT_CUSTOMREQUEST, request.method.c_str());
+}
+
+} // namespace
+
+void configureTransfer(Transfer &transfer)
+{
+    CURL *easy = transfer.easy.get();
+    transfer.headers = headerList(transfer.call);
+    transfer.url = "http://" + transfer.call.address + "/";
+    curl_easy_setopt(easy, CURLOPT_URL, transfer.url.c_str());
+    curl_easy_setopt(easy, CURLOPT_REQUEST_TARGET, transfer.call.request.target.c_str());
+    curl_easy_setopt(easy, CURLOPT_PROTOCOLS_STR, "http");
+    curl_easy_setopt(easy, CURLOPT_HTTP_VERSION, static_cast<long>(CURL_HTTP_VERSION_1_1));
+    // The environment must not send requests elsewhere.
+    curl_easy_setopt(easy, CURLOPT_PROXY, "");
+    curl_easy_setopt(easy, CURLOPT_FOLLOWLOCATION, 0L);
+    curl_easy_setopt(easy, CURLOPT_HTTP09_ALLOWED, 0L);
+    curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
+    curl_easy_setopt(easy, CURLOPT_TCP_NODELAY, 1L);
+    curl_easy_setopt(easy, CURLOPT_HTTPHEADER, transfer.headers.get());
+    curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, std::max<long>(1, static_cast<long>(toMilliseconds(transfer.call.timeout))));
+    curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS, ConnectTimeoutMs);
+    curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, transfer.call.mayReuseConnection ? 0L : 1L);
+    curl_easy_setopt(easy, CURLOPT_FORBID_REUSE, transfer.call.mayReuseConnection ? 0L : 1L);
+    curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, takeBody);
+    curl_easy_setopt(easy, CURLOPT_WRITEDATA, &transfer);
+    curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, takeHeader);
+    curl_easy_setopt(easy, CURLOPT_HEADERDATA, &transfer);
+    curl_easy_setopt(easy, CURLOPT_PREREQFUNCTION, beforeSend);
+    curl_easy_setopt(easy, CURLOPT_PREREQDATA, &transfer);
+    curl_easy_setopt(easy, CURLOPT_PRIVATE, &transfer);
+    setMethod(easy, transfer.call.request);
+}
+
+namespace
+{
+
+/// @return whether the end of the answer was told by the answer itself and not by the connection's end.
+bool tellsItsEnd(const Transfer &transfer)
+{
+    const HttpAnswer &answer = transfer.answer;
+    const bool isBodiless = transfer.call.request.method == "HEAD" || answer.status == 204 || answer.status == 304;
+    return isBodiless || findHeader(answer.headers, "content-length") || findHeader(answer.headers, "transfer-encoding");
+}
+
+} // namespace
+
+HttpOutcome outcomeOf(Transfer &transfer, CURLcode code)
+{
+    if (transfer.isTooLong) {
+        return HttpFailure{true, false, "the answer is too long"};
+    }
+    if (transfer.isResend) {
+        return HttpFailure{true, false, "the connection closed without an answer"};
+    }
+    if (code != CURLE_OK) {
+        return HttpFailure{transfer.hasLeft, code == CURLE_OPERATION_TIMEDOUT, curl_easy_strerror(code)};
+    }
+    long status = 0;
+    curl_easy_getinfo(transfer.easy.get(), CURLINFO_RESPONSE_CODE, &status);
+    transfer.answer.status = static_cast<int>(status);
+    if (!tellsItsEnd(transfer)) {
+        return HttpFailure{true, false, "the answer ended with its connection, so it may be cut"};
+    }
+    if (!transfer.call.tag.empty() && findHeader(transfer.answer.headers, ExchangeTagHeader) != transfer.call.tag) {
+        return HttpFailure{true, false, "the answer belongs to another exchange"};
+    }
+    return std::move(transfer.answer);
+}
+
+} // namespace Cloverbarrow
--- /dev/null
+++ b/src/net/httptransfer.h
@@ -0,0 +1,57 @@
+/*
+    This file is part of cloverbarrow.
+
+    SPDX-FileCopyrightText: 2026 The cloverbarrow authors
+    SPDX-License-Identifier: Apache-2.0
+*/
+
+#pragma once
+
+#include "net/httpclient.h"
+
+#include <curl/curl.h>
+
+#include <cstddef>
+#include <memory>
+#include <string>
+
+namespace Cloverbarrow
+{
+
+struct EasyDeleter {
+    void operator()(CURL *handle) const
+    {
+        curl_easy_cleanup(handle);
+    }
+};
+using EasyHandle = std::unique_ptr<CURL, EasyDeleter>;
+
+struct ListDeleter {
+    void operator()(curl_slist *list) const
+    {
+        curl_slist_free_all(list);
+    }
+};
+using HeaderList = std::unique_ptr<curl_slist, ListDeleter>;
+
+/// One call under way.
+struct Transfer {
+    HttpCallId id = 0;
+    HttpCall call;
+    HttpDone done;
+    EasyHandle easy;
+    HeaderList headers;
+    std::string url;
+    HttpAnswer answer;
+    std::size_t headBytes = 0;
+    bool hasLeft = false;
+    bool isResend = false;
+    bool isTooLong = false;
+};
+
+/// Sets the transfer's handle up for its call.
+void configureTransfer(Transfer &transfer);
+/// @return what became of the call, once libcurl has ended it with @p code.
+HttpOutcome outcomeOf(Transfer &transfer, CURLcode code);
+
+} // namespace Cloverbarrow
--- a/src/net/problemjson.cpp
+++ b/src/net/problemjson.cpp
@@ -26,6 +26,7 @@
     HttpAnswer answer;
     answer.status = problem.status;
     answer.headers.push_back({"Content-Type", "application/problem+json"});
+    answer.headers.push_back({RetriedHeader, "true"});
     if (problem.retryAfter) {
         // Whole seconds, rounded up.
         const auto wait = std::chrono::ceil<seconds>(*problem.retryAfter).count();
--- a/src/net/problemjson.h
+++ b/src/net/problemjson.h
@@ -13,6 +13,9 @@
 namespace Cloverbarrow
 {
 
+/// Says that a level below has done the retrying that there was to do; backend servers pass it on.
+constexpr const char *RetriedHeader = "Cloverbarrow-Retried";
+
 /// @return the answer that tells a caller of @p problem, as application/problem+json.
 HttpAnswer problemAnswer(const Problem &problem);
 
