--- a/bench/policy/main.cpp
+++ b/bench/policy/main.cpp
@@ -59,6 +59,13 @@
     return made;
 }
 
+Arrangement withHedges(Arrangement made, int percent)
+{
+    made.hedgePercent = percent;
+    made.name += ", " + std::to_string(percent) + "% hedged";
+    return made;
+}
+
 Arrangement withCap(Arrangement made, int connections)
 {
     made.connectionsPerServer = connections;
@@ -91,6 +98,9 @@
         arrangement("report, half latency", LoadReportPick{Duration(0), 0.5, 0, 0}),
         arrangement("report, 3 random choices", LoadReportPick{Duration(0), 0.5, 3, 0.8}),
         chosen(),
+        withHedges(chosen(), 2),
+        withHedges(chosen(), 5),
+        withHedges(chosen(), 10),
         withSharing(arrangement("shared in zone, 20 ms", SharedInFlightPick{}), milliseconds(20), true),
         withSharing(arrangement("shared by all, 20 ms", SharedInFlightPick{}), milliseconds(20), false),
         withCap(arrangement("at most 1 at a server, wait here", LoadReportPick{}), 16),
@@ -102,7 +112,7 @@
 
 std::vector<Arrangement> shortList()
 {
-    return {perfect(), arrangement("least in flight", LeastInFlightPick{}), chosen()};
+    return {perfect(), arrangement("least in flight", LeastInFlightPick{}), chosen(), withHedges(chosen(), 5)};
 }
 
 struct Case {
--- a/bench/policy/trial.h
+++ b/bench/policy/trial.h
@@ -50,6 +50,7 @@
     /// How often entry VMs tell each other their attempts; zero is never.
     Duration shareEvery{0};
     bool sharesZoneOnly = true;
+    int hedgePercent = 0;
     bool isPerfect = false; ///< The bound: one queue over all slots, with full knowledge and no delay of news.
 };
 
--- a/src/core/backendpool.cpp
+++ b/src/core/backendpool.cpp
@@ -81,11 +81,20 @@
 
 std::optional<std::size_t> BackendPool::take(TimePoint now, Random &random, std::span<const std::string> tried)
 {
-    const std::vector<std::size_t> open = candidates(now, tried);
-    if (open.empty()) {
+    return takeOneOf(now, random, candidates(now, tried));
+}
+
+std::optional<std::size_t> BackendPool::takeFresh(TimePoint now, Random &random, std::span<const std::string> tried)
+{
+    return takeOneOf(now, random, open(now, tried, false));
+}
+
+std::optional<std::size_t> BackendPool::takeOneOf(TimePoint now, Random &random, std::span<const std::size_t> indices)
+{
+    if (indices.empty()) {
         return std::nullopt;
     }
-    const std::size_t index = pickBackend(policy_, backends_, open, now, random);
+    const std::size_t index = pickBackend(policy_, backends_, indices, now, random);
     ++backends_[index].inFlight;
     return index;
 }
@@ -215,26 +224,30 @@
 
 std::vector<std::size_t> BackendPool::candidates(TimePoint now, std::span<const std::string> tried) const
 {
-    // In falling order of preference: fresh and healthy, fresh, any. An ejection is only a guess
-    // of this entry VM, so it never empties the pool.
+    // In falling order of preference: fresh and healthy, healthy, fresh, any. An ejection is only a guess of this
+    // entry VM, so it never empties the pool.
     for (const bool ignoreEjection : {false, true}) {
-        for (const bool ignoreTried : {false, true}) {
-            std::vector<std::size_t> open;
-            for (std::size_t index = 0; index < backends_.size(); ++index) {
-                const Backend &backend = backends_[index];
-                const bool isFresh = ignoreTried || !isIn(tried, backend.server.name);
-                if (isFresh && mayTake(backend, now, ignoreEjection)) {
-                    open.push_back(index);
-                }
-            }
-            if (!open.empty()) {
-                return open;
+        for (const auto excluded : {tried, std::span<const std::string>()}) {
+            if (auto indices = open(now, excluded, ignoreEjection); !indices.empty()) {
+                return indices;
             }
         }
     }
     return {};
 }
 
+std::vector<std::size_t> BackendPool::open(TimePoint now, std::span<const std::string> excluded, bool ignoreEjection) const
+{
+    std::vector<std::size_t> indices;
+    for (std::size_t index = 0; index < backends_.size(); ++index) {
+        const Backend &backend = backends_[index];
+        if (!isIn(excluded, backend.server.name) && mayTake(backend, now, ignoreEjection)) {
+            indices.push_back(index);
+        }
+    }
+    return indices;
+}
+
 void BackendPool::countGood(Backend &backend, Duration latency, TimePoint now)
 {
     const double sample = toMilliseconds(latency);
--- a/src/core/backendpool.h
+++ b/src/core/backendpool.h
@@ -79,6 +79,9 @@
     /// @return its index, or nothing when none may take an attempt now.
     std::optional<std::size_t> take(TimePoint now, Random &random, std::span<const std::string> tried);
 
+    /// Like take(), but only a server that was not tried and has room now.
+    std::optional<std::size_t> takeFresh(TimePoint now, Random &random, std::span<const std::string> tried);
+
     /// @return the mean latency of the servers that take requests, in milliseconds; 0 when none was seen.
     double meanLatencyMs() const;
     /// @return servers that are not leaving.
@@ -105,6 +108,8 @@
     Backend *findMutable(std::string_view name);
     bool mayTake(const Backend &backend, TimePoint now, bool ignoreEjection) const;
     std::vector<std::size_t> candidates(TimePoint now, std::span<const std::string> tried) const;
+    std::vector<std::size_t> open(TimePoint now, std::span<const std::string> excluded, bool ignoreEjection) const;
+    std::optional<std::size_t> takeOneOf(TimePoint now, Random &random, std::span<const std::size_t> indices);
     void countGood(Backend &backend, Duration latency, TimePoint now);
     bool isStraggler(const Backend &backend, TimePoint now) const;
     void eject(Backend &backend, TimePoint now);
--- a/src/core/configuration.h
+++ b/src/core/configuration.h
@@ -50,6 +50,7 @@
 struct RetryRules {
     int maxAttempts = 3;
     int budgetPercent = 10; ///< Retries as a share of first attempts.
+    int hedgePercent = 0; ///< Second attempts of slow reads, beside the first, as a share of first attempts.
     std::vector<int> statuses = {502, 503, 504}; ///< Answers on which a read is tried again.
 
     bool operator==(const RetryRules &) const = default;
--- a/src/core/configurationparser.cpp
+++ b/src/core/configurationparser.cpp
@@ -79,6 +79,7 @@
 {
     reader.integer("max_attempts", retry.maxAttempts, 1, 10);
     reader.integer("budget_percent", retry.budgetPercent, 0, 100);
+    reader.integer("hedge_percent", retry.hedgePercent, 0, 100);
     reader.integers("statuses", retry.statuses, 500, 599);
 }
 
--- a/src/core/node.cpp
+++ b/src/core/node.cpp
@@ -58,6 +58,8 @@
 {
     if (const auto *service = std::get_if<ForService>(&event)) {
         handleService(now, *service, actions, internal);
+    } else if (std::holds_alternative<ServicesTick>(event)) {
+        tellAll(Tick{}, internal);
     } else {
         handleControl(now, std::get<ControlEvent>(event), actions, internal);
     }
--- a/src/core/node.h
+++ b/src/core/node.h
@@ -29,7 +29,11 @@
     ServiceEvent event;
 };
 
-using NodeEvent = std::variant<ForService, ControlEvent>;
+/// Time has passed for the services only; comes more often than ControlTick while requests are under way.
+struct ServicesTick {
+};
+
+using NodeEvent = std::variant<ForService, ControlEvent, ServicesTick>;
 
 /// An action of one service.
 struct OfService {
--- a/src/core/serviceevents.h
+++ b/src/core/serviceevents.h
@@ -172,6 +172,13 @@
     bool operator==(const CancelAttempt &) const = default;
 };
 
+/// The request ends without an answer, since its caller has gone.
+struct DropRequest {
+    RequestId request = 0;
+
+    bool operator==(const DropRequest &) const = default;
+};
+
 /// Give the caller the answer of this attempt.
 struct PassAnswer {
     RequestId request = 0;
@@ -230,7 +237,8 @@
     bool operator==(const TellLeaving &) const = default;
 };
 
-using ServiceAction = std::variant<StartAttempt, CancelAttempt, PassAnswer, ReplayAnswer, Refuse, AskPayoutStore, StartProbe, ReturnPermit, TellLeaving>;
+using ServiceAction =
+    std::variant<StartAttempt, CancelAttempt, DropRequest, PassAnswer, ReplayAnswer, Refuse, AskPayoutStore, StartProbe, ReturnPermit, TellLeaving>;
 using ServiceActions = std::vector<ServiceAction>;
 
 } // namespace Cloverbarrow
--- a/src/core/serviceshard.cpp
+++ b/src/core/serviceshard.cpp
@@ -96,6 +96,7 @@
     Request &request = requests_[event.request];
     request.arrival = event;
     retryBudget_.addFirstAttempt();
+    hedgeBudget_.addFirstAttempt();
     if (isPayout(request)) {
         ledger_.open(event, actions);
     } else {
@@ -152,47 +153,65 @@
         request.isCallerGone = true;
         return;
     }
-    if (!request.backend.empty()) {
-        actions.emplace_back(CancelAttempt{event.request, request.attempts, request.address});
-        releaseAttempt(now, request, AttemptQuality::Neutral);
-    }
+    cancelRunning(now, request, actions);
+    actions.emplace_back(DropRequest{event.request});
     requests_.erase(found);
     startWaiting(now, actions);
 }
 
 void ServiceShard::on(TimePoint now, const AttemptEnded &event, ServiceActions &actions)
 {
-    const auto found = requests_.find(event.request);
-    const bool isCurrent = found != requests_.end() && found->second.attempts == event.attempt && !found->second.backend.empty();
-    if (!isCurrent) {
+    const auto attempt = takeRunning(event.request, event.attempt);
+    if (!attempt) {
         return;
     }
-    Request &request = found->second;
-    const std::string backend = request.backend;
-    releaseAttempt(now, request, qualityOf(event.outcome));
-    if (event.reportedLoad) {
-        pool_.report(backend, *event.reportedLoad, now);
-    }
-    if (const auto *answer = std::get_if<AnsweredWhole>(&event.outcome); answer && answer->isLeaving) {
-        pool_.markLeaving(backend);
-        actions.emplace_back(TellLeaving{backend});
-    }
+    Request &request = requests_.at(event.request);
+    learn(now, *attempt, event, actions);
     const Verdict verdict = judge(request, event.outcome);
-    const bool wantsRetry = verdict == Verdict::RetryOrPass || verdict == Verdict::RetryOrRefuse;
-    if (wantsRetry && mayRetry(now, request)) {
-        const auto *answer = std::get_if<AnsweredWhole>(&event.outcome);
-        const bool isNotRun = std::holds_alternative<NeverLeft>(event.outcome) || (answer && answer->isNotRun);
+    const bool isGood = verdict == Verdict::Pass;
+    const auto *answer = std::get_if<AnsweredWhole>(&event.outcome);
+    const bool isNotRun = std::holds_alternative<NeverLeft>(event.outcome) || (answer && answer->isNotRun);
+    if (!isGood && !request.running.empty()) {
+        // The other attempt may still bring a good answer.
+        request.mayHaveRun = request.mayHaveRun || !isNotRun;
+    } else if (!isGood && verdict != Verdict::Refuse && mayRetry(now, request)) {
         request.mayHaveRun = request.mayHaveRun || !isNotRun;
-        request.tried.push_back(backend);
         start(now, request, actions);
     } else {
-        request.tried.push_back(backend);
-        conclude(request, event, verdict, actions);
-        requests_.erase(found);
+        conclude(now, request, *attempt, event, verdict, actions);
+        requests_.erase(event.request);
     }
     startWaiting(now, actions);
 }
 
+std::optional<ServiceShard::Attempt> ServiceShard::takeRunning(RequestId request, int number)
+{
+    const auto found = requests_.find(request);
+    if (found == requests_.end()) {
+        return std::nullopt;
+    }
+    auto &running = found->second.running;
+    const auto attempt = std::find_if(running.begin(), running.end(), [number](const Attempt &item) { return item.number == number; });
+    if (attempt == running.end()) {
+        return std::nullopt;
+    }
+    Attempt taken = std::move(*attempt);
+    running.erase(attempt);
+    return taken;
+}
+
+void ServiceShard::learn(TimePoint now, const Attempt &attempt, const AttemptEnded &event, ServiceActions &actions)
+{
+    pool_.release(attempt.backend, qualityOf(event.outcome), now - attempt.startedAt, now);
+    if (event.reportedLoad) {
+        pool_.report(attempt.backend, *event.reportedLoad, now);
+    }
+    if (const auto *answer = std::get_if<AnsweredWhole>(&event.outcome); answer && answer->isLeaving) {
+        pool_.markLeaving(attempt.backend);
+        actions.emplace_back(TellLeaving{attempt.backend});
+    }
+}
+
 ServiceShard::Verdict ServiceShard::judge(const Request &request, const AttemptOutcome &outcome) const
 {
     const bool isFreelyRetried = kindClass(request) == KindClass::Read && !request.arrival.isRetryAbove;
@@ -219,9 +238,10 @@
     return hasAttempts && isWanted && now < request.arrival.deadline && pool_.hasCandidate() && retryBudget_.take();
 }
 
-void ServiceShard::conclude(Request &request, const AttemptEnded &event, Verdict verdict, ServiceActions &actions)
+void ServiceShard::conclude(TimePoint now, Request &request, const Attempt &attempt, const AttemptEnded &event, Verdict verdict, ServiceActions &actions)
 {
     const RequestId id = request.arrival.request;
+    cancelRunning(now, request, actions);
     if (verdict == Verdict::Pass || verdict == Verdict::RetryOrPass) {
         if (isPayout(request)) {
             ledger_.settled(id, event.attempt, std::get<AnsweredWhole>(event.outcome), actions);
@@ -230,7 +250,16 @@
         }
         return;
     }
-    refuse(request, std::visit(ProblemOf{request.tried.back(), request.mayHaveRun}, event.outcome), actions);
+    refuse(request, std::visit(ProblemOf{attempt.backend, request.mayHaveRun}, event.outcome), actions);
+}
+
+void ServiceShard::cancelRunning(TimePoint now, Request &request, ServiceActions &actions)
+{
+    for (const Attempt &attempt : request.running) {
+        actions.emplace_back(CancelAttempt{request.arrival.request, attempt.number, attempt.address});
+        pool_.release(attempt.backend, AttemptQuality::Neutral, now - attempt.startedAt, now);
+    }
+    request.running.clear();
 }
 
 void ServiceShard::refuse(const Request &request, Problem problem, ServiceActions &actions)
@@ -292,6 +321,7 @@
     service_ = event.service;
     pool_.configure(service_);
     retryBudget_.setPercent(service_.retry.budgetPercent);
+    hedgeBudget_.setPercent(service_.retry.hedgePercent);
     applyCap();
     startWaiting(now, actions);
 }
@@ -316,6 +346,7 @@
 {
     expireWaiting(now, actions);
     startWaiting(now, actions);
+    hedge(now, actions);
     ledger_.tick(now, actions);
 }
 
@@ -343,17 +374,48 @@
     if (!index) {
         return false;
     }
-    const Backend &backend = pool_.backends()[*index];
+    startAt(now, pool_.backends()[*index], request, actions);
+    return true;
+}
+
+void ServiceShard::startAt(TimePoint now, const Backend &backend, Request &request, ServiceActions &actions)
+{
     ++request.attempts;
-    request.backend = backend.server.name;
-    request.address = backend.server.address;
-    request.attemptStarted = now;
+    request.running.push_back({request.attempts, backend.server.name, backend.server.address, now});
+    request.tried.push_back(backend.server.name);
     // The C library's HTTP client may resend on a connection that turns out dead, and only the echoed tag
     // tells an answer from a stray one; so only tagged reads go on a used connection.
     const bool mayReuse = service_.echoesExchangeTag && kindClass(request) == KindClass::Read;
     actions.emplace_back(
         StartAttempt{request.arrival.request, request.attempts, backend.server.name, backend.server.address, request.arrival.deadline, mayReuse});
-    return true;
+}
+
+void ServiceShard::hedge(TimePoint now, ServiceActions &actions)
+{
+    if (service_.retry.hedgePercent == 0) {
+        return;
+    }
+    for (auto &[id, request] : requests_) {
+        if (!wantsHedge(now, request) || !hedgeBudget_.take()) {
+            continue;
+        }
+        if (const auto index = pool_.takeFresh(now, random_, request.tried)) {
+            startAt(now, pool_.backends()[*index], request, actions);
+        }
+    }
+}
+
+bool ServiceShard::wantsHedge(TimePoint now, const Request &request) const
+{
+    const bool isRead = kindClass(request) == KindClass::Read && !request.arrival.isRetryAbove;
+    const bool isInTime = now < request.arrival.deadline;
+    if (!isRead || !isInTime || request.running.size() != 1 || request.attempts >= service_.retry.maxAttempts) {
+        return false;
+    }
+    // Few answers take as long, so the second attempt is seldom in vain.
+    constexpr double LatenciesToWait = 2;
+    const double waitedMs = toMilliseconds(now - request.running.front().startedAt);
+    return pool_.meanLatencyMs() > 0 && waitedMs > LatenciesToWait * pool_.meanLatencyMs();
 }
 
 void ServiceShard::startWaiting(TimePoint now, ServiceActions &actions)
@@ -390,12 +452,6 @@
     return true;
 }
 
-void ServiceShard::releaseAttempt(TimePoint now, Request &request, AttemptQuality quality)
-{
-    pool_.release(request.backend, quality, now - request.attemptStarted, now);
-    request.backend.clear();
-}
-
 void ServiceShard::applyCap()
 {
     pool_.setInFlightCap(service_.limits.connectionsPerServer / entryVms_);
--- a/src/core/serviceshard.h
+++ b/src/core/serviceshard.h
@@ -41,13 +41,19 @@
     const BackendPool &pool() const;
 
 private:
+    /// An attempt under way.
+    struct Attempt {
+        int number = 1;
+        std::string backend;
+        std::string address;
+        TimePoint startedAt;
+    };
+
     struct Request {
         RequestArrived arrival;
         int attempts = 0; ///< Started so far.
-        std::string backend; ///< Of the attempt under way; empty when there is none.
-        std::string address; ///< Of that backend server.
-        TimePoint attemptStarted;
-        std::vector<std::string> tried;
+        std::vector<Attempt> running;
+        std::vector<std::string> tried; ///< Servers of all attempts.
         bool mayHaveRun = false; ///< An earlier attempt may have been run.
         bool isCallerGone = false;
     };
@@ -80,14 +86,21 @@
     /// Starts the next attempt, or lets the request wait for a server with room.
     void start(TimePoint now, Request &request, ServiceActions &actions);
     bool tryStart(TimePoint now, Request &request, ServiceActions &actions);
+    void startAt(TimePoint now, const Backend &backend, Request &request, ServiceActions &actions);
+    /// Sends slow reads to a second server as well.
+    void hedge(TimePoint now, ServiceActions &actions);
+    bool wantsHedge(TimePoint now, const Request &request) const;
+    void cancelRunning(TimePoint now, Request &request, ServiceActions &actions);
+    /// Takes the attempt off those under way. @return it, or nothing when it has ended before.
+    std::optional<Attempt> takeRunning(RequestId request, int number);
+    void learn(TimePoint now, const Attempt &attempt, const AttemptEnded &event, ServiceActions &actions);
     void startWaiting(TimePoint now, ServiceActions &actions);
     /// Refuses a waiting request that can wait no longer. @return whether it waits no more.
     bool expire(TimePoint now, RequestId id, ServiceActions &actions);
     void expireWaiting(TimePoint now, ServiceActions &actions);
-    void releaseAttempt(TimePoint now, Request &request, AttemptQuality quality);
     Verdict judge(const Request &request, const AttemptOutcome &outcome) const;
     bool mayRetry(TimePoint now, const Request &request);
-    void conclude(Request &request, const AttemptEnded &event, Verdict verdict, ServiceActions &actions);
+    void conclude(TimePoint now, Request &request, const Attempt &attempt, const AttemptEnded &event, Verdict verdict, ServiceActions &actions);
     void refuse(const Request &request, Problem problem, ServiceActions &actions);
     void applyCap();
 
@@ -97,6 +110,7 @@
     Service service_;
     BackendPool pool_;
     RetryBudget retryBudget_;
+    RetryBudget hedgeBudget_;
     PayoutLedger ledger_;
     Random random_;
     int entryVms_ = 1;
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -24,9 +24,10 @@
 {
 
 constexpr std::size_t NonceBytes = 8;
-constexpr auto TickInterval = std::chrono::milliseconds(20);
-constexpr int TicksPerSweep = 3;
-constexpr int TicksPerGauges = 50;
+constexpr auto TickInterval = std::chrono::milliseconds(5);
+constexpr int TicksPerControl = 4;
+constexpr int TicksPerSweep = 12;
+constexpr int TicksPerGauges = 200;
 
 std::string withPort(const std::string &address, std::uint16_t port)
 {
@@ -98,7 +99,7 @@
     int ticks = 0;
     while (true) {
         takeStopRequests();
-        tick();
+        tick(ticks % TicksPerControl == 0);
         if (ticks % TicksPerSweep == 0) {
             sweep();
         }
@@ -273,9 +274,14 @@
     backends_.setConnectionsPerAddress(std::max(1, connectionsPerServer_ / entryVms_));
 }
 
-void Daemon::tick()
+void Daemon::tick(bool isControl)
 {
-    handle(ControlEvent(ControlTick{node_->workLeft()}));
+    const WorkLeft left = node_->workLeft();
+    if (isControl) {
+        handle(ControlEvent(ControlTick{left}));
+    } else if (left.requests > 0) {
+        handle(ServicesTick{});
+    }
 }
 
 void Daemon::sweep()
--- a/src/daemon/daemon.h
+++ b/src/daemon/daemon.h
@@ -67,7 +67,8 @@
     void install(const IntentInForce &intent);
     void setFleetSize(int entryVms);
     void applyConnectionCap();
-    void tick();
+    /// @param isControl whether everything is to be looked at, or only the services.
+    void tick(bool isControl);
     void sweep();
     void takeStopRequests();
     std::string unreadyReason() const;
--- a/src/daemon/gateway.cpp
+++ b/src/daemon/gateway.cpp
@@ -144,6 +144,10 @@
         {
             gateway.cancel(typed);
         }
+        void operator()(const DropRequest &typed) const
+        {
+            gateway.drop(typed);
+        }
         void operator()(const PassAnswer &typed) const
         {
             gateway.pass(typed);
@@ -252,10 +256,14 @@
 
 void Gateway::cancel(const CancelAttempt &action)
 {
-    takeExchange(action.request);
     backends_.cancel(callId(action.request, action.attempt), action.address);
 }
 
+void Gateway::drop(const DropRequest &action)
+{
+    takeExchange(action.request);
+}
+
 void Gateway::pass(const PassAnswer &action)
 {
     auto exchange = takeExchange(action.request);
--- a/src/daemon/gateway.h
+++ b/src/daemon/gateway.h
@@ -62,6 +62,7 @@
 
     void start(const OfService &of, const StartAttempt &action);
     void cancel(const CancelAttempt &action);
+    void drop(const DropRequest &action);
     void pass(const PassAnswer &action);
     void replay(const ReplayAnswer &action);
     void refuse(const Refuse &action);
--- a/tests/property/intentproperties.cpp
+++ b/tests/property/intentproperties.cpp
@@ -88,6 +88,7 @@
                 std::optional<StoreCall> call;
             };
             std::vector<Racer> racers;
+            std::vector<StoreCall> lateWrites;
             for (int number = 0; number < 2; ++number) {
                 OperatorIntent next = intentOf(number);
                 const auto current = store.objects().find(IntentObject);
@@ -104,9 +105,16 @@
                 if (racer.call) {
                     const auto fate = *rc::gen::weightedElement<StoreFate>(
                         {{5, StoreFate::Normal}, {1, StoreFate::Down}, {2, StoreFate::LostAfter}, {1, StoreFate::LostBefore}});
+                    // A write whose answer was lost may also take effect much later.
+                    if (fate == StoreFate::LostBefore && std::holds_alternative<StoreWrite>(racer.call->operation)) {
+                        lateWrites.push_back(*racer.call);
+                    }
                     racer.call = racer.change.answered(store.call(*racer.call, fate));
                 }
             }
+            for (const StoreCall &late : lateWrites) {
+                store.call(late);
+            }
             for (const Racer &racer : racers) {
                 outcomes.emplace(racer.id, *racer.change.outcome());
             }
--- a/tests/support/describe.cpp
+++ b/tests/support/describe.cpp
@@ -53,6 +53,10 @@
     {
         return "cancel" + request(action.request) + " attempt " + std::to_string(action.attempt);
     }
+    std::string operator()(const DropRequest &action) const
+    {
+        return "drop" + request(action.request);
+    }
     std::string operator()(const PassAnswer &action) const
     {
         return "pass" + request(action.request) + " attempt " + std::to_string(action.attempt);
