More of the libcurl and Pistache facts as tests; hand-over of a share keeps its distance

Cause: unframed and interim answers, a proxy in the environment, 100-continue and pairs of failures had no test against the daemon; a claim used at once was noticed by no property. Change: stand-in behaviours and tests for each; a property of a process that follows another on its address right after a measurement.

--- a/bench/processes/pathbench.cpp
+++ b/bench/processes/pathbench.cpp
@@ -133,6 +133,7 @@
         const double before = processorSeconds(pid);
         const Run full = callTogether({fleet.address("entry-1", "callers")}, 48, callsEach);
         print("through entry VM, 48 callers, no service time", full, (processorSeconds(pid) - before) * 1e6 / static_cast<double>(full.calls));
+        std::printf("\nResident memory of the entry VM: %.1f MB after all runs.\n", residentMegabytes(pid));
     }
     return 0;
 }
--- a/tests/process/callertests.cpp
+++ b/tests/process/callertests.cpp
@@ -123,6 +123,21 @@
         CHECK(bodyOf(fleet.get("entry-1", "/state/a", {{"X-Id", "a"}})).find("id=a body=") != std::string::npos);
         CHECK(fleet.runs("id=a") == 2);
     }
+    SECTION("an answer that ends with its connection could be cut, so it is retried")
+    {
+        fleet.behave(1, R"({"unframed_next":1})");
+        CHECK(bodyOf(fleet.get("entry-1", "/state/a", {{"X-Id", "a"}})).find("id=a body=") != std::string::npos);
+        CHECK(fleet.runs("id=a") == 2);
+    }
+    SECTION("an interim answer does not stand for the final one")
+    {
+        fleet.behave(1, R"({"interim_next":1})");
+        const auto answer = fleet.get("entry-1", "/state/a", {{"X-Id", "a"}});
+        REQUIRE(answer);
+        CHECK(answer->status == 200);
+        CHECK_FALSE(findHeader(answer->headers, "Link"));
+        CHECK(fleet.runs("id=a") == 1);
+    }
     SECTION("a stray answer on a used connection is not taken for the next request's")
     {
         fleet.behave(1, R"({"stray_next":3})");
@@ -179,6 +194,26 @@
     }
 }
 
+TEST_CASE("A proxy named in the environment gets nothing", "[process][answers]")
+{
+    ::setenv("http_proxy", "http://127.0.0.1:1", 1);
+    Fleet fleet(1);
+    fleet.startAll({"entry-1"});
+    ::unsetenv("http_proxy");
+    CHECK(fleet.get("entry-1", "/state/a")->status == 200);
+}
+
+TEST_CASE("A caller that expects 100-continue is told to go on", "[process][callers]")
+{
+    Fleet fleet(1);
+    fleet.startAll({"entry-1"});
+    RawCaller caller(fleet.address("entry-1", "callers"));
+    caller.send("POST /notes HTTP/1.1\r\nHost: liquidacion.example\r\nExpect: 100-continue\r\nContent-Length: 4\r\n\r\n");
+    CHECK(caller.readUntil("\r\n\r\n").find("HTTP/1.1 100") == 0);
+    caller.send("text");
+    CHECK(caller.readUntil("body=text\n").find("HTTP/1.1 200") == 0);
+}
+
 TEST_CASE("A deadline shrinks on the way and ends a request at once", "[process][callers]")
 {
     Fleet fleet;
--- a/tests/process/faulttests.cpp
+++ b/tests/process/faulttests.cpp
@@ -119,6 +119,31 @@
         CHECK(answer.get());
         CHECK(fleet.runs("key=k1") <= 1);
     }
+    SECTION("when its create's answer is lost and its backend server drops it, twice")
+    {
+        for (const std::string key : {"k1", "k2"}) {
+            fleet.faults(R"({"lose_answers":1,"lose_kind":"payout"})");
+            fleet.behave(1, R"({"drop_next":1})");
+            fleet.behave(2, R"({"drop_next":1})");
+            CHECK(tells(fleet.pay("entry-1", key), 502, "unknown"));
+            CHECK(tells(fleet.pay("entry-2", key), 409, "unknown"));
+            CHECK(fleet.runs("key=" + key) == 1);
+        }
+    }
+    SECTION("when its entry VM is killed while the platform loses answers, and one takes its name")
+    {
+        fleet.behave(1, R"({"service_us":400000})");
+        fleet.behave(2, R"({"service_us":400000})");
+        fleet.faults(R"({"lose_answers":1,"lose_kind":"payout"})");
+        auto answer = payLater(fleet, "entry-1", "k1");
+        CHECK(eventually([&] { return fleet.runs("key=k1") == 1; }));
+        fleet.killEntryVm("entry-1");
+        answer.get();
+        fleet.startEntryVm("entry-1");
+        CHECK(eventually([&] { return fleet.isReady("entry-1"); }));
+        CHECK(tells(fleet.pay("entry-1", "k1"), 409, "unknown"));
+        CHECK(fleet.runs("key=k1") == 1);
+    }
     SECTION("with many repeats at once through both entry VMs")
     {
         constexpr int Repeats = 16;
--- a/tests/property/budgetproperties.cpp
+++ b/tests/property/budgetproperties.cpp
@@ -48,6 +48,7 @@
 /// A measurement that was sent.
 struct Probe {
     TimePoint at;
+    std::size_t machine = 0;
     int share = 0;
     bool isHolder = false; ///< False when the share had been taken from the sender.
 };
@@ -61,7 +62,7 @@
         , random_(1)
     {
         for (std::size_t index = 0; index < machines_.size(); ++index) {
-            restart(index);
+            restart(index, true);
         }
     }
 
@@ -80,7 +81,7 @@
             togglePause(index);
             break;
         case 3:
-            restart(index);
+            restart(index, *rc::gen::arbitrary<bool>());
             break;
         default:
             talk();
@@ -137,6 +138,21 @@
         return false;
     }
 
+    /// Ends the process that has just measured and starts another one on its address, which claims the share anew.
+    void restartAfterProbe()
+    {
+        const std::size_t before = probes_.size();
+        for (int round = 0; round < 400 && probes_.size() == before; ++round) {
+            now_ += milliseconds(100);
+            talk();
+            tickAll();
+            workAll();
+        }
+        if (probes_.size() > before) {
+            restart(probes_.back().machine, true);
+        }
+    }
+
     void wakeAll()
     {
         for (Machine &machine : machines_) {
@@ -151,7 +167,7 @@
     }
 
 private:
-    void restart(std::size_t index)
+    void restart(std::size_t index, bool keepsAddress)
     {
         Machine &machine = machines_[index];
         // Only a process that has ended can be started again; what it had handed to the network may still go out.
@@ -161,7 +177,7 @@
         Member self;
         self.id = {name, std::to_string(machine.life)};
         // Sometimes a new machine under the old name: then nothing tells that the old process has ended.
-        self.peerAddress = *rc::gen::arbitrary<bool>() ? "127.0.0.1:" + std::to_string(9000 + index) : "127.0.0.1:" + std::to_string(++lastPort_);
+        self.peerAddress = keepsAddress ? "127.0.0.1:" + std::to_string(9000 + index) : "127.0.0.1:" + std::to_string(++lastPort_);
         machine.shares = std::make_unique<MeasuringShares>(ShareHolder{self.id, self.peerAddress});
         machine.members = std::make_unique<Membership>(self, std::vector<std::string>{});
         machine.shares->configure({{"reclamos", Budget, Window}});
@@ -254,7 +270,7 @@
         const bool isAlive = machine.life == pending.life;
         if (pending.isProbe) {
             // Also that of a process which has died since: it had been handed to the network.
-            probes_.push_back({now_, pending.share, isHolder(pending)});
+            probes_.push_back({now_, pending.machine, pending.share, isHolder(pending)});
             if (isAlive) {
                 machine.shares->probeFinished(now_, "reclamos", pending.share);
             }
@@ -311,6 +327,19 @@
     }));
 }
 
+TEST_CASE("A process that follows another on its address keeps the distance of its measurements", "[budget][property]")
+{
+    CHECK(rc::check("after many restarts right after a measurement", [] {
+        BudgetModel model;
+        model.run(seconds(60));
+        for (int round = 0; round < 20; ++round) {
+            model.restartAfterProbe();
+            model.run(seconds(3));
+        }
+        model.check();
+    }));
+}
+
 TEST_CASE("Shares are really used when all is well", "[budget]")
 {
     std::size_t probes = 0;
--- a/tests/standins/backend.cpp
+++ b/tests/standins/backend.cpp
@@ -25,6 +25,16 @@
 // The log is for tests; a benchmark must not fill the memory with it.
 constexpr std::size_t MaxLog = 200'000;
 
+/// @return whether one was left, and takes it.
+bool takeOne(int &left)
+{
+    if (left == 0) {
+        return false;
+    }
+    --left;
+    return true;
+}
+
 std::string header(const HttpRequest &request, const char *name)
 {
     return std::string(findHeader(request.headers, name).value_or("-"));
@@ -128,6 +138,8 @@
     bool isCut = false;
     bool isDropped = false;
     bool isStray = false;
+    bool isUnframed = false;
+    bool isInterim = false;
     std::chrono::microseconds time{};
     {
         const std::lock_guard lock(mutex_);
@@ -142,12 +154,11 @@
             time *= WarmUpFactor;
         }
         time += std::chrono::milliseconds(std::exchange(behaviour_.stallNextMs, 0));
-        isCut = behaviour_.cutNext > 0;
-        behaviour_.cutNext -= isCut ? 1 : 0;
-        isDropped = behaviour_.dropNext > 0;
-        behaviour_.dropNext -= isDropped ? 1 : 0;
-        isStray = behaviour_.strayNext > 0;
-        behaviour_.strayNext -= isStray ? 1 : 0;
+        isCut = takeOne(behaviour_.cutNext);
+        isDropped = takeOne(behaviour_.dropNext);
+        isStray = takeOne(behaviour_.strayNext);
+        isUnframed = takeOne(behaviour_.unframedNext);
+        isInterim = takeOne(behaviour_.interimNext);
     }
     std::this_thread::sleep_for(time);
     HttpAnswer answer;
@@ -161,6 +172,10 @@
     } else if (isCut) {
         const std::string length = std::to_string(answer.body.size() + 1);
         job.connection->answerBytes("HTTP/1.1 200 OK\r\nContent-Length: " + length + "\r\n\r\n" + answer.body, true);
+    } else if (isUnframed) {
+        job.connection->answerBytes("HTTP/1.1 200 OK\r\nX: 1\r\n\r\n" + answer.body, true);
+    } else if (isInterim) {
+        job.connection->answerBytes("HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n" + serialize(answer, false, false), false);
     } else if (isStray) {
         const std::string stray = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nstray";
         job.connection->answerBytes(serialize(answer, false, false) + stray, false);
@@ -231,6 +246,8 @@
         behaviour_.stallNextMs = json.value("stall_next_ms", behaviour_.stallNextMs);
         behaviour_.warmUp = json.value("warm_up", behaviour_.warmUp);
         behaviour_.strayNext = json.value("stray_next", behaviour_.strayNext);
+        behaviour_.unframedNext = json.value("unframed_next", behaviour_.unframedNext);
+        behaviour_.interimNext = json.value("interim_next", behaviour_.interimNext);
         behaviour_.echoesTag = json.value("echoes_tag", behaviour_.echoesTag);
     } else if (request.target == "/control/log") {
         for (const std::string &line : log_) {
