--- a/bench/policy/plot.cpp
+++ b/bench/policy/plot.cpp
@@ -46,7 +46,8 @@
     writeText(file, 10, 16, "p99 in ms at 80% of slots, median of 5 seeds");
     for (std::size_t index = 0; index < policies.size(); ++index) {
         const auto x = 10.0 + 175.0 * static_cast<double>(index % 3);
-        const auto y = 24.0 + 16.0 * static_cast<double>(index / 3);
+        const std::size_t line = index / 3;
+        const auto y = 24.0 + 16.0 * static_cast<double>(line);
         file << "<rect x=\"" << x << "\" y=\"" << y << "\" width=\"10\" height=\"10\" fill=\"" << Colours[index % Colours.size()] << "\"/>\n";
         writeText(file, x + 14, y + 9, policies[index]);
     }
--- a/bench/policy/trial.cpp
+++ b/bench/policy/trial.cpp
@@ -276,12 +276,11 @@
             return;
         }
         ++counted_;
-        if (!isAnswered && events_.now() - call.arrived >= Deadline) {
+        const bool isLate = !isAnswered && events_.now() - call.arrived >= Deadline;
+        if (isLate || (isAnswered && isError)) {
             ++errors_;
         } else if (!isAnswered) {
             ++refused_;
-        } else if (isError) {
-            ++errors_;
         } else {
             latencies_.push_back(toMilliseconds(events_.now() - call.arrived + call.extra));
         }
--- a/bench/processes/controlbench.cpp
+++ b/bench/processes/controlbench.cpp
@@ -13,6 +13,7 @@
 #include <chrono>
 #include <cstdio>
 #include <cstdlib>
+#include <sstream>
 #include <string>
 #include <thread>
 #include <vector>
@@ -41,17 +42,20 @@
 /// A configuration of the planned shape: services with equal shares of @p servers backend servers.
 std::string plannedDocument(int services, int servers)
 {
-    std::string text = "services:\n";
+    std::ostringstream text;
+    text << "services:\n";
     for (int service = 0; service < services; ++service) {
         const std::string name = "service-" + std::to_string(service);
-        text += "  - name: " + name + "\n    host: " + name + ".example\n    places: [zone-0, zone-1, zone-2, zone-3, zone-4, zone-5, zone-6, zone-7]\n"
-            + "    echoes_exchange_tag: true\n    kinds:\n      - {name: read, methods: [GET], path: /**, class: read}\n"
-            + "      - {name: pay, methods: [POST], path: /pay, class: payout}\n    measuring: {probes: 10, window_ms: 1000}\n    backend_servers:\n";
+        text << "  - name: " << name << "\n    host: " << name << ".example\n"
+             << "    places: [zone-0, zone-1, zone-2, zone-3, zone-4, zone-5, zone-6, zone-7]\n"
+             << "    echoes_exchange_tag: true\n    kinds:\n      - {name: read, methods: [GET], path: /**, class: read}\n"
+             << "      - {name: pay, methods: [POST], path: /pay, class: payout}\n"
+             << "    measuring: {probes: 10, window_ms: 1000}\n    backend_servers:\n";
         for (int server = service; server < servers; server += services) {
-            text += "      - {name: " + name + "-" + std::to_string(server) + ", address: 127.0.0.1:1, zone: zone-" + std::to_string(server % 8) + "}\n";
+            text << "      - {name: " << name << "-" << server << ", address: 127.0.0.1:1, zone: zone-" << server % 8 << "}\n";
         }
     }
-    return text;
+    return text.str();
 }
 
 std::int64_t platformCalls(Fleet &fleet)
@@ -136,10 +140,15 @@
 
 } // namespace
 
-int main()
+/// @param argv optionally entry VMs, services and backend servers of one measurement; else a series is made.
+int main(int argc, char **argv)
 {
     std::printf("| entry VMs | services | backend servers | KB/s a node | core %% | MB | platform calls/h | first spread s | spread s | document KB |\n"
                 "|---|---|---|---|---|---|---|---|---|---|\n");
+    if (argc > 3) {
+        measure(std::atoi(argv[1]), std::atoi(argv[2]), std::atoi(argv[3]));
+        return 0;
+    }
     for (const int entryVms : {2, 4, 8, 16, 32, 64}) {
         measure(entryVms, 3, 38);
     }
--- a/bench/processes/pathbench.cpp
+++ b/bench/processes/pathbench.cpp
@@ -48,7 +48,9 @@
     for (int number = 0; number < count; ++number) {
         const std::string id = std::to_string(caller) + "-" + std::to_string(number);
         const auto start = Clock::now();
-        connection.send("GET /state/" + id + " HTTP/1.1\r\nHost: liquidacion.example\r\nX-Id: " + id + "\r\nConnection: keep-alive\r\n\r\n");
+        std::string request = "GET /state/";
+        request.append(id).append(" HTTP/1.1\r\nHost: liquidacion.example\r\nX-Id: ").append(id).append("\r\n\r\n");
+        connection.send(request);
         const std::string answer = connection.readUntil("body=\n");
         run.latenciesMs.push_back(std::chrono::duration<double, std::milli>(Clock::now() - start).count());
         ++run.calls;
--- a/tests/process/callertests.cpp
+++ b/tests/process/callertests.cpp
@@ -145,6 +145,13 @@
             CHECK(bodyOf(fleet.get("entry-1", "/state/" + id, {{"X-Id", id}})).find("id=" + id + " ") != std::string::npos);
         }
     }
+    SECTION("a stray answer that comes while the next request is under way is not taken for its own")
+    {
+        CHECK(fleet.get("entry-1", "/state/warm"));
+        fleet.behave(1, R"({"stray_before_next":1})");
+        CHECK(bodyOf(fleet.get("entry-1", "/state/a", {{"X-Id", "a"}})).find("id=a body=") != std::string::npos);
+        CHECK(fleet.runs("id=a") == 2);
+    }
     SECTION("a backend server that does not echo the tag is answered whole on connections of their own")
     {
         fleet.apply(
--- a/tests/standins/backend.cpp
+++ b/tests/standins/backend.cpp
@@ -22,6 +22,7 @@
 using Json = nlohmann::json;
 
 constexpr int WarmUpFactor = 10;
+const std::string StrayAnswer = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nstray";
 // The log is for tests; a benchmark must not fill the memory with it.
 constexpr std::size_t MaxLog = 200'000;
 
@@ -138,6 +139,7 @@
     bool isCut = false;
     bool isDropped = false;
     bool isStray = false;
+    bool isStrayFirst = false;
     bool isUnframed = false;
     bool isInterim = false;
     std::chrono::microseconds time{};
@@ -157,6 +159,7 @@
         isCut = takeOne(behaviour_.cutNext);
         isDropped = takeOne(behaviour_.dropNext);
         isStray = takeOne(behaviour_.strayNext);
+        isStrayFirst = takeOne(behaviour_.strayBeforeNext);
         isUnframed = takeOne(behaviour_.unframedNext);
         isInterim = takeOne(behaviour_.interimNext);
     }
@@ -173,12 +176,14 @@
         const std::string length = std::to_string(answer.body.size() + 1);
         job.connection->answerBytes("HTTP/1.1 200 OK\r\nContent-Length: " + length + "\r\n\r\n" + answer.body, true);
     } else if (isUnframed) {
-        job.connection->answerBytes("HTTP/1.1 200 OK\r\nX: 1\r\n\r\n" + answer.body, true);
+        const std::string tag = header(job.request, "Cloverbarrow-Exchange");
+        job.connection->answerBytes("HTTP/1.1 200 OK\r\nCloverbarrow-Exchange: " + tag + "\r\n\r\n" + answer.body, true);
     } else if (isInterim) {
         job.connection->answerBytes("HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n" + serialize(answer, false, false), false);
+    } else if (isStrayFirst) {
+        job.connection->answerBytes(StrayAnswer + serialize(answer, false, false), false);
     } else if (isStray) {
-        const std::string stray = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nstray";
-        job.connection->answerBytes(serialize(answer, false, false) + stray, false);
+        job.connection->answerBytes(serialize(answer, false, false) + StrayAnswer, false);
     } else {
         job.connection->answer(answer, job.request.method == "HEAD");
     }
@@ -246,6 +251,7 @@
         behaviour_.stallNextMs = json.value("stall_next_ms", behaviour_.stallNextMs);
         behaviour_.warmUp = json.value("warm_up", behaviour_.warmUp);
         behaviour_.strayNext = json.value("stray_next", behaviour_.strayNext);
+        behaviour_.strayBeforeNext = json.value("stray_before_next", behaviour_.strayBeforeNext);
         behaviour_.unframedNext = json.value("unframed_next", behaviour_.unframedNext);
         behaviour_.interimNext = json.value("interim_next", behaviour_.interimNext);
         behaviour_.echoesTag = json.value("echoes_tag", behaviour_.echoesTag);
--- a/tests/standins/backend.h
+++ b/tests/standins/backend.h
@@ -33,6 +33,7 @@
     int stallNextMs = 0; ///< The next request holds its slot for this long.
     int warmUp = 0; ///< First requests take ten times as long.
     int strayNext = 0; ///< Next answers are followed by a second one that nobody asked for.
+    int strayBeforeNext = 0; ///< Next answers come after one that nobody asked for.
     int unframedNext = 0; ///< Next answers tell no length and end with their connection.
     int interimNext = 0; ///< Next answers come after an interim one.
     bool echoesTag = true;
