--- a/src/daemon/adminservice.cpp
+++ b/src/daemon/adminservice.cpp
@@ -22,6 +22,8 @@
 {
 
 constexpr std::size_t ChangeIdBytes = 16;
+// The history stands in the configuration's object, which has a bound.
+constexpr std::size_t MaxTextBytes = 500;
 
 Wire::Failure failure(Wire::FailureKind::type kind, std::string step, std::string peer, std::string message)
 {
@@ -35,8 +37,9 @@
 
 void requireText(const std::string &text, const std::string &name)
 {
-    if (text.empty()) {
-        throw failure(Wire::FailureKind::INVALID, "check change", "operator", "each change needs its " + name);
+    if (text.empty() || text.size() > MaxTextBytes) {
+        const std::string bound = std::to_string(MaxTextBytes);
+        throw failure(Wire::FailureKind::INVALID, "check change", "operator", "each change needs its " + name + ", of at most " + bound + " bytes");
     }
 }
 
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -277,7 +277,12 @@
 void Daemon::tick(bool isControl)
 {
     if (isControl) {
-        handle(ControlEvent(ControlTick{node_->workLeft()}));
+        WorkLeft left = node_->workLeft();
+        if (stopsTaken_ > 0) {
+            // An answer is not given before its last byte has left.
+            left.requests += callerServer_->unsentAnswers();
+        }
+        handle(ControlEvent(ControlTick{left}));
     } else if (gateway_->hasOpenExchanges()) {
         handle(ServicesTick{});
     }
--- a/src/net/callerconnection.cpp
+++ b/src/net/callerconnection.cpp
@@ -140,6 +140,12 @@
     return state_ == State::Closed;
 }
 
+bool CallerConnection::isSending() const
+{
+    const std::lock_guard lock(mutex_);
+    return state_ == State::Sending;
+}
+
 bool CallerConnection::isReset() const
 {
     const std::lock_guard lock(mutex_);
--- a/src/net/callerconnection.h
+++ b/src/net/callerconnection.h
@@ -55,6 +55,8 @@
     void sweep(TimePoint now, Duration bound);
 
     bool isClosed() const;
+    /// @return whether part of an answer has not been sent yet.
+    bool isSending() const;
     /// @return whether the caller's machine has reset the connection.
     bool isReset() const;
 
--- a/src/net/callerserver.cpp
+++ b/src/net/callerserver.cpp
@@ -160,9 +160,10 @@
         connections_->closeAll();
     }
 
-    std::size_t openConnections() const
+    std::size_t unsentAnswers() const
     {
-        return connections_->all().size();
+        const auto all = connections_->all();
+        return static_cast<std::size_t>(std::count_if(all.begin(), all.end(), [](const auto &connection) { return connection->isSending(); }));
     }
 
 private:
@@ -193,9 +194,9 @@
     impl_->closeConnections();
 }
 
-std::size_t CallerServer::openConnections() const
+std::size_t CallerServer::unsentAnswers() const
 {
-    return impl_->openConnections();
+    return impl_->unsentAnswers();
 }
 
 } // namespace Cloverbarrow
--- a/src/net/callerserver.h
+++ b/src/net/callerserver.h
@@ -42,8 +42,8 @@
     void sweep(TimePoint now);
     /// Closes idle connections, and each other one after its answer. New ones are still answered.
     void closeConnections();
-    /// @return connections that are not closed yet.
-    std::size_t openConnections() const;
+    /// @return answers that are on their way to slow readers.
+    std::size_t unsentAnswers() const;
 
 private:
     class Impl;
--- a/tests/process/faulttests.cpp
+++ b/tests/process/faulttests.cpp
@@ -311,6 +311,21 @@
         CHECK(fleet.entryVm("entry-1").wait() == 0);
         CHECK(fleet.payoutState("entry-2", "k1") == "settled");
     }
+    SECTION("nor a large answer that its caller reads slowly")
+    {
+        constexpr int SmallBuffer = 4096;
+        fleet.behave(1, R"({"service_us":1000})");
+        fleet.behave(2, R"({"service_us":1000})");
+        const std::string large(8'000'000, 'x');
+        RawCaller slow(fleet.address("entry-1", "callers"), SmallBuffer);
+        slow.send("POST /notes HTTP/1.1\r\nHost: liquidacion.example\r\nX-Id: large\r\nContent-Length: 8000000\r\n\r\n" + large);
+        const std::string start = slow.readUntil("HTTP/1.1 200");
+        fleet.entryVm("entry-1").signal(SIGTERM);
+        CHECK(eventually([&] { return !fleet.isReady("entry-1"); }));
+        std::this_thread::sleep_for(std::chrono::milliseconds(300));
+        CHECK(start.size() + slow.readAll().size() > large.size());
+        CHECK(fleet.entryVm("entry-1").wait() == 0);
+    }
     SECTION("a second signal ends it at once and tells that work was left")
     {
         auto read = std::async(std::launch::async, [&fleet] { return fleet.get("entry-1", "/state/a", {{"X-Id", "a"}}); });
--- a/tests/process/rawcaller.h
+++ b/tests/process/rawcaller.h
@@ -26,9 +26,13 @@
 class RawCaller
 {
 public:
-    explicit RawCaller(const std::string &address)
+    /// @param receiveBuffer bytes that the kernel takes before the caller reads; 0 leaves it to the kernel.
+    explicit RawCaller(const std::string &address, int receiveBuffer = 0)
         : socket_(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0))
     {
+        if (receiveBuffer > 0) {
+            ::setsockopt(socket_.get(), SOL_SOCKET, SO_RCVBUF, &receiveBuffer, sizeof(receiveBuffer));
+        }
         const auto parsed = parseSocketAddress(address).value();
         sockaddr_in target{};
         target.sin_family = AF_INET;
--- a/tests/unit/routingtabletests.cpp
+++ b/tests/unit/routingtabletests.cpp
@@ -54,8 +54,9 @@
         CHECK(finds("x", "GET", "/reclamos/7", {0, 0}));
         CHECK(finds("x", "GET", "/reclamos/old/7", {1, 0}));
     }
-    SECTION("by host, whatever its port")
+    SECTION("by host, whatever its port and case")
     {
+        CHECK(finds("Polizas.EXAMPLE", "GET", "/terms", {2, 0}));
         CHECK(finds("polizas.example:8080", "HEAD", "/terms", {2, 0}));
     }
     SECTION("without regard to the query")
