--- a/src/core/burnreport.cpp
+++ b/src/core/burnreport.cpp
@@ -17,6 +17,8 @@
 // The usual pairs of a 30-day budget: 2% of it in an hour pages, 5% in six hours files a ticket.
 constexpr double PageRate = 14.4;
 constexpr double TicketRate = 6;
+// Of fewer requests in an hour a rate says nothing.
+constexpr std::int64_t FewestRequests = 20;
 constexpr std::size_t FiveMinutes = 0;
 constexpr std::size_t OneHour = 1;
 constexpr std::size_t SixHours = 2;
@@ -30,8 +32,11 @@
     return static_cast<double>(bad) / static_cast<double>(total) / allowed;
 }
 
-BurnAlert alertOf(const std::array<double, BurnWindows.size()> &rates)
+BurnAlert alertOf(const std::array<double, BurnWindows.size()> &rates, const WindowCounts &counts)
 {
+    if (counts[OneHour].total < FewestRequests) {
+        return BurnAlert::None;
+    }
     if (rates[OneHour] >= PageRate && rates[FiveMinutes] >= PageRate) {
         return BurnAlert::Page;
     }
@@ -56,7 +61,7 @@
         line.rates[window] = rateOf(bad, total, line.objectivePercent);
     }
     line.requests = counts.back().total;
-    line.alert = alertOf(line.rates);
+    line.alert = alertOf(line.rates, counts);
     return line;
 }
 
--- a/src/core/lease.cpp
+++ b/src/core/lease.cpp
@@ -62,21 +62,21 @@
     isAsking_ = false;
     nextAt_ = now;
     if (const auto *written = std::get_if<StoreWritten>(&result)) {
-        confirmed(now, written->version);
+        confirmed(written->version);
     } else if (const auto *found = std::get_if<StoreFound>(&result)) {
         const auto content = decodeLease(found->value);
         const bool isOwn = content && content->holder == self_;
         if (isReadingBack_ && isOwn && content->renewal == renewal_) {
-            confirmed(now, found->version);
+            confirmed(found->version);
         } else {
-            if (!isOwn && firstHeldAt_) {
+            if (!isOwn && isHeld_) {
                 taken();
             }
             version_ = found->version;
         }
         isReadingBack_ = false;
     } else if (std::holds_alternative<StoreMissing>(result)) {
-        if (firstHeldAt_) {
+        if (isHeld_) {
             taken();
         }
         version_ = 0;
@@ -101,25 +101,18 @@
     return losses_;
 }
 
-std::optional<TimePoint> Lease::firstHeldAt() const
-{
-    return firstHeldAt_;
-}
-
-void Lease::confirmed(TimePoint now, std::int64_t version)
+void Lease::confirmed(std::int64_t version)
 {
     version_ = version;
     validUntil_ = sentAt_ + LeaseDuration - LeaseMargin;
-    if (!firstHeldAt_) {
-        firstHeldAt_ = now;
-    }
+    isHeld_ = true;
     nextAt_ = sentAt_ + RenewalInterval;
 }
 
 void Lease::taken()
 {
     validUntil_.reset();
-    firstHeldAt_.reset();
+    isHeld_ = false;
     ++losses_;
 }
 
--- a/src/core/lease.h
+++ b/src/core/lease.h
@@ -49,11 +49,9 @@
     bool isValid(TimePoint now) const;
     /// Counts how often another writer took the lease away; what was held under it is gone.
     std::uint64_t losses() const;
-    /// @return since when the lease object has been this incarnation's, if it is.
-    std::optional<TimePoint> firstHeldAt() const;
 
 private:
-    void confirmed(TimePoint now, std::int64_t version);
+    void confirmed(std::int64_t version);
     void taken();
 
     Incarnation self_;
@@ -63,7 +61,7 @@
     bool isAsking_ = false;
     bool isReadingBack_ = false;
     std::optional<TimePoint> validUntil_;
-    std::optional<TimePoint> firstHeldAt_;
+    bool isHeld_ = false; ///< Since a renewal was confirmed and until another writer takes the object.
     TimePoint nextAt_;
     std::uint64_t losses_ = 0;
 };
--- a/src/core/pickpolicy.h
+++ b/src/core/pickpolicy.h
@@ -46,7 +46,8 @@
     double farRegionPenalty = 8; ///< The same for another region: it gets what the own one cannot take.
 };
 
-/// The server with the fewest attempts of this entry VM and, as last told, of its peers.
+/// The server with the fewest attempts of this entry VM and, as last told, of its peers. Compared in the
+/// benchmark only: docs/POLICY.md says why it was not chosen, so no peer tells its attempts.
 struct SharedInFlightPick {
 };
 
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -104,9 +104,7 @@
             sweep();
         }
         if (ticks % TicksPerGauges == 0) {
-            const auto live = node_->withControl([](const ControlShard &control) { return control.membership().liveCount(); });
-            const auto intent = node_->intent();
-            telemetry_.setGauges(live, intent ? intent->version : 0, unreadyReason().empty(), platform_.calls());
+            tellGauges();
         }
         ++ticks;
         {
@@ -288,6 +286,16 @@
     }
 }
 
+void Daemon::tellGauges()
+{
+    NodeGauges gauges = node_->withControl([](const ControlShard &control) {
+        const Membership &membership = control.membership();
+        return NodeGauges{membership.liveCount(), membership.clearedSuspicions(), control.intent().version(), control.isReady(), 0};
+    });
+    gauges.platformCalls = platform_.calls();
+    telemetry_.setGauges(gauges);
+}
+
 void Daemon::sweep()
 {
     callerServer_->sweep(bootNow());
--- a/src/daemon/daemon.h
+++ b/src/daemon/daemon.h
@@ -69,6 +69,7 @@
     void applyConnectionCap();
     /// @param isControl whether everything is to be looked at, or only the services.
     void tick(bool isControl);
+    void tellGauges();
     void sweep();
     void takeStopRequests();
     std::string unreadyReason() const;
--- a/src/daemon/telemetry.cpp
+++ b/src/daemon/telemetry.cpp
@@ -90,12 +90,14 @@
     families_->probes.Add({{"service", service}}).Increment();
 }
 
-void Telemetry::setGauges(std::size_t liveEntryVms, std::int64_t configurationVersion, bool isReady, std::uint64_t platformCalls)
+void Telemetry::setGauges(const NodeGauges &gauges)
 {
-    families_->state.Add({{"of", "live_entry_vms"}}).Set(static_cast<double>(liveEntryVms));
-    families_->state.Add({{"of", "configuration_version"}}).Set(static_cast<double>(configurationVersion));
-    families_->state.Add({{"of", "ready"}}).Set(isReady ? 1 : 0);
-    families_->state.Add({{"of", "platform_calls"}}).Set(static_cast<double>(platformCalls));
+    const auto set = [this](const char *name, double value) { families_->state.Add({{"of", name}}).Set(value); };
+    set("live_entry_vms", static_cast<double>(gauges.liveEntryVms));
+    set("cleared_suspicions", static_cast<double>(gauges.clearedSuspicions));
+    set("configuration_version", static_cast<double>(gauges.configurationVersion));
+    set("ready", gauges.isReady ? 1 : 0);
+    set("platform_calls", static_cast<double>(gauges.platformCalls));
 }
 
 std::vector<Telemetry::Burn> Telemetry::burn(TimePoint now) const
--- a/src/daemon/telemetry.h
+++ b/src/daemon/telemetry.h
@@ -38,6 +38,15 @@
     Unknown,
 };
 
+/// State of this entry VM, as metrics tell it.
+struct NodeGauges {
+    std::size_t liveEntryVms = 0;
+    std::size_t clearedSuspicions = 0; ///< Peers that were suspected and turned out alive.
+    std::int64_t configurationVersion = 0;
+    bool isReady = false;
+    std::uint64_t platformCalls = 0;
+};
+
 /// Metrics of this entry VM and the counts behind the report on service-level burn.
 /// Labels come from the configuration only, so callers cannot make their number grow.
 class Telemetry
@@ -50,7 +59,7 @@
     void requestEnded(TimePoint now, const Service &service, const RequestKind &kind, CallerOutcome outcome, Duration latency);
     void attemptStarted(const std::string &service, bool isRetry);
     void probeStarted(const std::string &service);
-    void setGauges(std::size_t liveEntryVms, std::int64_t configurationVersion, bool isReady, std::uint64_t platformCalls);
+    void setGauges(const NodeGauges &gauges);
 
     /// One service and kind over one window.
     struct Burn {
