A shutdown with the platform down does not wait for its shares until the limit

Cause: shares of a measuring budget could not be given back while the platform refused, so SIGTERM took the whole limit of 60 s and exited with 3 although nothing was left. Change: shares hold a shutdown up for 3 s at most (their lease lapses by itself) and are no work left; Thrift's own lines on the standard error are silenced once.

--- a/src/core/shutdownsequence.cpp
+++ b/src/core/shutdownsequence.cpp
@@ -10,6 +10,12 @@
 namespace Cloverbarrow
 {
 
+namespace
+{
+// A platform that works takes the shares back within a few calls.
+constexpr Duration GiveBackPatience = seconds(3);
+} // namespace
+
 ShutdownSequence::ShutdownSequence(Duration notice, Duration limit)
     : notice_(notice)
     , limit_(limit)
@@ -31,7 +37,8 @@
     if (phase_ == Phase::NotReady && now - requestedAt_ >= notice_) {
         phase_ = Phase::Finishing;
     }
-    const bool isFinished = phase_ == Phase::Finishing && left.isNone();
+    const bool isGivenBack = !left.holdsShares || now - requestedAt_ >= notice_ + GiveBackPatience;
+    const bool isFinished = phase_ == Phase::Finishing && left.isNone() && isGivenBack;
     const bool isOverdue = phase_ != Phase::Serving && now - requestedAt_ >= limit_;
     if (isFinished || isOverdue) {
         phase_ = Phase::Done;
--- a/src/core/shutdownsequence.h
+++ b/src/core/shutdownsequence.h
@@ -19,11 +19,12 @@
 struct WorkLeft {
     std::size_t requests = 0;
     std::size_t payouts = 0; ///< Whose record is not yet as it should be.
-    bool holdsShares = false;
+    bool holdsShares = false; ///< Not given back yet; their lease lapses by itself.
 
+    /// @return whether nothing is left that a caller could miss.
     bool isNone() const
     {
-        return requests == 0 && payouts == 0 && !holdsShares;
+        return requests == 0 && payouts == 0;
     }
 };
 
--- a/src/net/thriftserver.cpp
+++ b/src/net/thriftserver.cpp
@@ -11,7 +11,6 @@
 #include "net/wire.h"
 
 #include <thrift/TConfiguration.h>
-#include <thrift/TOutput.h>
 #include <thrift/protocol/TCompactProtocol.h>
 #include <thrift/server/TThreadedServer.h>
 #include <thrift/transport/TBufferTransports.h>
@@ -85,8 +84,7 @@
         : host_(parseSocketAddress(address).value().host)
         , socket_(makeSocket(parseSocketAddress(address).value()))
     {
-        // The library would print each closed connection to the standard error.
-        apache::thrift::GlobalOutput.setOutputFunction([](const char *) {});
+        silenceThrift();
         server_ = std::make_unique<TThreadedServer>(processor, socket_, std::make_shared<BoundedFrames>(), std::make_shared<TCompactProtocolFactory>());
         server_->setConcurrentClientLimit(MaxClients);
         auto notice = std::make_shared<ListenNotice>();
--- a/src/net/wire.cpp
+++ b/src/net/wire.cpp
@@ -7,6 +7,10 @@
 
 #include "net/wire.h"
 
+#include <thrift/TOutput.h>
+
+#include <mutex>
+
 namespace Cloverbarrow
 {
 
@@ -55,6 +59,12 @@
 
 } // namespace
 
+void silenceThrift()
+{
+    static std::once_flag once;
+    std::call_once(once, [] { apache::thrift::GlobalOutput.setOutputFunction([](const char *) {}); });
+}
+
 Wire::Heartbeat toWire(const Heartbeat &heartbeat)
 {
     Wire::Heartbeat wire;
--- a/src/net/wire.h
+++ b/src/net/wire.h
@@ -17,6 +17,9 @@
 /// Largest Thrift message in bytes; a configuration of a megabyte fits.
 constexpr int MaxThriftMessage = 4 * 1024 * 1024;
 
+/// Keeps the library from printing each failed connection to the standard error; errors reach the log as such.
+void silenceThrift();
+
 Wire::Heartbeat toWire(const Heartbeat &heartbeat);
 Heartbeat fromWire(const Wire::Heartbeat &heartbeat);
 
