--- a/src/core/intentchange.cpp
+++ b/src/core/intentchange.cpp
@@ -72,9 +72,9 @@
 
 void IntentChange::judge(const StoreFound &found)
 {
-    const auto decoded = decodeIntent(found.version, found.value);
+    const auto decoded = decodeIntentUnchecked(found.value);
     if (decoded) {
-        const auto &history = decoded.value()->intent.history;
+        const auto &history = decoded.value().history;
         const auto isOwn = [this](const AcceptedChange &change) { return change.id == changeId_; };
         if (std::any_of(history.begin(), history.end(), isOwn)) {
             // Possibly with later changes on top: the own change is in force either way.
--- a/src/core/operatorintent.cpp
+++ b/src/core/operatorintent.cpp
@@ -70,16 +70,25 @@
     return json.dump(-1, ' ', false, Json::error_handler_t::replace);
 }
 
-Result<std::shared_ptr<const IntentInForce>> decodeIntent(std::int64_t version, std::string_view value)
+Result<OperatorIntent> decodeIntentUnchecked(std::string_view value)
 {
-    auto decoded = std::make_shared<IntentInForce>();
-    decoded->version = version;
-    decoded->value = std::string(value);
     try {
-        decoded->intent = intentFrom(value);
+        return intentFrom(value);
     } catch (const Json::exception &exception) {
         return unreadable(exception.what());
     }
+}
+
+Result<std::shared_ptr<const IntentInForce>> decodeIntent(std::int64_t version, std::string_view value)
+{
+    auto intent = decodeIntentUnchecked(value);
+    if (!intent) {
+        return std::move(intent).error();
+    }
+    auto decoded = std::make_shared<IntentInForce>();
+    decoded->version = version;
+    decoded->value = std::string(value);
+    decoded->intent = std::move(intent).value();
     auto parsed = parseConfiguration(decoded->intent.document);
     if (const auto *faults = std::get_if<std::vector<DocumentFault>>(&parsed)) {
         return unreadable(faults->front().toString("configuration"));
--- a/src/core/operatorintent.h
+++ b/src/core/operatorintent.h
@@ -57,6 +57,10 @@
 
 std::string encodeIntent(const OperatorIntent &intent);
 
+/// Reads an object without checking its configuration, so that one which a later release refuses can still be
+/// replaced.
+Result<OperatorIntent> decodeIntentUnchecked(std::string_view value);
+
 /// Reads and checks an object of the platform or a peer as a whole.
 Result<std::shared_ptr<const IntentInForce>> decodeIntent(std::int64_t version, std::string_view value);
 
--- a/src/ctl/commands.cpp
+++ b/src/ctl/commands.cpp
@@ -11,14 +11,13 @@
 #include "ctl/output.h"
 #include "ctl/session.h"
 #include "ctl/statuscommand.h"
+#include "net/textfile.h"
 
 #include <algorithm>
 #include <chrono>
 #include <ctime>
-#include <fstream>
 #include <functional>
 #include <optional>
-#include <sstream>
 #include <thread>
 
 namespace Cloverbarrow
@@ -36,17 +35,6 @@
     std::function<CtlExit(const Session &)> run;
 };
 
-std::optional<std::string> readFile(const std::string &path)
-{
-    std::ifstream file(path);
-    if (!file) {
-        return std::nullopt;
-    }
-    std::ostringstream content;
-    content << file.rdbuf();
-    return content.str();
-}
-
 std::string timeText(std::int64_t milliseconds)
 {
     const std::time_t seconds = milliseconds / 1000;
@@ -76,7 +64,7 @@
 
 CtlExit apply(const Session &session)
 {
-    const auto document = readFile(session.arguments[0]);
+    const auto document = readTextFile(session.arguments[0]);
     if (!document) {
         session.err << "read configuration: cannot open " << session.arguments[0] << "\n";
         return CtlExit::Usage;
--- a/src/daemon/adminservice.cpp
+++ b/src/daemon/adminservice.cpp
@@ -107,8 +107,8 @@
     {
         auto conflict = failure(Wire::FailureKind::CONFLICT, "accept change", "platform", "another change came first; nothing was changed");
         conflict.currentVersion = outcome.version;
-        if (const auto decoded = decodeIntent(outcome.version, outcome.value)) {
-            conflict.diff = diffLines(decoded.value()->intent.document, sent);
+        if (const auto decoded = decodeIntentUnchecked(outcome.value)) {
+            conflict.diff = diffLines(decoded.value().document, sent);
         }
         throw conflict;
     }
@@ -353,11 +353,11 @@
     if (found.version == 0) {
         return {};
     }
-    const auto decoded = decodeIntent(found.version, found.value);
+    const auto decoded = decodeIntentUnchecked(found.value);
     if (!decoded) {
         throw failure(Wire::FailureKind::INVALID, "read configuration", "platform", decoded.error().message);
     }
-    return decoded.value()->intent;
+    return decoded.value();
 }
 
 std::int64_t AdminService::accept(std::int64_t expectedVersion, const OperatorIntent &next)
--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -7,6 +7,7 @@
 
 #include "daemon/daemon.h"
 #include "daemon/settings.h"
+#include "net/textfile.h"
 
 #include <absl/flags/flag.h>
 #include <absl/flags/parse.h>
@@ -15,9 +16,7 @@
 
 #include <csignal>
 #include <cstdio>
-#include <fstream>
 #include <iostream>
-#include <sstream>
 
 ABSL_FLAG(std::string, settings, "", "settings file, YAML");
 ABSL_FLAG(bool, check_settings, false, "check the settings file and exit");
@@ -58,17 +57,6 @@
     spdlog::flush_on(spdlog::level::info);
 }
 
-std::optional<std::string> readFile(const std::string &path)
-{
-    std::ifstream file(path);
-    if (!file) {
-        return std::nullopt;
-    }
-    std::ostringstream content;
-    content << file.rdbuf();
-    return content.str();
-}
-
 int runDaemon(const Settings &settings)
 {
     startLogging(settings);
@@ -97,7 +85,7 @@
     absl::SetProgramUsageMessage("cloverbarrowd --settings=FILE [--check_settings]\nRuns one entry VM of the load balancer.");
     absl::ParseCommandLine(argc, argv);
     const std::string path = absl::GetFlag(FLAGS_settings);
-    const auto document = readFile(path);
+    const auto document = readTextFile(path);
     if (!document) {
         std::cerr << "cloverbarrowd: read settings: cannot open '" << path << "'; give --settings=FILE\n";
         return ExitBadSettings;
--- a/tests/process/callertests.cpp
+++ b/tests/process/callertests.cpp
@@ -81,6 +81,34 @@
     }
 }
 
+TEST_CASE("Requests that cannot be read get a clear answer and end their connection", "[process][callers]")
+{
+    Fleet fleet(1);
+    fleet.startAll({"entry-1"});
+    const std::string post = "POST /notes HTTP/1.1\r\nHost: liquidacion.example\r\n";
+    const std::vector<std::pair<std::string, std::string>> requests = {
+        {"NONSENSE\r\n\r\n", "400"},
+        {"GET /state/a HTTP/1.1\r\n\r\n", "400"},
+        {post + "Content-Length: -1\r\n\r\n", "400"},
+        {post + "Content-Length: 99999999999999999999\r\n\r\n", "413"},
+        {post + "Content-Length: 9000000\r\n\r\n", "413"},
+        {post + "Content-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", "400"},
+        {"GET /state/../payouts HTTP/1.1\r\nHost: liquidacion.example\r\n\r\n", "400"},
+        {"GET /state/a HTTP/3.0\r\nHost: liquidacion.example\r\n\r\n", "505"},
+        {"GET /" + std::string(40'000, 'a') + " HTTP/1.1\r\nHost: liquidacion.example\r\n\r\n", "431"},
+    };
+    for (const auto &[bytes, status] : requests) {
+        INFO(bytes.substr(0, 80));
+        RawCaller caller(fleet.address("entry-1", "callers"));
+        caller.send(bytes);
+        const std::string read = caller.readAll();
+        CHECK(read.find("HTTP/1.1 " + status) == 0);
+        CHECK(read.find("\"outcome\":\"not-run\"") != std::string::npos);
+    }
+    CHECK(fleet.runs("POST") == 0);
+    CHECK(fleet.get("entry-1", "/state/a")->status == 200);
+}
+
 TEST_CASE("A late answer never reaches a later connection", "[process][callers]")
 {
     Fleet fleet;
