--- a/idl/admin.thrift
+++ b/idl/admin.thrift
@@ -103,6 +103,10 @@
     6: list<EntryVmStatus> entryVms,
     7: list<BackendStatus> backends,
     8: list<ShareStatus> shares,
+    /** Whether this entry VM's own lease is valid; it needs one only while it holds shares. */
+    9: bool isLeaseValid,
+    /** Drained by operators, each as service/backend. */
+    10: list<string> drains,
 }
 
 struct PayoutStatus {
--- a/src/core/measuringshares.cpp
+++ b/src/core/measuringshares.cpp
@@ -277,6 +277,11 @@
     return static_cast<std::size_t>(std::count_if(held.begin(), held.end(), [](const auto &entry) { return !entry.second.isDropped; }));
 }
 
+bool MeasuringShares::isLeaseValid(TimePoint now) const
+{
+    return lease_.isValid(now);
+}
+
 bool MeasuringShares::wantsAny() const
 {
     return std::any_of(services_.begin(), services_.end(), [](const auto &entry) { return !entry.second.wanted.empty(); });
--- a/src/core/measuringshares.h
+++ b/src/core/measuringshares.h
@@ -59,6 +59,7 @@
     /// @return whether a share is still this entry VM's.
     bool holdsAny() const;
     std::size_t heldCount(const std::string &service) const;
+    bool isLeaseValid(TimePoint now) const;
 
 private:
     struct Held {
--- a/src/ctl/statuscommand.cpp
+++ b/src/ctl/statuscommand.cpp
@@ -23,6 +23,8 @@
                  {"ready", status.isReady},
                  {"reason", status.reason},
                  {"platform_silent", status.isPlatformSilent},
+                 {"lease_valid", status.isLeaseValid},
+                 {"drains", status.drains},
                  {"entry_vms", Json::array()},
                  {"backend_servers", Json::array()},
                  {"measuring_shares", Json::array()}};
@@ -73,6 +75,12 @@
     for (const Wire::ShareStatus &share : status.shares) {
         shares.add({share.serviceName, std::to_string(share.held)});
     }
+    std::string drains;
+    for (const std::string &drain : status.drains) {
+        drains += " " + drain;
+    }
+    session.out << "drained:" << (drains.empty() ? " none" : drains) << "\n"
+                << "own lease: " << (status.isLeaseValid ? "valid" : "none needed or not valid") << "\n\n";
     session.out << vms.toString() << "\n" << backends.toString() << "\n" << shares.toString();
 }
 
--- a/src/daemon/adminservice.cpp
+++ b/src/daemon/adminservice.cpp
@@ -225,7 +225,9 @@
         result.isReady = control.isReady();
         result.reason = control.reason();
         result.isPlatformSilent = control.intent().isPlatformSilent(now);
+        result.isLeaseValid = control.shares().isLeaseValid(now);
         if (intent) {
+            result.drains = intent->intent.drains;
             for (const Service &service : intent->configuration.services) {
                 Wire::ShareStatus share;
                 share.serviceName = service.name;
--- a/tests/adapters/adminservicetests.cpp
+++ b/tests/adapters/adminservicetests.cpp
@@ -13,7 +13,6 @@
 
 using namespace Cloverbarrow;
 using namespace Cloverbarrow::Tests;
-using trompeloeil::_;
 
 namespace
 {
@@ -85,7 +84,7 @@
 TEST_CASE("An invalid document never reaches the platform", "[administration]")
 {
     Fixture fixture;
-    FORBID_CALL(fixture.platform, call(_, _));
+    FORBID_CALL(fixture.platform, call(trompeloeil::_, trompeloeil::_));
     Wire::ApplyResult result;
     Wire::ApplyRequest request = fixture.request(0);
     SECTION("for its content")
@@ -106,7 +105,7 @@
 TEST_CASE("A dry run only reads", "[administration]")
 {
     Fixture fixture;
-    REQUIRE_CALL(fixture.platform, call(_, _)).WITH(isRead(_1)).SIDE_EFFECT(_2(StoreMissing{}));
+    REQUIRE_CALL(fixture.platform, call(trompeloeil::_, trompeloeil::_)).WITH(isRead(_1)).SIDE_EFFECT(_2(StoreMissing{}));
     Wire::ApplyRequest request = fixture.request(0);
     request.isDryRun = true;
     Wire::ApplyResult result;
@@ -118,7 +117,7 @@
 TEST_CASE("A change over an old version writes nothing", "[administration]")
 {
     Fixture fixture;
-    REQUIRE_CALL(fixture.platform, call(_, _)).WITH(isRead(_1)).SIDE_EFFECT(_2(StoreFound{7, encodeIntent({"old: text\n", {}, {}})}));
+    REQUIRE_CALL(fixture.platform, call(trompeloeil::_, trompeloeil::_)).WITH(isRead(_1)).SIDE_EFFECT(_2(StoreFound{7, encodeIntent({"old: text\n", {}, {}})}));
     Wire::ApplyResult result;
     CHECK(failureOf([&] { fixture.admin.apply(result, fixture.request(6)); }) == Wire::FailureKind::CONFLICT);
 }
@@ -128,24 +127,24 @@
     Fixture fixture;
     std::string written;
     trompeloeil::sequence order;
-    REQUIRE_CALL(fixture.platform, call(_, _)).WITH(isRead(_1)).IN_SEQUENCE(order).SIDE_EFFECT(_2(StoreMissing{}));
-    REQUIRE_CALL(fixture.platform, call(_, _))
+    REQUIRE_CALL(fixture.platform, call(trompeloeil::_, trompeloeil::_)).WITH(isRead(_1)).IN_SEQUENCE(order).SIDE_EFFECT(_2(StoreMissing{}));
+    REQUIRE_CALL(fixture.platform, call(trompeloeil::_, trompeloeil::_))
         .WITH(isWriteOver(_1, 0))
         .IN_SEQUENCE(order)
         .LR_SIDE_EFFECT(written = std::get<StoreWrite>(_1.operation).value)
         .SIDE_EFFECT(_2(StoreUnknown{}));
     SECTION("it stands")
     {
-        REQUIRE_CALL(fixture.platform, call(_, _)).WITH(isRead(_1)).IN_SEQUENCE(order).LR_SIDE_EFFECT(_2(StoreFound{3, written}));
-        REQUIRE_CALL(fixture.events, handle(_));
+        REQUIRE_CALL(fixture.platform, call(trompeloeil::_, trompeloeil::_)).WITH(isRead(_1)).IN_SEQUENCE(order).LR_SIDE_EFFECT(_2(StoreFound{3, written}));
+        REQUIRE_CALL(fixture.events, handle(trompeloeil::_));
         Wire::ApplyResult result;
         fixture.admin.apply(result, fixture.request(0));
         CHECK(result.version == 3);
     }
     SECTION("it may still be on its way")
     {
-        REQUIRE_CALL(fixture.platform, call(_, _)).WITH(isRead(_1)).IN_SEQUENCE(order).SIDE_EFFECT(_2(StoreMissing{}));
-        FORBID_CALL(fixture.events, handle(_));
+        REQUIRE_CALL(fixture.platform, call(trompeloeil::_, trompeloeil::_)).WITH(isRead(_1)).IN_SEQUENCE(order).SIDE_EFFECT(_2(StoreMissing{}));
+        FORBID_CALL(fixture.events, handle(trompeloeil::_));
         Wire::ApplyResult result;
         CHECK(failureOf([&] { fixture.admin.apply(result, fixture.request(0)); }) == Wire::FailureKind::UNKNOWN);
     }
