--- a/src/core/address.cpp
+++ b/src/core/address.cpp
@@ -7,7 +7,7 @@
 
 #include "core/address.h"
 
-#include <charconv>
+#include "core/text.h"
 
 namespace Cloverbarrow
 {
@@ -15,18 +15,6 @@
 namespace
 {
 
-/// Reads the whole of @p text as a number up to @p highest.
-std::optional<int> parseNumber(std::string_view text, int highest)
-{
-    int value = 0;
-    const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
-    const bool isWhole = error == std::errc() && end == text.data() + text.size();
-    if (!isWhole || value < 0 || value > highest) {
-        return std::nullopt;
-    }
-    return value;
-}
-
 bool isIpNumber(std::string_view text)
 {
     constexpr int Parts = 4;
--- a/src/core/controlshard.cpp
+++ b/src/core/controlshard.cpp
@@ -94,7 +94,7 @@
     }
     std::vector<IntentAction> intentActions;
     intent_.tick(now, isWatcher(), intentActions);
-    carryOut(now, std::move(intentActions), actions);
+    carryOut(std::move(intentActions), actions);
     tickShares(now, actions);
     tickShutdown(now, event.left, actions);
 }
@@ -106,12 +106,11 @@
     unansweredPeers_.erase(heartbeat.sender.peerAddress);
     membership_.merge(now, heartbeat.sender, heartbeat.members);
     if (leaving_.merge(now, heartbeat.leaving)) {
-        actions.emplace_back(LeavingUpdated{});
-        hurry();
+        tellLeaving(actions);
     }
     std::vector<IntentAction> intentActions;
     intent_.peerHasVersion(now, heartbeat.sender.peerAddress, heartbeat.sender.configurationVersion, intentActions);
-    carryOut(now, std::move(intentActions), actions);
+    carryOut(std::move(intentActions), actions);
     updateFleetSize(now, actions);
 }
 
@@ -134,7 +133,7 @@
 {
     std::vector<IntentAction> intentActions;
     intent_.peerSent(now, event.address, event.version, event.value, intentActions);
-    carryOut(now, std::move(intentActions), actions);
+    carryOut(std::move(intentActions), actions);
 }
 
 void ControlShard::on(TimePoint, const IntentFetchFailed &, ControlActions &)
@@ -142,18 +141,18 @@
     intent_.fetchFailed();
 }
 
-void ControlShard::on(TimePoint now, const IntentAccepted &event, ControlActions &actions)
+void ControlShard::on(TimePoint, const IntentAccepted &event, ControlActions &actions)
 {
     std::vector<IntentAction> intentActions;
     intent_.accepted(event.version, event.value, intentActions);
-    carryOut(now, std::move(intentActions), actions);
+    carryOut(std::move(intentActions), actions);
 }
 
 void ControlShard::on(TimePoint now, const WatchAnswered &event, ControlActions &actions)
 {
     std::vector<IntentAction> intentActions;
     intent_.platformAnswered(now, event.newer, intentActions);
-    carryOut(now, std::move(intentActions), actions);
+    carryOut(std::move(intentActions), actions);
 }
 
 void ControlShard::on(TimePoint now, const WatchFailed &, ControlActions &)
@@ -186,16 +185,14 @@
     }
     membership_.addAddresses(addresses);
     if (isNews) {
-        actions.emplace_back(LeavingUpdated{});
-        hurry();
+        tellLeaving(actions);
     }
 }
 
 void ControlShard::on(TimePoint now, const LeavingSeen &event, ControlActions &actions)
 {
     if (leaving_.sign(now, event.service, event.backend)) {
-        actions.emplace_back(LeavingUpdated{});
-        hurry();
+        tellLeaving(actions);
     }
 }
 
@@ -305,17 +302,17 @@
     actions.emplace_back(FleetResized{fleetSize_});
 }
 
-void ControlShard::carryOut(TimePoint now, std::vector<IntentAction> intentActions, ControlActions &actions)
+void ControlShard::carryOut(std::vector<IntentAction> intentActions, ControlActions &actions)
 {
     for (IntentAction &intentAction : intentActions) {
         if (const auto *installed = std::get_if<InstallIntent>(&intentAction)) {
-            install(now, *installed->intent, actions);
+            install(*installed->intent);
         }
         std::visit([&actions](auto &typed) { actions.emplace_back(std::move(typed)); }, intentAction);
     }
 }
 
-void ControlShard::install(TimePoint, const IntentInForce &intent, ControlActions &)
+void ControlShard::install(const IntentInForce &intent)
 {
     membership_.setConfigurationVersion(intent.version);
     leaving_.setDrains(intent.intent.drains);
@@ -327,6 +324,12 @@
     hurry();
 }
 
+void ControlShard::tellLeaving(ControlActions &actions)
+{
+    actions.emplace_back(LeavingUpdated{});
+    hurry();
+}
+
 void ControlShard::hurry()
 {
     hurriedBeats_ = HurriedBeats;
--- a/src/core/controlshard.h
+++ b/src/core/controlshard.h
@@ -77,10 +77,12 @@
     void tickShutdown(TimePoint now, const WorkLeft &left, ControlActions &actions);
     void updateReadiness(TimePoint now, ControlActions &actions);
     void updateFleetSize(TimePoint now, ControlActions &actions);
-    void carryOut(TimePoint now, std::vector<IntentAction> intentActions, ControlActions &actions);
-    void install(TimePoint now, const IntentInForce &intent, ControlActions &actions);
+    void carryOut(std::vector<IntentAction> intentActions, ControlActions &actions);
+    void install(const IntentInForce &intent);
     /// Tells peers at once rather than with the next heartbeat.
     void hurry();
+    /// Tells the services and, at once, the peers that the leaving servers have changed.
+    void tellLeaving(ControlActions &actions);
     std::string unreadyReason(TimePoint now) const;
     bool hasStartedSafely() const;
 
--- a/src/core/measuringshares.cpp
+++ b/src/core/measuringshares.cpp
@@ -141,17 +141,11 @@
 void MeasuringShares::reconcile(TimePoint now, ServiceState &state, std::int64_t version, ShareTable table, const Membership &members)
 {
     for (auto &[share, held] : state.held) {
-        const auto index = static_cast<std::size_t>(share);
-        const bool isOwn = index < table.shares.size() && table.shares[index].holder == self_;
-        held.isDropped = held.isDropped || !isOwn;
+        held.isDropped = held.isDropped || !isOwn(table, share);
     }
     const ShareTable before = table;
     std::vector<int> claims = plan(now, state, table, members);
-    std::erase_if(state.held, [&table, this](const auto &entry) {
-        const auto index = static_cast<std::size_t>(entry.first);
-        const bool isOwn = index < table.shares.size() && table.shares[index].holder == self_;
-        return entry.second.isDropped && !entry.second.isOut && !isOwn;
-    });
+    std::erase_if(state.held, [&table, this](const auto &entry) { return entry.second.isDropped && !entry.second.isOut && !isOwn(table, entry.first); });
     adoptStanding(now, state, before, claims);
     if (table == before) {
         return;
@@ -165,8 +159,7 @@
 {
     // A claim whose answer was lost stands in the table already: no write is needed.
     const auto stands = [this, now, &state, &before](int number) {
-        const auto index = static_cast<std::size_t>(number);
-        if (index >= before.shares.size() || before.shares[index].holder != self_) {
+        if (!isOwn(before, number)) {
             return false;
         }
         state.held[number] = {now + state.budget.window, false, false};
@@ -235,25 +228,37 @@
 
 void MeasuringShares::probeFinished(TimePoint now, const std::string &service, int share)
 {
-    if (const auto found = services_.find(service); found != services_.end()) {
-        if (const auto held = found->second.held.find(share); held != found->second.held.end()) {
-            held->second.isOut = false;
-            // Counted from the end, since the sending lies somewhere before it.
-            held->second.nextAllowed = now + found->second.budget.window;
-        }
+    if (Held *held = findHeld(service, share)) {
+        held->isOut = false;
+        // Counted from the end, since the sending lies somewhere before it.
+        held->nextAllowed = now + services_.at(service).budget.window;
     }
 }
 
 void MeasuringShares::permitReturned(TimePoint now, const std::string &service, int share)
 {
-    if (const auto found = services_.find(service); found != services_.end()) {
-        if (const auto held = found->second.held.find(share); held != found->second.held.end()) {
-            held->second.isOut = false;
-            held->second.nextAllowed = std::max(held->second.nextAllowed, now + UnusedPermitPause);
-        }
+    if (Held *held = findHeld(service, share)) {
+        held->isOut = false;
+        held->nextAllowed = std::max(held->nextAllowed, now + UnusedPermitPause);
     }
 }
 
+MeasuringShares::Held *MeasuringShares::findHeld(const std::string &service, int share)
+{
+    const auto state = services_.find(service);
+    if (state == services_.end()) {
+        return nullptr;
+    }
+    const auto held = state->second.held.find(share);
+    return held == state->second.held.end() ? nullptr : &held->second;
+}
+
+bool MeasuringShares::isOwn(const ShareTable &table, int share) const
+{
+    const auto index = static_cast<std::size_t>(share);
+    return index < table.shares.size() && table.shares[index].holder == self_;
+}
+
 void MeasuringShares::startRelease()
 {
     isReleasing_ = true;
--- a/src/core/measuringshares.h
+++ b/src/core/measuringshares.h
@@ -88,6 +88,9 @@
     bool hasEnded(const ShareHolder &holder) const;
     void adoptStanding(TimePoint now, ServiceState &state, const ShareTable &before, std::vector<int> &claims);
     void permitDue(TimePoint now, ServiceState &state, std::vector<PermitProbe> &permits);
+    Held *findHeld(const std::string &service, int share);
+    /// @return whether @p table names this process as the share's holder.
+    bool isOwn(const ShareTable &table, int share) const;
     void dropAll();
     bool isOut(const ServiceState &state, int share) const;
     void tickService(TimePoint now, ServiceState &state, const Membership &members, std::vector<StoreCall> &calls, std::vector<PermitProbe> &permits);
--- a/src/core/membership.cpp
+++ b/src/core/membership.cpp
@@ -206,27 +206,14 @@
     return found == entries_.end() ? std::nullopt : std::optional(found->second.state);
 }
 
-template<typename Filter>
-std::vector<Member> Membership::members(const Filter &isWanted) const
+std::vector<Member> Membership::all() const
 {
-    std::vector<Member> chosen = {self_};
+    std::vector<Member> members = {self_};
     for (const auto &[id, entry] : entries_) {
-        if (isWanted(entry)) {
-            chosen.push_back(entry.member);
-        }
+        members.push_back(entry.member);
     }
-    std::sort(chosen.begin(), chosen.end(), [](const Member &left, const Member &right) { return left.id < right.id; });
-    return chosen;
-}
-
-std::vector<Member> Membership::all() const
-{
-    return members([](const Entry &) { return true; });
-}
-
-std::vector<Member> Membership::live() const
-{
-    return members(isUsable);
+    std::sort(members.begin(), members.end(), [](const Member &left, const Member &right) { return left.id < right.id; });
+    return members;
 }
 
 std::size_t Membership::liveCount() const
--- a/src/core/membership.h
+++ b/src/core/membership.h
@@ -74,8 +74,6 @@
     std::optional<MemberState> stateOf(const Incarnation &subject) const;
     /// @return every member that is known, with the own entry, by name.
     std::vector<Member> all() const;
-    /// @return live members with the own entry, by name.
-    std::vector<Member> live() const;
     std::size_t liveCount() const;
     /// @return whether the own entry is among the first @p count live members of the own zone by rendezvous hash.
     bool isRankedInZone(std::string_view purpose, std::size_t count) const;
@@ -93,8 +91,6 @@
         int tellings = 0; ///< How often the latest change is still to be told.
     };
 
-    template<typename Filter>
-    std::vector<Member> members(const Filter &isWanted) const;
     static bool isUsable(const Entry &entry);
     bool isRankedAmong(std::string_view purpose, std::size_t count, bool isZoneOnly) const;
     void renewSelf();
--- a/src/core/payoutledger.cpp
+++ b/src/core/payoutledger.cpp
@@ -119,13 +119,12 @@
         // The lost create may still be on its way; tick() looks again until it is sure to have ended.
         return now > entry.deadline + ComeBackAfterOutage ? finish(request) : Decision::Wait;
     }
+    entry.step = Step::ReadingBack;
     if (now >= entry.deadline) {
-        entry.step = Step::ReadingBack;
         entry.answer = Refuse{request, createUnknown()};
         answerCaller(entry, actions);
         return Decision::Wait;
     }
-    entry.step = Step::ReadingBack;
     if (std::holds_alternative<StoreMissing>(result)) {
         // The same create again: if the lost one lands first, it carries the same mark and is found.
         ask(request, entry, StoreWrite{0, encodePayout(entry.record)}, actions);
--- a/src/core/routingtable.cpp
+++ b/src/core/routingtable.cpp
@@ -7,8 +7,9 @@
 
 #include "core/routingtable.h"
 
+#include "core/text.h"
+
 #include <algorithm>
-#include <cctype>
 
 namespace Cloverbarrow
 {
@@ -30,13 +31,6 @@
     return host.substr(0, host.find(':'));
 }
 
-/// Host names know no case (RFC 9110).
-bool isSameHost(std::string_view left, std::string_view right)
-{
-    const auto lower = [](unsigned char character) { return std::tolower(character); };
-    return std::equal(left.begin(), left.end(), right.begin(), right.end(), [&lower](char a, char b) { return lower(a) == lower(b); });
-}
-
 bool hasPrefix(std::string_view path, std::string_view prefix)
 {
     if (!path.starts_with(prefix)) {
@@ -48,7 +42,8 @@
 
 bool serves(const Service &service, std::string_view host, std::string_view path)
 {
-    const bool isHost = service.host.empty() || isSameHost(service.host, withoutPort(host));
+    // Host names know no case (RFC 9110).
+    const bool isHost = service.host.empty() || isSameIgnoringCase(service.host, withoutPort(host));
     return isHost && hasPrefix(path, service.pathPrefix);
 }
 
--- a/src/core/serviceshard.cpp
+++ b/src/core/serviceshard.cpp
@@ -171,13 +171,13 @@
     const bool isGood = verdict == Verdict::Pass;
     const auto *answer = std::get_if<AnsweredWhole>(&event.outcome);
     const bool isNotRun = std::holds_alternative<NeverLeft>(event.outcome) || (answer && answer->isNotRun);
-    if (!isGood && !request.running.empty()) {
-        // The other attempt may still bring a good answer.
-        request.mayHaveRun = request.mayHaveRun || !isNotRun;
-    } else if (!isGood && verdict != Verdict::Refuse && mayRetry(now, request)) {
-        request.mayHaveRun = request.mayHaveRun || !isNotRun;
+    request.mayHaveRun = request.mayHaveRun || !isNotRun;
+    // While another attempt is under way, it may still bring a good answer.
+    const bool isLast = isGood || request.running.empty();
+    const bool wantsRetry = !isGood && verdict != Verdict::Refuse;
+    if (isLast && wantsRetry && mayRetry(now, request)) {
         start(now, request, actions);
-    } else {
+    } else if (isLast) {
         conclude(now, request, *attempt, event, verdict, actions);
         requests_.erase(event.request);
     }
@@ -207,11 +207,16 @@
         pool_.report(attempt.backend, *event.reportedLoad, now);
     }
     if (const auto *answer = std::get_if<AnsweredWhole>(&event.outcome); answer && answer->isLeaving) {
-        pool_.markLeaving(attempt.backend);
-        actions.emplace_back(TellLeaving{attempt.backend});
+        noteLeaving(attempt.backend, actions);
     }
 }
 
+void ServiceShard::noteLeaving(const std::string &backend, ServiceActions &actions)
+{
+    pool_.markLeaving(backend);
+    actions.emplace_back(TellLeaving{backend});
+}
+
 ServiceShard::Verdict ServiceShard::judge(const Request &request, const AttemptOutcome &outcome) const
 {
     const bool isFreelyRetried = kindClass(request) == KindClass::Read && !request.arrival.isRetryAbove;
@@ -288,8 +293,7 @@
 {
     // A probe takes no slot in the count of attempts; only its news is used.
     if (event.isLeaving) {
-        pool_.markLeaving(event.backend);
-        actions.emplace_back(TellLeaving{event.backend});
+        noteLeaving(event.backend, actions);
     }
     pool_.probed(event.backend, event.isHealthy, now);
     if (event.reportedLoad) {
@@ -395,8 +399,9 @@
     if (service_.retry.hedgePercent == 0) {
         return;
     }
+    const double latencyMs = pool_.meanLatencyMs();
     for (auto &[id, request] : requests_) {
-        if (!wantsHedge(now, request) || !hedgeBudget_.take()) {
+        if (!wantsHedge(now, request, latencyMs) || !hedgeBudget_.take()) {
             continue;
         }
         if (const auto index = pool_.takeFresh(now, random_, request.tried)) {
@@ -405,7 +410,7 @@
     }
 }
 
-bool ServiceShard::wantsHedge(TimePoint now, const Request &request) const
+bool ServiceShard::wantsHedge(TimePoint now, const Request &request, double latencyMs) const
 {
     const bool isRead = kindClass(request) == KindClass::Read && !request.arrival.isRetryAbove;
     const bool isInTime = now < request.arrival.deadline;
@@ -415,7 +420,7 @@
     // Few answers take as long, so the second attempt is seldom in vain.
     constexpr double LatenciesToWait = 2;
     const double waitedMs = toMilliseconds(now - request.running.front().startedAt);
-    return pool_.meanLatencyMs() > 0 && waitedMs > LatenciesToWait * pool_.meanLatencyMs();
+    return latencyMs > 0 && waitedMs > LatenciesToWait * latencyMs;
 }
 
 void ServiceShard::startWaiting(TimePoint now, ServiceActions &actions)
--- a/src/core/serviceshard.h
+++ b/src/core/serviceshard.h
@@ -89,10 +89,12 @@
     void startAt(TimePoint now, const Backend &backend, Request &request, ServiceActions &actions);
     /// Sends slow reads to a second server as well.
     void hedge(TimePoint now, ServiceActions &actions);
-    bool wantsHedge(TimePoint now, const Request &request) const;
+    /// @param latencyMs mean latency of the servers.
+    bool wantsHedge(TimePoint now, const Request &request, double latencyMs) const;
     void cancelRunning(TimePoint now, Request &request, ServiceActions &actions);
     /// Takes the attempt off those under way. @return it, or nothing when it has ended before.
     std::optional<Attempt> takeRunning(RequestId request, int number);
+    void noteLeaving(const std::string &backend, ServiceActions &actions);
     void learn(TimePoint now, const Attempt &attempt, const AttemptEnded &event, ServiceActions &actions);
     void startWaiting(TimePoint now, ServiceActions &actions);
     /// Refuses a waiting request that can wait no longer. @return whether it waits no more.
--- /dev/null
+++ b/src/core/text.cpp
@@ -0,0 +1,43 @@
+/*
+    This file is part of cloverbarrow.
+
+    SPDX-FileCopyrightText: 2026 The cloverbarrow authors
+    SPDX-License-Identifier: Apache-2.0
+*/
+
+#include "core/text.h"
+
+#include <algorithm>
+#include <cctype>
+#include <charconv>
+
+namespace Cloverbarrow
+{
+
+std::optional<int> parseNumber(std::string_view text, int highest)
+{
+    int value = 0;
+    const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
+    const bool isWhole = error == std::errc() && end == text.data() + text.size();
+    if (!isWhole || value < 0 || value > highest) {
+        return std::nullopt;
+    }
+    return value;
+}
+
+std::string_view trimmed(std::string_view text)
+{
+    const std::size_t first = text.find_first_not_of(" \t");
+    if (first == std::string_view::npos) {
+        return {};
+    }
+    return text.substr(first, text.find_last_not_of(" \t") - first + 1);
+}
+
+bool isSameIgnoringCase(std::string_view left, std::string_view right)
+{
+    const auto lower = [](unsigned char character) { return std::tolower(character); };
+    return std::equal(left.begin(), left.end(), right.begin(), right.end(), [&lower](char a, char b) { return lower(a) == lower(b); });
+}
+
+} // namespace Cloverbarrow
--- a/src/daemon/gateway.cpp
+++ b/src/daemon/gateway.cpp
@@ -7,6 +7,7 @@
 
 #include "daemon/gateway.h"
 
+#include "core/text.h"
 #include "daemon/requestcheck.h"
 #include "net/bootclock.h"
 #include "net/problemjson.h"
@@ -43,7 +44,7 @@
 std::optional<int> loadIn(const Headers &headers)
 {
     const auto text = findHeader(headers, LoadHeader);
-    return text ? parseCount(*text, MaxReportedLoad) : std::nullopt;
+    return text ? parseNumber(*text, MaxReportedLoad) : std::nullopt;
 }
 
 AttemptOutcome attemptOutcome(const HttpOutcome &outcome)
--- a/src/daemon/requestcheck.cpp
+++ b/src/daemon/requestcheck.cpp
@@ -7,10 +7,11 @@
 
 #include "daemon/requestcheck.h"
 
+#include "core/text.h"
 #include "net/digest.h"
 
 #include <algorithm>
-#include <charconv>
+#include <cctype>
 
 namespace Cloverbarrow
 {
@@ -51,7 +52,7 @@
     if (!text) {
         return true;
     }
-    const auto count = parseCount(*text, highest);
+    const auto count = parseNumber(*text, highest);
     value = count.value_or(value);
     return count && *count >= 1 && countHeader(headers, name) == 1;
 }
@@ -69,17 +70,6 @@
 
 } // namespace
 
-std::optional<int> parseCount(std::string_view text, int highest)
-{
-    int value = 0;
-    const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
-    const bool isWhole = !text.empty() && error == std::errc() && end == text.data() + text.size();
-    if (!isWhole || value < 0 || value > highest) {
-        return std::nullopt;
-    }
-    return value;
-}
-
 std::variant<CheckedRequest, Problem> checkRequest(const HttpRequest &request, const Configuration &configuration, RequestId id, TimePoint now)
 {
     const auto found = findRoute(configuration, findHeader(request.headers, "host").value_or(""), request.method, request.target);
--- a/src/daemon/requestcheck.h
+++ b/src/daemon/requestcheck.h
@@ -39,7 +39,4 @@
 /// @return what to give to the core, or what to tell the caller.
 std::variant<CheckedRequest, Problem> checkRequest(const HttpRequest &request, const Configuration &configuration, RequestId id, TimePoint now);
 
-/// @return the number in @p text, which must be all digits and at most @p highest.
-std::optional<int> parseCount(std::string_view text, int highest);
-
 } // namespace Cloverbarrow
--- a/src/net/httpmessage.cpp
+++ b/src/net/httpmessage.cpp
@@ -7,9 +7,10 @@
 
 #include "net/httpmessage.h"
 
+#include "core/text.h"
+
 #include <algorithm>
 #include <array>
-#include <cctype>
 #include <map>
 
 namespace Cloverbarrow
@@ -21,20 +22,6 @@
 constexpr std::array<std::string_view, 9> HopByHop = {
     "connection", "keep-alive", "proxy-authenticate", "proxy-authorization", "proxy-connection", "te", "trailer", "transfer-encoding", "upgrade"};
 
-char lower(char character)
-{
-    return static_cast<char>(std::tolower(static_cast<unsigned char>(character)));
-}
-
-std::string_view trimmed(std::string_view text)
-{
-    const std::size_t first = text.find_first_not_of(" \t");
-    if (first == std::string_view::npos) {
-        return {};
-    }
-    return text.substr(first, text.find_last_not_of(" \t") - first + 1);
-}
-
 /// Names that the message's own Connection headers add.
 std::vector<std::string_view> namedByConnection(const Headers &headers)
 {
@@ -57,7 +44,7 @@
 
 bool isSameName(std::string_view left, std::string_view right)
 {
-    return std::equal(left.begin(), left.end(), right.begin(), right.end(), [](char a, char b) { return lower(a) == lower(b); });
+    return isSameIgnoringCase(left, right);
 }
 
 std::optional<std::string_view> findHeader(const Headers &headers, std::string_view name)
--- a/src/net/requestframer.cpp
+++ b/src/net/requestframer.cpp
@@ -7,6 +7,8 @@
 
 #include "net/requestframer.h"
 
+#include "core/text.h"
+
 #include <algorithm>
 #include <charconv>
 #include <optional>
@@ -46,17 +48,6 @@
     return code == '\t' || (code >= ' ' && code != 0x7f);
 }
 
-std::string_view trimmed(std::string_view text)
-{
-    while (!text.empty() && (text.front() == ' ' || text.front() == '\t')) {
-        text.remove_prefix(1);
-    }
-    while (!text.empty() && (text.back() == ' ' || text.back() == '\t')) {
-        text.remove_suffix(1);
-    }
-    return text;
-}
-
 std::string lowered(std::string_view text)
 {
     std::string result(text);
