--- a/bench/policy/trial.cpp
+++ b/bench/policy/trial.cpp
@@ -254,7 +254,7 @@
             AnsweredWhole answer;
             answer.status = done.isError ? 500 : 200;
             ended.outcome = answer;
-            ended.reportedLoad = done.load;
+            ended.report = LoadReport{done.load};
             if (done.isError) {
                 failed_.insert_or_assign(start.request, true);
             }
--- /dev/null
+++ b/src/core/answertime.h
@@ -0,0 +1,47 @@
+/*
+    This file is part of cloverbarrow.
+
+    SPDX-FileCopyrightText: 2026 The cloverbarrow authors
+    SPDX-License-Identifier: Apache-2.0
+*/
+
+#pragma once
+
+#include "core/backendpool.h"
+#include "core/time.h"
+
+#include <map>
+
+namespace Cloverbarrow
+{
+
+/// Estimates how long a backend server would take to answer. It learns the usual work of a request and the
+/// mean slowness of the servers' VMs from answers and reports.
+class AnswerTimeModel
+{
+public:
+    /// Takes a good answer. @param objective of the request; requests with the same one are taken as alike.
+    void answered(Duration objective, Duration latency);
+    /// Takes the slowness that a server told.
+    void toldSlowness(double slowness);
+
+    /// @return the work of a request on a VM at its usual speed, in milliseconds.
+    double workMs(Duration objective) const;
+    /// @return the time until @p backend would answer a request sent to it now, in milliseconds.
+    double expectedMs(const Backend &backend, Duration objective, TimePoint now) const;
+    /// @return whether no other server could do much better than @p backend.
+    bool isAsGoodAsAny(const Backend &backend, TimePoint now) const;
+
+private:
+    double slownessNow(const Backend &backend, TimePoint now) const;
+
+    double meanSlowness_ = 1;
+    std::map<Duration, double> meanLatencyMs_; ///< By latency objective.
+};
+
+/// @return slots of @p backend, as it or its registration last said.
+int slotsOf(const Backend &backend);
+/// @return requests that @p backend works on or holds, with those sent to it since its last report.
+int heldBy(const Backend &backend);
+
+} // namespace Cloverbarrow
--- a/src/core/backendpool.cpp
+++ b/src/core/backendpool.cpp
@@ -42,13 +42,15 @@
 {
 }
 
-void BackendPool::configure(const Service &service)
+void BackendPool::configure(const Service &service, TimePoint now)
 {
     std::vector<Backend> next;
     for (const BackendServer &server : service.backendServers) {
         Backend backend;
         if (const Backend *known = find(server.name); known && known->server.address == server.address) {
             backend = *known;
+        } else {
+            backend.warmAt = now + server.warmUp;
         }
         backend.server = server;
         backend.isLeaving = leaving_.contains(server.name);
@@ -96,9 +98,26 @@
     }
     const std::size_t index = pickBackend(policy_, backends_, indices, now, random);
     ++backends_[index].inFlight;
+    ++backends_[index].sentSinceReport;
     return index;
 }
 
+std::optional<std::size_t> BackendPool::takeNamed(TimePoint now, std::string_view name)
+{
+    Backend *backend = findMutable(name);
+    if (!backend || !mayTake(*backend, now, false)) {
+        return std::nullopt;
+    }
+    ++backend->inFlight;
+    ++backend->sentSinceReport;
+    return static_cast<std::size_t>(backend - backends_.data());
+}
+
+std::vector<std::size_t> BackendPool::openServers(TimePoint now, std::span<const std::string> excluded) const
+{
+    return open(now, excluded, false);
+}
+
 double BackendPool::meanLatencyMs() const
 {
     double sum = 0;
@@ -144,12 +163,14 @@
     }
 }
 
-void BackendPool::report(std::string_view name, int load, TimePoint now)
+void BackendPool::report(std::string_view name, const LoadReport &report, TimePoint now)
 {
     if (Backend *backend = findMutable(name)) {
         // Own attempts are counted exactly; only the others' part of the report is news.
-        backend->reportedLoad = std::max(0, load - backend->inFlight);
+        backend->reportedLoad = std::max(0, report.running + report.waiting - backend->inFlight);
+        backend->report = report;
         backend->reportedAt = now;
+        backend->sentSinceReport = 0;
     }
 }
 
--- a/src/core/backendpool.h
+++ b/src/core/backendpool.h
@@ -8,6 +8,7 @@
 #pragma once
 
 #include "core/configuration.h"
+#include "core/loadreport.h"
 #include "core/pickpolicy.h"
 #include "core/random.h"
 #include "core/time.h"
@@ -41,8 +42,11 @@
     Distance distance = Distance::SameRegion;
     int inFlight = 0; ///< Attempts of this entry VM.
     int peersInFlight = 0; ///< Attempts of peers, as they last told.
-    int reportedLoad = 0; ///< Requests in hand at the server, as it last said.
+    int reportedLoad = 0; ///< Requests of others in hand at the server, as it last said.
+    std::optional<LoadReport> report; ///< Its last one, whole.
     std::optional<TimePoint> reportedAt;
+    int sentSinceReport = 0; ///< Attempts of this entry VM since then.
+    TimePoint warmAt; ///< Until then it is slow after its start.
     double latencyMs = 0; ///< Moving average over good answers; 0 when none was seen.
     int samples = 0; ///< Good answers since the last ejection.
     int failureStreak = 0;
@@ -68,7 +72,7 @@
     BackendPool(PickPolicy policy, Location own);
 
     /// Takes over a service's servers; what is known of those that stay is kept.
-    void configure(const Service &service);
+    void configure(const Service &service, TimePoint now);
     void setLeaving(std::span<const std::string> names);
     void markLeaving(std::string_view name);
     /// @param cap most attempts of this entry VM at one server at a time.
@@ -82,6 +86,11 @@
     /// Like take(), but only a server that was not tried and has room now.
     std::optional<std::size_t> takeFresh(TimePoint now, Random &random, std::span<const std::string> tried);
 
+    /// Counts an attempt at the server called @p name. @return its index, or nothing when it may take none now.
+    std::optional<std::size_t> takeNamed(TimePoint now, std::string_view name);
+    /// @return servers that may take an attempt now and are not in @p excluded.
+    std::vector<std::size_t> openServers(TimePoint now, std::span<const std::string> excluded) const;
+
     /// @return the mean latency of the servers that take requests, in milliseconds; 0 when none was seen.
     double meanLatencyMs() const;
     /// @return servers that are not leaving.
@@ -92,7 +101,7 @@
     /// Counts an attempt's end. Names of servers that were removed meanwhile are ignored.
     void release(std::string_view name, AttemptQuality quality, Duration latency, TimePoint now);
     void setPeersInFlight(std::string_view name, int count);
-    void report(std::string_view name, int load, TimePoint now);
+    void report(std::string_view name, const LoadReport &report, TimePoint now);
 
     /// Takes a probe's result: a good one ends an ejection, a bad one is a failure.
     void probed(std::string_view name, bool isHealthy, TimePoint now);
--- a/src/core/configuration.h
+++ b/src/core/configuration.h
@@ -42,6 +42,8 @@
     std::string address; ///< `IP:port`.
     std::string zone;
     std::string region; ///< Of the zone, as the configuration's regions say; empty when they do not.
+    int slots = 0; ///< Requests that it works on at a time; 0 when only the service says.
+    Duration warmUp{0}; ///< How much longer it is slow after its start, when this was written.
 
     bool operator==(const BackendServer &) const = default;
 };
@@ -52,6 +54,9 @@
     int budgetPercent = 10; ///< Retries as a share of first attempts.
     int hedgePercent = 0; ///< Second attempts of slow reads, beside the first, as a share of first attempts.
     std::vector<int> statuses = {502, 503, 504}; ///< Answers on which a read is tried again.
+    int budgetBurst = 10; ///< Most retries that quiet times may save up.
+    int budgetAtStart = 3; ///< Retries that a new process may make at once.
+    bool hedgesFromBudget = false; ///< Hedges draw on the retries' budget instead of `hedgePercent`.
 
     bool operator==(const RetryRules &) const = default;
 };
@@ -74,6 +79,14 @@
     bool operator==(const MeasuringBudget &) const = default;
 };
 
+/// Probes of a few backend servers right before a request is sent to one of them.
+struct ChoiceProbes {
+    int probesPerSecond = 0; ///< Most probes a second of this entry VM for each backend server, in the mean; 0: no probes.
+    std::string path;
+
+    bool operator==(const ChoiceProbes &) const = default;
+};
+
 /// Service-level objective of one request kind.
 struct Objective {
     std::string kind;
@@ -96,6 +109,7 @@
     RetryRules retry;
     ServiceLimits limits;
     MeasuringBudget measuring;
+    ChoiceProbes choiceProbes;
     std::vector<Objective> objectives;
 
     /// @return whether a request may be served in @p zone.
@@ -104,6 +118,38 @@
     bool operator==(const Service &) const = default;
 };
 
+/// A service that gets a part of a route's requests.
+struct Destination {
+    std::string service;
+    int weight = 1; ///< Its part is this over the sum of all weights.
+
+    bool operator==(const Destination &) const = default;
+};
+
+/// Requests of one host and path prefix that go to one service, or to several in given parts. Where routes exist,
+/// they alone say which requests are served.
+struct TrafficRoute {
+    std::string host;
+    std::string pathPrefix; ///< Begins and ends with a slash.
+    RequestKind kind; ///< Its methods and path are not looked at.
+    std::vector<Destination> destinations;
+    int maxAttempts = 1; ///< Backend servers that one request may be sent to.
+    Duration latencyObjective{0}; ///< Time within which an answer is worth most to the caller.
+    int priority = 0; ///< 0 goes first when there is too little room.
+
+    bool operator==(const TrafficRoute &) const = default;
+};
+
+/// Bounds on what callers send.
+struct CallerLimits {
+    std::size_t headerBytes = 32 * 1024;
+    std::size_t bodyBytes = 8 * 1024 * 1024;
+    Duration headerTime = seconds(10); ///< For sending a request.
+    Duration idleTime = seconds(60); ///< Between two requests.
+
+    bool operator==(const CallerLimits &) const = default;
+};
+
 /// A region and its availability zones.
 struct Region {
     std::string name;
@@ -116,6 +162,8 @@
 struct Configuration {
     std::vector<Region> regions;
     std::vector<Service> services;
+    std::vector<TrafficRoute> routes; ///< Empty where the services' own hosts, prefixes and kinds route.
+    std::optional<CallerLimits> callerLimits;
 
     /// @return the service called @p name, or nullptr.
     const Service *findService(const std::string &name) const;
--- a/src/core/controlevents.h
+++ b/src/core/controlevents.h
@@ -14,6 +14,7 @@
 #include "core/storecall.h"
 #include "core/time.h"
 
+#include <memory>
 #include <optional>
 #include <string>
 #include <variant>
@@ -102,6 +103,11 @@
     int share = 0;
 };
 
+/// The directory has a newer state of routes and backend servers.
+struct DirectoryPublished {
+    std::shared_ptr<const IntentInForce> intent;
+};
+
 struct StopRequested {
 };
 
@@ -119,6 +125,7 @@
                                   LeavingSeen,
                                   ProbeFinished,
                                   PermitReturned,
+                                  DirectoryPublished,
                                   StopRequested>;
 
 // Actions
--- a/src/core/controlshard.cpp
+++ b/src/core/controlshard.cpp
@@ -86,16 +86,18 @@
 
 void ControlShard::on(TimePoint now, const ControlTick &event, ControlActions &actions)
 {
-    beat(now, actions);
-    checkMembers(now, actions);
-    listVms(now, actions);
+    if (!settings_.hasDirectory) {
+        beat(now, actions);
+        checkMembers(now, actions);
+        listVms(now, actions);
+        std::vector<IntentAction> intentActions;
+        intent_.tick(now, isWatcher(), intentActions);
+        carryOut(std::move(intentActions), actions);
+        tickShares(now, actions);
+    }
     if (leaving_.fade(now)) {
         actions.emplace_back(LeavingUpdated{});
     }
-    std::vector<IntentAction> intentActions;
-    intent_.tick(now, isWatcher(), intentActions);
-    carryOut(std::move(intentActions), actions);
-    tickShares(now, actions);
     tickShutdown(now, event.left, actions);
 }
 
@@ -206,6 +208,13 @@
     shares_.permitReturned(now, event.service, event.share);
 }
 
+void ControlShard::on(TimePoint, const DirectoryPublished &event, ControlActions &actions)
+{
+    std::vector<IntentAction> intentActions;
+    intent_.published(event.intent, intentActions);
+    carryOut(std::move(intentActions), actions);
+}
+
 void ControlShard::on(TimePoint now, const StopRequested &, ControlActions &)
 {
     shutdown_.requested(now);
@@ -344,6 +353,9 @@
     if (!intent_.inForce()) {
         return "no configuration yet";
     }
+    if (settings_.hasDirectory) {
+        return {};
+    }
     if (!hasStartedSafely()) {
         return "not yet sure to have the newest configuration";
     }
--- a/src/core/controlshard.h
+++ b/src/core/controlshard.h
@@ -29,6 +29,7 @@
     Duration shutdownNotice = seconds(2);
     Duration shutdownLimit = seconds(60);
     std::uint64_t seed = 1;
+    bool hasDirectory = false; ///< Routes and backend servers come from a directory; no peers, leases or VM list.
 };
 
 /// Everything one entry VM decides together with others: membership, the operators' intent, leaving
@@ -67,6 +68,7 @@
     void on(TimePoint now, const LeavingSeen &event, ControlActions &actions);
     void on(TimePoint now, const ProbeFinished &event, ControlActions &actions);
     void on(TimePoint now, const PermitReturned &event, ControlActions &actions);
+    void on(TimePoint now, const DirectoryPublished &event, ControlActions &actions);
     void on(TimePoint now, const StopRequested &event, ControlActions &actions);
 
     bool isWatcher() const;
--- /dev/null
+++ b/src/core/directory/collectionwatch.cpp
@@ -0,0 +1,112 @@
+/*
+    This file is part of cloverbarrow.
+
+    SPDX-FileCopyrightText: 2026 The cloverbarrow authors
+    SPDX-License-Identifier: Apache-2.0
+*/
+
+#include "core/directory/collectionwatch.h"
+
+#include <algorithm>
+
+namespace Cloverbarrow
+{
+
+namespace
+{
+
+// The longest that the users' store lets a watch wait; a check of the store tells when one hangs.
+constexpr Duration WatchWait = seconds(30);
+// Each answer of a watch is a call that is paid for; this pause lets one answer carry several changes and is small
+// against the two seconds in which a change must be in force.
+constexpr Duration WatchRest = milliseconds(250);
+constexpr Duration FirstPause = milliseconds(100);
+constexpr int MaxPauseDoublings = 3;
+
+} // namespace
+
+CollectionWatch::CollectionWatch(Collection collection)
+    : collection_(collection)
+{
+}
+
+void CollectionWatch::tick(TimePoint now, DirectoryActions &actions)
+{
+    if (isCalling_ || now < nextCall_) {
+        return;
+    }
+    isCalling_ = true;
+    ++call_;
+    if (isListing_) {
+        actions.emplace_back(ListDirectory{collection_, after_, call_});
+    } else {
+        actions.emplace_back(WatchDirectory{collection_, since_, WatchWait, call_});
+    }
+}
+
+bool CollectionWatch::takes(int call) const
+{
+    return isCalling_ && call == call_;
+}
+
+bool CollectionWatch::listed(TimePoint now, const DirectoryListed &page)
+{
+    isCalling_ = false;
+    failures_ = 0;
+    nextCall_ = now;
+    if (after_.empty()) {
+        listRevision_ = page.revision;
+    }
+    after_ = page.last;
+    if (page.hasMore) {
+        return false;
+    }
+    since_ = listRevision_;
+    isListing_ = false;
+    isComplete_ = true;
+    return true;
+}
+
+void CollectionWatch::changed(TimePoint now, const DirectoryChanged &change)
+{
+    isCalling_ = false;
+    failures_ = 0;
+    since_ = std::max(since_, change.revision);
+    nextCall_ = now + (change.entries.empty() ? Duration(0) : WatchRest);
+}
+
+void CollectionWatch::historyGone(TimePoint now)
+{
+    isCalling_ = false;
+    isListing_ = true;
+    after_.clear();
+    nextCall_ = now;
+}
+
+void CollectionWatch::failed(TimePoint now, Random &random)
+{
+    isCalling_ = false;
+    const Duration pause = FirstPause * (1 << std::min(failures_, MaxPauseDoublings));
+    ++failures_;
+    // Between half and all of the pause, so that entry VMs that failed together do not come back together.
+    nextCall_ = now + pause / 2 + Duration(random.below(static_cast<std::size_t>((pause / 2).count()) + 1));
+    if (isListing_) {
+        after_.clear();
+    }
+}
+
+void CollectionWatch::renew(TimePoint now)
+{
+    isCalling_ = false;
+    nextCall_ = now;
+    if (isListing_) {
+        after_.clear();
+    }
+}
+
+bool CollectionWatch::isComplete() const
+{
+    return isComplete_;
+}
+
+} // namespace Cloverbarrow
--- /dev/null
+++ b/src/core/directory/collectionwatch.h
@@ -0,0 +1,50 @@
+/*
+    This file is part of cloverbarrow.
+
+    SPDX-FileCopyrightText: 2026 The cloverbarrow authors
+    SPDX-License-Identifier: Apache-2.0
+*/
+
+#pragma once
+
+#include "core/directory/directoryevents.h"
+#include "core/random.h"
+
+namespace Cloverbarrow
+{
+
+/// Follows one collection of the directory: lists it page by page, then watches it, and lists it again when history is
+/// gone. At most one call is under way. A call that fails is repeated after a pause that doubles, with jitter.
+class CollectionWatch
+{
+public:
+    explicit CollectionWatch(Collection collection);
+
+    void tick(TimePoint now, DirectoryActions &actions);
+    /// @return whether the answer is to the call under way, so that its content counts.
+    bool takes(int call) const;
+    /// @return whether this was the last page.
+    bool listed(TimePoint now, const DirectoryListed &page);
+    void changed(TimePoint now, const DirectoryChanged &change);
+    void historyGone(TimePoint now);
+    void failed(TimePoint now, Random &random);
+    /// Gives up the call under way and begins again where it stood: an answer to it may never come.
+    void renew(TimePoint now);
+
+    /// @return whether a whole list has been read at least once.
+    bool isComplete() const;
+
+private:
+    Collection collection_;
+    bool isListing_ = true;
+    bool isComplete_ = false;
+    bool isCalling_ = false;
+    int call_ = 0;
+    std::string after_;
+    std::int64_t listRevision_ = 0; ///< Of the first page: what changes while the others are read is watched again.
+    std::int64_t since_ = 0;
+    TimePoint nextCall_;
+    int failures_ = 0;
+};
+
+} // namespace Cloverbarrow
--- /dev/null
+++ b/src/core/directory/directoryevents.h
@@ -0,0 +1,142 @@
+/*
+    This file is part of cloverbarrow.
+
+    SPDX-FileCopyrightText: 2026 The cloverbarrow authors
+    SPDX-License-Identifier: Apache-2.0
+*/
+
+#pragma once
+
+#include "core/configuration.h"
+#include "core/operatorintent.h"
+#include "core/time.h"
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace Cloverbarrow
+{
+
+/// What a directory holds: each collection is listed and watched for itself.
+enum class Collection {
+    Routing,
+    Servers,
+};
+
+/// The operators' newest configuration: routes and services, without backend servers.
+struct RoutingPlan {
+    std::int64_t version = 0; ///< The operators' own; only rises.
+    std::string versionText; ///< As operators write it.
+    std::vector<TrafficRoute> routes;
+    std::vector<Service> services;
+    CallerLimits limits;
+
+    bool operator==(const RoutingPlan &) const = default;
+};
+
+/// One incarnation of a backend server, as it registered itself.
+struct Registration {
+    std::string service;
+    BackendServer server; ///< Named by its id, which no other incarnation ever has.
+    bool isDraining = false;
+
+    bool operator==(const Registration &) const = default;
+};
+
+using DirectoryValue = std::variant<RoutingPlan, Registration>;
+
+/// One object of a collection at one revision.
+struct DirectoryEntry {
+    std::string name;
+    std::int64_t revision = 0;
+    std::optional<DirectoryValue> value; ///< Nothing when the object was deleted or cannot be read.
+    bool isDeleted = false;
+};
+
+// Events
+
+/// One page of a list.
+struct DirectoryListed {
+    Collection collection = Collection::Routing;
+    std::vector<DirectoryEntry> entries;
+    bool hasMore = false;
+    std::string last; ///< Name after which the next page begins.
+    std::int64_t revision = 0; ///< Of the whole store.
+};
+
+/// What has changed since the revision that was watched from; nothing when the wait was over.
+struct DirectoryChanged {
+    Collection collection = Collection::Routing;
+    std::vector<DirectoryEntry> entries;
+    std::int64_t revision = 0;
+};
+
+/// The history that was asked for is gone.
+struct DirectoryHistoryGone {
+    Collection collection = Collection::Routing;
+};
+
+/// A call had no useful answer.
+struct DirectoryCallFailed {
+    Collection collection = Collection::Routing;
+    std::string reason;
+};
+
+/// The check whether the store answers has ended.
+struct DirectoryChecked {
+    bool hasAnswered = false;
+};
+
+using DirectoryEvent = std::variant<DirectoryListed, DirectoryChanged, DirectoryHistoryGone, DirectoryCallFailed, DirectoryChecked>;
+
+// Actions
+
+struct ListDirectory {
+    Collection collection = Collection::Routing;
+    std::string after; ///< Empty for the first page.
+    int call = 0; ///< Number of the call; a later one makes its answer worthless.
+
+    bool operator==(const ListDirectory &) const = default;
+};
+
+struct WatchDirectory {
+    Collection collection = Collection::Routing;
+    std::int64_t since = 0;
+    Duration wait{0};
+    int call = 0;
+
+    bool operator==(const WatchDirectory &) const = default;
+};
+
+/// Ask anything of the store that costs little, to see whether it answers.
+struct CheckDirectory {
+    bool operator==(const CheckDirectory &) const = default;
+};
+
+/// A newer state of routes and servers is to be put in force.
+struct PublishDirectory {
+    std::shared_ptr<const IntentInForce> intent;
+};
+
+/// A belief about the store or its objects has changed; for the log.
+struct ReportDirectory {
+    std::string what;
+    std::string detail;
+
+    bool operator==(const ReportDirectory &) const = default;
+};
+
+using DirectoryAction = std::variant<ListDirectory, WatchDirectory, CheckDirectory, PublishDirectory, ReportDirectory>;
+using DirectoryActions = std::vector<DirectoryAction>;
+
+/// An event with the number of the call that it answers.
+struct DirectoryAnswer {
+    int call = 0;
+    DirectoryEvent event;
+};
+
+} // namespace Cloverbarrow
--- /dev/null
+++ b/src/core/fleetbudgets.h
@@ -0,0 +1,29 @@
+/*
+    This file is part of cloverbarrow.
+
+    SPDX-FileCopyrightText: 2026 The cloverbarrow authors
+    SPDX-License-Identifier: Apache-2.0
+*/
+
+#pragma once
+
+#include "core/configuration.h"
+
+namespace Cloverbarrow
+{
+
+/// Budgets that all entry VMs share. They are kept without asking each other: each entry VM takes a fixed part.
+struct FleetBudgets {
+    double repeatRatio = 0.2; ///< Arrivals at backend servers beyond the first of each request, over the requests.
+    double repeatSlack = 50; ///< Such arrivals that all entry VMs together may make on top of that in a window.
+    double probesPerServer = 60; ///< Probes a second of each backend server by all entry VMs together.
+
+    bool operator==(const FleetBudgets &) const = default;
+};
+
+/// @return the part of one entry VM in the budget of repeated arrivals.
+RetryRules repeatRulesFor(const FleetBudgets &budgets);
+/// @return probes a second of one entry VM for each backend server.
+int probesPerSecondFor(const FleetBudgets &budgets);
+
+} // namespace Cloverbarrow
--- a/src/core/intentkeeper.cpp
+++ b/src/core/intentkeeper.cpp
@@ -102,6 +102,14 @@
     fetching_ = 0;
 }
 
+void IntentKeeper::published(const std::shared_ptr<const IntentInForce> &intent, std::vector<IntentAction> &actions)
+{
+    if (intent->version > version()) {
+        inForce_ = intent;
+        actions.emplace_back(InstallIntent{inForce_});
+    }
+}
+
 bool IntentKeeper::isFresh(TimePoint now) const
 {
     return heardWithin(platformHeardAt_, now, std::max(IsolatedAfter, WatchLost)) || heardWithin(peerHeardAt_, now, IsolatedAfter);
--- a/src/core/intentkeeper.h
+++ b/src/core/intentkeeper.h
@@ -75,6 +75,8 @@
     void peerHasVersion(TimePoint now, const std::string &address, std::int64_t version, std::vector<IntentAction> &actions);
     void peerSent(TimePoint now, const std::string &address, std::int64_t version, std::string_view value, std::vector<IntentAction> &actions);
     void fetchFailed();
+    /// The directory put a newer state together; it comes checked.
+    void published(const std::shared_ptr<const IntentInForce> &intent, std::vector<IntentAction> &actions);
 
     /// @return whether the platform or a peer has been heard lately enough to trust the intent.
     bool isFresh(TimePoint now) const;
--- a/src/core/retrybudget.cpp
+++ b/src/core/retrybudget.cpp
@@ -14,8 +14,6 @@
 
 namespace
 {
-// Allows a short burst after quiet times; small against any real traffic.
-constexpr double MaxTokens = 10;
 constexpr double HundredPercent = 100;
 } // namespace
 
@@ -24,14 +22,26 @@
     perAttempt_ = percent / HundredPercent;
 }
 
+void RetryBudget::setBurst(int burst, int atStart)
+{
+    burst_ = burst;
+    tokens_ = isUsed_ ? std::min(tokens_, burst_) : atStart;
+}
+
 void RetryBudget::addFirstAttempt()
 {
-    tokens_ = std::min(MaxTokens, tokens_ + perAttempt_);
+    isUsed_ = true;
+    tokens_ = std::min(burst_, tokens_ + perAttempt_);
+}
+
+bool RetryBudget::has(int reserve) const
+{
+    return tokens_ >= 1 + reserve;
 }
 
-bool RetryBudget::take()
+bool RetryBudget::take(int reserve)
 {
-    if (tokens_ < 1) {
+    if (!has(reserve)) {
         return false;
     }
     tokens_ -= 1;
--- a/src/core/retrybudget.h
+++ b/src/core/retrybudget.h
@@ -16,14 +16,21 @@
 public:
     /// @param percent retries for each hundred first attempts.
     void setPercent(int percent);
+    /// @param burst most retries that quiet times save up. @param atStart retries that may be made at once; counts only
+    /// before the first use.
+    void setBurst(int burst, int atStart);
     /// Counts a first attempt.
     void addFirstAttempt();
-    /// @return whether a retry may be made; it is counted if so.
-    bool take();
+    /// @param reserve retries that must be left afterwards. @return whether a retry might be made.
+    bool has(int reserve) const;
+    /// @param reserve as above. @return whether a retry may be made; it is counted if so.
+    bool take(int reserve = 0);
 
 private:
     double perAttempt_ = 0.1;
+    double burst_ = 10; ///< Allows a short burst after quiet times; small against any real traffic.
     double tokens_ = 3;
+    bool isUsed_ = false;
 };
 
 } // namespace Cloverbarrow
--- a/src/core/routingtable.cpp
+++ b/src/core/routingtable.cpp
@@ -92,4 +92,19 @@
     return Route{service, static_cast<std::size_t>(kind - best->kinds.begin())};
 }
 
+const TrafficRoute *findTrafficRoute(const Configuration &configuration, std::string_view host, std::string_view target)
+{
+    const std::string_view path = target.substr(0, target.find('?'));
+    const std::string_view name = withoutPort(host);
+    const TrafficRoute *best = nullptr;
+    for (const TrafficRoute &route : configuration.routes) {
+        // Comparing lengths first keeps a look through hundreds of routes cheap.
+        const bool isLonger = !best || route.pathPrefix.size() > best->pathPrefix.size();
+        if (isLonger && route.host.size() == name.size() && path.starts_with(route.pathPrefix) && isSameIgnoringCase(route.host, name)) {
+            best = &route;
+        }
+    }
+    return best;
+}
+
 } // namespace Cloverbarrow
--- a/src/core/routingtable.h
+++ b/src/core/routingtable.h
@@ -21,6 +21,7 @@
 struct Route {
     std::size_t service = 0;
     std::size_t kind = 0;
+    const TrafficRoute *rule = nullptr; ///< Where a traffic route matched; lives as long as the configuration.
 
     bool operator==(const Route &) const = default;
 };
@@ -36,6 +37,9 @@
 /// @param target the request target; its query is ignored.
 std::variant<Route, RouteFailure> findRoute(const Configuration &configuration, std::string_view host, std::string_view method, std::string_view target);
 
+/// Finds the traffic route of @p host with the longest prefix that begins the target's path. @return it, or nullptr.
+const TrafficRoute *findTrafficRoute(const Configuration &configuration, std::string_view host, std::string_view target);
+
 /// @return whether @p path fits @p pattern, where `*` is one segment and a last `**` any rest.
 bool matchesPattern(std::string_view pattern, std::string_view path);
 
--- a/src/core/serviceevents.h
+++ b/src/core/serviceevents.h
@@ -8,6 +8,7 @@
 #pragma once
 
 #include "core/configuration.h"
+#include "core/loadreport.h"
 #include "core/storecall.h"
 #include "core/time.h"
 
@@ -52,6 +53,10 @@
     KindClass kindClass = KindClass::Read; ///< As routed, whatever the configuration says later.
     TimePoint deadline;
     bool isRetryAbove = false; ///< A level above is already retrying; only what never left is tried again here.
+    int maxAttempts = 0; ///< As the route says; 0 where the service's rule counts.
+    Duration latencyObjective{0}; ///< As the route says; 0 where it says nothing.
+    int priority = 0; ///< 0 goes first when there is too little room.
+    TimePoint arrivedAt; ///< Set by the shard.
     std::string idempotencyKey; ///< Payouts only.
     std::string digest; ///< Of method, target and body; payouts only.
 };
@@ -70,6 +75,7 @@
     std::string contentType;
     std::string shortResult; ///< The body, where short enough to keep with a payout.
     bool isResultWhole = true; ///< False when the body is too long to keep.
+    bool isMisleading = false; ///< Passed on, it would tell the caller what the backend server did not say.
 };
 
 /// Nothing of the request left this entry VM.
@@ -90,7 +96,7 @@
     RequestId request = 0;
     int attempt = 1;
     AttemptOutcome outcome;
-    std::optional<int> reportedLoad; ///< Requests in hand at the backend server when it answered.
+    std::optional<LoadReport> report; ///< As the backend server told when it answered.
 };
 
 /// A share of the measuring budget may be used for one probe now.
@@ -103,7 +109,8 @@
     std::string backend;
     bool isHealthy = false;
     bool isLeaving = false;
-    std::optional<int> reportedLoad;
+    std::optional<LoadReport> report;
+    std::optional<RequestId> request; ///< That waits for it to choose a server.
 };
 
 /// The platform's answer about a payout's record.
@@ -219,6 +226,7 @@
     std::string backend;
     std::string address;
     std::string path;
+    std::optional<RequestId> request; ///< That waits for it to choose a server; such a probe uses no share.
 
     bool operator==(const StartProbe &) const = default;
 };
--- a/src/core/serviceshard.cpp
+++ b/src/core/serviceshard.cpp
@@ -17,7 +17,17 @@
 
 constexpr Duration ComeBackWhenBusy = seconds(1);
 constexpr Duration ComeBackWithoutServer = seconds(5);
+// What a busy service is worth waiting for before it is asked again; a caller's own retry should meet other load.
+constexpr Duration ComeBackSoon = milliseconds(200);
 constexpr int ServerError = 500;
+constexpr int BadGateway = 502;
+constexpr int Unavailable = 503;
+// A request may be held for this part of its latency objective before it is sent or refused.
+constexpr int HoldPart = 4;
+// Attempts that never left may be made up for this often.
+constexpr int MaxUnsent = 3;
+// Retries that hedges leave in the budget, for requests that failed.
+constexpr int HedgeReserve = 1;
 
 AttemptQuality qualityOf(const AttemptOutcome &outcome)
 {
@@ -95,6 +105,7 @@
     }
     Request &request = requests_[event.request];
     request.arrival = event;
+    request.arrival.arrivedAt = now;
     retryBudget_.addFirstAttempt();
     hedgeBudget_.addFirstAttempt();
     if (isPayout(request)) {
@@ -106,7 +117,8 @@
 
 std::optional<Problem> ServiceShard::admissionProblem(TimePoint now, const RequestArrived &event) const
 {
-    if (event.kind >= service_.kinds.size()) {
+    const bool isRouted = event.maxAttempts > 0;
+    if (!isRouted && event.kind >= service_.kinds.size()) {
         return Problem{503, Fate::NotRun, "admit", name_, "the service's configuration is changing", ComeBackWhenBusy};
     }
     if (now >= event.deadline) {
@@ -119,7 +131,7 @@
     if (held >= static_cast<std::size_t>(service_.limits.maxInFlight)) {
         return Problem{503, Fate::NotRun, "admit", name_, "too many requests in flight", ComeBackWhenBusy};
     }
-    if (requests_.size() >= room(event.deadline - now)) {
+    if (!probesFirst() && requests_.size() >= room(event.deadline - now)) {
         return Problem{503, Fate::NotRun, "admit", name_, "more requests are waiting than can be answered in time", ComeBackWhenBusy};
     }
     return std::nullopt;
@@ -148,7 +160,8 @@
         return;
     }
     Request &request = found->second;
-    if (kindClass(request) != KindClass::Read) {
+    const bool isAtServer = !request.running.empty() || isPayout(request);
+    if (kindClass(request) != KindClass::Read && isAtServer) {
         // Cutting a write short would leave it half known; it ends by its deadline.
         request.isCallerGone = true;
         return;
@@ -171,11 +184,13 @@
     const bool isGood = verdict == Verdict::Pass;
     const auto *answer = std::get_if<AnsweredWhole>(&event.outcome);
     const bool isNotRun = std::holds_alternative<NeverLeft>(event.outcome) || (answer && answer->isNotRun);
+    const bool isUnsent = std::holds_alternative<NeverLeft>(event.outcome);
     request.mayHaveRun = request.mayHaveRun || !isNotRun;
+    request.unsent += isUnsent ? 1 : 0;
     // While another attempt is under way, it may still bring a good answer.
     const bool isLast = isGood || request.running.empty();
     const bool wantsRetry = !isGood && verdict != Verdict::Refuse;
-    if (isLast && wantsRetry && mayRetry(now, request)) {
+    if (isLast && wantsRetry && mayRetry(now, request, isUnsent)) {
         start(now, request, actions);
     } else if (isLast) {
         conclude(now, request, *attempt, event, verdict, actions);
@@ -203,12 +218,17 @@
 void ServiceShard::learn(TimePoint now, const Attempt &attempt, const AttemptEnded &event, ServiceActions &actions)
 {
     pool_.release(attempt.backend, qualityOf(event.outcome), now - attempt.startedAt, now);
-    if (event.reportedLoad) {
-        pool_.report(attempt.backend, *event.reportedLoad, now);
+    if (event.report) {
+        pool_.report(attempt.backend, *event.report, now);
+        chooser_.model().toldSlowness(event.report->slowness);
     }
-    if (const auto *answer = std::get_if<AnsweredWhole>(&event.outcome); answer && answer->isLeaving) {
+    const auto *answer = std::get_if<AnsweredWhole>(&event.outcome);
+    if (answer && answer->isLeaving) {
         noteLeaving(attempt.backend, actions);
     }
+    if (qualityOf(event.outcome) == AttemptQuality::Good) {
+        chooser_.model().answered(requests_.at(event.request).arrival.latencyObjective, now - attempt.startedAt);
+    }
 }
 
 void ServiceShard::noteLeaving(const std::string &backend, ServiceActions &actions)
@@ -230,17 +250,28 @@
     if (answer.isNotRun) {
         return request.arrival.isRetryAbove ? Verdict::Refuse : Verdict::RetryOrRefuse;
     }
+    if (answer.isMisleading) {
+        return isFreelyRetried ? Verdict::RetryOrRefuse : Verdict::Refuse;
+    }
     const auto &statuses = service_.retry.statuses;
     const bool isRetriedStatus = std::find(statuses.begin(), statuses.end(), answer.status) != statuses.end();
     // Were each level of a deep call to retry what the next has retried, the attempts would multiply.
     return isFreelyRetried && isRetriedStatus && !answer.isRetriedBelow ? Verdict::RetryOrPass : Verdict::Pass;
 }
 
-bool ServiceShard::mayRetry(TimePoint now, const Request &request)
+int ServiceShard::maxAttempts(const Request &request) const
+{
+    const int limit = request.arrival.maxAttempts > 0 ? request.arrival.maxAttempts : service_.retry.maxAttempts;
+    return probesFirst() ? limit + std::min(request.unsent, MaxUnsent) : limit;
+}
+
+bool ServiceShard::mayRetry(TimePoint now, const Request &request, bool isUnsent)
 {
-    const bool hasAttempts = request.attempts < service_.retry.maxAttempts;
+    const bool hasAttempts = request.attempts < maxAttempts(request);
     const bool isWanted = !request.isCallerGone || isPayout(request);
-    return hasAttempts && isWanted && now < request.arrival.deadline && pool_.hasCandidate() && retryBudget_.take();
+    const bool isPossible = hasAttempts && isWanted && now < request.arrival.deadline && pool_.hasCandidate();
+    const bool isFree = isUnsent && probesFirst();
+    return isPossible && (isFree || retryBudget_.take());
 }
 
 void ServiceShard::conclude(TimePoint now, Request &request, const Attempt &attempt, const AttemptEnded &event, Verdict verdict, ServiceActions &actions)
@@ -270,6 +301,11 @@
 void ServiceShard::refuse(const Request &request, Problem problem, ServiceActions &actions)
 {
     const RequestId id = request.arrival.request;
+    if (problem.fate == Fate::Unknown && problem.status == Unavailable) {
+        // To callers, 503 says that a request was not run.
+        problem.status = BadGateway;
+        problem.retryAfter.reset();
+    }
     if (!isPayout(request)) {
         actions.emplace_back(Refuse{id, std::move(problem)});
     } else if (problem.fate == Fate::NotRun) {
@@ -283,7 +319,7 @@
 {
     if (const auto index = pool_.wantsProbe(now)) {
         const BackendServer &server = pool_.backends()[*index].server;
-        actions.emplace_back(StartProbe{event.share, server.name, server.address, service_.measuring.path});
+        actions.emplace_back(StartProbe{event.share, server.name, server.address, service_.measuring.path, std::nullopt});
     } else {
         actions.emplace_back(ReturnPermit{event.share});
     }
@@ -295,9 +331,19 @@
     if (event.isLeaving) {
         noteLeaving(event.backend, actions);
     }
-    pool_.probed(event.backend, event.isHealthy, now);
-    if (event.reportedLoad) {
-        pool_.report(event.backend, *event.reportedLoad, now);
+    // A load report from a server that calls itself ill still tells that it answers; requests show the rest.
+    pool_.probed(event.backend, event.isHealthy || (event.request && event.report), now);
+    if (event.report) {
+        pool_.report(event.backend, *event.report, now);
+        chooser_.model().toldSlowness(event.report->slowness);
+    }
+    if (event.request) {
+        const auto found = requests_.find(*event.request);
+        if (found != requests_.end() && found->second.choice) {
+            Choice &choice = *found->second.choice;
+            choice.pending -= choice.pending > 0 ? 1 : 0;
+            proceedWithChoice(now, found->second, actions);
+        }
     }
     startWaiting(now, actions);
 }
@@ -323,8 +369,10 @@
     }
     version_ = event.version;
     service_ = event.service;
-    pool_.configure(service_);
+    pool_.configure(service_, now);
+    chooser_.configure(service_);
     retryBudget_.setPercent(service_.retry.budgetPercent);
+    retryBudget_.setBurst(service_.retry.budgetBurst, service_.retry.budgetAtStart);
     hedgeBudget_.setPercent(service_.retry.hedgePercent);
     applyCap();
     startWaiting(now, actions);
@@ -350,6 +398,7 @@
 {
     expireWaiting(now, actions);
     startWaiting(now, actions);
+    tickChoices(now, actions);
     hedge(now, actions);
     ledger_.tick(now, actions);
 }
@@ -366,6 +415,10 @@
 
 void ServiceShard::start(TimePoint now, Request &request, ServiceActions &actions)
 {
+    if (probesFirst()) {
+        beginChoice(now, request, false, actions);
+        return;
+    }
     // Those that wait already go first.
     if (!waiting_.empty() || !tryStart(now, request, actions)) {
         waiting_.push_back(request.arrival.request);
@@ -394,18 +447,116 @@
         StartAttempt{request.arrival.request, request.attempts, backend.server.name, backend.server.address, request.arrival.deadline, mayReuse});
 }
 
+bool ServiceShard::probesFirst() const
+{
+    return service_.choiceProbes.probesPerSecond > 0;
+}
+
+void ServiceShard::beginChoice(TimePoint now, Request &request, bool isHedge, ServiceActions &actions)
+{
+    request.choice.emplace();
+    request.choice->isHedge = isHedge;
+    request.giveUpAt = std::min(now + request.arrival.latencyObjective / HoldPart, request.arrival.deadline);
+    proceedWithChoice(now, request, actions);
+}
+
+void ServiceShard::proceedWithChoice(TimePoint now, Request &request, ServiceActions &actions)
+{
+    const Duration objective = request.arrival.latencyObjective;
+    const Duration timeLeft = std::max(request.arrival.arrivedAt + objective - now, objective / HoldPart);
+    const ChoiceStep step = chooser_.look(now, pool_, request.tried, objective, timeLeft, *request.choice);
+    if (step.state == ChoiceState::Chosen) {
+        startChosen(now, pool_.takeNamed(now, step.backend), request, actions);
+    } else if (step.state == ChoiceState::NeedsProbes) {
+        askServers(now, request, actions);
+    }
+}
+
+void ServiceShard::askServers(TimePoint now, Request &request, ServiceActions &actions)
+{
+    const auto probed = chooser_.nextRound(now, pool_, request.tried, *request.choice, random_);
+    if (probed.empty()) {
+        // Nothing can be learnt in time: older reports have to do.
+        startChosen(now, pool_.take(now, random_, request.tried), request, actions);
+        return;
+    }
+    for (const std::size_t index : probed) {
+        const BackendServer &server = pool_.backends()[index].server;
+        actions.emplace_back(StartProbe{0, server.name, server.address, service_.choiceProbes.path, request.arrival.request});
+    }
+}
+
+void ServiceShard::startChosen(TimePoint now, std::optional<std::size_t> index, Request &request, ServiceActions &actions)
+{
+    if (!index) {
+        return;
+    }
+    if (request.choice->isHedge && !takeHedge()) {
+        pool_.release(pool_.backends()[*index].server.name, AttemptQuality::Neutral, Duration(0), now);
+        request.choice.reset();
+        return;
+    }
+    request.choice.reset();
+    startAt(now, pool_.backends()[*index], request, actions);
+}
+
+bool ServiceShard::giveUpChoice(TimePoint now, Request &request, ServiceActions &actions)
+{
+    if (request.choice->isHedge) {
+        request.choice.reset();
+        return false;
+    }
+    const auto known = [now](const Backend &backend) { return backend.reportedAt && now - *backend.reportedAt < seconds(1); };
+    const auto servers = pool_.backends();
+    if (pool_.hasCandidate() && std::none_of(servers.begin(), servers.end(), known)) {
+        // No server answers probes; that alone is no reason to serve nobody.
+        if (const auto index = pool_.take(now, random_, request.tried)) {
+            startChosen(now, index, request, actions);
+            return false;
+        }
+    }
+    const Fate fate = request.mayHaveRun ? Fate::Unknown : Fate::NotRun;
+    refuse(request, {Unavailable, fate, "choose backend server", name_, "no backend server has room to answer in time", ComeBackSoon}, actions);
+    return true;
+}
+
+void ServiceShard::tickChoices(TimePoint now, ServiceActions &actions)
+{
+    for (auto entry = requests_.begin(); entry != requests_.end();) {
+        Request &request = entry->second;
+        bool isOver = false;
+        if (request.choice && now >= request.giveUpAt) {
+            isOver = giveUpChoice(now, request, actions);
+        } else if (request.choice && now >= request.choice->decideAt) {
+            proceedWithChoice(now, request, actions);
+        }
+        entry = isOver ? requests_.erase(entry) : std::next(entry);
+    }
+}
+
+bool ServiceShard::takeHedge()
+{
+    return service_.retry.hedgesFromBudget ? retryBudget_.take(HedgeReserve) : hedgeBudget_.take();
+}
+
 void ServiceShard::hedge(TimePoint now, ServiceActions &actions)
 {
-    if (service_.retry.hedgePercent == 0) {
+    if (service_.retry.hedgePercent == 0 && !service_.retry.hedgesFromBudget) {
         return;
     }
     const double latencyMs = pool_.meanLatencyMs();
     for (auto &[id, request] : requests_) {
-        if (!wantsHedge(now, request, latencyMs) || !hedgeBudget_.take()) {
+        if (!wantsHedge(now, request, latencyMs)) {
             continue;
         }
-        if (const auto index = pool_.takeFresh(now, random_, request.tried)) {
-            startAt(now, pool_.backends()[*index], request, actions);
+        if (probesFirst()) {
+            if (!service_.retry.hedgesFromBudget || retryBudget_.has(HedgeReserve)) {
+                beginChoice(now, request, true, actions);
+            }
+        } else if (takeHedge()) {
+            if (const auto index = pool_.takeFresh(now, random_, request.tried)) {
+                startAt(now, pool_.backends()[*index], request, actions);
+            }
         }
     }
 }
@@ -414,13 +565,19 @@
 {
     const bool isRead = kindClass(request) == KindClass::Read && !request.arrival.isRetryAbove;
     const bool isInTime = now < request.arrival.deadline;
-    if (!isRead || !isInTime || request.running.size() != 1 || request.attempts >= service_.retry.maxAttempts) {
+    if (!isRead || !isInTime || request.choice || request.running.size() != 1 || request.attempts >= maxAttempts(request)) {
         return false;
     }
+    const Duration waited = now - request.running.front().startedAt;
+    if (const Duration objective = request.arrival.latencyObjective; objective > Duration(0)) {
+        // Early enough for the second answer to come within the objective, late enough for few to need one.
+        constexpr double PartOfObjective = 0.5;
+        const Duration left = request.arrival.arrivedAt + objective - now;
+        return toMilliseconds(waited) >= PartOfObjective * toMilliseconds(objective) && toMilliseconds(left) >= chooser_.model().workMs(objective) / 2;
+    }
     // Few answers take as long, so the second attempt is seldom in vain.
     constexpr double LatenciesToWait = 2;
-    const double waitedMs = toMilliseconds(now - request.running.front().startedAt);
-    return latencyMs > 0 && waitedMs > LatenciesToWait * latencyMs;
+    return latencyMs > 0 && toMilliseconds(waited) > LatenciesToWait * latencyMs;
 }
 
 void ServiceShard::startWaiting(TimePoint now, ServiceActions &actions)
--- a/src/core/serviceshard.h
+++ b/src/core/serviceshard.h
@@ -11,6 +11,7 @@
 #include "core/payoutledger.h"
 #include "core/random.h"
 #include "core/retrybudget.h"
+#include "core/serverchooser.h"
 #include "core/serviceevents.h"
 
 #include <cstddef>
@@ -52,7 +53,10 @@
     struct Request {
         RequestArrived arrival;
         int attempts = 0; ///< Started so far.
+        int unsent = 0; ///< Of these, the ones of which nothing left this entry VM.
         std::vector<Attempt> running;
+        std::optional<Choice> choice; ///< While a server is being chosen by probes.
+        TimePoint giveUpAt; ///< When a choice without result ends.
         std::vector<std::string> tried; ///< Servers of all attempts.
         bool mayHaveRun = false; ///< An earlier attempt may have been run.
         bool isCallerGone = false;
@@ -87,6 +91,18 @@
     void start(TimePoint now, Request &request, ServiceActions &actions);
     bool tryStart(TimePoint now, Request &request, ServiceActions &actions);
     void startAt(TimePoint now, const Backend &backend, Request &request, ServiceActions &actions);
+    /// @return whether servers are probed before a request is sent to one of them.
+    bool probesFirst() const;
+    void beginChoice(TimePoint now, Request &request, bool isHedge, ServiceActions &actions);
+    void proceedWithChoice(TimePoint now, Request &request, ServiceActions &actions);
+    void askServers(TimePoint now, Request &request, ServiceActions &actions);
+    /// Sends the request to the chosen server, or takes any when there is no choice to be had.
+    void startChosen(TimePoint now, std::optional<std::size_t> index, Request &request, ServiceActions &actions);
+    /// Ends choices that have lasted too long. @return whether the request has got its final answer.
+    bool giveUpChoice(TimePoint now, Request &request, ServiceActions &actions);
+    void tickChoices(TimePoint now, ServiceActions &actions);
+    int maxAttempts(const Request &request) const;
+    bool takeHedge();
     /// Sends slow reads to a second server as well.
     void hedge(TimePoint now, ServiceActions &actions);
     /// @param latencyMs mean latency of the servers.
@@ -101,7 +117,8 @@
     bool expire(TimePoint now, RequestId id, ServiceActions &actions);
     void expireWaiting(TimePoint now, ServiceActions &actions);
     Verdict judge(const Request &request, const AttemptOutcome &outcome) const;
-    bool mayRetry(TimePoint now, const Request &request);
+    /// @param isUnsent nothing of the last attempt left, so no server saw it and no budget is drawn on.
+    bool mayRetry(TimePoint now, const Request &request, bool isUnsent);
     void conclude(TimePoint now, Request &request, const Attempt &attempt, const AttemptEnded &event, Verdict verdict, ServiceActions &actions);
     void refuse(const Request &request, Problem problem, ServiceActions &actions);
     void applyCap();
@@ -111,6 +128,7 @@
     std::int64_t version_ = 0;
     Service service_;
     BackendPool pool_;
+    ServerChooser chooser_;
     RetryBudget retryBudget_;
     RetryBudget hedgeBudget_;
     PayoutLedger ledger_;
--- /dev/null
+++ b/src/core/trafficsplitter.cpp
@@ -0,0 +1,46 @@
+/*
+    This file is part of cloverbarrow.
+
+    SPDX-FileCopyrightText: 2026 The cloverbarrow authors
+    SPDX-License-Identifier: Apache-2.0
+*/
+
+#include "core/trafficsplitter.h"
+
+#include <numeric>
+
+namespace Cloverbarrow
+{
+
+namespace
+{
+// Steps by this part of the circle fill it more evenly than any other fixed step (the golden section).
+constexpr double GoldenStep = 0.6180339887498949;
+} // namespace
+
+TrafficSplitter::TrafficSplitter(std::uint64_t seed)
+    : random_(seed)
+{
+}
+
+const Destination &TrafficSplitter::destinationOf(const TrafficRoute &route)
+{
+    const auto &destinations = route.destinations;
+    if (destinations.size() == 1) {
+        return destinations.front();
+    }
+    double &position = positions_.try_emplace({route.host, route.pathPrefix}, random_.uniform()).first->second;
+    position += GoldenStep;
+    position -= position >= 1 ? 1 : 0;
+    const double total = std::accumulate(destinations.begin(), destinations.end(), 0.0, [](double sum, const Destination &item) { return sum + item.weight; });
+    double upTo = 0;
+    for (const Destination &destination : destinations) {
+        upTo += destination.weight / total;
+        if (position < upTo) {
+            return destination;
+        }
+    }
+    return destinations.back();
+}
+
+} // namespace Cloverbarrow
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -8,6 +8,7 @@
 #include "daemon/daemon.h"
 
 #include "core/address.h"
+#include "daemon/ownprotocol.h"
 #include "net/bootclock.h"
 #include "net/digest.h"
 
@@ -49,42 +50,65 @@
     return nlohmann::ordered_json{{"callers", callers}, {"peers", peers}, {"admin", admin}, {"operations", operations}}.dump();
 }
 
-Daemon::Daemon(Settings settings)
+Daemon::Daemon(Settings settings, ReadSettings readSettings, const DirectoryParts &parts)
     : settings_(std::move(settings))
+    , readSettings_(std::move(readSettings))
     , nonce_(randomHex(NonceBytes))
     , log_("daemon")
-    , peerService_(std::make_shared<PeerService>())
-    , adminService_(std::make_shared<AdminService>(platform_, telemetry_))
-    , platform_(settings_.platformAddress)
-    , peerServer_(settings_.peersAddress, std::make_shared<Wire::PeerProcessor>(peerService_))
-    , adminServer_(settings_.adminAddress, std::make_shared<Wire::AdminProcessor>(adminService_))
     , backends_(static_cast<std::size_t>(settings_.backendThreads))
 {
-    addresses_.peers = peerServer_.address();
-    addresses_.admin = adminServer_.address();
+    if (settings_.directory) {
+        startDirectory(parts);
+    } else {
+        startOwnFleet();
+    }
     node_ = std::make_unique<Node>(controlSettings(), LoadReportPick{});
-    gateway_ = std::make_unique<Gateway>(*node_, *this, backends_, platform_, telemetry_, nonce_);
-    peerClient_ = std::make_unique<PeerClient>(*this);
+    gateway_ = std::make_unique<Gateway>(*node_, *this, backends_, platform_.get(), *protocol_, telemetry_, nonce_);
     CallerServerOptions options{settings_.callersAddress, static_cast<std::size_t>(settings_.callerThreads), {}, settings_.slowCallerBound};
     options.limits.body = static_cast<std::size_t>(settings_.maxBodyBytes);
+    options.halfCloseIsGone = settings_.directory.has_value();
     callerServer_ = std::make_unique<CallerServer>(
         options, [this](const std::shared_ptr<CallerConnection> &connection, HttpRequest request) { gateway_->accept(connection, std::move(request)); });
     addresses_.callers = withPort(settings_.callersAddress, callerServer_->port());
     operationsServer_ = std::make_unique<OperationsServer>(settings_.operationsAddress,
                                                            OperationsSource{[this] { return telemetry_.exposition(); }, [this] { return unreadyReason(); }});
     addresses_.operations = withPort(settings_.operationsAddress, operationsServer_->port());
-    peerService_->open({node_.get(), this});
-    adminService_->open({node_.get(), this});
+    if (!settings_.directory) {
+        peerClient_ = std::make_unique<PeerClient>(*this);
+        peerService_->open({node_.get(), this});
+        adminService_->open({node_.get(), this});
+    }
+}
+
+void Daemon::startOwnFleet()
+{
+    protocol_ = std::make_shared<OwnProtocol>();
+    platform_ = std::make_unique<HttpPlatformClient>(settings_.platformAddress);
+    peerService_ = std::make_shared<PeerService>();
+    adminService_ = std::make_shared<AdminService>(*platform_, telemetry_);
+    peerServer_ = std::make_unique<ThriftServer>(settings_.peersAddress, std::make_shared<Wire::PeerProcessor>(peerService_));
+    adminServer_ = std::make_unique<ThriftServer>(settings_.adminAddress, std::make_shared<Wire::AdminProcessor>(adminService_));
+    addresses_.peers = peerServer_->address();
+    addresses_.admin = adminServer_->address();
+}
+
+void Daemon::startDirectory(const DirectoryParts &parts)
+{
+    protocol_ = parts.protocol;
+    directoryClient_ = parts.makeClient(backends_);
+    directory_.emplace(settings_.directory->budgets, seedOf(nonce_));
 }
 
 Daemon::~Daemon()
 {
     hasEnded_ = true;
     operationsServer_->stop();
-    adminServer_.stop();
-    peerServer_.stop();
-    peerClient_->stop();
-    platform_.stop();
+    if (!settings_.directory) {
+        adminServer_->stop();
+        peerServer_->stop();
+        peerClient_->stop();
+        platform_->stop();
+    }
     backends_.stop();
     callerServer_.reset();
 }
@@ -99,6 +123,7 @@
     int ticks = 0;
     while (true) {
         takeStopRequests();
+        takeReloadRequests();
         tick(ticks % TicksPerControl == 0);
         if (ticks % TicksPerSweep == 0) {
             sweep();
@@ -122,6 +147,11 @@
     ++stopRequests_;
 }
 
+void Daemon::requestReload()
+{
+    isReloadRequested_ = true;
+}
+
 void Daemon::handle(NodeEvent event)
 {
     if (hasEnded_) {
@@ -150,6 +180,7 @@
     control.shutdownNotice = settings_.shutdownNotice;
     control.shutdownLimit = settings_.shutdownLimit;
     control.seed = seedOf(nonce_);
+    control.hasDirectory = settings_.directory.has_value();
     return control;
 }
 
@@ -222,12 +253,12 @@
 
 void Daemon::askStore(const AskStore &action)
 {
-    platform_.call(action.call, [this, object = action.call.object](StoreResult result) { handle(ControlEvent(StoreAnswered{object, std::move(result)})); });
+    platform_->call(action.call, [this, object = action.call.object](StoreResult result) { handle(ControlEvent(StoreAnswered{object, std::move(result)})); });
 }
 
 void Daemon::watch(const WatchIntent &action)
 {
-    platform_.watch(IntentObject, action.afterVersion, action.wait, [this](WatchResult result) {
+    platform_->watch(IntentObject, action.afterVersion, action.wait, [this](WatchResult result) {
         if (result.hasAnswered) {
             handle(ControlEvent(WatchAnswered{std::move(result.newer)}));
         } else {
@@ -238,7 +269,7 @@
 
 void Daemon::listVms()
 {
-    platform_.listVms([this](VmListResult result) {
+    platform_->listVms([this](VmListResult result) {
         if (result.hasAnswered) {
             handle(ControlEvent(VmsListed{std::move(result.vms)}));
         }
@@ -281,18 +312,80 @@
             left.requests += callerServer_->unsentAnswers();
         }
         handle(ControlEvent(ControlTick{left}));
+        tickDirectory();
     } else if (gateway_->hasOpenExchanges()) {
         handle(ServicesTick{});
     }
 }
 
+void Daemon::tickDirectory()
+{
+    if (!directoryClient_) {
+        return;
+    }
+    DirectoryActions actions;
+    {
+        const std::lock_guard lock(directoryMutex_);
+        directory_->tick(bootNow(), actions);
+    }
+    perform(actions);
+}
+
+void Daemon::directoryAnswered(const DirectoryAnswer &answer)
+{
+    if (hasEnded_) {
+        return;
+    }
+    DirectoryActions actions;
+    {
+        const std::lock_guard lock(directoryMutex_);
+        directory_->handle(bootNow(), answer, actions);
+    }
+    perform(actions);
+}
+
+void Daemon::perform(const DirectoryActions &actions)
+{
+    struct Performer {
+        Daemon &daemon;
+
+        void operator()(const ListDirectory &typed) const
+        {
+            daemon.directoryClient_->list(typed, done());
+        }
+        void operator()(const WatchDirectory &typed) const
+        {
+            daemon.directoryClient_->watch(typed, done());
+        }
+        void operator()(const CheckDirectory &) const
+        {
+            daemon.directoryClient_->check(done());
+        }
+        void operator()(const PublishDirectory &typed) const
+        {
+            daemon.handle(ControlEvent(DirectoryPublished{typed.intent}));
+        }
+        void operator()(const ReportDirectory &typed) const
+        {
+            daemon.log_.info(typed.what + (typed.detail.empty() ? "" : ": " + typed.detail));
+        }
+        DirectoryDone done() const
+        {
+            return [&daemon = daemon](const DirectoryAnswer &answer) { daemon.directoryAnswered(answer); };
+        }
+    };
+    for (const DirectoryAction &action : actions) {
+        std::visit(Performer{*this}, action);
+    }
+}
+
 void Daemon::tellGauges()
 {
     NodeGauges gauges = node_->withControl([](const ControlShard &control) {
         const Membership &membership = control.membership();
         return NodeGauges{membership.liveCount(), membership.clearedSuspicions(), control.intent().version(), control.isReady(), 0};
     });
-    gauges.platformCalls = platform_.calls();
+    gauges.platformCalls = directoryClient_ ? directoryClient_->calls() : platform_->calls();
     telemetry_.setGauges(gauges);
 }
 
@@ -311,6 +404,29 @@
     }
 }
 
+void Daemon::takeReloadRequests()
+{
+    if (isReloadRequested_.exchange(false)) {
+        reload();
+    }
+}
+
+void Daemon::reload()
+{
+    const auto read = readSettings_();
+    if (const auto *faults = std::get_if<std::vector<DocumentFault>>(&read)) {
+        for (const DocumentFault &fault : *faults) {
+            log_.error("reload: the settings in force stay: " + fault.toString("settings"));
+        }
+        return;
+    }
+    const auto &next = std::get<Settings>(read);
+    spdlog::set_level(spdlog::level::from_str(next.logLevel));
+    settings_.logLevel = next.logLevel;
+    const bool isSame = next == settings_;
+    log_.info(isSame ? "reload: the settings are in force" : "reload: the log level is in force; other changes need a restart");
+}
+
 std::string Daemon::unreadyReason() const
 {
     return node_->withControl([](const ControlShard &control) { return control.isReady() ? std::string() : control.reason(); });
--- a/src/daemon/daemon.h
+++ b/src/daemon/daemon.h
@@ -7,6 +7,7 @@
 
 #pragma once
 
+#include "core/directory/directorykeeper.h"
 #include "core/node.h"
 #include "daemon/adminservice.h"
 #include "daemon/eventhandler.h"
@@ -17,13 +18,17 @@
 #include "daemon/settings.h"
 #include "daemon/telemetry.h"
 #include "net/callerserver.h"
+#include "net/directoryclient.h"
+#include "net/exchangeprotocol.h"
 #include "net/httpclient.h"
 #include "net/httpplatformclient.h"
 #include "net/log.h"
 #include "net/thriftserver.h"
 
 #include <atomic>
+#include <functional>
 #include <memory>
+#include <mutex>
 #include <optional>
 #include <string>
 
@@ -41,12 +46,23 @@
     std::string toJson() const;
 };
 
+/// Reads the settings file again. @return the settings, or each fault found.
+using ReadSettings = std::function<std::variant<Settings, std::vector<DocumentFault>>()>;
+
+/// What a deployment with a directory brings; nothing is set without one.
+struct DirectoryParts {
+    /// @param client to make the calls with.
+    std::function<std::unique_ptr<DirectoryClient>(HttpClient &client)> makeClient;
+    std::shared_ptr<const ExchangeProtocol> protocol;
+};
+
 /// One entry VM: the core and its adapters, put together.
 class Daemon : public EventHandler
 {
 public:
-    /// Starts to listen. @throws std::exception when an address cannot be listened on.
-    explicit Daemon(Settings settings);
+    /// Starts to listen. @param readSettings for a reload. @param parts used when the settings name a directory.
+    /// @throws std::exception when an address cannot be listened on.
+    Daemon(Settings settings, ReadSettings readSettings, const DirectoryParts &parts);
     ~Daemon() override;
 
     const ListenAddresses &addresses() const;
@@ -54,11 +70,18 @@
     WorkLeft run();
     /// Asks for a graceful shutdown; a second time for an immediate one. Safe in a signal handler.
     void requestStop();
+    /// Asks for the settings file to be read again. Safe in a signal handler.
+    void requestReload();
 
     void handle(NodeEvent event) override;
 
 private:
+    void startOwnFleet();
+    void startDirectory(const DirectoryParts &parts);
     ControlSettings controlSettings() const;
+    void tickDirectory();
+    void directoryAnswered(const DirectoryAnswer &answer);
+    void perform(const DirectoryActions &actions);
     void perform(const ControlAction &action);
     void askStore(const AskStore &action);
     void watch(const WatchIntent &action);
@@ -72,26 +95,36 @@
     void tellGauges();
     void sweep();
     void takeStopRequests();
+    void takeReloadRequests();
+    void reload();
     std::string unreadyReason() const;
 
     Settings settings_;
+    ReadSettings readSettings_;
     std::string nonce_;
     Log log_;
-    std::shared_ptr<PeerService> peerService_;
-    std::shared_ptr<AdminService> adminService_;
-    HttpPlatformClient platform_;
     Telemetry telemetry_;
-    ThriftServer peerServer_;
-    ThriftServer adminServer_;
     ListenAddresses addresses_;
-    std::unique_ptr<Node> node_;
     HttpClient backends_;
+    std::shared_ptr<const ExchangeProtocol> protocol_;
+    // Where entry VMs run the project's own fleet protocols.
+    std::shared_ptr<PeerService> peerService_;
+    std::shared_ptr<AdminService> adminService_;
+    std::unique_ptr<HttpPlatformClient> platform_;
+    std::unique_ptr<ThriftServer> peerServer_;
+    std::unique_ptr<ThriftServer> adminServer_;
+    // Where a directory tells routes and backend servers.
+    std::unique_ptr<DirectoryClient> directoryClient_;
+    std::mutex directoryMutex_;
+    std::optional<DirectoryKeeper> directory_; ///< Guarded by its mutex.
+    std::unique_ptr<Node> node_;
     std::unique_ptr<Gateway> gateway_;
     std::unique_ptr<PeerClient> peerClient_;
     std::unique_ptr<CallerServer> callerServer_;
     std::unique_ptr<OperationsServer> operationsServer_;
     std::atomic<int> stopRequests_{0};
     int stopsTaken_ = 0;
+    std::atomic<bool> isReloadRequested_{false};
     std::atomic<bool> hasEnded_{false};
     std::atomic<int> entryVms_{1};
     std::atomic<int> connectionsPerServer_{1};
--- a/src/daemon/gateway.cpp
+++ b/src/daemon/gateway.cpp
@@ -7,11 +7,10 @@
 
 #include "daemon/gateway.h"
 
-#include "core/text.h"
-#include "daemon/requestcheck.h"
+#include "core/stablehash.h"
 #include "net/bootclock.h"
-#include "net/problemjson.h"
 
+#include <algorithm>
 #include <utility>
 #include <vector>
 
@@ -21,10 +20,10 @@
 namespace
 {
 
-constexpr std::size_t MaxShortResult = 16 * 1024;
 constexpr Duration ProbeTimeout = seconds(1);
+// A probe before a choice that takes longer has missed the choice.
+constexpr Duration ChoiceProbeTimeout = milliseconds(300);
 constexpr Duration ComeBackElsewhere = seconds(1);
-constexpr int MaxReportedLoad = 1'000'000;
 // Call numbers of attempts hold the request and the attempt; probes use the other half of the range.
 constexpr HttpCallId AttemptsPerRequest = 16;
 constexpr HttpCallId FirstProbeCall = HttpCallId(1) << 63U;
@@ -35,19 +34,7 @@
     return request * AttemptsPerRequest + static_cast<HttpCallId>(attempt);
 }
 
-bool isSet(const Headers &headers, const char *name, std::string_view value)
-{
-    const auto found = findHeader(headers, name);
-    return found && isSameName(*found, value);
-}
-
-std::optional<int> loadIn(const Headers &headers)
-{
-    const auto text = findHeader(headers, LoadHeader);
-    return text ? parseNumber(*text, MaxReportedLoad) : std::nullopt;
-}
-
-AttemptOutcome attemptOutcome(const HttpOutcome &outcome)
+AttemptOutcome attemptOutcome(const HttpOutcome &outcome, const ExchangeProtocol &protocol)
 {
     if (const auto *failure = std::get_if<HttpFailure>(&outcome)) {
         if (!failure->hasLeft) {
@@ -55,53 +42,22 @@
         }
         return LostAnswer{failure->reason, failure->isTimeout};
     }
-    const auto &answer = std::get<HttpAnswer>(outcome);
-    AnsweredWhole whole;
-    whole.status = answer.status;
-    whole.isNotRun = isSet(answer.headers, OutcomeHeader, "not-run");
-    whole.isLeaving = isSet(answer.headers, LeavingHeader, "true");
-    whole.isRetriedBelow = isSet(answer.headers, RetriedHeader, "true");
-    whole.contentType = std::string(findHeader(answer.headers, "content-type").value_or(""));
-    whole.isResultWhole = answer.body.size() <= MaxShortResult;
-    if (whole.isResultWhole) {
-        whole.shortResult = answer.body;
-    }
-    return whole;
-}
-
-/// Headers between cloverbarrow and backend servers that a caller has no use for.
-Headers forCaller(const Headers &headers)
-{
-    Headers kept = withoutHopByHop(headers);
-    std::erase_if(kept, [](const Header &header) {
-        return isSameName(header.name, ExchangeTagHeader) || isSameName(header.name, LoadHeader) || isSameName(header.name, LeavingHeader);
-    });
-    return kept;
-}
-
-Headers forBackend(const Headers &headers, int attempt, Duration timeLeft)
-{
-    Headers kept = withoutHopByHop(headers);
-    std::erase_if(kept, [](const Header &header) {
-        // A caller's own must not pass for this system's; the length is written anew.
-        return isSameName(header.name, ExchangeTagHeader) || isSameName(header.name, AttemptHeader) || isSameName(header.name, DeadlineHeader)
-            || isSameName(header.name, "content-length") || isSameName(header.name, "expect");
-    });
-    kept.push_back({AttemptHeader, std::to_string(attempt)});
-    kept.push_back({DeadlineHeader, std::to_string(std::chrono::floor<milliseconds>(timeLeft).count())});
-    return kept;
+    return protocol.read(std::get<HttpAnswer>(outcome));
 }
 
 } // namespace
 
-Gateway::Gateway(Node &node, EventHandler &events, HttpClient &backends, PlatformClient &platform, Telemetry &telemetry, std::string nonce)
+Gateway::Gateway(
+    Node &node, EventHandler &events, HttpClient &backends, PlatformClient *platform, const ExchangeProtocol &protocol, Telemetry &telemetry, std::string nonce)
     : node_(node)
     , events_(events)
     , backends_(backends)
     , platform_(platform)
+    , protocol_(protocol)
     , telemetry_(telemetry)
     , nonce_(std::move(nonce))
     , nextProbe_(FirstProbeCall)
+    , splitter_(stableHash({nonce_}))
 {
 }
 
@@ -112,13 +68,13 @@
     const auto intent = node_.intent();
     if (!intent || !isAccepting_) {
         const char *detail = isAccepting_ ? "no configuration is in force here yet" : "this entry VM is shutting down";
-        connection->answer(problemAnswer({503, Fate::NotRun, "admit", "entry VM", detail, ComeBackElsewhere}), isHead);
+        connection->answer(protocol_.refusal({503, Fate::NotRun, "admit", "entry VM", detail, ComeBackElsewhere}), isHead);
         return;
     }
     const RequestId id = nextRequest_++;
-    auto checked = checkRequest(request, intent->configuration, id, now);
+    auto checked = check(request, intent->configuration, id, now);
     if (const auto *problem = std::get_if<Problem>(&checked)) {
-        connection->answer(problemAnswer(*problem), isHead);
+        connection->answer(protocol_.refusal(*problem), isHead);
         return;
     }
     auto &[route, event, attemptAbove] = std::get<CheckedRequest>(checked);
@@ -132,6 +88,30 @@
     events_.handle(ForService{intent->configuration.services[route.service].name, std::move(event)});
 }
 
+std::variant<CheckedRequest, Problem> Gateway::check(const HttpRequest &request, const Configuration &configuration, RequestId id, TimePoint now)
+{
+    if (configuration.routes.empty()) {
+        return checkRequest(request, configuration, id, now);
+    }
+    const std::string_view host = findHeader(request.headers, "host").value_or("");
+    Route route;
+    route.rule = findTrafficRoute(configuration, host, request.target);
+    if (!route.rule) {
+        return Problem{404, Fate::NotRun, "find route", "caller", "no route for this host and path", std::nullopt};
+    }
+    {
+        const std::lock_guard lock(splitterMutex_);
+        const std::string &name = splitter_.destinationOf(*route.rule).service;
+        const auto &services = configuration.services;
+        const auto found = std::find_if(services.begin(), services.end(), [&name](const Service &service) { return service.name == name; });
+        if (found == services.end()) {
+            return Problem{503, Fate::NotRun, "find route", name, "the route's service does not exist", ComeBackElsewhere};
+        }
+        route.service = static_cast<std::size_t>(found - services.begin());
+    }
+    return checkRoutedRequest(request, route, protocol_.deadlineHeader(), id, now);
+}
+
 void Gateway::perform(const OfService &action)
 {
     struct Performer {
@@ -193,7 +173,7 @@
     for (Shard &shard : shards_) {
         const std::lock_guard lock(shard.mutex);
         for (const auto &[id, exchange] : shard.exchanges) {
-            if (exchange.connection->isReset()) {
+            if (exchange.connection->isGone()) {
                 gone.emplace_back(exchange.intent->configuration.services[exchange.route.service].name, id);
             }
         }
@@ -232,26 +212,20 @@
 HttpCall Gateway::callFor(const Exchange &exchange, const StartAttempt &action) const
 {
     const Duration timeLeft = std::max<Duration>(milliseconds(1), action.deadline - bootNow());
-    const int attempt = std::max(exchange.attemptAbove, action.attempt);
-    HttpCall call;
+    const int number = std::max(exchange.attemptAbove, action.attempt);
+    const std::string tag = nonce_ + "-" + std::to_string(callId(action.request, action.attempt));
+    HttpCall call = protocol_.attempt({*exchange.request, action, number, timeLeft, tag});
     call.address = action.address;
-    call.request.method = exchange.request->method;
-    call.request.target = exchange.request->target;
-    call.request.headers = forBackend(exchange.request->headers, attempt, timeLeft);
-    call.request.body = exchange.request->body;
     call.timeout = timeLeft;
     call.mayReuseConnection = action.mayReuseConnection;
-    if (action.mayReuseConnection) {
-        call.tag = nonce_ + "-" + std::to_string(callId(action.request, action.attempt));
-    }
     return call;
 }
 
 void Gateway::attemptDone(const std::string &service, RequestId request, int attempt, HttpOutcome outcome)
 {
-    AttemptEnded event{request, attempt, attemptOutcome(outcome), std::nullopt};
+    AttemptEnded event{request, attempt, attemptOutcome(outcome, protocol_), std::nullopt};
     if (auto *answer = std::get_if<HttpAnswer>(&outcome)) {
-        event.reportedLoad = loadIn(answer->headers);
+        event.report = protocol_.load(answer->headers);
         Shard &shard = shardOf(request);
         const std::lock_guard lock(shard.mutex);
         if (const auto found = shard.exchanges.find(request); found != shard.exchanges.end()) {
@@ -280,13 +254,13 @@
     const auto found = exchange->answers.find(action.attempt);
     if (found == exchange->answers.end()) {
         const Problem problem{502, Fate::Unknown, "pass answer", "entry VM", "the answer was not kept", std::nullopt};
-        finish(*exchange, problemAnswer(problem), CallerOutcome::Unknown);
+        finish(*exchange, protocol_.refusal(problem), CallerOutcome::Unknown);
         return;
     }
     HttpAnswer answer = std::move(found->second);
-    answer.headers = forCaller(answer.headers);
-    if (action.attempt > 1 && answer.status >= ServerError && !findHeader(answer.headers, RetriedHeader)) {
-        answer.headers.push_back({RetriedHeader, "true"});
+    answer.headers = protocol_.forCaller(answer.headers);
+    if (action.attempt > 1 && answer.status >= ServerError) {
+        protocol_.markRetried(answer);
     }
     const auto outcome = answer.status < ServerError ? CallerOutcome::Answered : CallerOutcome::ServerError;
     finish(*exchange, answer, outcome);
@@ -310,13 +284,13 @@
 {
     if (const auto exchange = takeExchange(action.request)) {
         const auto outcome = action.problem.fate == Fate::NotRun ? CallerOutcome::NotRun : CallerOutcome::Unknown;
-        finish(*exchange, problemAnswer(action.problem), outcome);
+        finish(*exchange, protocol_.refusal(action.problem), outcome);
     }
 }
 
 void Gateway::askStore(const OfService &of, const AskPayoutStore &action)
 {
-    platform_.call(action.call, [this, service = of.service, request = action.request](StoreResult result) {
+    platform_->call(action.call, [this, service = of.service, request = action.request](StoreResult result) {
         events_.handle(ForService{service, PayoutStoreAnswered{request, std::move(result)}});
     });
 }
@@ -324,22 +298,23 @@
 void Gateway::probe(const OfService &of, const StartProbe &action)
 {
     telemetry_.probeStarted(of.service);
-    HttpCall call;
+    HttpCall call = protocol_.probe(action);
     call.address = action.address;
-    call.request.method = "GET";
-    call.request.target = action.path;
-    call.request.headers = {{"Host", action.address}};
-    call.timeout = ProbeTimeout;
-    backends_.start(nextProbe_++, std::move(call), [this, service = of.service, share = action.share, backend = action.backend](const HttpOutcome &outcome) {
+    call.timeout = action.request ? ChoiceProbeTimeout : ProbeTimeout;
+    call.mayReuseConnection = action.request.has_value();
+    backends_.start(nextProbe_++, std::move(call), [this, service = of.service, action](const HttpOutcome &outcome) {
         ProbeEnded ended;
-        ended.backend = backend;
+        ended.backend = action.backend;
+        ended.request = action.request;
         if (const auto *answer = std::get_if<HttpAnswer>(&outcome)) {
             ended.isHealthy = answer->status < ServerError;
-            ended.isLeaving = isSet(answer->headers, LeavingHeader, "true");
-            ended.reportedLoad = loadIn(answer->headers);
+            ended.isLeaving = protocol_.isLeaving(answer->headers);
+            ended.report = protocol_.load(answer->headers);
         }
         events_.handle(ForService{service, ended});
-        events_.handle(ControlEvent(ProbeFinished{service, share}));
+        if (!action.request) {
+            events_.handle(ControlEvent(ProbeFinished{service, action.share}));
+        }
     });
 }
 
@@ -361,7 +336,8 @@
 {
     const TimePoint now = bootNow();
     const Service &service = exchange.intent->configuration.services[exchange.route.service];
-    telemetry_.requestEnded(now, service, service.kinds[exchange.route.kind], outcome, now - exchange.arrivedAt);
+    const RequestKind &kind = exchange.route.rule ? exchange.route.rule->kind : service.kinds[exchange.route.kind];
+    telemetry_.requestEnded(now, service, kind, outcome, now - exchange.arrivedAt);
     exchange.connection->answer(answer, exchange.request->method == "HEAD");
 }
 
--- a/src/daemon/gateway.h
+++ b/src/daemon/gateway.h
@@ -9,9 +9,12 @@
 
 #include "core/node.h"
 #include "core/routingtable.h"
+#include "core/trafficsplitter.h"
 #include "daemon/eventhandler.h"
+#include "daemon/requestcheck.h"
 #include "daemon/telemetry.h"
 #include "net/callerconnection.h"
+#include "net/exchangeprotocol.h"
 #include "net/httpclient.h"
 #include "net/platformclient.h"
 
@@ -30,8 +33,15 @@
 class Gateway
 {
 public:
+    /// @param platform holds payout records; nullptr where no kind of request needs them.
     /// @param nonce of this process; begins every exchange tag.
-    Gateway(Node &node, EventHandler &events, HttpClient &backends, PlatformClient &platform, Telemetry &telemetry, std::string nonce);
+    Gateway(Node &node,
+            EventHandler &events,
+            HttpClient &backends,
+            PlatformClient *platform,
+            const ExchangeProtocol &protocol,
+            Telemetry &telemetry,
+            std::string nonce);
 
     /// Takes a caller's whole request.
     void accept(const std::shared_ptr<CallerConnection> &connection, HttpRequest request);
@@ -71,6 +81,8 @@
     void askStore(const OfService &of, const AskPayoutStore &action);
     void probe(const OfService &of, const StartProbe &action);
 
+    /// Finds the route and checks the request by it.
+    std::variant<CheckedRequest, Problem> check(const HttpRequest &request, const Configuration &configuration, RequestId id, TimePoint now);
     void attemptDone(const std::string &service, RequestId request, int attempt, HttpOutcome outcome);
     HttpCall callFor(const Exchange &exchange, const StartAttempt &action) const;
     std::optional<Exchange> takeExchange(RequestId request);
@@ -80,13 +92,16 @@
     Node &node_;
     EventHandler &events_;
     HttpClient &backends_;
-    PlatformClient &platform_;
+    PlatformClient *platform_;
+    const ExchangeProtocol &protocol_;
     Telemetry &telemetry_;
     std::string nonce_;
     std::atomic<RequestId> nextRequest_{1};
     std::atomic<HttpCallId> nextProbe_;
     std::atomic<bool> isAccepting_{true};
     std::atomic<int> openExchanges_{0};
+    std::mutex splitterMutex_;
+    TrafficSplitter splitter_;
     std::array<Shard, ShardCount> shards_;
 };
 
--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -7,7 +7,9 @@
 
 #include "daemon/daemon.h"
 #include "daemon/settings.h"
+#include "exchange.h"
 #include "net/textfile.h"
+#include "store.h"
 
 #include <absl/flags/flag.h>
 #include <absl/flags/parse.h>
@@ -38,6 +40,11 @@
     runningDaemon->requestStop();
 }
 
+void onReloadSignal(int)
+{
+    runningDaemon->requestReload();
+}
+
 void installSignals(Daemon &daemon)
 {
     runningDaemon = &daemon;
@@ -46,6 +53,8 @@
     action.sa_handler = onStopSignal;
     sigaction(SIGTERM, &action, nullptr);
     sigaction(SIGINT, &action, nullptr);
+    action.sa_handler = onReloadSignal;
+    sigaction(SIGHUP, &action, nullptr);
     std::signal(SIGPIPE, SIG_IGN);
 }
 
@@ -57,12 +66,35 @@
     spdlog::flush_on(spdlog::level::info);
 }
 
-int runDaemon(const Settings &settings)
+DirectoryParts directoryParts(const Settings &settings)
+{
+    if (!settings.directory) {
+        return {};
+    }
+    return {[address = settings.directory->address](HttpClient &client) { return std::make_unique<Platform::Store>(client, address); },
+            std::make_shared<Platform::Exchange>()};
+}
+
+using ReadResult = std::variant<Settings, std::vector<DocumentFault>>;
+
+ReadResult readSettings(const std::string &path)
+{
+    const auto document = readTextFile(path);
+    if (!document) {
+        return std::vector<DocumentFault>{{0, "file", "a file that can be opened, as named by --settings=FILE"}};
+    }
+    return parseSettings(*document);
+}
+
+int runDaemon(const Settings &settings, const std::string &path)
 {
+    // A reload that is asked for before there is anything to reload does no harm.
+    std::signal(SIGHUP, SIG_IGN);
     startLogging(settings);
     const Log log("main");
     try {
-        Daemon daemon(settings);
+        Daemon daemon(
+            settings, [path] { return readSettings(path); }, directoryParts(settings));
         installSignals(daemon);
         std::cout << daemon.addresses().toJson() << std::endl;
         const WorkLeft left = daemon.run();
@@ -85,12 +117,7 @@
     absl::SetProgramUsageMessage("cloverbarrowd --settings=FILE [--check_settings]\nRuns one entry VM of the load balancer.");
     absl::ParseCommandLine(argc, argv);
     const std::string path = absl::GetFlag(FLAGS_settings);
-    const auto document = readTextFile(path);
-    if (!document) {
-        std::cerr << "cloverbarrowd: read settings: cannot open '" << path << "'; give --settings=FILE\n";
-        return ExitBadSettings;
-    }
-    const auto parsed = parseSettings(*document);
+    const auto parsed = readSettings(path);
     if (const auto *faults = std::get_if<std::vector<DocumentFault>>(&parsed)) {
         for (const DocumentFault &fault : *faults) {
             std::cerr << fault.toString(path) << "\n";
@@ -101,5 +128,5 @@
         std::cout << path << ": the settings are valid\n";
         return ExitOk;
     }
-    return runDaemon(std::get<Settings>(parsed));
+    return runDaemon(std::get<Settings>(parsed), path);
 }
--- /dev/null
+++ b/src/daemon/ownprotocol.cpp
@@ -0,0 +1,120 @@
+/*
+    This file is part of cloverbarrow.
+
+    SPDX-FileCopyrightText: 2026 The cloverbarrow authors
+    SPDX-License-Identifier: Apache-2.0
+*/
+
+#include "daemon/ownprotocol.h"
+
+#include "core/text.h"
+#include "daemon/requestcheck.h"
+#include "net/problemjson.h"
+
+namespace Cloverbarrow
+{
+
+namespace
+{
+
+constexpr std::size_t MaxShortResult = 16 * 1024;
+constexpr int MaxReportedLoad = 1'000'000;
+
+bool isSet(const Headers &headers, const char *name, std::string_view value)
+{
+    const auto found = findHeader(headers, name);
+    return found && isSameName(*found, value);
+}
+
+Headers forBackend(const OutgoingAttempt &outgoing)
+{
+    Headers kept = withoutHopByHop(outgoing.request.headers);
+    std::erase_if(kept, [](const Header &header) {
+        // A caller's own must not pass for this system's; the length is written anew.
+        return isSameName(header.name, ExchangeTagHeader) || isSameName(header.name, AttemptHeader) || isSameName(header.name, DeadlineHeader)
+            || isSameName(header.name, "content-length") || isSameName(header.name, "expect");
+    });
+    kept.push_back({AttemptHeader, std::to_string(outgoing.number)});
+    kept.push_back({DeadlineHeader, std::to_string(std::chrono::floor<milliseconds>(outgoing.timeLeft).count())});
+    return kept;
+}
+
+} // namespace
+
+const char *OwnProtocol::deadlineHeader() const
+{
+    return DeadlineHeader;
+}
+
+HttpCall OwnProtocol::attempt(const OutgoingAttempt &outgoing) const
+{
+    HttpCall call;
+    call.request.method = outgoing.request.method;
+    call.request.target = outgoing.request.target;
+    call.request.headers = forBackend(outgoing);
+    call.request.body = outgoing.request.body;
+    if (outgoing.action.mayReuseConnection) {
+        call.request.headers.push_back({ExchangeTagHeader, outgoing.tag});
+        call.echo = {ExchangeTagHeader, outgoing.tag, true};
+    }
+    return call;
+}
+
+HttpCall OwnProtocol::probe(const StartProbe &action) const
+{
+    HttpCall call;
+    call.request.method = "GET";
+    call.request.target = action.path;
+    call.request.headers = {{"Host", action.address}};
+    return call;
+}
+
+AnsweredWhole OwnProtocol::read(const HttpAnswer &answer) const
+{
+    AnsweredWhole whole;
+    whole.status = answer.status;
+    whole.isNotRun = isSet(answer.headers, OutcomeHeader, "not-run");
+    whole.isLeaving = isLeaving(answer.headers);
+    whole.isRetriedBelow = isSet(answer.headers, RetriedHeader, "true");
+    whole.contentType = std::string(findHeader(answer.headers, "content-type").value_or(""));
+    whole.isResultWhole = answer.body.size() <= MaxShortResult;
+    if (whole.isResultWhole) {
+        whole.shortResult = answer.body;
+    }
+    return whole;
+}
+
+std::optional<LoadReport> OwnProtocol::load(const Headers &headers) const
+{
+    const auto text = findHeader(headers, LoadHeader);
+    const auto load = text ? parseNumber(*text, MaxReportedLoad) : std::nullopt;
+    return load ? std::optional(LoadReport{*load}) : std::nullopt;
+}
+
+bool OwnProtocol::isLeaving(const Headers &headers) const
+{
+    return isSet(headers, LeavingHeader, "true");
+}
+
+Headers OwnProtocol::forCaller(const Headers &headers) const
+{
+    Headers kept = withoutHopByHop(headers);
+    std::erase_if(kept, [](const Header &header) {
+        return isSameName(header.name, ExchangeTagHeader) || isSameName(header.name, LoadHeader) || isSameName(header.name, LeavingHeader);
+    });
+    return kept;
+}
+
+void OwnProtocol::markRetried(HttpAnswer &answer) const
+{
+    if (!findHeader(answer.headers, RetriedHeader)) {
+        answer.headers.push_back({RetriedHeader, "true"});
+    }
+}
+
+HttpAnswer OwnProtocol::refusal(const Problem &problem) const
+{
+    return problemAnswer(problem);
+}
+
+} // namespace Cloverbarrow
--- a/src/daemon/requestcheck.cpp
+++ b/src/daemon/requestcheck.cpp
@@ -99,4 +99,22 @@
     return checked;
 }
 
+std::variant<CheckedRequest, Problem> checkRoutedRequest(
+    const HttpRequest &request, const Route &route, const char *deadlineHeader, RequestId id, TimePoint now)
+{
+    int deadlineMs = MaxDeadlineMs;
+    if (!readCount(request.headers, deadlineHeader, MaxDeadlineMs, deadlineMs)) {
+        return invalid(std::string(deadlineHeader) + " must be one whole number of milliseconds from 1");
+    }
+    CheckedRequest checked;
+    checked.route = route;
+    checked.event.request = id;
+    checked.event.kindClass = route.rule->kind.kindClass;
+    checked.event.deadline = now + std::min<Duration>(milliseconds(deadlineMs), route.rule->kind.deadline);
+    checked.event.maxAttempts = route.rule->maxAttempts;
+    checked.event.latencyObjective = route.rule->latencyObjective;
+    checked.event.priority = route.rule->priority;
+    return checked;
+}
+
 } // namespace Cloverbarrow
--- a/src/daemon/requestcheck.h
+++ b/src/daemon/requestcheck.h
@@ -39,4 +39,9 @@
 /// @return what to give to the core, or what to tell the caller.
 std::variant<CheckedRequest, Problem> checkRequest(const HttpRequest &request, const Configuration &configuration, RequestId id, TimePoint now);
 
+/// The same for a request that one of the traffic routes matched.
+/// @param route with the service that the request is for, @param deadlineHeader as callers write it.
+std::variant<CheckedRequest, Problem> checkRoutedRequest(
+    const HttpRequest &request, const Route &route, const char *deadlineHeader, RequestId id, TimePoint now);
+
 } // namespace Cloverbarrow
--- a/src/daemon/settings.cpp
+++ b/src/daemon/settings.cpp
@@ -24,10 +24,11 @@
 constexpr int MaxBody = 64 * 1024 * 1024;
 constexpr int MaxShutdownMs = 3'600'000;
 constexpr int MaxSlowMs = 600'000;
+constexpr double MaxBudget = 1'000'000;
 
-void readAddress(YamlReader &reader, const char *key, std::string &address)
+void readAddress(YamlReader &reader, const char *key, std::string &address, bool isRequired = true)
 {
-    reader.text(key, address, true);
+    reader.text(key, address, isRequired);
     if (!address.empty() && !isSocketAddress(address)) {
         reader.fault(key, "an IP number and a port, as in 10.0.0.1:8080");
     }
@@ -36,8 +37,9 @@
 void readListen(YamlReader &reader, Settings &settings)
 {
     readAddress(reader, "callers", settings.callersAddress);
-    readAddress(reader, "peers", settings.peersAddress);
-    readAddress(reader, "admin", settings.adminAddress);
+    const bool isOwnFleet = !settings.directory;
+    readAddress(reader, "peers", settings.peersAddress, isOwnFleet);
+    readAddress(reader, "admin", settings.adminAddress, isOwnFleet);
     readAddress(reader, "operations", settings.operationsAddress);
 }
 
@@ -63,9 +65,17 @@
     reader.text("name", settings.name, true);
     reader.text("zone", settings.zone, true);
     reader.text("region", settings.region, true);
+    reader.mapping("directory", [&settings](YamlReader &item) {
+        settings.directory.emplace();
+        readAddress(item, "address", settings.directory->address);
+        FleetBudgets &budgets = settings.directory->budgets;
+        item.real("repeat_ratio", budgets.repeatRatio, 0, 1);
+        item.real("repeat_slack", budgets.repeatSlack, 0, MaxBudget);
+        item.real("probes_per_server", budgets.probesPerServer, 0, MaxBudget);
+    });
     reader.mapping(
         "listen", [&settings](YamlReader &item) { readListen(item, settings); }, true);
-    readAddress(reader, "platform", settings.platformAddress);
+    readAddress(reader, "platform", settings.platformAddress, !settings.directory);
     readFirstPeers(reader, settings);
     reader.mapping("shutdown", [&settings](YamlReader &item) {
         item.milliseconds("notice_ms", settings.shutdownNotice, 0, MaxShutdownMs);
--- a/src/daemon/settings.h
+++ b/src/daemon/settings.h
@@ -7,10 +7,12 @@
 
 #pragma once
 
+#include "core/fleetbudgets.h"
 #include "core/time.h"
 #include "core/yamlreader.h"
 
 #include <cstddef>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <variant>
@@ -19,6 +21,14 @@
 namespace Cloverbarrow
 {
 
+/// A store that tells routes and backend servers in place of the project's own configuration object.
+struct DirectorySettings {
+    std::string address;
+    FleetBudgets budgets;
+
+    bool operator==(const DirectorySettings &) const = default;
+};
+
 /// What one process of cloverbarrowd is told at its start. Everything that operators decide lives in the
 /// configuration at the platform instead.
 struct Settings {
@@ -29,7 +39,8 @@
     std::string peersAddress;
     std::string adminAddress;
     std::string operationsAddress;
-    std::string platformAddress;
+    std::string platformAddress; ///< Empty with a directory; so are those of peers and administration.
+    std::optional<DirectorySettings> directory;
     std::vector<std::string> firstPeers;
     Duration shutdownNotice = seconds(2);
     Duration shutdownLimit = seconds(60);
@@ -38,6 +49,8 @@
     int maxBodyBytes = 8 * 1024 * 1024;
     Duration slowCallerBound = seconds(10);
     std::string logLevel = "info";
+
+    bool operator==(const Settings &) const = default;
 };
 
 /// Reads and checks a whole settings document.
--- a/src/net/callerconnection.cpp
+++ b/src/net/callerconnection.cpp
@@ -30,8 +30,9 @@
 
 } // namespace
 
-CallerConnection::CallerConnection(int fd, RequestLimits limits, RequestSink sink)
+CallerConnection::CallerConnection(int fd, RequestLimits limits, bool halfCloseIsGone, RequestSink sink)
     : limits_(limits)
+    , halfCloseIsGone_(halfCloseIsGone)
     , sink_(std::move(sink))
     , socket_(::dup(fd))
 {
@@ -146,10 +147,10 @@
     return state_ == State::Sending;
 }
 
-bool CallerConnection::isReset() const
+bool CallerConnection::isGone() const
 {
     const std::lock_guard lock(mutex_);
-    if (!socket_.isOpen()) {
+    if (!socket_.isOpen() || (hasInputEnded_ && halfCloseIsGone_)) {
         return true;
     }
     pollfd entry{socket_.get(), 0, 0};
--- a/src/net/callerconnection.h
+++ b/src/net/callerconnection.h
@@ -33,8 +33,8 @@
 class CallerConnection : public std::enable_shared_from_this<CallerConnection>
 {
 public:
-    /// @param fd is duplicated.
-    CallerConnection(int fd, RequestLimits limits, RequestSink sink);
+    /// @param fd is duplicated. @param halfCloseIsGone whether a caller that closed its sending half wants no answer.
+    CallerConnection(int fd, RequestLimits limits, bool halfCloseIsGone, RequestSink sink);
 
     /// Takes bytes from the caller.
     void received(std::string_view bytes, TimePoint now);
@@ -57,8 +57,8 @@
     bool isClosed() const;
     /// @return whether part of an answer has not been sent yet.
     bool isSending() const;
-    /// @return whether the caller's machine has reset the connection.
-    bool isReset() const;
+    /// @return whether nobody waits for an answer: the connection is reset, or closed as far as that counts.
+    bool isGone() const;
 
 private:
     enum class State {
@@ -79,6 +79,7 @@
     void closeLocked();
 
     RequestLimits limits_;
+    bool halfCloseIsGone_;
     RequestSink sink_;
     mutable std::mutex mutex_;
     Descriptor socket_;
--- a/src/net/callerserver.cpp
+++ b/src/net/callerserver.cpp
@@ -52,17 +52,12 @@
         std::erase_if(connections_, [](const auto &connection) { return connection->isClosed(); });
     }
 
-    void closeAll()
+    /// New connections close after their answers from now on. @return those that are open.
+    std::vector<std::shared_ptr<CallerConnection>> startClosing()
     {
-        std::vector<std::shared_ptr<CallerConnection>> open;
-        {
-            const std::lock_guard lock(mutex_);
-            isClosing_ = true;
-            open = connections_;
-        }
-        for (const auto &connection : open) {
-            connection->closeSoon();
-        }
+        const std::lock_guard lock(mutex_);
+        isClosing_ = true;
+        return connections_;
     }
 
 private:
@@ -75,8 +70,9 @@
 class CallerHandler : public Pistache::Tcp::Handler
 {
 public:
-    CallerHandler(RequestLimits limits, RequestSink sink, std::shared_ptr<ConnectionList> connections)
+    CallerHandler(RequestLimits limits, bool halfCloseIsGone, RequestSink sink, std::shared_ptr<ConnectionList> connections)
         : limits_(limits)
+        , halfCloseIsGone_(halfCloseIsGone)
         , sink_(std::move(sink))
         , connections_(std::move(connections))
     {
@@ -84,12 +80,12 @@
 
     std::shared_ptr<Pistache::Tcp::Handler> clone() const override
     {
-        return std::make_shared<CallerHandler>(limits_, sink_, connections_);
+        return std::make_shared<CallerHandler>(limits_, halfCloseIsGone_, sink_, connections_);
     }
 
     void onConnection(const std::shared_ptr<Pistache::Tcp::Peer> &peer) override
     {
-        auto connection = std::make_shared<CallerConnection>(peer->fd(), limits_, sink_);
+        auto connection = std::make_shared<CallerConnection>(peer->fd(), limits_, halfCloseIsGone_, sink_);
         peer->putData(ConnectionKey, connection);
         connections_->add(std::move(connection));
     }
@@ -115,6 +111,7 @@
     }
 
     RequestLimits limits_;
+    bool halfCloseIsGone_;
     RequestSink sink_;
     std::shared_ptr<ConnectionList> connections_;
 };
@@ -132,7 +129,7 @@
         const Pistache::Flags<Options> flags = Pistache::Flags<Options>(Options::ReuseAddr) | Options::NoDelay;
         const auto address = parseSocketAddress(options.address).value();
         listener_.init(options.threads, flags, "callers", Backlog);
-        listener_.setHandler(std::make_shared<CallerHandler>(options.limits, std::move(sink), connections_));
+        listener_.setHandler(std::make_shared<CallerHandler>(options.limits, options.halfCloseIsGone, std::move(sink), connections_));
         listener_.bind(Pistache::Address(address.host, Pistache::Port(address.port)));
         listener_.runThreaded();
     }
@@ -155,9 +152,18 @@
         connections_->removeClosed();
     }
 
+    void closeAfterAnswers()
+    {
+        for (const auto &connection : connections_->startClosing()) {
+            connection->closeAfterAnswer();
+        }
+    }
+
     void closeConnections()
     {
-        connections_->closeAll();
+        for (const auto &connection : connections_->startClosing()) {
+            connection->closeSoon();
+        }
     }
 
     std::size_t unsentAnswers() const
@@ -189,6 +195,11 @@
     impl_->sweep(now);
 }
 
+void CallerServer::closeAfterAnswers()
+{
+    impl_->closeAfterAnswers();
+}
+
 void CallerServer::closeConnections()
 {
     impl_->closeConnections();
--- a/src/net/callerserver.h
+++ b/src/net/callerserver.h
@@ -24,6 +24,7 @@
     std::size_t threads = 2;
     RequestLimits limits;
     Duration slowBound = seconds(10); ///< For sending a request or reading an answer.
+    bool halfCloseIsGone = false; ///< A caller that closes its sending half wants no answer any more.
 };
 
 /// Listens to callers on Pistache's TCP layer. Its HTTP layer is not used: it answers pipelined requests
@@ -40,7 +41,9 @@
     std::uint16_t port() const;
     /// Looks after slow callers; to be called several times a second.
     void sweep(TimePoint now);
-    /// Closes idle connections, and each other one after its answer. New ones are still answered.
+    /// Closes each connection after its next answer. New ones are still answered.
+    void closeAfterAnswers();
+    /// The same, and closes idle connections at once.
     void closeConnections();
     /// @return answers that are on their way to slow readers.
     std::size_t unsentAnswers() const;
--- /dev/null
+++ b/src/net/directoryclient.h
@@ -0,0 +1,33 @@
+/*
+    This file is part of cloverbarrow.
+
+    SPDX-FileCopyrightText: 2026 The cloverbarrow authors
+    SPDX-License-Identifier: Apache-2.0
+*/
+
+#pragma once
+
+#include "core/directory/directoryevents.h"
+
+#include <functional>
+
+namespace Cloverbarrow
+{
+
+using DirectoryDone = std::function<void(DirectoryAnswer)>;
+
+/// The store that holds routes and backend servers. Each function calls its callback once, from another thread, with
+/// the number of the call; an answer that cannot be read is a failed call.
+class DirectoryClient
+{
+public:
+    virtual ~DirectoryClient() = default;
+
+    virtual void list(const ListDirectory &action, DirectoryDone done) = 0;
+    virtual void watch(const WatchDirectory &action, DirectoryDone done) = 0;
+    virtual void check(DirectoryDone done) = 0;
+    /// @return calls made so far.
+    virtual std::uint64_t calls() const = 0;
+};
+
+} // namespace Cloverbarrow
--- a/src/net/httpclient.cpp
+++ b/src/net/httpclient.cpp
@@ -8,6 +8,7 @@
 #include "net/httpclient.h"
 
 #include "core/stablehash.h"
+#include "core/text.h"
 #include "net/httptransfer.h"
 
 #include <atomic>
@@ -25,6 +26,12 @@
 constexpr int PollMs = 1000;
 constexpr long MaxIdleConnections = 4096;
 constexpr std::size_t MaxSpareHandles = 256;
+// Used until a server tells its own; shorter than what servers usually keep.
+constexpr Duration UsualIdleTime = seconds(4);
+// Covers the way of a request and the rounding to whole seconds.
+constexpr Duration IdleMargin = seconds(1);
+constexpr int MaxToldIdleSeconds = 3600;
+constexpr std::string_view TimeoutParameter = "timeout=";
 
 struct MultiDeleter {
     void operator()(CURLM *handle) const
@@ -161,12 +168,32 @@
             transfer->easy = std::move(spare_.back());
             spare_.pop_back();
         }
-        configureTransfer(*transfer);
+        configureTransfer(*transfer, maxIdleOf(transfer->call.address));
         curl_multi_add_handle(multi_.get(), transfer->easy.get());
         const HttpCallId id = transfer->id;
         transfers_.insert_or_assign(id, std::move(transfer));
     }
 
+    Duration maxIdleOf(const std::string &address) const
+    {
+        const auto found = idleTimes_.find(address);
+        return found == idleTimes_.end() ? UsualIdleTime : found->second;
+    }
+
+    /// Servers say after how many idle seconds they close a connection; a request sent right then would be lost.
+    void learnIdleTime(const std::string &address, const HttpOutcome &outcome)
+    {
+        const auto *answer = std::get_if<HttpAnswer>(&outcome);
+        const auto keepAlive = answer ? findHeader(answer->headers, "keep-alive") : std::nullopt;
+        if (!keepAlive || !keepAlive->starts_with(TimeoutParameter)) {
+            return;
+        }
+        const std::string_view value = keepAlive->substr(TimeoutParameter.size());
+        if (const auto told = parseNumber(value.substr(0, value.find(',')), MaxToldIdleSeconds)) {
+            idleTimes_.insert_or_assign(address, std::max<Duration>(seconds(1), seconds(*told) - IdleMargin));
+        }
+    }
+
     void finishDone()
     {
         int left = 0;
@@ -186,6 +213,7 @@
         Transfer &transfer = *node.mapped();
         curl_multi_remove_handle(multi_.get(), transfer.easy.get());
         HttpOutcome outcome = outcomeOf(transfer, code);
+        learnIdleTime(transfer.call.address, outcome);
         if (spare_.size() < MaxSpareHandles) {
             curl_easy_reset(transfer.easy.get());
             spare_.push_back(std::move(transfer.easy));
@@ -203,6 +231,7 @@
     // Used by the worker's thread only.
     std::map<HttpCallId, std::unique_ptr<Transfer>> transfers_;
     std::vector<EasyHandle> spare_;
+    std::map<std::string, Duration> idleTimes_;
     std::thread thread_;
 };
 
--- a/src/net/httpclient.h
+++ b/src/net/httpclient.h
@@ -22,13 +22,22 @@
 namespace Cloverbarrow
 {
 
+/// What the answer must repeat to be taken as this call's.
+struct ExpectedEcho {
+    std::string header; ///< Empty when nothing is expected.
+    std::string value;
+    bool isRequired = false; ///< An answer without the header is not taken either.
+};
+
 /// One request to a server.
 struct HttpCall {
     std::string address; ///< `IP:port`.
     HttpRequest request;
     Duration timeout = seconds(1);
     bool mayReuseConnection = false;
-    std::string tag; ///< When set, the answer must echo it in ExchangeTagHeader.
+    ExpectedEcho echo;
+    bool mayEndWithConnection = false; ///< An answer without length is whole when its connection is closed in order.
+    bool checksPeer = false; ///< A peer that is cut off is noticed while it is waited for, and not only when it is sent to.
     std::size_t maxAnswerBytes = 16 * 1024 * 1024;
 };
 
--- a/src/net/httptransfer.cpp
+++ b/src/net/httptransfer.cpp
@@ -7,6 +7,10 @@
 
 #include "net/httptransfer.h"
 
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
 #include <algorithm>
 
 namespace Cloverbarrow
@@ -17,6 +21,29 @@
 
 constexpr long ConnectTimeoutMs = 1000;
 constexpr std::size_t MaxAnswerHead = 64 * 1024;
+// A peer that does not acknowledge what was sent for so long is cut off or has no power.
+constexpr int UnacknowledgedMs = 2000;
+constexpr int KeepAliveSeconds = 1;
+constexpr int KeepAliveProbes = 2;
+
+void setOption(curl_socket_t socket, int level, int option, int value)
+{
+    // A connection without the option works all the same; only a cut is noticed later.
+    static_cast<void>(::setsockopt(socket, level, option, &value, sizeof value));
+}
+
+int prepareSocket(void *context, curl_socket_t socket, curlsocktype)
+{
+    const auto *transfer = static_cast<const Transfer *>(context);
+    setOption(socket, IPPROTO_TCP, TCP_USER_TIMEOUT, UnacknowledgedMs);
+    if (transfer->call.checksPeer) {
+        setOption(socket, SOL_SOCKET, SO_KEEPALIVE, 1);
+        setOption(socket, IPPROTO_TCP, TCP_KEEPIDLE, KeepAliveSeconds);
+        setOption(socket, IPPROTO_TCP, TCP_KEEPINTVL, KeepAliveSeconds);
+        setOption(socket, IPPROTO_TCP, TCP_KEEPCNT, KeepAliveProbes);
+    }
+    return CURL_SOCKOPT_OK;
+}
 
 /// libcurl asks right before it sends. A second question for one call means that it wants to send the
 /// request again by itself, on a fresh connection after a dead one; only the core may decide that.
@@ -42,6 +69,12 @@
     return count;
 }
 
+bool isInterimStatus(std::string_view statusLine)
+{
+    const std::size_t space = statusLine.find(' ');
+    return space != std::string_view::npos && statusLine.substr(space + 1).starts_with('1');
+}
+
 void startAnswer(std::string_view statusLine, HttpAnswer &answer)
 {
     // A new status line begins the final answer after interim ones.
@@ -53,6 +86,17 @@
     }
 }
 
+/// @return whether the head of the answer that has come fits the call.
+bool isOwnAnswer(const Transfer &transfer)
+{
+    const ExpectedEcho &echo = transfer.call.echo;
+    if (echo.header.empty() || transfer.isInterim) {
+        return true;
+    }
+    const auto found = findHeader(transfer.answer.headers, echo.header);
+    return found ? *found == echo.value : !echo.isRequired;
+}
+
 std::size_t takeHeader(char *bytes, std::size_t, std::size_t count, void *context)
 {
     auto *transfer = static_cast<Transfer *>(context);
@@ -60,8 +104,14 @@
     while (!line.empty() && (line.back() == '\r' || line.back() == '\n')) {
         line.remove_suffix(1);
     }
+    if (line.empty() && !isOwnAnswer(*transfer)) {
+        // Stopping here closes the connection, so that what follows on it reaches no other call.
+        transfer->isOthersAnswer = true;
+        return 0;
+    }
     if (line.starts_with("HTTP/")) {
         startAnswer(line, transfer->answer);
+        transfer->isInterim = isInterimStatus(line);
         transfer->headBytes = 0;
     } else if (const std::size_t colon = line.find(':'); colon != std::string_view::npos) {
         std::string_view value = line.substr(colon + 1);
@@ -84,9 +134,6 @@
         // The library takes "Name;" for an empty value.
         add(header.value.empty() ? header.name + ";" : header.name + ": " + header.value);
     }
-    if (!call.tag.empty()) {
-        add(std::string(ExchangeTagHeader) + ": " + call.tag);
-    }
     // The library adds these by itself unless told not to.
     for (const char *name : {"Accept", "Content-Type", "User-Agent"}) {
         if (!findHeader(call.request.headers, name)) {
@@ -113,7 +160,7 @@
 
 } // namespace
 
-void configureTransfer(Transfer &transfer)
+void configureTransfer(Transfer &transfer, Duration maxIdle)
 {
     CURL *easy = transfer.easy.get();
     transfer.headers = headerList(transfer.call);
@@ -139,6 +186,9 @@
     curl_easy_setopt(easy, CURLOPT_HEADERDATA, &transfer);
     curl_easy_setopt(easy, CURLOPT_PREREQFUNCTION, beforeSend);
     curl_easy_setopt(easy, CURLOPT_PREREQDATA, &transfer);
+    curl_easy_setopt(easy, CURLOPT_SOCKOPTFUNCTION, prepareSocket);
+    curl_easy_setopt(easy, CURLOPT_SOCKOPTDATA, &transfer);
+    curl_easy_setopt(easy, CURLOPT_MAXAGE_CONN, static_cast<long>(std::chrono::floor<seconds>(maxIdle).count()));
     curl_easy_setopt(easy, CURLOPT_PRIVATE, &transfer);
     setMethod(easy, transfer.call.request);
 }
@@ -161,6 +211,9 @@
     if (transfer.isTooLong) {
         return HttpFailure{true, false, "the answer is too long"};
     }
+    if (transfer.isOthersAnswer) {
+        return HttpFailure{true, false, "the answer belongs to another exchange"};
+    }
     if (transfer.isResend) {
         return HttpFailure{true, false, "the connection closed without an answer"};
     }
@@ -170,12 +223,9 @@
     long status = 0;
     curl_easy_getinfo(transfer.easy.get(), CURLINFO_RESPONSE_CODE, &status);
     transfer.answer.status = static_cast<int>(status);
-    if (!tellsItsEnd(transfer)) {
+    if (!tellsItsEnd(transfer) && !transfer.call.mayEndWithConnection) {
         return HttpFailure{true, false, "the answer ended with its connection, so it may be cut"};
     }
-    if (!transfer.call.tag.empty() && findHeader(transfer.answer.headers, ExchangeTagHeader) != transfer.call.tag) {
-        return HttpFailure{true, false, "the answer belongs to another exchange"};
-    }
     return std::move(transfer.answer);
 }
 
--- a/src/net/httptransfer.h
+++ b/src/net/httptransfer.h
@@ -47,10 +47,13 @@
     bool hasLeft = false;
     bool isResend = false;
     bool isTooLong = false;
+    bool isInterim = false; ///< The head that is being read is that of an interim answer.
+    bool isOthersAnswer = false; ///< The answer's head belongs to another exchange.
 };
 
 /// Sets the transfer's handle up for its call.
-void configureTransfer(Transfer &transfer);
+/// @param maxIdle how long a connection that is used again may have been idle.
+void configureTransfer(Transfer &transfer, Duration maxIdle);
 /// @return what became of the call, once libcurl has ended it with @p code.
 HttpOutcome outcomeOf(Transfer &transfer, CURLcode code);
 
--- a/tests/golden/sessiontests.cpp
+++ b/tests/golden/sessiontests.cpp
@@ -75,7 +75,8 @@
 
     void ended(RequestId id, int attempt, AttemptOutcome outcome, const std::string &how)
     {
-        service("attempt " + std::to_string(attempt) + " of " + std::to_string(id) + " ends: " + how, AttemptEnded{id, attempt, std::move(outcome), 1});
+        service("attempt " + std::to_string(attempt) + " of " + std::to_string(id) + " ends: " + how,
+                AttemptEnded{id, attempt, std::move(outcome), LoadReport{1}});
     }
 
     void stored(RequestId id, StoreResult result, const std::string &what)
