An empty probe allowance no longer means a blind send; servers get no more than they have room for

Full servers reset them, which ejected more servers.

Change: without probes the choice goes by reports of the last second and by room, blind only where nothing has told anything. A server is sent no more than it has room for; what its last slot costs is learnt from answers; urgent requests may use it. A reset by a full server is no sign of illness. A straggler check over no latencies read past the end of a list (found by the new tests).

Tests without the bench: choice, directory, routes, headers and objects of the platform, and the whole path with a store and backend servers as stand-ins.

--- a/src/core/answertime.cpp
+++ b/src/core/answertime.cpp
@@ -23,9 +23,12 @@
 constexpr double LatencyWeight = 0.05;
 // Before anything was seen, work is taken as this part of the latency objective (users' sheets: a third).
 constexpr double WorkPartOfObjective = 0.35;
-// Servers that are nearly full slow down on some sites (by 1.7 on the users' sheets) and not on others.
-constexpr double NearlyFullPart = 0.8;
-constexpr double NearlyFullFactor = 1.4;
+// Some servers slow all their requests down when the last slot is used (by 1.7 on one of the users' sheets) and some
+// do not. Above this factor a server of three slots does more with two of them.
+constexpr double LastSlotWorthFactor = 1.2;
+constexpr double CrowdingWeight = 0.02;
+// A slot that is no longer used teaches nothing more; its factor fades, so that it is tried again at times.
+constexpr double CrowdingFade = 0.0005;
 constexpr double ColdFactor = 2;
 // Stands for the way there and back, and for the price of bytes between availability zones.
 constexpr double OtherZoneMs = 12;
@@ -47,11 +50,6 @@
     return OtherRegionMs;
 }
 
-bool isNearlyFull(const Backend &backend)
-{
-    return heldBy(backend) + 1 > NearlyFullPart * slotsOf(backend);
-}
-
 } // namespace
 
 int slotsOf(const Backend &backend)
@@ -68,13 +66,34 @@
     return std::max(told + backend.sentSinceReport, backend.inFlight);
 }
 
-void AnswerTimeModel::answered(Duration objective, Duration latency)
+Crowding crowdingAt(int held, int slots)
+{
+    const int free = slots - held;
+    if (free > 1) {
+        return Crowding::HadRoom;
+    }
+    return free == 1 ? Crowding::TookLastSlot : Crowding::HadToWait;
+}
+
+Crowding crowdingOf(const Backend &backend)
+{
+    return crowdingAt(heldBy(backend), slotsOf(backend));
+}
+
+void AnswerTimeModel::answered(Duration objective, Duration latency, Crowding crowding)
 {
     const double sample = toMilliseconds(latency);
     const auto [entry, isNew] = meanLatencyMs_.try_emplace(objective, sample);
+    const double relative = sample / entry->second;
     if (!isNew) {
         entry->second += LatencyWeight * (sample - entry->second);
     }
+    if (crowding == Crowding::HadRoom) {
+        relativeWithRoom_ += CrowdingWeight * (relative - relativeWithRoom_);
+        relativeOnLastSlot_ += CrowdingFade * (relativeWithRoom_ - relativeOnLastSlot_);
+    } else if (crowding == Crowding::TookLastSlot) {
+        relativeOnLastSlot_ += CrowdingWeight * (relative - relativeOnLastSlot_);
+    }
 }
 
 void AnswerTimeModel::toldSlowness(double slowness)
@@ -109,8 +128,8 @@
     if (time > SlownessLastsMs) {
         time = SlownessLastsMs + (work - SlownessLastsMs / slowness) * meanSlowness_;
     }
-    if (isNearlyFull(backend)) {
-        time *= NearlyFullFactor;
+    if (crowdingOf(backend) != Crowding::HadRoom) {
+        time *= lastSlotFactor();
     }
     if (now < backend.warmAt) {
         time *= ColdFactor;
@@ -120,10 +139,22 @@
     return time + ahead * work * meanSlowness_ / slotsOf(backend) + distanceMs(backend.distance);
 }
 
+double AnswerTimeModel::lastSlotFactor() const
+{
+    return std::max(1.0, relativeOnLastSlot_ / relativeWithRoom_);
+}
+
+bool AnswerTimeModel::hasRoom(const Backend &backend) const
+{
+    const Crowding crowding = crowdingOf(backend);
+    const bool isLastSlotGood = lastSlotFactor() < LastSlotWorthFactor || slotsOf(backend) == 1;
+    return crowding == Crowding::HadRoom || (crowding == Crowding::TookLastSlot && isLastSlotGood);
+}
+
 bool AnswerTimeModel::isAsGoodAsAny(const Backend &backend, TimePoint now) const
 {
     const bool isQuick = slownessNow(backend, now) <= UsualSlowness && now >= backend.warmAt;
-    return isQuick && !isNearlyFull(backend) && backend.failureStreak == 0 && backend.distance == Distance::SameZone;
+    return isQuick && crowdingOf(backend) == Crowding::HadRoom && backend.failureStreak == 0 && backend.distance == Distance::SameZone;
 }
 
 } // namespace Cloverbarrow
--- a/src/core/backendpool.cpp
+++ b/src/core/backendpool.cpp
@@ -299,7 +299,7 @@
         }
         ejected += &other != &backend && now < other.ejectedUntil ? 1 : 0;
     }
-    if ((ejected + 1) * MaxStragglerPart > backends_.size()) {
+    if (latencies.empty() || (ejected + 1) * MaxStragglerPart > backends_.size()) {
         return false;
     }
     const auto middle = latencies.begin() + static_cast<std::ptrdiff_t>(latencies.size() / 2);
--- a/src/core/serverchooser.cpp
+++ b/src/core/serverchooser.cpp
@@ -19,15 +19,17 @@
 // Probes of the first round, of which so many in the own availability zone, and of each further round.
 constexpr std::size_t FirstRoundProbes = 3;
 constexpr std::size_t FirstRoundNear = 2;
-constexpr std::size_t NextRoundProbes = 4;
+constexpr std::size_t NextRoundProbes = 3;
 // A probe comes back after some 10 ms (6 ms at the server on the users' sheets and the way); waiting longer costs more
 // than its news is worth.
 constexpr Duration ProbePatience = milliseconds(20);
 // Rounds without a choice follow each other at this distance, so that a full service is not asked without pause.
-constexpr Duration RoundPause = milliseconds(20);
+constexpr Duration RoundPause = milliseconds(30);
 constexpr int QuickRounds = 2;
 // A report this old still tells the state of a server.
 constexpr Duration FreshFor = milliseconds(30);
+// Where no probe may be made, a report this old is still better than none.
+constexpr Duration UsableFor = seconds(1);
 // Above this multiple of the work, another round finds a better server more often than not.
 constexpr double PoorFactor = 2.0;
 
@@ -54,9 +56,9 @@
     }
 }
 
-bool isFresh(const Backend &backend, TimePoint now)
+bool hasToldWithin(const Backend &backend, TimePoint now, Duration age)
 {
-    return backend.reportedAt && now - *backend.reportedAt <= FreshFor;
+    return backend.reportedAt && now - *backend.reportedAt <= age;
 }
 
 } // namespace
@@ -90,41 +92,48 @@
     return probed;
 }
 
-ChoiceStep ServerChooser::look(
-    TimePoint now, const BackendPool &pool, std::span<const std::string> tried, Duration objective, Duration timeLeft, const Choice &choice) const
+ChoiceStep ServerChooser::look(TimePoint now, const BackendPool &pool, std::span<const std::string> tried, const ChoiceNeed &need, const Choice &choice) const
 {
     const Backend *best = nullptr;
     double bestMs = std::numeric_limits<double>::max();
     for (const std::size_t index : pool.openServers(now, tried)) {
         const Backend &backend = pool.backends()[index];
-        if (!isFresh(backend, now)) {
+        if (!mayUse(backend, need, now)) {
             continue;
         }
-        if (const double time = model_.expectedMs(backend, objective, now); time < bestMs) {
+        if (const double time = model_.expectedMs(backend, need.objective, now); time < bestMs) {
             best = &backend;
             bestMs = time;
         }
     }
-    if (best && model_.isAsGoodAsAny(*best, now)) {
+    if (best && (need.isLastCall || model_.isAsGoodAsAny(*best, now))) {
         return {ChoiceState::Chosen, best->server.name};
     }
     if (choice.pending > 0 && now < choice.decideAt) {
         return {ChoiceState::Wait, {}};
     }
-    const bool isPoor = isBestPoor(bestMs, objective);
+    const bool isPoor = bestMs > PoorFactor * model_.workMs(need.objective);
     if (isPoor && choice.round < QuickRounds) {
         return {ChoiceState::NeedsProbes, {}};
     }
-    if (best && bestMs <= toMilliseconds(timeLeft)) {
+    if (best && bestMs <= toMilliseconds(need.timeLeft)) {
         return {ChoiceState::Chosen, best->server.name};
     }
     // Later rounds keep their distance even when all probes came back at once.
     return {now < choice.decideAt ? ChoiceState::Wait : ChoiceState::NeedsProbes, {}};
 }
 
-bool ServerChooser::isBestPoor(double bestMs, Duration objective) const
+bool ServerChooser::mayUse(const Backend &backend, const ChoiceNeed &need, TimePoint now) const
 {
-    return bestMs > PoorFactor * model_.workMs(objective);
+    // More requests than a server runs at once only make all of them late.
+    const bool fits = need.isUrgent ? crowdingOf(backend) != Crowding::HadToWait : model_.hasRoom(backend);
+    return fits && hasToldWithin(backend, now, need.takesOldReports ? UsableFor : FreshFor);
+}
+
+bool ServerChooser::knowsAny(TimePoint now, const BackendPool &pool)
+{
+    const auto servers = pool.backends();
+    return std::any_of(servers.begin(), servers.end(), [now](const Backend &backend) { return hasToldWithin(backend, now, UsableFor); });
 }
 
 AnswerTimeModel &ServerChooser::model()
--- a/src/core/serverchooser.h
+++ b/src/core/serverchooser.h
@@ -31,6 +31,15 @@
     TimePoint decideAt; ///< Probes that are not back by then are not waited for.
 };
 
+/// What the request that a server is chosen for needs.
+struct ChoiceNeed {
+    Duration objective{0};
+    Duration timeLeft{0}; ///< Within which an answer is wanted.
+    bool isUrgent = false; ///< Goes before other requests of the service: may use slots that these leave free.
+    bool isLastCall = false; ///< Any server with room is better than none now.
+    bool takesOldReports = false; ///< There are no newer ones to be had.
+};
+
 /// What follows from looking at a choice.
 enum class ChoiceState {
     Wait, ///< For probes, or for the next round.
@@ -53,15 +62,18 @@
 
     /// Begins the next round. @return indices of the servers to probe; empty when none is worth it or allowed.
     std::vector<std::size_t> nextRound(TimePoint now, const BackendPool &pool, std::span<const std::string> tried, Choice &choice, Random &random);
-    /// Looks at what has come back. @param timeLeft within which an answer is wanted.
-    ChoiceStep look(
-        TimePoint now, const BackendPool &pool, std::span<const std::string> tried, Duration objective, Duration timeLeft, const Choice &choice) const;
+    /// Looks at what has come back.
+    ChoiceStep look(TimePoint now, const BackendPool &pool, std::span<const std::string> tried, const ChoiceNeed &need, const Choice &choice) const;
+
+    /// @return whether any server has told of itself lately, so that there is something to go by.
+    static bool knowsAny(TimePoint now, const BackendPool &pool);
 
     AnswerTimeModel &model();
     const AnswerTimeModel &model() const;
 
 private:
-    bool isBestPoor(double bestMs, Duration objective) const;
+    /// @return whether a request may be sent to @p backend on what it last told.
+    bool mayUse(const Backend &backend, const ChoiceNeed &need, TimePoint now) const;
 
     AnswerTimeModel model_;
     ProbeAllowance allowance_;
--- a/src/core/serviceshard.cpp
+++ b/src/core/serviceshard.cpp
@@ -106,6 +106,7 @@
     Request &request = requests_[event.request];
     request.arrival = event;
     request.arrival.arrivedAt = now;
+    lowestPriority_ = std::max(lowestPriority_, event.priority);
     retryBudget_.addFirstAttempt();
     hedgeBudget_.addFirstAttempt();
     if (isPayout(request)) {
@@ -215,9 +216,17 @@
     return taken;
 }
 
+AttemptQuality ServiceShard::qualityOf(const Attempt &attempt, const AttemptOutcome &outcome) const
+{
+    const auto *lost = std::get_if<LostAnswer>(&outcome);
+    // Some servers reset connections when they are full; that is no sign of illness.
+    const bool isShed = probesFirst() && lost && !lost->isTimeout && attempt.crowding == Crowding::HadToWait;
+    return isShed ? AttemptQuality::Neutral : Cloverbarrow::qualityOf(outcome);
+}
+
 void ServiceShard::learn(TimePoint now, const Attempt &attempt, const AttemptEnded &event, ServiceActions &actions)
 {
-    pool_.release(attempt.backend, qualityOf(event.outcome), now - attempt.startedAt, now);
+    pool_.release(attempt.backend, qualityOf(attempt, event.outcome), now - attempt.startedAt, now);
     if (event.report) {
         pool_.report(attempt.backend, *event.report, now);
         chooser_.model().toldSlowness(event.report->slowness);
@@ -226,8 +235,8 @@
     if (answer && answer->isLeaving) {
         noteLeaving(attempt.backend, actions);
     }
-    if (qualityOf(event.outcome) == AttemptQuality::Good) {
-        chooser_.model().answered(requests_.at(event.request).arrival.latencyObjective, now - attempt.startedAt);
+    if (Cloverbarrow::qualityOf(event.outcome) == AttemptQuality::Good) {
+        chooser_.model().answered(requests_.at(event.request).arrival.latencyObjective, now - attempt.startedAt, attempt.crowding);
     }
 }
 
@@ -438,7 +447,9 @@
 void ServiceShard::startAt(TimePoint now, const Backend &backend, Request &request, ServiceActions &actions)
 {
     ++request.attempts;
-    request.running.push_back({request.attempts, backend.server.name, backend.server.address, now});
+    // The server has been taken: this attempt is among those that it holds.
+    const Crowding crowding = crowdingAt(heldBy(backend) - 1, slotsOf(backend));
+    request.running.push_back({request.attempts, backend.server.name, backend.server.address, now, crowding});
     request.tried.push_back(backend.server.name);
     // The C library's HTTP client may resend on a connection that turns out dead, and only the echoed tag
     // tells an answer from a stray one; so only tagged reads go on a used connection.
@@ -462,9 +473,7 @@
 
 void ServiceShard::proceedWithChoice(TimePoint now, Request &request, ServiceActions &actions)
 {
-    const Duration objective = request.arrival.latencyObjective;
-    const Duration timeLeft = std::max(request.arrival.arrivedAt + objective - now, objective / HoldPart);
-    const ChoiceStep step = chooser_.look(now, pool_, request.tried, objective, timeLeft, *request.choice);
+    const ChoiceStep step = chooser_.look(now, pool_, request.tried, needOf(now, request), *request.choice);
     if (step.state == ChoiceState::Chosen) {
         startChosen(now, pool_.takeNamed(now, step.backend), request, actions);
     } else if (step.state == ChoiceState::NeedsProbes) {
@@ -472,12 +481,21 @@
     }
 }
 
+ChoiceNeed ServiceShard::needOf(TimePoint now, const Request &request) const
+{
+    ChoiceNeed need;
+    need.objective = request.arrival.latencyObjective;
+    need.timeLeft = std::max(request.arrival.arrivedAt + need.objective - now, need.objective / HoldPart);
+    need.isUrgent = request.arrival.priority < lowestPriority_;
+    need.isLastCall = !request.choice->isHedge && now >= request.giveUpAt;
+    return need;
+}
+
 void ServiceShard::askServers(TimePoint now, Request &request, ServiceActions &actions)
 {
     const auto probed = chooser_.nextRound(now, pool_, request.tried, *request.choice, random_);
     if (probed.empty()) {
-        // Nothing can be learnt in time: older reports have to do.
-        startChosen(now, pool_.take(now, random_, request.tried), request, actions);
+        chooseByOldReports(now, request, actions);
         return;
     }
     for (const std::size_t index : probed) {
@@ -486,6 +504,19 @@
     }
 }
 
+void ServiceShard::chooseByOldReports(TimePoint now, Request &request, ServiceActions &actions)
+{
+    ChoiceNeed need = needOf(now, request);
+    need.takesOldReports = true;
+    const ChoiceStep step = chooser_.look(now, pool_, request.tried, need, *request.choice);
+    if (step.state == ChoiceState::Chosen) {
+        startChosen(now, pool_.takeNamed(now, step.backend), request, actions);
+    } else if (!ServerChooser::knowsAny(now, pool_)) {
+        // No server answers probes; that alone is no reason to serve nobody.
+        startChosen(now, pool_.take(now, random_, request.tried), request, actions);
+    }
+}
+
 void ServiceShard::startChosen(TimePoint now, std::optional<std::size_t> index, Request &request, ServiceActions &actions)
 {
     if (!index) {
@@ -506,14 +537,9 @@
         request.choice.reset();
         return false;
     }
-    const auto known = [now](const Backend &backend) { return backend.reportedAt && now - *backend.reportedAt < seconds(1); };
-    const auto servers = pool_.backends();
-    if (pool_.hasCandidate() && std::none_of(servers.begin(), servers.end(), known)) {
-        // No server answers probes; that alone is no reason to serve nobody.
-        if (const auto index = pool_.take(now, random_, request.tried)) {
-            startChosen(now, index, request, actions);
-            return false;
-        }
+    chooseByOldReports(now, request, actions);
+    if (!request.choice) {
+        return false;
     }
     const Fate fate = request.mayHaveRun ? Fate::Unknown : Fate::NotRun;
     refuse(request, {Unavailable, fate, "choose backend server", name_, "no backend server has room to answer in time", ComeBackSoon}, actions);
--- a/src/core/serviceshard.h
+++ b/src/core/serviceshard.h
@@ -48,6 +48,7 @@
         std::string backend;
         std::string address;
         TimePoint startedAt;
+        Crowding crowding = Crowding::HadRoom; ///< How it found the server.
     };
 
     struct Request {
@@ -95,8 +96,11 @@
     bool probesFirst() const;
     void beginChoice(TimePoint now, Request &request, bool isHedge, ServiceActions &actions);
     void proceedWithChoice(TimePoint now, Request &request, ServiceActions &actions);
+    ChoiceNeed needOf(TimePoint now, const Request &request) const;
     void askServers(TimePoint now, Request &request, ServiceActions &actions);
-    /// Sends the request to the chosen server, or takes any when there is no choice to be had.
+    /// Chooses without probes: by what servers told before, or any when none has told anything.
+    void chooseByOldReports(TimePoint now, Request &request, ServiceActions &actions);
+    /// Sends the request to the server that was taken for it, if one was.
     void startChosen(TimePoint now, std::optional<std::size_t> index, Request &request, ServiceActions &actions);
     /// Ends choices that have lasted too long. @return whether the request has got its final answer.
     bool giveUpChoice(TimePoint now, Request &request, ServiceActions &actions);
@@ -111,6 +115,7 @@
     /// Takes the attempt off those under way. @return it, or nothing when it has ended before.
     std::optional<Attempt> takeRunning(RequestId request, int number);
     void noteLeaving(const std::string &backend, ServiceActions &actions);
+    AttemptQuality qualityOf(const Attempt &attempt, const AttemptOutcome &outcome) const;
     void learn(TimePoint now, const Attempt &attempt, const AttemptEnded &event, ServiceActions &actions);
     void startWaiting(TimePoint now, ServiceActions &actions);
     /// Refuses a waiting request that can wait no longer. @return whether it waits no more.
@@ -134,6 +139,7 @@
     PayoutLedger ledger_;
     Random random_;
     int entryVms_ = 1;
+    int lowestPriority_ = 0; ///< The greatest number that a request has come with.
     std::map<RequestId, Request> requests_;
     std::deque<RequestId> waiting_;
 };
--- /dev/null
+++ b/tests/standins/directorystore.cpp
@@ -0,0 +1,188 @@
+/*
+    This file is part of cloverbarrow.
+
+    SPDX-FileCopyrightText: 2026 The cloverbarrow authors
+    SPDX-License-Identifier: Apache-2.0
+*/
+
+#include "directorystore.h"
+
+#include <algorithm>
+
+namespace Cloverbarrow::Standins
+{
+
+namespace
+{
+
+using Json = nlohmann::json;
+
+// Small, so that tests read lists of several pages.
+constexpr std::size_t PageSize = 2;
+
+HttpAnswer json(const Json &body, int status = 200)
+{
+    HttpAnswer answer;
+    answer.status = status;
+    answer.headers.push_back({"Content-Type", "application/json"});
+    answer.body = body.dump();
+    return answer;
+}
+
+/// @return the value of @p name in the target's query, or nothing.
+std::optional<std::string> query(const std::string &target, const std::string &name)
+{
+    const std::size_t question = target.find('?');
+    std::string rest = question == std::string::npos ? std::string() : "&" + target.substr(question + 1);
+    const std::size_t found = rest.find("&" + name + "=");
+    if (found == std::string::npos) {
+        return std::nullopt;
+    }
+    const std::size_t begin = found + name.size() + 2;
+    return rest.substr(begin, rest.find('&', begin) - begin);
+}
+
+} // namespace
+
+DirectoryStore::DirectoryStore()
+{
+    CallerServerOptions options;
+    options.address = "127.0.0.1:0";
+    server_ = std::make_unique<CallerServer>(
+        options, [this](const std::shared_ptr<CallerConnection> &connection, const HttpRequest &request) { accept(connection, request); });
+}
+
+DirectoryStore::~DirectoryStore() = default;
+
+std::string DirectoryStore::address() const
+{
+    return "127.0.0.1:" + std::to_string(server_->port());
+}
+
+void DirectoryStore::put(const std::string &kind, const std::string &name, const Json &specification)
+{
+    {
+        const std::lock_guard lock(mutex_);
+        ++revision_;
+        const Json object = {
+            {"metadata", {{"name", name}, {"revision", revision_}, {"created_rev", revision_}, {"finalizers", Json::array()}, {"deleting", false}}},
+            {"specification", specification},
+            {"status", nullptr}};
+        objects_[kind][name] = object;
+        changes_.push_back({kind, revision_, {{"object", object}, {"deleted", false}}});
+    }
+    wake();
+}
+
+void DirectoryStore::remove(const std::string &kind, const std::string &name)
+{
+    {
+        const std::lock_guard lock(mutex_);
+        ++revision_;
+        Json object = objects_[kind][name];
+        object["metadata"]["revision"] = revision_;
+        objects_[kind].erase(name);
+        changes_.push_back({kind, revision_, {{"object", object}, {"deleted", true}}});
+    }
+    wake();
+}
+
+void DirectoryStore::forgetHistory()
+{
+    {
+        const std::lock_guard lock(mutex_);
+        oldest_ = ++revision_;
+        changes_.clear();
+    }
+    wake();
+}
+
+void DirectoryStore::setBusy(bool isBusy)
+{
+    const std::lock_guard lock(mutex_);
+    isBusy_ = isBusy;
+}
+
+int DirectoryStore::calls() const
+{
+    const std::lock_guard lock(mutex_);
+    return calls_;
+}
+
+void DirectoryStore::accept(const std::shared_ptr<CallerConnection> &connection, const HttpRequest &request)
+{
+    std::optional<HttpAnswer> answer;
+    {
+        const std::lock_guard lock(mutex_);
+        ++calls_;
+        constexpr std::string_view Prefix = "/objects/";
+        const std::string path = request.target.substr(0, request.target.find('?'));
+        const std::string kind = path.starts_with(Prefix) ? path.substr(Prefix.size()) : std::string();
+        const auto since = query(request.target, "watch");
+        if (isBusy_) {
+            answer = json({{"error", "busy"}}, 503);
+        } else if (kind.empty() || kind.find('/') != std::string::npos) {
+            answer = json({{"error", "not found"}}, 404);
+        } else if (since) {
+            answer = changesSince(kind, std::stoll(*since));
+            if (!answer) {
+                waiting_.push_back({connection, kind, std::stoll(*since)});
+            }
+        } else {
+            answer = list(kind, query(request.target, "after").value_or(""));
+        }
+    }
+    if (answer) {
+        connection->answer(*answer, false);
+    }
+}
+
+HttpAnswer DirectoryStore::list(const std::string &kind, const std::string &after) const
+{
+    Json items = Json::array();
+    bool hasMore = false;
+    if (const auto found = objects_.find(kind); found != objects_.end()) {
+        for (auto entry = found->second.upper_bound(after); entry != found->second.end(); ++entry) {
+            if (items.size() == PageSize) {
+                hasMore = true;
+                break;
+            }
+            items.push_back(entry->second);
+        }
+    }
+    return json({{"items", items}, {"has_more", hasMore}, {"store_revision", revision_}});
+}
+
+std::optional<HttpAnswer> DirectoryStore::changesSince(const std::string &kind, std::int64_t since) const
+{
+    if (since < oldest_) {
+        return json({{"error", "history is gone"}}, 410);
+    }
+    Json events = Json::array();
+    for (const Change &change : changes_) {
+        if (change.kind == kind && change.revision > since) {
+            events.push_back(change.event);
+        }
+    }
+    return events.empty() ? std::nullopt : std::optional(json({{"events", events}, {"store_revision", revision_}}));
+}
+
+void DirectoryStore::wake()
+{
+    std::vector<std::pair<std::shared_ptr<CallerConnection>, HttpAnswer>> ready;
+    {
+        const std::lock_guard lock(mutex_);
+        std::erase_if(waiting_, [this, &ready](const Waiting &item) {
+            const auto answer = changesSince(item.kind, item.since);
+            if (answer) {
+                ready.emplace_back(item.connection, *answer);
+            }
+            return answer.has_value();
+        });
+    }
+    for (const auto &[connection, answer] : ready) {
+        connection->answer(answer, false);
+    }
+}
+
+} // namespace Cloverbarrow::Standins
--- /dev/null
+++ b/tests/standins/directorystore.h
@@ -0,0 +1,71 @@
+/*
+    This file is part of cloverbarrow.
+
+    SPDX-FileCopyrightText: 2026 The cloverbarrow authors
+    SPDX-License-Identifier: Apache-2.0
+*/
+
+#pragma once
+
+#include "net/callerserver.h"
+
+#include <nlohmann/json.hpp>
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <vector>
+
+namespace Cloverbarrow::Standins
+{
+
+/// Small stand-in for the users' store: lists by pages, watches, history that can be forgotten, outages.
+class DirectoryStore
+{
+public:
+    DirectoryStore();
+    ~DirectoryStore();
+
+    std::string address() const;
+    void put(const std::string &kind, const std::string &name, const nlohmann::json &specification);
+    void remove(const std::string &kind, const std::string &name);
+    /// Watches from before now are told that history is gone.
+    void forgetHistory();
+    /// Answers 503 until told otherwise.
+    void setBusy(bool isBusy);
+    /// @return calls that were answered.
+    int calls() const;
+
+private:
+    struct Change {
+        std::string kind;
+        std::int64_t revision = 0;
+        nlohmann::json event;
+    };
+
+    struct Waiting {
+        std::shared_ptr<CallerConnection> connection;
+        std::string kind;
+        std::int64_t since = 0;
+    };
+
+    void accept(const std::shared_ptr<CallerConnection> &connection, const HttpRequest &request);
+    HttpAnswer list(const std::string &kind, const std::string &after) const;
+    /// @return nothing while there is nothing to tell.
+    std::optional<HttpAnswer> changesSince(const std::string &kind, std::int64_t since) const;
+    void wake();
+
+    mutable std::mutex mutex_;
+    std::int64_t revision_ = 0;
+    std::int64_t oldest_ = 0; ///< Revision from which history is kept.
+    std::map<std::string, std::map<std::string, nlohmann::json>> objects_;
+    std::vector<Change> changes_;
+    std::vector<Waiting> waiting_;
+    bool isBusy_ = false;
+    int calls_ = 0;
+    std::unique_ptr<CallerServer> server_;
+};
+
+} // namespace Cloverbarrow::Standins
--- /dev/null
+++ b/tests/standins/registeredbackend.cpp
@@ -0,0 +1,112 @@
+/*
+    This file is part of cloverbarrow.
+
+    SPDX-FileCopyrightText: 2026 The cloverbarrow authors
+    SPDX-License-Identifier: Apache-2.0
+*/
+
+#include "registeredbackend.h"
+
+#include "names.h"
+
+#include <algorithm>
+
+namespace Cloverbarrow::Standins
+{
+
+RegisteredBackend::RegisteredBackend(std::string id)
+    : id_(std::move(id))
+{
+    CallerServerOptions options;
+    options.address = "127.0.0.1:0";
+    options.halfCloseIsGone = true;
+    server_ = std::make_unique<CallerServer>(
+        options, [this](const std::shared_ptr<CallerConnection> &connection, const HttpRequest &request) { accept(connection, request); });
+}
+
+RegisteredBackend::~RegisteredBackend() = default;
+
+std::string RegisteredBackend::address() const
+{
+    return "127.0.0.1:" + std::to_string(server_->port());
+}
+
+nlohmann::json RegisteredBackend::registration(const std::string &service, const std::string &state) const
+{
+    return {{"service", service},
+            {"address", address()},
+            {"zone", "bog-a"},
+            {"version", "v1"},
+            {"slots", 3},
+            {"state", state},
+            {"warmup_remaining_s", 0},
+            {"sequence", 1}};
+}
+
+void RegisteredBackend::conduct(Conduct conduct)
+{
+    const std::lock_guard lock(mutex_);
+    conduct_ = conduct;
+}
+
+void RegisteredBackend::becomeInstance(const std::string &id)
+{
+    const std::lock_guard lock(mutex_);
+    id_ = id;
+}
+
+std::vector<std::string> RegisteredBackend::runs() const
+{
+    const std::lock_guard lock(mutex_);
+    return runs_;
+}
+
+int RegisteredBackend::abandoned() const
+{
+    const std::lock_guard lock(mutex_);
+    return static_cast<int>(std::count_if(hanging_.begin(), hanging_.end(), [](const auto &connection) { return connection->isGone(); }));
+}
+
+void RegisteredBackend::accept(const std::shared_ptr<CallerConnection> &connection, const HttpRequest &request)
+{
+    std::unique_lock lock(mutex_);
+    HttpAnswer answer;
+    answer.headers = {{Platform::ServerLoadHeader, "0,0,3,100"}, {Platform::InstanceHeader, id_}};
+    if (request.target == "/health") {
+        lock.unlock();
+        connection->answer(answer, false);
+        return;
+    }
+    const std::string requestId(findHeader(request.headers, Platform::RequestIdHeader).value_or(""));
+    answer.headers.push_back({Platform::RequestIdHeader, requestId});
+    if (findHeader(request.headers, Platform::ExpectInstanceHeader).value_or(id_) != id_) {
+        answer.status = 421;
+    } else if (conduct_ == Conduct::Shed) {
+        answer.status = 503;
+        answer.headers.push_back({Platform::NotExecutedHeader, "1"});
+    } else {
+        runs_.push_back(requestId);
+        answer.body = id_ + " ran " + request.method + " " + request.target + " " + request.body;
+        if (conduct_ != Conduct::Unsigned) {
+            answer.headers.push_back({Platform::StampHeader, id_ + ".stamp"});
+        }
+    }
+    const bool isRun = answer.status == 200;
+    if (isRun && conduct_ == Conduct::Hang) {
+        hanging_.push_back(connection);
+        return;
+    }
+    const Conduct conduct = conduct_;
+    lock.unlock();
+    if (isRun && conduct == Conduct::Reset) {
+        connection->abort();
+    } else if (isRun && conduct == Conduct::Unframed) {
+        connection->answerBytes(std::string("HTTP/1.1 200 OK\r\n") + Platform::RequestIdHeader + ": " + requestId + "\r\n" + Platform::StampHeader
+                                    + ": s\r\n\r\n" + answer.body,
+                                true);
+    } else {
+        connection->answer(answer, request.method == "HEAD");
+    }
+}
+
+} // namespace Cloverbarrow::Standins
--- /dev/null
+++ b/tests/standins/registeredbackend.h
@@ -0,0 +1,63 @@
+/*
+    This file is part of cloverbarrow.
+
+    SPDX-FileCopyrightText: 2026 The cloverbarrow authors
+    SPDX-License-Identifier: Apache-2.0
+*/
+
+#pragma once
+
+#include "net/callerserver.h"
+
+#include <nlohmann/json.hpp>
+
+#include <atomic>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <vector>
+
+namespace Cloverbarrow::Standins
+{
+
+/// How a registered backend server answers.
+enum class Conduct {
+    Serve,
+    Shed, ///< Says that it did not run the request.
+    Hang, ///< Runs it and never answers.
+    Reset, ///< Runs it and drops the connection.
+    Unsigned, ///< Answers without its signature.
+    Unframed, ///< Answers without a length and closes the connection.
+};
+
+/// Small stand-in for a backend server on the users' platform: checks the expected instance, echoes the
+/// request's id, signs its answers and tells its load.
+class RegisteredBackend
+{
+public:
+    explicit RegisteredBackend(std::string id);
+    ~RegisteredBackend();
+
+    std::string address() const;
+    /// @return what it registers with the store.
+    nlohmann::json registration(const std::string &service, const std::string &state = "ready") const;
+    void conduct(Conduct conduct);
+    /// Another incarnation takes the address over.
+    void becomeInstance(const std::string &id);
+    /// @return ids of the requests that were run.
+    std::vector<std::string> runs() const;
+    /// @return connections of hanging requests that were closed by their sender.
+    int abandoned() const;
+
+private:
+    void accept(const std::shared_ptr<CallerConnection> &connection, const HttpRequest &request);
+
+    mutable std::mutex mutex_;
+    std::string id_;
+    Conduct conduct_ = Conduct::Serve;
+    std::vector<std::string> runs_;
+    std::vector<std::shared_ptr<CallerConnection>> hanging_;
+    std::unique_ptr<CallerServer> server_;
+};
+
+} // namespace Cloverbarrow::Standins
--- /dev/null
+++ b/tests/unit/directorytests.cpp
@@ -0,0 +1,269 @@
+/*
+    This file is part of cloverbarrow.
+
+    SPDX-FileCopyrightText: 2026 The cloverbarrow authors
+    SPDX-License-Identifier: Apache-2.0
+*/
+
+#include "core/directory/directorykeeper.h"
+
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+
+using namespace Cloverbarrow;
+
+namespace
+{
+
+RoutingPlan plan(std::int64_t version)
+{
+    RoutingPlan made;
+    made.version = version;
+    made.versionText = "r" + std::to_string(version);
+    Service service;
+    service.name = "reclamos";
+    made.services.push_back(service);
+    return made;
+}
+
+DirectoryEntry planEntry(std::int64_t version, std::int64_t revision)
+{
+    return {"main", revision, plan(version), false};
+}
+
+DirectoryEntry server(const std::string &name, std::int64_t revision, bool isDraining = false)
+{
+    Registration registration;
+    registration.service = "reclamos";
+    registration.server.name = name;
+    registration.server.address = "10.0.0.1:80";
+    registration.isDraining = isDraining;
+    return {name, revision, registration, false};
+}
+
+DirectoryEntry gone(const std::string &name, std::int64_t revision)
+{
+    return {name, revision, std::nullopt, true};
+}
+
+/// A keeper with a store that answers as told.
+class Following
+{
+public:
+    void pass(Duration duration)
+    {
+        constexpr Duration Step = milliseconds(10);
+        for (const TimePoint until = now_ + duration; now_ < until;) {
+            now_ += Step;
+            DirectoryActions actions;
+            keeper_.tick(now_, actions);
+            take(actions);
+        }
+    }
+
+    void answer(int call, DirectoryEvent event)
+    {
+        DirectoryActions actions;
+        keeper_.handle(now_, {call, std::move(event)}, actions);
+        take(actions);
+    }
+
+    /// Answers the lists of both collections.
+    void start(std::vector<DirectoryEntry> servers)
+    {
+        pass(milliseconds(10));
+        answer(listCall(Collection::Routing), DirectoryListed{Collection::Routing, {planEntry(1, 1)}, false, "main", 10});
+        answer(listCall(Collection::Servers), DirectoryListed{Collection::Servers, std::move(servers), false, "z", 10});
+        pass(milliseconds(10));
+    }
+
+    int listCall(Collection collection) const
+    {
+        const auto found = std::find_if(lists.rbegin(), lists.rend(), [collection](const ListDirectory &list) { return list.collection == collection; });
+        REQUIRE(found != lists.rend());
+        return found->call;
+    }
+
+    const WatchDirectory &watch(Collection collection) const
+    {
+        const auto found = std::find_if(watches.rbegin(), watches.rend(), [collection](const WatchDirectory &item) { return item.collection == collection; });
+        REQUIRE(found != watches.rend());
+        return *found;
+    }
+
+    std::vector<std::string> servers() const
+    {
+        std::vector<std::string> names;
+        if (published) {
+            for (const BackendServer &item : published->configuration.services.front().backendServers) {
+                names.push_back(item.name);
+            }
+        }
+        return names;
+    }
+
+    std::vector<ListDirectory> lists;
+    std::vector<WatchDirectory> watches;
+    int checks = 0;
+    std::shared_ptr<const IntentInForce> published;
+
+private:
+    void take(const DirectoryActions &actions)
+    {
+        for (const DirectoryAction &action : actions) {
+            if (const auto *list = std::get_if<ListDirectory>(&action)) {
+                lists.push_back(*list);
+            } else if (const auto *watch = std::get_if<WatchDirectory>(&action)) {
+                watches.push_back(*watch);
+            } else if (std::holds_alternative<CheckDirectory>(action)) {
+                ++checks;
+            } else if (const auto *publish = std::get_if<PublishDirectory>(&action)) {
+                CHECK((!published || publish->intent->version > published->version));
+                published = publish->intent;
+            }
+        }
+    }
+
+    TimePoint now_ = TimePoint(seconds(50));
+    DirectoryKeeper keeper_{FleetBudgets{}, 7};
+};
+
+using Names = std::vector<std::string>;
+
+} // namespace
+
+TEST_CASE("Nothing is published before routes and servers have been read whole", "[directory]")
+{
+    Following store;
+    store.pass(milliseconds(10));
+    store.answer(store.listCall(Collection::Routing), DirectoryListed{Collection::Routing, {planEntry(1, 1)}, false, "main", 10});
+    CHECK_FALSE(store.published);
+    store.answer(store.listCall(Collection::Servers), DirectoryListed{Collection::Servers, {server("i-1", 2)}, true, "i-1", 10});
+    CHECK_FALSE(store.published);
+    store.pass(milliseconds(10));
+    CHECK(store.lists.back().after == "i-1");
+    store.answer(store.listCall(Collection::Servers), DirectoryListed{Collection::Servers, {server("i-2", 3)}, false, "i-2", 12});
+    REQUIRE(store.published);
+    CHECK(store.servers() == Names{"i-1", "i-2"});
+}
+
+TEST_CASE("A list of several pages is watched from the revision of its first page", "[directory]")
+{
+    Following store;
+    store.pass(milliseconds(10));
+    store.answer(store.listCall(Collection::Servers), DirectoryListed{Collection::Servers, {server("i-1", 2)}, true, "i-1", 10});
+    store.pass(milliseconds(10));
+    store.answer(store.listCall(Collection::Servers), DirectoryListed{Collection::Servers, {server("i-2", 3)}, false, "i-2", 15});
+    store.pass(milliseconds(10));
+    CHECK(store.watch(Collection::Servers).since == 10);
+}
+
+TEST_CASE("Changes are taken in, and one watch follows the other after a rest", "[directory]")
+{
+    Following store;
+    store.start({server("i-1", 2)});
+    const WatchDirectory watch = store.watch(Collection::Servers);
+    store.answer(watch.call, DirectoryChanged{Collection::Servers, {server("i-1", 11, true), server("i-2", 12)}, 12});
+    CHECK(store.servers() == Names{"i-1", "i-2"});
+    CHECK(store.published->intent.drains == Names{"reclamos/i-1"});
+    const std::size_t before = store.watches.size();
+    store.pass(milliseconds(100));
+    CHECK(store.watches.size() == before);
+    store.pass(milliseconds(300));
+    CHECK(store.watch(Collection::Servers).since == 12);
+    store.answer(store.watch(Collection::Servers).call, DirectoryChanged{Collection::Servers, {gone("i-1", 13)}, 13});
+    CHECK(store.servers() == Names{"i-2"});
+}
+
+TEST_CASE("Operators' versions only rise", "[directory]")
+{
+    Following store;
+    store.start({server("i-1", 2)});
+    store.answer(store.watch(Collection::Routing).call, DirectoryChanged{Collection::Routing, {planEntry(7, 11)}, 11});
+    CHECK(store.published->value == "r7");
+    store.pass(milliseconds(300));
+    store.answer(store.watch(Collection::Routing).call, DirectoryChanged{Collection::Routing, {planEntry(5, 12)}, 12});
+    CHECK(store.published->value == "r7");
+}
+
+TEST_CASE("An object that cannot be read leaves what was known of it", "[directory]")
+{
+    Following store;
+    store.start({server("i-1", 2)});
+    store.answer(store.watch(Collection::Servers).call, DirectoryChanged{Collection::Servers, {DirectoryEntry{"i-1", 11, std::nullopt, false}}, 11});
+    CHECK(store.servers() == Names{"i-1"});
+    store.pass(milliseconds(300));
+    store.answer(store.watch(Collection::Routing).call, DirectoryChanged{Collection::Routing, {DirectoryEntry{"main", 12, std::nullopt, false}}, 12});
+    CHECK(store.published->value == "r1");
+}
+
+TEST_CASE("When history is gone the collection is listed again and what is missing is dropped", "[directory]")
+{
+    Following store;
+    store.start({server("i-1", 2), server("i-2", 3)});
+    store.answer(store.watch(Collection::Servers).call, DirectoryHistoryGone{Collection::Servers});
+    store.pass(milliseconds(10));
+    CHECK(store.servers() == Names{"i-1", "i-2"});
+    store.answer(store.listCall(Collection::Servers), DirectoryListed{Collection::Servers, {server("i-2", 3)}, false, "i-2", 40});
+    CHECK(store.servers() == Names{"i-2"});
+}
+
+TEST_CASE("Failing calls are repeated with growing pauses", "[directory]")
+{
+    Following store;
+    store.pass(milliseconds(10));
+    int calls = 0;
+    for (int step = 0; step < 1000; ++step) {
+        const auto before = store.lists.size();
+        store.pass(milliseconds(10));
+        if (store.lists.size() > before || step == 0) {
+            ++calls;
+            store.answer(store.listCall(Collection::Servers), DirectoryCallFailed{Collection::Servers, "503"});
+            store.answer(store.listCall(Collection::Routing), DirectoryCallFailed{Collection::Routing, "503"});
+        }
+    }
+    // Ten seconds: at most some two calls a second once the pause has grown, for each collection.
+    CHECK(store.lists.size() < 2 * 30);
+    CHECK(store.lists.size() > 10);
+}
+
+TEST_CASE("Entries that lapsed while the store was away have two seconds to come back", "[directory]")
+{
+    Following store;
+    store.start({server("i-1", 2), server("i-2", 3)});
+    store.answer(store.watch(Collection::Servers).call, DirectoryCallFailed{Collection::Servers, "reset"});
+    store.pass(milliseconds(200));
+    store.answer(store.watch(Collection::Servers).call, DirectoryChanged{Collection::Servers, {gone("i-1", 20), gone("i-2", 21)}, 21});
+    CHECK(store.servers() == Names{"i-1", "i-2"});
+    store.pass(milliseconds(500));
+    store.answer(store.watch(Collection::Servers).call, DirectoryChanged{Collection::Servers, {server("i-1", 22)}, 22});
+    store.pass(milliseconds(2000));
+    CHECK(store.servers() == Names{"i-1"});
+}
+
+TEST_CASE("A watch that hangs through an outage is begun again once a check is answered", "[directory]")
+{
+    Following store;
+    store.start({server("i-1", 2)});
+    store.pass(milliseconds(1600));
+    REQUIRE(store.checks > 0);
+    const std::size_t before = store.watches.size();
+    store.answer(0, DirectoryChecked{false});
+    store.pass(milliseconds(1600));
+    store.answer(0, DirectoryChecked{true});
+    store.pass(milliseconds(20));
+    CHECK(store.watches.size() == before + 2);
+}
+
+TEST_CASE("A late answer to a call that was given up changes nothing", "[directory]")
+{
+    Following store;
+    store.start({server("i-1", 2)});
+    const int old = store.watch(Collection::Servers).call;
+    store.answer(0, DirectoryChecked{false});
+    store.answer(0, DirectoryChecked{true});
+    store.pass(milliseconds(20));
+    store.answer(old, DirectoryChanged{Collection::Servers, {gone("i-1", 30)}, 30});
+    CHECK(store.servers() == Names{"i-1"});
+}
--- /dev/null
+++ b/tests/unit/probedchoicetests.cpp
@@ -0,0 +1,292 @@
+/*
+    This file is part of cloverbarrow.
+
+    SPDX-FileCopyrightText: 2026 The cloverbarrow authors
+    SPDX-License-Identifier: Apache-2.0
+*/
+
+#include "core/serviceshard.h"
+
+#include <catch2/catch.hpp>
+
+#include <map>
+
+using namespace Cloverbarrow;
+
+namespace
+{
+
+constexpr Duration AimedLatency = milliseconds(200);
+
+Service probedService(int servers, int probesPerSecond = 100)
+{
+    Service service;
+    service.name = "reclamos";
+    service.echoesExchangeTag = true;
+    service.choiceProbes = {probesPerSecond, "/health"};
+    service.retry.hedgesFromBudget = true;
+    service.retry.budgetPercent = 20;
+    service.retry.budgetBurst = 3;
+    service.retry.budgetAtStart = 1;
+    for (int number = 1; number <= servers; ++number) {
+        const std::string digits = std::to_string(number);
+        service.backendServers.push_back({"b" + digits, "127.0.0.1:" + std::to_string(9000 + number), "bog-a", {}, 3});
+    }
+    return service;
+}
+
+/// A shard that probes before it chooses, with servers that answer as told.
+class Probing
+{
+public:
+    explicit Probing(const Service &service)
+    {
+        handle(ServiceConfigured{1, service});
+    }
+
+    void handle(const ServiceEvent &event)
+    {
+        ServiceActions actions;
+        shard_.handle(now_, event, actions);
+        for (ServiceAction &action : actions) {
+            take(action);
+        }
+    }
+
+    void arrive(RequestId id, KindClass kindClass = KindClass::Read, int priority = 0)
+    {
+        RequestArrived arrived;
+        arrived.request = id;
+        arrived.kindClass = kindClass;
+        arrived.deadline = now_ + seconds(2);
+        arrived.maxAttempts = 2;
+        arrived.latencyObjective = AimedLatency;
+        arrived.priority = priority;
+        handle(arrived);
+    }
+
+    void pass(Duration duration)
+    {
+        constexpr Duration Step = milliseconds(5);
+        for (const TimePoint until = now_ + duration; now_ < until;) {
+            now_ += Step;
+            handle(Tick{});
+        }
+    }
+
+    /// Servers that answer probes, with what they tell. Others stay silent.
+    std::map<std::string, LoadReport> reports;
+    std::vector<StartAttempt> started;
+    std::vector<Refuse> refused;
+    std::vector<PassAnswer> passed;
+    std::vector<CancelAttempt> cancelled;
+    int probes = 0;
+
+private:
+    void take(const ServiceAction &action)
+    {
+        if (const auto *probe = std::get_if<StartProbe>(&action)) {
+            ++probes;
+            if (const auto found = reports.find(probe->backend); found != reports.end()) {
+                handle(ProbeEnded{probe->backend, true, false, found->second, probe->request});
+            }
+        } else if (const auto *start = std::get_if<StartAttempt>(&action)) {
+            started.push_back(*start);
+        } else if (const auto *refuse = std::get_if<Refuse>(&action)) {
+            refused.push_back(*refuse);
+        } else if (const auto *answer = std::get_if<PassAnswer>(&action)) {
+            passed.push_back(*answer);
+        } else if (const auto *cancel = std::get_if<CancelAttempt>(&action)) {
+            cancelled.push_back(*cancel);
+        }
+    }
+
+    TimePoint now_ = TimePoint(seconds(100));
+    ServiceShard shard_{{"entry-1", "n"}, {"bog-a", {}}, "reclamos", LoadReportPick{}, 1};
+};
+
+} // namespace
+
+TEST_CASE("A request goes to the server that tells of room and usual speed", "[choice]")
+{
+    Probing shard(probedService(3));
+    shard.reports = {{"b1", {0, 0, 3, 5.0}}, {"b2", {3, 2, 3, 1.0}}, {"b3", {1, 0, 3, 1.0}}};
+    shard.arrive(1);
+    REQUIRE(shard.started.size() == 1);
+    CHECK(shard.started.front().backend == "b3");
+}
+
+TEST_CASE("A server that does not answer probes gets no request", "[choice]")
+{
+    Probing shard(probedService(3));
+    shard.reports = {{"b2", {2, 0, 3, 4.0}}};
+    shard.arrive(1);
+    shard.pass(milliseconds(60));
+    REQUIRE(shard.started.size() == 1);
+    CHECK(shard.started.front().backend == "b2");
+}
+
+TEST_CASE("Where no server answers probes, requests are still sent", "[choice]")
+{
+    Probing shard(probedService(3));
+    shard.arrive(1);
+    shard.pass(milliseconds(80));
+    CHECK(shard.started.size() == 1);
+}
+
+TEST_CASE("When all servers are full, a request is refused within a quarter of its objective and told when to come back", "[choice][overload]")
+{
+    Probing shard(probedService(3));
+    const LoadReport full{3, 4, 3, 1.0};
+    shard.reports = {{"b1", full}, {"b2", full}, {"b3", full}};
+    shard.arrive(1);
+    shard.pass(AimedLatency / 4 + milliseconds(5));
+    CHECK(shard.started.empty());
+    REQUIRE(shard.refused.size() == 1);
+    CHECK(shard.refused.front().problem.status == 503);
+    CHECK(shard.refused.front().problem.fate == Fate::NotRun);
+    CHECK(shard.refused.front().problem.retryAfter > Duration(0));
+}
+
+TEST_CASE("An empty probe allowance does not send requests to servers that were full a moment ago", "[choice][overload]")
+{
+    // One probe a second and server: the allowance is empty after the first request.
+    Probing shard(probedService(3, 1));
+    const LoadReport full{3, 4, 3, 1.0};
+    shard.reports = {{"b1", full}, {"b2", full}, {"b3", full}};
+    for (RequestId id = 1; id <= 20; ++id) {
+        shard.arrive(id);
+        shard.pass(milliseconds(20));
+    }
+    shard.pass(milliseconds(80));
+    CHECK(shard.started.empty());
+    CHECK(shard.refused.size() == 20);
+    CHECK(shard.probes <= 3 * 2);
+}
+
+TEST_CASE("Probes stay within the allowance of the entry VM", "[choice]")
+{
+    constexpr int PerSecond = 2;
+    constexpr int Servers = 3;
+    constexpr int Seconds = 10;
+    Probing shard(probedService(Servers, PerSecond));
+    for (RequestId id = 1; id <= 100 * Seconds; ++id) {
+        shard.arrive(id);
+        shard.pass(milliseconds(10));
+    }
+    CHECK(shard.probes <= PerSecond * Servers * (Seconds + 1));
+}
+
+TEST_CASE("An urgent request may use the last slot that others leave free", "[choice][overload]")
+{
+    AnswerTimeModel model;
+    for (int answer = 0; answer < 300; ++answer) {
+        model.answered(AimedLatency, milliseconds(50), Crowding::HadRoom);
+        model.answered(AimedLatency, milliseconds(100), Crowding::TookLastSlot);
+    }
+    Backend backend;
+    backend.report = LoadReport{2, 0, 3, 1.0};
+    CHECK_FALSE(model.hasRoom(backend));
+    backend.report = LoadReport{1, 0, 3, 1.0};
+    CHECK(model.hasRoom(backend));
+}
+
+TEST_CASE("Where the last slot costs nothing it is used", "[choice]")
+{
+    AnswerTimeModel model;
+    for (int answer = 0; answer < 300; ++answer) {
+        model.answered(AimedLatency, milliseconds(50), Crowding::HadRoom);
+        model.answered(AimedLatency, milliseconds(52), Crowding::TookLastSlot);
+    }
+    Backend backend;
+    backend.report = LoadReport{2, 0, 3, 1.0};
+    CHECK(model.hasRoom(backend));
+}
+
+TEST_CASE("A slow read gets a second attempt at another server, and the slower one is cancelled", "[choice][hedge]")
+{
+    Probing shard(probedService(3));
+    const LoadReport idle{0, 0, 3, 1.0};
+    shard.reports = {{"b1", idle}, {"b2", idle}, {"b3", idle}};
+    // Each request earns a part of a hedge.
+    for (RequestId id = 100; id < 120; ++id) {
+        shard.arrive(id);
+        shard.handle(AttemptEnded{id, 1, AnsweredWhole{}, std::nullopt});
+    }
+    shard.started.clear();
+    shard.arrive(1);
+    shard.pass(AimedLatency * 3 / 5);
+    REQUIRE(shard.started.size() == 2);
+    CHECK(shard.started[0].backend != shard.started[1].backend);
+    shard.handle(AttemptEnded{1, 2, AnsweredWhole{}, std::nullopt});
+    REQUIRE(shard.cancelled.size() == 1);
+    CHECK(shard.cancelled.front().attempt == 1);
+}
+
+TEST_CASE("A write whose answer is lost is told as unknown, never as not run", "[choice][payout]")
+{
+    Probing shard(probedService(3));
+    shard.reports = {{"b1", {0, 0, 3, 1.0}}, {"b2", {0, 0, 3, 1.0}}, {"b3", {0, 0, 3, 1.0}}};
+    shard.arrive(1, KindClass::Write);
+    REQUIRE(shard.started.size() == 1);
+    shard.handle(AttemptEnded{1, 1, LostAnswer{"reset", false}, std::nullopt});
+    shard.pass(milliseconds(100));
+    CHECK(shard.started.size() == 1);
+    REQUIRE(shard.refused.size() == 1);
+    CHECK(shard.refused.front().problem.fate == Fate::Unknown);
+    CHECK(shard.refused.front().problem.status == 502);
+}
+
+TEST_CASE("A write that a backend server did not run is sent to another one", "[choice][payout]")
+{
+    Probing shard(probedService(3));
+    shard.reports = {{"b1", {0, 0, 3, 1.0}}, {"b2", {0, 0, 3, 1.0}}, {"b3", {0, 0, 3, 1.0}}};
+    shard.arrive(1, KindClass::Write);
+    AnsweredWhole shed;
+    shed.status = 503;
+    shed.isNotRun = true;
+    shard.handle(AttemptEnded{1, 1, shed, std::nullopt});
+    REQUIRE(shard.started.size() == 2);
+    CHECK(shard.started[0].backend != shard.started[1].backend);
+}
+
+TEST_CASE("A status that would promise too much is not passed on for a write", "[choice][payout]")
+{
+    Probing shard(probedService(3));
+    shard.reports = {{"b1", {0, 0, 3, 1.0}}};
+    shard.arrive(1, KindClass::Write);
+    shard.pass(milliseconds(60));
+    AnsweredWhole misleading;
+    misleading.status = 503;
+    misleading.isMisleading = true;
+    shard.handle(AttemptEnded{1, 1, misleading, std::nullopt});
+    CHECK(shard.passed.empty());
+    REQUIRE(shard.refused.size() == 1);
+    CHECK(shard.refused.front().problem.status == 502);
+}
+
+TEST_CASE("A write whose caller leaves before it is sent is not sent any more", "[choice][gone]")
+{
+    Probing shard(probedService(3));
+    const LoadReport full{3, 4, 3, 1.0};
+    shard.reports = {{"b1", full}, {"b2", full}, {"b3", full}};
+    shard.arrive(1, KindClass::Write);
+    shard.handle(CallerGone{1});
+    shard.reports = {{"b1", {0, 0, 3, 1.0}}, {"b2", {0, 0, 3, 1.0}}, {"b3", {0, 0, 3, 1.0}}};
+    shard.pass(seconds(1));
+    CHECK(shard.started.empty());
+}
+
+TEST_CASE("An attempt of which nothing left is made up for without the budget", "[choice][retry]")
+{
+    Service service = probedService(4);
+    service.retry.budgetPercent = 0;
+    service.retry.budgetAtStart = 0;
+    Probing shard(service);
+    for (const char *name : {"b1", "b2", "b3", "b4"}) {
+        shard.reports[name] = LoadReport{0, 0, 3, 1.0};
+    }
+    shard.arrive(1, KindClass::Write);
+    shard.handle(AttemptEnded{1, 1, NeverLeft{"refused"}, std::nullopt});
+    CHECK(shard.started.size() == 2);
+}
