Relays: one entry VM of each availability zone watches the store for the others

Cause: every entry VM watched the store for itself; each change was a priced call of each of them.

Ruled out: watches that may tell old data (cheaper, but seconds late where a change must be in force in two seconds); the product's own membership and heartbeats (0.93% of a core and 13 KB/s a node at 64 entry VMs, docs/CAPACITY.md).

Change: RelaySeat decides in the core who relays, by conditional writes of one object a zone; a relay that cannot show an answer of the store within 0.9 s is left at once for own calls. While the store is away only cheap checks are made. Followers get objects as the store wrote them. A server that only gets warmer is no news.

--- a/src/core/directory/collectionwatch.cpp
+++ b/src/core/directory/collectionwatch.cpp
@@ -19,7 +19,9 @@
 constexpr Duration WatchWait = seconds(30);
 // Each answer of a watch is a call that is paid for; this pause lets one answer carry several changes and is small
 // against the two seconds in which a change must be in force.
-constexpr Duration WatchRest = milliseconds(250);
+constexpr Duration WatchRest = milliseconds(500);
+// Answers of a relay cost nothing, and the relay has rested already.
+constexpr Duration RelayRest = milliseconds(20);
 constexpr Duration FirstPause = milliseconds(100);
 constexpr int MaxPauseDoublings = 3;
 
@@ -30,17 +32,18 @@
 {
 }
 
-void CollectionWatch::tick(TimePoint now, DirectoryActions &actions)
+void CollectionWatch::tick(TimePoint now, const std::string &relay, DirectoryActions &actions)
 {
     if (isCalling_ || now < nextCall_) {
         return;
     }
     isCalling_ = true;
+    isAtRelay_ = !relay.empty();
     ++call_;
     if (isListing_) {
-        actions.emplace_back(ListDirectory{collection_, after_, call_});
+        actions.emplace_back(ListDirectory{collection_, after_, relay, call_});
     } else {
-        actions.emplace_back(WatchDirectory{collection_, since_, WatchWait, call_});
+        actions.emplace_back(WatchDirectory{collection_, since_, WatchWait, relay, call_});
     }
 }
 
@@ -72,7 +75,18 @@
     isCalling_ = false;
     failures_ = 0;
     since_ = std::max(since_, change.revision);
-    nextCall_ = now + (change.entries.empty() ? Duration(0) : WatchRest);
+    const Duration rest = isAtRelay_ ? RelayRest : WatchRest;
+    nextCall_ = now + (change.entries.empty() ? Duration(0) : rest);
+}
+
+std::int64_t CollectionWatch::revision() const
+{
+    return since_;
+}
+
+std::int64_t CollectionWatch::listRevision() const
+{
+    return listRevision_;
 }
 
 void CollectionWatch::historyGone(TimePoint now)
--- a/src/core/directory/collectionwatch.h
+++ b/src/core/directory/collectionwatch.h
@@ -20,7 +20,8 @@
 public:
     explicit CollectionWatch(Collection collection);
 
-    void tick(TimePoint now, DirectoryActions &actions);
+    /// @param relay to ask; empty for the store.
+    void tick(TimePoint now, const std::string &relay, DirectoryActions &actions);
     /// @return whether the answer is to the call under way, so that its content counts.
     bool takes(int call) const;
     /// @return whether this was the last page.
@@ -33,12 +34,17 @@
 
     /// @return whether a whole list has been read at least once.
     bool isComplete() const;
+    /// @return the revision up to which changes are known.
+    std::int64_t revision() const;
+    /// @return the revision of the last whole list: what was deleted before it is not known.
+    std::int64_t listRevision() const;
 
 private:
     Collection collection_;
     bool isListing_ = true;
     bool isComplete_ = false;
     bool isCalling_ = false;
+    bool isAtRelay_ = false; ///< Where the last call went.
     int call_ = 0;
     std::string after_;
     std::int64_t listRevision_ = 0; ///< Of the first page: what changes while the others are read is watched again.
--- a/src/core/directory/directoryevents.h
+++ b/src/core/directory/directoryevents.h
@@ -55,6 +55,7 @@
     std::int64_t revision = 0;
     std::optional<DirectoryValue> value; ///< Nothing when the object was deleted or cannot be read.
     bool isDeleted = false;
+    std::string text; ///< The object as the store wrote it, to be told on to peers unread.
 };
 
 // Events
@@ -91,13 +92,28 @@
     bool hasAnswered = false;
 };
 
-using DirectoryEvent = std::variant<DirectoryListed, DirectoryChanged, DirectoryHistoryGone, DirectoryCallFailed, DirectoryChecked>;
+/// The check whether a relay answers has ended.
+struct RelayChecked {
+    std::string relay;
+    bool hasAnswered = false;
+    Duration proofAge{0}; ///< Since the store last answered the relay.
+};
+
+/// A read or write of the seat has ended.
+struct SeatAnswered {
+    bool hasAnswered = false; ///< False when what became of the call is not known.
+    std::string holder; ///< Address of the relay.
+    std::int64_t revision = 0; ///< 0 when nobody has ever taken the seat.
+};
+
+using DirectoryEvent = std::variant<DirectoryListed, DirectoryChanged, DirectoryHistoryGone, DirectoryCallFailed, DirectoryChecked, RelayChecked, SeatAnswered>;
 
 // Actions
 
 struct ListDirectory {
     Collection collection = Collection::Routing;
     std::string after; ///< Empty for the first page.
+    std::string relay; ///< Address of the relay to ask; empty for the store.
     int call = 0; ///< Number of the call; a later one makes its answer worthless.
 
     bool operator==(const ListDirectory &) const = default;
@@ -107,6 +123,7 @@
     Collection collection = Collection::Routing;
     std::int64_t since = 0;
     Duration wait{0};
+    std::string relay; ///< Address of the relay to ask; empty for the store.
     int call = 0;
 
     bool operator==(const WatchDirectory &) const = default;
@@ -117,6 +134,28 @@
     bool operator==(const CheckDirectory &) const = default;
 };
 
+/// Ask a relay when the store last answered it.
+struct CheckRelay {
+    std::string relay;
+
+    bool operator==(const CheckRelay &) const = default;
+};
+
+/// Read who relays in this availability zone.
+struct ReadSeat {
+    bool mayBeOld = false; ///< Costs less, and may tell of an earlier holder.
+
+    bool operator==(const ReadSeat &) const = default;
+};
+
+/// Take the seat, if it still is at the revision that was read.
+struct WriteSeat {
+    std::string holder;
+    std::int64_t expectedRevision = 0; ///< 0 when there must be none.
+
+    bool operator==(const WriteSeat &) const = default;
+};
+
 /// A newer state of routes and servers is to be put in force.
 struct PublishDirectory {
     std::shared_ptr<const IntentInForce> intent;
@@ -130,9 +169,15 @@
     bool operator==(const ReportDirectory &) const = default;
 };
 
-using DirectoryAction = std::variant<ListDirectory, WatchDirectory, CheckDirectory, PublishDirectory, ReportDirectory>;
+using DirectoryAction = std::variant<ListDirectory, WatchDirectory, CheckDirectory, CheckRelay, ReadSeat, WriteSeat, PublishDirectory, ReportDirectory>;
 using DirectoryActions = std::vector<DirectoryAction>;
 
+/// What a relay tells of one collection.
+struct DirectoryNews {
+    std::int64_t revision = 0;
+    std::vector<DirectoryEntry> entries; ///< With their texts; values are left out.
+};
+
 /// An event with the number of the call that it answers.
 struct DirectoryAnswer {
     int call = 0;
--- a/src/core/directory/directorykeeper.cpp
+++ b/src/core/directory/directorykeeper.cpp
@@ -14,15 +14,20 @@
 {
 // A watch that hangs is noticed by the store not answering a cheap call meanwhile.
 constexpr Duration CheckInterval = milliseconds(1500);
+// Those that rely on a relay hear from it how long ago the store has answered it.
+constexpr Duration RelayCheckInterval = milliseconds(400);
+// A single call that was cut is made up for at once, but not by all entry VMs in the same moment.
+constexpr Duration FirstCheckSpread = milliseconds(100);
 
-Collection collectionOf(const DirectoryEvent &event)
+/// @return the collection that the event answers a call for, if any.
+std::optional<Collection> collectionOf(const DirectoryEvent &event)
 {
     return std::visit(
-        [](const auto &typed) {
+        [](const auto &typed) -> std::optional<Collection> {
             if constexpr (requires { typed.collection; }) {
                 return typed.collection;
             } else {
-                return Collection::Routing;
+                return std::nullopt;
             }
         },
         event);
@@ -30,9 +35,10 @@
 
 } // namespace
 
-DirectoryKeeper::DirectoryKeeper(const FleetBudgets &budgets, std::uint64_t seed)
+DirectoryKeeper::DirectoryKeeper(const FleetBudgets &budgets, RelaySeat seat, std::uint64_t seed)
     : budgets_(budgets)
     , random_(seed)
+    , seat_(std::move(seat))
     , routing_(Collection::Routing)
     , servers_(Collection::Servers)
 {
@@ -40,12 +46,18 @@
 
 void DirectoryKeeper::tick(TimePoint now, DirectoryActions &actions)
 {
-    routing_.tick(now, actions);
-    servers_.tick(now, actions);
+    seat_.tick(now, actions);
+    followSource(now);
+    // While the store is away only the cheap check is made; its answer starts the calls again.
+    const bool isWaiting = seat_.state() == RelaySeat::State::Deciding || (isAtStore() && isStoreLost_ && provenAt_);
+    if (!isWaiting) {
+        routing_.tick(now, source_, actions);
+        servers_.tick(now, source_, actions);
+    }
     if (registry_.tick(now)) {
         publish(actions);
     }
-    if (hasAnswered_ && !isChecking_ && now >= nextCheck_) {
+    if (isAtStore() && provenAt_ && !isChecking_ && now >= nextCheck_) {
         isChecking_ = true;
         actions.emplace_back(CheckDirectory{});
     }
@@ -53,11 +65,12 @@
 
 void DirectoryKeeper::handle(TimePoint now, const DirectoryAnswer &answer, DirectoryActions &actions)
 {
-    const bool isCheck = std::holds_alternative<DirectoryChecked>(answer.event);
-    if (!isCheck && !watchOf(collectionOf(answer.event)).takes(answer.call)) {
+    const auto collection = collectionOf(answer.event);
+    if (collection && !watchOf(*collection).takes(answer.call)) {
         return;
     }
     std::visit([this, now, &actions](const auto &typed) { on(now, typed, actions); }, answer.event);
+    followSource(now);
 }
 
 void DirectoryKeeper::on(TimePoint now, const DirectoryListed &event, DirectoryActions &actions)
@@ -74,12 +87,12 @@
     if (isNews) {
         publish(actions);
     }
-    storeAnswered(now, actions);
+    sourceAnswered(now, actions);
 }
 
 void DirectoryKeeper::on(TimePoint now, const DirectoryChanged &event, DirectoryActions &actions)
 {
-    storeAnswered(now, actions);
+    sourceAnswered(now, actions);
     watchOf(event.collection).changed(now, event);
     const bool isNews = event.collection == Collection::Routing ? takePlans(event.entries, actions) : registry_.changed(now, event.entries);
     if (isNews) {
@@ -89,7 +102,7 @@
 
 void DirectoryKeeper::on(TimePoint now, const DirectoryHistoryGone &event, DirectoryActions &actions)
 {
-    storeAnswered(now, actions);
+    sourceAnswered(now, actions);
     actions.emplace_back(ReportDirectory{"history gone", event.collection == Collection::Routing ? "routing" : "servers"});
     registry_.listBroken();
     watchOf(event.collection).historyGone(now);
@@ -101,18 +114,61 @@
         registry_.listBroken();
     }
     watchOf(event.collection).failed(now, random_);
-    storeFailed(event.reason, actions);
+    if (source_.empty()) {
+        storeFailed(now, event.reason, actions);
+    } else {
+        seat_.relayFailed(now, actions);
+    }
 }
 
 void DirectoryKeeper::on(TimePoint now, const DirectoryChecked &event, DirectoryActions &actions)
 {
     isChecking_ = false;
-    nextCheck_ = now + CheckInterval;
+    planCheck(now);
     if (event.hasAnswered) {
         storeAnswered(now, actions);
     } else {
-        storeFailed("a check had no answer", actions);
+        storeFailed(now, "a check had no answer", actions);
+    }
+}
+
+void DirectoryKeeper::on(TimePoint now, const RelayChecked &event, DirectoryActions &actions)
+{
+    if (event.hasAnswered && event.proofAge < RelayCheckInterval) {
+        sourceAnswered(now, actions);
+    }
+    seat_.relayChecked(now, event, actions);
+}
+
+void DirectoryKeeper::on(TimePoint now, const SeatAnswered &event, DirectoryActions &actions)
+{
+    if (event.hasAnswered) {
+        provenAt_ = now;
+    }
+    seat_.seatAnswered(now, event, actions);
+}
+
+std::optional<DirectoryNews> DirectoryKeeper::newsSince(Collection collection, std::int64_t since) const
+{
+    const CollectionWatch &watch = watchOf(collection);
+    // A list asks with 0 and gets all; deletions from before the own list are not known.
+    if (!watch.isComplete() || (since != 0 && since < watch.listRevision())) {
+        return std::nullopt;
+    }
+    DirectoryNews news;
+    news.revision = watch.revision();
+    if (collection == Collection::Servers) {
+        news.entries = registry_.changedSince(since);
+    } else if (plan_ && planEntry_.revision > since) {
+        news.entries.push_back({planEntry_.name, planEntry_.revision, std::nullopt, false, planEntry_.text});
     }
+    return news;
+}
+
+std::optional<Duration> DirectoryKeeper::proofAge(TimePoint now) const
+{
+    const bool isRelay = seat_.state() == RelaySeat::State::Holding && provenAt_;
+    return isRelay ? std::optional(now - *provenAt_) : std::nullopt;
 }
 
 CollectionWatch &DirectoryKeeper::watchOf(Collection collection)
@@ -120,6 +176,39 @@
     return collection == Collection::Routing ? routing_ : servers_;
 }
 
+const CollectionWatch &DirectoryKeeper::watchOf(Collection collection) const
+{
+    return collection == Collection::Routing ? routing_ : servers_;
+}
+
+void DirectoryKeeper::followSource(TimePoint now)
+{
+    if (source_ == seat_.relay()) {
+        return;
+    }
+    source_ = seat_.relay();
+    registry_.listBroken();
+    routing_.renew(now);
+    servers_.renew(now);
+}
+
+bool DirectoryKeeper::isAtStore() const
+{
+    return seat_.state() == RelaySeat::State::Holding || seat_.state() == RelaySeat::State::Alone;
+}
+
+void DirectoryKeeper::sourceAnswered(TimePoint now, DirectoryActions &actions)
+{
+    if (source_.empty()) {
+        storeAnswered(now, actions);
+    } else if (isStoreLost_) {
+        // News of a relay are news of the store.
+        isStoreLost_ = false;
+        registry_.storeReturned(now);
+        actions.emplace_back(ReportDirectory{"store regained", "through the relay"});
+    }
+}
+
 bool DirectoryKeeper::takePlans(const std::vector<DirectoryEntry> &entries, DirectoryActions &actions)
 {
     bool isNews = false;
@@ -133,6 +222,7 @@
         }
         actions.emplace_back(ReportDirectory{"configuration version", plan->versionText});
         plan_ = *plan;
+        planEntry_ = entry;
         isNews = true;
     }
     return isNews;
@@ -140,11 +230,16 @@
 
 void DirectoryKeeper::storeAnswered(TimePoint now, DirectoryActions &actions)
 {
-    hasAnswered_ = true;
+    provenAt_ = now;
+    // Any answer is as good as that to a check.
+    planCheck(now);
     if (!isStoreLost_) {
+        seat_.storeAnswered(now, actions);
         return;
     }
     isStoreLost_ = false;
+    seat_.storeAnswered(now, actions);
+    seat_.storeReturned(actions);
     registry_.storeReturned(now);
     actions.emplace_back(ReportDirectory{"store regained", ""});
     // Watches that were under way may never be answered, and lists begin anew.
@@ -153,10 +248,19 @@
     servers_.renew(now);
 }
 
-void DirectoryKeeper::storeFailed(const std::string &reason, DirectoryActions &actions)
+void DirectoryKeeper::planCheck(TimePoint now)
+{
+    const bool isHurried = isStoreLost_ || seat_.state() == RelaySeat::State::Holding;
+    const Duration pause = isHurried ? RelayCheckInterval : CheckInterval;
+    // Between three quarters and five quarters, so that entry VMs do not ask all at once.
+    nextCheck_ = now + pause * 3 / 4 + Duration(random_.below(static_cast<std::size_t>((pause / 2).count())));
+}
+
+void DirectoryKeeper::storeFailed(TimePoint now, const std::string &reason, DirectoryActions &actions)
 {
     if (!isStoreLost_) {
         isStoreLost_ = true;
+        nextCheck_ = now + Duration(random_.below(static_cast<std::size_t>(FirstCheckSpread.count())));
         actions.emplace_back(ReportDirectory{"store lost", reason});
     }
 }
--- a/src/core/directory/directorykeeper.h
+++ b/src/core/directory/directorykeeper.h
@@ -9,6 +9,7 @@
 
 #include "core/directory/collectionwatch.h"
 #include "core/directory/directoryevents.h"
+#include "core/directory/relayseat.h"
 #include "core/directory/serverregistry.h"
 #include "core/fleetbudgets.h"
 #include "core/random.h"
@@ -24,33 +25,50 @@
 class DirectoryKeeper
 {
 public:
-    DirectoryKeeper(const FleetBudgets &budgets, std::uint64_t seed);
+    /// @param seat decides where the directory is followed.
+    DirectoryKeeper(const FleetBudgets &budgets, RelaySeat seat, std::uint64_t seed);
 
     void tick(TimePoint now, DirectoryActions &actions);
     void handle(TimePoint now, const DirectoryAnswer &answer, DirectoryActions &actions);
 
+    /// @return what a peer that knows the collection up to @p since has missed; nothing when it must begin with a list.
+    std::optional<DirectoryNews> newsSince(Collection collection, std::int64_t since) const;
+    /// @return how long ago the store last answered; nothing when it never has, or this is no relay.
+    std::optional<Duration> proofAge(TimePoint now) const;
+
 private:
     void on(TimePoint now, const DirectoryListed &event, DirectoryActions &actions);
     void on(TimePoint now, const DirectoryChanged &event, DirectoryActions &actions);
     void on(TimePoint now, const DirectoryHistoryGone &event, DirectoryActions &actions);
     void on(TimePoint now, const DirectoryCallFailed &event, DirectoryActions &actions);
     void on(TimePoint now, const DirectoryChecked &event, DirectoryActions &actions);
+    void on(TimePoint now, const RelayChecked &event, DirectoryActions &actions);
+    void on(TimePoint now, const SeatAnswered &event, DirectoryActions &actions);
 
     CollectionWatch &watchOf(Collection collection);
     bool takePlans(const std::vector<DirectoryEntry> &entries, DirectoryActions &actions);
+    const CollectionWatch &watchOf(Collection collection) const;
+    /// Begins calls anew when they go to another place from now on.
+    void followSource(TimePoint now);
+    bool isAtStore() const;
+    void sourceAnswered(TimePoint now, DirectoryActions &actions);
     void storeAnswered(TimePoint now, DirectoryActions &actions);
-    void storeFailed(const std::string &reason, DirectoryActions &actions);
+    void storeFailed(TimePoint now, const std::string &reason, DirectoryActions &actions);
+    void planCheck(TimePoint now);
     void publish(DirectoryActions &actions);
 
     FleetBudgets budgets_;
     Random random_;
+    RelaySeat seat_;
+    std::string source_; ///< Relay that calls go to; empty for the store.
     CollectionWatch routing_;
     CollectionWatch servers_;
     ServerRegistry registry_;
     std::optional<RoutingPlan> plan_;
+    DirectoryEntry planEntry_; ///< The same, as it came.
     std::int64_t published_ = 0;
     bool isStoreLost_ = false;
-    bool hasAnswered_ = false;
+    std::optional<TimePoint> provenAt_; ///< When the store last answered.
     bool isChecking_ = false;
     TimePoint nextCheck_;
 };
--- /dev/null
+++ b/src/core/directory/relayseat.cpp
@@ -0,0 +1,207 @@
+/*
+    This file is part of cloverbarrow.
+
+    SPDX-FileCopyrightText: 2026 The cloverbarrow authors
+    SPDX-License-Identifier: Apache-2.0
+*/
+
+#include "core/directory/relayseat.h"
+
+#include <utility>
+
+namespace Cloverbarrow
+{
+
+namespace
+{
+
+// Changes must be in force within two seconds; a relay without news of the store is left early enough for an own look.
+constexpr Duration ProofLimit = milliseconds(900);
+constexpr Duration RelayCheckInterval = milliseconds(400);
+// Spreads the first looks, so that few entry VMs try to take the seat at once.
+constexpr Duration FirstStartSpread = seconds(3);
+constexpr Duration RestartSpread = milliseconds(100);
+// A relay whose process ended is usually back by then.
+constexpr Duration FirstLookAgain = milliseconds(700);
+constexpr Duration LookAgainSpread = milliseconds(2000);
+
+} // namespace
+
+RelaySeat::RelaySeat(std::string own, bool isFirstStart, std::uint64_t seed)
+    : own_(std::move(own))
+    , isFirstStart_(isFirstStart)
+    , random_(seed)
+{
+    if (own_.empty()) {
+        state_ = State::Alone;
+    }
+}
+
+void RelaySeat::tick(TimePoint now, DirectoryActions &actions)
+{
+    if (own_.empty()) {
+        return;
+    }
+    switch (state_) {
+    case State::Deciding:
+        if (!lookAt_) {
+            lookAt_ = now + upTo(isFirstStart_ ? FirstStartSpread : RestartSpread);
+        }
+        if (now >= *lookAt_ && !isSeatCalling_) {
+            isSeatCalling_ = true;
+            actions.emplace_back(ReadSeat{true});
+        }
+        break;
+    case State::Following:
+        tickFollowing(now, actions);
+        break;
+    case State::Alone:
+        tickAlone(now, actions);
+        break;
+    case State::Holding:
+        break;
+    }
+}
+
+void RelaySeat::tickFollowing(TimePoint now, DirectoryActions &actions)
+{
+    if (!isChecking_ && now >= checkAt_) {
+        isChecking_ = true;
+        checkAt_ = now + RelayCheckInterval;
+        actions.emplace_back(CheckRelay{holder_});
+    }
+    if (now - provenAt_ > ProofLimit) {
+        // Either the relay is cut off from the store, or the store is down for all: an own call shows which.
+        actions.emplace_back(ReportDirectory{"relay without news of the store", holder_});
+        provenAt_ = now;
+        isProving_ = true;
+        actions.emplace_back(CheckDirectory{});
+    }
+}
+
+void RelaySeat::tickAlone(TimePoint now, DirectoryActions &actions)
+{
+    if (lookAt_ && now >= *lookAt_ && !isSeatCalling_) {
+        lookAt_.reset();
+        isSeatCalling_ = true;
+        actions.emplace_back(ReadSeat{false});
+    }
+}
+
+void RelaySeat::seatAnswered(TimePoint now, const SeatAnswered &answer, DirectoryActions &actions)
+{
+    isSeatCalling_ = false;
+    if (!answer.hasAnswered) {
+        if (state_ == State::Deciding) {
+            enter(State::Alone, "the seat cannot be read", actions);
+        }
+        lookAt_ = now + FirstLookAgain + upTo(LookAgainSpread);
+        return;
+    }
+    if (answer.revision == 0) {
+        // Nobody has ever relayed here, or a relay reads a seat that is not told yet.
+        if (state_ != State::Holding) {
+            write(0, actions);
+        }
+        return;
+    }
+    const bool isUnchanged = answer.revision == revision_;
+    revision_ = answer.revision;
+    holder_ = answer.holder;
+    if (holder_ == own_) {
+        enter(State::Holding, own_, actions);
+    } else if (isUnchanged && hasFailedHolder_) {
+        write(revision_, actions);
+    } else {
+        follow(now, holder_, actions);
+    }
+}
+
+void RelaySeat::relayChecked(TimePoint now, const RelayChecked &check, DirectoryActions &actions)
+{
+    isChecking_ = false;
+    if (state_ != State::Following || check.relay != holder_) {
+        return;
+    }
+    if (!check.hasAnswered) {
+        leave(now, "no answer", actions);
+        return;
+    }
+    if (check.proofAge < ProofLimit) {
+        provenAt_ = std::max(provenAt_, now - check.proofAge);
+        hasFailedHolder_ = false;
+        isProving_ = false;
+    }
+}
+
+void RelaySeat::relayFailed(TimePoint now, DirectoryActions &actions)
+{
+    if (state_ == State::Following) {
+        leave(now, "a call failed", actions);
+    }
+}
+
+void RelaySeat::storeAnswered(TimePoint now, DirectoryActions &actions)
+{
+    if (state_ == State::Following && std::exchange(isProving_, false)) {
+        leave(now, "the store answers here and not there", actions);
+    }
+}
+
+void RelaySeat::storeReturned(DirectoryActions &actions)
+{
+    if (state_ == State::Holding && !isSeatCalling_) {
+        isSeatCalling_ = true;
+        actions.emplace_back(ReadSeat{false});
+    }
+}
+
+RelaySeat::State RelaySeat::state() const
+{
+    return state_;
+}
+
+const std::string &RelaySeat::relay() const
+{
+    static const std::string None;
+    return state_ == State::Following ? holder_ : None;
+}
+
+void RelaySeat::follow(TimePoint now, const std::string &holder, DirectoryActions &actions)
+{
+    provenAt_ = now;
+    checkAt_ = now;
+    isChecking_ = false;
+    isProving_ = false;
+    enter(State::Following, holder, actions);
+}
+
+void RelaySeat::leave(TimePoint now, const std::string &reason, DirectoryActions &actions)
+{
+    hasFailedHolder_ = true;
+    lookAt_ = now + FirstLookAgain + upTo(LookAgainSpread);
+    enter(State::Alone, holder_ + ": " + reason, actions);
+}
+
+void RelaySeat::enter(State state, const std::string &detail, DirectoryActions &actions)
+{
+    if (state_ == state && state != State::Following) {
+        return;
+    }
+    state_ = state;
+    const char *what = state == State::Following ? "follows relay" : state == State::Holding ? "is relay" : "follows the store alone";
+    actions.emplace_back(ReportDirectory{what, detail});
+}
+
+void RelaySeat::write(std::int64_t expectedRevision, DirectoryActions &actions)
+{
+    isSeatCalling_ = true;
+    actions.emplace_back(WriteSeat{own_, expectedRevision});
+}
+
+Duration RelaySeat::upTo(Duration most)
+{
+    return Duration(random_.below(static_cast<std::size_t>(most.count())));
+}
+
+} // namespace Cloverbarrow
--- a/src/core/directory/serverregistry.cpp
+++ b/src/core/directory/serverregistry.cpp
@@ -7,6 +7,8 @@
 
 #include "core/directory/serverregistry.h"
 
+#include <algorithm>
+
 namespace Cloverbarrow
 {
 
@@ -14,6 +16,17 @@
 {
 // Backend servers whose entries lapsed while the store was away register again within about two seconds.
 constexpr Duration ReturnGrace = seconds(2);
+// Followers that missed more than this many begin with a list.
+constexpr std::size_t MaxDeletions = 1000;
+/// @return whether the newer one tells nothing new: the time until a server is warm passes by itself.
+bool isSameButWarmer(const Registration &known, Registration newer)
+{
+    if (newer.server.warmUp <= known.server.warmUp) {
+        newer.server.warmUp = known.server.warmUp;
+    }
+    return known == newer;
+}
+
 } // namespace
 
 bool ServerRegistry::listed(TimePoint, const std::vector<DirectoryEntry> &entries)
@@ -31,7 +44,7 @@
     for (auto entry = entries_.begin(); entry != entries_.end();) {
         const auto next = std::next(entry);
         if (!entry->second.isListed) {
-            isNews = remove(now, entry) || isNews;
+            isNews = remove(now, entry, entry->second.revision) || isNews;
         } else {
             entry->second.isListed = false;
         }
@@ -54,7 +67,7 @@
         if (!entry.isDeleted) {
             isNews = put(entry, false) || isNews;
         } else if (const auto found = entries_.find(entry.name); found != entries_.end() && entry.revision >= found->second.revision) {
-            isNews = remove(now, found) || isNews;
+            isNews = remove(now, found, entry.revision) || isNews;
         }
     }
     return isNews;
@@ -102,14 +115,40 @@
         return false;
     }
     known.goneAt.reset();
-    const bool isNews = known.revision == 0 || !(known.registration == *registration);
+    deletions_.erase(entry.name);
+    const bool isNews = known.revision == 0 || !isSameButWarmer(known.registration, *registration);
+    if (!isNews) {
+        // Peers need not hear of it either.
+        return false;
+    }
     known.revision = entry.revision;
+    known.text = entry.text;
     known.registration = *registration;
-    return isNews;
+    return true;
 }
 
-bool ServerRegistry::remove(TimePoint now, std::map<std::string, Entry>::iterator entry)
+std::vector<DirectoryEntry> ServerRegistry::changedSince(std::int64_t revision) const
 {
+    std::vector<DirectoryEntry> changed;
+    for (const auto &[name, entry] : entries_) {
+        if (entry.revision > revision) {
+            changed.push_back({name, entry.revision, std::nullopt, false, entry.text});
+        }
+    }
+    for (const auto &[name, deletedAt] : deletions_) {
+        if (deletedAt > revision) {
+            changed.push_back({name, deletedAt, std::nullopt, true, {}});
+        }
+    }
+    return changed;
+}
+
+bool ServerRegistry::remove(TimePoint now, std::map<std::string, Entry>::iterator entry, std::int64_t revision)
+{
+    deletions_.insert_or_assign(entry->first, revision);
+    while (deletions_.size() > MaxDeletions) {
+        deletions_.erase(std::min_element(deletions_.begin(), deletions_.end(), [](const auto &left, const auto &right) { return left.second < right.second; }));
+    }
     if (graceUntil_ && now < *graceUntil_) {
         if (!entry->second.goneAt) {
             entry->second.goneAt = graceUntil_;
--- a/src/core/directory/serverregistry.h
+++ b/src/core/directory/serverregistry.h
@@ -38,19 +38,24 @@
     bool isEmpty() const;
     /// @return all registrations of @p service.
     std::vector<Registration> of(const std::string &service) const;
+    /// @return what has changed after @p revision, deletions too.
+    std::vector<DirectoryEntry> changedSince(std::int64_t revision) const;
 
 private:
     struct Entry {
         std::int64_t revision = 0;
         Registration registration;
+        std::string text;
         bool isListed = false; ///< Named by the list under way.
         std::optional<TimePoint> goneAt; ///< When it is dropped unless it comes back.
     };
 
     bool put(const DirectoryEntry &entry, bool isListed);
-    bool remove(TimePoint now, std::map<std::string, Entry>::iterator entry);
+    /// @param revision of the deletion, where it is known.
+    bool remove(TimePoint now, std::map<std::string, Entry>::iterator entry, std::int64_t revision);
 
     std::map<std::string, Entry> entries_;
+    std::map<std::string, std::int64_t> deletions_; ///< By name: revisions at which entries were deleted, to be told to peers.
     std::optional<TimePoint> graceUntil_;
 };
 
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -96,7 +96,20 @@
 {
     protocol_ = parts.protocol;
     directoryClient_ = parts.makeClient(backends_);
-    directory_.emplace(settings_.directory->budgets, seedOf(nonce_));
+    const DirectorySettings &directory = *settings_.directory;
+    relayClient_ = std::make_unique<RelayClient>(backends_, *directoryClient_);
+    directory_.emplace(directory.budgets, RelaySeat(directory.relayAddress, directory.isFirstStart, seedOf(nonce_)), seedOf(nonce_));
+    if (!directory.relayAddress.empty()) {
+        const auto look = [this](Collection collection, std::int64_t since) {
+            const std::lock_guard lock(directoryMutex_);
+            return directory_->newsSince(collection, since);
+        };
+        const auto proof = [this] {
+            const std::lock_guard lock(directoryMutex_);
+            return directory_->proofAge(bootNow());
+        };
+        relayServer_ = std::make_unique<RelayServer>(directory.relayAddress, RelaySource{look, proof});
+    }
 }
 
 Daemon::~Daemon()
@@ -110,6 +123,7 @@
         platform_->stop();
     }
     backends_.stop();
+    relayServer_.reset();
     callerServer_.reset();
 }
 
@@ -329,6 +343,9 @@
         directory_->tick(bootNow(), actions);
     }
     perform(actions);
+    if (relayServer_) {
+        relayServer_->sweep(bootNow());
+    }
 }
 
 void Daemon::directoryAnswered(const DirectoryAnswer &answer)
@@ -342,6 +359,9 @@
         directory_->handle(bootNow(), answer, actions);
     }
     perform(actions);
+    if (relayServer_) {
+        relayServer_->answerWaiting();
+    }
 }
 
 void Daemon::perform(const DirectoryActions &actions)
@@ -351,16 +371,36 @@
 
         void operator()(const ListDirectory &typed) const
         {
-            daemon.directoryClient_->list(typed, done());
+            if (typed.relay.empty()) {
+                daemon.directoryClient_->list(typed, done());
+            } else {
+                daemon.relayClient_->list(typed, done());
+            }
         }
         void operator()(const WatchDirectory &typed) const
         {
-            daemon.directoryClient_->watch(typed, done());
+            if (typed.relay.empty()) {
+                daemon.directoryClient_->watch(typed, done());
+            } else {
+                daemon.relayClient_->watch(typed, done());
+            }
         }
         void operator()(const CheckDirectory &) const
         {
             daemon.directoryClient_->check(done());
         }
+        void operator()(const CheckRelay &typed) const
+        {
+            daemon.relayClient_->check(typed, done());
+        }
+        void operator()(const ReadSeat &typed) const
+        {
+            daemon.directoryClient_->readSeat(daemon.settings_.zone, typed, done());
+        }
+        void operator()(const WriteSeat &typed) const
+        {
+            daemon.directoryClient_->writeSeat(daemon.settings_.zone, typed, done());
+        }
         void operator()(const PublishDirectory &typed) const
         {
             daemon.handle(ControlEvent(DirectoryPublished{typed.intent}));
--- a/src/daemon/daemon.h
+++ b/src/daemon/daemon.h
@@ -23,6 +23,8 @@
 #include "net/httpclient.h"
 #include "net/httpplatformclient.h"
 #include "net/log.h"
+#include "net/relayclient.h"
+#include "net/relayserver.h"
 #include "net/thriftserver.h"
 
 #include <atomic>
@@ -115,6 +117,8 @@
     std::unique_ptr<ThriftServer> adminServer_;
     // Where a directory tells routes and backend servers.
     std::unique_ptr<DirectoryClient> directoryClient_;
+    std::unique_ptr<RelayClient> relayClient_;
+    std::unique_ptr<RelayServer> relayServer_;
     std::mutex directoryMutex_;
     std::optional<DirectoryKeeper> directory_; ///< Guarded by its mutex.
     std::unique_ptr<Node> node_;
--- a/src/daemon/settings.cpp
+++ b/src/daemon/settings.cpp
@@ -68,6 +68,8 @@
     reader.mapping("directory", [&settings](YamlReader &item) {
         settings.directory.emplace();
         readAddress(item, "address", settings.directory->address);
+        readAddress(item, "relay", settings.directory->relayAddress, false);
+        item.flag("first_start", settings.directory->isFirstStart);
         FleetBudgets &budgets = settings.directory->budgets;
         item.real("repeat_ratio", budgets.repeatRatio, 0, 1);
         item.real("repeat_slack", budgets.repeatSlack, 0, MaxBudget);
--- a/src/daemon/settings.h
+++ b/src/daemon/settings.h
@@ -24,6 +24,8 @@
 /// A store that tells routes and backend servers in place of the project's own configuration object.
 struct DirectorySettings {
     std::string address;
+    std::string relayAddress; ///< To tell the others of the availability zone; empty: each follows the store for itself.
+    bool isFirstStart = false; ///< All entry VMs start together for the first time.
     FleetBudgets budgets;
 
     bool operator==(const DirectorySettings &) const = default;
--- a/src/net/directoryclient.h
+++ b/src/net/directoryclient.h
@@ -9,7 +9,9 @@
 
 #include "core/directory/directoryevents.h"
 
+#include <cstdint>
 #include <functional>
+#include <string>
 
 namespace Cloverbarrow
 {
@@ -26,6 +28,10 @@
     virtual void list(const ListDirectory &action, DirectoryDone done) = 0;
     virtual void watch(const WatchDirectory &action, DirectoryDone done) = 0;
     virtual void check(DirectoryDone done) = 0;
+    virtual void readSeat(const std::string &zone, const ReadSeat &action, DirectoryDone done) = 0;
+    virtual void writeSeat(const std::string &zone, const WriteSeat &action, DirectoryDone done) = 0;
+    /// Decodes what a relay told of an object; without its value when that cannot be read.
+    virtual DirectoryEntry decode(Collection collection, const std::string &text) const = 0;
     /// @return calls made so far.
     virtual std::uint64_t calls() const = 0;
 };
--- /dev/null
+++ b/src/net/relayclient.cpp
@@ -0,0 +1,126 @@
+/*
+    This file is part of cloverbarrow.
+
+    SPDX-FileCopyrightText: 2026 The cloverbarrow authors
+    SPDX-License-Identifier: Apache-2.0
+*/
+
+#include "net/relayclient.h"
+
+#include "net/relaymessages.h"
+
+namespace Cloverbarrow
+{
+
+namespace
+{
+
+// Within an availability zone answers take milliseconds; a list may be some hundred kilobytes on a slow link.
+constexpr Duration ListTimeout = seconds(3);
+constexpr Duration CheckTimeout = milliseconds(400);
+constexpr Duration WatchSlack = milliseconds(1500);
+constexpr int Ok = 200;
+constexpr int Gone = 410;
+// Keeps these calls' numbers apart from those of other users of the client.
+constexpr HttpCallId FirstCall = HttpCallId(3) << 61U;
+
+bool hasStatus(const HttpOutcome &outcome, int status)
+{
+    const auto *answer = std::get_if<HttpAnswer>(&outcome);
+    return answer && answer->status == status;
+}
+
+} // namespace
+
+RelayClient::RelayClient(HttpClient &client, const DirectoryClient &codec)
+    : client_(client)
+    , codec_(codec)
+    , log_("relay")
+    , nextCall_(FirstCall)
+{
+}
+
+void RelayClient::list(const ListDirectory &action, DirectoryDone done)
+{
+    get(action.relay, newsTarget({action.collection, 0, Duration(0)}), ListTimeout, [this, action, done = std::move(done)](const HttpOutcome &outcome) {
+        std::string failure;
+        auto news = read(action.collection, outcome, failure);
+        if (news) {
+            done({action.call, DirectoryListed{action.collection, std::move(news->entries), false, {}, news->revision}});
+        } else {
+            done({action.call, DirectoryCallFailed{action.collection, "list at relay " + action.relay + ": " + failure}});
+        }
+    });
+}
+
+void RelayClient::watch(const WatchDirectory &action, DirectoryDone done)
+{
+    get(action.relay, newsTarget({action.collection, action.since, action.wait}), action.wait + WatchSlack,
+        [this, action, done = std::move(done)](const HttpOutcome &outcome) {
+            std::string failure;
+            auto news = read(action.collection, outcome, failure);
+            if (news) {
+                done({action.call, DirectoryChanged{action.collection, std::move(news->entries), news->revision}});
+            } else if (hasStatus(outcome, Gone)) {
+                done({action.call, DirectoryHistoryGone{action.collection}});
+            } else {
+                done({action.call, DirectoryCallFailed{action.collection, "watch at relay " + action.relay + ": " + failure}});
+            }
+        });
+}
+
+void RelayClient::check(const CheckRelay &action, DirectoryDone done)
+{
+    get(action.relay, RelayProofPath, CheckTimeout, [relay = action.relay, done = std::move(done)](const HttpOutcome &outcome) {
+        RelayChecked checked{relay, false, Duration(0)};
+        try {
+            if (hasStatus(outcome, Ok)) {
+                checked.proofAge = decodeProof(std::get<HttpAnswer>(outcome).body);
+                checked.hasAnswered = true;
+            }
+        } catch (const std::exception &) {
+            // Told as no answer, which the seat reports with the relay's address.
+        }
+        done({0, checked});
+    });
+}
+
+void RelayClient::get(const std::string &relay, const std::string &target, Duration timeout, HttpDone done)
+{
+    HttpCall call;
+    call.address = relay;
+    call.request.method = "GET";
+    call.request.target = target;
+    call.request.headers = {{"Host", relay}};
+    call.timeout = timeout;
+    call.mayReuseConnection = true;
+    call.checksPeer = true;
+    client_.start(nextCall_++, std::move(call), std::move(done));
+}
+
+std::optional<DirectoryNews> RelayClient::read(Collection collection, const HttpOutcome &outcome, std::string &failure) const
+{
+    if (const auto *lost = std::get_if<HttpFailure>(&outcome)) {
+        failure = lost->reason;
+        return std::nullopt;
+    }
+    const auto &answer = std::get<HttpAnswer>(outcome);
+    if (answer.status != Ok) {
+        failure = "status " + std::to_string(answer.status);
+        return std::nullopt;
+    }
+    try {
+        DirectoryNews news = decodeNews(answer.body);
+        for (DirectoryEntry &entry : news.entries) {
+            if (!entry.isDeleted) {
+                entry = codec_.decode(collection, entry.text);
+            }
+        }
+        return news;
+    } catch (const std::exception &exception) {
+        failure = exception.what();
+        return std::nullopt;
+    }
+}
+
+} // namespace Cloverbarrow
--- /dev/null
+++ b/src/net/relayclient.h
@@ -0,0 +1,42 @@
+/*
+    This file is part of cloverbarrow.
+
+    SPDX-FileCopyrightText: 2026 The cloverbarrow authors
+    SPDX-License-Identifier: Apache-2.0
+*/
+
+#pragma once
+
+#include "net/directoryclient.h"
+#include "net/httpclient.h"
+#include "net/log.h"
+
+#include <atomic>
+
+namespace Cloverbarrow
+{
+
+/// Asks the relay of the availability zone for what the directory holds. Each function calls its callback once, from
+/// another thread.
+class RelayClient
+{
+public:
+    /// @param codec decodes the objects, which a relay tells unread.
+    RelayClient(HttpClient &client, const DirectoryClient &codec);
+
+    void list(const ListDirectory &action, DirectoryDone done);
+    void watch(const WatchDirectory &action, DirectoryDone done);
+    void check(const CheckRelay &action, DirectoryDone done);
+
+private:
+    void get(const std::string &relay, const std::string &target, Duration timeout, HttpDone done);
+    /// @return the news; nothing when the answer is none, with the reason.
+    std::optional<DirectoryNews> read(Collection collection, const HttpOutcome &outcome, std::string &failure) const;
+
+    HttpClient &client_;
+    const DirectoryClient &codec_;
+    Log log_;
+    std::atomic<HttpCallId> nextCall_;
+};
+
+} // namespace Cloverbarrow
--- /dev/null
+++ b/src/net/relaymessages.cpp
@@ -0,0 +1,99 @@
+/*
+    This file is part of cloverbarrow.
+
+    SPDX-FileCopyrightText: 2026 The cloverbarrow authors
+    SPDX-License-Identifier: Apache-2.0
+*/
+
+#include "net/relaymessages.h"
+
+#include <nlohmann/json.hpp>
+
+#include <charconv>
+
+namespace Cloverbarrow
+{
+
+namespace
+{
+
+using Json = nlohmann::json;
+
+constexpr std::string_view NewsPath = "/relay/news/";
+constexpr std::string_view RoutingName = "routing";
+constexpr std::string_view ServersName = "servers";
+
+/// Takes the part of @p rest up to @p end off it.
+std::string_view takeUpTo(std::string_view &rest, char end)
+{
+    const std::size_t at = std::min(rest.find(end), rest.size());
+    const std::string_view part = rest.substr(0, at);
+    rest.remove_prefix(std::min(at + 1, rest.size()));
+    return part;
+}
+
+std::optional<std::int64_t> number(std::string_view text)
+{
+    std::int64_t value = 0;
+    const auto result = std::from_chars(text.data(), text.data() + text.size(), value);
+    const bool isWhole = result.ec == std::errc() && result.ptr == text.data() + text.size();
+    return isWhole && value >= 0 ? std::optional(value) : std::nullopt;
+}
+
+} // namespace
+
+std::string newsTarget(const NewsRequest &request)
+{
+    const std::string_view name = request.collection == Collection::Routing ? RoutingName : ServersName;
+    const auto waitMs = std::chrono::floor<milliseconds>(request.wait).count();
+    return std::string(NewsPath) + std::string(name) + "/" + std::to_string(request.since) + "/" + std::to_string(waitMs);
+}
+
+std::optional<NewsRequest> parseNewsTarget(std::string_view target)
+{
+    if (!target.starts_with(NewsPath)) {
+        return std::nullopt;
+    }
+    target.remove_prefix(NewsPath.size());
+    const std::string_view name = takeUpTo(target, '/');
+    const auto since = number(takeUpTo(target, '/'));
+    const auto waitMs = number(target);
+    const bool isKnown = name == RoutingName || name == ServersName;
+    if (!isKnown || !since || !waitMs) {
+        return std::nullopt;
+    }
+    return NewsRequest{name == RoutingName ? Collection::Routing : Collection::Servers, *since, milliseconds(*waitMs)};
+}
+
+std::string encodeNews(const DirectoryNews &news)
+{
+    Json entries = Json::array();
+    for (const DirectoryEntry &entry : news.entries) {
+        entries.push_back({{"name", entry.name}, {"revision", entry.revision}, {"deleted", entry.isDeleted}, {"text", entry.text}});
+    }
+    return Json{{"revision", news.revision}, {"entries", std::move(entries)}}.dump();
+}
+
+DirectoryNews decodeNews(std::string_view text)
+{
+    const Json body = Json::parse(text);
+    DirectoryNews news;
+    news.revision = body.at("revision").get<std::int64_t>();
+    for (const Json &entry : body.at("entries")) {
+        news.entries.push_back({entry.at("name").get<std::string>(), entry.at("revision").get<std::int64_t>(), std::nullopt, entry.at("deleted").get<bool>(),
+                                entry.at("text").get<std::string>()});
+    }
+    return news;
+}
+
+std::string encodeProof(Duration age)
+{
+    return Json{{"age_us", age.count()}}.dump();
+}
+
+Duration decodeProof(std::string_view text)
+{
+    return Duration(Json::parse(text).at("age_us").get<Duration::rep>());
+}
+
+} // namespace Cloverbarrow
--- /dev/null
+++ b/src/net/relaymessages.h
@@ -0,0 +1,43 @@
+/*
+    This file is part of cloverbarrow.
+
+    SPDX-FileCopyrightText: 2026 The cloverbarrow authors
+    SPDX-License-Identifier: Apache-2.0
+*/
+
+#pragma once
+
+#include "core/directory/directoryevents.h"
+
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace Cloverbarrow
+{
+
+/// A follower's question for news of a collection.
+struct NewsRequest {
+    Collection collection = Collection::Routing;
+    std::int64_t since = 0; ///< 0 asks for a whole list.
+    Duration wait{0};
+
+    bool operator==(const NewsRequest &) const = default;
+};
+
+/// Path under which a relay tells when the store last answered it.
+constexpr const char *RelayProofPath = "/relay/proof";
+
+/// @return the request target of @p request.
+std::string newsTarget(const NewsRequest &request);
+/// @return the request in @p target, if it is one.
+std::optional<NewsRequest> parseNewsTarget(std::string_view target);
+
+std::string encodeNews(const DirectoryNews &news);
+/// @return the news; entries have their texts only. @throws std::exception when it is of another form.
+DirectoryNews decodeNews(std::string_view text);
+std::string encodeProof(Duration age);
+/// @throws std::exception when it is of another form.
+Duration decodeProof(std::string_view text);
+
+} // namespace Cloverbarrow
--- /dev/null
+++ b/src/net/relayserver.cpp
@@ -0,0 +1,121 @@
+/*
+    This file is part of cloverbarrow.
+
+    SPDX-FileCopyrightText: 2026 The cloverbarrow authors
+    SPDX-License-Identifier: Apache-2.0
+*/
+
+#include "net/relayserver.h"
+
+#include "net/bootclock.h"
+#include "net/relaymessages.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace Cloverbarrow
+{
+
+namespace
+{
+
+constexpr int NotFound = 404;
+constexpr int Gone = 410;
+constexpr int NoRelay = 503;
+// A relay that has just begun has read the directory by then.
+constexpr Duration ListPatience = seconds(1);
+
+HttpAnswer answerOf(int status, std::string body)
+{
+    HttpAnswer answer;
+    answer.status = status;
+    answer.headers.push_back({"Content-Type", "application/json"});
+    answer.body = std::move(body);
+    return answer;
+}
+
+} // namespace
+
+RelayServer::RelayServer(const std::string &address, RelaySource source)
+    : source_(std::move(source))
+{
+    CallerServerOptions options;
+    options.address = address;
+    options.threads = 1;
+    options.halfCloseIsGone = true;
+    server_ = std::make_unique<CallerServer>(
+        options, [this](const std::shared_ptr<CallerConnection> &connection, const HttpRequest &request) { accept(connection, request); });
+}
+
+RelayServer::~RelayServer() = default;
+
+void RelayServer::accept(const std::shared_ptr<CallerConnection> &connection, const HttpRequest &request)
+{
+    if (request.target == RelayProofPath) {
+        const auto age = source_.proofAge();
+        connection->answer(age ? answerOf(200, encodeProof(*age)) : answerOf(NoRelay, "{}"), false);
+        return;
+    }
+    const auto asked = parseNewsTarget(request.target);
+    if (!asked) {
+        connection->answer(answerOf(NotFound, "{}"), false);
+        return;
+    }
+    const TimePoint now = bootNow();
+    const Waiting waiting{connection, asked->collection, asked->since, now + (asked->since == 0 ? ListPatience : asked->wait)};
+    if (const auto answer = answerFor(waiting, now)) {
+        connection->answer(*answer, false);
+        return;
+    }
+    const std::lock_guard lock(mutex_);
+    waiting_.push_back(waiting);
+}
+
+std::optional<HttpAnswer> RelayServer::answerFor(const Waiting &waiting, TimePoint now) const
+{
+    const auto news = source_.news(waiting.collection, waiting.since);
+    const bool isOver = now >= waiting.until;
+    if (!news) {
+        const bool mayCome = waiting.since == 0 && !isOver;
+        return mayCome ? std::nullopt : std::optional(answerOf(Gone, "{}"));
+    }
+    const bool isWorthTelling = waiting.since == 0 || !news->entries.empty() || isOver;
+    return isWorthTelling ? std::optional(answerOf(200, encodeNews(*news))) : std::nullopt;
+}
+
+void RelayServer::answerWaiting()
+{
+    const TimePoint now = bootNow();
+    std::vector<std::pair<std::shared_ptr<CallerConnection>, HttpAnswer>> ready;
+    {
+        const std::lock_guard lock(mutex_);
+        std::erase_if(waiting_, [this, now, &ready](const Waiting &item) {
+            if (item.connection->isGone()) {
+                return true;
+            }
+            auto answer = answerFor(item, now);
+            if (answer) {
+                ready.emplace_back(item.connection, std::move(*answer));
+            }
+            return answer.has_value();
+        });
+    }
+    for (const auto &[connection, answer] : ready) {
+        connection->answer(answer, false);
+    }
+}
+
+void RelayServer::sweep(TimePoint now)
+{
+    server_->sweep(now);
+    bool isAnyOver = false;
+    {
+        const std::lock_guard lock(mutex_);
+        isAnyOver = std::any_of(waiting_.begin(), waiting_.end(), [now](const Waiting &item) { return now >= item.until; });
+    }
+    if (isAnyOver) {
+        answerWaiting();
+    }
+}
+
+} // namespace Cloverbarrow
--- /dev/null
+++ b/src/net/relayserver.h
@@ -0,0 +1,62 @@
+/*
+    This file is part of cloverbarrow.
+
+    SPDX-FileCopyrightText: 2026 The cloverbarrow authors
+    SPDX-License-Identifier: Apache-2.0
+*/
+
+#pragma once
+
+#include "core/directory/directoryevents.h"
+#include "net/callerserver.h"
+
+#include <functional>
+#include <memory>
+#include <mutex>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace Cloverbarrow
+{
+
+/// Where a relay's answers come from.
+struct RelaySource {
+    /// @return what has changed in a collection since a revision; nothing when that cannot be told.
+    std::function<std::optional<DirectoryNews>(Collection collection, std::int64_t since)> news;
+    /// @return how long ago the store last answered; nothing when this entry VM is no relay.
+    std::function<std::optional<Duration>()> proofAge;
+};
+
+/// Tells other entry VMs of the availability zone what this one knows of the directory. JSON over HTTP rather than
+/// Thrift: each follower waits for news most of the time, and Thrift's server needs a thread for each.
+class RelayServer
+{
+public:
+    RelayServer(const std::string &address, RelaySource source);
+    ~RelayServer();
+
+    /// Answers those that wait for news, as far as there are some. Call after each change.
+    void answerWaiting();
+    /// Answers those whose wait is over.
+    void sweep(TimePoint now);
+
+private:
+    struct Waiting {
+        std::shared_ptr<CallerConnection> connection;
+        Collection collection = Collection::Routing;
+        std::int64_t since = 0;
+        TimePoint until;
+    };
+
+    void accept(const std::shared_ptr<CallerConnection> &connection, const HttpRequest &request);
+    /// @return the answer; nothing when the follower should wait.
+    std::optional<HttpAnswer> answerFor(const Waiting &waiting, TimePoint now) const;
+
+    RelaySource source_;
+    std::mutex mutex_;
+    std::vector<Waiting> waiting_;
+    std::unique_ptr<CallerServer> server_;
+};
+
+} // namespace Cloverbarrow
