A collection is listed after each cut watch, and never watched on from an old revision

The store cut the watches while it dropped its history; the watch that followed at once, from the revision before, was neither answered with changes nor refused until the next change came.

Ruled out: the relays (the entry VMs of the finding followed the store themselves), slow machines (store answers in milliseconds in the logs).

Change: after any failed call, outage or change of source a collection begins with a list.

--- a/src/core/directory/collectionwatch.cpp
+++ b/src/core/directory/collectionwatch.cpp
@@ -92,9 +92,14 @@
 void CollectionWatch::historyGone(TimePoint now)
 {
     isCalling_ = false;
+    nextCall_ = now;
+    beginList();
+}
+
+void CollectionWatch::beginList()
+{
     isListing_ = true;
     after_.clear();
-    nextCall_ = now;
 }
 
 void CollectionWatch::failed(TimePoint now, Random &random)
@@ -104,18 +109,14 @@
     ++failures_;
     // Between half and all of the pause, so that entry VMs that failed together do not come back together.
     nextCall_ = now + pause / 2 + Duration(random.below(static_cast<std::size_t>((pause / 2).count()) + 1));
-    if (isListing_) {
-        after_.clear();
-    }
+    beginList();
 }
 
 void CollectionWatch::renew(TimePoint now)
 {
     isCalling_ = false;
     nextCall_ = now;
-    if (isListing_) {
-        after_.clear();
-    }
+    beginList();
 }
 
 bool CollectionWatch::isComplete() const
--- a/src/core/directory/collectionwatch.h
+++ b/src/core/directory/collectionwatch.h
@@ -29,7 +29,8 @@
     void changed(TimePoint now, const DirectoryChanged &change);
     void historyGone(TimePoint now);
     void failed(TimePoint now, Random &random);
-    /// Gives up the call under way and begins again where it stood: an answer to it may never come.
+    /// Gives up the call under way and begins with a list: an answer may never come, and a watch from a revision whose
+    /// history is about to be dropped would wait for the next change without telling what it missed.
     void renew(TimePoint now);
 
     /// @return whether a whole list has been read at least once.
@@ -40,6 +41,8 @@
     std::int64_t listRevision() const;
 
 private:
+    void beginList();
+
     Collection collection_;
     bool isListing_ = true;
     bool isComplete_ = false;
--- a/src/core/directory/serverregistry.cpp
+++ b/src/core/directory/serverregistry.cpp
@@ -147,7 +147,8 @@
 {
     deletions_.insert_or_assign(entry->first, revision);
     while (deletions_.size() > MaxDeletions) {
-        deletions_.erase(std::min_element(deletions_.begin(), deletions_.end(), [](const auto &left, const auto &right) { return left.second < right.second; }));
+        deletions_.erase(
+            std::min_element(deletions_.begin(), deletions_.end(), [](const auto &left, const auto &right) { return left.second < right.second; }));
     }
     if (graceUntil_ && now < *graceUntil_) {
         if (!entry->second.goneAt) {
--- a/src/net/relayclient.cpp
+++ b/src/net/relayclient.cpp
@@ -55,7 +55,9 @@
 
 void RelayClient::watch(const WatchDirectory &action, DirectoryDone done)
 {
-    get(action.relay, newsTarget({action.collection, action.since, action.wait}), action.wait + WatchSlack,
+    get(action.relay,
+        newsTarget({action.collection, action.since, action.wait}),
+        action.wait + WatchSlack,
         [this, action, done = std::move(done)](const HttpOutcome &outcome) {
             std::string failure;
             auto news = read(action.collection, outcome, failure);
--- a/src/net/relaymessages.cpp
+++ b/src/net/relaymessages.cpp
@@ -80,7 +80,10 @@
     DirectoryNews news;
     news.revision = body.at("revision").get<std::int64_t>();
     for (const Json &entry : body.at("entries")) {
-        news.entries.push_back({entry.at("name").get<std::string>(), entry.at("revision").get<std::int64_t>(), std::nullopt, entry.at("deleted").get<bool>(),
+        news.entries.push_back({entry.at("name").get<std::string>(),
+                                entry.at("revision").get<std::int64_t>(),
+                                std::nullopt,
+                                entry.at("deleted").get<bool>(),
                                 entry.at("text").get<std::string>()});
     }
     return news;
