Structured logs: a JSON line for each decision on a request and each change of belief

Cause: an on-call engineer has only logs and metrics; the daemon told free text on standard error and nothing of requests.

Change: lines on standard output with request id, service, version of the configuration, cause of each attempt, the report it was chosen by with its age, outcome and time; start, stop, reload, store and relay lost and regained.

--- a/src/core/serviceevents.h
+++ b/src/core/serviceevents.h
@@ -158,6 +158,20 @@
 
 // Actions
 
+/// Why an attempt is made, and what its server was chosen by; for the log.
+struct ChoiceNote {
+    enum class Cause {
+        First,
+        Retry,
+        Hedge,
+    };
+
+    Cause cause = Cause::First;
+    std::optional<LoadReport> report; ///< The server's last one.
+    Duration reportAge{0};
+    int probes = 0; ///< Servers that were asked for this choice.
+};
+
 /// Send the request to a backend server.
 struct StartAttempt {
     RequestId request = 0;
@@ -166,8 +180,14 @@
     std::string address;
     TimePoint deadline;
     bool mayReuseConnection = false;
-
-    bool operator==(const StartAttempt &) const = default;
+    ChoiceNote note;
+
+    bool operator==(const StartAttempt &other) const
+    {
+        // The note decides nothing.
+        return request == other.request && attempt == other.attempt && backend == other.backend && address == other.address && deadline == other.deadline
+            && mayReuseConnection == other.mayReuseConnection;
+    }
 };
 
 /// Nobody needs the attempt's answer any more.
--- a/src/core/serviceshard.cpp
+++ b/src/core/serviceshard.cpp
@@ -453,9 +453,14 @@
     request.tried.push_back(backend.server.name);
     // The C library's HTTP client may resend on a connection that turns out dead, and only the echoed tag
     // tells an answer from a stray one; so only tagged reads go on a used connection.
+    ChoiceNote note;
+    note.cause = request.running.size() > 1 ? ChoiceNote::Cause::Hedge : request.attempts > 1 ? ChoiceNote::Cause::Retry : ChoiceNote::Cause::First;
+    note.report = backend.report;
+    note.reportAge = backend.reportedAt ? now - *backend.reportedAt : Duration(0);
+    note.probes = request.probes;
     const bool mayReuse = service_.echoesExchangeTag && kindClass(request) == KindClass::Read;
     actions.emplace_back(
-        StartAttempt{request.arrival.request, request.attempts, backend.server.name, backend.server.address, request.arrival.deadline, mayReuse});
+        StartAttempt{request.arrival.request, request.attempts, backend.server.name, backend.server.address, request.arrival.deadline, mayReuse, note});
 }
 
 bool ServiceShard::probesFirst() const
@@ -498,6 +503,7 @@
         chooseByOldReports(now, request, actions);
         return;
     }
+    request.probes += static_cast<int>(probed.size());
     for (const std::size_t index : probed) {
         const BackendServer &server = pool_.backends()[index].server;
         actions.emplace_back(StartProbe{0, server.name, server.address, service_.choiceProbes.path, request.arrival.request});
--- a/src/core/serviceshard.h
+++ b/src/core/serviceshard.h
@@ -57,6 +57,7 @@
         int unsent = 0; ///< Of these, the ones of which nothing left this entry VM.
         std::vector<Attempt> running;
         std::optional<Choice> choice; ///< While a server is being chosen by probes.
+        int probes = 0; ///< Servers asked so far.
         TimePoint giveUpAt; ///< When a choice without result ends.
         std::vector<std::string> tried; ///< Servers of all attempts.
         bool mayHaveRun = false; ///< An earlier attempt may have been run.
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -29,6 +29,7 @@
 constexpr int TicksPerControl = 4;
 constexpr int TicksPerSweep = 12;
 constexpr int TicksPerGauges = 200;
+constexpr std::size_t MaxLoggedVersion = 32;
 
 std::string withPort(const std::string &address, std::uint16_t port)
 {
@@ -139,6 +140,9 @@
         takeStopRequests();
         takeReloadRequests();
         tick(ticks % TicksPerControl == 0);
+        if (ticks % TicksPerControl == 0) {
+            flushLog();
+        }
         if (ticks % TicksPerSweep == 0) {
             sweep();
         }
@@ -233,7 +237,7 @@
         }
         void operator()(const ReportBadIntent &typed) const
         {
-            daemon.log_.error("configuration " + std::to_string(typed.version) + " from " + typed.source + " cannot be read: " + typed.reason);
+            daemon.log_.error("configuration cannot be read", {{"version", typed.version}, {"peer", typed.source}, {"reason", typed.reason}});
         }
         void operator()(const PermitProbe &) const
         {
@@ -292,12 +296,21 @@
 
 void Daemon::setReady(const SetReady &action)
 {
-    log_.info(action.isReady ? "ready" : "not ready: " + action.reason);
+    log_.info(action.isReady ? "ready" : "not ready", {{"reason", action.reason}});
 }
 
 void Daemon::install(const IntentInForce &intent)
 {
-    log_.info("configuration " + std::to_string(intent.version) + " is in force");
+    std::int64_t servers = 0;
+    for (const Service &service : intent.configuration.services) {
+        servers += static_cast<std::int64_t>(service.backendServers.size());
+    }
+    log_.info("configuration in force",
+              {{"version", intent.version},
+               {"operators_version", intent.value.substr(0, MaxLoggedVersion)},
+               {"routes", static_cast<std::int64_t>(intent.configuration.routes.size())},
+               {"servers", servers},
+               {"draining", static_cast<std::int64_t>(intent.intent.drains.size())}});
     int fewest = std::numeric_limits<int>::max();
     for (const Service &service : intent.configuration.services) {
         fewest = std::min(fewest, service.limits.connectionsPerServer);
@@ -407,7 +420,7 @@
         }
         void operator()(const ReportDirectory &typed) const
         {
-            daemon.log_.info(typed.what + (typed.detail.empty() ? "" : ": " + typed.detail));
+            daemon.log_.info(typed.what, {{"detail", typed.detail}});
         }
         DirectoryDone done() const
         {
@@ -456,15 +469,15 @@
     const auto read = readSettings_();
     if (const auto *faults = std::get_if<std::vector<DocumentFault>>(&read)) {
         for (const DocumentFault &fault : *faults) {
-            log_.error("reload: the settings in force stay: " + fault.toString("settings"));
+            log_.error("reload refused, the settings in force stay", {{"fault", fault.toString("settings")}});
         }
         return;
     }
     const auto &next = std::get<Settings>(read);
-    spdlog::set_level(spdlog::level::from_str(next.logLevel));
+    setLogLevel(next.logLevel);
     settings_.logLevel = next.logLevel;
     const bool isSame = next == settings_;
-    log_.info(isSame ? "reload: the settings are in force" : "reload: the log level is in force; other changes need a restart");
+    log_.info(isSame ? "reloaded" : "reloaded the log level, other changes need a restart");
 }
 
 std::string Daemon::unreadyReason() const
--- a/src/daemon/gateway.cpp
+++ b/src/daemon/gateway.cpp
@@ -28,6 +28,7 @@
 constexpr HttpCallId AttemptsPerRequest = 16;
 constexpr HttpCallId FirstProbeCall = HttpCallId(1) << 63U;
 constexpr int ServerError = 500;
+constexpr std::size_t MaxLoggedText = 64;
 
 HttpCallId callId(RequestId request, int attempt)
 {
@@ -55,6 +56,7 @@
     , platform_(platform)
     , protocol_(protocol)
     , telemetry_(telemetry)
+    , log_("request")
     , nonce_(std::move(nonce))
     , nextProbe_(FirstProbeCall)
     , splitter_(stableHash({nonce_}))
@@ -69,21 +71,40 @@
     if (!intent || !isAccepting_) {
         const char *detail = isAccepting_ ? "no configuration is in force here yet" : "this entry VM is shutting down";
         connection->answer(protocol_.refusal({503, Fate::NotRun, "admit", "entry VM", detail, ComeBackElsewhere}), isHead);
+        log_.info("refused", {{"id", callerIdOf(request, 0)}, {"status", std::int64_t(503)}, {"step", "admit"}, {"detail", detail}});
         return;
     }
     const RequestId id = nextRequest_++;
     auto checked = check(request, intent->configuration, id, now);
+    std::string callerId = callerIdOf(request, id);
     if (const auto *problem = std::get_if<Problem>(&checked)) {
+        log_.info("refused",
+                  {{"id", callerId},
+                   {"status", std::int64_t(problem->status)},
+                   {"step", problem->step},
+                   {"peer", problem->peer},
+                   {"detail", problem->detail},
+                   {"version", intent->version},
+                   {"operators_version", intent->value.substr(0, MaxLoggedText)},
+                   {"target", request.target.substr(0, MaxLoggedText)}});
         connection->answer(protocol_.refusal(*problem), isHead);
         return;
     }
     auto &[route, event, attemptAbove] = std::get<CheckedRequest>(checked);
+    const Service &service = intent->configuration.services[route.service];
+    log_.info("routed",
+              {{"id", callerId},
+               {"service", service.name},
+               {"kind", route.rule ? route.rule->kind.name : service.kinds[route.kind].name},
+               {"version", intent->version},
+               {"operators_version", intent->value.substr(0, MaxLoggedText)},
+               {"time_left_ms", toMilliseconds(event.deadline - now)}});
     {
         Shard &shard = shardOf(id);
         const std::lock_guard lock(shard.mutex);
         ++openExchanges_;
         auto kept = std::make_shared<const HttpRequest>(std::move(request));
-        shard.exchanges.emplace(id, Exchange{connection, std::move(kept), intent, route, now, attemptAbove, {}});
+        shard.exchanges.emplace(id, Exchange{connection, std::move(kept), intent, route, now, std::move(callerId), attemptAbove, {}});
     }
     events_.handle(ForService{intent->configuration.services[route.service].name, std::move(event)});
 }
@@ -196,6 +217,7 @@
         const std::lock_guard lock(shard.mutex);
         if (const auto found = shard.exchanges.find(action.request); found != shard.exchanges.end()) {
             call = callFor(found->second, action);
+            logAttempt(of, action, found->second.callerId);
         }
     }
     if (!call) {
@@ -221,8 +243,58 @@
     return call;
 }
 
+std::string Gateway::callerIdOf(const HttpRequest &request, RequestId id) const
+{
+    const char *name = protocol_.requestIdHeader();
+    const auto told = name ? findHeader(request.headers, name) : std::nullopt;
+    return told ? std::string(told->substr(0, MaxLoggedText)) : nonce_ + "-" + std::to_string(id);
+}
+
+void Gateway::logAttempt(const OfService &of, const StartAttempt &action, const std::string &callerId) const
+{
+    constexpr std::array Causes = {"first", "retry", "hedge"};
+    const LoadReport report = action.note.report.value_or(LoadReport{});
+    log_.info("attempt started",
+              {{"id", callerId},
+               {"attempt", std::int64_t(action.attempt)},
+               {"cause", Causes[static_cast<std::size_t>(action.note.cause)]},
+               {"service", of.service},
+               {"server", action.backend},
+               {"address", action.address},
+               {"probes", std::int64_t(action.note.probes)},
+               {"report_age_ms", action.note.report ? toMilliseconds(action.note.reportAge) : -1.0},
+               {"running", std::int64_t(report.running)},
+               {"waiting", std::int64_t(report.waiting)},
+               {"slots", std::int64_t(report.slots)},
+               {"slowness", report.slowness}});
+}
+
+void Gateway::logOutcome(const std::string &service, RequestId request, int attempt, const HttpOutcome &outcome)
+{
+    std::string callerId;
+    {
+        Shard &shard = shardOf(request);
+        const std::lock_guard lock(shard.mutex);
+        const auto found = shard.exchanges.find(request);
+        if (found == shard.exchanges.end()) {
+            return;
+        }
+        callerId = found->second.callerId;
+    }
+    const auto *failure = std::get_if<HttpFailure>(&outcome);
+    const std::int64_t status = failure ? 0 : std::get<HttpAnswer>(outcome).status;
+    log_.info("attempt ended",
+              {{"id", callerId},
+               {"attempt", std::int64_t(attempt)},
+               {"service", service},
+               {"status", status},
+               {"left", failure && !failure->hasLeft ? "no" : "yes"},
+               {"reason", failure ? std::string_view(failure->reason) : std::string_view()}});
+}
+
 void Gateway::attemptDone(const std::string &service, RequestId request, int attempt, HttpOutcome outcome)
 {
+    logOutcome(service, request, attempt, outcome);
     AttemptEnded event{request, attempt, attemptOutcome(outcome, protocol_), std::nullopt};
     if (auto *answer = std::get_if<HttpAnswer>(&outcome)) {
         event.report = protocol_.load(answer->headers);
@@ -237,12 +309,16 @@
 
 void Gateway::cancel(const CancelAttempt &action)
 {
+    log_.info("attempt cancelled",
+              {{"number", static_cast<std::int64_t>(action.request)}, {"attempt", std::int64_t(action.attempt)}, {"address", action.address}});
     backends_.cancel(callId(action.request, action.attempt), action.address);
 }
 
 void Gateway::drop(const DropRequest &action)
 {
-    takeExchange(action.request);
+    if (const auto exchange = takeExchange(action.request)) {
+        log_.info("caller gone", {{"id", exchange->callerId}, {"after_ms", toMilliseconds(bootNow() - exchange->arrivedAt)}});
+    }
 }
 
 void Gateway::pass(const PassAnswer &action)
@@ -263,6 +339,11 @@
         protocol_.markRetried(answer);
     }
     const auto outcome = answer.status < ServerError ? CallerOutcome::Answered : CallerOutcome::ServerError;
+    log_.info("answered",
+              {{"id", exchange->callerId},
+               {"attempt", std::int64_t(action.attempt)},
+               {"status", std::int64_t(answer.status)},
+               {"after_ms", toMilliseconds(bootNow() - exchange->arrivedAt)}});
     finish(*exchange, answer, outcome);
 }
 
@@ -284,6 +365,14 @@
 {
     if (const auto exchange = takeExchange(action.request)) {
         const auto outcome = action.problem.fate == Fate::NotRun ? CallerOutcome::NotRun : CallerOutcome::Unknown;
+        log_.info("refused",
+                  {{"id", exchange->callerId},
+                   {"status", std::int64_t(action.problem.status)},
+                   {"outcome", action.problem.fate == Fate::NotRun ? "not run" : "unknown"},
+                   {"step", action.problem.step},
+                   {"peer", action.problem.peer},
+                   {"detail", action.problem.detail},
+                   {"after_ms", toMilliseconds(bootNow() - exchange->arrivedAt)}});
         finish(*exchange, protocol_.refusal(action.problem), outcome);
     }
 }
--- a/src/daemon/gateway.h
+++ b/src/daemon/gateway.h
@@ -16,6 +16,7 @@
 #include "net/callerconnection.h"
 #include "net/exchangeprotocol.h"
 #include "net/httpclient.h"
+#include "net/log.h"
 #include "net/platformclient.h"
 
 #include <array>
@@ -61,6 +62,7 @@
         std::shared_ptr<const IntentInForce> intent; ///< Under which it was routed.
         Route route;
         TimePoint arrivedAt;
+        std::string callerId; ///< The caller's own id of the request, or a number of this process.
         int attemptAbove = 1; ///< Highest attempt number of the levels above.
         std::map<int, HttpAnswer> answers;
     };
@@ -85,6 +87,9 @@
     std::variant<CheckedRequest, Problem> check(const HttpRequest &request, const Configuration &configuration, RequestId id, TimePoint now);
     void attemptDone(const std::string &service, RequestId request, int attempt, HttpOutcome outcome);
     HttpCall callFor(const Exchange &exchange, const StartAttempt &action) const;
+    std::string callerIdOf(const HttpRequest &request, RequestId id) const;
+    void logAttempt(const OfService &of, const StartAttempt &action, const std::string &callerId) const;
+    void logOutcome(const std::string &service, RequestId request, int attempt, const HttpOutcome &outcome);
     std::optional<Exchange> takeExchange(RequestId request);
     void finish(const Exchange &exchange, const HttpAnswer &answer, CallerOutcome outcome);
     Shard &shardOf(RequestId request);
@@ -95,6 +100,7 @@
     PlatformClient *platform_;
     const ExchangeProtocol &protocol_;
     Telemetry &telemetry_;
+    Log log_;
     std::string nonce_;
     std::atomic<RequestId> nextRequest_{1};
     std::atomic<HttpCallId> nextProbe_;
--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -14,7 +14,6 @@
 #include <absl/flags/flag.h>
 #include <absl/flags/parse.h>
 #include <absl/flags/usage.h>
-#include <spdlog/sinks/stdout_sinks.h>
 
 #include <csignal>
 #include <cstdio>
@@ -22,12 +21,14 @@
 
 ABSL_FLAG(std::string, settings, "", "settings file, YAML");
 ABSL_FLAG(bool, check_settings, false, "check the settings file and exit");
+ABSL_FLAG(bool, version, false, "print the version and exit");
 
 namespace
 {
 
 using namespace Cloverbarrow;
 
+constexpr std::string_view VersionText = CLOVERBARROW_VERSION;
 constexpr int ExitOk = 0;
 constexpr int ExitFailed = 1;
 constexpr int ExitBadSettings = 2;
@@ -58,14 +59,6 @@
     std::signal(SIGPIPE, SIG_IGN);
 }
 
-void startLogging(const Settings &settings)
-{
-    spdlog::set_default_logger(spdlog::stderr_logger_mt("cloverbarrowd"));
-    spdlog::set_pattern("%Y-%m-%dT%H:%M:%S.%e %l " + settings.name + " %v");
-    spdlog::set_level(spdlog::level::from_str(settings.logLevel));
-    spdlog::flush_on(spdlog::level::info);
-}
-
 DirectoryParts directoryParts(const Settings &settings)
 {
     if (!settings.directory) {
@@ -90,22 +83,22 @@
 {
     // A reload that is asked for before there is anything to reload does no harm.
     std::signal(SIGHUP, SIG_IGN);
-    startLogging(settings);
+    startLogging(settings.name, settings.logLevel);
     const Log log("main");
     try {
         Daemon daemon(
             settings, [path] { return readSettings(path); }, directoryParts(settings));
         installSignals(daemon);
         std::cout << daemon.addresses().toJson() << std::endl;
+        log.info("started", {{"zone", settings.zone}, {"version", VersionText}});
         const WorkLeft left = daemon.run();
-        if (left.isNone()) {
-            log.info("stopped with nothing left");
-            return ExitOk;
-        }
-        log.warn("stopped with " + std::to_string(left.requests) + " requests and " + std::to_string(left.payouts) + " payout records left");
-        return ExitWorkLeft;
+        log.info("stopped", {{"requests_left", static_cast<std::int64_t>(left.requests)}, {"payout_records_left", static_cast<std::int64_t>(left.payouts)}});
+        flushLog();
+        return left.isNone() ? ExitOk : ExitWorkLeft;
     } catch (const std::exception &exception) {
-        log.error(std::string("cannot run: ") + exception.what());
+        log.error("cannot run", {{"reason", std::string_view(exception.what())}});
+        flushLog();
+        std::cerr << "cloverbarrowd: cannot run: " << exception.what() << "\n";
         return ExitFailed;
     }
 }
@@ -114,8 +107,14 @@
 
 int main(int argc, char **argv)
 {
-    absl::SetProgramUsageMessage("cloverbarrowd --settings=FILE [--check_settings]\nRuns one entry VM of the load balancer.");
+    absl::SetProgramUsageMessage(
+        "cloverbarrowd --settings=FILE [--check_settings] [--version]\nRuns one entry VM of the load balancer. SIGTERM stops it gracefully, a second one at "
+        "once; SIGHUP reads the settings again.\nExit codes: 0 stopped, 1 cannot run, 2 settings refused, 3 stopped with work left.");
     absl::ParseCommandLine(argc, argv);
+    if (absl::GetFlag(FLAGS_version)) {
+        std::cout << "cloverbarrowd " << VersionText << "\n";
+        return ExitOk;
+    }
     const std::string path = absl::GetFlag(FLAGS_settings);
     const auto parsed = readSettings(path);
     if (const auto *faults = std::get_if<std::vector<DocumentFault>>(&parsed)) {
--- a/src/daemon/ownprotocol.cpp
+++ b/src/daemon/ownprotocol.cpp
@@ -46,6 +46,11 @@
     return DeadlineHeader;
 }
 
+const char *OwnProtocol::requestIdHeader() const
+{
+    return nullptr;
+}
+
 HttpCall OwnProtocol::attempt(const OutgoingAttempt &outgoing) const
 {
     HttpCall call;
--- a/src/daemon/ownprotocol.h
+++ b/src/daemon/ownprotocol.h
@@ -17,6 +17,7 @@
 {
 public:
     const char *deadlineHeader() const override;
+    const char *requestIdHeader() const override;
     HttpCall attempt(const OutgoingAttempt &outgoing) const override;
     HttpCall probe(const StartProbe &action) const override;
     AnsweredWhole read(const HttpAnswer &answer) const override;
--- a/src/net/exchangeprotocol.h
+++ b/src/net/exchangeprotocol.h
@@ -36,6 +36,8 @@
 
     /// @return name of the header with the milliseconds that the caller will wait.
     virtual const char *deadlineHeader() const = 0;
+    /// @return name of the header with the caller's id of the request; nullptr when there is none.
+    virtual const char *requestIdHeader() const = 0;
     /// Writes an attempt, but for its address, time limit and reuse of connections.
     virtual HttpCall attempt(const OutgoingAttempt &outgoing) const = 0;
     /// Writes a probe, with the same exceptions.
--- /dev/null
+++ b/src/net/log.cpp
@@ -0,0 +1,119 @@
+/*
+    This file is part of cloverbarrow.
+
+    SPDX-FileCopyrightText: 2026 The cloverbarrow authors
+    SPDX-License-Identifier: Apache-2.0
+*/
+
+#include "net/log.h"
+
+#include "net/bootclock.h"
+#include "net/logbudget.h"
+#include "net/logsink.h"
+
+#include <nlohmann/json.hpp>
+#include <spdlog/spdlog.h>
+
+#include <unistd.h>
+
+#include <array>
+#include <chrono>
+#include <cstdio>
+#include <ctime>
+
+namespace Cloverbarrow
+{
+
+namespace
+{
+
+// An entry VM takes some 10 requests a second with about four lines each; ten times that is a flood.
+constexpr double LinesPerSecond = 400;
+constexpr double LinesAtOnce = 1000;
+// What a reader may fall behind by, over a second of flood.
+constexpr std::size_t BufferBytes = 256 * 1024;
+
+std::string entryVm;
+
+std::string nowText()
+{
+    const auto now = std::chrono::system_clock::now();
+    const auto sinceEpoch = std::chrono::duration_cast<std::chrono::milliseconds>(now.time_since_epoch());
+    const std::time_t whole = std::chrono::system_clock::to_time_t(now);
+    std::tm parts{};
+    ::gmtime_r(&whole, &parts);
+    std::array<char, 32> text{};
+    std::strftime(text.data(), text.size(), "%Y-%m-%dT%H:%M:%S", &parts);
+    constexpr int ThousandMs = 1000;
+    std::array<char, 8> fraction{};
+    std::snprintf(fraction.data(), fraction.size(), ".%03dZ", static_cast<int>(sinceEpoch.count() % ThousandMs));
+    return std::string(text.data()) + fraction.data();
+}
+
+void write(spdlog::level::level_enum level, std::string_view part, std::string_view message, LogFields fields)
+{
+    nlohmann::ordered_json line = {
+        {"time", nowText()}, {"level", spdlog::level::to_string_view(level).data()}, {"entry_vm", entryVm}, {"part", part}, {"message", message}};
+    for (const LogField &field : fields) {
+        std::visit([&line, &field](const auto &value) { line[std::string(field.name)] = value; }, field.value);
+    }
+    spdlog::log(level, "{}", line.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace));
+}
+
+void writeWithin(LogBudget &budget, spdlog::level::level_enum level, std::string_view part, std::string_view message, LogFields fields)
+{
+    if (!spdlog::should_log(level) || !budget.take(bootNow())) {
+        return;
+    }
+    if (const auto leftOut = budget.takeLeftOut(); leftOut > 0) {
+        write(spdlog::level::warn, part, "lines left out", {{"count", static_cast<std::int64_t>(leftOut)}});
+    }
+    write(level, part, message, fields);
+}
+
+} // namespace
+
+Log::Log(std::string_view part)
+    : part_(part)
+    , budget_(std::make_shared<LogBudget>(LinesPerSecond, LinesAtOnce))
+{
+}
+
+void Log::debug(std::string_view message, LogFields fields) const
+{
+    writeWithin(*budget_, spdlog::level::debug, part_, message, fields);
+}
+
+void Log::info(std::string_view message, LogFields fields) const
+{
+    writeWithin(*budget_, spdlog::level::info, part_, message, fields);
+}
+
+void Log::warn(std::string_view message, LogFields fields) const
+{
+    writeWithin(*budget_, spdlog::level::warn, part_, message, fields);
+}
+
+void Log::error(std::string_view message, LogFields fields) const
+{
+    writeWithin(*budget_, spdlog::level::err, part_, message, fields);
+}
+
+void startLogging(const std::string &name, const std::string &level)
+{
+    entryVm = name;
+    spdlog::set_default_logger(std::make_shared<spdlog::logger>("cloverbarrowd", std::make_shared<LogSink>(STDOUT_FILENO, BufferBytes)));
+    setLogLevel(level);
+}
+
+void setLogLevel(const std::string &level)
+{
+    spdlog::set_level(spdlog::level::from_str(level));
+}
+
+void flushLog()
+{
+    spdlog::default_logger_raw()->flush();
+}
+
+} // namespace Cloverbarrow
