Peers are told changes by numbers of their own; deletions and equal states pass on too

A property over random changes, cuts, outages, lost answers and restarts of four entry VMs then found three more: entries dropped after their time of grace were not told to followers; a deletion with an older revision than the follower knew was ignored; a state that had changed and changed back was not told on.

Ruled out: a race of two publications (the same thread), a missing drop at the end of the grace time (others dropped theirs).

Change: a relay numbers its changes; a list leaves deletions out; deletions carry the store's revision by which they were seen; equal states with a newer revision are told on.

--- a/src/core/directory/collectionwatch.cpp
+++ b/src/core/directory/collectionwatch.cpp
@@ -79,16 +79,6 @@
     nextCall_ = now + (change.entries.empty() ? Duration(0) : rest);
 }
 
-std::int64_t CollectionWatch::revision() const
-{
-    return since_;
-}
-
-std::int64_t CollectionWatch::listRevision() const
-{
-    return listRevision_;
-}
-
 void CollectionWatch::historyGone(TimePoint now)
 {
     isCalling_ = false;
--- a/src/core/directory/collectionwatch.h
+++ b/src/core/directory/collectionwatch.h
@@ -35,10 +35,6 @@
 
     /// @return whether a whole list has been read at least once.
     bool isComplete() const;
-    /// @return the revision up to which changes are known.
-    std::int64_t revision() const;
-    /// @return the revision of the last whole list: what was deleted before it is not known.
-    std::int64_t listRevision() const;
 
 private:
     void beginList();
--- a/src/core/directory/directoryevents.h
+++ b/src/core/directory/directoryevents.h
@@ -66,7 +66,8 @@
     std::vector<DirectoryEntry> entries;
     bool hasMore = false;
     std::string last; ///< Name after which the next page begins.
-    std::int64_t revision = 0; ///< Of the whole store.
+    std::int64_t revision = 0; ///< To watch from: of the whole store, or the number of a relay's latest change.
+    std::int64_t storeRevision = 0; ///< Up to which the store has told this; what is missing had been deleted by then.
 };
 
 /// What has changed since the revision that was watched from; nothing when the wait was over.
@@ -74,6 +75,7 @@
     Collection collection = Collection::Routing;
     std::vector<DirectoryEntry> entries;
     std::int64_t revision = 0;
+    std::int64_t storeRevision = 0; ///< As with a list.
 };
 
 /// The history that was asked for is gone.
@@ -174,7 +176,8 @@
 
 /// What a relay tells of one collection.
 struct DirectoryNews {
-    std::int64_t revision = 0;
+    std::int64_t revision = 0; ///< Number of the latest change at the relay; unlike the store's revisions.
+    std::int64_t storeRevision = 0; ///< Up to which the store has told the relay.
     std::vector<DirectoryEntry> entries; ///< With their texts; values are left out.
 };
 
--- a/src/core/directory/directorykeeper.cpp
+++ b/src/core/directory/directorykeeper.cpp
@@ -7,6 +7,8 @@
 
 #include "core/directory/directorykeeper.h"
 
+#include <algorithm>
+
 namespace Cloverbarrow
 {
 
@@ -33,6 +35,11 @@
         event);
 }
 
+std::size_t indexOf(Collection collection)
+{
+    return collection == Collection::Routing ? 0 : 1;
+}
+
 } // namespace
 
 DirectoryKeeper::DirectoryKeeper(const FleetBudgets &budgets, RelaySeat seat, std::uint64_t seed)
@@ -76,13 +83,14 @@
 void DirectoryKeeper::on(TimePoint now, const DirectoryListed &event, DirectoryActions &actions)
 {
     const bool isWhole = watchOf(event.collection).listed(now, event);
+    heardUpTo(event.collection, event.storeRevision);
     bool isNews = false;
     if (event.collection == Collection::Routing) {
         isNews = takePlans(event.entries, actions);
     } else {
         isNews = registry_.listed(now, event.entries);
         // A page alone is no whole list; only with the last one is what no page named gone.
-        isNews = (isWhole && registry_.listEnded(now)) || isNews || isWhole;
+        isNews = (isWhole && registry_.listEnded(now, event.storeRevision)) || isNews || isWhole;
     }
     if (isNews) {
         publish(actions);
@@ -94,6 +102,7 @@
 {
     sourceAnswered(now, actions);
     watchOf(event.collection).changed(now, event);
+    heardUpTo(event.collection, event.storeRevision);
     const bool isNews = event.collection == Collection::Routing ? takePlans(event.entries, actions) : registry_.changed(now, event.entries);
     if (isNews) {
         publish(actions);
@@ -150,16 +159,18 @@
 
 std::optional<DirectoryNews> DirectoryKeeper::newsSince(Collection collection, std::int64_t since) const
 {
-    const CollectionWatch &watch = watchOf(collection);
-    // A list asks with 0 and gets all; deletions from before the own list are not known.
-    if (!watch.isComplete() || (since != 0 && since < watch.listRevision())) {
+    if (!watchOf(collection).isComplete()) {
         return std::nullopt;
     }
-    DirectoryNews news;
-    news.revision = watch.revision();
     if (collection == Collection::Servers) {
-        news.entries = registry_.changedSince(since);
-    } else if (plan_ && planEntry_.revision > since) {
+        auto entries = registry_.changedSince(since);
+        return entries ? std::optional(DirectoryNews{registry_.sequence(), storeRevision_[indexOf(collection)], std::move(*entries)}) : std::nullopt;
+    }
+    if (since > planSequence_) {
+        return std::nullopt;
+    }
+    DirectoryNews news{planSequence_, storeRevision_[indexOf(collection)], {}};
+    if (plan_ && planSequence_ > since) {
         news.entries.push_back({planEntry_.name, planEntry_.revision, std::nullopt, false, planEntry_.text});
     }
     return news;
@@ -181,6 +192,12 @@
     return collection == Collection::Routing ? routing_ : servers_;
 }
 
+void DirectoryKeeper::heardUpTo(Collection collection, std::int64_t storeRevision)
+{
+    std::int64_t &known = storeRevision_[indexOf(collection)];
+    known = std::max(known, storeRevision);
+}
+
 void DirectoryKeeper::followSource(TimePoint now)
 {
     if (source_ == seat_.relay()) {
@@ -223,6 +240,7 @@
         actions.emplace_back(ReportDirectory{"configuration version", plan->versionText});
         plan_ = *plan;
         planEntry_ = entry;
+        ++planSequence_;
         isNews = true;
     }
     return isNews;
--- a/src/core/directory/directorykeeper.h
+++ b/src/core/directory/directorykeeper.h
@@ -14,6 +14,7 @@
 #include "core/fleetbudgets.h"
 #include "core/random.h"
 
+#include <array>
 #include <memory>
 #include <optional>
 
@@ -31,7 +32,8 @@
     void tick(TimePoint now, DirectoryActions &actions);
     void handle(TimePoint now, const DirectoryAnswer &answer, DirectoryActions &actions);
 
-    /// @return what a peer that knows the collection up to @p since has missed; nothing when it must begin with a list.
+    /// @param since number of the latest change here that the peer knows; 0 for a list.
+    /// @return what a peer has missed; nothing when it must begin with a list.
     std::optional<DirectoryNews> newsSince(Collection collection, std::int64_t since) const;
     /// @return how long ago the store last answered; nothing when it never has, or this is no relay.
     std::optional<Duration> proofAge(TimePoint now) const;
@@ -48,6 +50,7 @@
     CollectionWatch &watchOf(Collection collection);
     bool takePlans(const std::vector<DirectoryEntry> &entries, DirectoryActions &actions);
     const CollectionWatch &watchOf(Collection collection) const;
+    void heardUpTo(Collection collection, std::int64_t storeRevision);
     /// Begins calls anew when they go to another place from now on.
     void followSource(TimePoint now);
     bool isAtStore() const;
@@ -63,9 +66,11 @@
     std::string source_; ///< Relay that calls go to; empty for the store.
     CollectionWatch routing_;
     CollectionWatch servers_;
+    std::array<std::int64_t, 2> storeRevision_{}; ///< Up to which the store has told of each collection.
     ServerRegistry registry_;
     std::optional<RoutingPlan> plan_;
     DirectoryEntry planEntry_; ///< The same, as it came.
+    std::int64_t planSequence_ = 1; ///< Counts plans, for peers; 0 asks for the present one.
     std::int64_t published_ = 0;
     bool isStoreLost_ = false;
     std::optional<TimePoint> provenAt_; ///< When the store last answered.
--- a/src/core/directory/serverregistry.cpp
+++ b/src/core/directory/serverregistry.cpp
@@ -33,18 +33,21 @@
 {
     bool isNews = false;
     for (const DirectoryEntry &entry : entries) {
-        isNews = put(entry, true) || isNews;
+        // A relay's list may name what was deleted as well.
+        if (!entry.isDeleted) {
+            isNews = put(entry, true) || isNews;
+        }
     }
     return isNews;
 }
 
-bool ServerRegistry::listEnded(TimePoint now)
+bool ServerRegistry::listEnded(TimePoint now, std::int64_t storeRevision)
 {
     bool isNews = false;
     for (auto entry = entries_.begin(); entry != entries_.end();) {
         const auto next = std::next(entry);
         if (!entry->second.isListed) {
-            isNews = remove(now, entry, entry->second.revision) || isNews;
+            isNews = remove(now, entry, storeRevision) || isNews;
         } else {
             entry->second.isListed = false;
         }
@@ -80,7 +83,16 @@
 
 bool ServerRegistry::tick(TimePoint now)
 {
-    return std::erase_if(entries_, [now](const auto &item) { return item.second.goneAt && now >= *item.second.goneAt; }) > 0;
+    bool isNews = false;
+    for (auto entry = entries_.begin(); entry != entries_.end();) {
+        const auto next = std::next(entry);
+        if (entry->second.goneAt && now >= *entry->second.goneAt) {
+            erase(entry);
+            isNews = true;
+        }
+        entry = next;
+    }
+    return isNews;
 }
 
 bool ServerRegistry::isEmpty() const
@@ -117,47 +129,66 @@
     known.goneAt.reset();
     deletions_.erase(entry.name);
     const bool isNews = known.revision == 0 || !isSameButWarmer(known.registration, *registration);
-    if (!isNews) {
-        // Peers need not hear of it either.
-        return false;
+    if (entry.revision > known.revision) {
+        // Peers hear of it all the same: they may have seen another state between the two.
+        known.revision = entry.revision;
+        known.sequence = ++sequence_;
+        known.text = entry.text;
     }
-    known.revision = entry.revision;
-    known.text = entry.text;
-    known.registration = *registration;
-    return true;
+    if (isNews) {
+        known.registration = *registration;
+    }
+    return isNews;
+}
+
+std::int64_t ServerRegistry::sequence() const
+{
+    return sequence_;
 }
 
-std::vector<DirectoryEntry> ServerRegistry::changedSince(std::int64_t revision) const
+std::optional<std::vector<DirectoryEntry>> ServerRegistry::changedSince(std::int64_t sequence) const
 {
+    const bool isList = sequence == 0;
+    if (!isList && (sequence > sequence_ || sequence < forgotten_)) {
+        return std::nullopt;
+    }
     std::vector<DirectoryEntry> changed;
     for (const auto &[name, entry] : entries_) {
-        if (entry.revision > revision) {
+        if (entry.sequence > sequence) {
             changed.push_back({name, entry.revision, std::nullopt, false, entry.text});
         }
     }
-    for (const auto &[name, deletedAt] : deletions_) {
-        if (deletedAt > revision) {
-            changed.push_back({name, deletedAt, std::nullopt, true, {}});
+    for (const auto &[name, deletion] : deletions_) {
+        if (!isList && deletion.sequence > sequence) {
+            changed.push_back({name, deletion.revision, std::nullopt, true, {}});
         }
     }
     return changed;
 }
 
-bool ServerRegistry::remove(TimePoint now, std::map<std::string, Entry>::iterator entry, std::int64_t revision)
+bool ServerRegistry::remove(TimePoint now, std::map<std::string, Entry>::iterator entry, std::int64_t storeRevision)
 {
-    deletions_.insert_or_assign(entry->first, revision);
-    while (deletions_.size() > MaxDeletions) {
-        deletions_.erase(
-            std::min_element(deletions_.begin(), deletions_.end(), [](const auto &left, const auto &right) { return left.second < right.second; }));
-    }
+    entry->second.goneRevision = std::max(entry->second.revision, storeRevision);
     if (graceUntil_ && now < *graceUntil_) {
         if (!entry->second.goneAt) {
             entry->second.goneAt = graceUntil_;
         }
         return false;
     }
-    entries_.erase(entry);
+    erase(entry);
     return true;
 }
 
+void ServerRegistry::erase(std::map<std::string, Entry>::iterator entry)
+{
+    deletions_.insert_or_assign(entry->first, Deletion{entry->second.goneRevision, ++sequence_});
+    entries_.erase(entry);
+    if (deletions_.size() > MaxDeletions) {
+        const auto isOlder = [](const auto &left, const auto &right) { return left.second.sequence < right.second.sequence; };
+        const auto oldest = std::min_element(deletions_.begin(), deletions_.end(), isOlder);
+        forgotten_ = oldest->second.sequence;
+        deletions_.erase(oldest);
+    }
+}
+
 } // namespace Cloverbarrow
--- a/src/core/directory/serverregistry.h
+++ b/src/core/directory/serverregistry.h
@@ -24,7 +24,8 @@
     /// Takes a page of a list. @return whether anything changed.
     bool listed(TimePoint now, const std::vector<DirectoryEntry> &entries);
     /// The last page has been taken: what no page named is gone. @return whether anything changed.
-    bool listEnded(TimePoint now);
+    /// @param storeRevision at which they were gone.
+    bool listEnded(TimePoint now, std::int64_t storeRevision);
     /// A list that was begun will not be finished.
     void listBroken();
     /// Takes changes. @return whether anything changed.
@@ -38,24 +39,36 @@
     bool isEmpty() const;
     /// @return all registrations of @p service.
     std::vector<Registration> of(const std::string &service) const;
-    /// @return what has changed after @p revision, deletions too.
-    std::vector<DirectoryEntry> changedSince(std::int64_t revision) const;
+    /// @return the number of the latest change in this registry; peers name it when they ask for what came after.
+    std::int64_t sequence() const;
+    /// @return what has changed after change number @p sequence, deletions too; all entries for 0; nothing when
+    /// that number is not from here or too long ago.
+    std::optional<std::vector<DirectoryEntry>> changedSince(std::int64_t sequence) const;
 
 private:
+    struct Deletion {
+        std::int64_t revision = 0; ///< Of the store, by which the entry had been deleted.
+        std::int64_t sequence = 0;
+    };
+
     struct Entry {
         std::int64_t revision = 0;
+        std::int64_t sequence = 0;
         Registration registration;
         std::string text;
         bool isListed = false; ///< Named by the list under way.
         std::optional<TimePoint> goneAt; ///< When it is dropped unless it comes back.
+        std::int64_t goneRevision = 0; ///< Of the store, by which it had been deleted.
     };
 
     bool put(const DirectoryEntry &entry, bool isListed);
-    /// @param revision of the deletion, where it is known.
-    bool remove(TimePoint now, std::map<std::string, Entry>::iterator entry, std::int64_t revision);
+    bool remove(TimePoint now, std::map<std::string, Entry>::iterator entry, std::int64_t storeRevision);
+    void erase(std::map<std::string, Entry>::iterator entry);
 
     std::map<std::string, Entry> entries_;
-    std::map<std::string, std::int64_t> deletions_; ///< By name: revisions at which entries were deleted, to be told to peers.
+    std::map<std::string, Deletion> deletions_; ///< By name, to be told to peers.
+    std::int64_t sequence_ = 1; ///< 0 asks for everything.
+    std::int64_t forgotten_ = 0; ///< Deletions up to this change are no longer known.
     std::optional<TimePoint> graceUntil_;
 };
 
--- a/src/net/relayclient.cpp
+++ b/src/net/relayclient.cpp
@@ -46,7 +46,7 @@
         std::string failure;
         auto news = read(action.collection, outcome, failure);
         if (news) {
-            done({action.call, DirectoryListed{action.collection, std::move(news->entries), false, {}, news->revision}});
+            done({action.call, DirectoryListed{action.collection, std::move(news->entries), false, {}, news->revision, news->storeRevision}});
         } else {
             done({action.call, DirectoryCallFailed{action.collection, "list at relay " + action.relay + ": " + failure}});
         }
@@ -62,7 +62,7 @@
             std::string failure;
             auto news = read(action.collection, outcome, failure);
             if (news) {
-                done({action.call, DirectoryChanged{action.collection, std::move(news->entries), news->revision}});
+                done({action.call, DirectoryChanged{action.collection, std::move(news->entries), news->revision, news->storeRevision}});
             } else if (hasStatus(outcome, Gone)) {
                 done({action.call, DirectoryHistoryGone{action.collection}});
             } else {
--- a/src/net/relaymessages.cpp
+++ b/src/net/relaymessages.cpp
@@ -71,7 +71,7 @@
     for (const DirectoryEntry &entry : news.entries) {
         entries.push_back({{"name", entry.name}, {"revision", entry.revision}, {"deleted", entry.isDeleted}, {"text", entry.text}});
     }
-    return Json{{"revision", news.revision}, {"entries", std::move(entries)}}.dump();
+    return Json{{"revision", news.revision}, {"store_revision", news.storeRevision}, {"entries", std::move(entries)}}.dump();
 }
 
 DirectoryNews decodeNews(std::string_view text)
@@ -79,6 +79,7 @@
     const Json body = Json::parse(text);
     DirectoryNews news;
     news.revision = body.at("revision").get<std::int64_t>();
+    news.storeRevision = body.at("store_revision").get<std::int64_t>();
     for (const Json &entry : body.at("entries")) {
         news.entries.push_back({entry.at("name").get<std::string>(),
                                 entry.at("revision").get<std::int64_t>(),
--- /dev/null
+++ b/tests/property/directoryproperties.cpp
@@ -0,0 +1,480 @@
+/*
+    This file is part of cloverbarrow.
+
+    SPDX-FileCopyrightText: 2026 The cloverbarrow authors
+    SPDX-License-Identifier: Apache-2.0
+*/
+
+#include "core/directory/directorykeeper.h"
+
+#include <catch2/catch.hpp>
+#include <rapidcheck.h>
+
+#include <algorithm>
+#include <functional>
+#include <map>
+#include <set>
+
+using namespace Cloverbarrow;
+
+namespace
+{
+
+constexpr Duration Step = milliseconds(10);
+constexpr Duration DropDelay = milliseconds(50);
+
+/// The store's objects and history, in memory.
+struct ModelStore {
+    std::int64_t revision = 1;
+    std::int64_t oldest = 0; ///< Revision from which history is kept.
+    std::int64_t planVersion = 1;
+    std::int64_t planRevision = 1;
+    std::map<std::string, std::pair<std::int64_t, bool>> servers; ///< Revision and whether it drains.
+    std::vector<DirectoryEntry> changes;
+    std::map<std::string, SeatAnswered> seats;
+    bool isDown = false;
+
+    static DirectoryEntry serverEntry(const std::string &name, std::int64_t revision, bool isDraining)
+    {
+        Registration registration;
+        registration.service = "reclamos";
+        registration.server.name = name;
+        registration.isDraining = isDraining;
+        return {name, revision, registration, false, name + (isDraining ? "!" : "")};
+    }
+
+    DirectoryEntry planEntry() const
+    {
+        RoutingPlan plan;
+        plan.version = planVersion;
+        plan.versionText = "r" + std::to_string(planVersion);
+        Service service;
+        service.name = "reclamos";
+        plan.services.push_back(service);
+        return {"main", planRevision, plan, false, std::to_string(planVersion)};
+    }
+
+    void putServer(const std::string &name, bool isDraining)
+    {
+        servers[name] = {++revision, isDraining};
+        changes.push_back(serverEntry(name, revision, isDraining));
+    }
+
+    void removeServer(const std::string &name)
+    {
+        if (servers.erase(name) > 0) {
+            changes.push_back({name, ++revision, std::nullopt, true, {}});
+        }
+    }
+
+    void putPlan()
+    {
+        planRevision = ++revision;
+        planVersion += 1 + revision % 3;
+        changes.push_back(planEntry());
+    }
+};
+
+bool isOf(Collection collection, const DirectoryEntry &entry)
+{
+    return (entry.name == "main") == (collection == Collection::Routing);
+}
+
+/// Entry VMs of one availability zone, with calls that take time, fail and are cut.
+class ModelZone
+{
+public:
+    explicit ModelZone(int entryVms)
+    {
+        for (int number = 0; number < entryVms; ++number) {
+            const std::string address = "10.0.0." + std::to_string(number + 1) + ":7200";
+            const auto seed = static_cast<std::uint64_t>(number) + 1;
+            nodes_.push_back({address, DirectoryKeeper(FleetBudgets{}, RelaySeat(address, false, seed), seed), nullptr, false, {}, {}});
+        }
+    }
+
+    void pass(Duration duration)
+    {
+        for (const TimePoint until = now_ + duration; now_ < until;) {
+            now_ += Step;
+            dropHistory();
+            for (Node &node : nodes_) {
+                DirectoryActions actions;
+                node.keeper.tick(now_, actions);
+                take(node, actions);
+            }
+            deliver();
+        }
+    }
+
+    /// Cuts an entry VM off from the store, or joins it again.
+    void setCut(std::size_t index, bool isCut)
+    {
+        nodes_[index % nodes_.size()].isCut = isCut;
+    }
+
+    void joinAll()
+    {
+        for (Node &node : nodes_) {
+            node.isCut = false;
+        }
+    }
+
+    /// The process ends and starts again under its address.
+    void restart(std::size_t index)
+    {
+        Node &node = nodes_[index % nodes_.size()];
+        const auto seed = static_cast<std::uint64_t>(index) + 100 + restarts_++;
+        node.keeper = DirectoryKeeper(FleetBudgets{}, RelaySeat(node.address, false, seed), seed);
+        node.published = nullptr;
+        node.calls.clear();
+        node.waiting.clear();
+    }
+
+    /// Cuts all watches at the store and drops history a moment later. A watch that begins in between is not cut, and
+    /// hears of nothing until the next change of its collection.
+    void compact()
+    {
+        dropAt_ = now_ + DropDelay;
+        for (Node &node : nodes_) {
+            for (const WatchDirectory &watch : node.waiting) {
+                if (watch.relay.empty()) {
+                    node.calls.push_back({now_ + Step, {watch.call, DirectoryCallFailed{watch.collection, "cut"}}});
+                }
+            }
+            std::erase_if(node.waiting, [](const WatchDirectory &watch) { return watch.relay.empty(); });
+        }
+    }
+
+    bool allBelieveTheStore() const
+    {
+        return std::all_of(nodes_.begin(), nodes_.end(), [this](const Node &node) { return believes(node); });
+    }
+
+    bool allBelieveTheStoreBut(std::size_t index) const
+    {
+        const Node &excluded = nodes_[index % nodes_.size()];
+        return std::all_of(nodes_.begin(), nodes_.end(), [this, &excluded](const Node &node) { return &node == &excluded || believes(node); });
+    }
+
+    ModelStore store;
+    std::function<bool()> losesAnswer = [] { return false; };
+
+private:
+    struct Call {
+        TimePoint at;
+        DirectoryAnswer answer;
+    };
+
+    struct Node {
+        std::string address;
+        DirectoryKeeper keeper;
+        std::shared_ptr<const IntentInForce> published;
+        bool isCut = false;
+        std::vector<Call> calls;
+        std::vector<WatchDirectory> waiting;
+    };
+
+    void dropHistory()
+    {
+        if (dropAt_ && now_ >= *dropAt_) {
+            dropAt_.reset();
+            store.oldest = store.revision;
+            store.changes.clear();
+        }
+    }
+
+    bool believes(const Node &node) const
+    {
+        if (!node.published || node.published->value != "r" + std::to_string(store.planVersion)) {
+            return false;
+        }
+        std::set<std::string> known;
+        for (const BackendServer &server : node.published->configuration.services.front().backendServers) {
+            known.insert(server.name);
+        }
+        const auto &drains = node.published->intent.drains;
+        return known.size() == store.servers.size() && std::all_of(store.servers.begin(), store.servers.end(), [&](const auto &item) {
+                   const bool isDraining = std::find(drains.begin(), drains.end(), "reclamos/" + item.first) != drains.end();
+                   return known.contains(item.first) && isDraining == item.second.second;
+               });
+    }
+
+    void take(Node &node, const DirectoryActions &actions)
+    {
+        for (const DirectoryAction &action : actions) {
+            std::visit([this, &node](const auto &typed) { perform(node, typed); }, action);
+        }
+    }
+
+    void answer(Node &node, int call, DirectoryEvent event)
+    {
+        node.calls.push_back({now_ + Step, {call, std::move(event)}});
+    }
+
+    bool reachesStore(const Node &node)
+    {
+        return !node.isCut && !store.isDown && !losesAnswer();
+    }
+
+    void perform(Node &node, const ListDirectory &action)
+    {
+        DirectoryListed listed{action.collection, {}, false, {}, store.revision, store.revision};
+        if (!action.relay.empty()) {
+            const auto news = newsOf(action.relay, action.collection, 0);
+            if (!news) {
+                answer(node, action.call, DirectoryCallFailed{action.collection, "no relay"});
+                return;
+            }
+            listed.entries = decoded(news->entries);
+            listed.revision = news->revision;
+            listed.storeRevision = news->storeRevision;
+        } else if (!reachesStore(node)) {
+            answer(node, action.call, DirectoryCallFailed{action.collection, "lost"});
+            return;
+        } else if (action.collection == Collection::Routing) {
+            listed.entries.push_back(store.planEntry());
+        } else {
+            for (const auto &[name, state] : store.servers) {
+                listed.entries.push_back(ModelStore::serverEntry(name, state.first, state.second));
+            }
+        }
+        answer(node, action.call, listed);
+    }
+
+    void perform(Node &node, const WatchDirectory &action)
+    {
+        if (action.relay.empty() && !reachesStore(node)) {
+            answer(node, action.call, DirectoryCallFailed{action.collection, "lost"});
+        } else if (action.relay.empty() && action.since < store.oldest) {
+            answer(node, action.call, DirectoryHistoryGone{action.collection});
+        } else {
+            node.waiting.push_back(action);
+        }
+    }
+
+    void perform(Node &node, const CheckDirectory &)
+    {
+        answer(node, 0, DirectoryChecked{reachesStore(node)});
+    }
+
+    void perform(Node &node, const CheckRelay &action)
+    {
+        const Node *relay = find(action.relay);
+        const auto age = relay ? relay->keeper.proofAge(now_) : std::nullopt;
+        answer(node, 0, RelayChecked{action.relay, age.has_value(), age.value_or(Duration(0))});
+    }
+
+    void perform(Node &node, const ReadSeat &)
+    {
+        SeatAnswered seat = store.seats.contains("zone") ? store.seats.at("zone") : SeatAnswered{true, {}, 0};
+        seat.hasAnswered = reachesStore(node);
+        answer(node, 0, seat);
+    }
+
+    void perform(Node &node, const WriteSeat &action)
+    {
+        if (node.isCut || store.isDown) {
+            answer(node, 0, SeatAnswered{});
+            return;
+        }
+        SeatAnswered &seat = store.seats["zone"];
+        if (seat.revision == action.expectedRevision) {
+            seat = {true, action.holder, ++store.revision};
+        }
+        SeatAnswered told = seat;
+        // The write is done; only its answer may be lost.
+        told.hasAnswered = !losesAnswer();
+        answer(node, 0, told);
+    }
+
+    void perform(Node &node, const PublishDirectory &action)
+    {
+        const auto number = [](const std::string &text) { return std::stoll(text.substr(1)); };
+        if (node.published) {
+            const std::int64_t before = number(node.published->value);
+            const std::int64_t after = number(action.intent->value);
+            RC_ASSERT(node.published->version < action.intent->version);
+            RC_ASSERT(before <= after);
+        }
+        node.published = action.intent;
+    }
+
+    void perform(Node &, const ReportDirectory &)
+    {
+    }
+
+    Node *find(const std::string &address)
+    {
+        const auto found = std::find_if(nodes_.begin(), nodes_.end(), [&address](const Node &node) { return node.address == address; });
+        return found == nodes_.end() ? nullptr : &*found;
+    }
+
+    std::optional<DirectoryNews> newsOf(const std::string &relay, Collection collection, std::int64_t since)
+    {
+        const Node *node = find(relay);
+        return node ? node->keeper.newsSince(collection, since) : std::nullopt;
+    }
+
+    /// What the texts of entries say.
+    std::vector<DirectoryEntry> decoded(std::vector<DirectoryEntry> entries) const
+    {
+        for (DirectoryEntry &entry : entries) {
+            if (entry.isDeleted) {
+                continue;
+            }
+            if (entry.name == "main") {
+                RoutingPlan plan = std::get<RoutingPlan>(*store.planEntry().value);
+                plan.version = std::stoll(entry.text);
+                plan.versionText = "r" + entry.text;
+                entry.value = plan;
+            } else {
+                entry.value = ModelStore::serverEntry(entry.name, entry.revision, entry.text.ends_with('!')).value;
+            }
+        }
+        return entries;
+    }
+
+    /// @return the answer to a watch, if there is one yet.
+    std::optional<DirectoryEvent> answerTo(const Node &node, const WatchDirectory &watch)
+    {
+        if (!watch.relay.empty()) {
+            const auto news = newsOf(watch.relay, watch.collection, watch.since);
+            if (!news) {
+                return DirectoryHistoryGone{watch.collection};
+            }
+            return news->entries.empty()
+                ? std::nullopt
+                : std::optional<DirectoryEvent>(DirectoryChanged{watch.collection, decoded(news->entries), news->revision, news->storeRevision});
+        }
+        if (node.isCut || store.isDown) {
+            return DirectoryCallFailed{watch.collection, "cut"};
+        }
+        DirectoryChanged changed{watch.collection, {}, store.revision, store.revision};
+        for (const DirectoryEntry &entry : store.changes) {
+            if (isOf(watch.collection, entry) && entry.revision > watch.since) {
+                changed.entries.push_back(entry);
+            }
+        }
+        if (changed.entries.empty()) {
+            return std::nullopt;
+        }
+        return watch.since < store.oldest ? DirectoryEvent(DirectoryHistoryGone{watch.collection}) : DirectoryEvent(changed);
+    }
+
+    void deliver()
+    {
+        for (Node &node : nodes_) {
+            std::vector<WatchDirectory> waiting;
+            waiting.swap(node.waiting);
+            for (const WatchDirectory &watch : waiting) {
+                if (auto event = answerTo(node, watch)) {
+                    answer(node, watch.call, std::move(*event));
+                } else {
+                    node.waiting.push_back(watch);
+                }
+            }
+            std::vector<Call> calls;
+            calls.swap(node.calls);
+            for (Call &call : calls) {
+                if (call.at > now_) {
+                    node.calls.push_back(std::move(call));
+                    continue;
+                }
+                DirectoryActions actions;
+                node.keeper.handle(now_, call.answer, actions);
+                take(node, actions);
+            }
+        }
+    }
+
+    TimePoint now_ = TimePoint(seconds(100));
+    std::optional<TimePoint> dropAt_;
+    std::uint64_t restarts_ = 0;
+    std::vector<Node> nodes_;
+};
+
+/// Brings one random thing about.
+void disturb(ModelZone &zone)
+{
+    const std::string name = "i-" + std::to_string(*rc::gen::inRange(1, 8));
+    const auto index = static_cast<std::size_t>(*rc::gen::inRange(0, 4));
+    switch (*rc::gen::inRange(0, 10)) {
+    case 0:
+    case 1:
+        zone.store.putServer(name, false);
+        break;
+    case 2:
+        zone.store.putServer(name, true);
+        break;
+    case 3:
+        zone.store.removeServer(name);
+        break;
+    case 4:
+        zone.store.putPlan();
+        break;
+    case 5:
+        zone.compact();
+        break;
+    case 6:
+        zone.store.isDown = !zone.store.isDown;
+        break;
+    case 7:
+        zone.setCut(index, true);
+        break;
+    case 8:
+        zone.setCut(index, false);
+        break;
+    default:
+        zone.restart(index);
+        break;
+    }
+}
+
+} // namespace
+
+TEST_CASE("After any changes, cuts, outages and restarts all entry VMs believe what the store holds", "[property][directory][relay]")
+{
+    CHECK(rc::check("within seconds after the last trouble", [] {
+        ModelZone zone(4);
+        Random luck(*rc::gen::arbitrary<std::uint64_t>());
+        bool isLossy = *rc::gen::arbitrary<bool>();
+        // One answer in ten is lost; writes are done all the same.
+        zone.losesAnswer = [&luck, &isLossy] { return isLossy && luck.below(10) == 0; };
+        zone.store.putServer("i-1", false);
+        zone.pass(seconds(3));
+        const int troubles = *rc::gen::inRange(1, 25);
+        for (int trouble = 0; trouble < troubles; ++trouble) {
+            disturb(zone);
+            zone.pass(milliseconds(*rc::gen::inRange(10, 1500)));
+        }
+        isLossy = false;
+        zone.store.isDown = false;
+        zone.joinAll();
+        // Two seconds for entries that lapsed, and the pauses of calls that failed.
+        zone.pass(seconds(6));
+        RC_ASSERT(zone.allBelieveTheStore());
+    }));
+}
+
+TEST_CASE("A change comes into force within two seconds at every entry VM that reaches the store", "[property][directory][relay]")
+{
+    CHECK(rc::check("also when the relay has just been cut off or has ended", [] {
+        ModelZone zone(4);
+        zone.store.putServer("i-1", false);
+        zone.pass(seconds(6));
+        const auto index = static_cast<std::size_t>(*rc::gen::inRange(0, 4));
+        const bool isKilled = *rc::gen::arbitrary<bool>();
+        if (isKilled) {
+            zone.restart(index);
+        } else {
+            zone.setCut(index, true);
+        }
+        zone.pass(milliseconds(*rc::gen::inRange(10, 3000)));
+        zone.store.putPlan();
+        zone.store.putServer("i-2", true);
+        // The one that is cut off hears of it from nobody but its peers, and so does not count here.
+        zone.pass(seconds(2));
+        RC_ASSERT(zone.allBelieveTheStoreBut(index));
+    }));
+}
--- a/tests/unit/directorytests.cpp
+++ b/tests/unit/directorytests.cpp
@@ -73,8 +73,8 @@
     void start(std::vector<DirectoryEntry> servers)
     {
         pass(milliseconds(10));
-        answer(listCall(Collection::Routing), DirectoryListed{Collection::Routing, {planEntry(1, 1)}, false, "main", 10});
-        answer(listCall(Collection::Servers), DirectoryListed{Collection::Servers, std::move(servers), false, "z", 10});
+        answer(listCall(Collection::Routing), DirectoryListed{Collection::Routing, {planEntry(1, 1)}, false, "main", 10, 10});
+        answer(listCall(Collection::Servers), DirectoryListed{Collection::Servers, std::move(servers), false, "z", 10, 10});
         pass(milliseconds(10));
     }
 
@@ -137,13 +137,13 @@
 {
     Following store;
     store.pass(milliseconds(10));
-    store.answer(store.listCall(Collection::Routing), DirectoryListed{Collection::Routing, {planEntry(1, 1)}, false, "main", 10});
+    store.answer(store.listCall(Collection::Routing), DirectoryListed{Collection::Routing, {planEntry(1, 1)}, false, "main", 10, 10});
     CHECK_FALSE(store.published);
-    store.answer(store.listCall(Collection::Servers), DirectoryListed{Collection::Servers, {server("i-1", 2)}, true, "i-1", 10});
+    store.answer(store.listCall(Collection::Servers), DirectoryListed{Collection::Servers, {server("i-1", 2)}, true, "i-1", 10, 10});
     CHECK_FALSE(store.published);
     store.pass(milliseconds(10));
     CHECK(store.lists.back().after == "i-1");
-    store.answer(store.listCall(Collection::Servers), DirectoryListed{Collection::Servers, {server("i-2", 3)}, false, "i-2", 12});
+    store.answer(store.listCall(Collection::Servers), DirectoryListed{Collection::Servers, {server("i-2", 3)}, false, "i-2", 12, 12});
     REQUIRE(store.published);
     CHECK(store.servers() == Names{"i-1", "i-2"});
 }
@@ -152,9 +152,9 @@
 {
     Following store;
     store.pass(milliseconds(10));
-    store.answer(store.listCall(Collection::Servers), DirectoryListed{Collection::Servers, {server("i-1", 2)}, true, "i-1", 10});
+    store.answer(store.listCall(Collection::Servers), DirectoryListed{Collection::Servers, {server("i-1", 2)}, true, "i-1", 10, 10});
     store.pass(milliseconds(10));
-    store.answer(store.listCall(Collection::Servers), DirectoryListed{Collection::Servers, {server("i-2", 3)}, false, "i-2", 15});
+    store.answer(store.listCall(Collection::Servers), DirectoryListed{Collection::Servers, {server("i-2", 3)}, false, "i-2", 15, 15});
     store.pass(milliseconds(10));
     CHECK(store.watch(Collection::Servers).since == 10);
 }
@@ -164,7 +164,7 @@
     Following store;
     store.start({server("i-1", 2)});
     const WatchDirectory watch = store.watch(Collection::Servers);
-    store.answer(watch.call, DirectoryChanged{Collection::Servers, {server("i-1", 11, true), server("i-2", 12)}, 12});
+    store.answer(watch.call, DirectoryChanged{Collection::Servers, {server("i-1", 11, true), server("i-2", 12)}, 12, 12});
     CHECK(store.servers() == Names{"i-1", "i-2"});
     CHECK(store.published->intent.drains == Names{"reclamos/i-1"});
     const std::size_t before = store.watches.size();
@@ -172,7 +172,7 @@
     CHECK(store.watches.size() == before);
     store.pass(milliseconds(300));
     CHECK(store.watch(Collection::Servers).since == 12);
-    store.answer(store.watch(Collection::Servers).call, DirectoryChanged{Collection::Servers, {gone("i-1", 13)}, 13});
+    store.answer(store.watch(Collection::Servers).call, DirectoryChanged{Collection::Servers, {gone("i-1", 13)}, 13, 13});
     CHECK(store.servers() == Names{"i-2"});
 }
 
@@ -180,10 +180,10 @@
 {
     Following store;
     store.start({server("i-1", 2)});
-    store.answer(store.watch(Collection::Routing).call, DirectoryChanged{Collection::Routing, {planEntry(7, 11)}, 11});
+    store.answer(store.watch(Collection::Routing).call, DirectoryChanged{Collection::Routing, {planEntry(7, 11)}, 11, 11});
     CHECK(store.published->value == "r7");
     store.pass(milliseconds(600));
-    store.answer(store.watch(Collection::Routing).call, DirectoryChanged{Collection::Routing, {planEntry(5, 12)}, 12});
+    store.answer(store.watch(Collection::Routing).call, DirectoryChanged{Collection::Routing, {planEntry(5, 12)}, 12, 12});
     CHECK(store.published->value == "r7");
 }
 
@@ -191,10 +191,10 @@
 {
     Following store;
     store.start({server("i-1", 2)});
-    store.answer(store.watch(Collection::Servers).call, DirectoryChanged{Collection::Servers, {DirectoryEntry{"i-1", 11, std::nullopt, false, {}}}, 11});
+    store.answer(store.watch(Collection::Servers).call, DirectoryChanged{Collection::Servers, {DirectoryEntry{"i-1", 11, std::nullopt, false, {}}}, 11, 11});
     CHECK(store.servers() == Names{"i-1"});
     store.pass(milliseconds(600));
-    store.answer(store.watch(Collection::Routing).call, DirectoryChanged{Collection::Routing, {DirectoryEntry{"main", 12, std::nullopt, false, {}}}, 12});
+    store.answer(store.watch(Collection::Routing).call, DirectoryChanged{Collection::Routing, {DirectoryEntry{"main", 12, std::nullopt, false, {}}}, 12, 12});
     CHECK(store.published->value == "r1");
 }
 
@@ -205,7 +205,7 @@
     store.answer(store.watch(Collection::Servers).call, DirectoryHistoryGone{Collection::Servers});
     store.pass(milliseconds(10));
     CHECK(store.servers() == Names{"i-1", "i-2"});
-    store.answer(store.listCall(Collection::Servers), DirectoryListed{Collection::Servers, {server("i-2", 3)}, false, "i-2", 40});
+    store.answer(store.listCall(Collection::Servers), DirectoryListed{Collection::Servers, {server("i-2", 3)}, false, "i-2", 40, 40});
     CHECK(store.servers() == Names{"i-2"});
 }
 
@@ -236,10 +236,10 @@
     store.pass(milliseconds(200));
     store.answer(0, DirectoryChecked{true});
     store.pass(milliseconds(20));
-    store.answer(store.listCall(Collection::Servers), DirectoryListed{Collection::Servers, {}, false, {}, 21});
+    store.answer(store.listCall(Collection::Servers), DirectoryListed{Collection::Servers, {}, false, {}, 21, 21});
     CHECK(store.servers() == Names{"i-1", "i-2"});
     store.pass(milliseconds(600));
-    store.answer(store.watch(Collection::Servers).call, DirectoryChanged{Collection::Servers, {server("i-1", 22)}, 22});
+    store.answer(store.watch(Collection::Servers).call, DirectoryChanged{Collection::Servers, {server("i-1", 22)}, 22, 22});
     store.pass(milliseconds(2000));
     CHECK(store.servers() == Names{"i-1"});
 }
@@ -267,7 +267,7 @@
     store.answer(0, DirectoryChecked{true});
     store.pass(milliseconds(200));
     CHECK(store.watches.size() == before);
-    store.answer(store.listCall(Collection::Routing), DirectoryListed{Collection::Routing, {planEntry(8, 30)}, false, "main", 31});
+    store.answer(store.listCall(Collection::Routing), DirectoryListed{Collection::Routing, {planEntry(8, 30)}, false, "main", 31, 31});
     CHECK(store.published->value == "r8");
 }
 
@@ -279,7 +279,7 @@
     store.answer(0, DirectoryChecked{false});
     store.answer(0, DirectoryChecked{true});
     store.pass(milliseconds(20));
-    store.answer(old, DirectoryChanged{Collection::Servers, {gone("i-1", 30)}, 30});
+    store.answer(old, DirectoryChanged{Collection::Servers, {gone("i-1", 30)}, 30, 30});
     CHECK(store.servers() == Names{"i-1"});
 }
 
@@ -292,6 +292,16 @@
     const auto before = store.published;
     DirectoryEntry warmer = server("i-1", 11);
     std::get<Registration>(*warmer.value).server.warmUp = seconds(1);
-    store.answer(store.watch(Collection::Servers).call, DirectoryChanged{Collection::Servers, {warmer}, 11});
+    store.answer(store.watch(Collection::Servers).call, DirectoryChanged{Collection::Servers, {warmer}, 11, 11});
     CHECK(store.published == before);
 }
+
+TEST_CASE("A list that names a deleted server does not keep it", "[directory][relay]")
+{
+    Following store;
+    store.start({server("i-1", 2), server("i-2", 3)});
+    store.answer(store.watch(Collection::Servers).call, DirectoryHistoryGone{Collection::Servers});
+    store.pass(milliseconds(10));
+    store.answer(store.listCall(Collection::Servers), DirectoryListed{Collection::Servers, {server("i-2", 3), gone("i-1", 20)}, false, "i-2", 40, 40});
+    CHECK(store.servers() == Names{"i-2"});
+}
