--- a/src/ctl/commands.cpp
+++ b/src/ctl/commands.cpp
@@ -8,6 +8,7 @@
 #include "ctl/commands.h"
 
 #include "ctl/burncommand.h"
+#include "ctl/explaincommand.h"
 #include "ctl/output.h"
 #include "ctl/session.h"
 #include "ctl/statuscommand.h"
@@ -17,7 +18,9 @@
 #include <chrono>
 #include <ctime>
 #include <functional>
+#include <iostream>
 #include <optional>
+#include <span>
 #include <thread>
 
 namespace Cloverbarrow
@@ -266,6 +269,9 @@
 
 CtlExit runCommand(const CtlOptions &options, const std::vector<std::string> &words, std::ostream &out, std::ostream &err)
 {
+    if (!words.empty() && words.front() == "explain") {
+        return explainRequest(std::span(words).subspan(1), std::cin, out, err);
+    }
     const auto &all = commands();
     const auto found = std::find_if(all.begin(), all.end(), [&words](const Command &command) { return !words.empty() && command.name == words.front(); });
     if (found == all.end() || words.size() != found->argumentCount + 1) {
@@ -299,6 +305,7 @@
     for (const Command &command : commands()) {
         text += std::string("  ") + command.help + "\n";
     }
+    text += "  explain ID [LOG...]: the story of a request from collected logs, or from the standard input\n";
     return text;
 }
 
--- /dev/null
+++ b/src/ctl/explaincommand.cpp
@@ -0,0 +1,62 @@
+/*
+    This file is part of cloverbarrow.
+
+    SPDX-FileCopyrightText: 2026 The cloverbarrow authors
+    SPDX-License-Identifier: Apache-2.0
+*/
+
+#include "ctl/explaincommand.h"
+
+#include "ctl/requeststory.h"
+
+#include <fstream>
+#include <istream>
+#include <ostream>
+
+namespace Cloverbarrow
+{
+
+namespace
+{
+
+void addAll(std::istream &input, RequestStory &story)
+{
+    std::string line;
+    while (std::getline(input, line)) {
+        story.add(line);
+    }
+}
+
+} // namespace
+
+CtlExit explainRequest(std::span<const std::string> words, std::istream &input, std::ostream &out, std::ostream &err)
+{
+    if (words.empty()) {
+        err << "explain needs the id of a request\n";
+        return CtlExit::Usage;
+    }
+    RequestStory story(words.front());
+    const auto files = words.subspan(1);
+    for (const std::string &path : files) {
+        std::ifstream file(path);
+        if (!file) {
+            err << "read log: cannot open '" << path << "'\n";
+            return CtlExit::Failed;
+        }
+        addAll(file, story);
+    }
+    if (files.empty()) {
+        addAll(input, story);
+    }
+    const auto lines = story.tell();
+    if (lines.empty()) {
+        err << "no line names request " << words.front() << "; it reached no entry VM whose log was given, or its lines were left out\n";
+        return CtlExit::Failed;
+    }
+    for (const std::string &line : lines) {
+        out << line << "\n";
+    }
+    return CtlExit::Done;
+}
+
+} // namespace Cloverbarrow
--- /dev/null
+++ b/src/ctl/explaincommand.h
@@ -0,0 +1,23 @@
+/*
+    This file is part of cloverbarrow.
+
+    SPDX-FileCopyrightText: 2026 The cloverbarrow authors
+    SPDX-License-Identifier: Apache-2.0
+*/
+
+#pragma once
+
+#include "ctl/commands.h"
+
+#include <iosfwd>
+#include <span>
+#include <string>
+
+namespace Cloverbarrow
+{
+
+/// Prints the story of a request from collected logs. Asks no entry VM.
+/// @param words the request's id and the log files; without files the standard input is read.
+CtlExit explainRequest(std::span<const std::string> words, std::istream &input, std::ostream &out, std::ostream &err);
+
+} // namespace Cloverbarrow
--- /dev/null
+++ b/src/ctl/requeststory.cpp
@@ -0,0 +1,105 @@
+/*
+    This file is part of cloverbarrow.
+
+    SPDX-FileCopyrightText: 2026 The cloverbarrow authors
+    SPDX-License-Identifier: Apache-2.0
+*/
+
+#include "ctl/requeststory.h"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <set>
+
+namespace Cloverbarrow
+{
+
+namespace
+{
+
+using Json = nlohmann::ordered_json;
+
+// Of what an entry VM believed, this many last changes before the request are shown.
+constexpr std::size_t BeliefsShown = 4;
+
+bool isHead(const std::string &name)
+{
+    static const std::set<std::string> Heads = {"time", "level", "entry_vm", "part", "message", "id"};
+    return Heads.contains(name);
+}
+
+std::string textOf(const Json &line)
+{
+    std::string text = line.value("part", "") + ": " + line.value("message", "");
+    for (const auto &[name, value] : line.items()) {
+        if (!isHead(name) && value != "") {
+            text += "  " + name + "=" + (value.is_string() ? value.get<std::string>() : value.dump());
+        }
+    }
+    return text;
+}
+
+bool isFinal(const std::string &message)
+{
+    return message == "answered" || message == "refused" || message == "caller gone";
+}
+
+std::string print(const std::string &time, const std::string &entryVm, const std::string &text)
+{
+    return time + "  " + entryVm + "  " + text;
+}
+
+} // namespace
+
+RequestStory::RequestStory(std::string requestId)
+    : requestId_(std::move(requestId))
+{
+}
+
+void RequestStory::add(std::string_view line)
+{
+    const std::size_t begin = line.find('{');
+    if (begin == std::string_view::npos) {
+        return;
+    }
+    const Json json = Json::parse(line.substr(begin), nullptr, false);
+    if (!json.is_object() || !json.contains("entry_vm") || !json.contains("message")) {
+        return;
+    }
+    Line taken{json.value("time", ""), json.value("entry_vm", ""), textOf(json), count_++};
+    if (json.value("id", "") == requestId_) {
+        hasFinalAnswer_ = hasFinalAnswer_ || isFinal(json.value("message", ""));
+        own_.push_back(std::move(taken));
+    } else if (json.value("part", "") != "request" || json.value("message", "") == "lines left out") {
+        beliefs_[taken.entryVm].lines.push_back(std::move(taken));
+    }
+}
+
+std::vector<std::string> RequestStory::tell() const
+{
+    std::vector<Line> lines = own_;
+    const auto isEarlier = [](const Line &left, const Line &right) { return std::tie(left.time, left.order) < std::tie(right.time, right.order); };
+    std::sort(lines.begin(), lines.end(), isEarlier);
+    std::vector<std::string> story;
+    std::set<std::string> seen;
+    for (const Line &line : lines) {
+        const auto beliefs = beliefs_.find(line.entryVm);
+        if (seen.insert(line.entryVm).second && beliefs != beliefs_.end()) {
+            std::vector<Line> before;
+            std::copy_if(beliefs->second.lines.begin(), beliefs->second.lines.end(), std::back_inserter(before),
+                         [&line](const Line &belief) { return belief.time <= line.time; });
+            const std::size_t first = before.size() > BeliefsShown ? before.size() - BeliefsShown : 0;
+            for (std::size_t index = first; index < before.size(); ++index) {
+                story.push_back("  before: " + print(before[index].time, line.entryVm, before[index].text));
+            }
+        }
+        story.push_back(print(line.time, line.entryVm, line.text));
+    }
+    if (!story.empty() && !hasFinalAnswer_) {
+        story.push_back("  missing: no line tells the final answer; the entry VM ended, lines were left out, or a log is not among the files");
+    }
+    return story;
+}
+
+} // namespace Cloverbarrow
