Fewer wake-ups; refusals in time, with a later come-back

Change: ticks of 10 ms; requests are held for a fifth of the objective; a caller is told to come back after 1.5 objectives. A refusal says how many servers told of themselves and had room.

--- a/src/core/serviceshard.cpp
+++ b/src/core/serviceshard.cpp
@@ -17,13 +17,14 @@
 
 constexpr Duration ComeBackWhenBusy = seconds(1);
 constexpr Duration ComeBackWithoutServer = seconds(5);
-// What a busy service is worth waiting for before it is asked again; a caller's own retry should meet other load.
-constexpr Duration ComeBackSoon = milliseconds(200);
+// After a refusal a caller should meet other load: bursts and slow VMs last longer than one objective.
+constexpr double ComeBackObjectives = 1.5;
 constexpr int ServerError = 500;
 constexpr int BadGateway = 502;
 constexpr int Unavailable = 503;
-// A request may be held for this part of its latency objective before it is sent or refused.
-constexpr int HoldPart = 4;
+// A request may be held for this part of its latency objective before it is sent or refused: a quarter of it is what
+// users accept, and the way of the refusal and the time until the next look belong to that.
+constexpr int HoldPart = 5;
 // Attempts that never left may be made up for this often.
 constexpr int MaxUnsent = 3;
 // Retries that hedges leave in the budget, for requests that failed.
@@ -548,10 +549,22 @@
         return false;
     }
     const Fate fate = request.mayHaveRun ? Fate::Unknown : Fate::NotRun;
-    refuse(request, {Unavailable, fate, "choose backend server", name_, "no backend server has room to answer in time", ComeBackSoon}, actions);
+    const auto comeBack = std::chrono::round<Duration>(request.arrival.latencyObjective * ComeBackObjectives);
+    refuse(request, {Unavailable, fate, "choose backend server", name_, noRoomDetail(now), comeBack}, actions);
     return true;
 }
 
+std::string ServiceShard::noRoomDetail(TimePoint now) const
+{
+    const auto servers = pool_.backends();
+    const auto hasTold = [now](const Backend &backend) { return backend.reportedAt && now - *backend.reportedAt < seconds(1); };
+    const auto told = std::count_if(servers.begin(), servers.end(), hasTold);
+    const auto withRoom =
+        std::count_if(servers.begin(), servers.end(), [&](const Backend &backend) { return hasTold(backend) && chooser_.model().hasRoom(backend); });
+    return "no backend server has room to answer in time: of " + std::to_string(servers.size()) + ", " + std::to_string(told)
+        + " told of themselves within 1 s, " + std::to_string(withRoom) + " with room";
+}
+
 void ServiceShard::tickChoices(TimePoint now, ServiceActions &actions)
 {
     for (auto entry = requests_.begin(); entry != requests_.end();) {
--- a/src/core/serviceshard.h
+++ b/src/core/serviceshard.h
@@ -105,6 +105,8 @@
     void startChosen(TimePoint now, std::optional<std::size_t> index, Request &request, ServiceActions &actions);
     /// Ends choices that have lasted too long. @return whether the request has got its final answer.
     bool giveUpChoice(TimePoint now, Request &request, ServiceActions &actions);
+    /// @return why a request is refused for want of room, with what is known of the servers.
+    std::string noRoomDetail(TimePoint now) const;
     void tickChoices(TimePoint now, ServiceActions &actions);
     int maxAttempts(const Request &request) const;
     bool takeHedge();
--- a/src/ctl/requeststory.cpp
+++ b/src/ctl/requeststory.cpp
@@ -87,8 +87,9 @@
         const auto beliefs = beliefs_.find(line.entryVm);
         if (seen.insert(line.entryVm).second && beliefs != beliefs_.end()) {
             std::vector<Line> before;
-            std::copy_if(beliefs->second.lines.begin(), beliefs->second.lines.end(), std::back_inserter(before),
-                         [&line](const Line &belief) { return belief.time <= line.time; });
+            std::copy_if(beliefs->second.lines.begin(), beliefs->second.lines.end(), std::back_inserter(before), [&line](const Line &belief) {
+                return belief.time <= line.time;
+            });
             const std::size_t first = before.size() > BeliefsShown ? before.size() - BeliefsShown : 0;
             for (std::size_t index = first; index < before.size(); ++index) {
                 story.push_back("  before: " + print(before[index].time, line.entryVm, before[index].text));
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -25,10 +25,11 @@
 {
 
 constexpr std::size_t NonceBytes = 8;
-constexpr auto TickInterval = std::chrono::milliseconds(5);
-constexpr int TicksPerControl = 4;
-constexpr int TicksPerSweep = 12;
-constexpr int TicksPerGauges = 200;
+// Choices and hedges are looked at this often while requests are open; each wake-up costs processor time.
+constexpr auto TickInterval = std::chrono::milliseconds(10);
+constexpr int TicksPerControl = 3;
+constexpr int TicksPerSweep = 6;
+constexpr int TicksPerGauges = 100;
 constexpr std::size_t MaxLoggedVersion = 32;
 
 std::string withPort(const std::string &address, std::uint16_t port)
