Reads at servers that have fallen silent get a second attempt

Change: the server of a read that takes over half its objective is probed once; if it has not answered after 50 ms the read is sent to another one at any time before the deadline, before other hedges.

--- a/src/core/serverchooser.cpp
+++ b/src/core/serverchooser.cpp
@@ -128,6 +128,11 @@
     return probed;
 }
 
+bool ServerChooser::takeProbe(TimePoint now)
+{
+    return allowance_.take(now);
+}
+
 ChoiceStep ServerChooser::look(TimePoint now, const BackendPool &pool, std::span<const std::string> tried, const ChoiceNeed &need, const Choice &choice) const
 {
     const Backend *best = nullptr;
--- a/src/core/serverchooser.h
+++ b/src/core/serverchooser.h
@@ -26,6 +26,7 @@
 /// The state of choosing a server for one attempt.
 struct Choice {
     bool isHedge = false;
+    bool isRescue = false; ///< A hedge because the server of the first attempt has fallen silent.
     int round = 0;
     std::size_t pending = 0; ///< Probes that have not come back.
     std::vector<std::string> asked; ///< Servers probed so far.
@@ -64,6 +65,8 @@
 
     /// Begins the next round. @return indices of the servers to probe; empty when none is worth it or allowed.
     std::vector<std::size_t> nextRound(TimePoint now, const BackendPool &pool, std::span<const std::string> tried, Choice &choice, Random &random);
+    /// @return whether a probe beside the rounds may be made; it is counted if so.
+    bool takeProbe(TimePoint now);
     /// Looks at what has come back.
     ChoiceStep look(TimePoint now, const BackendPool &pool, std::span<const std::string> tried, const ChoiceNeed &need, const Choice &choice) const;
 
--- a/src/core/serviceshard.cpp
+++ b/src/core/serviceshard.cpp
@@ -27,6 +27,11 @@
 constexpr int HoldPart = 5;
 // Attempts that never left may be made up for this often.
 constexpr int MaxUnsent = 3;
+// When a read is sent a second time: early enough for the second answer to come within the objective, late enough for few to
+// need one.
+constexpr double HedgeAfterObjectives = 0.5;
+// A server that is alive has answered a probe by then.
+constexpr Duration ProbeAnswerTime = milliseconds(50);
 // Retries that hedges leave in the budget, for requests that failed.
 constexpr int HedgeReserve = 1;
 
@@ -493,6 +498,10 @@
     need.objective = request.arrival.latencyObjective;
     need.timeLeft = std::max(request.arrival.arrivedAt + need.objective - now, need.objective / HoldPart);
     need.isUrgent = request.arrival.priority < lowestPriority_;
+    if (request.choice->isRescue) {
+        // Late is better than never.
+        need.timeLeft = request.arrival.deadline - now;
+    }
     need.isLastCall = !request.choice->isHedge && now >= request.giveUpAt;
     return need;
 }
@@ -529,7 +538,7 @@
     if (!index) {
         return;
     }
-    if (request.choice->isHedge && !takeHedge()) {
+    if (request.choice->isHedge && !takeHedge(request.choice->isRescue ? 0 : HedgeReserve)) {
         pool_.release(pool_.backends()[*index].server.name, AttemptQuality::Neutral, Duration(0), now);
         request.choice.reset();
         return;
@@ -579,9 +588,9 @@
     }
 }
 
-bool ServiceShard::takeHedge()
+bool ServiceShard::takeHedge(int reserve)
 {
-    return service_.retry.hedgesFromBudget ? retryBudget_.take(HedgeReserve) : hedgeBudget_.take();
+    return service_.retry.hedgesFromBudget ? retryBudget_.take(reserve) : hedgeBudget_.take();
 }
 
 void ServiceShard::hedge(TimePoint now, ServiceActions &actions)
@@ -591,14 +600,25 @@
     }
     const double latencyMs = pool_.meanLatencyMs();
     for (auto &[id, request] : requests_) {
-        if (!wantsHedge(now, request, latencyMs)) {
+        if (!mayHedge(now, request)) {
+            continue;
+        }
+        if (probesFirst()) {
+            checkServer(now, request, actions);
+        }
+        const bool isRescue = isServerSilent(now, request);
+        if (!isRescue && !wantsHedge(now, request, latencyMs)) {
             continue;
         }
+        const int reserve = isRescue ? 0 : HedgeReserve;
         if (probesFirst()) {
-            if (!service_.retry.hedgesFromBudget || retryBudget_.has(HedgeReserve)) {
+            if (!service_.retry.hedgesFromBudget || retryBudget_.has(reserve)) {
                 beginChoice(now, request, true, actions);
+                if (request.choice) {
+                    request.choice->isRescue = isRescue;
+                }
             }
-        } else if (takeHedge()) {
+        } else if (takeHedge(reserve)) {
             if (const auto index = pool_.takeFresh(now, random_, request.tried)) {
                 startAt(now, pool_.backends()[*index], request, actions);
             }
@@ -606,19 +626,40 @@
     }
 }
 
-bool ServiceShard::wantsHedge(TimePoint now, const Request &request, double latencyMs) const
+void ServiceShard::checkServer(TimePoint now, Request &request, ServiceActions &actions)
 {
-    const bool isRead = kindClass(request) == KindClass::Read && !request.arrival.isRetryAbove;
-    const bool isInTime = now < request.arrival.deadline;
-    if (!isRead || !isInTime || request.choice || request.running.size() != 1 || request.attempts >= maxAttempts(request)) {
+    Attempt &attempt = request.running.front();
+    const bool isLong = toMilliseconds(now - attempt.startedAt) >= HedgeAfterObjectives * toMilliseconds(request.arrival.latencyObjective);
+    if (!isLong || attempt.checkedAt || !chooser_.takeProbe(now)) {
+        return;
+    }
+    attempt.checkedAt = now;
+    actions.emplace_back(StartProbe{0, attempt.backend, attempt.address, service_.choiceProbes.path, request.arrival.request});
+}
+
+bool ServiceShard::isServerSilent(TimePoint now, const Request &request) const
+{
+    const Attempt &attempt = request.running.front();
+    if (!attempt.checkedAt || now - *attempt.checkedAt < ProbeAnswerTime) {
         return false;
     }
+    const Backend *backend = pool_.find(attempt.backend);
+    return !backend || !backend->reportedAt || *backend->reportedAt < *attempt.checkedAt;
+}
+
+bool ServiceShard::mayHedge(TimePoint now, const Request &request) const
+{
+    const bool isRead = kindClass(request) == KindClass::Read && !request.arrival.isRetryAbove;
+    const bool isInTime = now < request.arrival.deadline;
+    return isRead && isInTime && !request.choice && request.running.size() == 1 && request.attempts < maxAttempts(request);
+}
+
+bool ServiceShard::wantsHedge(TimePoint now, const Request &request, double latencyMs) const
+{
     const Duration waited = now - request.running.front().startedAt;
     if (const Duration objective = request.arrival.latencyObjective; objective > Duration(0)) {
-        // Early enough for the second answer to come within the objective, late enough for few to need one.
-        constexpr double PartOfObjective = 0.5;
         const Duration left = request.arrival.arrivedAt + objective - now;
-        return toMilliseconds(waited) >= PartOfObjective * toMilliseconds(objective) && toMilliseconds(left) >= chooser_.model().workMs(objective) / 2;
+        return toMilliseconds(waited) >= HedgeAfterObjectives * toMilliseconds(objective) && toMilliseconds(left) >= chooser_.model().workMs(objective) / 2;
     }
     // Few answers take as long, so the second attempt is seldom in vain.
     constexpr double LatenciesToWait = 2;
--- a/src/core/serviceshard.h
+++ b/src/core/serviceshard.h
@@ -49,6 +49,7 @@
         std::string address;
         TimePoint startedAt;
         Crowding crowding = Crowding::HadRoom; ///< How it found the server.
+        std::optional<TimePoint> checkedAt; ///< When the server was probed because the answer takes long.
     };
 
     struct Request {
@@ -109,7 +110,14 @@
     std::string noRoomDetail(TimePoint now) const;
     void tickChoices(TimePoint now, ServiceActions &actions);
     int maxAttempts(const Request &request) const;
-    bool takeHedge();
+    /// @param reserve retries that must be left in a shared budget.
+    bool takeHedge(int reserve);
+    /// Probes the server of an attempt that takes long, once.
+    void checkServer(TimePoint now, Request &request, ServiceActions &actions);
+    /// @return whether the server of the only attempt has not answered a probe that was sent while it works.
+    bool isServerSilent(TimePoint now, const Request &request) const;
+    /// @return whether another attempt beside the only one is allowed at all.
+    bool mayHedge(TimePoint now, const Request &request) const;
     /// Sends slow reads to a second server as well.
     void hedge(TimePoint now, ServiceActions &actions);
     /// @param latencyMs mean latency of the servers.
--- a/tests/unit/probedchoicetests.cpp
+++ b/tests/unit/probedchoicetests.cpp
@@ -9,6 +9,7 @@
 
 #include <catch2/catch.hpp>
 
+#include <algorithm>
 #include <map>
 #include <set>
 
@@ -311,3 +312,26 @@
     CHECK(used.size() <= 12);
     CHECK(used.size() >= 6);
 }
+
+TEST_CASE("A read at a server that has fallen silent gets a second attempt, also after its objective", "[choice][hedge]")
+{
+    Service service = probedService(3);
+    service.retry.budgetAtStart = 0;
+    Probing shard(service);
+    const LoadReport idle{0, 0, 3, 1.0};
+    shard.reports = {{"b1", idle}, {"b2", idle}, {"b3", idle}};
+    shard.arrive(1);
+    REQUIRE(shard.started.size() == 1);
+    const std::string first = shard.started.front().backend;
+    // The server dies; the budget is empty until later requests have paid into it.
+    shard.reports.erase(first);
+    shard.pass(AimedLatency * 2);
+    CHECK(shard.started.size() == 1);
+    for (RequestId id = 100; id < 106; ++id) {
+        shard.arrive(id);
+        shard.handle(AttemptEnded{id, 1, AnsweredWhole{}, std::nullopt});
+    }
+    shard.pass(milliseconds(60));
+    const auto isSecond = [](const StartAttempt &start) { return start.request == 1 && start.attempt == 2; };
+    CHECK(std::count_if(shard.started.begin(), shard.started.end(), isSecond) == 1);
+}
