Ready only when the services have what is in force; rooms for directory, logs of requests and choices

Cause: a process test failed once on a busy machine: a request right after the first 200 of /readyz got 503 "no configuration is in force here yet". The control shard counted as ready before the core had handed routes and servers to the services.

Ruled out: a restart of the process (one start in its output), the store (its answers were in).

Change: readiness is told when the action that says so is carried out, which is after that. DirectoryRunner, RequestLog and the part of ServiceShard that chooses are files of their own; behaviour unchanged.

--- a/src/core/configuration.h
+++ b/src/core/configuration.h
@@ -162,8 +162,8 @@
 struct Configuration {
     std::vector<Region> regions;
     std::vector<Service> services;
-    std::vector<TrafficRoute> routes; ///< Empty where the services' own hosts, prefixes and kinds route.
-    std::optional<CallerLimits> callerLimits;
+    std::vector<TrafficRoute> routes = {}; ///< Empty where the services' own hosts, prefixes and kinds route.
+    std::optional<CallerLimits> callerLimits = {};
 
     /// @return the service called @p name, or nullptr.
     const Service *findService(const std::string &name) const;
--- a/src/core/directory/relayseat.cpp
+++ b/src/core/directory/relayseat.cpp
@@ -175,8 +175,8 @@
 
 const std::string &RelaySeat::relay() const
 {
-    static const std::string None;
-    return state_ == State::Following ? holder_ : None;
+    static const std::string none;
+    return state_ == State::Following ? holder_ : none;
 }
 
 void RelaySeat::tryHolder(DirectoryActions &actions)
--- /dev/null
+++ b/src/core/serviceshardchoice.cpp
@@ -0,0 +1,233 @@
+/*
+    This file is part of cloverbarrow.
+
+    SPDX-FileCopyrightText: 2026 The cloverbarrow authors
+    SPDX-License-Identifier: Apache-2.0
+*/
+
+#include "core/serviceshard.h"
+
+#include <algorithm>
+
+// The part of ServiceShard that chooses servers by probes and sends slow reads a second time.
+
+namespace Cloverbarrow
+{
+
+namespace
+{
+
+constexpr int Unavailable = 503;
+// After a refusal a caller should meet other load: bursts and slow VMs last longer than one objective.
+constexpr double ComeBackObjectives = 1.5;
+// A request may be held for this part of its latency objective before it is sent or refused: a quarter of it is what
+// users accept, and the way of the refusal and the time until the next look belong to that.
+constexpr int HoldPart = 5;
+// When a read is sent a second time: early enough for the second answer to come within the objective, late enough for few to
+// need one.
+constexpr double HedgeAfterObjectives = 0.5;
+// A server that is alive has answered a probe by then.
+constexpr Duration ProbeAnswerTime = milliseconds(50);
+// Retries that hedges leave in the budget, for requests that failed.
+constexpr int HedgeReserve = 1;
+
+} // namespace
+
+bool ServiceShard::probesFirst() const
+{
+    return service_.choiceProbes.probesPerSecond > 0;
+}
+
+void ServiceShard::beginChoice(TimePoint now, Request &request, bool isHedge, ServiceActions &actions)
+{
+    request.choice.emplace();
+    request.choice->isHedge = isHedge;
+    request.giveUpAt = std::min(now + request.arrival.latencyObjective / HoldPart, request.arrival.deadline);
+    proceedWithChoice(now, request, actions);
+}
+
+void ServiceShard::proceedWithChoice(TimePoint now, Request &request, ServiceActions &actions)
+{
+    const ChoiceStep step = chooser_.look(now, pool_, request.tried, needOf(now, request), *request.choice);
+    if (step.state == ChoiceState::Chosen) {
+        startChosen(now, pool_.takeNamed(now, step.backend), request, actions);
+    } else if (step.state == ChoiceState::NeedsProbes) {
+        askServers(now, request, actions);
+    }
+}
+
+ChoiceNeed ServiceShard::needOf(TimePoint now, const Request &request) const
+{
+    ChoiceNeed need;
+    need.objective = request.arrival.latencyObjective;
+    need.timeLeft = std::max(request.arrival.arrivedAt + need.objective - now, need.objective / HoldPart);
+    need.isUrgent = request.arrival.priority < lowestPriority_;
+    if (request.choice->isRescue) {
+        // Late is better than never.
+        need.timeLeft = request.arrival.deadline - now;
+    }
+    need.isLastCall = !request.choice->isHedge && now >= request.giveUpAt;
+    return need;
+}
+
+void ServiceShard::askServers(TimePoint now, Request &request, ServiceActions &actions)
+{
+    const auto probed = chooser_.nextRound(now, pool_, request.tried, *request.choice, random_);
+    if (probed.empty()) {
+        chooseByOldReports(now, request, actions);
+        return;
+    }
+    request.probes += static_cast<int>(probed.size());
+    for (const std::size_t index : probed) {
+        const BackendServer &server = pool_.backends()[index].server;
+        actions.emplace_back(StartProbe{0, server.name, server.address, service_.choiceProbes.path, request.arrival.request});
+    }
+}
+
+void ServiceShard::chooseByOldReports(TimePoint now, Request &request, ServiceActions &actions)
+{
+    ChoiceNeed need = needOf(now, request);
+    need.takesOldReports = true;
+    const ChoiceStep step = chooser_.look(now, pool_, request.tried, need, *request.choice);
+    if (step.state == ChoiceState::Chosen) {
+        startChosen(now, pool_.takeNamed(now, step.backend), request, actions);
+    } else if (!ServerChooser::knowsAny(now, pool_)) {
+        // No server answers probes; that alone is no reason to serve nobody.
+        startChosen(now, pool_.take(now, random_, request.tried), request, actions);
+    }
+}
+
+void ServiceShard::startChosen(TimePoint now, std::optional<std::size_t> index, Request &request, ServiceActions &actions)
+{
+    if (!index) {
+        return;
+    }
+    if (request.choice->isHedge && !takeHedge(request.choice->isRescue ? 0 : HedgeReserve)) {
+        pool_.release(pool_.backends()[*index].server.name, AttemptQuality::Neutral, Duration(0), now);
+        request.choice.reset();
+        return;
+    }
+    request.choice.reset();
+    startAt(now, pool_.backends()[*index], request, actions);
+}
+
+bool ServiceShard::giveUpChoice(TimePoint now, Request &request, ServiceActions &actions)
+{
+    if (request.choice->isHedge) {
+        request.choice.reset();
+        return false;
+    }
+    chooseByOldReports(now, request, actions);
+    if (!request.choice) {
+        return false;
+    }
+    const Fate fate = request.mayHaveRun ? Fate::Unknown : Fate::NotRun;
+    const auto comeBack = std::chrono::round<Duration>(request.arrival.latencyObjective * ComeBackObjectives);
+    refuse(request, {Unavailable, fate, "choose backend server", name_, noRoomDetail(now), comeBack}, actions);
+    return true;
+}
+
+std::string ServiceShard::noRoomDetail(TimePoint now) const
+{
+    const auto servers = pool_.backends();
+    const auto hasTold = [now](const Backend &backend) { return backend.reportedAt && now - *backend.reportedAt < seconds(1); };
+    const auto told = std::count_if(servers.begin(), servers.end(), hasTold);
+    const auto withRoom =
+        std::count_if(servers.begin(), servers.end(), [&](const Backend &backend) { return hasTold(backend) && chooser_.model().hasRoom(backend); });
+    return "no backend server has room to answer in time: of " + std::to_string(servers.size()) + ", " + std::to_string(told)
+        + " told of themselves within 1 s, " + std::to_string(withRoom) + " with room";
+}
+
+void ServiceShard::tickChoices(TimePoint now, ServiceActions &actions)
+{
+    for (auto entry = requests_.begin(); entry != requests_.end();) {
+        Request &request = entry->second;
+        bool isOver = false;
+        if (request.choice && now >= request.giveUpAt) {
+            isOver = giveUpChoice(now, request, actions);
+        } else if (request.choice && now >= request.choice->decideAt) {
+            proceedWithChoice(now, request, actions);
+        }
+        entry = isOver ? requests_.erase(entry) : std::next(entry);
+    }
+}
+
+bool ServiceShard::takeHedge(int reserve)
+{
+    return service_.retry.hedgesFromBudget ? retryBudget_.take(reserve) : hedgeBudget_.take();
+}
+
+void ServiceShard::hedge(TimePoint now, ServiceActions &actions)
+{
+    if (service_.retry.hedgePercent == 0 && !service_.retry.hedgesFromBudget) {
+        return;
+    }
+    const double latencyMs = pool_.meanLatencyMs();
+    for (auto &[id, request] : requests_) {
+        if (!mayHedge(now, request)) {
+            continue;
+        }
+        if (probesFirst()) {
+            checkServer(now, request, actions);
+        }
+        const bool isRescue = isServerSilent(now, request);
+        if (!isRescue && !wantsHedge(now, request, latencyMs)) {
+            continue;
+        }
+        const int reserve = isRescue ? 0 : HedgeReserve;
+        if (probesFirst()) {
+            if (!service_.retry.hedgesFromBudget || retryBudget_.has(reserve)) {
+                beginChoice(now, request, true, actions);
+                if (request.choice) {
+                    request.choice->isRescue = isRescue;
+                }
+            }
+        } else if (takeHedge(reserve)) {
+            if (const auto index = pool_.takeFresh(now, random_, request.tried)) {
+                startAt(now, pool_.backends()[*index], request, actions);
+            }
+        }
+    }
+}
+
+void ServiceShard::checkServer(TimePoint now, Request &request, ServiceActions &actions)
+{
+    Attempt &attempt = request.running.front();
+    const bool isLong = toMilliseconds(now - attempt.startedAt) >= HedgeAfterObjectives * toMilliseconds(request.arrival.latencyObjective);
+    if (!isLong || attempt.checkedAt || !chooser_.takeProbe(now)) {
+        return;
+    }
+    attempt.checkedAt = now;
+    actions.emplace_back(StartProbe{0, attempt.backend, attempt.address, service_.choiceProbes.path, request.arrival.request});
+}
+
+bool ServiceShard::isServerSilent(TimePoint now, const Request &request) const
+{
+    const Attempt &attempt = request.running.front();
+    if (!attempt.checkedAt || now - *attempt.checkedAt < ProbeAnswerTime) {
+        return false;
+    }
+    const Backend *backend = pool_.find(attempt.backend);
+    return !backend || !backend->reportedAt || *backend->reportedAt < *attempt.checkedAt;
+}
+
+bool ServiceShard::mayHedge(TimePoint now, const Request &request) const
+{
+    const bool isRead = kindClass(request) == KindClass::Read && !request.arrival.isRetryAbove;
+    const bool isInTime = now < request.arrival.deadline;
+    return isRead && isInTime && !request.choice && request.running.size() == 1 && request.attempts < maxAttempts(request);
+}
+
+bool ServiceShard::wantsHedge(TimePoint now, const Request &request, double latencyMs) const
+{
+    const Duration waited = now - request.running.front().startedAt;
+    if (const Duration objective = request.arrival.latencyObjective; objective > Duration(0)) {
+        const Duration left = request.arrival.arrivedAt + objective - now;
+        return toMilliseconds(waited) >= HedgeAfterObjectives * toMilliseconds(objective) && toMilliseconds(left) >= chooser_.model().workMs(objective) / 2;
+    }
+    // Few answers take as long, so the second attempt is seldom in vain.
+    constexpr double LatenciesToWait = 2;
+    return latencyMs > 0 && toMilliseconds(waited) > LatenciesToWait * latencyMs;
+}
+
+} // namespace Cloverbarrow
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -97,35 +97,16 @@
 void Daemon::startDirectory(const DirectoryParts &parts)
 {
     protocol_ = parts.protocol;
-    directoryClient_ = parts.makeClient(backends_);
-    const DirectorySettings &directory = *settings_.directory;
-    relayClient_ = std::make_unique<RelayClient>(backends_, *directoryClient_);
-    std::string relay;
-    if (!directory.relayAddress.empty()) {
-        startRelay(directory.relayAddress);
-        relay = withPort(directory.relayAddress, relayServer_->port());
-    }
-    const std::lock_guard lock(directoryMutex_);
-    directory_.emplace(directory.budgets, RelaySeat(relay, directory.isFirstStart, seedOf(nonce_)), seedOf(nonce_));
-}
-
-void Daemon::startRelay(const std::string &address)
-{
-    const auto look = [this](Collection collection, std::int64_t since) {
-        const std::lock_guard lock(directoryMutex_);
-        return directory_ ? directory_->newsSince(collection, since) : std::nullopt;
-    };
-    const auto proof = [this] {
-        const std::lock_guard lock(directoryMutex_);
-        return directory_ ? directory_->proofAge(bootNow()) : std::nullopt;
-    };
-    relayServer_ = std::make_unique<RelayServer>(address, RelaySource{look, proof});
+    directory_ = std::make_unique<DirectoryRunner>(*settings_.directory, settings_.zone, seedOf(nonce_), parts.makeClient(backends_), backends_, *this);
 }
 
 Daemon::~Daemon()
 {
     hasEnded_ = true;
     operationsServer_->stop();
+    if (directory_) {
+        directory_->stop();
+    }
     if (!settings_.directory) {
         adminServer_->stop();
         peerServer_->stop();
@@ -133,7 +114,6 @@
         platform_->stop();
     }
     backends_.stop();
-    relayServer_.reset();
     callerServer_.reset();
 }
 
@@ -305,6 +285,11 @@
 
 void Daemon::setReady(const SetReady &action)
 {
+    // Told only now that the services have been given what is in force; the control shard knows earlier.
+    {
+        const std::lock_guard lock(readyMutex_);
+        unreadyReason_ = action.reason;
+    }
     log_.info(action.isReady ? "ready" : "not ready", {{"reason", action.reason}});
 }
 
@@ -348,106 +333,21 @@
             left.requests += callerServer_->unsentAnswers();
         }
         handle(ControlEvent(ControlTick{left}));
-        tickDirectory();
+        if (directory_) {
+            directory_->tick();
+        }
     } else if (gateway_->hasOpenExchanges()) {
         handle(ServicesTick{});
     }
 }
 
-void Daemon::tickDirectory()
-{
-    if (!directoryClient_) {
-        return;
-    }
-    DirectoryActions actions;
-    {
-        const std::lock_guard lock(directoryMutex_);
-        directory_->tick(bootNow(), actions);
-    }
-    perform(actions);
-    if (relayServer_) {
-        relayServer_->sweep(bootNow());
-    }
-}
-
-void Daemon::directoryAnswered(const DirectoryAnswer &answer)
-{
-    if (hasEnded_) {
-        return;
-    }
-    DirectoryActions actions;
-    {
-        const std::lock_guard lock(directoryMutex_);
-        directory_->handle(bootNow(), answer, actions);
-    }
-    perform(actions);
-    if (relayServer_) {
-        relayServer_->answerWaiting();
-    }
-}
-
-void Daemon::perform(const DirectoryActions &actions)
-{
-    struct Performer {
-        Daemon &daemon;
-
-        void operator()(const ListDirectory &typed) const
-        {
-            if (typed.relay.empty()) {
-                daemon.directoryClient_->list(typed, done());
-            } else {
-                daemon.relayClient_->list(typed, done());
-            }
-        }
-        void operator()(const WatchDirectory &typed) const
-        {
-            if (typed.relay.empty()) {
-                daemon.directoryClient_->watch(typed, done());
-            } else {
-                daemon.relayClient_->watch(typed, done());
-            }
-        }
-        void operator()(const CheckDirectory &) const
-        {
-            daemon.directoryClient_->check(done());
-        }
-        void operator()(const CheckRelay &typed) const
-        {
-            daemon.relayClient_->check(typed, done());
-        }
-        void operator()(const ReadSeat &typed) const
-        {
-            daemon.directoryClient_->readSeat(daemon.settings_.zone, typed, done());
-        }
-        void operator()(const WriteSeat &typed) const
-        {
-            daemon.directoryClient_->writeSeat(daemon.settings_.zone, typed, done());
-        }
-        void operator()(const PublishDirectory &typed) const
-        {
-            daemon.handle(ControlEvent(DirectoryPublished{typed.intent}));
-        }
-        void operator()(const ReportDirectory &typed) const
-        {
-            daemon.log_.info(typed.what, {{"detail", typed.detail}});
-        }
-        DirectoryDone done() const
-        {
-            return [&daemon = daemon](const DirectoryAnswer &answer) { daemon.directoryAnswered(answer); };
-        }
-    };
-    for (const DirectoryAction &action : actions) {
-        std::visit(Performer{*this}, action);
-    }
-}
-
 void Daemon::tellGauges()
 {
     NodeGauges gauges = node_->withControl([](const ControlShard &control) {
         const Membership &membership = control.membership();
         return NodeGauges{membership.liveCount(), membership.clearedSuspicions(), control.intent().version(), control.isReady(), 0};
     });
-    gauges.platformCalls = directoryClient_ ? directoryClient_->calls() : platform_->calls();
+    gauges.platformCalls = directory_ ? directory_->calls() : platform_->calls();
     telemetry_.setGauges(gauges);
 }
 
@@ -491,7 +391,8 @@
 
 std::string Daemon::unreadyReason() const
 {
-    return node_->withControl([](const ControlShard &control) { return control.isReady() ? std::string() : control.reason(); });
+    const std::lock_guard lock(readyMutex_);
+    return unreadyReason_;
 }
 
 } // namespace Cloverbarrow
--- a/src/daemon/daemon.h
+++ b/src/daemon/daemon.h
@@ -7,9 +7,9 @@
 
 #pragma once
 
-#include "core/directory/directorykeeper.h"
 #include "core/node.h"
 #include "daemon/adminservice.h"
+#include "daemon/directoryrunner.h"
 #include "daemon/eventhandler.h"
 #include "daemon/gateway.h"
 #include "daemon/operationsserver.h"
@@ -23,8 +23,6 @@
 #include "net/httpclient.h"
 #include "net/httpplatformclient.h"
 #include "net/log.h"
-#include "net/relayclient.h"
-#include "net/relayserver.h"
 #include "net/thriftserver.h"
 
 #include <atomic>
@@ -80,11 +78,7 @@
 private:
     void startOwnFleet();
     void startDirectory(const DirectoryParts &parts);
-    void startRelay(const std::string &address);
     ControlSettings controlSettings() const;
-    void tickDirectory();
-    void directoryAnswered(const DirectoryAnswer &answer);
-    void perform(const DirectoryActions &actions);
     void perform(const ControlAction &action);
     void askStore(const AskStore &action);
     void watch(const WatchIntent &action);
@@ -117,11 +111,7 @@
     std::unique_ptr<ThriftServer> peerServer_;
     std::unique_ptr<ThriftServer> adminServer_;
     // Where a directory tells routes and backend servers.
-    std::unique_ptr<DirectoryClient> directoryClient_;
-    std::unique_ptr<RelayClient> relayClient_;
-    std::unique_ptr<RelayServer> relayServer_;
-    std::mutex directoryMutex_;
-    std::optional<DirectoryKeeper> directory_; ///< Guarded by its mutex.
+    std::unique_ptr<DirectoryRunner> directory_;
     std::unique_ptr<Node> node_;
     std::unique_ptr<Gateway> gateway_;
     std::unique_ptr<PeerClient> peerClient_;
@@ -133,6 +123,8 @@
     std::atomic<bool> hasEnded_{false};
     std::atomic<int> entryVms_{1};
     std::atomic<int> connectionsPerServer_{1};
+    mutable std::mutex readyMutex_;
+    std::string unreadyReason_ = "starting"; ///< Empty when ready.
     std::mutex exitMutex_;
     std::optional<WorkLeft> exit_;
 };
--- /dev/null
+++ b/src/daemon/directoryrunner.cpp
@@ -0,0 +1,155 @@
+/*
+    This file is part of cloverbarrow.
+
+    SPDX-FileCopyrightText: 2026 The cloverbarrow authors
+    SPDX-License-Identifier: Apache-2.0
+*/
+
+#include "daemon/directoryrunner.h"
+
+#include "core/address.h"
+#include "net/bootclock.h"
+
+#include <utility>
+
+namespace Cloverbarrow
+{
+
+namespace
+{
+
+std::string withPort(const std::string &address, std::uint16_t port)
+{
+    auto parsed = parseSocketAddress(address).value();
+    parsed.port = port;
+    return parsed.toString();
+}
+
+} // namespace
+
+DirectoryRunner::DirectoryRunner(
+    const DirectorySettings &settings, std::string zone, std::uint64_t seed, std::unique_ptr<DirectoryClient> client, HttpClient &http, EventHandler &events)
+    : zone_(std::move(zone))
+    , events_(events)
+    , log_("directory")
+    , store_(std::move(client))
+    , relay_(http, *store_)
+{
+    std::string own;
+    if (!settings.relayAddress.empty()) {
+        startRelay(settings.relayAddress);
+        own = withPort(settings.relayAddress, server_->port());
+    }
+    const std::lock_guard lock(mutex_);
+    keeper_.emplace(settings.budgets, RelaySeat(own, settings.isFirstStart, seed), seed);
+}
+
+void DirectoryRunner::tick()
+{
+    DirectoryActions actions;
+    {
+        const std::lock_guard lock(mutex_);
+        keeper_->tick(bootNow(), actions);
+    }
+    perform(actions);
+    if (server_) {
+        server_->sweep(bootNow());
+    }
+}
+
+void DirectoryRunner::stop()
+{
+    isStopped_ = true;
+    server_.reset();
+}
+
+std::uint64_t DirectoryRunner::calls() const
+{
+    return store_->calls();
+}
+
+void DirectoryRunner::startRelay(const std::string &address)
+{
+    const auto look = [this](Collection collection, std::int64_t since) {
+        const std::lock_guard lock(mutex_);
+        return keeper_ ? keeper_->newsSince(collection, since) : std::nullopt;
+    };
+    const auto proof = [this] {
+        const std::lock_guard lock(mutex_);
+        return keeper_ ? keeper_->proofAge(bootNow()) : std::nullopt;
+    };
+    server_ = std::make_unique<RelayServer>(address, RelaySource{look, proof});
+}
+
+void DirectoryRunner::answered(const DirectoryAnswer &answer)
+{
+    if (isStopped_) {
+        return;
+    }
+    DirectoryActions actions;
+    {
+        const std::lock_guard lock(mutex_);
+        keeper_->handle(bootNow(), answer, actions);
+    }
+    perform(actions);
+    if (server_) {
+        server_->answerWaiting();
+    }
+}
+
+void DirectoryRunner::perform(const DirectoryActions &actions)
+{
+    struct Performer {
+        DirectoryRunner &runner;
+
+        void operator()(const ListDirectory &typed) const
+        {
+            if (typed.relay.empty()) {
+                runner.store_->list(typed, done());
+            } else {
+                runner.relay_.list(typed, done());
+            }
+        }
+        void operator()(const WatchDirectory &typed) const
+        {
+            if (typed.relay.empty()) {
+                runner.store_->watch(typed, done());
+            } else {
+                runner.relay_.watch(typed, done());
+            }
+        }
+        void operator()(const CheckDirectory &) const
+        {
+            runner.store_->check(done());
+        }
+        void operator()(const CheckRelay &typed) const
+        {
+            runner.relay_.check(typed, done());
+        }
+        void operator()(const ReadSeat &typed) const
+        {
+            runner.store_->readSeat(runner.zone_, typed, done());
+        }
+        void operator()(const WriteSeat &typed) const
+        {
+            runner.store_->writeSeat(runner.zone_, typed, done());
+        }
+        void operator()(const PublishDirectory &typed) const
+        {
+            runner.events_.handle(ControlEvent(DirectoryPublished{typed.intent}));
+        }
+        void operator()(const ReportDirectory &typed) const
+        {
+            runner.log_.info(typed.what, {{"detail", typed.detail}});
+        }
+        DirectoryDone done() const
+        {
+            return [&runner = runner](const DirectoryAnswer &answer) { runner.answered(answer); };
+        }
+    };
+    for (const DirectoryAction &action : actions) {
+        std::visit(Performer{*this}, action);
+    }
+}
+
+} // namespace Cloverbarrow
--- /dev/null
+++ b/src/daemon/directoryrunner.h
@@ -0,0 +1,64 @@
+/*
+    This file is part of cloverbarrow.
+
+    SPDX-FileCopyrightText: 2026 The cloverbarrow authors
+    SPDX-License-Identifier: Apache-2.0
+*/
+
+#pragma once
+
+#include "core/directory/directorykeeper.h"
+#include "daemon/eventhandler.h"
+#include "daemon/settings.h"
+#include "net/directoryclient.h"
+#include "net/httpclient.h"
+#include "net/log.h"
+#include "net/relayclient.h"
+#include "net/relayserver.h"
+
+#include <atomic>
+#include <cstdint>
+#include <memory>
+#include <mutex>
+#include <string>
+
+namespace Cloverbarrow
+{
+
+/// Follows the directory: carries out the keeper's actions, hands published states to the core, and relays to others.
+class DirectoryRunner
+{
+public:
+    /// @param zone of this entry VM. @param client for the store. @param http for relays. @param events receives published states.
+    /// @throws std::exception when the relay's address cannot be listened on.
+    DirectoryRunner(const DirectorySettings &settings,
+                    std::string zone,
+                    std::uint64_t seed,
+                    std::unique_ptr<DirectoryClient> client,
+                    HttpClient &http,
+                    EventHandler &events);
+
+    /// Call several times a second.
+    void tick();
+    /// Answers that come later are left aside.
+    void stop();
+    /// @return calls made to the store.
+    std::uint64_t calls() const;
+
+private:
+    void startRelay(const std::string &address);
+    void answered(const DirectoryAnswer &answer);
+    void perform(const DirectoryActions &actions);
+
+    std::string zone_;
+    EventHandler &events_;
+    Log log_;
+    std::unique_ptr<DirectoryClient> store_;
+    RelayClient relay_;
+    std::atomic<bool> isStopped_{false};
+    std::mutex mutex_;
+    std::optional<DirectoryKeeper> keeper_; ///< Guarded by the mutex.
+    std::unique_ptr<RelayServer> server_; ///< Null where nobody relays.
+};
+
+} // namespace Cloverbarrow
--- a/src/daemon/gateway.cpp
+++ b/src/daemon/gateway.cpp
@@ -57,7 +57,6 @@
     , platform_(platform)
     , protocol_(protocol)
     , telemetry_(telemetry)
-    , log_("request")
     , nonce_(std::move(nonce))
     , nextProbe_(FirstProbeCall)
     , splitter_(stableHash({nonce_}))
@@ -71,35 +70,22 @@
     const auto intent = node_.intent();
     if (!intent || !isAccepting_) {
         const char *detail = isAccepting_ ? "no configuration is in force here yet" : "this entry VM is shutting down";
-        connection->answer(protocol_.refusal({503, Fate::NotRun, "admit", "entry VM", detail, ComeBackElsewhere}), isHead);
-        log_.info("refused", {{"id", callerIdOf(request, 0)}, {"status", std::int64_t(503)}, {"step", "admit"}, {"detail", detail}});
+        const Problem problem{503, Fate::NotRun, "admit", "entry VM", detail, ComeBackElsewhere};
+        log_.turnedAway(callerIdOf(request, 0), problem, intent.get(), request.target);
+        connection->answer(protocol_.refusal(problem), isHead);
         return;
     }
     const RequestId id = nextRequest_++;
     auto checked = check(request, intent->configuration, id, now);
     std::string callerId = callerIdOf(request, id);
     if (const auto *problem = std::get_if<Problem>(&checked)) {
-        log_.info("refused",
-                  {{"id", callerId},
-                   {"status", std::int64_t(problem->status)},
-                   {"step", problem->step},
-                   {"peer", problem->peer},
-                   {"detail", problem->detail},
-                   {"version", intent->version},
-                   {"operators_version", intent->value.substr(0, MaxLoggedText)},
-                   {"target", request.target.substr(0, MaxLoggedText)}});
+        log_.turnedAway(callerId, *problem, intent.get(), request.target);
         connection->answer(protocol_.refusal(*problem), isHead);
         return;
     }
     auto &[route, event, attemptAbove] = std::get<CheckedRequest>(checked);
     const Service &service = intent->configuration.services[route.service];
-    log_.info("routed",
-              {{"id", callerId},
-               {"service", service.name},
-               {"kind", route.rule ? route.rule->kind.name : service.kinds[route.kind].name},
-               {"version", intent->version},
-               {"operators_version", intent->value.substr(0, MaxLoggedText)},
-               {"time_left_ms", toMilliseconds(event.deadline - now)}});
+    log_.routed(callerId, service.name, route.rule ? route.rule->kind : service.kinds[route.kind], *intent, event.deadline - now);
     {
         Shard &shard = shardOf(id);
         const std::lock_guard lock(shard.mutex);
@@ -218,7 +204,7 @@
         const std::lock_guard lock(shard.mutex);
         if (const auto found = shard.exchanges.find(action.request); found != shard.exchanges.end()) {
             call = callFor(found->second, action);
-            logAttempt(of, action, found->second.callerId);
+            log_.attemptStarted(found->second.callerId, of.service, action);
         }
     }
     if (!call) {
@@ -251,51 +237,17 @@
     return told ? std::string(told->substr(0, MaxLoggedText)) : nonce_ + "-" + std::to_string(id);
 }
 
-void Gateway::logAttempt(const OfService &of, const StartAttempt &action, const std::string &callerId) const
+std::string Gateway::callerIdOf(RequestId request)
 {
-    constexpr std::array Causes = {"first", "retry", "hedge"};
-    const LoadReport report = action.note.report.value_or(LoadReport{});
-    log_.info("attempt started",
-              {{"id", callerId},
-               {"attempt", std::int64_t(action.attempt)},
-               {"cause", Causes[static_cast<std::size_t>(action.note.cause)]},
-               {"service", of.service},
-               {"server", action.backend},
-               {"address", action.address},
-               {"probes", std::int64_t(action.note.probes)},
-               {"report_age_ms", action.note.report ? toMilliseconds(action.note.reportAge) : -1.0},
-               {"running", std::int64_t(report.running)},
-               {"waiting", std::int64_t(report.waiting)},
-               {"slots", std::int64_t(report.slots)},
-               {"slowness", report.slowness}});
-}
-
-void Gateway::logOutcome(const std::string &service, RequestId request, int attempt, const HttpOutcome &outcome)
-{
-    std::string callerId;
-    {
-        Shard &shard = shardOf(request);
-        const std::lock_guard lock(shard.mutex);
-        const auto found = shard.exchanges.find(request);
-        if (found == shard.exchanges.end()) {
-            return;
-        }
-        callerId = found->second.callerId;
-    }
-    const auto *failure = std::get_if<HttpFailure>(&outcome);
-    const std::int64_t status = failure ? 0 : std::get<HttpAnswer>(outcome).status;
-    log_.info("attempt ended",
-              {{"id", callerId},
-               {"attempt", std::int64_t(attempt)},
-               {"service", service},
-               {"status", status},
-               {"left", failure && !failure->hasLeft ? "no" : "yes"},
-               {"reason", failure ? std::string_view(failure->reason) : std::string_view()}});
+    Shard &shard = shardOf(request);
+    const std::lock_guard lock(shard.mutex);
+    const auto found = shard.exchanges.find(request);
+    return found == shard.exchanges.end() ? std::string() : found->second.callerId;
 }
 
 void Gateway::attemptDone(const std::string &service, RequestId request, int attempt, HttpOutcome outcome)
 {
-    logOutcome(service, request, attempt, outcome);
+    log_.attemptEnded(callerIdOf(request), service, attempt, outcome);
     AttemptEnded event{request, attempt, attemptOutcome(outcome, protocol_), std::nullopt};
     if (auto *answer = std::get_if<HttpAnswer>(&outcome)) {
         event.report = protocol_.load(answer->headers);
@@ -310,15 +262,14 @@
 
 void Gateway::cancel(const CancelAttempt &action)
 {
-    log_.info("attempt cancelled",
-              {{"number", static_cast<std::int64_t>(action.request)}, {"attempt", std::int64_t(action.attempt)}, {"address", action.address}});
+    log_.attemptCancelled(callerIdOf(action.request), action);
     backends_.cancel(callId(action.request, action.attempt), action.address);
 }
 
 void Gateway::drop(const DropRequest &action)
 {
     if (const auto exchange = takeExchange(action.request)) {
-        log_.info("caller gone", {{"id", exchange->callerId}, {"after_ms", toMilliseconds(bootNow() - exchange->arrivedAt)}});
+        log_.callerGone(exchange->callerId, bootNow() - exchange->arrivedAt);
     }
 }
 
@@ -340,11 +291,7 @@
         protocol_.markRetried(answer);
     }
     const auto outcome = answer.status < ServerError ? CallerOutcome::Answered : CallerOutcome::ServerError;
-    log_.info("answered",
-              {{"id", exchange->callerId},
-               {"attempt", std::int64_t(action.attempt)},
-               {"status", std::int64_t(answer.status)},
-               {"after_ms", toMilliseconds(bootNow() - exchange->arrivedAt)}});
+    log_.answered(exchange->callerId, action.attempt, answer.status, bootNow() - exchange->arrivedAt);
     finish(*exchange, answer, outcome);
 }
 
@@ -366,14 +313,7 @@
 {
     if (const auto exchange = takeExchange(action.request)) {
         const auto outcome = action.problem.fate == Fate::NotRun ? CallerOutcome::NotRun : CallerOutcome::Unknown;
-        log_.info("refused",
-                  {{"id", exchange->callerId},
-                   {"status", std::int64_t(action.problem.status)},
-                   {"outcome", action.problem.fate == Fate::NotRun ? "not run" : "unknown"},
-                   {"step", action.problem.step},
-                   {"peer", action.problem.peer},
-                   {"detail", action.problem.detail},
-                   {"after_ms", toMilliseconds(bootNow() - exchange->arrivedAt)}});
+        log_.refused(exchange->callerId, action.problem, bootNow() - exchange->arrivedAt);
         finish(*exchange, protocol_.refusal(action.problem), outcome);
     }
 }
--- a/src/daemon/gateway.h
+++ b/src/daemon/gateway.h
@@ -12,11 +12,11 @@
 #include "core/trafficsplitter.h"
 #include "daemon/eventhandler.h"
 #include "daemon/requestcheck.h"
+#include "daemon/requestlog.h"
 #include "daemon/telemetry.h"
 #include "net/callerconnection.h"
 #include "net/exchangeprotocol.h"
 #include "net/httpclient.h"
-#include "net/log.h"
 #include "net/platformclient.h"
 
 #include <array>
@@ -88,8 +88,8 @@
     void attemptDone(const std::string &service, RequestId request, int attempt, HttpOutcome outcome);
     HttpCall callFor(const Exchange &exchange, const StartAttempt &action) const;
     std::string callerIdOf(const HttpRequest &request, RequestId id) const;
-    void logAttempt(const OfService &of, const StartAttempt &action, const std::string &callerId) const;
-    void logOutcome(const std::string &service, RequestId request, int attempt, const HttpOutcome &outcome);
+    /// @return the same of a request that is open; empty when it is not.
+    std::string callerIdOf(RequestId request);
     std::optional<Exchange> takeExchange(RequestId request);
     void finish(const Exchange &exchange, const HttpAnswer &answer, CallerOutcome outcome);
     Shard &shardOf(RequestId request);
@@ -100,7 +100,7 @@
     PlatformClient *platform_;
     const ExchangeProtocol &protocol_;
     Telemetry &telemetry_;
-    Log log_;
+    RequestLog log_;
     std::string nonce_;
     std::atomic<RequestId> nextRequest_{1};
     std::atomic<HttpCallId> nextProbe_;
--- /dev/null
+++ b/src/daemon/requestlog.h
@@ -0,0 +1,41 @@
+/*
+    This file is part of cloverbarrow.
+
+    SPDX-FileCopyrightText: 2026 The cloverbarrow authors
+    SPDX-License-Identifier: Apache-2.0
+*/
+
+#pragma once
+
+#include "core/operatorintent.h"
+#include "core/serviceevents.h"
+#include "net/httpclient.h"
+#include "net/log.h"
+
+#include <string>
+#include <string_view>
+
+namespace Cloverbarrow
+{
+
+/// Logs each decision on a caller's request, with what decided it; docs/OPERATIONS.md shows how to read the lines.
+class RequestLog
+{
+public:
+    RequestLog();
+
+    void routed(std::string_view id, const std::string &service, const RequestKind &kind, const IntentInForce &intent, Duration timeLeft) const;
+    /// A request that was not given to a service. @param intent null when there is none yet.
+    void turnedAway(std::string_view id, const Problem &problem, const IntentInForce *intent, std::string_view target) const;
+    void attemptStarted(std::string_view id, const std::string &service, const StartAttempt &action) const;
+    void attemptEnded(std::string_view id, const std::string &service, int attempt, const HttpOutcome &outcome) const;
+    void attemptCancelled(std::string_view id, const CancelAttempt &action) const;
+    void callerGone(std::string_view id, Duration after) const;
+    void answered(std::string_view id, int attempt, int status, Duration after) const;
+    void refused(std::string_view id, const Problem &problem, Duration after) const;
+
+private:
+    Log log_;
+};
+
+} // namespace Cloverbarrow
