--- a/src/ctl/requeststory.cpp
+++ b/src/ctl/requeststory.cpp
@@ -25,8 +25,8 @@
 
 bool isHead(const std::string &name)
 {
-    static const std::set<std::string> Heads = {"time", "level", "entry_vm", "part", "message", "id"};
-    return Heads.contains(name);
+    static const std::set<std::string> heads = {"time", "level", "entry_vm", "part", "message", "id"};
+    return heads.contains(name);
 }
 
 std::string textOf(const Json &line)
--- a/tests/platform/exchangetests.cpp
+++ b/tests/platform/exchangetests.cpp
@@ -20,7 +20,7 @@
     return {status, "", std::move(headers), "body"};
 }
 
-const Platform::Exchange exchange;
+const Platform::Exchange Protocol;
 
 } // namespace
 
@@ -31,7 +31,7 @@
     StartAttempt action;
     action.backend = "i-1";
     action.mayReuseConnection = true;
-    const HttpCall call = exchange.attempt({request, action, 1, milliseconds(750), "tag"});
+    const HttpCall call = Protocol.attempt({request, action, 1, milliseconds(750), "tag"});
     CHECK(findHeader(call.request.headers, Platform::ExpectInstanceHeader) == "i-1");
     CHECK(findHeader(call.request.headers, Platform::DeadlineMsHeader) == "750");
     CHECK(countHeader(call.request.headers, Platform::DeadlineMsHeader) == 1);
@@ -44,34 +44,34 @@
 
 TEST_CASE("Only a backend server's own word says that a request was not run", "[platform]")
 {
-    CHECK(exchange.read(answer(503, {{Platform::NotExecutedHeader, "1"}})).isNotRun);
-    CHECK(exchange.read(answer(421, {})).isNotRun);
-    CHECK_FALSE(exchange.read(answer(503, {})).isNotRun);
-    CHECK_FALSE(exchange.read(answer(500, {})).isNotRun);
+    CHECK(Protocol.read(answer(503, {{Platform::NotExecutedHeader, "1"}})).isNotRun);
+    CHECK(Protocol.read(answer(421, {})).isNotRun);
+    CHECK_FALSE(Protocol.read(answer(503, {})).isNotRun);
+    CHECK_FALSE(Protocol.read(answer(500, {})).isNotRun);
 }
 
 TEST_CASE("Answers that would tell a caller too much are not passed on", "[platform]")
 {
-    CHECK(exchange.read(answer(200, {})).isMisleading);
-    CHECK(exchange.read(answer(503, {{Platform::StampHeader, "s"}})).isMisleading);
-    CHECK(exchange.read(answer(429, {{Platform::StampHeader, "s"}})).isMisleading);
-    CHECK(exchange.read(answer(200, {{Platform::StampHeader, "s"}, {"Content-Encoding", "gzip"}})).isMisleading);
-    CHECK_FALSE(exchange.read(answer(200, {{Platform::StampHeader, "s"}})).isMisleading);
-    CHECK_FALSE(exchange.read(answer(500, {{Platform::StampHeader, "s"}})).isMisleading);
+    CHECK(Protocol.read(answer(200, {})).isMisleading);
+    CHECK(Protocol.read(answer(503, {{Platform::StampHeader, "s"}})).isMisleading);
+    CHECK(Protocol.read(answer(429, {{Platform::StampHeader, "s"}})).isMisleading);
+    CHECK(Protocol.read(answer(200, {{Platform::StampHeader, "s"}, {"Content-Encoding", "gzip"}})).isMisleading);
+    CHECK_FALSE(Protocol.read(answer(200, {{Platform::StampHeader, "s"}})).isMisleading);
+    CHECK_FALSE(Protocol.read(answer(500, {{Platform::StampHeader, "s"}})).isMisleading);
 }
 
 TEST_CASE("Load headers of three and four figures are read, others are left aside", "[platform]")
 {
-    CHECK(exchange.load({{Platform::ServerLoadHeader, "2,1,3,250"}}) == LoadReport{2, 1, 3, 2.5});
-    CHECK(exchange.load({{Platform::ServerLoadHeader, "2, 0, 8"}}) == LoadReport{2, 0, 8, 1.0});
-    CHECK_FALSE(exchange.load({{Platform::ServerLoadHeader, "2,x,3"}}));
-    CHECK_FALSE(exchange.load({{Platform::ServerLoadHeader, ""}}));
-    CHECK_FALSE(exchange.load({}));
+    CHECK(Protocol.load({{Platform::ServerLoadHeader, "2,1,3,250"}}) == LoadReport{2, 1, 3, 2.5});
+    CHECK(Protocol.load({{Platform::ServerLoadHeader, "2, 0, 8"}}) == LoadReport{2, 0, 8, 1.0});
+    CHECK_FALSE(Protocol.load({{Platform::ServerLoadHeader, "2,x,3"}}));
+    CHECK_FALSE(Protocol.load({{Platform::ServerLoadHeader, ""}}));
+    CHECK_FALSE(Protocol.load({}));
 }
 
 TEST_CASE("A refusal says when to come back in fractions of a second", "[platform]")
 {
-    const HttpAnswer refusal = exchange.refusal({503, Fate::NotRun, "admit", "reclamos", "busy", milliseconds(200)});
+    const HttpAnswer refusal = Protocol.refusal({503, Fate::NotRun, "admit", "reclamos", "busy", milliseconds(200)});
     CHECK(refusal.status == 503);
     CHECK(findHeader(refusal.headers, "Retry-After") == "0.200");
 }
