--- a/src/core/address.cpp
+++ b/src/core/address.cpp
@@ -54,4 +54,11 @@
     return parseSocketAddress(text).has_value();
 }
 
+std::string withPort(std::string_view address, std::uint16_t port)
+{
+    SocketAddress changed = parseSocketAddress(address).value();
+    changed.port = port;
+    return changed.toString();
+}
+
 } // namespace Cloverbarrow
--- a/src/core/address.h
+++ b/src/core/address.h
@@ -29,4 +29,7 @@
 /// @return whether @p text is an address as parseSocketAddress() reads it.
 bool isSocketAddress(std::string_view text);
 
+/// @return @p address, which must be one, with another port.
+std::string withPort(std::string_view address, std::uint16_t port);
+
 } // namespace Cloverbarrow
--- a/src/core/directory/serverregistry.cpp
+++ b/src/core/directory/serverregistry.cpp
@@ -95,11 +95,6 @@
     return isNews;
 }
 
-bool ServerRegistry::isEmpty() const
-{
-    return entries_.empty();
-}
-
 std::vector<Registration> ServerRegistry::of(const std::string &service) const
 {
     std::vector<Registration> found;
--- a/src/core/directory/serverregistry.h
+++ b/src/core/directory/serverregistry.h
@@ -35,8 +35,6 @@
     /// Drops entries whose time to come back is over. @return whether any was dropped.
     bool tick(TimePoint now);
 
-    /// @return whether registrations are known.
-    bool isEmpty() const;
     /// @return all registrations of @p service.
     std::vector<Registration> of(const std::string &service) const;
     /// @return the number of the latest change in this registry; peers name it when they ask for what came after.
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -32,13 +32,6 @@
 constexpr int TicksPerGauges = 100;
 constexpr std::size_t MaxLoggedVersion = 32;
 
-std::string withPort(const std::string &address, std::uint16_t port)
-{
-    auto parsed = parseSocketAddress(address).value();
-    parsed.port = port;
-    return parsed.toString();
-}
-
 std::uint64_t seedOf(const std::string &nonce)
 {
     constexpr int HexBase = 16;
--- a/src/daemon/directoryrunner.cpp
+++ b/src/daemon/directoryrunner.cpp
@@ -15,18 +15,6 @@
 namespace Cloverbarrow
 {
 
-namespace
-{
-
-std::string withPort(const std::string &address, std::uint16_t port)
-{
-    auto parsed = parseSocketAddress(address).value();
-    parsed.port = port;
-    return parsed.toString();
-}
-
-} // namespace
-
 DirectoryRunner::DirectoryRunner(
     const DirectorySettings &settings, std::string zone, std::uint64_t seed, std::unique_ptr<DirectoryClient> client, HttpClient &http, EventHandler &events)
     : zone_(std::move(zone))
