Operators' limits for callers come into force

Cause: the configuration's limits were decoded and left unused; a header of 33 KB was refused although operators may allow more, and idle connections were kept for ever. Change: CallerBounds (sizes, time for headers, for a whole request, idle time) follow the configuration; the VM's own bound on bodies stays beside the operators'. A connection's idle time counts from its start.

--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -59,8 +59,7 @@
     }
     node_ = std::make_unique<Node>(controlSettings(), LoadReportPick{});
     gateway_ = std::make_unique<Gateway>(*node_, *this, backends_, platform_.get(), *protocol_, telemetry_, nonce_);
-    CallerServerOptions options{settings_.callersAddress, static_cast<std::size_t>(settings_.callerThreads), {}, settings_.slowCallerBound};
-    options.limits.body = static_cast<std::size_t>(settings_.maxBodyBytes);
+    CallerServerOptions options{settings_.callersAddress, static_cast<std::size_t>(settings_.callerThreads), ownBounds(), false};
     options.halfCloseIsGone = settings_.directory.has_value();
     callerServer_ = std::make_unique<CallerServer>(
         options, [this](const std::shared_ptr<CallerConnection> &connection, HttpRequest request) { gateway_->accept(connection, std::move(request)); });
@@ -298,6 +297,9 @@
                {"routes", static_cast<std::int64_t>(intent.configuration.routes.size())},
                {"servers", servers},
                {"draining", static_cast<std::int64_t>(intent.intent.drains.size())}});
+    if (intent.configuration.callerLimits) {
+        callerServer_->setBounds(boundsFor(*intent.configuration.callerLimits));
+    }
     int fewest = std::numeric_limits<int>::max();
     for (const Service &service : intent.configuration.services) {
         fewest = std::min(fewest, service.limits.connectionsPerServer);
@@ -306,6 +308,28 @@
     applyConnectionCap();
 }
 
+CallerBounds Daemon::ownBounds() const
+{
+    CallerBounds bounds;
+    bounds.limits.body = static_cast<std::size_t>(settings_.maxBodyBytes);
+    bounds.headTime = settings_.slowCallerBound;
+    bounds.slowTime = settings_.slowCallerBound;
+    return bounds;
+}
+
+CallerBounds Daemon::boundsFor(const CallerLimits &limits) const
+{
+    CallerBounds bounds = ownBounds();
+    bounds.limits.head = limits.headerBytes;
+    bounds.limits.target = limits.headerBytes;
+    // This VM's own memory sets a bound too.
+    bounds.limits.body = std::min(limits.bodyBytes, bounds.limits.body);
+    bounds.headTime = limits.headerTime;
+    bounds.slowTime = std::max(limits.headerTime, bounds.slowTime);
+    bounds.idleTime = limits.idleTime;
+    return bounds;
+}
+
 void Daemon::setFleetSize(int entryVms)
 {
     entryVms_ = entryVms;
--- a/src/daemon/daemon.h
+++ b/src/daemon/daemon.h
@@ -85,6 +85,10 @@
     void listVms();
     void setReady(const SetReady &action);
     void install(const IntentInForce &intent);
+    /// @return what the settings allow callers.
+    CallerBounds ownBounds() const;
+    /// @return the same, with what operators allow.
+    CallerBounds boundsFor(const CallerLimits &limits) const;
     void setFleetSize(int entryVms);
     void applyConnectionCap();
     /// @param isControl whether everything is to be looked at, or only the services.
--- a/src/net/callerconnection.cpp
+++ b/src/net/callerconnection.cpp
@@ -21,6 +21,7 @@
 namespace
 {
 
+constexpr std::string_view EndOfHead = "\r\n\r\n";
 constexpr std::string_view ContinueAnswer = "HTTP/1.1 100 Continue\r\n\r\n";
 // Bodies below this size are looked at with every piece; larger ones each time they have grown by an eighth.
 constexpr std::size_t AlwaysTry = 64 * 1024;
@@ -30,14 +31,21 @@
 
 } // namespace
 
-CallerConnection::CallerConnection(int fd, RequestLimits limits, bool halfCloseIsGone, RequestSink sink)
-    : limits_(limits)
+CallerConnection::CallerConnection(int fd, const CallerBounds &bounds, bool halfCloseIsGone, RequestSink sink)
+    : bounds_(bounds)
     , halfCloseIsGone_(halfCloseIsGone)
     , sink_(std::move(sink))
     , socket_(::dup(fd))
+    , since_(bootNow())
 {
 }
 
+void CallerConnection::setBounds(const CallerBounds &bounds)
+{
+    const std::lock_guard lock(mutex_);
+    bounds_ = bounds;
+}
+
 void CallerConnection::received(std::string_view bytes, TimePoint now)
 {
     std::unique_lock lock(mutex_);
@@ -106,26 +114,24 @@
     closeLocked();
 }
 
-void CallerConnection::sweep(TimePoint now, Duration bound)
+void CallerConnection::sweep(TimePoint now)
 {
     std::unique_lock lock(mutex_);
     switch (state_) {
     case State::Reading:
         triedSize_ = 0;
         proceed(lock);
-        if (state_ == State::Reading && !input_.empty() && now - since_ > bound) {
-            fail({408, "the request did not arrive in time"});
-        }
+        sweepReading(now);
         break;
     case State::Sending:
         flushLocked();
-        if (state_ == State::Sending && now - since_ > bound) {
+        if (state_ == State::Sending && now - since_ > bounds_.slowTime) {
             closeLocked();
         }
         proceed(lock);
         break;
     case State::Lingering:
-        if (now - since_ > bound) {
+        if (now - since_ > bounds_.slowTime) {
             closeLocked();
         }
         break;
@@ -135,6 +141,23 @@
     }
 }
 
+void CallerConnection::sweepReading(TimePoint now)
+{
+    if (state_ != State::Reading) {
+        return;
+    }
+    if (input_.empty()) {
+        if (bounds_.idleTime && now - since_ > *bounds_.idleTime) {
+            lingerLocked();
+        }
+        return;
+    }
+    const bool hasHead = input_.find(EndOfHead) != std::string::npos;
+    if (now - since_ > (hasHead ? bounds_.slowTime : bounds_.headTime)) {
+        fail({408, "the request did not arrive in time"});
+    }
+}
+
 bool CallerConnection::isClosed() const
 {
     const std::lock_guard lock(mutex_);
@@ -185,7 +208,7 @@
         return false;
     }
     triedSize_ = input_.size();
-    FramingResult result = frameRequest(input_, limits_);
+    FramingResult result = frameRequest(input_, bounds_.limits);
     if (const auto *fault = std::get_if<FramingFault>(&result)) {
         fail(*fault);
         return false;
--- a/src/net/callerconnection.h
+++ b/src/net/callerconnection.h
@@ -14,6 +14,7 @@
 #include <functional>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -22,6 +23,14 @@
 
 class CallerConnection;
 
+/// What a caller may send, and how long it may take or stay idle.
+struct CallerBounds {
+    RequestLimits limits;
+    Duration headTime = seconds(10); ///< From the first byte of a request to the end of its headers.
+    Duration slowTime = seconds(10); ///< For a whole request, for reading an answer and for closing.
+    std::optional<Duration> idleTime; ///< Between two requests; nothing: for ever.
+};
+
 /// Takes a whole request; answers by CallerConnection::answer(), now or later, from any thread.
 using RequestSink = std::function<void(const std::shared_ptr<CallerConnection> &, HttpRequest)>;
 
@@ -34,7 +43,10 @@
 {
 public:
     /// @param fd is duplicated. @param halfCloseIsGone whether a caller that closed its sending half wants no answer.
-    CallerConnection(int fd, RequestLimits limits, bool halfCloseIsGone, RequestSink sink);
+    CallerConnection(int fd, const CallerBounds &bounds, bool halfCloseIsGone, RequestSink sink);
+
+    /// For what comes from now on.
+    void setBounds(const CallerBounds &bounds);
 
     /// Takes bytes from the caller.
     void received(std::string_view bytes, TimePoint now);
@@ -50,9 +62,8 @@
     void closeSoon();
     /// Drops the connection without an answer.
     void abort();
-    /// Looks after slow callers: those that do not finish sending a request, reading an answer or closing.
-    /// @param bound how long each may take.
-    void sweep(TimePoint now, Duration bound);
+    /// Looks after slow callers, which do not finish sending a request, reading an answer or closing, and after idle ones.
+    void sweep(TimePoint now);
 
     bool isClosed() const;
     /// @return whether part of an answer has not been sent yet.
@@ -69,6 +80,7 @@
         Closed,
     };
 
+    void sweepReading(TimePoint now);
     void proceed(std::unique_lock<std::mutex> &lock);
     bool takeRequest(HttpRequest &request);
     void fail(const FramingFault &fault);
@@ -78,7 +90,7 @@
     void lingerLocked();
     void closeLocked();
 
-    RequestLimits limits_;
+    CallerBounds bounds_;
     bool halfCloseIsGone_;
     RequestSink sink_;
     mutable std::mutex mutex_;
--- a/src/net/callerserver.cpp
+++ b/src/net/callerserver.cpp
@@ -31,6 +31,26 @@
 class ConnectionList
 {
 public:
+    explicit ConnectionList(const CallerBounds &bounds)
+        : bounds_(bounds)
+    {
+    }
+
+    CallerBounds bounds() const
+    {
+        const std::lock_guard lock(mutex_);
+        return bounds_;
+    }
+
+    void setBounds(const CallerBounds &bounds)
+    {
+        const std::lock_guard lock(mutex_);
+        bounds_ = bounds;
+        for (const auto &connection : connections_) {
+            connection->setBounds(bounds);
+        }
+    }
+
     void add(std::shared_ptr<CallerConnection> connection)
     {
         const std::lock_guard lock(mutex_);
@@ -62,6 +82,7 @@
 
 private:
     mutable std::mutex mutex_;
+    CallerBounds bounds_;
     bool isClosing_ = false;
     std::vector<std::shared_ptr<CallerConnection>> connections_;
 };
@@ -70,9 +91,8 @@
 class CallerHandler : public Pistache::Tcp::Handler
 {
 public:
-    CallerHandler(RequestLimits limits, bool halfCloseIsGone, RequestSink sink, std::shared_ptr<ConnectionList> connections)
-        : limits_(limits)
-        , halfCloseIsGone_(halfCloseIsGone)
+    CallerHandler(bool halfCloseIsGone, RequestSink sink, std::shared_ptr<ConnectionList> connections)
+        : halfCloseIsGone_(halfCloseIsGone)
         , sink_(std::move(sink))
         , connections_(std::move(connections))
     {
@@ -80,12 +100,12 @@
 
     std::shared_ptr<Pistache::Tcp::Handler> clone() const override
     {
-        return std::make_shared<CallerHandler>(limits_, halfCloseIsGone_, sink_, connections_);
+        return std::make_shared<CallerHandler>(halfCloseIsGone_, sink_, connections_);
     }
 
     void onConnection(const std::shared_ptr<Pistache::Tcp::Peer> &peer) override
     {
-        auto connection = std::make_shared<CallerConnection>(peer->fd(), limits_, halfCloseIsGone_, sink_);
+        auto connection = std::make_shared<CallerConnection>(peer->fd(), connections_->bounds(), halfCloseIsGone_, sink_);
         peer->putData(ConnectionKey, connection);
         connections_->add(std::move(connection));
     }
@@ -110,7 +130,6 @@
         return std::static_pointer_cast<CallerConnection>(peer->tryGetData(ConnectionKey));
     }
 
-    RequestLimits limits_;
     bool halfCloseIsGone_;
     RequestSink sink_;
     std::shared_ptr<ConnectionList> connections_;
@@ -122,14 +141,13 @@
 {
 public:
     Impl(const CallerServerOptions &options, RequestSink sink)
-        : slowBound_(options.slowBound)
-        , connections_(std::make_shared<ConnectionList>())
+        : connections_(std::make_shared<ConnectionList>(options.bounds))
     {
         using Pistache::Tcp::Options;
         const Pistache::Flags<Options> flags = Pistache::Flags<Options>(Options::ReuseAddr) | Options::NoDelay;
         const auto address = parseSocketAddress(options.address).value();
         listener_.init(options.threads, flags, "callers", Backlog);
-        listener_.setHandler(std::make_shared<CallerHandler>(options.limits, options.halfCloseIsGone, std::move(sink), connections_));
+        listener_.setHandler(std::make_shared<CallerHandler>(options.halfCloseIsGone, std::move(sink), connections_));
         listener_.bind(Pistache::Address(address.host, Pistache::Port(address.port)));
         listener_.runThreaded();
     }
@@ -147,11 +165,16 @@
     void sweep(TimePoint now)
     {
         for (const auto &connection : connections_->all()) {
-            connection->sweep(now, slowBound_);
+            connection->sweep(now);
         }
         connections_->removeClosed();
     }
 
+    void setBounds(const CallerBounds &bounds)
+    {
+        connections_->setBounds(bounds);
+    }
+
     void closeAfterAnswers()
     {
         for (const auto &connection : connections_->startClosing()) {
@@ -173,7 +196,6 @@
     }
 
 private:
-    Duration slowBound_;
     std::shared_ptr<ConnectionList> connections_;
     Pistache::Tcp::Listener listener_;
 };
@@ -195,6 +217,11 @@
     impl_->sweep(now);
 }
 
+void CallerServer::setBounds(const CallerBounds &bounds)
+{
+    impl_->setBounds(bounds);
+}
+
 void CallerServer::closeAfterAnswers()
 {
     impl_->closeAfterAnswers();
--- a/src/net/callerserver.h
+++ b/src/net/callerserver.h
@@ -22,8 +22,7 @@
 struct CallerServerOptions {
     std::string address; ///< `IP:port`; port 0 lets the kernel choose.
     std::size_t threads = 2;
-    RequestLimits limits;
-    Duration slowBound = seconds(10); ///< For sending a request or reading an answer.
+    CallerBounds bounds;
     bool halfCloseIsGone = false; ///< A caller that closes its sending half wants no answer any more.
 };
 
@@ -39,6 +38,8 @@
 
     /// @return the port that is listened on.
     std::uint16_t port() const;
+    /// For all connections, from now on.
+    void setBounds(const CallerBounds &bounds);
     /// Looks after slow callers; to be called several times a second.
     void sweep(TimePoint now);
     /// Closes each connection after its next answer. New ones are still answered.
--- a/tests/platform/pathtests.cpp
+++ b/tests/platform/pathtests.cpp
@@ -11,6 +11,7 @@
 #include "process.h"
 #include "rawcaller.h"
 #include "registeredbackend.h"
+#include "sampleplan.h"
 
 #include <catch2/catch.hpp>
 
@@ -72,23 +73,10 @@
 
     void configure(int version, double timeoutSeconds, const std::string &extraHost = "extra.example")
     {
-        const auto route = [timeoutSeconds](const std::string &host, const char *kind, const char *prefix) {
-            return Json{{"name", host + prefix},
-                        {"host", host},
-                        {"path_prefix", prefix},
-                        {"kind", kind},
-                        {"timeout_s", timeoutSeconds},
-                        {"target_latency_s", 1},
-                        {"priority", 1},
-                        {"service", "reclamos"},
-                        {"max_attempts", 2}};
-        };
-        store.put("config",
-                  "main",
-                  {{"version", "r" + std::to_string(version)},
-                   {"routes", {route("a.example", "safe", "/read/"), route("a.example", "unsafe", "/pay/"), route(extraHost, "safe", "/")}},
-                   {"services", {{{"name", "reclamos"}, {"health_check_path", "/health"}, {"connection_limit", 200}}}},
-                   {"limits", {{"max_header_bytes", 16384}, {"max_body_bytes", 1000000}, {"header_timeout_s", 3}, {"idle_timeout_s", 15}}}});
+        const Json routes = {routeSpecification("a.example", "safe", "/read/", timeoutSeconds),
+                             routeSpecification("a.example", "unsafe", "/pay/", timeoutSeconds),
+                             routeSpecification(extraHost, "safe", "/", timeoutSeconds)};
+        store.put("config", "main", planSpecification(version, routes));
     }
 
     void conductAll(Conduct conduct)
@@ -270,6 +258,50 @@
     CHECK(site.backends[1]->runs().empty());
 }
 
+TEST_CASE("Operators' limits for callers are in force", "[platform][path][limits]")
+{
+    Site site;
+    const auto allow = [&site](const Json &limits) {
+        Json plan = planSpecification(2, {routeSpecification("new.example", "safe", "/", 5), routeSpecification("a.example", "safe", "/read/", 5)});
+        plan["limits"].update(limits);
+        site.store.put("config", "main", plan);
+        REQUIRE(eventually([&site] { return site.send("GET", "/", "id-1", "new.example")->status == 200; }));
+    };
+    const auto statusOfLongHead = [&site] {
+        RawCaller caller(site.callers());
+        caller.send("GET /read/1 HTTP/1.1\r\nHost: a.example\r\nX-Long: " + std::string(20'000, 'a') + "\r\n\r\n");
+        return caller.readUntil("\r\n").substr(0, 12);
+    };
+    SECTION("for long headers")
+    {
+        CHECK(statusOfLongHead() == "HTTP/1.1 431");
+    }
+    SECTION("for long headers that a later version allows")
+    {
+        allow({{"max_header_bytes", 30'000}});
+        // Callers are told of it a moment after the routes.
+        CHECK(eventually([&statusOfLongHead] { return statusOfLongHead() == "HTTP/1.1 200"; }));
+    }
+    SECTION("for bodies")
+    {
+        allow({{"max_body_bytes", 3}});
+        CHECK(eventually([&site] { return site.send("POST", "/read/1", "id-2")->status == 413; }));
+    }
+    SECTION("for headers that come slowly")
+    {
+        allow({{"header_timeout_s", 0.2}});
+        RawCaller caller(site.callers());
+        caller.send("GET /read/1 HTTP/1.1\r\n");
+        CHECK(caller.readAll().starts_with("HTTP/1.1 408"));
+    }
+    SECTION("for idle connections")
+    {
+        allow({{"idle_timeout_s", 0.2}});
+        RawCaller caller(site.callers());
+        CHECK(caller.readAll().empty());
+    }
+}
+
 TEST_CASE("The settings are read again on SIGHUP while requests go on", "[platform][path][reload]")
 {
     Site site;
@@ -304,19 +336,8 @@
     site.start("entry-3", true);
     Json routes = Json::array();
     for (int number = 0; number < 500; ++number) {
-        routes.push_back({{"name", "r" + std::to_string(number)},
-                          {"host", "h" + std::to_string(number) + ".example"},
-                          {"path_prefix", "/"},
-                          {"kind", "safe"},
-                          {"timeout_s", 5},
-                          {"target_latency_s", 1},
-                          {"priority", 1},
-                          {"service", "reclamos"},
-                          {"max_attempts", 2}});
+        routes.push_back(routeSpecification("h" + std::to_string(number) + ".example", "safe", "/", 5));
     }
-    site.store.put(
-        "config",
-        "main",
-        {{"version", "r9"}, {"routes", routes}, {"services", {{{"name", "reclamos"}, {"health_check_path", "/health"}, {"connection_limit", 200}}}}});
+    site.store.put("config", "main", planSpecification(9, routes));
     CHECK(eventually([&site] { return site.send("GET", "/", "id-1", "h499.example")->status == 200; }));
 }
--- a/tests/process/process.cpp
+++ b/tests/process/process.cpp
@@ -12,25 +12,71 @@
 #include <sys/wait.h>
 
 #include <array>
+#include <chrono>
 #include <csignal>
+#include <fstream>
 #include <stdexcept>
+#include <system_error>
+#include <thread>
 
 extern char **environ;
 
 namespace Cloverbarrow::Tests
 {
 
-Process::Process(std::vector<std::string> command)
+namespace
 {
+
+std::string readLine(const Descriptor &from)
+{
+    std::string line;
+    char character = 0;
+    while (::read(from.get(), &character, 1) == 1 && character != '\n') {
+        line += character;
+    }
+    return line;
+}
+
+/// Waits until the file has a whole line. @return it; empty when none comes.
+std::string awaitLine(const std::string &path)
+{
+    constexpr int Looks = 2000;
+    for (int look = 0; look < Looks; ++look) {
+        std::ifstream file(path);
+        if (std::string line; std::getline(file, line) && !file.eof()) {
+            return line;
+        }
+        std::this_thread::sleep_for(std::chrono::milliseconds(10));
+    }
+    return {};
+}
+
+} // namespace
+
+Process::Process(std::vector<std::string> command, const std::string &outputPath)
+{
+    if (!outputPath.empty()) {
+        const Descriptor file(::open(outputPath.c_str(), O_CREAT | O_WRONLY | O_TRUNC | O_CLOEXEC, 0644));
+        spawn(command, file.get());
+        firstLine_ = awaitLine(outputPath);
+        return;
+    }
     std::array<int, 2> ends{};
     if (::pipe2(ends.data(), O_CLOEXEC) != 0) {
         throw std::runtime_error("pipe");
     }
-    Descriptor readEnd(ends[0]);
+    const Descriptor readEnd(ends[0]);
     Descriptor writeEnd(ends[1]);
+    spawn(command, writeEnd.get());
+    writeEnd.reset();
+    firstLine_ = readLine(readEnd);
+}
+
+void Process::spawn(std::vector<std::string> &command, int output)
+{
     posix_spawn_file_actions_t actions;
     posix_spawn_file_actions_init(&actions);
-    posix_spawn_file_actions_adddup2(&actions, writeEnd.get(), 1);
+    posix_spawn_file_actions_adddup2(&actions, output, 1);
     std::vector<char *> arguments;
     arguments.reserve(command.size() + 1);
     for (std::string &word : command) {
@@ -39,13 +85,8 @@
     arguments.push_back(nullptr);
     const int failure = ::posix_spawn(&pid_, arguments[0], &actions, nullptr, arguments.data(), environ);
     posix_spawn_file_actions_destroy(&actions);
-    writeEnd.reset();
     if (failure != 0) {
-        throw std::runtime_error("spawn " + command.front());
-    }
-    char character = 0;
-    while (::read(readEnd.get(), &character, 1) == 1 && character != '\n') {
-        firstLine_ += character;
+        throw std::system_error(failure, std::generic_category(), "spawn " + command.front());
     }
 }
 
--- a/tests/process/process.h
+++ b/tests/process/process.h
@@ -21,7 +21,8 @@
 class Process
 {
 public:
-    explicit Process(std::vector<std::string> command);
+    /// @param outputPath file for its output; without one, what follows the first line is lost.
+    explicit Process(std::vector<std::string> command, const std::string &outputPath = {});
     ~Process();
     Process(const Process &) = delete;
     Process &operator=(const Process &) = delete;
@@ -33,6 +34,8 @@
     int wait();
 
 private:
+    void spawn(std::vector<std::string> &command, int output);
+
     pid_t pid_ = -1;
     bool hasEnded_ = false;
     int exitCode_ = 0;
