A fault soak of real processes

Several entry VMs as processes, a store and backend servers as stand-ins, a proxy for each link. Faults are drawn from a seed: links slow, cut one way or both, reset or silent for good; processes paused, killed, stopped and told to read their settings; the store refusing or without history; servers that shed, hang, reset, answer unsigned or without length, drain and are replaced; configurations in quick succession. Callers use connections until the process is gone. Checked while it runs and at the end: own answers, writes at most once, true refusals, each request answered, versions that never fall, recovery, exits in order.

--- /dev/null
+++ b/tests/soak/faultproxy.cpp
@@ -0,0 +1,208 @@
+/*
+    This file is part of cloverbarrow.
+
+    SPDX-FileCopyrightText: 2026 The cloverbarrow authors
+    SPDX-License-Identifier: Apache-2.0
+*/
+
+#include "faultproxy.h"
+
+#include "core/address.h"
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <poll.h>
+#include <sys/socket.h>
+
+#include <array>
+#include <cerrno>
+#include <stdexcept>
+#include <vector>
+
+namespace Cloverbarrow::Soak
+{
+
+namespace
+{
+
+constexpr int Backlog = 256;
+constexpr int PollMs = 5;
+constexpr std::size_t PieceBytes = 64 * 1024;
+constexpr auto SlowBy = std::chrono::milliseconds(120);
+
+sockaddr_in socketAddress(const std::string &address)
+{
+    const auto parsed = parseSocketAddress(address).value();
+    sockaddr_in target{};
+    target.sin_family = AF_INET;
+    target.sin_port = htons(parsed.port);
+    ::inet_pton(AF_INET, parsed.host.c_str(), &target.sin_addr);
+    return target;
+}
+
+Descriptor newSocket(int flags = 0)
+{
+    return Descriptor(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC | flags, 0));
+}
+
+/// Closing resets the connection, so that its end cannot be taken for an orderly one.
+void resetOnClose(const Descriptor &socket)
+{
+    const linger now{1, 0};
+    ::setsockopt(socket.get(), SOL_SOCKET, SO_LINGER, &now, sizeof now);
+}
+
+bool isTryAgain()
+{
+    return errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR;
+}
+
+} // namespace
+
+const char *nameOf(LinkFault fault)
+{
+    constexpr std::array Names = {"none", "slow", "cut there", "cut back", "cut", "reset"};
+    return Names.at(static_cast<std::size_t>(fault));
+}
+
+FaultProxy::FaultProxy(std::string target)
+    : target_(std::move(target))
+    , listener_(newSocket(SOCK_NONBLOCK))
+{
+    sockaddr_in own = socketAddress("127.0.0.1:0");
+    socklen_t size = sizeof own;
+    const bool isBound = ::bind(listener_.get(), reinterpret_cast<const sockaddr *>(&own), size) == 0;
+    if (!isBound || ::listen(listener_.get(), Backlog) != 0) {
+        throw std::runtime_error("a proxy cannot listen");
+    }
+    ::getsockname(listener_.get(), reinterpret_cast<sockaddr *>(&own), &size);
+    address_ = "127.0.0.1:" + std::to_string(ntohs(own.sin_port));
+    thread_ = std::thread([this] { run(); });
+}
+
+FaultProxy::~FaultProxy()
+{
+    isStopping_ = true;
+    thread_.join();
+}
+
+std::string FaultProxy::address() const
+{
+    return address_;
+}
+
+void FaultProxy::setFault(LinkFault fault)
+{
+    fault_ = fault;
+}
+
+void FaultProxy::silenceOpenConnections()
+{
+    silences_ = true;
+}
+
+void FaultProxy::run()
+{
+    while (!isStopping_) {
+        std::vector<pollfd> waits = {{listener_.get(), POLLIN, 0}};
+        for (const Link &link : links_) {
+            waits.push_back({link.caller.get(), static_cast<short>(link.there.hasEnded ? 0 : POLLIN), 0});
+            waits.push_back({link.target.get(), static_cast<short>(link.back.hasEnded ? 0 : POLLIN), 0});
+        }
+        ::poll(waits.data(), waits.size(), PollMs);
+        const LinkFault fault = fault_;
+        if ((waits.front().revents & POLLIN) != 0) {
+            acceptOne();
+        }
+        const bool silences = silences_.exchange(false);
+        for (Link &link : links_) {
+            link.isSilent = link.isSilent || silences;
+            look(link, fault);
+        }
+        std::erase_if(links_, isOver);
+        if (fault != LinkFault::None) {
+            // Held-up bytes keep the descriptors readable; without this pause the loop would spin.
+            std::this_thread::sleep_for(std::chrono::milliseconds(PollMs));
+        }
+    }
+}
+
+void FaultProxy::acceptOne()
+{
+    Link link;
+    link.caller = Descriptor(::accept4(listener_.get(), nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC));
+    if (!link.caller.isOpen()) {
+        return;
+    }
+    link.target = newSocket();
+    const sockaddr_in target = socketAddress(target_);
+    if (::connect(link.target.get(), reinterpret_cast<const sockaddr *>(&target), sizeof target) != 0) {
+        resetOnClose(link.caller);
+        return;
+    }
+    const int one = 1;
+    ::setsockopt(link.caller.get(), IPPROTO_TCP, TCP_NODELAY, &one, sizeof one);
+    ::setsockopt(link.target.get(), IPPROTO_TCP, TCP_NODELAY, &one, sizeof one);
+    links_.push_back(std::move(link));
+}
+
+void FaultProxy::look(Link &link, LinkFault fault) const
+{
+    const auto now = Clock::now();
+    const auto due = fault == LinkFault::Slow ? now + SlowBy : now;
+    const bool isCutThere = link.isSilent || fault == LinkFault::CutThere || fault == LinkFault::Cut;
+    const bool isCutBack = link.isSilent || fault == LinkFault::CutBack || fault == LinkFault::Cut;
+    bool goesOn = fault != LinkFault::Reset;
+    goesOn = goesOn && (isCutThere || (receive(link.caller, link.there, due) && deliver(link.there, link.target)));
+    goesOn = goesOn && (isCutBack || (receive(link.target, link.back, due) && deliver(link.back, link.caller)));
+    if (!goesOn) {
+        resetOnClose(link.caller);
+        resetOnClose(link.target);
+        link.caller.reset();
+        link.target.reset();
+    }
+}
+
+bool FaultProxy::receive(const Descriptor &from, Way &way, Clock::time_point due)
+{
+    std::array<char, PieceBytes> buffer{};
+    while (!way.hasEnded) {
+        const ssize_t count = ::recv(from.get(), buffer.data(), buffer.size(), MSG_DONTWAIT);
+        if (count < 0) {
+            return isTryAgain();
+        }
+        way.hasEnded = count == 0;
+        if (count > 0) {
+            way.pieces.push_back({due, std::string(buffer.data(), static_cast<std::size_t>(count))});
+        }
+    }
+    return true;
+}
+
+bool FaultProxy::deliver(Way &way, const Descriptor &to)
+{
+    while (!way.pieces.empty() && way.pieces.front().due <= Clock::now()) {
+        std::string &bytes = way.pieces.front().bytes;
+        const ssize_t count = ::send(to.get(), bytes.data(), bytes.size(), MSG_NOSIGNAL | MSG_DONTWAIT);
+        if (count < 0) {
+            return isTryAgain();
+        }
+        bytes.erase(0, static_cast<std::size_t>(count));
+        if (bytes.empty()) {
+            way.pieces.pop_front();
+        }
+    }
+    if (way.pieces.empty() && way.hasEnded && !way.isEndPassed) {
+        ::shutdown(to.get(), SHUT_WR);
+        way.isEndPassed = true;
+    }
+    return true;
+}
+
+bool FaultProxy::isOver(const Link &link)
+{
+    return !link.caller.isOpen() || (link.there.isEndPassed && link.back.isEndPassed);
+}
+
+} // namespace Cloverbarrow::Soak
--- /dev/null
+++ b/tests/soak/faultschedule.cpp
@@ -0,0 +1,202 @@
+/*
+    This file is part of cloverbarrow.
+
+    SPDX-FileCopyrightText: 2026 The cloverbarrow authors
+    SPDX-License-Identifier: Apache-2.0
+*/
+
+#include "faultschedule.h"
+
+#include <algorithm>
+#include <array>
+#include <csignal>
+
+namespace Cloverbarrow::Soak
+{
+
+namespace
+{
+
+using std::chrono::milliseconds;
+
+// Faults come this far apart at most and last between these, so that some overlap and some come in series.
+constexpr std::size_t MostGapMs = 250;
+constexpr std::size_t LeastLastMs = 100;
+constexpr std::size_t MostLastMs = 2500;
+
+using Standins::Conduct;
+
+struct NamedConduct {
+    Conduct conduct;
+    const char *name;
+};
+
+constexpr std::array Conducts = {NamedConduct{Conduct::Shed, "sheds"},
+                                 NamedConduct{Conduct::Hang, "hangs"},
+                                 NamedConduct{Conduct::Reset, "resets after running"},
+                                 NamedConduct{Conduct::Unsigned, "answers unsigned"},
+                                 NamedConduct{Conduct::Unframed, "answers without length"}};
+
+} // namespace
+
+FaultSchedule::FaultSchedule(SoakSite &site, std::uint64_t seed)
+    : site_(site)
+    , random_(seed)
+{
+}
+
+milliseconds FaultSchedule::step()
+{
+    while (!ends_.empty() && ends_.begin()->first <= Clock::now()) {
+        const auto node = ends_.extract(ends_.begin());
+        node.mapped()();
+    }
+    drawFault();
+    return milliseconds(random_.below(MostGapMs));
+}
+
+void FaultSchedule::endAll()
+{
+    for (const auto &[due, end] : ends_) {
+        end();
+    }
+    ends_.clear();
+    for (std::future<int> &stopped : stopping_) {
+        if (const int code = stopped.get(); code != 0) {
+            badExits_.push_back("a process that was asked to stop ended with " + std::to_string(code));
+        }
+    }
+    stopping_.clear();
+    note("all faults ended");
+}
+
+const std::vector<std::string> &FaultSchedule::journal() const
+{
+    return journal_;
+}
+
+const std::vector<std::string> &FaultSchedule::badExits() const
+{
+    return badExits_;
+}
+
+void FaultSchedule::drawFault()
+{
+    constexpr std::array Draws = {&FaultSchedule::drawSignal, &FaultSchedule::drawStoreFault, &FaultSchedule::drawServerFault, &FaultSchedule::drawChange};
+    (this->*Draws.at(random_.below(Draws.size())))();
+}
+
+void FaultSchedule::drawSignal()
+{
+    const std::size_t entryVm = anyEntryVm();
+    const std::string name = "entry-" + std::to_string(entryVm);
+    switch (random_.below(4)) {
+    case 0:
+        note(name + " pauses");
+        site_.signal(entryVm, SIGSTOP);
+        endLater([this, entryVm] { site_.signal(entryVm, SIGCONT); });
+        break;
+    case 1:
+        note(name + " is killed");
+        site_.killAndRestart(entryVm);
+        break;
+    case 2:
+        note(name + " is asked to stop");
+        stopping_.push_back(std::async(std::launch::async, [this, entryVm] { return site_.stopAndRestart(entryVm); }));
+        break;
+    default:
+        note(name + " reads its settings again");
+        site_.signal(entryVm, SIGHUP);
+        break;
+    }
+}
+
+void FaultSchedule::drawStoreFault()
+{
+    switch (random_.below(4)) {
+    case 0:
+        note("the store refuses all calls");
+        site_.store().setBusy(true);
+        endLater([this] { site_.store().setBusy(false); });
+        break;
+    case 1:
+        note("the store forgets its history");
+        site_.store().forgetHistory();
+        break;
+    default:
+        const std::size_t entryVm = anyEntryVm();
+        harmLink(site_.storeLink(entryVm), "link of entry-" + std::to_string(entryVm) + " to the store");
+        break;
+    }
+}
+
+void FaultSchedule::drawServerFault()
+{
+    const std::size_t backend = anyBackend();
+    const std::string name = "backend server " + std::to_string(backend);
+    if (random_.below(2) == 0) {
+        harmLink(site_.backendLink(backend), "link to " + name);
+        return;
+    }
+    const NamedConduct &drawn = Conducts.at(random_.below(Conducts.size()));
+    note(name + " " + drawn.name);
+    site_.conduct(backend, drawn.conduct);
+    endLater([this, backend] { site_.conduct(backend, Conduct::Serve); });
+}
+
+void FaultSchedule::drawChange()
+{
+    const std::size_t backend = anyBackend();
+    switch (random_.below(3)) {
+    case 0:
+        note("configuration " + std::to_string(site_.configure()));
+        break;
+    case 1:
+        note("backend server " + std::to_string(backend) + " is replaced");
+        site_.replaceBackend(backend);
+        break;
+    default:
+        note("backend server " + std::to_string(backend) + " drains");
+        site_.setDraining(backend, true);
+        endLater([this, backend] { site_.setDraining(backend, false); });
+        break;
+    }
+}
+
+void FaultSchedule::note(const std::string &what)
+{
+    const auto since = std::chrono::duration_cast<milliseconds>(Clock::now() - start_);
+    journal_.push_back(std::to_string(since.count()) + " ms: " + what);
+}
+
+void FaultSchedule::endLater(std::function<void()> end)
+{
+    const milliseconds lasts(LeastLastMs + random_.below(MostLastMs - LeastLastMs));
+    ends_.emplace(Clock::now() + lasts, std::move(end));
+}
+
+void FaultSchedule::harmLink(FaultProxy &link, const std::string &name)
+{
+    constexpr std::array Faults = {LinkFault::Slow, LinkFault::CutThere, LinkFault::CutBack, LinkFault::Cut, LinkFault::Reset};
+    const std::size_t drawn = random_.below(Faults.size() + 1);
+    if (drawn == Faults.size()) {
+        note(name + ": open connections fall silent");
+        link.silenceOpenConnections();
+        return;
+    }
+    note(name + ": " + nameOf(Faults.at(drawn)));
+    link.setFault(Faults.at(drawn));
+    endLater([&link] { link.setFault(LinkFault::None); });
+}
+
+std::size_t FaultSchedule::anyEntryVm()
+{
+    return random_.below(site_.entryVms());
+}
+
+std::size_t FaultSchedule::anyBackend()
+{
+    return random_.below(site_.backends());
+}
+
+} // namespace Cloverbarrow::Soak
--- /dev/null
+++ b/tests/soak/main.cpp
@@ -0,0 +1,215 @@
+/*
+    This file is part of cloverbarrow.
+
+    SPDX-FileCopyrightText: 2026 The cloverbarrow authors
+    SPDX-License-Identifier: Apache-2.0
+*/
+
+#include "faultschedule.h"
+#include "promises.h"
+#include "soakcallers.h"
+#include "soaksite.h"
+
+#include <absl/flags/flag.h>
+#include <absl/flags/parse.h>
+#include <absl/flags/usage.h>
+
+#include <algorithm>
+#include <atomic>
+#include <csignal>
+#include <filesystem>
+#include <fstream>
+#include <iostream>
+#include <sstream>
+#include <thread>
+
+ABSL_FLAG(std::vector<std::string>, seeds, {}, "seeds to play, one after the other");
+ABSL_FLAG(int, first_seed, 0, "first of --count seeds in a row");
+ABSL_FLAG(int, count, 0, "how many seeds from --first_seed on");
+ABSL_FLAG(std::string, regressions, "", "file with a seed and its cause a line; all are played");
+ABSL_FLAG(int, seconds, 8, "how long faults come, for each seed");
+ABSL_FLAG(int, entry_vms, 6, "entry VMs, each a process");
+ABSL_FLAG(int, backends, 6, "backend servers");
+ABSL_FLAG(int, callers, 12, "callers, each a thread");
+
+namespace
+{
+
+using namespace Cloverbarrow;
+using namespace Cloverbarrow::Soak;
+
+constexpr std::size_t StepsPerCheck = 20;
+constexpr auto LookPause = std::chrono::milliseconds(20);
+
+std::string makeFolder()
+{
+    std::string pattern = std::filesystem::temp_directory_path() / "cloverbarrow-soak-XXXXXX";
+    return ::mkdtemp(pattern.data());
+}
+
+/// What one seed has shown.
+struct Result {
+    std::vector<Breach> breaches;
+    std::size_t requests = 0;
+    std::size_t answered = 0;
+    std::size_t faults = 0;
+    std::chrono::milliseconds recovery{0}; ///< From the last fault until every entry VM serves again.
+    std::string folder;
+};
+
+void append(std::vector<Breach> &to, std::vector<Breach> more)
+{
+    to.insert(to.end(), more.begin(), more.end());
+}
+
+/// Looks at the versions of one entry VM after the other until it is stopped; a paused one must not hold the faults up.
+class VersionThread
+{
+public:
+    explicit VersionThread(const SoakSite &site)
+        : thread_([this, &site] { run(site); })
+    {
+    }
+
+    /// @return breaches that were seen.
+    std::vector<Breach> stop()
+    {
+        isStopping_ = true;
+        thread_.join();
+        return breaches_;
+    }
+
+private:
+    void run(const SoakSite &site)
+    {
+        VersionWatch versions(site);
+        for (std::size_t look = 0; !isStopping_; ++look) {
+            append(breaches_, versions.look(look % site.entryVms()));
+            std::this_thread::sleep_for(LookPause);
+        }
+    }
+
+    std::atomic<bool> isStopping_{false};
+    std::vector<Breach> breaches_;
+    std::thread thread_;
+};
+
+/// Brings about faults until the time is over or a promise is broken.
+void harm(SoakSite &site, FaultSchedule &schedule, const Observations &observations, std::vector<Breach> &breaches)
+{
+    VersionThread versions(site);
+    const auto end = std::chrono::steady_clock::now() + std::chrono::seconds(absl::GetFlag(FLAGS_seconds));
+    for (std::size_t step = 0; breaches.empty() && std::chrono::steady_clock::now() < end; ++step) {
+        std::this_thread::sleep_for(schedule.step());
+        if (step % StepsPerCheck == 0) {
+            append(breaches, breachesIn(site, observations.all()));
+        }
+    }
+    append(breaches, versions.stop());
+}
+
+void writeJournal(const Result &result, const FaultSchedule &schedule)
+{
+    std::ofstream journal(result.folder + "/journal.txt");
+    for (const std::string &line : schedule.journal()) {
+        journal << line << "\n";
+    }
+    for (const Breach &breach : result.breaches) {
+        journal << "BROKEN " << breach.promise << ": " << breach.detail << "\n";
+    }
+}
+
+Result play(std::uint64_t seed)
+{
+    Result result;
+    result.folder = makeFolder();
+    SoakSite site({absl::GetFlag(FLAGS_entry_vms), absl::GetFlag(FLAGS_backends)}, result.folder);
+    append(result.breaches, awaitRecovery(site));
+    Observations observations;
+    FaultSchedule schedule(site, seed);
+    {
+        SoakCallers callers(site, observations, absl::GetFlag(FLAGS_callers), seed);
+        harm(site, schedule, observations, result.breaches);
+        schedule.endAll();
+        site.configure();
+        const auto healed = std::chrono::steady_clock::now();
+        append(result.breaches, awaitRecovery(site));
+        result.recovery = std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::steady_clock::now() - healed);
+    }
+    for (const int code : site.stopAll()) {
+        if (code != 0) {
+            result.breaches.push_back({"a stop ends in order", "exit code " + std::to_string(code)});
+        }
+    }
+    for (const std::string &exit : schedule.badExits()) {
+        result.breaches.push_back({"a stop ends in order", exit});
+    }
+    const auto seen = observations.all();
+    append(result.breaches, breachesIn(site, seen));
+    result.requests = seen.size();
+    result.answered = static_cast<std::size_t>(std::count_if(seen.begin(), seen.end(), [](const Observation &item) {
+        const auto *answer = std::get_if<HttpAnswer>(&item.outcome);
+        return answer && answer->status == 200;
+    }));
+    result.faults = schedule.journal().size();
+    writeJournal(result, schedule);
+    return result;
+}
+
+std::vector<std::uint64_t> seedsToPlay()
+{
+    std::vector<std::uint64_t> seeds;
+    for (const std::string &seed : absl::GetFlag(FLAGS_seeds)) {
+        seeds.push_back(std::stoull(seed));
+    }
+    for (int number = 0; number < absl::GetFlag(FLAGS_count); ++number) {
+        seeds.push_back(static_cast<std::uint64_t>(absl::GetFlag(FLAGS_first_seed) + number));
+    }
+    std::ifstream regressions(absl::GetFlag(FLAGS_regressions));
+    for (std::string line; std::getline(regressions, line);) {
+        if (std::uint64_t seed = 0; std::istringstream(line) >> seed) {
+            seeds.push_back(seed);
+        }
+    }
+    return seeds;
+}
+
+/// @return whether all promises held.
+bool playAndReport(std::uint64_t seed)
+{
+    Result result;
+    try {
+        result = play(seed);
+    } catch (const std::exception &exception) {
+        result.breaches.push_back({"a seed can be played", exception.what()});
+    }
+    std::cout << "seed " << seed << ": " << result.faults << " faults and changes, " << result.requests << " requests, " << result.answered << " served, "
+              << "recovered after " << result.recovery.count() << " ms, " << result.breaches.size() << " breaches" << std::endl;
+    for (const Breach &breach : result.breaches) {
+        std::cout << "  BROKEN " << breach.promise << ": " << breach.detail << "\n";
+    }
+    if (result.breaches.empty()) {
+        std::filesystem::remove_all(result.folder);
+        return true;
+    }
+    std::cout << "  logs and journal: " << result.folder << std::endl;
+    return false;
+}
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    absl::SetProgramUsageMessage("fault-soak [--seeds=1,2] [--first_seed=1 --count=50] [--regressions=FILE]\nPlays random faults against real processes of "
+                                 "cloverbarrowd on loopback addresses and checks what callers and backend servers see.\nExit codes: 0 all promises held, 1 "
+                                 "one was broken.");
+    absl::ParseCommandLine(argc, argv);
+    std::signal(SIGPIPE, SIG_IGN);
+    int broken = 0;
+    for (const std::uint64_t seed : seedsToPlay()) {
+        if (!playAndReport(seed)) {
+            ++broken;
+        }
+    }
+    return broken == 0 ? 0 : 1;
+}
--- /dev/null
+++ b/tests/soak/promises.h
@@ -0,0 +1,52 @@
+/*
+    This file is part of cloverbarrow.
+
+    SPDX-FileCopyrightText: 2026 The cloverbarrow authors
+    SPDX-License-Identifier: Apache-2.0
+*/
+
+#pragma once
+
+#include "soakcallers.h"
+
+#include <map>
+#include <string>
+#include <vector>
+
+namespace Cloverbarrow::Soak
+{
+
+/// A promise that was broken, with what shows it.
+struct Breach {
+    std::string promise;
+    std::string detail;
+};
+
+/// Compares what callers were told with what backend servers have run.
+/// @return each breach; the same one again each time it is asked.
+std::vector<Breach> breachesIn(const SoakSite &site, const std::vector<Observation> &observations);
+
+/// Asks each entry VM for hosts that only one version of the configuration has: in one process, versions never fall.
+class VersionWatch
+{
+public:
+    explicit VersionWatch(const SoakSite &site);
+
+    /// Asks one entry VM. @return a breach, if there is one.
+    std::vector<Breach> look(std::size_t entryVm);
+
+private:
+    /// @return status of the answer; 0 when there is none.
+    int ask(const EntryAddress &entry, int version);
+
+    const SoakSite &site_;
+    BlockingClient client_;
+    std::map<ProcessStart, int> known_;
+    int asked_ = 0;
+};
+
+/// @return a line for each entry VM that does not serve the newest configuration, and no other, with all servers well; waits
+/// for that, since it takes some seconds after the last fault.
+std::vector<Breach> awaitRecovery(SoakSite &site);
+
+} // namespace Cloverbarrow::Soak
--- /dev/null
+++ b/tests/soak/soakcallers.cpp
@@ -0,0 +1,108 @@
+/*
+    This file is part of cloverbarrow.
+
+    SPDX-FileCopyrightText: 2026 The cloverbarrow authors
+    SPDX-License-Identifier: Apache-2.0
+*/
+
+#include "soakcallers.h"
+
+#include "core/random.h"
+#include "names.h"
+
+#include <future>
+#include <utility>
+
+namespace Cloverbarrow::Soak
+{
+
+namespace
+{
+
+// One request in so many is a write, is left early, or goes to another entry VM than the last.
+constexpr std::size_t WriteEach = 3;
+constexpr std::size_t LeaveEach = 12;
+constexpr std::size_t MoveEach = 20;
+constexpr std::size_t MostPauseMs = 25;
+constexpr Duration ShortPatience = milliseconds(20);
+// Far longer than the route's time limit and any pause of a process together: an answer that is not there by then never comes.
+constexpr Duration LongPatience = seconds(25);
+
+} // namespace
+
+void Observations::add(Observation observation)
+{
+    const std::lock_guard lock(mutex_);
+    all_.push_back(std::move(observation));
+}
+
+std::vector<Observation> Observations::all() const
+{
+    const std::lock_guard lock(mutex_);
+    return all_;
+}
+
+HttpOutcome BlockingClient::send(const std::string &address, HttpRequest request, Duration timeout)
+{
+    HttpCall call;
+    call.address = address;
+    call.request = std::move(request);
+    call.timeout = timeout;
+    call.mayReuseConnection = true;
+    std::promise<HttpOutcome> done;
+    client_.start(++calls_, std::move(call), [&done](HttpOutcome outcome) { done.set_value(std::move(outcome)); });
+    return done.get_future().get();
+}
+
+HttpRequest callerRequest(const std::string &method, const std::string &host, const std::string &target, const std::string &id)
+{
+    return {method, target, {{"Host", host}, {Platform::RequestIdHeader, id}, {Platform::DeadlineMsHeader, "4000"}}, method == "POST" ? "monto=1" : "", true};
+}
+
+SoakCallers::SoakCallers(const SoakSite &site, Observations &observations, int count, std::uint64_t seed)
+    : site_(site)
+    , observations_(observations)
+{
+    for (int number = 0; number < count; ++number) {
+        threads_.emplace_back([this, number, seed] { run(number, seed); });
+    }
+}
+
+SoakCallers::~SoakCallers()
+{
+    stop();
+}
+
+void SoakCallers::stop()
+{
+    isStopping_ = true;
+    for (std::thread &thread : threads_) {
+        thread.join();
+    }
+    threads_.clear();
+}
+
+void SoakCallers::run(int number, std::uint64_t seed)
+{
+    Random random(seed + static_cast<std::uint64_t>(number));
+    BlockingClient client;
+    EntryAddress entry = site_.entryAddress(random.below(site_.entryVms()));
+    for (int sent = 0; !isStopping_; ++sent) {
+        Observation seen;
+        seen.id = "c" + std::to_string(number) + "-" + std::to_string(sent);
+        seen.isWrite = random.below(WriteEach) == 0;
+        seen.leftEarly = random.below(LeaveEach) == 0;
+        seen.process = entry.start;
+        const std::string target = (seen.isWrite ? "/pay/" : "/read/") + seen.id;
+        HttpRequest request = callerRequest(seen.isWrite ? "POST" : "GET", "a.example", target, seen.id);
+        seen.outcome = client.send(entry.callers, std::move(request), seen.leftEarly ? ShortPatience : LongPatience);
+        const bool hasFailed = std::holds_alternative<HttpFailure>(seen.outcome);
+        observations_.add(std::move(seen));
+        if (hasFailed || random.below(MoveEach) == 0) {
+            entry = site_.entryAddress(random.below(site_.entryVms()));
+        }
+        std::this_thread::sleep_for(milliseconds(random.below(MostPauseMs)));
+    }
+}
+
+} // namespace Cloverbarrow::Soak
--- /dev/null
+++ b/tests/soak/soaksite.cpp
@@ -0,0 +1,217 @@
+/*
+    This file is part of cloverbarrow.
+
+    SPDX-FileCopyrightText: 2026 The cloverbarrow authors
+    SPDX-License-Identifier: Apache-2.0
+*/
+
+#include "soaksite.h"
+
+#include "sampleplan.h"
+
+#include <csignal>
+#include <filesystem>
+#include <fstream>
+
+namespace Cloverbarrow::Soak
+{
+
+namespace
+{
+
+using Standins::routeSpecification;
+
+// Longer than any request may take, so that a pause of a process does not cut a graceful stop short.
+constexpr int StopLimitMs = 20'000;
+constexpr int StopNoticeMs = 300;
+constexpr double RouteTimeoutSeconds = 2;
+constexpr std::size_t Zones = 2;
+
+std::string zoneOf(std::size_t number)
+{
+    return number % Zones == 0 ? "bog-a" : "bog-b";
+}
+
+} // namespace
+
+std::string hostOfVersion(int version)
+{
+    return "v" + std::to_string(version) + ".example";
+}
+
+SoakSite::SoakSite(const SiteSize &size, std::string folder)
+    : folder_(std::move(folder))
+    , entryVms_(static_cast<std::size_t>(size.entryVms))
+    , backends_(static_cast<std::size_t>(size.backends))
+{
+    for (std::size_t number = 0; number < backends_.size(); ++number) {
+        BackendServer &backend = backends_[number];
+        backend.id = "i-" + std::to_string(number) + "-1";
+        backend.server = std::make_unique<Standins::RegisteredBackend>(backend.id);
+        backend.link = std::make_unique<FaultProxy>(backend.server->address());
+        registerBackend(backend, "ready");
+    }
+    // A build that goes on beside the soak must not change the program between two starts.
+    std::filesystem::copy_file(std::string(BINARY_FOLDER) + "/cloverbarrowd", folder_ + "/cloverbarrowd");
+    configure();
+    for (std::size_t number = 0; number < entryVms_.size(); ++number) {
+        entryVms_[number].start.entryVm = number;
+        entryVms_[number].storeLink = std::make_unique<FaultProxy>(store_.address());
+        startLocked(entryVms_[number]);
+    }
+}
+
+std::size_t SoakSite::entryVms() const
+{
+    return entryVms_.size();
+}
+
+std::size_t SoakSite::backends() const
+{
+    return backends_.size();
+}
+
+EntryAddress SoakSite::entryAddress(std::size_t entryVm) const
+{
+    const std::lock_guard lock(mutex_);
+    const EntryVm &entry = entryVms_[entryVm];
+    const auto addresses = nlohmann::json::parse(entry.listening);
+    return {entry.start, addresses.at("callers").get<std::string>(), addresses.at("operations").get<std::string>()};
+}
+
+bool SoakSite::wasKilled(const ProcessStart &start) const
+{
+    const std::lock_guard lock(mutex_);
+    return killed_.contains(start);
+}
+
+void SoakSite::signal(std::size_t entryVm, int number)
+{
+    const std::lock_guard lock(mutex_);
+    entryVms_[entryVm].process->signal(number);
+}
+
+void SoakSite::killAndRestart(std::size_t entryVm)
+{
+    const std::lock_guard lock(mutex_);
+    EntryVm &entry = entryVms_[entryVm];
+    killed_.insert(entry.start);
+    entry.process.reset();
+    startLocked(entry);
+}
+
+int SoakSite::stopAndRestart(std::size_t entryVm)
+{
+    std::unique_ptr<Tests::Process> stopping;
+    {
+        // Meanwhile callers go on with the former address, as they do with a process that is not yet known to leave.
+        const std::lock_guard lock(mutex_);
+        stopping = std::move(entryVms_[entryVm].process);
+        startLocked(entryVms_[entryVm]);
+    }
+    stopping->signal(SIGCONT);
+    stopping->signal(SIGTERM);
+    return stopping->wait();
+}
+
+std::vector<int> SoakSite::stopAll()
+{
+    const std::lock_guard lock(mutex_);
+    std::vector<int> codes;
+    for (const EntryVm &entry : entryVms_) {
+        entry.process->signal(SIGTERM);
+    }
+    for (const EntryVm &entry : entryVms_) {
+        codes.push_back(entry.process->wait());
+    }
+    return codes;
+}
+
+FaultProxy &SoakSite::storeLink(std::size_t entryVm)
+{
+    return *entryVms_[entryVm].storeLink;
+}
+
+FaultProxy &SoakSite::backendLink(std::size_t backend)
+{
+    return *backends_[backend].link;
+}
+
+Standins::DirectoryStore &SoakSite::store()
+{
+    return store_;
+}
+
+void SoakSite::conduct(std::size_t backend, Standins::Conduct conduct)
+{
+    backends_[backend].server->conduct(conduct);
+}
+
+void SoakSite::replaceBackend(std::size_t backend)
+{
+    const std::lock_guard lock(mutex_);
+    BackendServer &server = backends_[backend];
+    store_.remove("servers", server.id);
+    ++server.incarnation;
+    server.id = "i-" + std::to_string(backend) + "-" + std::to_string(server.incarnation);
+    server.server->becomeInstance(server.id);
+    registerBackend(server, "ready");
+}
+
+void SoakSite::setDraining(std::size_t backend, bool isDraining)
+{
+    const std::lock_guard lock(mutex_);
+    registerBackend(backends_[backend], isDraining ? "draining" : "ready");
+}
+
+int SoakSite::configure()
+{
+    const std::lock_guard lock(mutex_);
+    ++version_;
+    const auto routes = {routeSpecification("a.example", "safe", "/read/", RouteTimeoutSeconds),
+                         routeSpecification("a.example", "unsafe", "/pay/", RouteTimeoutSeconds),
+                         routeSpecification(hostOfVersion(version_), "safe", "/", RouteTimeoutSeconds)};
+    store_.put("config", "main", Standins::planSpecification(version_, routes));
+    return version_;
+}
+
+int SoakSite::newestVersion() const
+{
+    const std::lock_guard lock(mutex_);
+    return version_;
+}
+
+std::vector<std::string> SoakSite::runs() const
+{
+    std::vector<std::string> all;
+    for (const BackendServer &backend : backends_) {
+        const auto own = backend.server->runs();
+        all.insert(all.end(), own.begin(), own.end());
+    }
+    return all;
+}
+
+void SoakSite::startLocked(EntryVm &entry)
+{
+    ++entry.start.number;
+    const std::string name = "entry-" + std::to_string(entry.start.entryVm);
+    const std::string path = folder_ + "/" + name + ".yaml";
+    std::ofstream(path) << "name: " << name << "\nzone: " << zoneOf(entry.start.entryVm)
+                        << "\nregion: bogota\nlisten: {callers: 127.0.0.1:0, operations: 127.0.0.1:0}\n"
+                        << "directory: {address: " << entry.storeLink->address()
+                        << ", relay: 127.0.0.1:0, repeat_ratio: 0.2, repeat_slack: 64, probes_per_server: 60}\n"
+                        << "shutdown: {notice_ms: " << StopNoticeMs << ", limit_ms: " << StopLimitMs << "}\n";
+    const std::string log = folder_ + "/" + name + "." + std::to_string(entry.start.number) + ".log";
+    const std::vector<std::string> command = {folder_ + "/cloverbarrowd", "--settings=" + path};
+    entry.process = std::make_unique<Tests::Process>(command, log);
+    entry.listening = entry.process->firstLine();
+}
+
+void SoakSite::registerBackend(BackendServer &backend, const std::string &state)
+{
+    auto registration = backend.server->registration("reclamos", state);
+    registration["address"] = backend.link->address();
+    store_.put("servers", backend.id, registration);
+}
+
+} // namespace Cloverbarrow::Soak
