Common budgets are cut by the number of entry VMs, and repeats are bounded in every window

Ruled out: smaller bursts alone (hedges need two repeats saved up and would end); asking the store (priced calls). Change: a relay counts the followers that ask it and tells them; the estimate rises at once and falls late. Repeats of one entry VM are also bounded over the sliding window by its part of the slack and of the ratio.

--- a/src/core/configuration.h
+++ b/src/core/configuration.h
@@ -7,6 +7,7 @@
 
 #pragma once
 
+#include "core/repeatfence.h"
 #include "core/time.h"
 
 #include <cstddef>
@@ -57,6 +58,7 @@
     int budgetBurst = 10; ///< Most retries that quiet times may save up.
     int budgetAtStart = 3; ///< Retries that a new process may make at once.
     bool hedgesFromBudget = false; ///< Hedges draw on the retries' budget instead of `hedgePercent`.
+    std::optional<RepeatWindow> window; ///< Bounds all of these over a sliding window.
 
     bool operator==(const RetryRules &) const = default;
 };
@@ -81,7 +83,7 @@
 
 /// Probes of a few backend servers right before a request is sent to one of them.
 struct ChoiceProbes {
-    int probesPerSecond = 0; ///< Most probes a second of this entry VM for each backend server, in the mean; 0: no probes.
+    double probesPerSecond = 0; ///< Most probes a second of this entry VM for each backend server, in the mean; 0: no probes.
     std::string path;
 
     bool operator==(const ChoiceProbes &) const = default;
--- a/src/core/directory/directoryevents.h
+++ b/src/core/directory/directoryevents.h
@@ -94,11 +94,16 @@
     bool hasAnswered = false;
 };
 
+/// What a relay shows of itself.
+struct RelayProof {
+    Duration age{0}; ///< Since the store last answered the relay.
+    int entryVms = 1; ///< Of the availability zone, as the relay counts them.
+};
+
 /// The check whether a relay answers has ended.
 struct RelayChecked {
     std::string relay;
-    bool hasAnswered = false;
-    Duration proofAge{0}; ///< Since the store last answered the relay.
+    std::optional<RelayProof> proof; ///< Nothing without an answer.
 };
 
 /// A read or write of the seat has ended.
@@ -139,6 +144,7 @@
 /// Ask a relay when the store last answered it.
 struct CheckRelay {
     std::string relay;
+    std::string follower; ///< Address under which this entry VM relays.
 
     bool operator==(const CheckRelay &) const = default;
 };
--- a/src/core/directory/directorykeeper.cpp
+++ b/src/core/directory/directorykeeper.cpp
@@ -44,6 +44,7 @@
 
 DirectoryKeeper::DirectoryKeeper(const FleetBudgets &budgets, RelaySeat seat, std::uint64_t seed)
     : budgets_(budgets)
+    , fleet_(budgets.zones)
     , random_(seed)
     , seat_(std::move(seat))
     , routing_(Collection::Routing)
@@ -64,6 +65,9 @@
     if (registry_.tick(now)) {
         publish(actions);
     }
+    if (seat_.state() == RelaySeat::State::Holding) {
+        countedInZone(now, fleet_.countedInZone(now), actions);
+    }
     if (isAtStore() && provenAt_ && !isChecking_ && now >= nextCheck_) {
         isChecking_ = true;
         actions.emplace_back(CheckDirectory{});
@@ -143,9 +147,12 @@
 
 void DirectoryKeeper::on(TimePoint now, const RelayChecked &event, DirectoryActions &actions)
 {
-    if (event.hasAnswered && event.proofAge < RelayCheckInterval) {
+    if (event.proof && event.proof->age < RelayCheckInterval) {
         sourceAnswered(now, actions);
     }
+    if (event.proof) {
+        countedInZone(now, event.proof->entryVms, actions);
+    }
     seat_.relayChecked(now, event, actions);
 }
 
@@ -176,10 +183,13 @@
     return news;
 }
 
-std::optional<Duration> DirectoryKeeper::proofAge(TimePoint now) const
+std::optional<RelayProof> DirectoryKeeper::proofFor(TimePoint now, const std::string &follower)
 {
-    const bool isRelay = seat_.state() == RelaySeat::State::Holding && provenAt_;
-    return isRelay ? std::optional(now - *provenAt_) : std::nullopt;
+    if (seat_.state() != RelaySeat::State::Holding || !provenAt_) {
+        return std::nullopt;
+    }
+    fleet_.followerAsked(now, follower);
+    return RelayProof{now - *provenAt_, fleet_.countedInZone(now)};
 }
 
 CollectionWatch &DirectoryKeeper::watchOf(Collection collection)
@@ -283,6 +293,14 @@
     }
 }
 
+void DirectoryKeeper::countedInZone(TimePoint now, int entryVms, DirectoryActions &actions)
+{
+    if (fleet_.told(now, entryVms)) {
+        actions.emplace_back(ReportDirectory{"budgets cut for entry VMs", std::to_string(fleet_.entryVms())});
+        publish(actions);
+    }
+}
+
 void DirectoryKeeper::publish(DirectoryActions &actions)
 {
     if (!plan_ || !servers_.isComplete()) {
@@ -294,8 +312,8 @@
     intent->configuration.routes = plan_->routes;
     intent->configuration.callerLimits = plan_->limits;
     for (Service service : plan_->services) {
-        service.retry = repeatRulesFor(budgets_);
-        service.choiceProbes.probesPerSecond = probesPerSecondFor(budgets_);
+        service.retry = repeatRulesFor(budgets_, fleet_.entryVms());
+        service.choiceProbes.probesPerSecond = probesPerSecondFor(budgets_, fleet_.entryVms());
         for (Registration &registration : registry_.of(service.name)) {
             if (registration.isDraining) {
                 intent->intent.drains.push_back(service.name + "/" + registration.server.name);
--- a/src/core/directory/directorykeeper.h
+++ b/src/core/directory/directorykeeper.h
@@ -9,6 +9,7 @@
 
 #include "core/directory/collectionwatch.h"
 #include "core/directory/directoryevents.h"
+#include "core/directory/fleetestimate.h"
 #include "core/directory/relayseat.h"
 #include "core/directory/serverregistry.h"
 #include "core/fleetbudgets.h"
@@ -35,8 +36,9 @@
     /// @param since number of the latest change here that the peer knows; 0 for a list.
     /// @return what a peer has missed; nothing when it must begin with a list.
     std::optional<DirectoryNews> newsSince(Collection collection, std::int64_t since) const;
-    /// @return how long ago the store last answered; nothing when it never has, or this is no relay.
-    std::optional<Duration> proofAge(TimePoint now) const;
+    /// @param follower that asks. @return what shows that this relay hears from the store; nothing when it never has,
+    /// or this is no relay.
+    std::optional<RelayProof> proofFor(TimePoint now, const std::string &follower);
 
 private:
     void on(TimePoint now, const DirectoryListed &event, DirectoryActions &actions);
@@ -59,8 +61,11 @@
     void storeFailed(TimePoint now, const std::string &reason, DirectoryActions &actions);
     void planCheck(TimePoint now);
     void publish(DirectoryActions &actions);
+    /// Cuts the common budgets anew when the fleet has another size.
+    void countedInZone(TimePoint now, int entryVms, DirectoryActions &actions);
 
     FleetBudgets budgets_;
+    FleetEstimate fleet_;
     Random random_;
     RelaySeat seat_;
     std::string source_; ///< Relay that calls go to; empty for the store.
--- /dev/null
+++ b/src/core/directory/fleetestimate.h
@@ -0,0 +1,43 @@
+/*
+    This file is part of cloverbarrow.
+
+    SPDX-FileCopyrightText: 2026 The cloverbarrow authors
+    SPDX-License-Identifier: Apache-2.0
+*/
+
+#pragma once
+
+#include "core/time.h"
+
+#include <map>
+#include <string>
+
+namespace Cloverbarrow
+{
+
+/// How many entry VMs there are, as far as this one can know, for cutting budgets that all of them share. A relay
+/// counts those that ask it; they take its availability zone for an average one. Errs towards many: it rises at once,
+/// falls late, and is never below what the smallest deployments have.
+class FleetEstimate
+{
+public:
+    /// @param zones availability zones with entry VMs.
+    explicit FleetEstimate(int zones);
+
+    /// Another entry VM of the zone asked this one, which relays.
+    void followerAsked(TimePoint now, const std::string &follower);
+    /// @return entry VMs of the zone, with this one, as its relay counts them.
+    int countedInZone(TimePoint now) const;
+
+    /// @param inZone entry VMs of the zone. @return whether entryVms() has changed.
+    bool told(TimePoint now, int inZone);
+    int entryVms() const;
+
+private:
+    int zones_;
+    std::map<std::string, TimePoint> followers_; ///< When each last asked.
+    int entryVms_;
+    TimePoint heldUntil_; ///< Before then the estimate does not fall.
+};
+
+} // namespace Cloverbarrow
--- a/src/core/directory/relayseat.cpp
+++ b/src/core/directory/relayseat.cpp
@@ -71,7 +71,7 @@
     if (!isChecking_ && now >= checkAt_) {
         isChecking_ = true;
         checkAt_ = now + RelayCheckInterval;
-        actions.emplace_back(CheckRelay{holder_});
+        actions.emplace_back(CheckRelay{holder_, own_});
     }
     if (now - provenAt_ > ProofLimit) {
         // Either the relay is cut off from the store, or the store is down for all: an own call shows which.
@@ -125,12 +125,12 @@
     if (check.relay != holder_) {
         return;
     }
-    const bool isProven = check.hasAnswered && check.proofAge < ProofLimit;
+    const bool isProven = check.proof && check.proof->age < ProofLimit;
     if (std::exchange(isTrying_, false)) {
         if (isProven) {
-            follow(now - check.proofAge, actions);
+            follow(now - check.proof->age, actions);
         } else {
-            holderFailed(now, check.hasAnswered ? "no news of the store" : "no answer", actions);
+            holderFailed(now, check.proof ? "no news of the store" : "no answer", actions);
         }
         return;
     }
@@ -138,10 +138,10 @@
     if (state_ != State::Following) {
         return;
     }
-    if (!check.hasAnswered) {
+    if (!check.proof) {
         holderFailed(now, "no answer", actions);
     } else if (isProven) {
-        provenAt_ = std::max(provenAt_, now - check.proofAge);
+        provenAt_ = std::max(provenAt_, now - check.proof->age);
         isProving_ = false;
     }
 }
@@ -182,7 +182,7 @@
 void RelaySeat::tryHolder(DirectoryActions &actions)
 {
     isTrying_ = true;
-    actions.emplace_back(CheckRelay{holder_});
+    actions.emplace_back(CheckRelay{holder_, own_});
 }
 
 void RelaySeat::follow(TimePoint provenAt, DirectoryActions &actions)
--- a/src/core/fleetbudgets.cpp
+++ b/src/core/fleetbudgets.cpp
@@ -7,16 +7,12 @@
 
 #include "core/fleetbudgets.h"
 
-#include <algorithm>
-
 namespace Cloverbarrow
 {
 
 namespace
 {
 
-// Entry VMs that the fixed parts are cut for (the users' plan: 13 to 18). More of them do not all use theirs at once.
-constexpr double EntryVmsToCutFor = 20;
 // The rest covers requests whose first arrival came to nothing, and clocks that count windows differently.
 constexpr double RatioPart = 0.9;
 constexpr double HundredPercent = 100;
@@ -25,11 +21,12 @@
 
 } // namespace
 
-RetryRules repeatRulesFor(const FleetBudgets &budgets)
+RetryRules repeatRulesFor(const FleetBudgets &budgets, int entryVms)
 {
     RetryRules rules;
     rules.budgetPercent = static_cast<int>(budgets.repeatRatio * RatioPart * HundredPercent);
-    rules.budgetBurst = std::clamp(static_cast<int>(budgets.repeatSlack / EntryVmsToCutFor), 1, MaxBurst);
+    rules.budgetBurst = MaxBurst;
+    rules.window = RepeatWindow{budgets.repeatRatio * RatioPart, budgets.repeatSlack / entryVms};
     // Entry VMs that restart together must not each bring a whole burst.
     rules.budgetAtStart = 1;
     rules.hedgesFromBudget = true;
@@ -37,9 +34,9 @@
     return rules;
 }
 
-int probesPerSecondFor(const FleetBudgets &budgets)
+double probesPerSecondFor(const FleetBudgets &budgets, int entryVms)
 {
-    return std::max(1, static_cast<int>(budgets.probesPerServer / EntryVmsToCutFor));
+    return budgets.probesPerServer / entryVms;
 }
 
 } // namespace Cloverbarrow
--- a/src/core/fleetbudgets.h
+++ b/src/core/fleetbudgets.h
@@ -12,18 +12,19 @@
 namespace Cloverbarrow
 {
 
-/// Budgets that all entry VMs share. They are kept without asking each other: each entry VM takes a fixed part.
+/// Budgets that all entry VMs share. They are kept without asking each other: each entry VM takes an equal part.
 struct FleetBudgets {
     double repeatRatio = 0.2; ///< Arrivals at backend servers beyond the first of each request, over the requests.
     double repeatSlack = 50; ///< Such arrivals that all entry VMs together may make on top of that in a window.
     double probesPerServer = 60; ///< Probes a second of each backend server by all entry VMs together.
+    int zones = 1; ///< Availability zones with entry VMs.
 
     bool operator==(const FleetBudgets &) const = default;
 };
 
-/// @return the part of one entry VM in the budget of repeated arrivals.
-RetryRules repeatRulesFor(const FleetBudgets &budgets);
-/// @return probes a second of one entry VM for each backend server.
-int probesPerSecondFor(const FleetBudgets &budgets);
+/// @param entryVms that share the budgets. @return the part of one of them in the budget of repeated arrivals.
+RetryRules repeatRulesFor(const FleetBudgets &budgets, int entryVms);
+/// @param entryVms as above. @return probes a second of one entry VM for each backend server.
+double probesPerSecondFor(const FleetBudgets &budgets, int entryVms);
 
 } // namespace Cloverbarrow
--- a/src/core/retrybudget.cpp
+++ b/src/core/retrybudget.cpp
@@ -28,23 +28,31 @@
     tokens_ = isUsed_ ? std::min(tokens_, burst_) : atStart;
 }
 
-void RetryBudget::addFirstAttempt()
+void RetryBudget::setWindow(const std::optional<RepeatWindow> &window)
 {
+    isFenced_ = window.has_value();
+    fence_.setWindow(window.value_or(RepeatWindow{}));
+}
+
+void RetryBudget::addFirstAttempt(TimePoint now)
+{
+    fence_.addRequest(now);
     isUsed_ = true;
     tokens_ = std::min(burst_, tokens_ + perAttempt_);
 }
 
-bool RetryBudget::has(int reserve) const
+bool RetryBudget::has(TimePoint now, int reserve) const
 {
-    return tokens_ >= 1 + reserve;
+    return tokens_ >= 1 + reserve && (!isFenced_ || fence_.allows(now, reserve));
 }
 
-bool RetryBudget::take(int reserve)
+bool RetryBudget::take(TimePoint now, int reserve)
 {
-    if (!has(reserve)) {
+    if (!has(now, reserve)) {
         return false;
     }
     tokens_ -= 1;
+    fence_.addRepeat(now);
     return true;
 }
 
--- a/src/core/serverchooser.cpp
+++ b/src/core/serverchooser.cpp
@@ -99,7 +99,7 @@
 void ServerChooser::configure(const Service &service, const BackendPool &pool, const std::string &self)
 {
     usual_ = usualServers(pool, self);
-    allowance_.setRate(static_cast<double>(service.choiceProbes.probesPerSecond) * static_cast<double>(service.backendServers.size()));
+    allowance_.setRate(service.choiceProbes.probesPerSecond * static_cast<double>(service.backendServers.size()));
 }
 
 std::vector<std::size_t> ServerChooser::nextRound(TimePoint now, const BackendPool &pool, std::span<const std::string> tried, Choice &choice, Random &random)
--- a/src/core/serviceshard.cpp
+++ b/src/core/serviceshard.cpp
@@ -100,8 +100,8 @@
     request.arrival = event;
     request.arrival.arrivedAt = now;
     lowestPriority_ = std::max(lowestPriority_, event.priority);
-    retryBudget_.addFirstAttempt();
-    hedgeBudget_.addFirstAttempt();
+    retryBudget_.addFirstAttempt(now);
+    hedgeBudget_.addFirstAttempt(now);
     if (isPayout(request)) {
         ledger_.open(event, actions);
     } else {
@@ -273,7 +273,7 @@
     const bool isWanted = !request.isCallerGone || isPayout(request);
     const bool isPossible = hasAttempts && isWanted && now < request.arrival.deadline && pool_.hasCandidate();
     const bool isFree = isUnsent && probesFirst();
-    return isPossible && (isFree || retryBudget_.take());
+    return isPossible && (isFree || retryBudget_.take(now));
 }
 
 void ServiceShard::conclude(TimePoint now, Request &request, const Attempt &attempt, const AttemptEnded &event, Verdict verdict, ServiceActions &actions)
@@ -375,6 +375,7 @@
     chooser_.configure(service_, pool_, self_.name);
     retryBudget_.setPercent(service_.retry.budgetPercent);
     retryBudget_.setBurst(service_.retry.budgetBurst, service_.retry.budgetAtStart);
+    retryBudget_.setWindow(service_.retry.window);
     hedgeBudget_.setPercent(service_.retry.hedgePercent);
     applyCap();
     startWaiting(now, actions);
--- a/src/core/serviceshard.h
+++ b/src/core/serviceshard.h
@@ -111,7 +111,7 @@
     void tickChoices(TimePoint now, ServiceActions &actions);
     int maxAttempts(const Request &request) const;
     /// @param reserve retries that must be left in a shared budget.
-    bool takeHedge(int reserve);
+    bool takeHedge(TimePoint now, int reserve);
     /// Probes the server of an attempt that takes long, once.
     void checkServer(TimePoint now, Request &request, ServiceActions &actions);
     /// @return whether the server of the only attempt has not answered a probe that was sent while it works.
--- a/src/core/serviceshardchoice.cpp
+++ b/src/core/serviceshardchoice.cpp
@@ -102,7 +102,7 @@
     if (!index) {
         return;
     }
-    if (request.choice->isHedge && !takeHedge(request.choice->isRescue ? 0 : HedgeReserve)) {
+    if (request.choice->isHedge && !takeHedge(now, request.choice->isRescue ? 0 : HedgeReserve)) {
         pool_.release(pool_.backends()[*index].server.name, AttemptQuality::Neutral, Duration(0), now);
         request.choice.reset();
         return;
@@ -152,9 +152,9 @@
     }
 }
 
-bool ServiceShard::takeHedge(int reserve)
+bool ServiceShard::takeHedge(TimePoint now, int reserve)
 {
-    return service_.retry.hedgesFromBudget ? retryBudget_.take(reserve) : hedgeBudget_.take();
+    return service_.retry.hedgesFromBudget ? retryBudget_.take(now, reserve) : hedgeBudget_.take(now);
 }
 
 void ServiceShard::hedge(TimePoint now, ServiceActions &actions)
@@ -176,13 +176,13 @@
         }
         const int reserve = isRescue ? 0 : HedgeReserve;
         if (probesFirst()) {
-            if (!service_.retry.hedgesFromBudget || retryBudget_.has(reserve)) {
+            if (!service_.retry.hedgesFromBudget || retryBudget_.has(now, reserve)) {
                 beginChoice(now, request, true, actions);
                 if (request.choice) {
                     request.choice->isRescue = isRescue;
                 }
             }
-        } else if (takeHedge(reserve)) {
+        } else if (takeHedge(now, reserve)) {
             if (const auto index = pool_.takeFresh(now, random_, request.tried)) {
                 startAt(now, pool_.backends()[*index], request, actions);
             }
--- a/src/daemon/directoryrunner.cpp
+++ b/src/daemon/directoryrunner.cpp
@@ -62,9 +62,9 @@
         const std::lock_guard lock(mutex_);
         return keeper_ ? keeper_->newsSince(collection, since) : std::nullopt;
     };
-    const auto proof = [this] {
+    const auto proof = [this](const std::string &follower) {
         const std::lock_guard lock(mutex_);
-        return keeper_ ? keeper_->proofAge(bootNow()) : std::nullopt;
+        return keeper_ ? keeper_->proofFor(bootNow(), follower) : std::nullopt;
     };
     server_ = std::make_unique<RelayServer>(address, RelaySource{look, proof});
 }
--- a/src/daemon/settings.cpp
+++ b/src/daemon/settings.cpp
@@ -71,6 +71,9 @@
         readAddress(item, "relay", settings.directory->relayAddress, false);
         item.flag("first_start", settings.directory->isFirstStart);
         FleetBudgets &budgets = settings.directory->budgets;
+        std::vector<std::string> zones;
+        item.texts("zones", zones, false);
+        budgets.zones = std::max(1, static_cast<int>(zones.size()));
         item.real("repeat_ratio", budgets.repeatRatio, 0, 1);
         item.real("repeat_slack", budgets.repeatSlack, 0, MaxBudget);
         item.real("probes_per_server", budgets.probesPerServer, 0, MaxBudget);
--- a/src/net/relayclient.cpp
+++ b/src/net/relayclient.cpp
@@ -73,12 +73,11 @@
 
 void RelayClient::check(const CheckRelay &action, DirectoryDone done)
 {
-    get(action.relay, RelayProofPath, CheckTimeout, [relay = action.relay, done = std::move(done)](const HttpOutcome &outcome) {
-        RelayChecked checked{relay, false, Duration(0)};
+    get(action.relay, proofTarget(action.follower), CheckTimeout, [relay = action.relay, done = std::move(done)](const HttpOutcome &outcome) {
+        RelayChecked checked{relay, std::nullopt};
         try {
             if (hasStatus(outcome, Ok)) {
-                checked.proofAge = decodeProof(std::get<HttpAnswer>(outcome).body);
-                checked.hasAnswered = true;
+                checked.proof = decodeProof(std::get<HttpAnswer>(outcome).body);
             }
         } catch (const std::exception &) {
             // Told as no answer, which the seat reports with the relay's address.
--- a/src/net/relaymessages.cpp
+++ b/src/net/relaymessages.cpp
@@ -20,6 +20,7 @@
 using Json = nlohmann::json;
 
 constexpr std::string_view NewsPath = "/relay/news/";
+constexpr std::string_view ProofPath = "/relay/proof/";
 constexpr std::string_view RoutingName = "routing";
 constexpr std::string_view ServersName = "servers";
 
@@ -90,14 +91,25 @@
     return news;
 }
 
-std::string encodeProof(Duration age)
+std::string proofTarget(const std::string &follower)
 {
-    return Json{{"age_us", age.count()}}.dump();
+    return std::string(ProofPath) + follower;
 }
 
-Duration decodeProof(std::string_view text)
+std::optional<std::string> parseProofTarget(std::string_view target)
 {
-    return Duration(Json::parse(text).at("age_us").get<Duration::rep>());
+    return target.starts_with(ProofPath) ? std::optional(std::string(target.substr(ProofPath.size()))) : std::nullopt;
+}
+
+std::string encodeProof(const RelayProof &proof)
+{
+    return Json{{"age_us", proof.age.count()}, {"entry_vms", proof.entryVms}}.dump();
+}
+
+RelayProof decodeProof(std::string_view text)
+{
+    const Json body = Json::parse(text);
+    return {Duration(body.at("age_us").get<Duration::rep>()), body.at("entry_vms").get<int>()};
 }
 
 } // namespace Cloverbarrow
--- a/src/net/relaymessages.h
+++ b/src/net/relaymessages.h
@@ -25,9 +25,6 @@
     bool operator==(const NewsRequest &) const = default;
 };
 
-/// Path under which a relay tells when the store last answered it.
-constexpr const char *RelayProofPath = "/relay/proof";
-
 /// @return the request target of @p request.
 std::string newsTarget(const NewsRequest &request);
 /// @return the request in @p target, if it is one.
@@ -36,8 +33,13 @@
 std::string encodeNews(const DirectoryNews &news);
 /// @return the news; entries have their texts only. @throws std::exception when it is of another form.
 DirectoryNews decodeNews(std::string_view text);
-std::string encodeProof(Duration age);
+
+/// @return the request target under which a relay shows @p follower that it hears from the store.
+std::string proofTarget(const std::string &follower);
+/// @return the follower in @p target, if it asks for that.
+std::optional<std::string> parseProofTarget(std::string_view target);
+std::string encodeProof(const RelayProof &proof);
 /// @throws std::exception when it is of another form.
-Duration decodeProof(std::string_view text);
+RelayProof decodeProof(std::string_view text);
 
 } // namespace Cloverbarrow
--- a/src/net/relayserver.cpp
+++ b/src/net/relayserver.cpp
@@ -59,9 +59,9 @@
 
 void RelayServer::accept(const std::shared_ptr<CallerConnection> &connection, const HttpRequest &request)
 {
-    if (request.target == RelayProofPath) {
-        const auto age = source_.proofAge();
-        connection->answer(age ? answerOf(200, encodeProof(*age)) : answerOf(NoRelay, "{}"), false);
+    if (const auto follower = parseProofTarget(request.target)) {
+        const auto proof = source_.proof(*follower);
+        connection->answer(proof ? answerOf(200, encodeProof(*proof)) : answerOf(NoRelay, "{}"), false);
         return;
     }
     const auto asked = parseNewsTarget(request.target);
--- a/src/net/relayserver.h
+++ b/src/net/relayserver.h
@@ -26,8 +26,8 @@
 struct RelaySource {
     /// @return what has changed in a collection since a revision; nothing when that cannot be told.
     std::function<std::optional<DirectoryNews>(Collection collection, std::int64_t since)> news;
-    /// @return how long ago the store last answered; nothing when this entry VM is no relay.
-    std::function<std::optional<Duration>()> proofAge;
+    /// @param follower that asks. @return nothing when this entry VM is no relay.
+    std::function<std::optional<RelayProof>(const std::string &follower)> proof;
 };
 
 /// Tells other entry VMs of the availability zone what this one knows of the directory. JSON over HTTP rather than
--- a/tests/property/directoryproperties.cpp
+++ b/tests/property/directoryproperties.cpp
@@ -260,9 +260,8 @@
 
     void perform(Node &node, const CheckRelay &action)
     {
-        const Node *relay = find(action.relay);
-        const auto age = relay ? relay->keeper.proofAge(now_) : std::nullopt;
-        answer(node, 0, RelayChecked{action.relay, age.has_value(), age.value_or(Duration(0))});
+        Node *relay = find(action.relay);
+        answer(node, 0, RelayChecked{action.relay, relay ? relay->keeper.proofFor(now_, action.follower) : std::nullopt});
     }
 
     void perform(Node &node, const ReadSeat &)
--- a/tests/unit/probedchoicetests.cpp
+++ b/tests/unit/probedchoicetests.cpp
@@ -20,7 +20,7 @@
 
 constexpr Duration AimedLatency = milliseconds(200);
 
-Service probedService(int servers, int probesPerSecond = 100)
+Service probedService(int servers, double probesPerSecond = 100)
 {
     Service service;
     service.name = "reclamos";
--- a/tests/unit/retryleveltests.cpp
+++ b/tests/unit/retryleveltests.cpp
@@ -69,8 +69,8 @@
     budget.setPercent(10);
     int retries = 0;
     for (int request = 0; request < 1000; ++request) {
-        budget.addFirstAttempt();
-        retries += budget.take() ? 1 : 0;
+        budget.addFirstAttempt(TimePoint());
+        retries += budget.take(TimePoint()) ? 1 : 0;
     }
     CHECK(retries <= 1000 / 10 + 3);
     CHECK(retries >= 1000 / 10 - 1);
