Relays of other zones stand in when the own one does not hear from the store

Cause: an entry VM whose relay had no news of the store listed and watched for itself, and a relay that the store turned away believed what it last knew. Ruled out: longer patience with a silent relay (a change must be in force in two seconds). Change: reading the seat tells the relays of all zones; relays tell followers of each other. Who loses its source asks these for their proof and follows the first that hears from the store; only when none does, the store itself is asked, with growing pauses. A relay that the store turns away follows one that it serves, and takes its seat again later.

--- a/src/core/directory/directoryevents.h
+++ b/src/core/directory/directoryevents.h
@@ -98,6 +98,7 @@
 struct RelayProof {
     Duration age{0}; ///< Since the store last answered the relay.
     int entryVms = 1; ///< Of the availability zone, as the relay counts them.
+    std::vector<std::string> otherRelays; ///< Of other zones, as the relay knows them.
 };
 
 /// The check whether a relay answers has ended.
@@ -111,6 +112,7 @@
     bool hasAnswered = false; ///< False when what became of the call is not known.
     std::string holder; ///< Address of the relay.
     std::int64_t revision = 0; ///< 0 when nobody has ever taken the seat.
+    std::vector<std::string> others; ///< Holders of other zones' seats; empty when they were not read.
 };
 
 using DirectoryEvent = std::variant<DirectoryListed, DirectoryChanged, DirectoryHistoryGone, DirectoryCallFailed, DirectoryChecked, RelayChecked, SeatAnswered>;
@@ -144,7 +146,7 @@
 /// Ask a relay when the store last answered it.
 struct CheckRelay {
     std::string relay;
-    std::string follower; ///< Address under which this entry VM relays.
+    std::string follower; ///< Address under which this entry VM relays; empty when it is of another zone.
 
     bool operator==(const CheckRelay &) const = default;
 };
--- a/src/core/directory/directorykeeper.cpp
+++ b/src/core/directory/directorykeeper.cpp
@@ -18,6 +18,8 @@
 constexpr Duration CheckInterval = milliseconds(1500);
 // Those that rely on a relay hear from it how long ago the store has answered it.
 constexpr Duration RelayCheckInterval = milliseconds(400);
+// After this time without an answer of the store, an entry VM that follows it turns to relays of other zones.
+constexpr Duration StoreSilence = milliseconds(800);
 // A single call that was cut is made up for at once, but not by all entry VMs in the same moment.
 constexpr Duration FirstCheckSpread = milliseconds(100);
 
@@ -55,6 +57,10 @@
 void DirectoryKeeper::tick(TimePoint now, DirectoryActions &actions)
 {
     seat_.tick(now, actions);
+    const bool isSilent = isStoreLost_ && (!provenAt_ || now - *provenAt_ > StoreSilence);
+    if (isAtStore() && isSilent) {
+        seat_.storeSilent(now, actions);
+    }
     followSource(now);
     // While the store is away only the cheap check is made; its answer starts the calls again.
     const bool isWaiting = seat_.state() == RelaySeat::State::Deciding || (isAtStore() && isStoreLost_ && provenAt_);
@@ -188,8 +194,10 @@
     if (seat_.state() != RelaySeat::State::Holding || !provenAt_) {
         return std::nullopt;
     }
-    fleet_.followerAsked(now, follower);
-    return RelayProof{now - *provenAt_, fleet_.countedInZone(now)};
+    if (!follower.empty()) {
+        fleet_.followerAsked(now, follower);
+    }
+    return RelayProof{now - *provenAt_, fleet_.countedInZone(now), seat_.otherRelays()};
 }
 
 CollectionWatch &DirectoryKeeper::watchOf(Collection collection)
--- a/src/core/directory/relayseat.cpp
+++ b/src/core/directory/relayseat.cpp
@@ -7,6 +7,7 @@
 
 #include "core/directory/relayseat.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace Cloverbarrow
@@ -19,6 +20,10 @@
 // relay that is well has news at most half a second old, and is asked every 0.4 s.
 constexpr Duration ProofLimit = milliseconds(1200);
 constexpr Duration RelayCheckInterval = milliseconds(400);
+// While no relay has news, the store itself is asked, with growing pauses: each question of each entry VM is paid for.
+constexpr Duration MaxProofPause = milliseconds(2400);
+// How often a relay looks who relays for other zones.
+constexpr Duration OthersInterval = seconds(15);
 // Spreads the first looks, so that few entry VMs try to take the seat at once.
 constexpr Duration FirstStartSpread = seconds(3);
 constexpr Duration RestartSpread = milliseconds(30);
@@ -50,18 +55,18 @@
         if (!lookAt_) {
             lookAt_ = now + upTo(isFirstStart_ ? FirstStartSpread : RestartSpread);
         }
-        if (now >= *lookAt_ && !isSeatCalling_ && !isTrying_) {
-            isSeatCalling_ = true;
-            actions.emplace_back(ReadSeat{true});
+        if (now >= *lookAt_ && !isSeatCalling_ && !isTrying_ && awaited_ == 0) {
+            readSeat(true, actions);
         }
         break;
     case State::Following:
         tickFollowing(now, actions);
         break;
     case State::Alone:
-        tickAlone(now, actions);
+        tickAway(now, actions);
         break;
     case State::Holding:
+        tickHolding(now, actions);
         break;
     }
 }
@@ -71,23 +76,42 @@
     if (!isChecking_ && now >= checkAt_) {
         isChecking_ = true;
         checkAt_ = now + RelayCheckInterval;
-        actions.emplace_back(CheckRelay{holder_, own_});
+        actions.emplace_back(CheckRelay{followed_, isAway() ? std::string() : own_});
     }
-    if (now - provenAt_ > ProofLimit) {
-        // Either the relay is cut off from the store, or the store is down for all: an own call shows which.
-        actions.emplace_back(ReportDirectory{"relay without news of the store", holder_});
+    if (now - provenAt_ > proofPause_) {
+        // Either the relay is cut off from the store, or the store is down for all.
         provenAt_ = now;
-        isProving_ = true;
-        actions.emplace_back(CheckDirectory{});
+        proofPause_ = std::min(proofPause_ * 2, MaxProofPause);
+        search("no news of the store", Fallback::AskStore, actions);
+    }
+    if (isAway()) {
+        tickAway(now, actions);
     }
 }
 
-void RelaySeat::tickAlone(TimePoint now, DirectoryActions &actions)
+void RelaySeat::tickAway(TimePoint now, DirectoryActions &actions)
 {
-    if (lookAt_ && now >= *lookAt_ && !isSeatCalling_ && !isTrying_) {
-        lookAt_.reset();
-        isSeatCalling_ = true;
-        actions.emplace_back(ReadSeat{false});
+    if (!lookAt_ || now < *lookAt_ || isSeatCalling_ || isTrying_) {
+        return;
+    }
+    lookAt_.reset();
+    if (state_ == State::Following && holder_ != own_) {
+        // Asking the holder costs nothing; the seat is read when it does not answer.
+        tryHolder(actions);
+    } else {
+        // Whoever holds the seat, or means to take it, needs to know how it stands now.
+        readSeat(false, actions);
+    }
+}
+
+void RelaySeat::tickHolding(TimePoint now, DirectoryActions &actions)
+{
+    if (!lookAt_) {
+        lookAt_ = now + FirstStartSpread;
+    }
+    if (now >= *lookAt_ && !isSeatCalling_) {
+        lookAt_ = now + OthersInterval;
+        readSeat(true, actions);
     }
 }
 
@@ -96,11 +120,15 @@
     isSeatCalling_ = false;
     if (!answer.hasAnswered) {
         if (state_ == State::Deciding) {
-            enter(State::Alone, "the seat cannot be read", actions);
+            leaveRelay(now, "the seat cannot be read", actions);
+        } else if (state_ != State::Holding) {
+            lookLater(now);
         }
-        lookAt_ = now + FirstLookAgain + upTo(LookAgainSpread);
         return;
     }
+    if (!answer.others.empty()) {
+        others_ = answer.others;
+    }
     if (answer.revision == 0) {
         // Nobody has ever relayed here, or a relay reads a seat that is not told yet.
         if (state_ != State::Holding) {
@@ -108,6 +136,13 @@
         }
         return;
     }
+    if (answer.revision < revision_) {
+        // The store told of the past.
+        if (state_ != State::Holding) {
+            lookLater(now);
+        }
+        return;
+    }
     const bool isUnchanged = answer.revision == revision_;
     revision_ = answer.revision;
     holder_ = answer.holder;
@@ -122,49 +157,85 @@
 
 void RelaySeat::relayChecked(TimePoint now, const RelayChecked &check, DirectoryActions &actions)
 {
-    if (check.relay != holder_) {
-        return;
-    }
     const bool isProven = check.proof && check.proof->age < ProofLimit;
-    if (std::exchange(isTrying_, false)) {
-        if (isProven) {
-            follow(now - check.proof->age, actions);
-        } else {
-            holderFailed(now, check.proof ? "no news of the store" : "no answer", actions);
-        }
-        return;
+    if (isTrying_ && check.relay == holder_) {
+        holderTried(now, check, isProven, actions);
+    } else if (state_ == State::Following && check.relay == followed_) {
+        followedChecked(now, check, isProven, actions);
+    } else if (awaited_ > 0) {
+        otherChecked(now, check, isProven, actions);
+    }
+}
+
+void RelaySeat::holderTried(TimePoint now, const RelayChecked &check, bool isProven, DirectoryActions &actions)
+{
+    isTrying_ = false;
+    if (isProven) {
+        follow(now, check, actions);
+    } else if (state_ == State::Following) {
+        ++failedFollows_;
+        lookLater(now);
+        readSeat(true, actions);
+    } else {
+        leaveRelay(now, check.proof ? "no news of the store" : "no answer", actions);
     }
+}
+
+void RelaySeat::followedChecked(TimePoint now, const RelayChecked &check, bool isProven, DirectoryActions &actions)
+{
     isChecking_ = false;
-    if (state_ != State::Following) {
+    if (!check.proof) {
+        leaveRelay(now, "no answer", actions);
         return;
     }
-    if (!check.proof) {
-        holderFailed(now, "no answer", actions);
-    } else if (isProven) {
+    if (isProven) {
         provenAt_ = std::max(provenAt_, now - check.proof->age);
+        proofPause_ = ProofLimit;
         isProving_ = false;
     }
+    if (!isAway() && !check.proof->otherRelays.empty()) {
+        others_ = check.proof->otherRelays;
+    }
+}
+
+void RelaySeat::otherChecked(TimePoint now, const RelayChecked &check, bool isProven, DirectoryActions &actions)
+{
+    --awaited_;
+    if (isProven) {
+        follow(now, check, actions);
+    } else if (awaited_ == 0) {
+        fallBack(fallback_, actions);
+    }
 }
 
 void RelaySeat::relayFailed(TimePoint now, DirectoryActions &actions)
 {
-    if (state_ == State::Following) {
-        holderFailed(now, "a call failed", actions);
+    if (state_ == State::Following && awaited_ == 0) {
+        leaveRelay(now, "a call failed", actions);
     }
 }
 
 void RelaySeat::storeAnswered(TimePoint now, DirectoryActions &actions)
 {
     if (state_ == State::Following && std::exchange(isProving_, false)) {
-        holderFailed(now, "the store answers here and not there", actions);
+        ++failedFollows_;
+        lookLater(now);
+        enter(State::Alone, followed_ + ": the store answers here and not there", actions);
     }
 }
 
 void RelaySeat::storeReturned(DirectoryActions &actions)
 {
     if (state_ == State::Holding && !isSeatCalling_) {
-        isSeatCalling_ = true;
-        actions.emplace_back(ReadSeat{false});
+        readSeat(false, actions);
+    }
+}
+
+void RelaySeat::storeSilent(TimePoint now, DirectoryActions &actions)
+{
+    if (now - provenAt_ > ProofLimit) {
+        provenAt_ = now;
+        search("the store is silent", Fallback::Nothing, actions);
     }
 }
 
@@ -176,7 +247,12 @@
 const std::string &RelaySeat::relay() const
 {
     static const std::string none;
-    return state_ == State::Following ? holder_ : none;
+    return state_ == State::Following ? followed_ : none;
+}
+
+const std::vector<std::string> &RelaySeat::otherRelays() const
+{
+    return others_;
 }
 
 void RelaySeat::tryHolder(DirectoryActions &actions)
@@ -185,21 +261,74 @@
     actions.emplace_back(CheckRelay{holder_, own_});
 }
 
-void RelaySeat::follow(TimePoint provenAt, DirectoryActions &actions)
+void RelaySeat::follow(TimePoint now, const RelayChecked &check, DirectoryActions &actions)
 {
-    provenAt_ = provenAt;
-    checkAt_ = provenAt;
+    followed_ = check.relay;
+    provenAt_ = now - check.proof->age;
+    checkAt_ = now;
+    proofPause_ = ProofLimit;
     isChecking_ = false;
     isProving_ = false;
-    failedFollows_ = 0;
-    enter(State::Following, holder_, actions);
+    awaited_ = 0;
+    if (isAway()) {
+        lookLater(now);
+    } else {
+        failedFollows_ = 0;
+        lookAt_.reset();
+    }
+    enter(State::Following, followed_, actions);
 }
 
-void RelaySeat::holderFailed(TimePoint now, const std::string &reason, DirectoryActions &actions)
+void RelaySeat::leaveRelay(TimePoint now, const std::string &reason, DirectoryActions &actions)
 {
     ++failedFollows_;
+    lookLater(now);
+    search(reason, Fallback::FollowStore, actions);
+}
+
+void RelaySeat::search(const std::string &reason, Fallback fallback, DirectoryActions &actions)
+{
+    if (awaited_ > 0) {
+        return;
+    }
+    searchReason_ = reason;
+    fallback_ = fallback;
+    for (const std::string &other : others_) {
+        if (state_ != State::Following || other != followed_) {
+            ++awaited_;
+            actions.emplace_back(CheckRelay{other, {}});
+        }
+    }
+    if (awaited_ == 0) {
+        fallBack(fallback, actions);
+    }
+}
+
+void RelaySeat::fallBack(Fallback fallback, DirectoryActions &actions)
+{
+    if (fallback == Fallback::FollowStore) {
+        enter(State::Alone, holder_ + ": " + searchReason_, actions);
+    } else if (fallback == Fallback::AskStore && state_ == State::Following) {
+        actions.emplace_back(ReportDirectory{"no relay has news of the store", followed_});
+        isProving_ = true;
+        actions.emplace_back(CheckDirectory{});
+    }
+}
+
+bool RelaySeat::isAway() const
+{
+    return followed_ != holder_;
+}
+
+void RelaySeat::lookLater(TimePoint now)
+{
     lookAt_ = now + FirstLookAgain + upTo(LookAgainSpread);
-    enter(State::Alone, holder_ + ": " + reason, actions);
+}
+
+void RelaySeat::readSeat(bool mayBeOld, DirectoryActions &actions)
+{
+    isSeatCalling_ = true;
+    actions.emplace_back(ReadSeat{mayBeOld});
 }
 
 void RelaySeat::enter(State state, const std::string &detail, DirectoryActions &actions)
--- a/src/core/directory/relayseat.h
+++ b/src/core/directory/relayseat.h
@@ -13,20 +13,22 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace Cloverbarrow
 {
 
-/// Whether this entry VM follows the directory at the store or at the relay of its availability zone. A relay is an
-/// entry VM that watches the store and tells the others of its zone; who it is stands in one object of the store, the
-/// seat, which is taken by conditional writes. A relay that cannot show that the store answers it is left at once, so
-/// nothing depends on who holds the seat but the number of calls to the store.
+/// Whether this entry VM follows the directory at the store or at a relay. A relay is an entry VM that watches the store
+/// and tells the others of its availability zone; who it is stands in one object of the store for each zone, the seat,
+/// which is taken by conditional writes. A relay that cannot show that the store answers it is left at once, for a relay
+/// of another zone if one can, else for the store. So nothing depends on who holds a seat but the number of calls to the
+/// store.
 class RelaySeat
 {
 public:
     enum class State {
         Deciding, ///< Has no source yet.
-        Following, ///< Hears from the relay.
+        Following, ///< Hears from a relay, of its own zone or of another.
         Holding, ///< Is the relay.
         Alone, ///< Follows the store for itself.
     };
@@ -45,21 +47,43 @@
     void storeAnswered(TimePoint now, DirectoryActions &actions);
     /// The store answers again after an outage; the seat may have been taken over meanwhile.
     void storeReturned(DirectoryActions &actions);
+    /// The store has not answered this entry VM, which follows it, for long; relays may still hear from it.
+    void storeSilent(TimePoint now, DirectoryActions &actions);
 
     State state() const;
     /// @return address of the relay that is followed; empty otherwise.
     const std::string &relay() const;
+    /// @return relays of other zones, as far as they are known.
+    const std::vector<std::string> &otherRelays() const;
 
 private:
+    /// What is done when no relay of another zone hears from the store.
+    enum class Fallback {
+        Nothing,
+        FollowStore,
+        AskStore, ///< Whether it answers here, and so only the relay is cut off from it.
+    };
+
     /// Asks the holder for its proof; it is followed only when that is good.
     void tryHolder(DirectoryActions &actions);
-    void follow(TimePoint provenAt, DirectoryActions &actions);
-    /// The holder is not followed, or no longer.
-    void holderFailed(TimePoint now, const std::string &reason, DirectoryActions &actions);
+    void holderTried(TimePoint now, const RelayChecked &check, bool isProven, DirectoryActions &actions);
+    void followedChecked(TimePoint now, const RelayChecked &check, bool isProven, DirectoryActions &actions);
+    void otherChecked(TimePoint now, const RelayChecked &check, bool isProven, DirectoryActions &actions);
+    void follow(TimePoint now, const RelayChecked &check, DirectoryActions &actions);
+    /// The relay is not followed, or no longer.
+    void leaveRelay(TimePoint now, const std::string &reason, DirectoryActions &actions);
+    /// Asks the relays of other zones for their proofs, unless that is under way.
+    void search(const std::string &reason, Fallback fallback, DirectoryActions &actions);
+    void fallBack(Fallback fallback, DirectoryActions &actions);
+    bool isAway() const;
+    void lookLater(TimePoint now);
+    void readSeat(bool mayBeOld, DirectoryActions &actions);
     void enter(State state, const std::string &detail, DirectoryActions &actions);
     void write(std::int64_t expectedRevision, DirectoryActions &actions);
     void tickFollowing(TimePoint now, DirectoryActions &actions);
-    void tickAlone(TimePoint now, DirectoryActions &actions);
+    /// Looks whether the own zone's relay can be followed again, or whether its seat is to be taken.
+    void tickAway(TimePoint now, DirectoryActions &actions);
+    void tickHolding(TimePoint now, DirectoryActions &actions);
     Duration upTo(Duration most);
 
     std::string own_;
@@ -67,10 +91,16 @@
     Random random_;
     State state_ = State::Deciding;
     std::string holder_; ///< As the seat last told.
+    std::vector<std::string> others_; ///< Relays of other zones.
+    std::string followed_; ///< Relay that is or was last followed.
+    std::size_t awaited_ = 0; ///< Answers that a search still waits for.
+    Fallback fallback_ = Fallback::Nothing; ///< Of the search.
+    std::string searchReason_;
     std::int64_t revision_ = 0; ///< Of the seat; 0 while it is not known.
     bool isSeatCalling_ = false;
     bool isChecking_ = false;
     bool isTrying_ = false; ///< Waits for the first proof of a holder that is not followed yet.
+    Duration proofPause_{0}; ///< Between two questions to the store while no relay hears from it.
     bool isProving_ = false; ///< Waits for the store to answer or not, since the relay has no news of it.
     int failedFollows_ = 0; ///< Times in a row that a holder could not be followed.
     std::optional<TimePoint> lookAt_; ///< When the seat is looked at next.
--- a/tests/property/directoryproperties.cpp
+++ b/tests/property/directoryproperties.cpp
@@ -80,16 +80,17 @@
     return (entry.name == "main") == (collection == Collection::Routing);
 }
 
-/// Entry VMs of one availability zone, with calls that take time, fail and are cut.
-class ModelZone
+/// Entry VMs of some availability zones, with calls that take time, fail and are cut.
+class ModelFleet
 {
 public:
-    explicit ModelZone(int entryVms)
+    ModelFleet(int entryVms, int zones)
     {
         for (int number = 0; number < entryVms; ++number) {
             const std::string address = "10.0.0." + std::to_string(number + 1) + ":7200";
             const auto seed = static_cast<std::uint64_t>(number) + 1;
-            nodes_.push_back({address, DirectoryKeeper(FleetBudgets{}, RelaySeat(address, false, seed), seed), nullptr, false, {}, {}});
+            const std::string zone = "zone-" + std::to_string(number % zones);
+            nodes_.push_back({address, zone, DirectoryKeeper(FleetBudgets{}, RelaySeat(address, false, seed), seed), nullptr, false, {}, {}});
         }
     }
 
@@ -168,6 +169,7 @@
 
     struct Node {
         std::string address;
+        std::string zone;
         DirectoryKeeper keeper;
         std::shared_ptr<const IntentInForce> published;
         bool isCut = false;
@@ -266,7 +268,15 @@
 
     void perform(Node &node, const ReadSeat &)
     {
-        SeatAnswered seat = store.seats.contains("zone") ? store.seats.at("zone") : SeatAnswered{true, {}, 0};
+        SeatAnswered seat{true, {}, 0, {}};
+        for (const auto &[zone, held] : store.seats) {
+            if (zone == node.zone) {
+                seat.holder = held.holder;
+                seat.revision = held.revision;
+            } else {
+                seat.others.push_back(held.holder);
+            }
+        }
         seat.hasAnswered = reachesStore(node);
         answer(node, 0, seat);
     }
@@ -277,9 +287,9 @@
             answer(node, 0, SeatAnswered{});
             return;
         }
-        SeatAnswered &seat = store.seats["zone"];
+        SeatAnswered &seat = store.seats[node.zone];
         if (seat.revision == action.expectedRevision) {
-            seat = {true, action.holder, ++store.revision};
+            seat = {true, action.holder, ++store.revision, {}};
         }
         SeatAnswered told = seat;
         // The write is done; only its answer may be lost.
@@ -394,38 +404,38 @@
 };
 
 /// Brings one random thing about.
-void disturb(ModelZone &zone)
+void disturb(ModelFleet &fleet)
 {
     const std::string name = "i-" + std::to_string(*rc::gen::inRange(1, 8));
     const auto index = static_cast<std::size_t>(*rc::gen::inRange(0, 4));
     switch (*rc::gen::inRange(0, 10)) {
     case 0:
     case 1:
-        zone.store.putServer(name, false);
+        fleet.store.putServer(name, false);
         break;
     case 2:
-        zone.store.putServer(name, true);
+        fleet.store.putServer(name, true);
         break;
     case 3:
-        zone.store.removeServer(name);
+        fleet.store.removeServer(name);
         break;
     case 4:
-        zone.store.putPlan();
+        fleet.store.putPlan();
         break;
     case 5:
-        zone.compact();
+        fleet.compact();
         break;
     case 6:
-        zone.store.isDown = !zone.store.isDown;
+        fleet.store.isDown = !fleet.store.isDown;
         break;
     case 7:
-        zone.setCut(index, true);
+        fleet.setCut(index, true);
         break;
     case 8:
-        zone.setCut(index, false);
+        fleet.setCut(index, false);
         break;
     default:
-        zone.restart(index);
+        fleet.restart(index);
         break;
     }
 }
@@ -435,45 +445,70 @@
 TEST_CASE("After any changes, cuts, outages and restarts all entry VMs believe what the store holds", "[property][directory][relay]")
 {
     CHECK(rc::check("within seconds after the last trouble", [] {
-        ModelZone zone(4);
+        ModelFleet fleet(4, *rc::gen::inRange(1, 5));
         Random luck(*rc::gen::arbitrary<std::uint64_t>());
         bool isLossy = *rc::gen::arbitrary<bool>();
         // One answer in ten is lost; writes are done all the same.
-        zone.losesAnswer = [&luck, &isLossy] { return isLossy && luck.below(10) == 0; };
-        zone.store.putServer("i-1", false);
-        zone.pass(seconds(3));
+        fleet.losesAnswer = [&luck, &isLossy] { return isLossy && luck.below(10) == 0; };
+        fleet.store.putServer("i-1", false);
+        fleet.pass(seconds(3));
         const int troubles = *rc::gen::inRange(1, 25);
         for (int trouble = 0; trouble < troubles; ++trouble) {
-            disturb(zone);
-            zone.pass(milliseconds(*rc::gen::inRange(10, 1500)));
+            disturb(fleet);
+            fleet.pass(milliseconds(*rc::gen::inRange(10, 1500)));
         }
         isLossy = false;
-        zone.store.isDown = false;
-        zone.joinAll();
+        fleet.store.isDown = false;
+        fleet.joinAll();
         // Two seconds for entries that lapsed, and the pauses of calls that failed.
-        zone.pass(seconds(6));
-        RC_ASSERT(zone.allBelieveTheStore());
+        fleet.pass(seconds(6));
+        RC_ASSERT(fleet.allBelieveTheStore());
     }));
 }
 
 TEST_CASE("A change comes into force within two seconds at every entry VM that reaches the store", "[property][directory][relay]")
 {
     CHECK(rc::check("also when the relay has just been cut off or has ended", [] {
-        ModelZone zone(4);
-        zone.store.putServer("i-1", false);
-        zone.pass(seconds(6));
+        ModelFleet fleet(4, *rc::gen::inRange(1, 5));
+        fleet.store.putServer("i-1", false);
+        fleet.pass(seconds(6));
         const auto index = static_cast<std::size_t>(*rc::gen::inRange(0, 4));
         const bool isKilled = *rc::gen::arbitrary<bool>();
         if (isKilled) {
-            zone.restart(index);
+            fleet.restart(index);
         } else {
-            zone.setCut(index, true);
+            fleet.setCut(index, true);
         }
-        zone.pass(milliseconds(*rc::gen::inRange(10, 3000)));
-        zone.store.putPlan();
-        zone.store.putServer("i-2", true);
+        fleet.pass(milliseconds(*rc::gen::inRange(10, 3000)));
+        fleet.store.putPlan();
+        fleet.store.putServer("i-2", true);
         // The one that is cut off hears of it from nobody but its peers, and so does not count here.
-        zone.pass(seconds(2));
-        RC_ASSERT(zone.allBelieveTheStoreBut(index));
+        fleet.pass(seconds(2));
+        RC_ASSERT(fleet.allBelieveTheStoreBut(index));
+    }));
+}
+
+TEST_CASE("Entry VMs that the store turns away learn of changes from relays of other zones", "[property][directory][relay]")
+{
+    CHECK(rc::check("within two seconds, also when their own relay is among them", [] {
+        constexpr std::size_t EntryVms = 6;
+        constexpr std::size_t Zones = 3;
+        ModelFleet fleet(EntryVms, Zones);
+        fleet.store.putServer("i-1", false);
+        // Long enough for relays to have told of each other.
+        fleet.pass(seconds(20));
+        const auto cutZone = static_cast<std::size_t>(*rc::gen::inRange<int>(0, Zones));
+        for (std::size_t index = cutZone; index < EntryVms; index += Zones) {
+            fleet.setCut(index, true);
+        }
+        fleet.pass(milliseconds(*rc::gen::inRange(10, 3000)));
+        fleet.store.putPlan();
+        fleet.store.putServer("i-2", true);
+        fleet.pass(milliseconds(2000));
+        RC_ASSERT(fleet.allBelieveTheStore());
+        fleet.joinAll();
+        fleet.store.putPlan();
+        fleet.pass(milliseconds(2000));
+        RC_ASSERT(fleet.allBelieveTheStore());
     }));
 }
