--- a/bench/membership/main.cpp
+++ b/bench/membership/main.cpp
@@ -5,7 +5,7 @@
     SPDX-License-Identifier: Apache-2.0
 */
 
-#include "core/membership.h"
+#include "core/membership/membership.h"
 #include "net/wire.h"
 
 #include <thrift/protocol/TCompactProtocol.h>
--- a/bench/policy/fakebackend.h
+++ b/bench/policy/fakebackend.h
@@ -7,8 +7,8 @@
 
 #pragma once
 
-#include "core/random.h"
-#include "core/time.h"
+#include "core/support/random.h"
+#include "core/support/time.h"
 #include "eventqueue.h"
 
 #include <cstddef>
--- a/bench/policy/trial.cpp
+++ b/bench/policy/trial.cpp
@@ -7,7 +7,7 @@
 
 #include "trial.h"
 
-#include "core/serviceshard.h"
+#include "core/requests/serviceshard.h"
 
 #include <algorithm>
 #include <cmath>
--- a/bench/policy/trial.h
+++ b/bench/policy/trial.h
@@ -7,9 +7,9 @@
 
 #pragma once
 
-#include "core/configuration.h"
-#include "core/pickpolicy.h"
-#include "core/time.h"
+#include "core/intent/configuration.h"
+#include "core/servers/pickpolicy.h"
+#include "core/support/time.h"
 #include "fakebackend.h"
 
 #include <cstdint>
--- a/bench/processes/pathbench.cpp
+++ b/bench/processes/pathbench.cpp
@@ -5,7 +5,7 @@
     SPDX-License-Identifier: Apache-2.0
 */
 
-#include "core/address.h"
+#include "core/support/address.h"
 #include "fleet.h"
 #include "procstat.h"
 
--- a/src/core/burncounter.cpp
+++ b/src/core/burn/burncounter.cpp
@@ -5,7 +5,7 @@
     SPDX-License-Identifier: Apache-2.0
 */
 
-#include "core/burncounter.h"
+#include "core/burn/burncounter.h"
 
 namespace Cloverbarrow
 {
--- a/src/core/burnreport.cpp
+++ b/src/core/burn/burnreport.cpp
@@ -5,7 +5,7 @@
     SPDX-License-Identifier: Apache-2.0
 */
 
-#include "core/burnreport.h"
+#include "core/burn/burnreport.h"
 
 namespace Cloverbarrow
 {
--- a/src/core/burnreport.h
+++ b/src/core/burn/burnreport.h
@@ -7,8 +7,8 @@
 
 #pragma once
 
-#include "core/burncounter.h"
-#include "core/configuration.h"
+#include "core/burn/burncounter.h"
+#include "core/intent/configuration.h"
 
 #include <array>
 #include <map>
--- a/src/core/controlevents.h
+++ b/src/core/controlevents.h
@@ -7,12 +7,12 @@
 
 #pragma once
 
-#include "core/intentkeeper.h"
-#include "core/measuringshares.h"
-#include "core/member.h"
+#include "core/intent/intentkeeper.h"
+#include "core/measuring/measuringshares.h"
+#include "core/membership/member.h"
 #include "core/shutdownsequence.h"
 #include "core/storecall.h"
-#include "core/time.h"
+#include "core/support/time.h"
 
 #include <memory>
 #include <optional>
--- a/src/core/controlshard.h
+++ b/src/core/controlshard.h
@@ -8,12 +8,12 @@
 #pragma once
 
 #include "core/controlevents.h"
-#include "core/intentkeeper.h"
-#include "core/leavingregistry.h"
-#include "core/measuringshares.h"
-#include "core/membership.h"
-#include "core/random.h"
+#include "core/intent/intentkeeper.h"
+#include "core/intent/leavingregistry.h"
+#include "core/measuring/measuringshares.h"
+#include "core/membership/membership.h"
 #include "core/shutdownsequence.h"
+#include "core/support/random.h"
 
 #include <set>
 #include <string>
--- a/src/core/directory/collectionwatch.h
+++ b/src/core/directory/collectionwatch.h
@@ -8,7 +8,7 @@
 #pragma once
 
 #include "core/directory/directoryevents.h"
-#include "core/random.h"
+#include "core/support/random.h"
 
 namespace Cloverbarrow
 {
--- a/src/core/directory/directoryevents.h
+++ b/src/core/directory/directoryevents.h
@@ -7,9 +7,9 @@
 
 #pragma once
 
-#include "core/configuration.h"
-#include "core/operatorintent.h"
-#include "core/time.h"
+#include "core/intent/configuration.h"
+#include "core/intent/operatorintent.h"
+#include "core/support/time.h"
 
 #include <cstdint>
 #include <memory>
--- a/src/core/directory/directorykeeper.h
+++ b/src/core/directory/directorykeeper.h
@@ -12,8 +12,8 @@
 #include "core/directory/fleetestimate.h"
 #include "core/directory/relayseat.h"
 #include "core/directory/serverregistry.h"
-#include "core/fleetbudgets.h"
-#include "core/random.h"
+#include "core/requests/fleetbudgets.h"
+#include "core/support/random.h"
 
 #include <array>
 #include <memory>
--- a/src/core/configuration.cpp
+++ b/src/core/intent/configuration.cpp
@@ -5,7 +5,7 @@
     SPDX-License-Identifier: Apache-2.0
 */
 
-#include "core/configuration.h"
+#include "core/intent/configuration.h"
 
 #include <algorithm>
 
--- a/src/core/configurationparser.cpp
+++ b/src/core/intent/configurationparser.cpp
@@ -5,9 +5,9 @@
     SPDX-License-Identifier: Apache-2.0
 */
 
-#include "core/configurationparser.h"
+#include "core/intent/configurationparser.h"
 
-#include "core/address.h"
+#include "core/support/address.h"
 
 #include <yaml-cpp/yaml.h>
 
--- a/src/core/configurationparser.h
+++ b/src/core/intent/configurationparser.h
@@ -7,8 +7,8 @@
 
 #pragma once
 
-#include "core/configuration.h"
-#include "core/yamlreader.h"
+#include "core/intent/configuration.h"
+#include "core/support/yamlreader.h"
 
 #include <string_view>
 #include <variant>
--- a/src/core/intentchange.cpp
+++ b/src/core/intent/intentchange.cpp
@@ -5,7 +5,7 @@
     SPDX-License-Identifier: Apache-2.0
 */
 
-#include "core/intentchange.h"
+#include "core/intent/intentchange.h"
 
 #include <algorithm>
 
--- a/src/core/intentchange.h
+++ b/src/core/intent/intentchange.h
@@ -7,9 +7,9 @@
 
 #pragma once
 
-#include "core/error.h"
-#include "core/operatorintent.h"
+#include "core/intent/operatorintent.h"
 #include "core/storecall.h"
+#include "core/support/error.h"
 
 #include <cstdint>
 #include <optional>
--- a/src/core/intentkeeper.cpp
+++ b/src/core/intent/intentkeeper.cpp
@@ -5,7 +5,7 @@
     SPDX-License-Identifier: Apache-2.0
 */
 
-#include "core/intentkeeper.h"
+#include "core/intent/intentkeeper.h"
 
 #include <algorithm>
 
--- a/src/core/intentkeeper.h
+++ b/src/core/intent/intentkeeper.h
@@ -7,8 +7,8 @@
 
 #pragma once
 
-#include "core/operatorintent.h"
-#include "core/time.h"
+#include "core/intent/operatorintent.h"
+#include "core/support/time.h"
 
 #include <memory>
 #include <optional>
--- a/src/core/leavingregistry.cpp
+++ b/src/core/intent/leavingregistry.cpp
@@ -5,7 +5,7 @@
     SPDX-License-Identifier: Apache-2.0
 */
 
-#include "core/leavingregistry.h"
+#include "core/intent/leavingregistry.h"
 
 namespace Cloverbarrow
 {
--- a/src/core/leavingregistry.h
+++ b/src/core/intent/leavingregistry.h
@@ -7,8 +7,8 @@
 
 #pragma once
 
-#include "core/member.h"
-#include "core/time.h"
+#include "core/membership/member.h"
+#include "core/support/time.h"
 
 #include <map>
 #include <set>
--- a/src/core/operatorintent.cpp
+++ b/src/core/intent/operatorintent.cpp
@@ -5,9 +5,9 @@
     SPDX-License-Identifier: Apache-2.0
 */
 
-#include "core/operatorintent.h"
+#include "core/intent/operatorintent.h"
 
-#include "core/configurationparser.h"
+#include "core/intent/configurationparser.h"
 
 #include <nlohmann/json.hpp>
 
--- a/src/core/operatorintent.h
+++ b/src/core/intent/operatorintent.h
@@ -7,9 +7,9 @@
 
 #pragma once
 
-#include "core/configuration.h"
-#include "core/error.h"
+#include "core/intent/configuration.h"
 #include "core/storecall.h"
+#include "core/support/error.h"
 
 #include <cstdint>
 #include <memory>
--- a/src/core/lease.cpp
+++ b/src/core/measuring/lease.cpp
@@ -5,7 +5,7 @@
     SPDX-License-Identifier: Apache-2.0
 */
 
-#include "core/lease.h"
+#include "core/measuring/lease.h"
 
 #include <nlohmann/json.hpp>
 
--- a/src/core/lease.h
+++ b/src/core/measuring/lease.h
@@ -7,9 +7,9 @@
 
 #pragma once
 
-#include "core/incarnation.h"
+#include "core/membership/incarnation.h"
 #include "core/storecall.h"
-#include "core/time.h"
+#include "core/support/time.h"
 
 #include <cstdint>
 #include <optional>
--- a/src/core/leasefence.cpp
+++ b/src/core/measuring/leasefence.cpp
@@ -5,9 +5,9 @@
     SPDX-License-Identifier: Apache-2.0
 */
 
-#include "core/leasefence.h"
+#include "core/measuring/leasefence.h"
 
-#include "core/lease.h"
+#include "core/measuring/lease.h"
 
 #include <utility>
 
--- a/src/core/measuringshares.cpp
+++ b/src/core/measuring/measuringshares.cpp
@@ -5,7 +5,7 @@
     SPDX-License-Identifier: Apache-2.0
 */
 
-#include "core/measuringshares.h"
+#include "core/measuring/measuringshares.h"
 
 #include <algorithm>
 #include <utility>
--- a/src/core/measuringshares.h
+++ b/src/core/measuring/measuringshares.h
@@ -7,13 +7,13 @@
 
 #pragma once
 
-#include "core/lease.h"
-#include "core/leasefence.h"
-#include "core/membership.h"
-#include "core/random.h"
-#include "core/sharetable.h"
+#include "core/measuring/lease.h"
+#include "core/measuring/leasefence.h"
+#include "core/measuring/sharetable.h"
+#include "core/membership/membership.h"
 #include "core/storecall.h"
-#include "core/time.h"
+#include "core/support/random.h"
+#include "core/support/time.h"
 
 #include <cstddef>
 #include <map>
--- a/src/core/sharetable.cpp
+++ b/src/core/measuring/sharetable.cpp
@@ -5,7 +5,7 @@
     SPDX-License-Identifier: Apache-2.0
 */
 
-#include "core/sharetable.h"
+#include "core/measuring/sharetable.h"
 
 #include <nlohmann/json.hpp>
 
--- a/src/core/sharetable.h
+++ b/src/core/measuring/sharetable.h
@@ -7,7 +7,7 @@
 
 #pragma once
 
-#include "core/incarnation.h"
+#include "core/membership/incarnation.h"
 #include "core/storecall.h"
 
 #include <cstddef>
--- a/src/core/member.h
+++ b/src/core/membership/member.h
@@ -7,8 +7,8 @@
 
 #pragma once
 
-#include "core/incarnation.h"
-#include "core/time.h"
+#include "core/membership/incarnation.h"
+#include "core/support/time.h"
 
 #include <cstdint>
 #include <string>
--- a/src/core/membership.h
+++ b/src/core/membership/membership.h
@@ -7,9 +7,9 @@
 
 #pragma once
 
-#include "core/member.h"
-#include "core/random.h"
-#include "core/time.h"
+#include "core/membership/member.h"
+#include "core/support/random.h"
+#include "core/support/time.h"
 
 #include <cstddef>
 #include <cstdint>
--- a/src/core/node.cpp
+++ b/src/core/node.cpp
@@ -7,7 +7,7 @@
 
 #include "core/node.h"
 
-#include "core/stablehash.h"
+#include "core/support/stablehash.h"
 
 #include <deque>
 
--- a/src/core/node.h
+++ b/src/core/node.h
@@ -9,9 +9,9 @@
 
 #include "core/controlevents.h"
 #include "core/controlshard.h"
-#include "core/pickpolicy.h"
-#include "core/serviceevents.h"
-#include "core/serviceshard.h"
+#include "core/requests/serviceevents.h"
+#include "core/requests/serviceshard.h"
+#include "core/servers/pickpolicy.h"
 
 #include <map>
 #include <memory>
--- a/src/core/payoutledger.cpp
+++ b/src/core/payouts/payoutledger.cpp
@@ -5,7 +5,7 @@
     SPDX-License-Identifier: Apache-2.0
 */
 
-#include "core/payoutledger.h"
+#include "core/payouts/payoutledger.h"
 
 namespace Cloverbarrow
 {
--- a/src/core/payoutledger.h
+++ b/src/core/payouts/payoutledger.h
@@ -7,8 +7,8 @@
 
 #pragma once
 
-#include "core/payoutrecord.h"
-#include "core/serviceevents.h"
+#include "core/payouts/payoutrecord.h"
+#include "core/requests/serviceevents.h"
 
 #include <cstddef>
 #include <map>
--- a/src/core/payoutrecord.cpp
+++ b/src/core/payouts/payoutrecord.cpp
@@ -5,7 +5,7 @@
     SPDX-License-Identifier: Apache-2.0
 */
 
-#include "core/payoutrecord.h"
+#include "core/payouts/payoutrecord.h"
 
 #include <nlohmann/json.hpp>
 
--- a/src/core/fleetbudgets.cpp
+++ b/src/core/requests/fleetbudgets.cpp
@@ -5,7 +5,7 @@
     SPDX-License-Identifier: Apache-2.0
 */
 
-#include "core/fleetbudgets.h"
+#include "core/requests/fleetbudgets.h"
 
 namespace Cloverbarrow
 {
--- a/src/core/repeatfence.cpp
+++ b/src/core/requests/repeatfence.cpp
@@ -5,7 +5,7 @@
     SPDX-License-Identifier: Apache-2.0
 */
 
-#include "core/repeatfence.h"
+#include "core/requests/repeatfence.h"
 
 namespace Cloverbarrow
 {
--- a/src/core/retrybudget.cpp
+++ b/src/core/requests/retrybudget.cpp
@@ -5,7 +5,7 @@
     SPDX-License-Identifier: Apache-2.0
 */
 
-#include "core/retrybudget.h"
+#include "core/requests/retrybudget.h"
 
 #include <algorithm>
 
--- a/src/core/retrybudget.h
+++ b/src/core/requests/retrybudget.h
@@ -7,8 +7,8 @@
 
 #pragma once
 
-#include "core/repeatfence.h"
-#include "core/time.h"
+#include "core/requests/repeatfence.h"
+#include "core/support/time.h"
 
 #include <optional>
 
--- a/src/core/serviceevents.h
+++ b/src/core/requests/serviceevents.h
@@ -7,10 +7,10 @@
 
 #pragma once
 
-#include "core/configuration.h"
-#include "core/loadreport.h"
+#include "core/intent/configuration.h"
+#include "core/servers/loadreport.h"
 #include "core/storecall.h"
-#include "core/time.h"
+#include "core/support/time.h"
 
 #include <cstddef>
 #include <cstdint>
--- a/src/core/serviceshard.h
+++ b/src/core/requests/serviceshard.h
@@ -7,12 +7,12 @@
 
 #pragma once
 
-#include "core/backendpool.h"
-#include "core/payoutledger.h"
-#include "core/random.h"
-#include "core/retrybudget.h"
-#include "core/serverchooser.h"
-#include "core/serviceevents.h"
+#include "core/payouts/payoutledger.h"
+#include "core/requests/retrybudget.h"
+#include "core/requests/serviceevents.h"
+#include "core/servers/backendpool.h"
+#include "core/servers/serverchooser.h"
+#include "core/support/random.h"
 
 #include <cstddef>
 #include <deque>
--- a/src/core/routingtable.cpp
+++ b/src/core/routing/routingtable.cpp
@@ -5,9 +5,9 @@
     SPDX-License-Identifier: Apache-2.0
 */
 
-#include "core/routingtable.h"
+#include "core/routing/routingtable.h"
 
-#include "core/text.h"
+#include "core/support/text.h"
 
 #include <algorithm>
 
--- a/src/core/trafficsplitter.cpp
+++ b/src/core/routing/trafficsplitter.cpp
@@ -5,7 +5,7 @@
     SPDX-License-Identifier: Apache-2.0
 */
 
-#include "core/trafficsplitter.h"
+#include "core/routing/trafficsplitter.h"
 
 #include <numeric>
 
--- a/src/core/trafficsplitter.h
+++ b/src/core/routing/trafficsplitter.h
@@ -7,8 +7,8 @@
 
 #pragma once
 
-#include "core/configuration.h"
-#include "core/random.h"
+#include "core/intent/configuration.h"
+#include "core/support/random.h"
 
 #include <map>
 #include <string>
--- a/src/core/answertime.cpp
+++ b/src/core/servers/answertime.cpp
@@ -5,7 +5,7 @@
     SPDX-License-Identifier: Apache-2.0
 */
 
-#include "core/answertime.h"
+#include "core/servers/answertime.h"
 
 #include <algorithm>
 #include <cmath>
--- a/src/core/answertime.h
+++ b/src/core/servers/answertime.h
@@ -7,8 +7,8 @@
 
 #pragma once
 
-#include "core/backendpool.h"
-#include "core/time.h"
+#include "core/servers/backendpool.h"
+#include "core/support/time.h"
 
 #include <map>
 
--- a/src/core/backendpool.cpp
+++ b/src/core/servers/backendpool.cpp
@@ -5,7 +5,7 @@
     SPDX-License-Identifier: Apache-2.0
 */
 
-#include "core/backendpool.h"
+#include "core/servers/backendpool.h"
 
 #include <algorithm>
 #include <utility>
--- a/src/core/backendpool.h
+++ b/src/core/servers/backendpool.h
@@ -7,11 +7,11 @@
 
 #pragma once
 
-#include "core/configuration.h"
-#include "core/loadreport.h"
-#include "core/pickpolicy.h"
-#include "core/random.h"
-#include "core/time.h"
+#include "core/intent/configuration.h"
+#include "core/servers/loadreport.h"
+#include "core/servers/pickpolicy.h"
+#include "core/support/random.h"
+#include "core/support/time.h"
 
 #include <cstddef>
 #include <optional>
--- a/src/core/pickpolicy.cpp
+++ b/src/core/servers/pickpolicy.cpp
@@ -5,9 +5,9 @@
     SPDX-License-Identifier: Apache-2.0
 */
 
-#include "core/pickpolicy.h"
+#include "core/servers/pickpolicy.h"
 
-#include "core/backendpool.h"
+#include "core/servers/backendpool.h"
 
 #include <cmath>
 
--- a/src/core/probeallowance.cpp
+++ b/src/core/servers/probeallowance.cpp
@@ -5,7 +5,7 @@
     SPDX-License-Identifier: Apache-2.0
 */
 
-#include "core/probeallowance.h"
+#include "core/servers/probeallowance.h"
 
 #include <algorithm>
 
--- a/src/core/serverchooser.cpp
+++ b/src/core/servers/serverchooser.cpp
@@ -5,9 +5,9 @@
     SPDX-License-Identifier: Apache-2.0
 */
 
-#include "core/serverchooser.h"
+#include "core/servers/serverchooser.h"
 
-#include "core/stablehash.h"
+#include "core/support/stablehash.h"
 
 #include <algorithm>
 #include <limits>
--- a/src/core/serverchooser.h
+++ b/src/core/servers/serverchooser.h
@@ -7,11 +7,11 @@
 
 #pragma once
 
-#include "core/answertime.h"
-#include "core/backendpool.h"
-#include "core/probeallowance.h"
-#include "core/random.h"
-#include "core/time.h"
+#include "core/servers/answertime.h"
+#include "core/servers/backendpool.h"
+#include "core/servers/probeallowance.h"
+#include "core/support/random.h"
+#include "core/support/time.h"
 
 #include <cstddef>
 #include <optional>
--- a/src/core/address.cpp
+++ b/src/core/support/address.cpp
@@ -5,9 +5,9 @@
     SPDX-License-Identifier: Apache-2.0
 */
 
-#include "core/address.h"
+#include "core/support/address.h"
 
-#include "core/text.h"
+#include "core/support/text.h"
 
 namespace Cloverbarrow
 {
--- a/src/core/text.cpp
+++ b/src/core/support/text.cpp
@@ -5,7 +5,7 @@
     SPDX-License-Identifier: Apache-2.0
 */
 
-#include "core/text.h"
+#include "core/support/text.h"
 
 #include <algorithm>
 #include <cctype>
--- a/src/core/textdiff.cpp
+++ b/src/core/support/textdiff.cpp
@@ -5,7 +5,7 @@
     SPDX-License-Identifier: Apache-2.0
 */
 
-#include "core/textdiff.h"
+#include "core/support/textdiff.h"
 
 #include <algorithm>
 #include <vector>
--- a/src/core/yamlreader.cpp
+++ b/src/core/support/yamlreader.cpp
@@ -5,7 +5,7 @@
     SPDX-License-Identifier: Apache-2.0
 */
 
-#include "core/yamlreader.h"
+#include "core/support/yamlreader.h"
 
 #include <yaml-cpp/yaml.h>
 
--- a/src/ctl/burncommand.cpp
+++ b/src/ctl/burncommand.cpp
@@ -7,8 +7,8 @@
 
 #include "ctl/burncommand.h"
 
-#include "core/burnreport.h"
-#include "core/configurationparser.h"
+#include "core/burn/burnreport.h"
+#include "core/intent/configurationparser.h"
 #include "ctl/burnplot.h"
 #include "ctl/output.h"
 #include "ctl/session.h"
--- a/src/ctl/burnplot.h
+++ b/src/ctl/burnplot.h
@@ -7,7 +7,7 @@
 
 #pragma once
 
-#include "core/burnreport.h"
+#include "core/burn/burnreport.h"
 
 #include <span>
 #include <string>
--- a/src/daemon/adminservice.cpp
+++ b/src/daemon/adminservice.cpp
@@ -7,8 +7,8 @@
 
 #include "daemon/adminservice.h"
 
-#include "core/configurationparser.h"
-#include "core/textdiff.h"
+#include "core/intent/configurationparser.h"
+#include "core/support/textdiff.h"
 #include "net/bootclock.h"
 #include "net/digest.h"
 
--- a/src/daemon/adminservice.h
+++ b/src/daemon/adminservice.h
@@ -7,7 +7,7 @@
 
 #pragma once
 
-#include "core/intentchange.h"
+#include "core/intent/intentchange.h"
 #include "core/node.h"
 #include "daemon/peerservice.h"
 #include "daemon/telemetry.h"
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -7,7 +7,7 @@
 
 #include "daemon/daemon.h"
 
-#include "core/address.h"
+#include "core/support/address.h"
 #include "daemon/ownprotocol.h"
 #include "net/bootclock.h"
 #include "net/digest.h"
--- a/src/daemon/directoryrunner.cpp
+++ b/src/daemon/directoryrunner.cpp
@@ -7,7 +7,7 @@
 
 #include "daemon/directoryrunner.h"
 
-#include "core/address.h"
+#include "core/support/address.h"
 #include "net/bootclock.h"
 
 #include <utility>
--- a/src/daemon/gateway.cpp
+++ b/src/daemon/gateway.cpp
@@ -7,7 +7,7 @@
 
 #include "daemon/gateway.h"
 
-#include "core/stablehash.h"
+#include "core/support/stablehash.h"
 #include "net/bootclock.h"
 
 #include <algorithm>
--- a/src/daemon/gateway.h
+++ b/src/daemon/gateway.h
@@ -8,8 +8,8 @@
 #pragma once
 
 #include "core/node.h"
-#include "core/routingtable.h"
-#include "core/trafficsplitter.h"
+#include "core/routing/routingtable.h"
+#include "core/routing/trafficsplitter.h"
 #include "daemon/eventhandler.h"
 #include "daemon/requestcheck.h"
 #include "daemon/requestlog.h"
--- a/src/daemon/operationsserver.cpp
+++ b/src/daemon/operationsserver.cpp
@@ -7,7 +7,7 @@
 
 #include "daemon/operationsserver.h"
 
-#include "core/address.h"
+#include "core/support/address.h"
 
 #include <pistache/endpoint.h>
 
--- a/src/daemon/ownprotocol.cpp
+++ b/src/daemon/ownprotocol.cpp
@@ -7,7 +7,7 @@
 
 #include "daemon/ownprotocol.h"
 
-#include "core/text.h"
+#include "core/support/text.h"
 #include "daemon/requestcheck.h"
 #include "net/problemjson.h"
 
--- a/src/daemon/requestcheck.cpp
+++ b/src/daemon/requestcheck.cpp
@@ -7,7 +7,7 @@
 
 #include "daemon/requestcheck.h"
 
-#include "core/text.h"
+#include "core/support/text.h"
 #include "net/digest.h"
 
 #include <algorithm>
--- a/src/daemon/requestcheck.h
+++ b/src/daemon/requestcheck.h
@@ -7,9 +7,9 @@
 
 #pragma once
 
-#include "core/configuration.h"
-#include "core/routingtable.h"
-#include "core/serviceevents.h"
+#include "core/intent/configuration.h"
+#include "core/requests/serviceevents.h"
+#include "core/routing/routingtable.h"
 #include "net/httpmessage.h"
 
 #include <variant>
--- a/src/daemon/requestlog.h
+++ b/src/daemon/requestlog.h
@@ -7,8 +7,8 @@
 
 #pragma once
 
-#include "core/operatorintent.h"
-#include "core/serviceevents.h"
+#include "core/intent/operatorintent.h"
+#include "core/requests/serviceevents.h"
 #include "net/httpclient.h"
 #include "net/log.h"
 
--- a/src/daemon/settings.cpp
+++ b/src/daemon/settings.cpp
@@ -7,7 +7,7 @@
 
 #include "daemon/settings.h"
 
-#include "core/address.h"
+#include "core/support/address.h"
 
 #include <yaml-cpp/yaml.h>
 
--- a/src/daemon/settings.h
+++ b/src/daemon/settings.h
@@ -7,9 +7,9 @@
 
 #pragma once
 
-#include "core/fleetbudgets.h"
-#include "core/time.h"
-#include "core/yamlreader.h"
+#include "core/requests/fleetbudgets.h"
+#include "core/support/time.h"
+#include "core/support/yamlreader.h"
 
 #include <cstddef>
 #include <optional>
--- a/src/daemon/telemetry.h
+++ b/src/daemon/telemetry.h
@@ -7,9 +7,9 @@
 
 #pragma once
 
-#include "core/burncounter.h"
-#include "core/configuration.h"
-#include "core/time.h"
+#include "core/burn/burncounter.h"
+#include "core/intent/configuration.h"
+#include "core/support/time.h"
 
 #include <cstdint>
 #include <map>
--- a/src/net/callerserver.cpp
+++ b/src/net/callerserver.cpp
@@ -7,7 +7,7 @@
 
 #include "net/callerserver.h"
 
-#include "core/address.h"
+#include "core/support/address.h"
 #include "net/bootclock.h"
 
 #include <pistache/listener.h>
--- a/src/net/exchangeprotocol.h
+++ b/src/net/exchangeprotocol.h
@@ -7,7 +7,7 @@
 
 #pragma once
 
-#include "core/serviceevents.h"
+#include "core/requests/serviceevents.h"
 #include "net/httpclient.h"
 #include "net/httpmessage.h"
 
--- a/src/net/httpclient.cpp
+++ b/src/net/httpclient.cpp
@@ -7,8 +7,8 @@
 
 #include "net/httpclient.h"
 
-#include "core/stablehash.h"
-#include "core/text.h"
+#include "core/support/stablehash.h"
+#include "core/support/text.h"
 #include "net/httptransfer.h"
 
 #include <atomic>
--- a/src/net/httpclient.h
+++ b/src/net/httpclient.h
@@ -7,7 +7,7 @@
 
 #pragma once
 
-#include "core/time.h"
+#include "core/support/time.h"
 #include "net/httpmessage.h"
 
 #include <cstddef>
--- a/src/net/httpmessage.cpp
+++ b/src/net/httpmessage.cpp
@@ -7,7 +7,7 @@
 
 #include "net/httpmessage.h"
 
-#include "core/text.h"
+#include "core/support/text.h"
 
 #include <algorithm>
 #include <array>
--- a/src/net/platformclient.h
+++ b/src/net/platformclient.h
@@ -9,7 +9,7 @@
 
 #include "core/controlevents.h"
 #include "core/storecall.h"
-#include "core/time.h"
+#include "core/support/time.h"
 
 #include <functional>
 #include <optional>
--- a/src/net/requestframer.cpp
+++ b/src/net/requestframer.cpp
@@ -7,7 +7,7 @@
 
 #include "net/requestframer.h"
 
-#include "core/text.h"
+#include "core/support/text.h"
 
 #include <algorithm>
 #include <charconv>
--- a/src/net/wire.h
+++ b/src/net/wire.h
@@ -9,7 +9,7 @@
 
 #include "Admin.h"
 #include "Peer.h"
-#include "core/member.h"
+#include "core/membership/member.h"
 
 namespace Cloverbarrow
 {
--- a/tests/golden/sessiontests.cpp
+++ b/tests/golden/sessiontests.cpp
@@ -5,8 +5,8 @@
     SPDX-License-Identifier: Apache-2.0
 */
 
+#include "core/intent/operatorintent.h"
 #include "core/node.h"
-#include "core/operatorintent.h"
 #include "describe.h"
 #include "sampleservice.h"
 
--- a/tests/process/rawcaller.h
+++ b/tests/process/rawcaller.h
@@ -7,7 +7,7 @@
 
 #pragma once
 
-#include "core/address.h"
+#include "core/support/address.h"
 #include "net/descriptor.h"
 
 #include <netinet/in.h>
--- a/tests/property/budgetproperties.cpp
+++ b/tests/property/budgetproperties.cpp
@@ -5,8 +5,8 @@
     SPDX-License-Identifier: Apache-2.0
 */
 
-#include "core/measuringshares.h"
-#include "core/membership.h"
+#include "core/measuring/measuringshares.h"
+#include "core/membership/membership.h"
 #include "fakestore.h"
 #include "generate.h"
 
--- a/tests/property/inputproperties.cpp
+++ b/tests/property/inputproperties.cpp
@@ -5,10 +5,10 @@
     SPDX-License-Identifier: Apache-2.0
 */
 
-#include "core/configurationparser.h"
-#include "core/operatorintent.h"
-#include "core/payoutrecord.h"
-#include "core/sharetable.h"
+#include "core/intent/configurationparser.h"
+#include "core/intent/operatorintent.h"
+#include "core/measuring/sharetable.h"
+#include "core/payouts/payoutrecord.h"
 #include "daemon/settings.h"
 #include "generate.h"
 #include "net/requestframer.h"
--- a/tests/property/intentproperties.cpp
+++ b/tests/property/intentproperties.cpp
@@ -5,8 +5,8 @@
     SPDX-License-Identifier: Apache-2.0
 */
 
-#include "core/intentchange.h"
-#include "core/intentkeeper.h"
+#include "core/intent/intentchange.h"
+#include "core/intent/intentkeeper.h"
 #include "fakestore.h"
 #include "generate.h"
 #include "sampleservice.h"
--- a/tests/property/payoutproperties.cpp
+++ b/tests/property/payoutproperties.cpp
@@ -5,8 +5,8 @@
     SPDX-License-Identifier: Apache-2.0
 */
 
-#include "core/payoutrecord.h"
-#include "core/serviceshard.h"
+#include "core/payouts/payoutrecord.h"
+#include "core/requests/serviceshard.h"
 #include "fakestore.h"
 #include "generate.h"
 #include "sampleservice.h"
--- a/tests/soak/faultproxy.cpp
+++ b/tests/soak/faultproxy.cpp
@@ -7,7 +7,7 @@
 
 #include "faultproxy.h"
 
-#include "core/address.h"
+#include "core/support/address.h"
 
 #include <arpa/inet.h>
 #include <netinet/in.h>
--- a/tests/soak/faultschedule.h
+++ b/tests/soak/faultschedule.h
@@ -7,7 +7,7 @@
 
 #pragma once
 
-#include "core/random.h"
+#include "core/support/random.h"
 #include "soaksite.h"
 
 #include <chrono>
--- a/tests/soak/soakcallers.cpp
+++ b/tests/soak/soakcallers.cpp
@@ -7,7 +7,7 @@
 
 #include "soakcallers.h"
 
-#include "core/random.h"
+#include "core/support/random.h"
 #include "names.h"
 
 #include <future>
--- a/tests/support/sampleservice.h
+++ b/tests/support/sampleservice.h
@@ -7,7 +7,7 @@
 
 #pragma once
 
-#include "core/configuration.h"
+#include "core/intent/configuration.h"
 
 #include <string>
 
--- a/tests/unit/burntests.cpp
+++ b/tests/unit/burntests.cpp
@@ -5,8 +5,8 @@
     SPDX-License-Identifier: Apache-2.0
 */
 
-#include "core/burncounter.h"
-#include "core/burnreport.h"
+#include "core/burn/burncounter.h"
+#include "core/burn/burnreport.h"
 
 #include <catch2/catch.hpp>
 
--- a/tests/unit/configurationparsertests.cpp
+++ b/tests/unit/configurationparsertests.cpp
@@ -5,7 +5,7 @@
     SPDX-License-Identifier: Apache-2.0
 */
 
-#include "core/configurationparser.h"
+#include "core/intent/configurationparser.h"
 #include "daemon/settings.h"
 #include "sampleservice.h"
 
--- a/tests/unit/fleetbudgettests.cpp
+++ b/tests/unit/fleetbudgettests.cpp
@@ -6,9 +6,9 @@
 */
 
 #include "core/directory/fleetestimate.h"
-#include "core/fleetbudgets.h"
-#include "core/random.h"
-#include "core/retrybudget.h"
+#include "core/requests/fleetbudgets.h"
+#include "core/requests/retrybudget.h"
+#include "core/support/random.h"
 
 #include <catch2/catch.hpp>
 
--- a/tests/unit/routingtabletests.cpp
+++ b/tests/unit/routingtabletests.cpp
@@ -5,7 +5,7 @@
     SPDX-License-Identifier: Apache-2.0
 */
 
-#include "core/routingtable.h"
+#include "core/routing/routingtable.h"
 
 #include <catch2/catch.hpp>
 
--- a/tests/unit/trafficroutetests.cpp
+++ b/tests/unit/trafficroutetests.cpp
@@ -5,8 +5,8 @@
     SPDX-License-Identifier: Apache-2.0
 */
 
-#include "core/routingtable.h"
-#include "core/trafficsplitter.h"
+#include "core/routing/routingtable.h"
+#include "core/routing/trafficsplitter.h"
 
 #include <catch2/catch.hpp>
 
