Smaller files: ServiceShard's judgement, Gateway's answers and Daemon's start on their own; connections are cut by the fleet's size

With a directory each entry VM allowed itself all of a server's connections. Change: moves; the number of entry VMs that the directory counts bounds connections to each server as membership does elsewhere.

--- a/src/core/controlshard.cpp
+++ b/src/core/controlshard.cpp
@@ -213,6 +213,10 @@
     std::vector<IntentAction> intentActions;
     intent_.published(event.intent, intentActions);
     carryOut(std::move(intentActions), actions);
+    if (event.intent->entryVms > 0 && event.intent->entryVms != fleetSize_) {
+        fleetSize_ = event.intent->entryVms;
+        actions.emplace_back(FleetResized{fleetSize_});
+    }
 }
 
 void ControlShard::on(TimePoint now, const StopRequested &, ControlActions &)
--- a/src/core/directory/directorykeeper.cpp
+++ b/src/core/directory/directorykeeper.cpp
@@ -317,6 +317,7 @@
     auto intent = std::make_shared<IntentInForce>();
     intent->version = ++published_;
     intent->value = plan_->versionText;
+    intent->entryVms = fleet_.entryVms();
     intent->configuration.routes = plan_->routes;
     intent->configuration.callerLimits = plan_->limits;
     for (Service service : plan_->services) {
--- a/src/core/intent/operatorintent.h
+++ b/src/core/intent/operatorintent.h
@@ -50,6 +50,7 @@
     std::string value; ///< As the platform holds it; peers pass it on unchanged.
     OperatorIntent intent;
     Configuration configuration;
+    int entryVms = 0; ///< That share the connections of backend servers, as far as is known; 0 when only membership tells.
 };
 
 /// Changes kept in the history.
--- /dev/null
+++ b/src/core/requests/serviceshardoutcome.cpp
@@ -0,0 +1,218 @@
+/*
+    This file is part of cloverbarrow.
+
+    SPDX-FileCopyrightText: 2026 The cloverbarrow authors
+    SPDX-License-Identifier: Apache-2.0
+*/
+
+#include "core/requests/serviceshard.h"
+
+#include "core/requests/comeback.h"
+
+#include <algorithm>
+
+// The part of ServiceShard that judges how attempts ended: pass, retry or refuse.
+
+namespace Cloverbarrow
+{
+
+namespace
+{
+
+constexpr int ServerError = 500;
+constexpr int BadGateway = 502;
+constexpr int Unavailable = 503;
+// Attempts that never left may be made up for this often.
+constexpr int MaxUnsent = 3;
+
+AttemptQuality qualityOf(const AttemptOutcome &outcome)
+{
+    if (const auto *answer = std::get_if<AnsweredWhole>(&outcome)) {
+        if (answer->isNotRun) {
+            return AttemptQuality::Neutral;
+        }
+        return answer->status < ServerError ? AttemptQuality::Good : AttemptQuality::Failed;
+    }
+    return AttemptQuality::Failed;
+}
+
+/// Visitor that words the refusal for an attempt that ended without an answer to pass.
+struct ProblemOf {
+    std::string peer;
+    bool mayHaveRun;
+
+    Fate fate(bool isNotRun) const
+    {
+        return isNotRun && !mayHaveRun ? Fate::NotRun : Fate::Unknown;
+    }
+
+    Problem operator()(const AnsweredWhole &answer) const
+    {
+        return {503, fate(answer.isNotRun), "run request", peer, "the backend server did not run the request", ComeBackWhenBusy};
+    }
+
+    Problem operator()(const NeverLeft &failure) const
+    {
+        return {503, fate(true), "connect", peer, failure.reason, ComeBackWhenBusy};
+    }
+
+    Problem operator()(const LostAnswer &failure) const
+    {
+        return {failure.isTimeout ? 504 : 502, fate(false), "await answer", peer, failure.reason, std::nullopt};
+    }
+};
+
+} // namespace
+
+void ServiceShard::on(TimePoint now, const AttemptEnded &event, ServiceActions &actions)
+{
+    const auto attempt = takeRunning(event.request, event.attempt);
+    if (!attempt) {
+        return;
+    }
+    Request &request = requests_.at(event.request);
+    learn(now, *attempt, event, actions);
+    const Verdict verdict = judge(request, event.outcome);
+    const bool isGood = verdict == Verdict::Pass;
+    const auto *answer = std::get_if<AnsweredWhole>(&event.outcome);
+    const bool isNotRun = std::holds_alternative<NeverLeft>(event.outcome) || (answer && answer->isNotRun);
+    const bool isUnsent = std::holds_alternative<NeverLeft>(event.outcome);
+    request.mayHaveRun = request.mayHaveRun || !isNotRun;
+    request.unsent += isUnsent ? 1 : 0;
+    // While another attempt is under way, it may still bring a good answer.
+    const bool isLast = isGood || request.running.empty();
+    const bool wantsRetry = !isGood && verdict != Verdict::Refuse;
+    if (isLast && wantsRetry && mayRetry(now, request, isUnsent)) {
+        start(now, request, actions);
+    } else if (isLast) {
+        conclude(now, request, *attempt, event, verdict, actions);
+        requests_.erase(event.request);
+    }
+    startWaiting(now, actions);
+}
+
+std::optional<ServiceShard::Attempt> ServiceShard::takeRunning(RequestId request, int number)
+{
+    const auto found = requests_.find(request);
+    if (found == requests_.end()) {
+        return std::nullopt;
+    }
+    auto &running = found->second.running;
+    const auto attempt = std::find_if(running.begin(), running.end(), [number](const Attempt &item) { return item.number == number; });
+    if (attempt == running.end()) {
+        return std::nullopt;
+    }
+    Attempt taken = std::move(*attempt);
+    running.erase(attempt);
+    return taken;
+}
+
+AttemptQuality ServiceShard::qualityOf(const Attempt &attempt, const AttemptOutcome &outcome) const
+{
+    const auto *lost = std::get_if<LostAnswer>(&outcome);
+    // Some servers reset connections when they are full; that is no sign of illness.
+    const bool isShed = probesFirst() && lost && !lost->isTimeout && attempt.crowding == Crowding::HadToWait;
+    return isShed ? AttemptQuality::Neutral : Cloverbarrow::qualityOf(outcome);
+}
+
+void ServiceShard::learn(TimePoint now, const Attempt &attempt, const AttemptEnded &event, ServiceActions &actions)
+{
+    pool_.release(attempt.backend, qualityOf(attempt, event.outcome), now - attempt.startedAt, now);
+    if (event.report) {
+        pool_.report(attempt.backend, *event.report, now);
+        chooser_.model().toldSlowness(event.report->slowness);
+    }
+    const auto *answer = std::get_if<AnsweredWhole>(&event.outcome);
+    if (answer && answer->isLeaving) {
+        noteLeaving(attempt.backend, actions);
+    }
+    if (Cloverbarrow::qualityOf(event.outcome) == AttemptQuality::Good) {
+        chooser_.model().answered(requests_.at(event.request).arrival.latencyObjective, now - attempt.startedAt, attempt.crowding);
+    }
+}
+
+void ServiceShard::noteLeaving(const std::string &backend, ServiceActions &actions)
+{
+    pool_.markLeaving(backend);
+    actions.emplace_back(TellLeaving{backend});
+}
+
+ServiceShard::Verdict ServiceShard::judge(const Request &request, const AttemptOutcome &outcome) const
+{
+    const bool isFreelyRetried = kindClass(request) == KindClass::Read && !request.arrival.isRetryAbove;
+    if (std::holds_alternative<NeverLeft>(outcome)) {
+        return Verdict::RetryOrRefuse;
+    }
+    if (std::holds_alternative<LostAnswer>(outcome)) {
+        return isFreelyRetried ? Verdict::RetryOrRefuse : Verdict::Refuse;
+    }
+    const auto &answer = std::get<AnsweredWhole>(outcome);
+    if (answer.isNotRun) {
+        return request.arrival.isRetryAbove ? Verdict::Refuse : Verdict::RetryOrRefuse;
+    }
+    if (answer.isMisleading) {
+        return isFreelyRetried ? Verdict::RetryOrRefuse : Verdict::Refuse;
+    }
+    const auto &statuses = service_.retry.statuses;
+    const bool isRetriedStatus = std::find(statuses.begin(), statuses.end(), answer.status) != statuses.end();
+    // Were each level of a deep call to retry what the next has retried, the attempts would multiply.
+    return isFreelyRetried && isRetriedStatus && !answer.isRetriedBelow ? Verdict::RetryOrPass : Verdict::Pass;
+}
+
+int ServiceShard::maxAttempts(const Request &request) const
+{
+    const int limit = request.arrival.maxAttempts > 0 ? request.arrival.maxAttempts : service_.retry.maxAttempts;
+    return probesFirst() ? limit + std::min(request.unsent, MaxUnsent) : limit;
+}
+
+bool ServiceShard::mayRetry(TimePoint now, const Request &request, bool isUnsent)
+{
+    const bool hasAttempts = request.attempts < maxAttempts(request);
+    const bool isWanted = !request.isCallerGone || isPayout(request);
+    const bool isPossible = hasAttempts && isWanted && now < request.arrival.deadline && pool_.hasCandidate();
+    const bool isFree = isUnsent && probesFirst();
+    return isPossible && (isFree || retryBudget_.take(now));
+}
+
+void ServiceShard::conclude(TimePoint now, Request &request, const Attempt &attempt, const AttemptEnded &event, Verdict verdict, ServiceActions &actions)
+{
+    const RequestId id = request.arrival.request;
+    cancelRunning(now, request, actions);
+    if (verdict == Verdict::Pass || verdict == Verdict::RetryOrPass) {
+        if (isPayout(request)) {
+            ledger_.settled(id, event.attempt, std::get<AnsweredWhole>(event.outcome), actions);
+        } else {
+            actions.emplace_back(PassAnswer{id, event.attempt});
+        }
+        return;
+    }
+    refuse(request, std::visit(ProblemOf{attempt.backend, request.mayHaveRun}, event.outcome), actions);
+}
+
+void ServiceShard::cancelRunning(TimePoint now, Request &request, ServiceActions &actions)
+{
+    for (const Attempt &attempt : request.running) {
+        actions.emplace_back(CancelAttempt{request.arrival.request, attempt.number, attempt.address});
+        pool_.release(attempt.backend, AttemptQuality::Neutral, now - attempt.startedAt, now);
+    }
+    request.running.clear();
+}
+
+void ServiceShard::refuse(const Request &request, Problem problem, ServiceActions &actions)
+{
+    const RequestId id = request.arrival.request;
+    if (problem.fate == Fate::Unknown && problem.status == Unavailable) {
+        // To callers, 503 says that a request was not run.
+        problem.status = BadGateway;
+        problem.retryAfter.reset();
+    }
+    if (!isPayout(request)) {
+        actions.emplace_back(Refuse{id, std::move(problem)});
+    } else if (problem.fate == Fate::NotRun) {
+        ledger_.notSent(id, problem, actions);
+    } else {
+        ledger_.lost(id, problem, actions);
+    }
+}
+
+} // namespace Cloverbarrow
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -7,12 +7,7 @@
 
 #include "daemon/daemon.h"
 
-#include "core/support/address.h"
-#include "daemon/ownprotocol.h"
 #include "net/bootclock.h"
-#include "net/digest.h"
-
-#include <nlohmann/json.hpp>
 
 #include <algorithm>
 #include <limits>
@@ -24,7 +19,6 @@
 namespace
 {
 
-constexpr std::size_t NonceBytes = 8;
 // Choices and hedges are looked at this often while requests are open; each wake-up costs processor time.
 constexpr auto TickInterval = std::chrono::milliseconds(10);
 constexpr int TicksPerControl = 3;
@@ -32,83 +26,8 @@
 constexpr int TicksPerGauges = 100;
 constexpr std::size_t MaxLoggedVersion = 32;
 
-std::uint64_t seedOf(const std::string &nonce)
-{
-    constexpr int HexBase = 16;
-    return std::stoull(nonce, nullptr, HexBase);
-}
-
 } // namespace
 
-std::string ListenAddresses::toJson() const
-{
-    return nlohmann::ordered_json{{"callers", callers}, {"peers", peers}, {"admin", admin}, {"operations", operations}}.dump();
-}
-
-Daemon::Daemon(Settings settings, ReadSettings readSettings, const DirectoryParts &parts)
-    : settings_(std::move(settings))
-    , readSettings_(std::move(readSettings))
-    , nonce_(randomHex(NonceBytes))
-    , log_("daemon")
-    , backends_(static_cast<std::size_t>(settings_.backendThreads))
-{
-    if (settings_.directory) {
-        startDirectory(parts);
-    } else {
-        startOwnFleet();
-    }
-    node_ = std::make_unique<Node>(controlSettings(), LoadReportPick{});
-    gateway_ = std::make_unique<Gateway>(*node_, *this, backends_, platform_.get(), *protocol_, telemetry_, nonce_);
-    CallerServerOptions options{settings_.callersAddress, static_cast<std::size_t>(settings_.callerThreads), ownBounds(), false};
-    options.halfCloseIsGone = settings_.directory.has_value();
-    callerServer_ = std::make_unique<CallerServer>(
-        options, [this](const std::shared_ptr<CallerConnection> &connection, HttpRequest request) { gateway_->accept(connection, std::move(request)); });
-    addresses_.callers = withPort(settings_.callersAddress, callerServer_->port());
-    operationsServer_ = std::make_unique<OperationsServer>(settings_.operationsAddress,
-                                                           OperationsSource{[this] { return telemetry_.exposition(); }, [this] { return unreadyReason(); }});
-    addresses_.operations = withPort(settings_.operationsAddress, operationsServer_->port());
-    if (!settings_.directory) {
-        peerClient_ = std::make_unique<PeerClient>(*this);
-        peerService_->open({node_.get(), this});
-        adminService_->open({node_.get(), this});
-    }
-}
-
-void Daemon::startOwnFleet()
-{
-    protocol_ = std::make_shared<OwnProtocol>();
-    platform_ = std::make_unique<HttpPlatformClient>(settings_.platformAddress);
-    peerService_ = std::make_shared<PeerService>();
-    adminService_ = std::make_shared<AdminService>(*platform_, telemetry_);
-    peerServer_ = std::make_unique<ThriftServer>(settings_.peersAddress, std::make_shared<Wire::PeerProcessor>(peerService_));
-    adminServer_ = std::make_unique<ThriftServer>(settings_.adminAddress, std::make_shared<Wire::AdminProcessor>(adminService_));
-    addresses_.peers = peerServer_->address();
-    addresses_.admin = adminServer_->address();
-}
-
-void Daemon::startDirectory(const DirectoryParts &parts)
-{
-    protocol_ = parts.protocol;
-    directory_ = std::make_unique<DirectoryRunner>(*settings_.directory, settings_.zone, seedOf(nonce_), parts.makeClient(backends_), backends_, *this);
-}
-
-Daemon::~Daemon()
-{
-    hasEnded_ = true;
-    operationsServer_->stop();
-    if (directory_) {
-        directory_->stop();
-    }
-    if (!settings_.directory) {
-        adminServer_->stop();
-        peerServer_->stop();
-        peerClient_->stop();
-        platform_->stop();
-    }
-    backends_.stop();
-    callerServer_.reset();
-}
-
 const ListenAddresses &Daemon::addresses() const
 {
     return addresses_;
@@ -167,22 +86,6 @@
     }
 }
 
-ControlSettings Daemon::controlSettings() const
-{
-    ControlSettings control;
-    control.self.id = {settings_.name, nonce_};
-    control.self.peerAddress = addresses_.peers;
-    control.self.adminAddress = addresses_.admin;
-    control.self.zone = settings_.zone;
-    control.self.region = settings_.region;
-    control.firstPeers = settings_.firstPeers;
-    control.shutdownNotice = settings_.shutdownNotice;
-    control.shutdownLimit = settings_.shutdownLimit;
-    control.seed = seedOf(nonce_);
-    control.hasDirectory = settings_.directory.has_value();
-    return control;
-}
-
 void Daemon::perform(const ControlAction &action)
 {
     struct Performer {
@@ -308,28 +211,6 @@
     applyConnectionCap();
 }
 
-CallerBounds Daemon::ownBounds() const
-{
-    CallerBounds bounds;
-    bounds.limits.body = static_cast<std::size_t>(settings_.maxBodyBytes);
-    bounds.headTime = settings_.slowCallerBound;
-    bounds.slowTime = settings_.slowCallerBound;
-    return bounds;
-}
-
-CallerBounds Daemon::boundsFor(const CallerLimits &limits) const
-{
-    CallerBounds bounds = ownBounds();
-    bounds.limits.head = limits.headerBytes;
-    bounds.limits.target = limits.headerBytes;
-    // This VM's own memory sets a bound too.
-    bounds.limits.body = std::min(limits.bodyBytes, bounds.limits.body);
-    bounds.headTime = limits.headerTime;
-    bounds.slowTime = std::max(limits.headerTime, bounds.slowTime);
-    bounds.idleTime = limits.idleTime;
-    return bounds;
-}
-
 void Daemon::setFleetSize(int entryVms)
 {
     entryVms_ = entryVms;
--- /dev/null
+++ b/src/daemon/gatewayanswers.cpp
@@ -0,0 +1,101 @@
+/*
+    This file is part of cloverbarrow.
+
+    SPDX-FileCopyrightText: 2026 The cloverbarrow authors
+    SPDX-License-Identifier: Apache-2.0
+*/
+
+#include "daemon/gateway.h"
+
+#include "net/bootclock.h"
+
+#include <utility>
+
+// The part of Gateway that gives callers their final answers.
+
+namespace Cloverbarrow
+{
+
+namespace
+{
+
+constexpr int ServerError = 500;
+
+} // namespace
+
+void Gateway::drop(const DropRequest &action)
+{
+    if (const auto exchange = takeExchange(action.request)) {
+        log_.callerGone(exchange->callerId, bootNow() - exchange->arrivedAt);
+    }
+}
+
+void Gateway::pass(const PassAnswer &action)
+{
+    auto exchange = takeExchange(action.request);
+    if (!exchange) {
+        return;
+    }
+    const auto found = exchange->answers.find(action.attempt);
+    if (found == exchange->answers.end()) {
+        const Problem problem{502, Fate::Unknown, "pass answer", "entry VM", "the answer was not kept", std::nullopt};
+        finish(*exchange, protocol_.refusal(problem), CallerOutcome::Unknown);
+        return;
+    }
+    HttpAnswer answer = std::move(found->second);
+    answer.headers = protocol_.forCaller(answer.headers);
+    if (action.attempt > 1 && answer.status >= ServerError) {
+        protocol_.markRetried(answer);
+    }
+    const auto outcome = answer.status < ServerError ? CallerOutcome::Answered : CallerOutcome::ServerError;
+    log_.answered(exchange->callerId, action.attempt, answer.status, bootNow() - exchange->arrivedAt);
+    finish(*exchange, answer, outcome);
+}
+
+void Gateway::replay(const ReplayAnswer &action)
+{
+    if (const auto exchange = takeExchange(action.request)) {
+        HttpAnswer answer;
+        answer.status = action.status;
+        if (!action.contentType.empty()) {
+            answer.headers.push_back({"Content-Type", action.contentType});
+        }
+        answer.headers.push_back({ReplayedHeader, "true"});
+        answer.body = action.body;
+        finish(*exchange, answer, CallerOutcome::Answered);
+    }
+}
+
+void Gateway::refuse(const Refuse &action)
+{
+    if (const auto exchange = takeExchange(action.request)) {
+        const auto outcome = action.problem.fate == Fate::NotRun ? CallerOutcome::NotRun : CallerOutcome::Unknown;
+        log_.refused(exchange->callerId, action.problem, bootNow() - exchange->arrivedAt);
+        finish(*exchange, protocol_.refusal(action.problem), outcome);
+    }
+}
+
+std::optional<Gateway::Exchange> Gateway::takeExchange(RequestId request)
+{
+    Shard &shard = shardOf(request);
+    const std::lock_guard lock(shard.mutex);
+    const auto found = shard.exchanges.find(request);
+    if (found == shard.exchanges.end()) {
+        return std::nullopt;
+    }
+    Exchange exchange = std::move(found->second);
+    shard.exchanges.erase(found);
+    --openExchanges_;
+    return exchange;
+}
+
+void Gateway::finish(const Exchange &exchange, const HttpAnswer &answer, CallerOutcome outcome)
+{
+    const TimePoint now = bootNow();
+    const Service &service = exchange.intent->configuration.services[exchange.route.service];
+    const RequestKind &kind = exchange.route.rule ? exchange.route.rule->kind : service.kinds[exchange.route.kind];
+    telemetry_.requestEnded(now, service, kind, outcome, now - exchange.arrivedAt);
+    exchange.connection->answer(answer, exchange.request->method == "HEAD");
+}
+
+} // namespace Cloverbarrow
