--- a/src/core/directory/fleetestimate.cpp
+++ b/src/core/directory/fleetestimate.cpp
@@ -19,6 +19,8 @@
 constexpr int FewestToCutFor = 20;
 // Zones differ in size, and some entry VMs follow the store alone.
 constexpr double Margin = 1.2;
+// Each change makes all budgets anew; smaller ones are within the margin.
+constexpr double Step = 1.1;
 // Followers ask every 0.4 s; one that has not asked for so long has ended or follows the store alone.
 constexpr Duration FollowerStays = seconds(5);
 // Entry VMs that were killed together are back by then, and the budgets' windows are over.
@@ -51,6 +53,9 @@
         return false;
     }
     heldUntil_ = now + HoldTime;
+    if (next > entryVms_ && next <= entryVms_ * Step) {
+        return false;
+    }
     const bool isChanged = next != entryVms_;
     entryVms_ = next;
     return isChanged;
--- a/src/core/directory/relayseat.cpp
+++ b/src/core/directory/relayseat.cpp
@@ -22,7 +22,9 @@
 constexpr Duration RelayCheckInterval = milliseconds(400);
 // While no relay has news, the store itself is asked, with growing pauses: each question of each entry VM is paid for.
 constexpr Duration MaxProofPause = milliseconds(2400);
-// How often a relay looks who relays for other zones.
+// When and how often a relay looks who relays for other zones. Such cheap reads may tell what was seconds ago, and the first
+// time all relays may just have begun.
+constexpr Duration OthersFirst = seconds(5);
 constexpr Duration OthersInterval = seconds(15);
 // Spreads the first looks, so that few entry VMs try to take the seat at once.
 constexpr Duration FirstStartSpread = seconds(3);
@@ -107,10 +109,10 @@
 void RelaySeat::tickHolding(TimePoint now, DirectoryActions &actions)
 {
     if (!lookAt_) {
-        lookAt_ = now + FirstStartSpread;
+        lookAt_ = now + OthersFirst;
     }
     if (now >= *lookAt_ && !isSeatCalling_) {
-        lookAt_ = now + OthersInterval;
+        lookAt_ = now + (others_.empty() ? OthersFirst : OthersInterval);
         readSeat(true, actions);
     }
 }
@@ -147,6 +149,9 @@
     revision_ = answer.revision;
     holder_ = answer.holder;
     if (holder_ == own_) {
+        if (state_ != State::Holding) {
+            lookAt_.reset();
+        }
         enter(State::Holding, own_, actions);
     } else if (isUnchanged && failedFollows_ >= FollowsBeforeTakeOver) {
         write(revision_, actions);
@@ -309,7 +314,7 @@
     if (fallback == Fallback::FollowStore) {
         enter(State::Alone, holder_ + ": " + searchReason_, actions);
     } else if (fallback == Fallback::AskStore && state_ == State::Following) {
-        actions.emplace_back(ReportDirectory{"no relay has news of the store", followed_});
+        actions.emplace_back(ReportDirectory{"no relay has news of the store", followed_ + " and " + std::to_string(others_.size()) + " others"});
         isProving_ = true;
         actions.emplace_back(CheckDirectory{});
     }
