A relay shows proof only of what it has read anew, and deleted servers stay deleted

Its proof was the answer to that write, its list still the one of before; servers deleted seconds earlier came back (295, then 309 servers in force) and one got a request 2,742 ms after it had told that it leaves. Ruled out: the follower's own look-up (it had the deletions before). Change: a proof is as old as the last answer of the store while both collections were read and watched; an entry comes back only with a revision above its deletion; a list drops only entries older than itself, as of its first page.

--- a/src/core/directory/collectionwatch.cpp
+++ b/src/core/directory/collectionwatch.cpp
@@ -59,6 +59,7 @@
     nextCall_ = now;
     if (after_.empty()) {
         listRevision_ = page.revision;
+        listStoreRevision_ = page.storeRevision;
     }
     after_ = page.last;
     if (page.hasMore) {
@@ -109,6 +110,16 @@
     beginList();
 }
 
+std::int64_t CollectionWatch::listedUpTo() const
+{
+    return listStoreRevision_;
+}
+
+bool CollectionWatch::isCurrent() const
+{
+    return isComplete_ && !isListing_;
+}
+
 bool CollectionWatch::isComplete() const
 {
     return isComplete_;
--- a/src/core/directory/collectionwatch.h
+++ b/src/core/directory/collectionwatch.h
@@ -35,6 +35,10 @@
 
     /// @return whether a whole list has been read at least once.
     bool isComplete() const;
+    /// @return whether what is known is kept up to date by a watch, and no list is due or under way.
+    bool isCurrent() const;
+    /// @return revision of the store as of which the latest list told what is gone.
+    std::int64_t listedUpTo() const;
 
 private:
     void beginList();
@@ -47,6 +51,7 @@
     int call_ = 0;
     std::string after_;
     std::int64_t listRevision_ = 0; ///< Of the first page: what changes while the others are read is watched again.
+    std::int64_t listStoreRevision_ = 0; ///< The same, of the store also where a relay was asked.
     std::int64_t since_ = 0;
     TimePoint nextCall_;
     int failures_ = 0;
--- a/src/core/directory/directorykeeper.cpp
+++ b/src/core/directory/directorykeeper.cpp
@@ -92,15 +92,18 @@
 
 void DirectoryKeeper::on(TimePoint now, const DirectoryListed &event, DirectoryActions &actions)
 {
-    const bool isWhole = watchOf(event.collection).listed(now, event);
-    heardUpTo(event.collection, event.storeRevision);
+    CollectionWatch &watch = watchOf(event.collection);
+    const bool isWhole = watch.listed(now, event);
+    if (isWhole) {
+        heardUpTo(event.collection, watch.listedUpTo());
+    }
     bool isNews = false;
     if (event.collection == Collection::Routing) {
         isNews = takePlans(event.entries, actions);
     } else {
         isNews = registry_.listed(now, event.entries);
         // A page alone is no whole list; only with the last one is what no page named gone.
-        isNews = (isWhole && registry_.listEnded(now, event.storeRevision)) || isNews || isWhole;
+        isNews = (isWhole && registry_.listEnded(now, watch.listedUpTo())) || isNews || isWhole;
     }
     if (isNews) {
         publish(actions);
@@ -191,13 +194,13 @@
 
 std::optional<RelayProof> DirectoryKeeper::proofFor(TimePoint now, const std::string &follower)
 {
-    if (seat_.state() != RelaySeat::State::Holding || !provenAt_) {
+    if (seat_.state() != RelaySeat::State::Holding || !currentAt_) {
         return std::nullopt;
     }
     if (!follower.empty()) {
         fleet_.followerAsked(now, follower);
     }
-    return RelayProof{now - *provenAt_, fleet_.countedInZone(now), seat_.otherRelays()};
+    return RelayProof{now - *currentAt_, fleet_.countedInZone(now), seat_.otherRelays()};
 }
 
 CollectionWatch &DirectoryKeeper::watchOf(Collection collection)
@@ -267,6 +270,9 @@
 void DirectoryKeeper::storeAnswered(TimePoint now, DirectoryActions &actions)
 {
     provenAt_ = now;
+    if (routing_.isCurrent() && servers_.isCurrent()) {
+        currentAt_ = now;
+    }
     // Any answer is as good as that to a check.
     planCheck(now);
     if (!isStoreLost_) {
--- a/src/core/directory/directorykeeper.h
+++ b/src/core/directory/directorykeeper.h
@@ -79,6 +79,7 @@
     std::int64_t published_ = 0;
     bool isStoreLost_ = false;
     std::optional<TimePoint> provenAt_; ///< When the store last answered.
+    std::optional<TimePoint> currentAt_; ///< When it last did while everything that it holds was known here.
     bool isChecking_ = false;
     TimePoint nextCheck_;
 };
--- a/src/core/directory/relayseat.cpp
+++ b/src/core/directory/relayseat.cpp
@@ -128,9 +128,7 @@
         }
         return;
     }
-    if (!answer.others.empty()) {
-        others_ = answer.others;
-    }
+    knowOthers(answer.others, actions);
     if (answer.revision == 0) {
         // Nobody has ever relayed here, or a relay reads a seat that is not told yet.
         if (state_ != State::Holding) {
@@ -198,8 +196,8 @@
         proofPause_ = ProofLimit;
         isProving_ = false;
     }
-    if (!isAway() && !check.proof->otherRelays.empty()) {
-        others_ = check.proof->otherRelays;
+    if (!isAway()) {
+        knowOthers(check.proof->otherRelays, actions);
     }
 }
 
@@ -309,6 +307,16 @@
     }
 }
 
+void RelaySeat::knowOthers(const std::vector<std::string> &others, DirectoryActions &actions)
+{
+    // An empty list tells of a time before the others began, or comes from a relay that has not looked yet.
+    if (others.empty() || others == others_) {
+        return;
+    }
+    others_ = others;
+    actions.emplace_back(ReportDirectory{"relays of other zones", std::to_string(others_.size())});
+}
+
 void RelaySeat::fallBack(Fallback fallback, DirectoryActions &actions)
 {
     if (fallback == Fallback::FollowStore) {
--- a/src/core/directory/relayseat.h
+++ b/src/core/directory/relayseat.h
@@ -74,6 +74,7 @@
     void leaveRelay(TimePoint now, const std::string &reason, DirectoryActions &actions);
     /// Asks the relays of other zones for their proofs, unless that is under way.
     void search(const std::string &reason, Fallback fallback, DirectoryActions &actions);
+    void knowOthers(const std::vector<std::string> &others, DirectoryActions &actions);
     void fallBack(Fallback fallback, DirectoryActions &actions);
     bool isAway() const;
     void lookLater(TimePoint now);
--- a/src/core/directory/serverregistry.cpp
+++ b/src/core/directory/serverregistry.cpp
@@ -46,7 +46,8 @@
     bool isNews = false;
     for (auto entry = entries_.begin(); entry != entries_.end();) {
         const auto next = std::next(entry);
-        if (!entry->second.isListed) {
+        // What registered after the list was read stays; a watch tells when it goes.
+        if (!entry->second.isListed && entry->second.revision <= storeRevision) {
             isNews = remove(now, entry, storeRevision) || isNews;
         } else {
             entry->second.isListed = false;
@@ -116,6 +117,10 @@
         }
         return false;
     }
+    if (const auto deletion = deletions_.find(entry.name); deletion != deletions_.end() && entry.revision <= deletion->second.revision) {
+        // A relay may be behind.
+        return false;
+    }
     Entry &known = entries_[entry.name];
     known.isListed = known.isListed || isListed;
     if (entry.revision < known.revision) {
--- a/src/core/directory/serverregistry.h
+++ b/src/core/directory/serverregistry.h
@@ -24,7 +24,7 @@
     /// Takes a page of a list. @return whether anything changed.
     bool listed(TimePoint now, const std::vector<DirectoryEntry> &entries);
     /// The last page has been taken: what no page named is gone. @return whether anything changed.
-    /// @param storeRevision at which they were gone.
+    /// @param storeRevision at which they were gone: that of the first page.
     bool listEnded(TimePoint now, std::int64_t storeRevision);
     /// A list that was begun will not be finished.
     void listBroken();
--- a/tests/unit/directorytests.cpp
+++ b/tests/unit/directorytests.cpp
@@ -176,6 +176,76 @@
     CHECK(store.servers() == Names{"i-2"});
 }
 
+TEST_CASE("A server that was deleted does not come back with an older revision", "[directory][relay]")
+{
+    Following store;
+    store.start({server("i-1", 2), server("i-2", 3)});
+    store.answer(store.watch(Collection::Servers).call, DirectoryChanged{Collection::Servers, {gone("i-1", 11)}, 11, 11});
+    store.pass(milliseconds(600));
+    store.answer(store.watch(Collection::Servers).call, DirectoryHistoryGone{Collection::Servers});
+    store.pass(milliseconds(10));
+    SECTION("from a list that is older than the deletion")
+    {
+        store.answer(store.listCall(Collection::Servers), DirectoryListed{Collection::Servers, {server("i-1", 2), server("i-2", 3)}, false, "i-2", 9, 9});
+        CHECK(store.servers() == Names{"i-2"});
+    }
+    SECTION("but with a newer one")
+    {
+        store.answer(store.listCall(Collection::Servers), DirectoryListed{Collection::Servers, {server("i-1", 12), server("i-2", 3)}, false, "i-2", 13, 13});
+        CHECK(store.servers() == Names{"i-1", "i-2"});
+    }
+}
+
+TEST_CASE("A list that is older than an entry does not drop it", "[directory][relay]")
+{
+    Following store;
+    store.start({server("i-1", 2)});
+    store.answer(store.watch(Collection::Servers).call, DirectoryChanged{Collection::Servers, {server("i-2", 14)}, 14, 14});
+    store.pass(milliseconds(600));
+    store.answer(store.watch(Collection::Servers).call, DirectoryHistoryGone{Collection::Servers});
+    store.pass(milliseconds(10));
+    store.answer(store.listCall(Collection::Servers), DirectoryListed{Collection::Servers, {server("i-1", 2)}, false, "i-1", 12, 12});
+    CHECK(store.servers() == Names{"i-1", "i-2"});
+}
+
+TEST_CASE("What a list of several pages does not name is gone as of its first page", "[directory][relay]")
+{
+    Following store;
+    store.start({server("i-1", 2), server("i-2", 3)});
+    store.answer(store.watch(Collection::Servers).call, DirectoryHistoryGone{Collection::Servers});
+    store.pass(milliseconds(10));
+    // The first server lapsed; it registers again, at 21, between the two pages.
+    store.answer(store.listCall(Collection::Servers), DirectoryListed{Collection::Servers, {}, true, "i-1", 20, 20});
+    store.pass(milliseconds(10));
+    store.answer(store.listCall(Collection::Servers), DirectoryListed{Collection::Servers, {server("i-2", 3)}, false, "i-2", 22, 22});
+    CHECK(store.servers() == Names{"i-2"});
+    store.pass(milliseconds(10));
+    store.answer(store.watch(Collection::Servers).call, DirectoryChanged{Collection::Servers, {server("i-1", 21)}, 22, 22});
+    CHECK(store.servers() == Names{"i-1", "i-2"});
+}
+
+TEST_CASE("A relay shows no proof before it has read the directory again", "[directory][relay]")
+{
+    const std::string own = "10.0.0.1:7200";
+    const TimePoint start(seconds(50));
+    DirectoryKeeper keeper(FleetBudgets{}, RelaySeat(own, false, 7), 7);
+    DirectoryActions actions;
+    keeper.tick(start, actions);
+    keeper.tick(start + milliseconds(100), actions);
+    keeper.handle(start + milliseconds(110), {0, SeatAnswered{true, own, 5, {}}}, actions);
+    actions.clear();
+    keeper.tick(start + milliseconds(120), actions);
+    CHECK_FALSE(keeper.proofFor(start + milliseconds(120), "10.0.0.2:7200"));
+    for (const DirectoryAction &action : actions) {
+        if (const auto *list = std::get_if<ListDirectory>(&action)) {
+            DirectoryActions more;
+            keeper.handle(start + milliseconds(130), {list->call, DirectoryListed{list->collection, {}, false, {}, 10, 10}}, more);
+        }
+    }
+    REQUIRE(keeper.proofFor(start + milliseconds(140), "10.0.0.2:7200"));
+    CHECK(keeper.proofFor(start + milliseconds(140), "10.0.0.2:7200")->age == milliseconds(10));
+}
+
 TEST_CASE("Operators' versions only rise", "[directory]")
 {
     Following store;
