A relay that the store turns away goes on relaying what another zone's relay tells

Change: followers stay with a relay that answers; it alone asks the others and passes on their proof with its age, so that two relays that follow each other prove nothing anew. Only a follower whose relay is dead asks other relays.

--- a/src/core/directory/directorykeeper.cpp
+++ b/src/core/directory/directorykeeper.cpp
@@ -71,7 +71,7 @@
     if (registry_.tick(now)) {
         publish(actions);
     }
-    if (seat_.state() == RelaySeat::State::Holding) {
+    if (seat_.isRelaying()) {
         countedInZone(now, fleet_.countedInZone(now), actions);
     }
     if (isAtStore() && provenAt_ && !isChecking_ && now >= nextCheck_) {
@@ -159,7 +159,11 @@
     if (event.proof && event.proof->age < RelayCheckInterval) {
         sourceAnswered(now, actions);
     }
-    if (event.proof) {
+    if (event.proof && event.relay == source_ && isCurrent()) {
+        // Proofs pass from relay to relay with their age, so two that follow each other prove nothing anew.
+        currentAt_ = std::max(currentAt_.value_or(TimePoint()), now - event.proof->age);
+    }
+    if (event.proof && !seat_.isRelaying()) {
         countedInZone(now, event.proof->entryVms, actions);
     }
     seat_.relayChecked(now, event, actions);
@@ -194,7 +198,7 @@
 
 std::optional<RelayProof> DirectoryKeeper::proofFor(TimePoint now, const std::string &follower)
 {
-    if (seat_.state() != RelaySeat::State::Holding || !currentAt_) {
+    if (!seat_.isRelaying() || !currentAt_) {
         return std::nullopt;
     }
     if (!follower.empty()) {
@@ -230,6 +234,11 @@
     servers_.renew(now);
 }
 
+bool DirectoryKeeper::isCurrent() const
+{
+    return routing_.isCurrent() && servers_.isCurrent();
+}
+
 bool DirectoryKeeper::isAtStore() const
 {
     return seat_.state() == RelaySeat::State::Holding || seat_.state() == RelaySeat::State::Alone;
@@ -270,7 +279,7 @@
 void DirectoryKeeper::storeAnswered(TimePoint now, DirectoryActions &actions)
 {
     provenAt_ = now;
-    if (routing_.isCurrent() && servers_.isCurrent()) {
+    if (isCurrent()) {
         currentAt_ = now;
     }
     // Any answer is as good as that to a check.
--- a/src/core/directory/directorykeeper.h
+++ b/src/core/directory/directorykeeper.h
@@ -56,6 +56,8 @@
     /// Begins calls anew when they go to another place from now on.
     void followSource(TimePoint now);
     bool isAtStore() const;
+    /// @return whether all that the source holds is known here and watched.
+    bool isCurrent() const;
     void sourceAnswered(TimePoint now, DirectoryActions &actions);
     void storeAnswered(TimePoint now, DirectoryActions &actions);
     void storeFailed(TimePoint now, const std::string &reason, DirectoryActions &actions);
--- a/src/core/directory/relayseat.cpp
+++ b/src/core/directory/relayseat.cpp
@@ -80,11 +80,16 @@
         checkAt_ = now + RelayCheckInterval;
         actions.emplace_back(CheckRelay{followed_, isAway() ? std::string() : own_});
     }
-    if (now - provenAt_ > proofPause_) {
+    if (now - provenAt_ > ProofLimit && now >= nextQuestion_) {
         // Either the relay is cut off from the store, or the store is down for all.
-        provenAt_ = now;
+        nextQuestion_ = now + proofPause_;
         proofPause_ = std::min(proofPause_ * 2, MaxProofPause);
-        search("no news of the store", Fallback::AskStore, actions);
+        if (isAway()) {
+            search("no news of the store", Fallback::AskStore, actions);
+        } else {
+            // The own zone's relay has asked the others already; all its followers doing so too would be too much for them.
+            fallBack(Fallback::AskStore, actions);
+        }
     }
     if (isAway()) {
         tickAway(now, actions);
@@ -236,8 +241,8 @@
 
 void RelaySeat::storeSilent(TimePoint now, DirectoryActions &actions)
 {
-    if (now - provenAt_ > ProofLimit) {
-        provenAt_ = now;
+    if (now >= nextQuestion_) {
+        nextQuestion_ = now + ProofLimit;
         search("the store is silent", Fallback::Nothing, actions);
     }
 }
@@ -247,6 +252,11 @@
     return state_;
 }
 
+bool RelaySeat::isRelaying() const
+{
+    return state_ == State::Holding || (state_ == State::Following && holder_ == own_);
+}
+
 const std::string &RelaySeat::relay() const
 {
     static const std::string none;
--- a/src/core/directory/relayseat.h
+++ b/src/core/directory/relayseat.h
@@ -51,6 +51,8 @@
     void storeSilent(TimePoint now, DirectoryActions &actions);
 
     State state() const;
+    /// @return whether others may follow this entry VM: it holds the seat, also while it hears from another zone's relay.
+    bool isRelaying() const;
     /// @return address of the relay that is followed; empty otherwise.
     const std::string &relay() const;
     /// @return relays of other zones, as far as they are known.
@@ -101,6 +103,7 @@
     bool isSeatCalling_ = false;
     bool isChecking_ = false;
     bool isTrying_ = false; ///< Waits for the first proof of a holder that is not followed yet.
+    TimePoint nextQuestion_; ///< When other relays or the store are next asked whether they know more.
     Duration proofPause_{0}; ///< Between two questions to the store while no relay hears from it.
     bool isProving_ = false; ///< Waits for the store to answer or not, since the relay has no news of it.
     int failedFollows_ = 0; ///< Times in a row that a holder could not be followed.
