--- a/src/core/directory/relayseat.cpp
+++ b/src/core/directory/relayseat.cpp
@@ -19,6 +19,8 @@
 // Changes must be in force within two seconds; a relay without news of the store is left early enough for an own look. A
 // relay that is well has news at most half a second old, and is asked every 0.4 s.
 constexpr Duration ProofLimit = milliseconds(1200);
+// A relay of another zone that hears from the store now; others may have lost it in the same moment.
+constexpr Duration FreshProof = milliseconds(600);
 constexpr Duration RelayCheckInterval = milliseconds(400);
 // While no relay has news, the store itself is asked, with growing pauses: each question of each entry VM is paid for.
 constexpr Duration MaxProofPause = milliseconds(2400);
@@ -171,7 +173,7 @@
     } else if (state_ == State::Following && check.relay == followed_) {
         followedChecked(now, check, isProven, actions);
     } else if (awaited_ > 0) {
-        otherChecked(now, check, isProven, actions);
+        otherChecked(now, check, actions);
     }
 }
 
@@ -206,10 +208,10 @@
     }
 }
 
-void RelaySeat::otherChecked(TimePoint now, const RelayChecked &check, bool isProven, DirectoryActions &actions)
+void RelaySeat::otherChecked(TimePoint now, const RelayChecked &check, DirectoryActions &actions)
 {
     --awaited_;
-    if (isProven) {
+    if (check.proof && check.proof->age < FreshProof) {
         follow(now, check, actions);
     } else if (awaited_ == 0) {
         fallBack(fallback_, actions);
--- a/src/core/directory/relayseat.h
+++ b/src/core/directory/relayseat.h
@@ -70,7 +70,7 @@
     void tryHolder(DirectoryActions &actions);
     void holderTried(TimePoint now, const RelayChecked &check, bool isProven, DirectoryActions &actions);
     void followedChecked(TimePoint now, const RelayChecked &check, bool isProven, DirectoryActions &actions);
-    void otherChecked(TimePoint now, const RelayChecked &check, bool isProven, DirectoryActions &actions);
+    void otherChecked(TimePoint now, const RelayChecked &check, DirectoryActions &actions);
     void follow(TimePoint now, const RelayChecked &check, DirectoryActions &actions);
     /// The relay is not followed, or no longer.
     void leaveRelay(TimePoint now, const std::string &reason, DirectoryActions &actions);
