--- a/src/core/directory/directoryevents.h
+++ b/src/core/directory/directoryevents.h
@@ -97,6 +97,7 @@
 /// What a relay shows of itself.
 struct RelayProof {
     Duration age{0}; ///< Since the store last answered the relay.
+    bool hearsFromStore = false; ///< Itself, and now; otherwise from another relay, or no longer.
     int entryVms = 1; ///< Of the availability zone, as the relay counts them.
     std::vector<std::string> otherRelays; ///< Of other zones, as the relay knows them.
 };
--- a/src/core/directory/directorykeeper.cpp
+++ b/src/core/directory/directorykeeper.cpp
@@ -18,8 +18,6 @@
 constexpr Duration CheckInterval = milliseconds(1500);
 // Those that rely on a relay hear from it how long ago the store has answered it.
 constexpr Duration RelayCheckInterval = milliseconds(400);
-// After this time without an answer of the store, an entry VM that follows it turns to relays of other zones.
-constexpr Duration StoreSilence = milliseconds(800);
 // A single call that was cut is made up for at once, but not by all entry VMs in the same moment.
 constexpr Duration FirstCheckSpread = milliseconds(100);
 
@@ -57,8 +55,7 @@
 void DirectoryKeeper::tick(TimePoint now, DirectoryActions &actions)
 {
     seat_.tick(now, actions);
-    const bool isSilent = isStoreLost_ && (!provenAt_ || now - *provenAt_ > StoreSilence);
-    if (isAtStore() && isSilent) {
+    if (isAtStore() && isStoreLost_ && (hasCheckFailed_ || !provenAt_)) {
         seat_.storeSilent(now, actions);
     }
     followSource(now);
@@ -150,6 +147,8 @@
     if (event.hasAnswered) {
         storeAnswered(now, actions);
     } else {
+        // One call that was cut says little; with a check that failed as well, the store is lost.
+        hasCheckFailed_ = true;
         storeFailed(now, "a check had no answer", actions);
     }
 }
@@ -204,7 +203,8 @@
     if (!follower.empty()) {
         fleet_.followerAsked(now, follower);
     }
-    return RelayProof{now - *currentAt_, fleet_.countedInZone(now), seat_.otherRelays()};
+    const bool hearsFromStore = seat_.state() == RelaySeat::State::Holding && !isStoreLost_;
+    return RelayProof{now - *currentAt_, hearsFromStore, fleet_.countedInZone(now), seat_.otherRelays()};
 }
 
 CollectionWatch &DirectoryKeeper::watchOf(Collection collection)
@@ -279,6 +279,7 @@
 void DirectoryKeeper::storeAnswered(TimePoint now, DirectoryActions &actions)
 {
     provenAt_ = now;
+    hasCheckFailed_ = false;
     if (isCurrent()) {
         currentAt_ = now;
     }
--- a/src/core/directory/directorykeeper.h
+++ b/src/core/directory/directorykeeper.h
@@ -82,6 +82,7 @@
     bool isStoreLost_ = false;
     std::optional<TimePoint> provenAt_; ///< When the store last answered.
     std::optional<TimePoint> currentAt_; ///< When it last did while everything that it holds was known here.
+    bool hasCheckFailed_ = false; ///< Since the store last answered.
     bool isChecking_ = false;
     TimePoint nextCheck_;
 };
--- a/src/core/directory/relayseat.cpp
+++ b/src/core/directory/relayseat.cpp
@@ -19,8 +19,6 @@
 // Changes must be in force within two seconds; a relay without news of the store is left early enough for an own look. A
 // relay that is well has news at most half a second old, and is asked every 0.4 s.
 constexpr Duration ProofLimit = milliseconds(1200);
-// A relay of another zone that hears from the store now; others may have lost it in the same moment.
-constexpr Duration FreshProof = milliseconds(600);
 constexpr Duration RelayCheckInterval = milliseconds(400);
 // While no relay has news, the store itself is asked, with growing pauses: each question of each entry VM is paid for.
 constexpr Duration MaxProofPause = milliseconds(2400);
@@ -203,6 +201,11 @@
         proofPause_ = ProofLimit;
         isProving_ = false;
     }
+    if (isAway() && !check.proof->hearsFromStore && now >= nextQuestion_) {
+        // Better to change before its proof gets old.
+        nextQuestion_ = now + RelayCheckInterval;
+        search("the other zone's relay has lost the store", Fallback::Nothing, actions);
+    }
     if (!isAway()) {
         knowOthers(check.proof->otherRelays, actions);
     }
@@ -211,7 +214,7 @@
 void RelaySeat::otherChecked(TimePoint now, const RelayChecked &check, DirectoryActions &actions)
 {
     --awaited_;
-    if (check.proof && check.proof->age < FreshProof) {
+    if (check.proof && check.proof->hearsFromStore && check.proof->age < ProofLimit) {
         follow(now, check, actions);
     } else if (awaited_ == 0) {
         fallBack(fallback_, actions);
--- a/src/net/relaymessages.cpp
+++ b/src/net/relaymessages.cpp
@@ -103,13 +103,17 @@
 
 std::string encodeProof(const RelayProof &proof)
 {
-    return Json{{"age_us", proof.age.count()}, {"entry_vms", proof.entryVms}, {"other_relays", proof.otherRelays}}.dump();
+    return Json{{"age_us", proof.age.count()}, {"hears_from_store", proof.hearsFromStore}, {"entry_vms", proof.entryVms}, {"other_relays", proof.otherRelays}}
+        .dump();
 }
 
 RelayProof decodeProof(std::string_view text)
 {
     const Json body = Json::parse(text);
-    return {Duration(body.at("age_us").get<Duration::rep>()), body.at("entry_vms").get<int>(), body.at("other_relays").get<std::vector<std::string>>()};
+    return {Duration(body.at("age_us").get<Duration::rep>()),
+            body.at("hears_from_store").get<bool>(),
+            body.at("entry_vms").get<int>(),
+            body.at("other_relays").get<std::vector<std::string>>()};
 }
 
 } // namespace Cloverbarrow
