An outage of the store for all makes no entry VM follow it alone

Change: a relay whose stand-in has lost the store too checks the store again itself; a follower whose own question failed before gives the relay 0.9 s when the store answers again.

--- a/src/core/directory/directorykeeper.cpp
+++ b/src/core/directory/directorykeeper.cpp
@@ -149,6 +149,7 @@
     } else {
         // One call that was cut says little; with a check that failed as well, the store is lost.
         hasCheckFailed_ = true;
+        seat_.storeFailed();
         storeFailed(now, "a check had no answer", actions);
     }
 }
--- a/src/core/directory/relayseat.cpp
+++ b/src/core/directory/relayseat.cpp
@@ -19,6 +19,8 @@
 // Changes must be in force within two seconds; a relay without news of the store is left early enough for an own look. A
 // relay that is well has news at most half a second old, and is asked every 0.4 s.
 constexpr Duration ProofLimit = milliseconds(1200);
+// A relay checks a lost store every 0.4 s and then reads the directory again.
+constexpr Duration RelayRecovery = milliseconds(900);
 constexpr Duration RelayCheckInterval = milliseconds(400);
 // While no relay has news, the store itself is asked, with growing pauses: each question of each entry VM is paid for.
 constexpr Duration MaxProofPause = milliseconds(2400);
@@ -200,11 +202,12 @@
         provenAt_ = std::max(provenAt_, now - check.proof->age);
         proofPause_ = ProofLimit;
         isProving_ = false;
+        wasStoreDown_ = false;
     }
     if (isAway() && !check.proof->hearsFromStore && now >= nextQuestion_) {
         // Better to change before its proof gets old.
         nextQuestion_ = now + RelayCheckInterval;
-        search("the other zone's relay has lost the store", Fallback::Nothing, actions);
+        search("the other zone's relay has lost the store", holder_ == own_ ? Fallback::FollowStore : Fallback::Nothing, actions);
     }
     if (!isAway()) {
         knowOthers(check.proof->otherRelays, actions);
@@ -231,12 +234,22 @@
 void RelaySeat::storeAnswered(TimePoint now, DirectoryActions &actions)
 {
     if (state_ == State::Following && std::exchange(isProving_, false)) {
+        if (std::exchange(wasStoreDown_, false)) {
+            // It has just come back; the relay hears from it as soon.
+            nextQuestion_ = now + RelayRecovery;
+            return;
+        }
         ++failedFollows_;
         lookLater(now);
         enter(State::Alone, followed_ + ": the store answers here and not there", actions);
     }
 }
 
+void RelaySeat::storeFailed()
+{
+    wasStoreDown_ = wasStoreDown_ || isProving_;
+}
+
 void RelaySeat::storeReturned(DirectoryActions &actions)
 {
     if (state_ == State::Holding && !isSeatCalling_) {
@@ -334,7 +347,10 @@
 
 void RelaySeat::fallBack(Fallback fallback, DirectoryActions &actions)
 {
-    if (fallback == Fallback::FollowStore) {
+    if (fallback != Fallback::Nothing && state_ == State::Following && holder_ == own_) {
+        // The store is down for all relays; its own checks tell first when it is back.
+        enter(State::Holding, own_, actions);
+    } else if (fallback == Fallback::FollowStore) {
         enter(State::Alone, holder_ + ": " + searchReason_, actions);
     } else if (fallback == Fallback::AskStore && state_ == State::Following) {
         actions.emplace_back(ReportDirectory{"no relay has news of the store", followed_ + " and " + std::to_string(others_.size()) + " others"});
--- a/src/core/directory/relayseat.h
+++ b/src/core/directory/relayseat.h
@@ -45,6 +45,8 @@
     void relayFailed(TimePoint now, DirectoryActions &actions);
     /// The store answered a call of this entry VM.
     void storeAnswered(TimePoint now, DirectoryActions &actions);
+    /// The store did not answer a check of this entry VM.
+    void storeFailed();
     /// The store answers again after an outage; the seat may have been taken over meanwhile.
     void storeReturned(DirectoryActions &actions);
     /// The store has not answered this entry VM, which follows it, for long; relays may still hear from it.
@@ -106,6 +108,7 @@
     TimePoint nextQuestion_; ///< When other relays or the store are next asked whether they know more.
     Duration proofPause_{0}; ///< Between two questions to the store while no relay hears from it.
     bool isProving_ = false; ///< Waits for the store to answer or not, since the relay has no news of it.
+    bool wasStoreDown_ = false; ///< The last such question had no answer.
     int failedFollows_ = 0; ///< Times in a row that a holder could not be followed.
     std::optional<TimePoint> lookAt_; ///< When the seat is looked at next.
     TimePoint checkAt_;
