Settings that change without a signal are taken up, and budgets and bounds on callers with them

Cause: only SIGHUP was noticed, and only the log level came into force. Change: the file's time is looked at each second; a reload takes the log level, bounds on callers and common budgets. A faulty file changes nothing. Proof: platform test [reload], three sections; the two with changed bounds failed before.

--- a/src/core/directory/directorykeeper.cpp
+++ b/src/core/directory/directorykeeper.cpp
@@ -177,6 +177,16 @@
     seat_.seatAnswered(now, event, actions);
 }
 
+void DirectoryKeeper::setBudgets(const FleetBudgets &budgets, DirectoryActions &actions)
+{
+    if (budgets == budgets_) {
+        return;
+    }
+    budgets_ = budgets;
+    fleet_.setZones(budgets.zones);
+    publish(actions);
+}
+
 std::optional<DirectoryNews> DirectoryKeeper::newsSince(Collection collection, std::int64_t since) const
 {
     if (!watchOf(collection).isComplete()) {
--- a/src/core/directory/directorykeeper.h
+++ b/src/core/directory/directorykeeper.h
@@ -32,6 +32,7 @@
 
     void tick(TimePoint now, DirectoryActions &actions);
     void handle(TimePoint now, const DirectoryAnswer &answer, DirectoryActions &actions);
+    void setBudgets(const FleetBudgets &budgets, DirectoryActions &actions);
 
     /// @param since number of the latest change here that the peer knows; 0 for a list.
     /// @return what a peer has missed; nothing when it must begin with a list.
--- a/src/core/directory/fleetestimate.cpp
+++ b/src/core/directory/fleetestimate.cpp
@@ -34,6 +34,11 @@
 {
 }
 
+void FleetEstimate::setZones(int zones)
+{
+    zones_ = std::max(1, zones);
+}
+
 void FleetEstimate::followerAsked(TimePoint now, const std::string &follower)
 {
     followers_.insert_or_assign(follower, now);
--- a/src/core/directory/fleetestimate.h
+++ b/src/core/directory/fleetestimate.h
@@ -24,6 +24,7 @@
     /// @param zones availability zones with entry VMs.
     explicit FleetEstimate(int zones);
 
+    void setZones(int zones);
     /// Another entry VM of the zone asked this one, which relays.
     void followerAsked(TimePoint now, const std::string &follower);
     /// @return entry VMs of the zone, with this one, as its relay counts them.
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -48,6 +48,10 @@
         }
         if (ticks % TicksPerGauges == 0) {
             tellGauges();
+            // Changes may come without a signal.
+            if (settingsFile_.hasChanged()) {
+                requestReload();
+            }
         }
         ++ticks;
         {
@@ -273,7 +277,7 @@
 
 void Daemon::reload()
 {
-    const auto read = readSettings_();
+    const auto read = settingsFile_.read();
     if (const auto *faults = std::get_if<std::vector<DocumentFault>>(&read)) {
         for (const DocumentFault &fault : *faults) {
             log_.error("reload refused, the settings in force stay", {{"fault", fault.toString("settings")}});
@@ -281,10 +285,23 @@
         return;
     }
     const auto &next = std::get<Settings>(read);
+    apply(next);
+    log_.info(next == settings_ ? "reloaded" : "reloaded, some changes need a restart");
+}
+
+void Daemon::apply(const Settings &next)
+{
     setLogLevel(next.logLevel);
     settings_.logLevel = next.logLevel;
-    const bool isSame = next == settings_;
-    log_.info(isSame ? "reloaded" : "reloaded the log level, other changes need a restart");
+    settings_.maxBodyBytes = next.maxBodyBytes;
+    settings_.slowCallerBound = next.slowCallerBound;
+    const auto intent = node_->intent();
+    const bool hasLimits = intent && intent->configuration.callerLimits;
+    callerServer_->setBounds(hasLimits ? boundsFor(*intent->configuration.callerLimits) : ownBounds());
+    if (directory_ && next.directory) {
+        settings_.directory->budgets = next.directory->budgets;
+        directory_->setBudgets(next.directory->budgets);
+    }
 }
 
 std::string Daemon::unreadyReason() const
--- a/src/daemon/daemon.h
+++ b/src/daemon/daemon.h
@@ -16,6 +16,7 @@
 #include "daemon/peerclient.h"
 #include "daemon/peerservice.h"
 #include "daemon/settings.h"
+#include "daemon/settingsfile.h"
 #include "daemon/telemetry.h"
 #include "net/callerserver.h"
 #include "net/directoryclient.h"
@@ -46,9 +47,6 @@
     std::string toJson() const;
 };
 
-/// Reads the settings file again. @return the settings, or each fault found.
-using ReadSettings = std::function<std::variant<Settings, std::vector<DocumentFault>>()>;
-
 /// What a deployment with a directory brings; nothing is set without one.
 struct DirectoryParts {
     /// @param client to make the calls with.
@@ -60,9 +58,9 @@
 class Daemon : public EventHandler
 {
 public:
-    /// Starts to listen. @param readSettings for a reload. @param parts used when the settings name a directory.
+    /// Starts to listen. @param file that the settings were read from. @param parts used when the settings name a directory.
     /// @throws std::exception when an address cannot be listened on.
-    Daemon(Settings settings, ReadSettings readSettings, const DirectoryParts &parts);
+    Daemon(Settings settings, SettingsFile file, const DirectoryParts &parts);
     ~Daemon() override;
 
     const ListenAddresses &addresses() const;
@@ -98,10 +96,12 @@
     void takeStopRequests();
     void takeReloadRequests();
     void reload();
+    /// Puts in force what a running process can take from new settings.
+    void apply(const Settings &next);
     std::string unreadyReason() const;
 
     Settings settings_;
-    ReadSettings readSettings_;
+    SettingsFile settingsFile_;
     std::string nonce_;
     Log log_;
     Telemetry telemetry_;
--- a/src/daemon/daemonstart.cpp
+++ b/src/daemon/daemonstart.cpp
@@ -38,9 +38,9 @@
     return nlohmann::ordered_json{{"callers", callers}, {"peers", peers}, {"admin", admin}, {"operations", operations}}.dump();
 }
 
-Daemon::Daemon(Settings settings, ReadSettings readSettings, const DirectoryParts &parts)
+Daemon::Daemon(Settings settings, SettingsFile file, const DirectoryParts &parts)
     : settings_(std::move(settings))
-    , readSettings_(std::move(readSettings))
+    , settingsFile_(std::move(file))
     , nonce_(randomHex(NonceBytes))
     , log_("daemon")
     , backends_(static_cast<std::size_t>(settings_.backendThreads))
--- a/src/daemon/directoryrunner.cpp
+++ b/src/daemon/directoryrunner.cpp
@@ -45,6 +45,16 @@
     }
 }
 
+void DirectoryRunner::setBudgets(const FleetBudgets &budgets)
+{
+    DirectoryActions actions;
+    {
+        const std::lock_guard lock(mutex_);
+        keeper_->setBudgets(budgets, actions);
+    }
+    perform(actions);
+}
+
 void DirectoryRunner::stop()
 {
     isStopped_ = true;
--- a/src/daemon/directoryrunner.h
+++ b/src/daemon/directoryrunner.h
@@ -40,6 +40,8 @@
 
     /// Call several times a second.
     void tick();
+    /// Budgets have changed while the process runs.
+    void setBudgets(const FleetBudgets &budgets);
     /// Answers that come later are left aside.
     void stop();
     /// @return calls made to the store.
--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -8,7 +8,6 @@
 #include "daemon/daemon.h"
 #include "daemon/settings.h"
 #include "exchange.h"
-#include "net/textfile.h"
 #include "store.h"
 
 #include <absl/flags/flag.h>
@@ -68,26 +67,14 @@
             std::make_shared<Platform::Exchange>()};
 }
 
-using ReadResult = std::variant<Settings, std::vector<DocumentFault>>;
-
-ReadResult readSettings(const std::string &path)
-{
-    const auto document = readTextFile(path);
-    if (!document) {
-        return std::vector<DocumentFault>{{0, "file", "a file that can be opened, as named by --settings=FILE"}};
-    }
-    return parseSettings(*document);
-}
-
-int runDaemon(const Settings &settings, const std::string &path)
+int runDaemon(const Settings &settings, const SettingsFile &file)
 {
     // A reload that is asked for before there is anything to reload does no harm.
     std::signal(SIGHUP, SIG_IGN);
     startLogging(settings.name, settings.logLevel);
     const Log log("main");
     try {
-        Daemon daemon(
-            settings, [path] { return readSettings(path); }, directoryParts(settings));
+        Daemon daemon(settings, file, directoryParts(settings));
         installSignals(daemon);
         std::cout << daemon.addresses().toJson() << std::endl;
         log.info("started", {{"zone", settings.zone}, {"version", VersionText}});
@@ -116,7 +103,8 @@
         return ExitOk;
     }
     const std::string path = absl::GetFlag(FLAGS_settings);
-    const auto parsed = readSettings(path);
+    SettingsFile file(path);
+    const auto parsed = file.read();
     if (const auto *faults = std::get_if<std::vector<DocumentFault>>(&parsed)) {
         for (const DocumentFault &fault : *faults) {
             std::cerr << fault.toString(path) << "\n";
@@ -127,5 +115,5 @@
         std::cout << path << ": the settings are valid\n";
         return ExitOk;
     }
-    return runDaemon(std::get<Settings>(parsed), path);
+    return runDaemon(std::get<Settings>(parsed), file);
 }
--- a/tests/platform/pathtests.cpp
+++ b/tests/platform/pathtests.cpp
@@ -61,12 +61,12 @@
     void start(const std::string &name, bool relay = false)
     {
         char folder[] = "/tmp/cloverbarrow-path-XXXXXX";
-        const std::string path = std::string(::mkdtemp(folder)) + "/settings.yaml";
-        std::ofstream(path) << "name: " << name << "\nzone: bog-a\nregion: bogota\nlisten: {callers: 127.0.0.1:0, operations: 127.0.0.1:0}\n"
-                            << "directory: {address: " << store.address() << ", " << (relay ? "relay: 127.0.0.1:0, " : "")
-                            << "repeat_ratio: 0.2, repeat_slack: 64, probes_per_server: 60}\n"
-                            << "shutdown: {notice_ms: 50, limit_ms: 20000}\nlog_level: off\n";
-        entryVm = std::make_unique<Process>(std::vector<std::string>{std::string(BINARY_FOLDER) + "/cloverbarrowd", "--settings=" + path});
+        settingsPath_ = std::string(::mkdtemp(folder)) + "/settings.yaml";
+        std::ofstream(settingsPath_) << "name: " << name << "\nzone: bog-a\nregion: bogota\nlisten: {callers: 127.0.0.1:0, operations: 127.0.0.1:0}\n"
+                                     << "directory: {address: " << store.address() << ", " << (relay ? "relay: 127.0.0.1:0, " : "")
+                                     << "repeat_ratio: 0.2, repeat_slack: 64, probes_per_server: 60}\n"
+                                     << "shutdown: {notice_ms: 50, limit_ms: 20000}\nlog_level: off\n";
+        entryVm = std::make_unique<Process>(std::vector<std::string>{std::string(BINARY_FOLDER) + "/cloverbarrowd", "--settings=" + settingsPath_});
         listening_ = Json::parse(entryVm->firstLine());
         REQUIRE(eventually([this] { return isReady(); }));
     }
@@ -79,6 +79,12 @@
         store.put("config", "main", planSpecification(version, routes));
     }
 
+    /// Adds lines to the settings file of the entry VM that was started last.
+    void changeSettings(const std::string &lines)
+    {
+        std::ofstream(settingsPath_, std::ios::app) << lines;
+    }
+
     void conductAll(Conduct conduct)
     {
         for (const auto &backend : backends) {
@@ -133,6 +139,7 @@
     HttpClient client_{1};
     HttpCallId calls_ = 0;
     Json listening_;
+    std::string settingsPath_;
 };
 
 } // namespace
@@ -302,12 +309,29 @@
     }
 }
 
-TEST_CASE("The settings are read again on SIGHUP while requests go on", "[platform][path][reload]")
+TEST_CASE("The settings are read again while requests go on", "[platform][path][reload]")
 {
     Site site;
-    site.entryVm->signal(SIGHUP);
-    std::this_thread::sleep_for(milliseconds(100));
-    CHECK(site.send("GET", "/read/1", "id-1")->status == 200);
+    const auto bodyStatus = [&site] { return site.send("POST", "/read/1", "id-1")->status; };
+    REQUIRE(bodyStatus() == 200);
+    SECTION("on SIGHUP")
+    {
+        site.changeSettings("limits: {max_body_bytes: 2}\n");
+        site.entryVm->signal(SIGHUP);
+        CHECK(eventually([&bodyStatus] { return bodyStatus() == 413; }));
+    }
+    SECTION("when the file changes without a signal")
+    {
+        site.changeSettings("limits: {max_body_bytes: 2}\n");
+        CHECK(eventually([&bodyStatus] { return bodyStatus() == 413; }));
+    }
+    SECTION("and faulty ones change nothing")
+    {
+        site.changeSettings("unknown: 1\n");
+        site.entryVm->signal(SIGHUP);
+        std::this_thread::sleep_for(milliseconds(100));
+        CHECK(bodyStatus() == 200);
+    }
 }
 
 TEST_CASE("One entry VM of a zone relays for the others, and another takes over when it ends", "[platform][path][relay]")
