--- a/src/daemon/daemon.h
+++ b/src/daemon/daemon.h
@@ -121,6 +121,7 @@
     std::unique_ptr<PeerClient> peerClient_;
     std::unique_ptr<CallerServer> callerServer_;
     std::unique_ptr<OperationsServer> operationsServer_;
+    std::unique_ptr<OperationsServer> metricsServer_; ///< Where the settings name an address for metrics.
     std::atomic<int> stopRequests_{0};
     int stopsTaken_ = 0;
     std::atomic<bool> isReloadRequested_{false};
--- a/src/daemon/daemonstart.cpp
+++ b/src/daemon/daemonstart.cpp
@@ -57,8 +57,11 @@
     callerServer_ = std::make_unique<CallerServer>(
         options, [this](const std::shared_ptr<CallerConnection> &connection, HttpRequest request) { gateway_->accept(connection, std::move(request)); });
     addresses_.callers = withPort(settings_.callersAddress, callerServer_->port());
-    operationsServer_ = std::make_unique<OperationsServer>(settings_.operationsAddress,
-                                                           OperationsSource{[this] { return telemetry_.exposition(); }, [this] { return unreadyReason(); }});
+    const OperationsSource source{[this] { return telemetry_.exposition(); }, [this] { return unreadyReason(); }};
+    operationsServer_ = std::make_unique<OperationsServer>(settings_.operationsAddress, source);
+    if (!settings_.metricsAddress.empty()) {
+        metricsServer_ = std::make_unique<OperationsServer>(settings_.metricsAddress, source);
+    }
     addresses_.operations = withPort(settings_.operationsAddress, operationsServer_->port());
     if (!settings_.directory) {
         peerClient_ = std::make_unique<PeerClient>(*this);
@@ -89,6 +92,7 @@
 {
     hasEnded_ = true;
     operationsServer_->stop();
+    metricsServer_.reset();
     if (directory_) {
         directory_->stop();
     }
--- a/src/daemon/settings.cpp
+++ b/src/daemon/settings.cpp
@@ -41,6 +41,7 @@
     readAddress(reader, "peers", settings.peersAddress, isOwnFleet);
     readAddress(reader, "admin", settings.adminAddress, isOwnFleet);
     readAddress(reader, "operations", settings.operationsAddress);
+    readAddress(reader, "metrics", settings.metricsAddress, false);
 }
 
 void readFirstPeers(YamlReader &reader, Settings &settings)
--- a/src/daemon/settings.h
+++ b/src/daemon/settings.h
@@ -41,6 +41,7 @@
     std::string peersAddress;
     std::string adminAddress;
     std::string operationsAddress;
+    std::string metricsAddress; ///< Where the operations address is served as well, at a port that does not change; may be empty.
     std::string platformAddress; ///< Empty with a directory; so are those of peers and administration.
     std::optional<DirectorySettings> directory;
     std::vector<std::string> firstPeers;
