--- a/src/core/requests/serviceevents.h
+++ b/src/core/requests/serviceevents.h
@@ -265,8 +265,17 @@
     bool operator==(const TellLeaving &) const = default;
 };
 
-using ServiceAction =
-    std::variant<StartAttempt, CancelAttempt, DropRequest, PassAnswer, ReplayAnswer, Refuse, AskPayoutStore, StartProbe, ReturnPermit, TellLeaving>;
+/// A backend server gets no attempts for a while; for the log.
+struct ServerEjected {
+    std::string backend;
+    Duration lasts{0};
+    std::string reason;
+
+    bool operator==(const ServerEjected &) const = default;
+};
+
+using ServiceAction = std::
+    variant<StartAttempt, CancelAttempt, DropRequest, PassAnswer, ReplayAnswer, Refuse, AskPayoutStore, StartProbe, ReturnPermit, TellLeaving, ServerEjected>;
 using ServiceActions = std::vector<ServiceAction>;
 
 } // namespace Cloverbarrow
--- a/src/core/requests/serviceshard.cpp
+++ b/src/core/requests/serviceshard.cpp
@@ -137,6 +137,7 @@
     }
     // A load report from a server that calls itself ill still tells that it answers; requests show the rest.
     pool_.probed(event.backend, event.isHealthy || (event.request && event.report), now);
+    reportEjection(now, event.backend, "probe", actions);
     if (event.report) {
         pool_.report(event.backend, *event.report, now);
         chooser_.model().toldSlowness(event.report->slowness);
--- a/src/core/requests/serviceshard.h
+++ b/src/core/requests/serviceshard.h
@@ -125,6 +125,8 @@
     void cancelRunning(TimePoint now, Request &request, ServiceActions &actions);
     /// Takes the attempt off those under way. @return it, or nothing when it has ended before.
     std::optional<Attempt> takeRunning(RequestId request, int number);
+    /// Tells when the server was ejected just now. @param after what ended.
+    void reportEjection(TimePoint now, const std::string &backend, const char *after, ServiceActions &actions);
     void noteLeaving(const std::string &backend, ServiceActions &actions);
     AttemptQuality qualityOf(const Attempt &attempt, const AttemptOutcome &outcome) const;
     void learn(TimePoint now, const Attempt &attempt, const AttemptEnded &event, ServiceActions &actions);
--- a/src/core/requests/serviceshardoutcome.cpp
+++ b/src/core/requests/serviceshardoutcome.cpp
@@ -118,6 +118,7 @@
 void ServiceShard::learn(TimePoint now, const Attempt &attempt, const AttemptEnded &event, ServiceActions &actions)
 {
     pool_.release(attempt.backend, qualityOf(attempt, event.outcome), now - attempt.startedAt, now);
+    reportEjection(now, attempt.backend, "attempt", actions);
     if (event.report) {
         pool_.report(attempt.backend, *event.report, now);
         chooser_.model().toldSlowness(event.report->slowness);
@@ -131,6 +132,14 @@
     }
 }
 
+void ServiceShard::reportEjection(TimePoint now, const std::string &backend, const char *after, ServiceActions &actions)
+{
+    const Backend *known = pool_.find(backend);
+    if (known && known->ejectedAt == now && known->ejectedUntil > now) {
+        actions.emplace_back(ServerEjected{backend, known->ejectedUntil - now, std::string(after) + ", ejection " + std::to_string(known->ejections)});
+    }
+}
+
 void ServiceShard::noteLeaving(const std::string &backend, ServiceActions &actions)
 {
     pool_.markLeaving(backend);
--- a/src/core/servers/backendpool.cpp
+++ b/src/core/servers/backendpool.cpp
@@ -319,6 +319,7 @@
 void BackendPool::eject(Backend &backend, TimePoint now)
 {
     backend.ejectedUntil = now + FirstEjection * (1 << std::min(backend.ejections, MaxEjectionDoublings));
+    backend.ejectedAt = now;
     ++backend.ejections;
     backend.failureStreak = 0;
     backend.samples = 0;
--- a/src/core/servers/backendpool.h
+++ b/src/core/servers/backendpool.h
@@ -52,6 +52,7 @@
     int failureStreak = 0;
     int ejections = 0;
     TimePoint ejectedUntil;
+    std::optional<TimePoint> ejectedAt; ///< The last time.
     bool isOnTrial = false; ///< Was ejected and has given no good answer since.
     bool isLeaving = false;
     std::optional<TimePoint> heardAt; ///< Last answer of any kind, good or bad.
--- a/src/daemon/gateway.cpp
+++ b/src/daemon/gateway.cpp
@@ -166,6 +166,10 @@
         {
             // Handled inside the core.
         }
+        void operator()(const ServerEjected &typed) const
+        {
+            gateway.log_.serverEjected(of.service, typed);
+        }
     };
     std::visit(Performer{*this, action}, action.action);
 }
--- a/src/daemon/requestlog.cpp
+++ b/src/daemon/requestlog.cpp
@@ -92,6 +92,11 @@
     log_.info("attempt cancelled", {{"id", id}, {"attempt", std::int64_t(action.attempt)}, {"address", action.address}});
 }
 
+void RequestLog::serverEjected(const std::string &service, const ServerEjected &action) const
+{
+    log_.info("server ejected", {{"service", service}, {"server", action.backend}, {"lasts_ms", toMilliseconds(action.lasts)}, {"after", action.reason}});
+}
+
 void RequestLog::callerGone(std::string_view id, Duration after) const
 {
     log_.info("caller gone", {{"id", id}, {"after_ms", toMilliseconds(after)}});
--- a/src/daemon/requestlog.h
+++ b/src/daemon/requestlog.h
@@ -30,6 +30,7 @@
     void attemptStarted(std::string_view id, const std::string &service, const StartAttempt &action) const;
     void attemptEnded(std::string_view id, const std::string &service, int attempt, const HttpOutcome &outcome) const;
     void attemptCancelled(std::string_view id, const CancelAttempt &action) const;
+    void serverEjected(const std::string &service, const ServerEjected &action) const;
     void callerGone(std::string_view id, Duration after) const;
     void answered(std::string_view id, int attempt, int status, Duration after) const;
     void refused(std::string_view id, const Problem &problem, Duration after) const;
--- a/tests/platform/pathtests.cpp
+++ b/tests/platform/pathtests.cpp
@@ -18,6 +18,7 @@
 #include <unistd.h>
 
 #include <csignal>
+#include <filesystem>
 #include <fstream>
 #include <functional>
 #include <future>
@@ -57,11 +58,20 @@
         start("entry-1");
     }
 
+    ~Site()
+    {
+        for (const std::string &folder : folders_) {
+            std::error_code ignored;
+            std::filesystem::remove_all(folder, ignored);
+        }
+    }
+
     /// Starts an entry VM. @param relay whether it may relay for others.
     void start(const std::string &name, bool relay = false)
     {
         char folder[] = "/tmp/cloverbarrow-path-XXXXXX";
-        settingsPath_ = std::string(::mkdtemp(folder)) + "/settings.yaml";
+        folders_.emplace_back(::mkdtemp(folder));
+        settingsPath_ = folders_.back() + "/settings.yaml";
         std::ofstream(settingsPath_) << "name: " << name << "\nzone: bog-a\nregion: bogota\nlisten: {callers: 127.0.0.1:0, operations: 127.0.0.1:0}\n"
                                      << "directory: {address: " << store.address() << ", " << (relay ? "relay: 127.0.0.1:0, " : "")
                                      << "repeat_ratio: 0.2, repeat_slack: 64, probes_per_server: 60}\n"
@@ -139,6 +149,7 @@
     HttpClient client_{1};
     HttpCallId calls_ = 0;
     Json listening_;
+    std::vector<std::string> folders_;
     std::string settingsPath_;
 };
 
--- a/tests/process/fleet.cpp
+++ b/tests/process/fleet.cpp
@@ -54,6 +54,12 @@
     }
 }
 
+Fleet::~Fleet()
+{
+    std::error_code ignored;
+    std::filesystem::remove_all(folder_, ignored);
+}
+
 void Fleet::startEntryVm(const std::string &name, const std::string &zone, int noticeMs)
 {
     std::string peers;
--- a/tests/process/fleet.h
+++ b/tests/process/fleet.h
@@ -26,6 +26,9 @@
 {
 public:
     explicit Fleet(int backends = 2);
+    ~Fleet();
+    Fleet(const Fleet &) = delete;
+    Fleet &operator=(const Fleet &) = delete;
 
     /// Starts an entry VM. @param noticeMs how long it serves on after a stop was asked for.
     void startEntryVm(const std::string &name, const std::string &zone = "bog-a", int noticeMs = 50);
--- a/tests/support/describe.cpp
+++ b/tests/support/describe.cpp
@@ -85,6 +85,10 @@
     {
         return "tell leaving " + action.backend;
     }
+    std::string operator()(const ServerEjected &action) const
+    {
+        return "eject " + action.backend + " for " + std::to_string(std::chrono::floor<milliseconds>(action.lasts).count()) + " ms after " + action.reason;
+    }
     std::string operator()(const SendHeartbeat &action) const
     {
         const Heartbeat &heartbeat = action.heartbeat;
