--- a/src/core/directory/directorykeeper.cpp
+++ b/src/core/directory/directorykeeper.cpp
@@ -16,8 +16,6 @@
 {
 // A watch that hangs is noticed by the store not answering a cheap call meanwhile.
 constexpr Duration CheckInterval = milliseconds(1500);
-// Those that rely on a relay hear from it how long ago the store has answered it.
-constexpr Duration RelayCheckInterval = milliseconds(400);
 // A single call that was cut is made up for at once, but not by all entry VMs in the same moment.
 constexpr Duration FirstCheckSpread = milliseconds(100);
 
@@ -35,11 +33,6 @@
         event);
 }
 
-std::size_t indexOf(Collection collection)
-{
-    return collection == Collection::Routing ? 0 : 1;
-}
-
 } // namespace
 
 DirectoryKeeper::DirectoryKeeper(const FleetBudgets &budgets, RelaySeat seat, std::uint64_t seed)
@@ -156,7 +149,7 @@
 
 void DirectoryKeeper::on(TimePoint now, const RelayChecked &event, DirectoryActions &actions)
 {
-    if (event.proof && event.proof->age < RelayCheckInterval) {
+    if (event.proof && event.proof->age < RelaySeat::CheckInterval) {
         sourceAnswered(now, actions);
     }
     if (event.proof && event.relay == source_ && isCurrent()) {
@@ -187,37 +180,6 @@
     publish(actions);
 }
 
-std::optional<DirectoryNews> DirectoryKeeper::newsSince(Collection collection, std::int64_t since) const
-{
-    if (!watchOf(collection).isComplete()) {
-        return std::nullopt;
-    }
-    if (collection == Collection::Servers) {
-        auto entries = registry_.changedSince(since);
-        return entries ? std::optional(DirectoryNews{registry_.sequence(), storeRevision_[indexOf(collection)], std::move(*entries)}) : std::nullopt;
-    }
-    if (since > planSequence_) {
-        return std::nullopt;
-    }
-    DirectoryNews news{planSequence_, storeRevision_[indexOf(collection)], {}};
-    if (plan_ && planSequence_ > since) {
-        news.entries.push_back({planEntry_.name, planEntry_.revision, std::nullopt, false, planEntry_.text});
-    }
-    return news;
-}
-
-std::optional<RelayProof> DirectoryKeeper::proofFor(TimePoint now, const std::string &follower)
-{
-    if (!seat_.isRelaying() || !currentAt_) {
-        return std::nullopt;
-    }
-    if (!follower.empty()) {
-        fleet_.followerAsked(now, follower);
-    }
-    const bool hearsFromStore = seat_.state() == RelaySeat::State::Holding && !isStoreLost_;
-    return RelayProof{now - *currentAt_, hearsFromStore, fleet_.countedInZone(now), seat_.otherRelays()};
-}
-
 CollectionWatch &DirectoryKeeper::watchOf(Collection collection)
 {
     return collection == Collection::Routing ? routing_ : servers_;
@@ -228,6 +190,11 @@
     return collection == Collection::Routing ? routing_ : servers_;
 }
 
+std::size_t DirectoryKeeper::indexOf(Collection collection)
+{
+    return collection == Collection::Routing ? 0 : 1;
+}
+
 void DirectoryKeeper::heardUpTo(Collection collection, std::int64_t storeRevision)
 {
     std::int64_t &known = storeRevision_[indexOf(collection)];
@@ -314,7 +281,7 @@
 void DirectoryKeeper::planCheck(TimePoint now)
 {
     const bool isHurried = isStoreLost_ || seat_.state() == RelaySeat::State::Holding;
-    const Duration pause = isHurried ? RelayCheckInterval : CheckInterval;
+    const Duration pause = isHurried ? RelaySeat::CheckInterval : CheckInterval;
     // Between three quarters and five quarters, so that entry VMs do not ask all at once.
     nextCheck_ = now + pause * 3 / 4 + Duration(random_.below(static_cast<std::size_t>((pause / 2).count())));
 }
@@ -328,14 +295,6 @@
     }
 }
 
-void DirectoryKeeper::countedInZone(TimePoint now, int entryVms, DirectoryActions &actions)
-{
-    if (fleet_.told(now, entryVms)) {
-        actions.emplace_back(ReportDirectory{"budgets cut for entry VMs", std::to_string(fleet_.entryVms())});
-        publish(actions);
-    }
-}
-
 void DirectoryKeeper::publish(DirectoryActions &actions)
 {
     if (!plan_ || !servers_.isComplete()) {
--- a/src/core/directory/directorykeeper.h
+++ b/src/core/directory/directorykeeper.h
@@ -53,6 +53,8 @@
     CollectionWatch &watchOf(Collection collection);
     bool takePlans(const std::vector<DirectoryEntry> &entries, DirectoryActions &actions);
     const CollectionWatch &watchOf(Collection collection) const;
+    /// @return where the collection stands in arrays.
+    static std::size_t indexOf(Collection collection);
     void heardUpTo(Collection collection, std::int64_t storeRevision);
     /// Begins calls anew when they go to another place from now on.
     void followSource(TimePoint now);
--- a/src/core/directory/relayseat.h
+++ b/src/core/directory/relayseat.h
@@ -33,6 +33,11 @@
         Alone, ///< Follows the store for itself.
     };
 
+    /// How often a relay is asked for its proof; while it is well, it has one at most half a second old.
+    static constexpr Duration CheckInterval = milliseconds(400);
+    /// A relay with an older proof has no news: changes must be in force within two seconds, an own look included.
+    static constexpr Duration ProofLimit = milliseconds(1200);
+
     /// @param own address under which this entry VM relays; empty means that there are no relays here.
     /// @param isFirstStart all entry VMs start together and need not hurry.
     RelaySeat(std::string own, bool isFirstStart, std::uint64_t seed);
