Each zone's entry VMs share an equal part of the common budgets, so a small zone is not starved of probes

Three entry VMs there carry as many requests as five elsewhere, some 9 yield reads a second each at three probes, and were allowed 21 probes a second on seven servers: their choices had 1.6 probes where others had 2.2, and went to servers told four times slow. Change: a part for each zone, shared by the entry VMs that its relay counts; the parts add up whatever the zones' sizes. A fresh process cuts for twenty until a relay has counted for twelve seconds.

--- a/src/core/directory/fleetestimate.cpp
+++ b/src/core/directory/fleetestimate.cpp
@@ -8,6 +8,7 @@
 #include "core/directory/fleetestimate.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace Cloverbarrow
 {
@@ -15,22 +16,22 @@
 namespace
 {
 
-// The users' smallest deployments have 13 to 18 entry VMs.
-constexpr int FewestToCutFor = 20;
-// Zones differ in size, and some entry VMs follow the store alone.
+// Until a relay has counted for some time; the users' smallest deployments have 13 to 18 entry VMs.
+constexpr int Initial = 20;
+// Some entry VMs follow the store alone and are not counted.
 constexpr double Margin = 1.2;
 // Each change makes all budgets anew; smaller ones are within the margin.
 constexpr double Step = 1.1;
 // Followers ask every 0.4 s; one that has not asked for so long has ended or follows the store alone.
 constexpr Duration FollowerStays = seconds(5);
-// Entry VMs that were killed together are back by then, and the budgets' windows are over.
-constexpr Duration HoldTime = seconds(30);
+// Entry VMs that were killed together are back by then, and the budgets' windows of ten seconds are over.
+constexpr Duration HoldTime = seconds(12);
 
 } // namespace
 
 FleetEstimate::FleetEstimate(int zones)
     : zones_(std::max(1, zones))
-    , entryVms_(FewestToCutFor)
+    , entryVms_(Initial)
 {
 }
 
@@ -53,8 +54,11 @@
 
 bool FleetEstimate::told(TimePoint now, int inZone)
 {
-    const int next = std::max(FewestToCutFor, static_cast<int>(Margin * inZone * zones_));
-    if (next < entryVms_ && now < heldUntil_) {
+    const int next = std::max(1, static_cast<int>(std::ceil(Margin * inZone * zones_)));
+    if (!heldUntil_) {
+        heldUntil_ = now + HoldTime;
+    }
+    if (next < entryVms_ && now < *heldUntil_) {
         return false;
     }
     heldUntil_ = now + HoldTime;
--- a/src/core/directory/fleetestimate.h
+++ b/src/core/directory/fleetestimate.h
@@ -10,14 +10,15 @@
 #include "core/support/time.h"
 
 #include <map>
+#include <optional>
 #include <string>
 
 namespace Cloverbarrow
 {
 
 /// How many entry VMs there are, as far as this one can know, for cutting budgets that all of them share. A relay
-/// counts those that ask it; they take its availability zone for an average one. Errs towards many: it rises at once,
-/// falls late, and is never below what the smallest deployments have.
+/// counts those that ask it. Each availability zone takes an equal part of a budget and its entry VMs share that, so the
+/// parts of all add up whatever the zones' sizes. Errs towards many: it rises at once and falls late.
 class FleetEstimate
 {
 public:
@@ -38,7 +39,7 @@
     int zones_;
     std::map<std::string, TimePoint> followers_; ///< When each last asked.
     int entryVms_;
-    TimePoint heldUntil_; ///< Before then the estimate does not fall.
+    std::optional<TimePoint> heldUntil_; ///< Before then the estimate does not fall.
 };
 
 } // namespace Cloverbarrow
