--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -119,11 +119,11 @@
     }
 }
 
-Result play(std::uint64_t seed)
+Result play(const std::string &program, std::uint64_t seed)
 {
     Result result;
     result.folder = makeFolder();
-    SoakSite site({absl::GetFlag(FLAGS_entry_vms), absl::GetFlag(FLAGS_backends)}, result.folder);
+    SoakSite site({absl::GetFlag(FLAGS_entry_vms), absl::GetFlag(FLAGS_backends)}, program, result.folder);
     append(result.breaches, awaitRecovery(site));
     Observations observations;
     FaultSchedule schedule(site, seed);
@@ -175,11 +175,11 @@
 }
 
 /// @return whether all promises held.
-bool playAndReport(std::uint64_t seed)
+bool playAndReport(const std::string &program, std::uint64_t seed)
 {
     Result result;
     try {
-        result = play(seed);
+        result = play(program, seed);
     } catch (const std::exception &exception) {
         result.breaches.push_back({"a seed can be played", exception.what()});
     }
@@ -205,11 +205,16 @@
                                  "one was broken.");
     absl::ParseCommandLine(argc, argv);
     std::signal(SIGPIPE, SIG_IGN);
+    // A build that goes on beside the soak must not change the program between two starts.
+    const std::string folder = makeFolder();
+    const std::string program = folder + "/cloverbarrowd";
+    std::filesystem::copy_file(std::string(BINARY_FOLDER) + "/cloverbarrowd", program);
     int broken = 0;
     for (const std::uint64_t seed : seedsToPlay()) {
-        if (!playAndReport(seed)) {
+        if (!playAndReport(program, seed)) {
             ++broken;
         }
     }
+    std::filesystem::remove_all(folder);
     return broken == 0 ? 0 : 1;
 }
--- a/tests/soak/soaksite.cpp
+++ b/tests/soak/soaksite.cpp
@@ -10,7 +10,6 @@
 #include "sampleplan.h"
 
 #include <csignal>
-#include <filesystem>
 #include <fstream>
 
 namespace Cloverbarrow::Soak
@@ -39,8 +38,9 @@
     return "v" + std::to_string(version) + ".example";
 }
 
-SoakSite::SoakSite(const SiteSize &size, std::string folder)
-    : folder_(std::move(folder))
+SoakSite::SoakSite(const SiteSize &size, std::string program, std::string folder)
+    : program_(std::move(program))
+    , folder_(std::move(folder))
     , entryVms_(static_cast<std::size_t>(size.entryVms))
     , backends_(static_cast<std::size_t>(size.backends))
 {
@@ -51,8 +51,6 @@
         backend.link = std::make_unique<FaultProxy>(backend.server->address());
         registerBackend(backend, "ready");
     }
-    // A build that goes on beside the soak must not change the program between two starts.
-    std::filesystem::copy_file(std::string(BINARY_FOLDER) + "/cloverbarrowd", folder_ + "/cloverbarrowd");
     configure();
     for (std::size_t number = 0; number < entryVms_.size(); ++number) {
         entryVms_[number].start.entryVm = number;
@@ -202,7 +200,7 @@
                         << ", relay: 127.0.0.1:0, repeat_ratio: 0.2, repeat_slack: 64, probes_per_server: 60}\n"
                         << "shutdown: {notice_ms: " << StopNoticeMs << ", limit_ms: " << StopLimitMs << "}\n";
     const std::string log = folder_ + "/" + name + "." + std::to_string(entry.start.number) + ".log";
-    const std::vector<std::string> command = {folder_ + "/cloverbarrowd", "--settings=" + path};
+    const std::vector<std::string> command = {program_, "--settings=" + path};
     entry.process = std::make_unique<Tests::Process>(command, log);
     entry.listening = entry.process->firstLine();
 }
--- a/tests/soak/soaksite.h
+++ b/tests/soak/soaksite.h
@@ -49,8 +49,8 @@
 class SoakSite
 {
 public:
-    /// @param folder for settings and logs; kept.
-    SoakSite(const SiteSize &size, std::string folder);
+    /// @param program of the entry VMs. @param folder for settings and logs; kept.
+    SoakSite(const SiteSize &size, std::string program, std::string folder);
 
     std::size_t entryVms() const;
     std::size_t backends() const;
@@ -100,6 +100,7 @@
     void startLocked(EntryVm &entry);
     void registerBackend(BackendServer &backend, const std::string &state);
 
+    std::string program_;
     std::string folder_;
     Standins::DirectoryStore store_;
     mutable std::mutex mutex_;
