--- a/src/core/directory/relayseat.h
+++ b/src/core/directory/relayseat.h
@@ -83,9 +83,12 @@
     void leaveRelay(TimePoint now, const std::string &reason, DirectoryActions &actions);
     /// Asks the relays of other zones for their proofs, unless that is under way.
     void search(const std::string &reason, Fallback fallback, DirectoryActions &actions);
+    /// Takes the relays of other zones, as the store or the own zone's relay tells them.
     void knowOthers(const std::vector<std::string> &others, DirectoryActions &actions);
     void fallBack(Fallback fallback, DirectoryActions &actions);
+    /// @return whether the relay that is followed is not the one of the own zone.
     bool isAway() const;
+    /// Plans the next look at the seat, at a random time.
     void lookLater(TimePoint now);
     void readSeat(bool mayBeOld, DirectoryActions &actions);
     void enter(State state, const std::string &detail, DirectoryActions &actions);
