--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -94,7 +94,7 @@
     std::thread thread_;
 };
 
-/// Brings about faults until the time is over or a promise is broken.
+/// Brings about faults until the time is over or a promise is broken, and ends them.
 void harm(SoakSite &site, FaultSchedule &schedule, const Observations &observations, std::vector<Breach> &breaches)
 {
     VersionThread versions(site);
@@ -105,6 +105,8 @@
             append(breaches, breachesIn(site, observations.all()));
         }
     }
+    // First, since a look at a paused process waits for it.
+    schedule.endAll();
     append(breaches, versions.stop());
 }
 
@@ -130,7 +132,6 @@
     {
         SoakCallers callers(site, observations, absl::GetFlag(FLAGS_callers), seed);
         harm(site, schedule, observations, result.breaches);
-        schedule.endAll();
         site.configure();
         const auto healed = std::chrono::steady_clock::now();
         append(result.breaches, awaitRecovery(site));
