What was decided first and is carried out last no longer replaces what is newer

Threads carry out the core's actions after its lock is released, in any order. The first "no configuration yet" was carried out by the main loop after "ready" of the thread that applied the configuration, and stayed, since the core believed it had said "ready".

Ruled out: load alone. With a pause of 300 ms before "no ..." is carried out (trial) and a look half a second after the apply, the same test failed the same way each time, on a calm machine.

Change: words on readiness, the number of entry VMs and leaving servers carry the number of the event that decided them, and the newest stays (support/latest.h). The same holds for limits of callers and connections by the version in force, and for the number of entry VMs in a publication that comes late.

On the users' platform the same race could have left an entry VM out of rotation, or ready before its time.

--- a/bench/policy/trial.cpp
+++ b/bench/policy/trial.cpp
@@ -118,7 +118,7 @@
             ServiceActions actions;
             vm.shard->handle(events_.now(), ServiceConfigured{1, service_}, actions);
             const int senders = arrangement_.dispatchers == 0 ? deployment_.entryVms : arrangement_.dispatchers;
-            vm.shard->handle(events_.now(), FleetSizeChanged{senders}, actions);
+            vm.shard->handle(events_.now(), FleetSizeChanged{senders, 1}, actions);
             entryVms_.push_back(std::move(vm));
         }
     }
--- a/src/core/controlevents.h
+++ b/src/core/controlevents.h
@@ -14,6 +14,7 @@
 #include "core/storecall.h"
 #include "core/support/time.h"
 
+#include <cstdint>
 #include <memory>
 #include <optional>
 #include <string>
@@ -163,6 +164,7 @@
 
 struct FleetResized {
     int entryVms = 1;
+    std::uint64_t order = 0; ///< Number of the event that decided it; threads may carry actions out of order.
 
     bool operator==(const FleetResized &) const = default;
 };
@@ -171,6 +173,7 @@
 struct SetReady {
     bool isReady = false;
     std::string reason;
+    std::uint64_t order = 0; ///< As in FleetResized.
 
     bool operator==(const SetReady &) const = default;
 };
--- a/src/core/controlshard.cpp
+++ b/src/core/controlshard.cpp
@@ -40,6 +40,7 @@
 
 void ControlShard::handle(TimePoint now, const ControlEvent &event, ControlActions &actions)
 {
+    ++eventsHandled_;
     std::visit([this, now, &actions](const auto &typed) { on(now, typed, actions); }, event);
     updateReadiness(now, actions);
 }
@@ -84,6 +85,11 @@
     return shutdown_.phase();
 }
 
+std::uint64_t ControlShard::eventsHandled() const
+{
+    return eventsHandled_;
+}
+
 void ControlShard::on(TimePoint now, const ControlTick &event, ControlActions &actions)
 {
     if (!settings_.hasDirectory) {
@@ -213,9 +219,10 @@
     std::vector<IntentAction> intentActions;
     intent_.published(event.intent, intentActions);
     carryOut(std::move(intentActions), actions);
-    if (event.intent->entryVms > 0 && event.intent->entryVms != fleetSize_) {
+    const bool isNewest = event.intent->version == intent_.version();
+    if (isNewest && event.intent->entryVms > 0 && event.intent->entryVms != fleetSize_) {
         fleetSize_ = event.intent->entryVms;
-        actions.emplace_back(FleetResized{fleetSize_});
+        actions.emplace_back(FleetResized{fleetSize_, eventsHandled_});
     }
 }
 
@@ -297,7 +304,7 @@
     }
     isReady_ = isReady;
     reason_ = std::move(reason);
-    actions.emplace_back(SetReady{isReady_, reason_});
+    actions.emplace_back(SetReady{isReady_, reason_, eventsHandled_});
 }
 
 void ControlShard::updateFleetSize(TimePoint now, ControlActions &actions)
@@ -312,7 +319,7 @@
     }
     fleetSize_ = isShrinkDue ? fleetSize_ - 1 : size;
     nextShrink_ = now + ShrinkInterval;
-    actions.emplace_back(FleetResized{fleetSize_});
+    actions.emplace_back(FleetResized{fleetSize_, eventsHandled_});
 }
 
 void ControlShard::carryOut(std::vector<IntentAction> intentActions, ControlActions &actions)
--- a/src/core/controlshard.h
+++ b/src/core/controlshard.h
@@ -52,6 +52,8 @@
     /// @return why it is not ready; empty when it is.
     const std::string &reason() const;
     ShutdownSequence::Phase phase() const;
+    /// @return how many events were handled. What is decided or read later has a higher number.
+    std::uint64_t eventsHandled() const;
 
 private:
     void on(TimePoint now, const ControlTick &event, ControlActions &actions);
@@ -97,6 +99,7 @@
     ShutdownSequence shutdown_;
     std::set<std::string> unansweredPeers_; ///< First peers that have neither answered nor failed yet.
     bool hasPeerAnswered_ = false;
+    std::uint64_t eventsHandled_ = 0;
     bool isReady_ = false;
     std::string reason_;
     int fleetSize_ = 1;
--- a/src/core/node.cpp
+++ b/src/core/node.cpp
@@ -108,7 +108,7 @@
             continue;
         }
         if (const auto *fleet = std::get_if<FleetResized>(&action)) {
-            resize(fleet->entryVms, internal);
+            resize(*fleet, internal);
         }
         if (const auto *installed = std::get_if<InstallIntent>(&action)) {
             install(installed->intent, internal);
@@ -134,7 +134,7 @@
             const std::uint64_t seed = settings_.seed ^ stableHash({service.name});
             shard = std::make_shared<GuardedShard>(service.name,
                                                    ServiceShard(settings_.self.id, {settings_.self.zone, settings_.self.region}, service.name, policy_, seed));
-            internal.emplace_back(ForService{service.name, FleetSizeChanged{entryVms_}});
+            internal.emplace_back(ForService{service.name, FleetSizeChanged{entryVms_.value(), entryVms_.order()}});
         }
         internal.emplace_back(ForService{service.name, ServiceConfigured{intent->version, service}});
     }
@@ -146,20 +146,20 @@
     }
 }
 
-void Node::resize(int entryVms, std::vector<NodeEvent> &internal)
+void Node::resize(const FleetResized &fleet, std::vector<NodeEvent> &internal)
 {
     {
         const std::lock_guard lock(mapMutex_);
-        entryVms_ = entryVms;
+        entryVms_.take(fleet.order, fleet.entryVms);
     }
-    tellAll(FleetSizeChanged{entryVms}, internal);
+    tellAll(FleetSizeChanged{fleet.entryVms, fleet.order}, internal);
 }
 
 void Node::tellLeaving(std::vector<NodeEvent> &internal) const
 {
     for (const ShardPointer &shard : shards()) {
         const std::lock_guard lock(controlMutex_);
-        internal.emplace_back(ForService{shard->name, LeavingChanged{control_.leaving(shard->name)}});
+        internal.emplace_back(ForService{shard->name, LeavingChanged{control_.leaving(shard->name), control_.eventsHandled()}});
     }
 }
 
--- a/src/core/node.h
+++ b/src/core/node.h
@@ -12,6 +12,7 @@
 #include "core/requests/serviceevents.h"
 #include "core/requests/serviceshard.h"
 #include "core/servers/pickpolicy.h"
+#include "core/support/latest.h"
 
 #include <map>
 #include <memory>
@@ -100,7 +101,7 @@
     void handleService(TimePoint now, const ForService &event, NodeActions &actions, std::vector<NodeEvent> &internal);
     void handleControl(TimePoint now, const ControlEvent &event, NodeActions &actions, std::vector<NodeEvent> &internal);
     void install(const std::shared_ptr<const IntentInForce> &intent, std::vector<NodeEvent> &internal);
-    void resize(int entryVms, std::vector<NodeEvent> &internal);
+    void resize(const FleetResized &fleet, std::vector<NodeEvent> &internal);
     void tellLeaving(std::vector<NodeEvent> &internal) const;
     void tellAll(const ServiceEvent &event, std::vector<NodeEvent> &internal) const;
     ShardPointer findShard(const std::string &service) const;
@@ -113,7 +114,7 @@
     mutable std::mutex mapMutex_; ///< Guards the map, not the shards.
     std::map<std::string, ShardPointer> services_;
     std::shared_ptr<const IntentInForce> intent_;
-    int entryVms_ = 1;
+    Latest<int> entryVms_{1};
 };
 
 } // namespace Cloverbarrow
--- a/src/core/requests/serviceevents.h
+++ b/src/core/requests/serviceevents.h
@@ -128,11 +128,13 @@
 /// Which backend servers are known to be leaving, by name.
 struct LeavingChanged {
     std::vector<std::string> leaving;
+    std::uint64_t order = 0; ///< Rises with each such event; an older one that comes late is ignored.
 };
 
 /// How many entry VMs share the connections of the backend servers.
 struct FleetSizeChanged {
     int entryVms = 1;
+    std::uint64_t order = 0; ///< As in LeavingChanged.
 };
 
 /// Attempts of peers at one backend server, as they last told.
--- a/src/core/requests/serviceshard.cpp
+++ b/src/core/requests/serviceshard.cpp
@@ -96,7 +96,7 @@
     // filled, which leaves bursts of one entry VM their room.
     constexpr double PartOfDeadline = 0.5;
     const double rounds = PartOfDeadline * toMilliseconds(timeLeft) / latencyMs;
-    const double share = static_cast<double>(slots) * rounds / entryVms_;
+    const double share = static_cast<double>(slots) * rounds / entryVms_.value();
     return std::max(slots, static_cast<std::size_t>(share));
 }
 
@@ -186,13 +186,18 @@
 
 void ServiceShard::on(TimePoint, const LeavingChanged &event, ServiceActions &)
 {
+    if (event.order <= leavingOrder_) {
+        return;
+    }
+    leavingOrder_ = event.order;
     pool_.setLeaving(event.leaving);
 }
 
 void ServiceShard::on(TimePoint, const FleetSizeChanged &event, ServiceActions &)
 {
-    entryVms_ = std::max(1, event.entryVms);
-    applyCap();
+    if (entryVms_.take(event.order, std::max(1, event.entryVms))) {
+        applyCap();
+    }
 }
 
 void ServiceShard::on(TimePoint, const PeersInFlightTold &event, ServiceActions &)
@@ -296,7 +301,7 @@
 
 void ServiceShard::applyCap()
 {
-    pool_.setInFlightCap(service_.limits.connectionsPerServer / entryVms_);
+    pool_.setInFlightCap(service_.limits.connectionsPerServer / entryVms_.value());
 }
 
 } // namespace Cloverbarrow
--- a/src/core/requests/serviceshard.h
+++ b/src/core/requests/serviceshard.h
@@ -12,9 +12,11 @@
 #include "core/requests/serviceevents.h"
 #include "core/servers/backendpool.h"
 #include "core/servers/serverchooser.h"
+#include "core/support/latest.h"
 #include "core/support/random.h"
 
 #include <cstddef>
+#include <cstdint>
 #include <deque>
 #include <map>
 #include <string>
@@ -151,7 +153,8 @@
     RetryBudget hedgeBudget_;
     PayoutLedger ledger_;
     Random random_;
-    int entryVms_ = 1;
+    Latest<int> entryVms_{1};
+    std::uint64_t leavingOrder_ = 0; ///< Of the newest LeavingChanged.
     int lowestPriority_ = 0; ///< The greatest number that a request has come with.
     std::map<RequestId, Request> requests_;
     std::deque<RequestId> waiting_;
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -137,7 +137,7 @@
         }
         void operator()(const FleetResized &typed) const
         {
-            daemon.setFleetSize(typed.entryVms);
+            daemon.resize(typed);
         }
         void operator()(const SetReady &typed) const
         {
@@ -186,14 +186,25 @@
 {
     // Told only now that the services have been given what is in force; the control shard knows earlier.
     {
-        const std::lock_guard lock(readyMutex_);
-        unreadyReason_ = action.reason;
+        const std::lock_guard lock(newestMutex_);
+        if (!unreadyReason_.take(action.order, action.reason)) {
+            return;
+        }
     }
     log_.info(action.isReady ? "ready" : "not ready", {{"reason", action.reason}});
 }
 
 void Daemon::install(const IntentInForce &intent)
 {
+    int fewest = std::numeric_limits<int>::max();
+    for (const Service &service : intent.configuration.services) {
+        fewest = std::min(fewest, service.limits.connectionsPerServer);
+    }
+    const std::lock_guard lock(newestMutex_);
+    if (!connectionsPerServer_.take(static_cast<std::uint64_t>(intent.version), fewest)) {
+        return;
+    }
+    applyConnectionCap();
     std::int64_t servers = 0;
     for (const Service &service : intent.configuration.services) {
         servers += static_cast<std::int64_t>(service.backendServers.size());
@@ -207,23 +218,19 @@
     if (intent.configuration.callerLimits) {
         callerServer_->setBounds(boundsFor(*intent.configuration.callerLimits));
     }
-    int fewest = std::numeric_limits<int>::max();
-    for (const Service &service : intent.configuration.services) {
-        fewest = std::min(fewest, service.limits.connectionsPerServer);
-    }
-    connectionsPerServer_ = fewest;
-    applyConnectionCap();
 }
 
-void Daemon::setFleetSize(int entryVms)
+void Daemon::resize(const FleetResized &action)
 {
-    entryVms_ = entryVms;
-    applyConnectionCap();
+    const std::lock_guard lock(newestMutex_);
+    if (entryVms_.take(action.order, action.entryVms)) {
+        applyConnectionCap();
+    }
 }
 
 void Daemon::applyConnectionCap()
 {
-    backends_.setConnectionsPerAddress(std::max(1, connectionsPerServer_ / entryVms_));
+    backends_.setConnectionsPerAddress(std::max(1, connectionsPerServer_.value() / entryVms_.value()));
 }
 
 void Daemon::tick(bool isControl)
@@ -306,8 +313,8 @@
 
 std::string Daemon::unreadyReason() const
 {
-    const std::lock_guard lock(readyMutex_);
-    return unreadyReason_;
+    const std::lock_guard lock(newestMutex_);
+    return unreadyReason_.value();
 }
 
 } // namespace Cloverbarrow
--- a/src/daemon/daemon.h
+++ b/src/daemon/daemon.h
@@ -8,6 +8,7 @@
 #pragma once
 
 #include "core/node.h"
+#include "core/support/latest.h"
 #include "daemon/adminservice.h"
 #include "daemon/directoryrunner.h"
 #include "daemon/eventhandler.h"
@@ -87,7 +88,8 @@
     CallerBounds ownBounds() const;
     /// @return the same, with what operators allow.
     CallerBounds boundsFor(const CallerLimits &limits) const;
-    void setFleetSize(int entryVms);
+    void resize(const FleetResized &action);
+    /// Call with newestMutex_ held.
     void applyConnectionCap();
     /// @param isControl whether everything is to be looked at, or only the services.
     void tick(bool isControl);
@@ -126,10 +128,11 @@
     int stopsTaken_ = 0;
     std::atomic<bool> isReloadRequested_{false};
     std::atomic<bool> hasEnded_{false};
-    std::atomic<int> entryVms_{1};
-    std::atomic<int> connectionsPerServer_{1};
-    mutable std::mutex readyMutex_;
-    std::string unreadyReason_ = "starting"; ///< Empty when ready.
+    // Threads carry out what they were told in any order, so the newest of each is kept.
+    mutable std::mutex newestMutex_;
+    Latest<int> entryVms_{1};
+    Latest<int> connectionsPerServer_{1};
+    Latest<std::string> unreadyReason_{"starting"}; ///< Empty when ready.
     std::mutex exitMutex_;
     std::optional<WorkLeft> exit_;
 };
--- a/tests/property/attemptproperties.cpp
+++ b/tests/property/attemptproperties.cpp
@@ -111,7 +111,7 @@
                 leaving_.push_back(server.name);
             }
         }
-        handle(LeavingChanged{leaving_});
+        handle(LeavingChanged{leaving_, ++lastLeaving_});
     }
 
     void arrive()
@@ -216,6 +216,7 @@
     Service service_;
     std::int64_t version_ = 0;
     std::vector<std::string> leaving_;
+    std::uint64_t lastLeaving_ = 0;
     RequestId lastRequest_ = 0;
     std::map<RequestId, RequestArrived> arrived_;
     Running running_;
