Requests that can still meet their objective go first

Callers that had been refused came back late and took the slots that fresh requests needed in time, so these were refused and came back late as well.

Ruled out: start-up (ready 0.35 s after power), the store (lists within 50 ms), servers that fell over (none).

Change: callers say how much time is left; the longest time of a kind is learnt, and the difference is how long a caller has waited (CallerPatience). A request that misses its objective wherever it is sent takes a server only where there is room to spare, and is not hedged. The log tells how long the caller had waited, and why a late request was refused.

--- a/src/core/requests/serviceevents.h
+++ b/src/core/requests/serviceevents.h
@@ -56,7 +56,9 @@
     int maxAttempts = 0; ///< As the route says; 0 where the service's rule counts.
     Duration latencyObjective{0}; ///< As the route says; 0 where it says nothing.
     int priority = 0; ///< 0 goes first when there is too little room.
+    Duration callerTimeLeft{0}; ///< How long the caller will wait; 0 where it does not say.
     TimePoint arrivedAt; ///< Set by the shard.
+    Duration waitedBefore{0}; ///< How long the caller had waited before, with earlier requests. Set by the shard.
     std::string idempotencyKey; ///< Payouts only.
     std::string digest; ///< Of method, target and body; payouts only.
 };
@@ -172,6 +174,7 @@
     std::optional<LoadReport> report; ///< The server's last one.
     Duration reportAge{0};
     int probes = 0; ///< Servers that were asked for this choice.
+    Duration waitedBefore{0}; ///< How long the caller had waited with earlier requests.
 };
 
 /// Send the request to a backend server.
--- a/src/core/requests/serviceshard.cpp
+++ b/src/core/requests/serviceshard.cpp
@@ -52,6 +52,9 @@
     Request &request = requests_[event.request];
     request.arrival = event;
     request.arrival.arrivedAt = now;
+    if (event.callerTimeLeft > Duration(0)) {
+        request.arrival.waitedBefore = patience_.waitedBefore(now, event.latencyObjective, event.callerTimeLeft);
+    }
     lowestPriority_ = std::max(lowestPriority_, event.priority);
     retryBudget_.addFirstAttempt(now);
     hedgeBudget_.addFirstAttempt(now);
@@ -260,6 +263,7 @@
     note.report = backend.report;
     note.reportAge = backend.reportedAt ? now - *backend.reportedAt : Duration(0);
     note.probes = request.probes;
+    note.waitedBefore = request.arrival.waitedBefore;
     const bool mayReuse = service_.echoesExchangeTag && kindClass(request) == KindClass::Read;
     actions.emplace_back(
         StartAttempt{request.arrival.request, request.attempts, backend.server.name, backend.server.address, request.arrival.deadline, mayReuse, note});
--- a/src/core/requests/serviceshard.h
+++ b/src/core/requests/serviceshard.h
@@ -8,6 +8,7 @@
 #pragma once
 
 #include "core/payouts/payoutledger.h"
+#include "core/requests/callerpatience.h"
 #include "core/requests/retrybudget.h"
 #include "core/requests/serviceevents.h"
 #include "core/servers/backendpool.h"
@@ -101,6 +102,8 @@
     void beginChoice(TimePoint now, Request &request, bool isHedge, ServiceActions &actions);
     void proceedWithChoice(TimePoint now, Request &request, ServiceActions &actions);
     ChoiceNeed needOf(TimePoint now, const Request &request) const;
+    /// @return how long until the latency objective is missed, counted from the caller's first request; negative when it is.
+    Duration objectiveLeft(TimePoint now, const Request &request) const;
     void askServers(TimePoint now, Request &request, ServiceActions &actions);
     /// Chooses without probes: by what servers told before, or any when none has told anything.
     void chooseByOldReports(TimePoint now, Request &request, ServiceActions &actions);
@@ -109,7 +112,7 @@
     /// Ends choices that have lasted too long. @return whether the request has got its final answer.
     bool giveUpChoice(TimePoint now, Request &request, ServiceActions &actions);
     /// @return why a request is refused for want of room, with what is known of the servers.
-    std::string noRoomDetail(TimePoint now) const;
+    std::string noRoomDetail(TimePoint now, const Request &request) const;
     void tickChoices(TimePoint now, ServiceActions &actions);
     int maxAttempts(const Request &request) const;
     /// @param reserve retries that must be left in a shared budget.
@@ -151,6 +154,7 @@
     ServerChooser chooser_;
     RetryBudget retryBudget_;
     RetryBudget hedgeBudget_;
+    CallerPatience patience_;
     PayoutLedger ledger_;
     Random random_;
     Latest<int> entryVms_{1};
--- a/src/core/requests/serviceshardchoice.cpp
+++ b/src/core/requests/serviceshardchoice.cpp
@@ -26,6 +26,8 @@
 // When a read is sent a second time: early enough for the second answer to come within the objective, late enough for few to
 // need one.
 constexpr double HedgeAfterObjectives = 0.5;
+// With less than this part of its usual work left, a request misses its objective wherever it is sent.
+constexpr double LateBelowWork = 0.5;
 // A server that is alive has answered a probe by then.
 constexpr Duration ProbeAnswerTime = milliseconds(50);
 // Retries that hedges leave in the budget, for requests that failed.
@@ -60,9 +62,11 @@
 {
     ChoiceNeed need;
     need.objective = request.arrival.latencyObjective;
-    need.timeLeft = std::max(request.arrival.arrivedAt + need.objective - now, need.objective / HoldPart);
+    const Duration left = objectiveLeft(now, request);
+    need.timeLeft = std::max(left, need.objective / HoldPart);
+    need.isLate = toMilliseconds(left) < chooser_.model().workMs(need.objective) * LateBelowWork;
     need.isUrgent = request.arrival.priority < lowestPriority_;
-    if (request.choice->isRescue) {
+    if (request.choice->isRescue || need.isLate) {
         // Late is better than never.
         need.timeLeft = request.arrival.deadline - now;
     }
@@ -70,6 +74,11 @@
     return need;
 }
 
+Duration ServiceShard::objectiveLeft(TimePoint now, const Request &request) const
+{
+    return request.arrival.arrivedAt - request.arrival.waitedBefore + request.arrival.latencyObjective - now;
+}
+
 void ServiceShard::askServers(TimePoint now, Request &request, ServiceActions &actions)
 {
     const auto probed = chooser_.nextRound(now, pool_, request.tried, *request.choice, random_);
@@ -123,19 +132,21 @@
     }
     const Fate fate = request.mayHaveRun ? Fate::Unknown : Fate::NotRun;
     const auto comeBack = std::chrono::round<Duration>(request.arrival.latencyObjective * ComeBackObjectives);
-    refuse(request, {Unavailable, fate, "choose backend server", name_, noRoomDetail(now), comeBack}, actions);
+    refuse(request, {Unavailable, fate, "choose backend server", name_, noRoomDetail(now, request), comeBack}, actions);
     return true;
 }
 
-std::string ServiceShard::noRoomDetail(TimePoint now) const
+std::string ServiceShard::noRoomDetail(TimePoint now, const Request &request) const
 {
+    const bool isLate = needOf(now, request).isLate;
     const auto servers = pool_.backends();
     const auto hasTold = [now](const Backend &backend) { return backend.reportedAt && now - *backend.reportedAt < seconds(1); };
     const auto told = std::count_if(servers.begin(), servers.end(), hasTold);
     const auto withRoom =
         std::count_if(servers.begin(), servers.end(), [&](const Backend &backend) { return hasTold(backend) && chooser_.model().hasRoom(backend); });
     return "no backend server has room to answer in time: of " + std::to_string(servers.size()) + ", " + std::to_string(told)
-        + " told of themselves within 1 s, " + std::to_string(withRoom) + " with room";
+        + " told of themselves within 1 s, " + std::to_string(withRoom) + " with room"
+        + (isLate ? ", which is left to requests that can still meet their objective" : "");
 }
 
 void ServiceShard::tickChoices(TimePoint now, ServiceActions &actions)
@@ -222,8 +233,9 @@
 {
     const Duration waited = now - request.running.front().startedAt;
     if (const Duration objective = request.arrival.latencyObjective; objective > Duration(0)) {
-        const Duration left = request.arrival.arrivedAt + objective - now;
-        return toMilliseconds(waited) >= HedgeAfterObjectives * toMilliseconds(objective) && toMilliseconds(left) >= chooser_.model().workMs(objective) / 2;
+        const Duration left = objectiveLeft(now, request);
+        return toMilliseconds(waited) >= HedgeAfterObjectives * toMilliseconds(objective)
+            && toMilliseconds(left) >= chooser_.model().workMs(objective) * LateBelowWork;
     }
     // Few answers take as long, so the second attempt is seldom in vain.
     constexpr double LatenciesToWait = 2;
--- a/src/core/servers/answertime.cpp
+++ b/src/core/servers/answertime.cpp
@@ -146,8 +146,19 @@
 
 bool AnswerTimeModel::hasRoom(const Backend &backend) const
 {
-    const Crowding crowding = crowdingOf(backend);
-    const bool isLastSlotGood = lastSlotFactor() < LastSlotWorthFactor || slotsOf(backend) == 1;
+    return hasRoomAt(heldBy(backend), slotsOf(backend));
+}
+
+bool AnswerTimeModel::hasRoomToSpare(const Backend &backend) const
+{
+    const int held = heldBy(backend);
+    return held == 0 || hasRoomAt(held + 1, slotsOf(backend));
+}
+
+bool AnswerTimeModel::hasRoomAt(int held, int slots) const
+{
+    const Crowding crowding = crowdingAt(held, slots);
+    const bool isLastSlotGood = lastSlotFactor() < LastSlotWorthFactor || slots == 1;
     return crowding == Crowding::HadRoom || (crowding == Crowding::TookLastSlot && isLastSlotGood);
 }
 
--- a/src/core/servers/answertime.h
+++ b/src/core/servers/answertime.h
@@ -38,10 +38,13 @@
     double expectedMs(const Backend &backend, Duration objective, TimePoint now) const;
     /// @return whether a request sent now would begin to run at once, on a slot that is worth using.
     bool hasRoom(const Backend &backend) const;
+    /// @return whether there would still be room for another request after this one, or the server is idle.
+    bool hasRoomToSpare(const Backend &backend) const;
     /// @return whether no other server could do much better than @p backend.
     bool isAsGoodAsAny(const Backend &backend, TimePoint now) const;
 
 private:
+    bool hasRoomAt(int held, int slots) const;
     double slownessNow(const Backend &backend, TimePoint now) const;
     /// @return how much longer work takes when all slots are used.
     double lastSlotFactor() const;
--- a/src/core/servers/serverchooser.cpp
+++ b/src/core/servers/serverchooser.cpp
@@ -165,10 +165,17 @@
 }
 
 bool ServerChooser::mayUse(const Backend &backend, const ChoiceNeed &need, TimePoint now) const
+{
+    return fits(backend, need) && hasToldWithin(backend, now, need.takesOldReports ? UsableFor : FreshFor);
+}
+
+bool ServerChooser::fits(const Backend &backend, const ChoiceNeed &need) const
 {
     // More requests than a server runs at once only make all of them late.
-    const bool fits = need.isUrgent ? crowdingOf(backend) != Crowding::HadToWait : model_.hasRoom(backend);
-    return fits && hasToldWithin(backend, now, need.takesOldReports ? UsableFor : FreshFor);
+    if (need.isUrgent && !need.isLate) {
+        return crowdingOf(backend) != Crowding::HadToWait;
+    }
+    return need.isLate && !need.isUrgent ? model_.hasRoomToSpare(backend) : model_.hasRoom(backend);
 }
 
 bool ServerChooser::knowsAny(TimePoint now, const BackendPool &pool)
--- a/src/core/servers/serverchooser.h
+++ b/src/core/servers/serverchooser.h
@@ -38,6 +38,7 @@
     Duration objective{0};
     Duration timeLeft{0}; ///< Within which an answer is wanted.
     bool isUrgent = false; ///< Goes before other requests of the service: may use slots that these leave free.
+    bool isLate = false; ///< Cannot meet its objective any more; goes behind those that can.
     bool isLastCall = false; ///< Any server with room is better than none now.
     bool takesOldReports = false; ///< There are no newer ones to be had.
 };
@@ -80,6 +81,8 @@
     /// @return whether a request may be sent to @p backend on what it last told.
     bool mayUse(const Backend &backend, const ChoiceNeed &need, TimePoint now) const;
 
+    /// @return whether @p backend has as much room as such a request may ask for.
+    bool fits(const Backend &backend, const ChoiceNeed &need) const;
     bool isUsual(const Backend &backend) const;
 
     AnswerTimeModel model_;
--- a/src/daemon/requestcheck.cpp
+++ b/src/daemon/requestcheck.cpp
@@ -111,6 +111,7 @@
     checked.event.request = id;
     checked.event.kindClass = route.rule->kind.kindClass;
     checked.event.deadline = now + std::min<Duration>(milliseconds(deadlineMs), route.rule->kind.deadline);
+    checked.event.callerTimeLeft = deadlineMs < MaxDeadlineMs ? Duration(milliseconds(deadlineMs)) : Duration(0);
     checked.event.maxAttempts = route.rule->maxAttempts;
     checked.event.latencyObjective = route.rule->latencyObjective;
     checked.event.priority = route.rule->priority;
--- a/tests/unit/probedchoicetests.cpp
+++ b/tests/unit/probedchoicetests.cpp
@@ -55,18 +55,25 @@
         }
     }
 
-    void arrive(RequestId id, KindClass kindClass = KindClass::Read, int priority = 0)
+    void arrive(RequestId id, KindClass kindClass = KindClass::Read, int priority = 0, Duration waited = Duration(0))
     {
         RequestArrived arrived;
         arrived.request = id;
         arrived.kindClass = kindClass;
-        arrived.deadline = now_ + seconds(2);
+        arrived.callerTimeLeft = seconds(2) - waited;
+        arrived.deadline = now_ + arrived.callerTimeLeft;
         arrived.maxAttempts = 2;
         arrived.latencyObjective = AimedLatency;
         arrived.priority = priority;
         handle(arrived);
     }
 
+    /// The caller has been waiting for @p waited, since an earlier request of it was refused.
+    void arriveAgain(RequestId id, Duration waited)
+    {
+        arrive(id, KindClass::Read, 0, waited);
+    }
+
     void pass(Duration duration)
     {
         constexpr Duration Step = milliseconds(5);
@@ -335,3 +342,49 @@
     const auto isSecond = [](const StartAttempt &start) { return start.request == 1 && start.attempt == 2; };
     CHECK(std::count_if(shard.started.begin(), shard.started.end(), isSecond) == 1);
 }
+
+TEST_CASE("A request that can no longer meet its objective leaves the room to those that can", "[choice][late]")
+{
+    Probing probing(probedService(2));
+    probing.reports = {{"b1", {1, 0, 3, 1}}, {"b2", {1, 0, 3, 1}}};
+    // A first request shows how long callers wait in all.
+    probing.arrive(1);
+    CHECK(probing.started.size() == 1);
+    SECTION("while servers have little room")
+    {
+        probing.reports = {{"b1", {2, 0, 3, 1}}, {"b2", {2, 0, 3, 1}}};
+        probing.pass(milliseconds(40));
+        probing.arriveAgain(2, milliseconds(300));
+        probing.pass(AimedLatency / 4);
+        CHECK(probing.started.size() == 1);
+        REQUIRE(probing.refused.size() == 1);
+        CHECK(probing.refused.front().problem.fate == Fate::NotRun);
+        CHECK(probing.refused.front().problem.retryAfter);
+        probing.arrive(3);
+        CHECK(probing.started.size() == 2);
+    }
+    SECTION("but is served where there is room to spare")
+    {
+        probing.arriveAgain(2, milliseconds(300));
+        CHECK(probing.started.size() == 2);
+    }
+    SECTION("and by an idle server, however few its slots")
+    {
+        probing.reports = {{"b1", {0, 0, 1, 1}}, {"b2", {0, 0, 1, 1}}};
+        probing.pass(milliseconds(40));
+        probing.arriveAgain(2, milliseconds(300));
+        CHECK(probing.started.size() == 2);
+    }
+}
+
+TEST_CASE("How long a caller has waited is told by the time that it has left", "[late]")
+{
+    CallerPatience patience;
+    const TimePoint now(seconds(100));
+    CHECK(patience.waitedBefore(now, AimedLatency, seconds(2)) == Duration(0));
+    CHECK(patience.waitedBefore(now, AimedLatency, milliseconds(1400)) == milliseconds(600));
+    CHECK(patience.waitedBefore(now, 2 * AimedLatency, milliseconds(1400)) == Duration(0));
+    // Callers that now wait less are learnt within a minute.
+    CHECK(patience.waitedBefore(now + seconds(31), AimedLatency, milliseconds(1400)) == milliseconds(600));
+    CHECK(patience.waitedBefore(now + seconds(62), AimedLatency, milliseconds(1400)) == Duration(0));
+}
