--- a/src/core/node.cpp
+++ b/src/core/node.cpp
@@ -9,7 +9,7 @@
 
 #include "core/support/stablehash.h"
 
-#include <deque>
+#include <utility>
 
 namespace Cloverbarrow
 {
@@ -127,7 +127,7 @@
     if (intent_ && intent_->version >= intent->version) {
         return;
     }
-    intent_ = intent;
+    const auto before = std::exchange(intent_, intent);
     for (const Service &service : intent->configuration.services) {
         ShardPointer &shard = services_[service.name];
         if (!shard) {
@@ -136,7 +136,10 @@
                                                    ServiceShard(settings_.self.id, {settings_.self.zone, settings_.self.region}, service.name, policy_, seed));
             internal.emplace_back(ForService{service.name, FleetSizeChanged{entryVms_.value(), entryVms_.order()}});
         }
-        internal.emplace_back(ForService{service.name, ServiceConfigured{intent->version, service}});
+        const Service *former = before ? before->configuration.findService(service.name) : nullptr;
+        if (!former || *former != service) {
+            internal.emplace_back(ForService{service.name, ServiceConfigured{intent->version, service}});
+        }
     }
     // A service that is gone keeps its shard until its requests have ended; without servers it takes no new ones.
     for (const auto &[name, shard] : services_) {
--- a/src/core/servers/backendpool.cpp
+++ b/src/core/servers/backendpool.cpp
@@ -8,6 +8,8 @@
 #include "core/servers/backendpool.h"
 
 #include <algorithm>
+#include <string_view>
+#include <unordered_map>
 #include <utility>
 
 namespace Cloverbarrow
@@ -44,11 +46,17 @@
 
 void BackendPool::configure(const Service &service, TimePoint now)
 {
+    // Looked up by name in one pass: a service may have more than a thousand servers, and each change comes here.
+    std::unordered_map<std::string_view, Backend *> known;
+    for (Backend &backend : backends_) {
+        known.emplace(backend.server.name, &backend);
+    }
     std::vector<Backend> next;
+    next.reserve(service.backendServers.size());
     for (const BackendServer &server : service.backendServers) {
         Backend backend;
-        if (const Backend *known = find(server.name); known && known->server.address == server.address) {
-            backend = *known;
+        if (const auto found = known.find(server.name); found != known.end() && found->second->server.address == server.address) {
+            backend = *found->second;
         } else {
             backend.warmAt = now + server.warmUp;
         }
