Relays tell long lists a few at a time, packed once for many, and fast links relay first

A list of 3,000 servers has 1.2 MB, 97 KB packed. After all processes were killed 75 followers of a zone asked their relay for it at once: over a link of 10 Mbit/s that takes 6 s, in which the relay's proofs came later than 0.4 s and lists were given up after 3 s; the followers turned to relays of other zones, with lists again. Each list at another revision was packed anew, 12 ms of a whole core.

Ruled out: changes (a few hundred bytes), proofs, requests to other zones (0.006 GB at 100).

Change: at most three long lists are on their way at a time, others wait. A list of servers is packed once for a second and told with the relay's latest change; a follower shows no proof before its first watch has brought it there. Lists have 10 s, since checks tell whether the relay lives. VMs whose link is below 100 Mbit/s leave the seat to faster ones for a second (directory.link_mbps).

Figures: unit tests [lists] and [relay]; the one on proofs fails without the rule.

--- a/src/core/directory/collectionwatch.cpp
+++ b/src/core/directory/collectionwatch.cpp
@@ -66,6 +66,7 @@
         return false;
     }
     since_ = listRevision_;
+    mustReach_ = std::max(since_, page.latest);
     isListing_ = false;
     isComplete_ = true;
     return true;
@@ -117,7 +118,7 @@
 
 bool CollectionWatch::isCurrent() const
 {
-    return isComplete_ && !isListing_;
+    return isComplete_ && !isListing_ && since_ >= mustReach_;
 }
 
 bool CollectionWatch::isComplete() const
--- a/src/core/directory/collectionwatch.h
+++ b/src/core/directory/collectionwatch.h
@@ -53,6 +53,7 @@
     std::int64_t listRevision_ = 0; ///< Of the first page: what changes while the others are read is watched again.
     std::int64_t listStoreRevision_ = 0; ///< The same, of the store also where a relay was asked.
     std::int64_t since_ = 0;
+    std::int64_t mustReach_ = 0; ///< What is known is as new as the list only from here on.
     TimePoint nextCall_;
     int failures_ = 0;
 };
--- a/src/core/directory/directoryevents.h
+++ b/src/core/directory/directoryevents.h
@@ -68,6 +68,7 @@
     std::string last; ///< Name after which the next page begins.
     std::int64_t revision = 0; ///< To watch from: of the whole store, or the number of a relay's latest change.
     std::int64_t storeRevision = 0; ///< Up to which the store has told this; what is missing had been deleted by then.
+    std::int64_t latest = 0; ///< A relay's latest change when it answered; above its revision where the list is a little older.
 };
 
 /// What has changed since the revision that was watched from; nothing when the wait was over.
--- a/src/core/directory/relayseat.cpp
+++ b/src/core/directory/relayseat.cpp
@@ -25,7 +25,11 @@
 constexpr Duration OthersFirst = seconds(5);
 constexpr Duration OthersInterval = seconds(15);
 // Spreads the first looks, so that few entry VMs try to take the seat at once.
-constexpr Duration FirstStartSpread = seconds(3);
+constexpr Duration FirstStartSpread = seconds(2);
+// A list of 3,000 servers has 100 KB (bench/directory), and after a power cut each follower asks for one: 75 of them keep a
+// link of 10 Mbit/s busy for 6 s, one of 100 Mbit/s for 0.6 s.
+constexpr double FastLinkMbps = 100;
+constexpr Duration SlowLinkStandBack = seconds(1);
 constexpr Duration RestartSpread = milliseconds(30);
 // A relay whose process ended is usually back by then.
 constexpr Duration FirstLookAgain = milliseconds(700);
@@ -35,9 +39,10 @@
 
 } // namespace
 
-RelaySeat::RelaySeat(std::string own, bool isFirstStart, std::uint64_t seed)
+RelaySeat::RelaySeat(std::string own, bool isFirstStart, std::uint64_t seed, Duration standBack)
     : own_(std::move(own))
     , isFirstStart_(isFirstStart)
+    , standBack_(standBack)
     , random_(seed)
 {
     if (own_.empty()) {
@@ -45,6 +50,11 @@
     }
 }
 
+Duration RelaySeat::standBackFor(double linkMbps)
+{
+    return linkMbps > 0 && linkMbps < FastLinkMbps ? SlowLinkStandBack : Duration(0);
+}
+
 void RelaySeat::tick(TimePoint now, DirectoryActions &actions)
 {
     if (own_.empty()) {
@@ -53,7 +63,8 @@
     switch (state_) {
     case State::Deciding:
         if (!lookAt_) {
-            lookAt_ = now + upTo(isFirstStart_ ? FirstStartSpread : RestartSpread);
+            // After a restart the seat is mostly held already.
+            lookAt_ = now + (isFirstStart_ ? standBack_ + upTo(FirstStartSpread) : upTo(RestartSpread));
         }
         if (now >= *lookAt_ && !isSeatCalling_ && !isTrying_ && awaited_ == 0) {
             readSeat(true, actions);
@@ -261,7 +272,7 @@
 
 void RelaySeat::lookLater(TimePoint now)
 {
-    lookAt_ = now + FirstLookAgain + upTo(LookAgainSpread);
+    lookAt_ = now + FirstLookAgain + standBack_ + upTo(LookAgainSpread);
 }
 
 void RelaySeat::readSeat(bool mayBeOld, DirectoryActions &actions)
--- a/src/core/directory/relayseat.h
+++ b/src/core/directory/relayseat.h
@@ -40,7 +40,10 @@
 
     /// @param own address under which this entry VM relays; empty means that there are no relays here.
     /// @param isFirstStart all entry VMs start together and need not hurry.
-    RelaySeat(std::string own, bool isFirstStart, std::uint64_t seed);
+    /// @param standBack how much longer than others this entry VM waits before it takes a seat.
+    RelaySeat(std::string own, bool isFirstStart, std::uint64_t seed, Duration standBack = Duration(0));
+    /// @param linkMbps of this VM, 0 when not known. @return how long it stands back for VMs with faster links.
+    static Duration standBackFor(double linkMbps);
 
     void tick(TimePoint now, DirectoryActions &actions);
     void seatAnswered(TimePoint now, const SeatAnswered &answer, DirectoryActions &actions);
@@ -101,6 +104,7 @@
 
     std::string own_;
     bool isFirstStart_;
+    Duration standBack_;
     Random random_;
     State state_ = State::Deciding;
     std::string holder_; ///< As the seat last told.
--- a/src/daemon/directoryrunner.cpp
+++ b/src/daemon/directoryrunner.cpp
@@ -29,7 +29,7 @@
         own = withPort(settings.relayAddress, server_->port());
     }
     const std::lock_guard lock(mutex_);
-    keeper_.emplace(settings.budgets, RelaySeat(own, settings.isFirstStart, seed), seed);
+    keeper_.emplace(settings.budgets, RelaySeat(own, settings.isFirstStart, seed, RelaySeat::standBackFor(settings.linkMbps)), seed);
 }
 
 void DirectoryRunner::tick()
--- a/src/daemon/settings.cpp
+++ b/src/daemon/settings.cpp
@@ -20,6 +20,7 @@
 namespace
 {
 
+constexpr double MaxLinkMbps = 1e6;
 constexpr int MaxThreads = 64;
 constexpr int MaxBody = 64 * 1024 * 1024;
 constexpr int MaxShutdownMs = 3'600'000;
@@ -71,6 +72,7 @@
         readAddress(item, "address", settings.directory->address);
         readAddress(item, "relay", settings.directory->relayAddress, false);
         item.flag("first_start", settings.directory->isFirstStart);
+        item.real("link_mbps", settings.directory->linkMbps, 0, MaxLinkMbps);
         FleetBudgets &budgets = settings.directory->budgets;
         std::vector<std::string> zones;
         item.texts("zones", zones, false);
--- a/src/daemon/settings.h
+++ b/src/daemon/settings.h
@@ -26,6 +26,7 @@
     std::string address;
     std::string relayAddress; ///< To tell the others of the availability zone; empty: each follows the store for itself.
     bool isFirstStart = false; ///< All entry VMs start together for the first time.
+    double linkMbps = 0; ///< Of this VM; 0: not known. VMs with fast links relay first.
     FleetBudgets budgets;
 
     bool operator==(const DirectorySettings &) const = default;
--- a/src/net/relayclient.cpp
+++ b/src/net/relayclient.cpp
@@ -7,16 +7,21 @@
 
 #include "net/relayclient.h"
 
+#include "net/relaylists.h"
 #include "net/relaymessages.h"
 
+#include <algorithm>
+#include <charconv>
+
 namespace Cloverbarrow
 {
 
 namespace
 {
 
-// Within an availability zone answers take milliseconds; a list may be some hundred kilobytes on a slow link.
-constexpr Duration ListTimeout = seconds(3);
+// A list of 3,000 servers has 100 KB; a relay on a link of 10 Mbit/s needs 6 s to tell it to 75 followers, one after
+// the other. Whether the relay is there at all, its checks tell much sooner.
+constexpr Duration ListTimeout = seconds(10);
 constexpr Duration CheckTimeout = milliseconds(400);
 constexpr Duration WatchSlack = milliseconds(1500);
 constexpr int Ok = 200;
@@ -30,6 +35,17 @@
     return answer && answer->status == status;
 }
 
+/// @return the relay's newest change when it told the list; 0 when it does not say.
+std::int64_t latestIn(const HttpOutcome &outcome)
+{
+    const auto text = findHeader(std::get<HttpAnswer>(outcome).headers, LatestHeader);
+    std::int64_t latest = 0;
+    if (text) {
+        std::from_chars(text->data(), text->data() + text->size(), latest);
+    }
+    return latest;
+}
+
 } // namespace
 
 RelayClient::RelayClient(HttpClient &client, const DirectoryClient &codec)
@@ -46,7 +62,8 @@
         std::string failure;
         auto news = read(action.collection, outcome, failure);
         if (news) {
-            done({action.call, DirectoryListed{action.collection, std::move(news->entries), false, {}, news->revision, news->storeRevision}});
+            const std::int64_t latest = std::max(news->revision, latestIn(outcome));
+            done({action.call, DirectoryListed{action.collection, std::move(news->entries), false, {}, news->revision, news->storeRevision, latest}});
         } else {
             done({action.call, DirectoryCallFailed{action.collection, "list at relay " + action.relay + ": " + failure}});
         }
--- a/src/net/relayserver.cpp
+++ b/src/net/relayserver.cpp
@@ -8,7 +8,6 @@
 #include "net/relayserver.h"
 
 #include "net/bootclock.h"
-#include "net/gzip.h"
 #include "net/relaymessages.h"
 
 #include <algorithm>
@@ -23,8 +22,6 @@
 constexpr int NotFound = 404;
 constexpr int Gone = 410;
 constexpr int NoRelay = 503;
-// Links of 10 Mbit/s have to carry a configuration of 100 KB to each of some 30 followers.
-constexpr std::size_t WorthPacking = 2000;
 // A relay that has just begun has read the directory by then.
 constexpr Duration ListPatience = seconds(1);
 
@@ -80,40 +77,70 @@
         }
     }
     if (answer) {
-        connection->answer(*answer, false);
+        give({{connection, std::move(*answer)}});
     }
 }
 
 std::optional<HttpAnswer> RelayServer::answerFor(const Waiting &waiting, TimePoint now)
 {
-    const auto news = source_.news(waiting.collection, waiting.since);
-    const bool isOver = now >= waiting.until;
-    if (!news) {
-        const bool mayCome = waiting.since == 0 && !isOver;
-        return mayCome ? std::nullopt : std::optional(answerOf(Gone, "{}"));
+    return waiting.since == 0 ? listFor(waiting, now) : changesFor(waiting, now);
+}
+
+std::optional<HttpAnswer> RelayServer::listFor(const Waiting &waiting, TimePoint now)
+{
+    if (!lists_.hasTurn(waiting.collection)) {
+        return std::nullopt;
+    }
+    std::int64_t since = 0;
+    const HttpAnswer *list = lists_.recent(waiting.collection, now, since);
+    // What has changed since the list can be told only while it is remembered.
+    const auto later = list ? source_.news(waiting.collection, since) : std::nullopt;
+    std::int64_t latest = later ? later->revision : 0;
+    if (!later) {
+        const auto news = source_.news(waiting.collection, 0);
+        if (!news) {
+            return now >= waiting.until ? std::optional(answerOf(Gone, "{}")) : std::nullopt;
+        }
+        list = &lists_.pack(waiting.collection, now, *news);
+        latest = news->revision;
     }
-    const bool isWorthTelling = waiting.since == 0 || !news->entries.empty() || isOver;
-    return isWorthTelling ? std::optional(encoded(waiting, *news)) : std::nullopt;
+    HttpAnswer answer = *list;
+    answer.headers.push_back({LatestHeader, std::to_string(latest)});
+    lists_.willSend(waiting.collection, waiting.connection);
+    return answer;
 }
 
-HttpAnswer RelayServer::encoded(const Waiting &waiting, const DirectoryNews &news)
+std::optional<HttpAnswer> RelayServer::changesFor(const Waiting &waiting, TimePoint now)
 {
+    const auto news = source_.news(waiting.collection, waiting.since);
+    if (!news) {
+        return answerOf(Gone, "{}");
+    }
+    if (news->entries.empty() && now < waiting.until) {
+        return std::nullopt;
+    }
     Told &told = told_[waiting.collection == Collection::Routing ? 0 : 1];
-    if (told.since != waiting.since || told.revision != news.revision) {
-        const std::string text = encodeNews(news);
-        const bool isLong = text.size() > WorthPacking;
-        told = {waiting.since, news.revision, answerOf(200, isLong ? gzip(text) : text)};
-        if (isLong) {
-            told.answer.headers.push_back({"Content-Encoding", "gzip"});
-        }
+    if (told.since != waiting.since || told.revision != news->revision) {
+        told = {waiting.since, news->revision, newsAnswer(*news)};
     }
     return told.answer;
 }
 
+void RelayServer::give(const Ready &ready)
+{
+    for (const auto &[connection, answer] : ready) {
+        connection->answer(answer, false);
+    }
+    const std::lock_guard lock(mutex_);
+    for (const auto &[connection, answer] : ready) {
+        lists_.handedOver(connection);
+    }
+}
+
 void RelayServer::answerWaiting()
 {
     const TimePoint now = bootNow();
-    std::vector<std::pair<std::shared_ptr<CallerConnection>, HttpAnswer>> ready;
+    Ready ready;
     {
         const std::lock_guard lock(mutex_);
         std::erase_if(waiting_, [this, now, &ready](const Waiting &item) {
@@ -127,20 +154,18 @@
             return answer.has_value();
         });
     }
-    for (const auto &[connection, answer] : ready) {
-        connection->answer(answer, false);
-    }
+    give(ready);
 }
 
 void RelayServer::sweep(TimePoint now)
 {
     server_->sweep(now);
-    bool isAnyOver = false;
+    bool isAnyDue = false;
     {
         const std::lock_guard lock(mutex_);
-        isAnyOver = std::any_of(waiting_.begin(), waiting_.end(), [now](const Waiting &item) { return now >= item.until; });
+        isAnyDue = std::any_of(waiting_.begin(), waiting_.end(), [now](const Waiting &item) { return item.since == 0 || now >= item.until; });
     }
-    if (isAnyOver) {
+    if (isAnyDue) {
         answerWaiting();
     }
 }
--- a/src/net/relayserver.h
+++ b/src/net/relayserver.h
@@ -9,6 +9,7 @@
 
 #include "core/directory/directoryevents.h"
 #include "net/callerserver.h"
+#include "net/relaylists.h"
 
 #include <array>
 #include <cstdint>
@@ -54,21 +55,26 @@
     };
 
     void accept(const std::shared_ptr<CallerConnection> &connection, const HttpRequest &request);
-    /// News as they were last told of a collection. Followers mostly ask for the same, and packing costs processor time.
+    /// Changes as they were last told of a collection. Followers mostly ask for the same, and packing costs processor time.
     struct Told {
         std::int64_t since = -1;
         std::int64_t revision = -1;
         HttpAnswer answer;
     };
+    using Ready = std::vector<std::pair<std::shared_ptr<CallerConnection>, HttpAnswer>>;
 
     /// @return the answer; nothing when the follower should wait. Call under the mutex.
     std::optional<HttpAnswer> answerFor(const Waiting &waiting, TimePoint now);
-    HttpAnswer encoded(const Waiting &waiting, const DirectoryNews &news);
+    std::optional<HttpAnswer> listFor(const Waiting &waiting, TimePoint now);
+    std::optional<HttpAnswer> changesFor(const Waiting &waiting, TimePoint now);
+    /// Hands answers to their connections. Call without the mutex.
+    void give(const Ready &ready);
 
     RelaySource source_;
     std::mutex mutex_;
     std::vector<Waiting> waiting_;
     std::array<Told, 2> told_; ///< By collection.
+    RelayLists lists_;
     std::unique_ptr<CallerServer> server_;
 };
 
--- a/tests/unit/directorysettingstests.cpp
+++ b/tests/unit/directorysettingstests.cpp
@@ -32,12 +32,14 @@
 
 TEST_CASE("With a directory neither platform nor addresses of peers are needed", "[settings][directory]")
 {
-    const auto parsed = parseSettings(std::string(Head) + "directory: {address: 127.0.0.1:3, relay: 127.0.0.1:4, first_start: true, repeat_ratio: 0.1}\n");
+    const auto parsed =
+        parseSettings(std::string(Head) + "directory: {address: 127.0.0.1:3, relay: 127.0.0.1:4, first_start: true, link_mbps: 10.0, repeat_ratio: 0.1}\n");
     REQUIRE(std::holds_alternative<Settings>(parsed));
     const auto &settings = std::get<Settings>(parsed);
     REQUIRE(settings.directory);
     CHECK(settings.directory->relayAddress == "127.0.0.1:4");
     CHECK(settings.directory->isFirstStart);
+    CHECK(settings.directory->linkMbps == 10);
     CHECK(settings.directory->budgets.repeatRatio == 0.1);
 }
 
--- a/tests/unit/directorytests.cpp
+++ b/tests/unit/directorytests.cpp
@@ -246,6 +246,71 @@
     CHECK(keeper.proofFor(start + milliseconds(140), "10.0.0.2:7200")->age == milliseconds(10));
 }
 
+TEST_CASE("A relay that got an older list shows no proof before it has what came after", "[directory][relay]")
+{
+    const TimePoint start(seconds(50));
+    const std::string own = "10.0.0.1:7200";
+    const std::string other = "10.0.1.1:7200";
+    // It holds the seat of its zone, is turned away by the store, and follows the relay of another zone.
+    DirectoryKeeper keeper(FleetBudgets{}, RelaySeat(own, false, 7), 7);
+    TimePoint now = start;
+    const auto tick = [&] {
+        DirectoryActions actions;
+        now += milliseconds(100);
+        keeper.tick(now, actions);
+        return actions;
+    };
+    const auto answerLists = [&](const DirectoryActions &actions, std::int64_t latest) {
+        for (const DirectoryAction &action : actions) {
+            DirectoryActions more;
+            if (const auto *list = std::get_if<ListDirectory>(&action)) {
+                const std::int64_t upTo = list->collection == Collection::Servers ? latest : 0;
+                keeper.handle(now, {list->call, DirectoryListed{list->collection, {}, false, {}, 10, 10, upTo}}, more);
+            }
+        }
+    };
+    const auto proofs = [&] {
+        DirectoryActions ignored;
+        keeper.handle(now, {0, RelayChecked{other, RelayProof{Duration(0), true, 1, {}}}}, ignored);
+        return keeper.proofFor(now, "10.0.0.2:7200");
+    };
+    tick();
+    tick();
+    DirectoryActions seatActions;
+    keeper.handle(now, {0, SeatAnswered{true, own, 5, {other}}}, seatActions);
+    answerLists(tick(), 12);
+    CHECK_FALSE(proofs());
+    // The first watch brings what the list lacked.
+    for (const DirectoryAction &action : tick()) {
+        if (const auto *watch = std::get_if<WatchDirectory>(&action); watch && watch->collection == Collection::Servers) {
+            CHECK(watch->since == 10);
+            DirectoryActions more;
+            keeper.handle(now, {watch->call, DirectoryChanged{Collection::Servers, {}, 12, 12}}, more);
+        }
+    }
+    CHECK(proofs());
+}
+
+TEST_CASE("VMs with slow links leave the first look at the seat to faster ones", "[directory][relay]")
+{
+    CHECK(RelaySeat::standBackFor(0) == Duration(0));
+    CHECK(RelaySeat::standBackFor(1000) == Duration(0));
+    REQUIRE(RelaySeat::standBackFor(10) > Duration(0));
+    const auto looksWithin = [](Duration bound, std::uint64_t seed, double linkMbps) {
+        RelaySeat seat("10.0.0.1:7200", true, seed, RelaySeat::standBackFor(linkMbps));
+        DirectoryActions actions;
+        seat.tick(TimePoint(seconds(50)), actions);
+        seat.tick(TimePoint(seconds(50)) + bound, actions);
+        return std::any_of(actions.begin(), actions.end(), [](const DirectoryAction &action) { return std::holds_alternative<ReadSeat>(action); });
+    };
+    int fast = 0;
+    for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+        fast += looksWithin(milliseconds(900), seed, 200) ? 1 : 0;
+        CHECK_FALSE(looksWithin(milliseconds(900), seed, 10));
+    }
+    CHECK(fast > 0);
+}
+
 TEST_CASE("Operators' versions only rise", "[directory]")
 {
     Following store;
--- /dev/null
+++ b/tests/unit/relaylisttests.cpp
@@ -0,0 +1,128 @@
+/*
+    This file is part of cloverbarrow.
+
+    SPDX-FileCopyrightText: 2026 The cloverbarrow authors
+    SPDX-License-Identifier: Apache-2.0
+*/
+
+#include "net/descriptor.h"
+#include "net/relaylists.h"
+
+#include <catch2/catch.hpp>
+
+#include <sys/socket.h>
+
+#include <array>
+
+using namespace Cloverbarrow;
+
+namespace
+{
+
+constexpr TimePoint Now = TimePoint(seconds(100));
+
+/// A follower that has asked for a list and does not read it yet.
+class Follower
+{
+public:
+    Follower()
+    {
+        std::array<int, 2> pair{};
+        REQUIRE(::socketpair(AF_UNIX, SOCK_STREAM | SOCK_NONBLOCK, 0, pair.data()) == 0);
+        relayEnd_ = Descriptor(pair[0]);
+        followerEnd_ = Descriptor(pair[1]);
+        const int small = 4096;
+        ::setsockopt(pair[0], SOL_SOCKET, SO_SNDBUF, &small, sizeof small);
+        connection = std::make_shared<CallerConnection>(pair[0], CallerBounds{}, true, [](const auto &, const HttpRequest &) {});
+        connection->received("GET /relay/news/servers/0/0 HTTP/1.1\r\nHost: relay\r\n\r\n", Now);
+    }
+
+    /// Reads until the relay has sent all.
+    void readAll()
+    {
+        std::array<char, 65536> buffer{};
+        while (connection->isSending()) {
+            while (::recv(followerEnd_.get(), buffer.data(), buffer.size(), MSG_DONTWAIT) > 0) { }
+            connection->sweep(Now);
+        }
+    }
+
+    std::shared_ptr<CallerConnection> connection;
+
+private:
+    Descriptor relayEnd_;
+    Descriptor followerEnd_;
+};
+
+/// News whose entries do not pack well.
+DirectoryNews newsOf(int entries, std::int64_t revision)
+{
+    DirectoryNews news{revision, revision, {}};
+    std::uint64_t state = 1;
+    for (int number = 0; number < entries; ++number) {
+        std::string text;
+        for (int digit = 0; digit < 100; ++digit) {
+            state = state * 6364136223846793005ULL + 1442695040888963407ULL;
+            text += static_cast<char>('A' + (state >> 33U) % 50);
+        }
+        news.entries.push_back({"i-" + std::to_string(number), 1, std::nullopt, false, text});
+    }
+    return news;
+}
+
+bool sendList(RelayLists &lists, const Follower &follower, const HttpAnswer &list)
+{
+    if (!lists.hasTurn(Collection::Servers)) {
+        return false;
+    }
+    lists.willSend(Collection::Servers, follower.connection);
+    follower.connection->answer(list, false);
+    lists.handedOver(follower.connection);
+    return true;
+}
+
+} // namespace
+
+TEST_CASE("A relay sends long lists a few at a time", "[relay][lists]")
+{
+    RelayLists lists;
+    const HttpAnswer list = lists.pack(Collection::Servers, Now, newsOf(2000, 7));
+    std::array<Follower, 4> followers;
+    CHECK(sendList(lists, followers[0], list));
+    CHECK(sendList(lists, followers[1], list));
+    CHECK(sendList(lists, followers[2], list));
+    CHECK_FALSE(sendList(lists, followers[3], list));
+    SECTION("and goes on when one has been read")
+    {
+        followers[1].readAll();
+        CHECK(sendList(lists, followers[3], list));
+    }
+    SECTION("and goes on when a follower has gone")
+    {
+        followers[0].connection->abort();
+        CHECK(sendList(lists, followers[3], list));
+    }
+}
+
+TEST_CASE("Short lists need not wait", "[relay][lists]")
+{
+    RelayLists lists;
+    const HttpAnswer list = lists.pack(Collection::Servers, Now, newsOf(5, 7));
+    std::array<Follower, 4> followers;
+    for (const Follower &follower : followers) {
+        CHECK(sendList(lists, follower, list));
+    }
+}
+
+TEST_CASE("A list of servers is packed once for a second, one of routes only while nothing changes", "[relay][lists]")
+{
+    RelayLists lists;
+    std::int64_t since = 0;
+    CHECK_FALSE(lists.recent(Collection::Servers, Now, since));
+    lists.pack(Collection::Servers, Now, newsOf(3, 7));
+    lists.pack(Collection::Routing, Now, newsOf(1, 3));
+    REQUIRE(lists.recent(Collection::Servers, Now + milliseconds(900), since));
+    CHECK(since == 7);
+    CHECK_FALSE(lists.recent(Collection::Servers, Now + milliseconds(1100), since));
+    CHECK_FALSE(lists.recent(Collection::Routing, Now, since));
+}
