No second attempts while requests are refused for want of room; the policy bench has the users' servers

Cause: the policy bench now has servers as on the users' sheets (`policy-bench noise`). The second attempts take slots, and their choices take probes, from first attempts.

Change: for 5 s after this entry VM refused a request for want of room it starts no second attempts, but those for silent servers.

Unit test [hedge][overload] fails without the rule.

--- a/bench/policy/main.cpp
+++ b/bench/policy/main.cpp
@@ -5,6 +5,7 @@
     SPDX-License-Identifier: Apache-2.0
 */
 
+#include "noisytrial.h"
 #include "plot.h"
 #include "trial.h"
 
@@ -248,6 +249,94 @@
     }
 }
 
+std::vector<NoisyDeployment> noisyDeployments()
+{
+    NoisyDeployment polizas;
+    polizas.service = "polizas";
+    NoisyDeployment reclamos;
+    reclamos.service = "reclamos";
+    reclamos.backends = 21;
+    reclamos.meanWork = milliseconds(220);
+    reclamos.objective = milliseconds(600);
+    reclamos.deadline = seconds(4);
+    reclamos.timeout = seconds(2);
+    NoisyDeployment opbrengst;
+    opbrengst.service = "opbrengst";
+    opbrengst.zones = 3;
+    opbrengst.entryVms = 13;
+    opbrengst.backends = 7;
+    opbrengst.meanWork = milliseconds(60);
+    opbrengst.objective = milliseconds(200);
+    opbrengst.deadline = milliseconds(800);
+    opbrengst.timeout = milliseconds(400);
+    opbrengst.callerRetries = 1;
+    opbrengst.shape = {3, 12, 0.35, 5, milliseconds(150), 1};
+    return {polizas, reclamos, opbrengst};
+}
+
+/// The median over the seeds of each figure.
+NoisyFigures medianOf(const std::vector<NoisyFigures> &runs)
+{
+    NoisyFigures median = runs.front();
+    for (const auto field : {&NoisyFigures::p50,
+                             &NoisyFigures::p99,
+                             &NoisyFigures::inObjective,
+                             &NoisyFigures::served,
+                             &NoisyFigures::refusals,
+                             &NoisyFigures::secondAttempts,
+                             &NoisyFigures::probes}) {
+        std::vector<double> values;
+        for (const NoisyFigures &run : runs) {
+            values.push_back(run.*field);
+        }
+        std::sort(values.begin(), values.end());
+        median.*field = values[values.size() / 2];
+    }
+    return median;
+}
+
+/// Servers and callers as on the users' sheets.
+void compareWithNoise()
+{
+    constexpr Duration NoisyLength = seconds(60);
+    const std::vector<std::pair<NoisyPolicy, const char *>> policies = {
+        {NoisyPolicy::Perfect, "perfect knowledge"},
+        {NoisyPolicy::Random, "random"},
+        {NoisyPolicy::Reports, "reports of answers"},
+        {NoisyPolicy::Probes, "probes"},
+        {NoisyPolicy::ProbesAndHedges, "probes and second attempts"},
+    };
+    std::printf(
+        "| service | busy slots %% | policy | p50 ms | p99 ms | p99 / perfect | in objective %% | served %% | refusals %% | second attempts %% | probes a "
+        "request |\n|---|---|---|---|---|---|---|---|---|---|---|\n");
+    for (const NoisyDeployment &deployment : noisyDeployments()) {
+        for (const double load : {0.22, 0.4, 0.6, 0.9, 1.2}) {
+            double perfectP99 = 1;
+            for (const auto &[policy, name] : policies) {
+                std::vector<NoisyFigures> runs;
+                for (std::uint64_t seed = 1; seed <= Seeds; ++seed) {
+                    runs.push_back(runNoisyTrial(deployment, policy, load, seed, NoisyLength));
+                }
+                const NoisyFigures all = medianOf(runs);
+                perfectP99 = policy == NoisyPolicy::Perfect ? all.p99 : perfectP99;
+                std::printf("| %s | %.0f | %s | %.0f | %.0f | %.2f | %.1f | %.1f | %.1f | %.1f | %.1f |\n",
+                            deployment.service.c_str(),
+                            load * 100,
+                            name,
+                            all.p50,
+                            all.p99,
+                            all.p99 / perfectP99,
+                            all.inObjective,
+                            all.served,
+                            all.refusals,
+                            all.secondAttempts,
+                            all.probes);
+                std::fflush(stdout);
+            }
+        }
+    }
+}
+
 } // namespace
 
 int main(int argc, char **argv)
@@ -261,8 +350,10 @@
         compareFaults();
     } else if (mode == "times") {
         compareServiceTimes();
+    } else if (mode == "noise") {
+        compareWithNoise();
     } else {
-        std::fprintf(stderr, "policy-bench [steady [PLOT.svg] | loads | faults | times]\n");
+        std::fprintf(stderr, "policy-bench [steady [PLOT.svg] | loads | faults | times | noise]\n");
         return 2;
     }
     return 0;
--- /dev/null
+++ b/bench/policy/noisytrial.cpp
@@ -0,0 +1,355 @@
+/*
+    This file is part of cloverbarrow.
+
+    SPDX-FileCopyrightText: 2026 The cloverbarrow authors
+    SPDX-License-Identifier: Apache-2.0
+*/
+
+#include "noisytrial.h"
+
+#include "core/requests/fleetbudgets.h"
+#include "core/requests/serviceshard.h"
+#include "core/support/random.h"
+
+#include <algorithm>
+#include <cmath>
+#include <map>
+#include <memory>
+#include <utility>
+#include <vector>
+
+namespace Cloverbarrow::Bench
+{
+
+namespace
+{
+
+// As on the users' sheets: 1.4 ms between zones, 6 ms a probe, 60 probes a second and server.
+constexpr Duration SameZone = microseconds(150);
+constexpr Duration OtherZone = microseconds(1400);
+constexpr Duration ProbeCost = milliseconds(6);
+constexpr double ProbesPerServer = 60;
+constexpr double RepeatRatio = 0.2;
+constexpr double RepeatSlack = 64;
+constexpr double WorkSpread = 0.3;
+constexpr Duration WarmUp = seconds(3);
+constexpr Duration TickInterval = milliseconds(10);
+// Callers come back after the time that they are told, up to this part of what is left.
+constexpr int ComeBackPart = 3;
+constexpr Duration PerfectLook = milliseconds(5);
+// A perfect chooser, too, waits rather than use a server this much slower than usual.
+constexpr double PoorFactor = 2;
+constexpr int PerfectHoldPart = 5;
+
+std::string zoneName(int number)
+{
+    return "zone-" + std::to_string(number);
+}
+
+class NoisyTrial
+{
+public:
+    NoisyTrial(const NoisyDeployment &deployment, NoisyPolicy policy, double load, std::uint64_t seed)
+        : deployment_(deployment)
+        , policy_(policy)
+        , random_(seed)
+    {
+        const double meanSlowness = 1 + deployment.shape.slowShare * (deployment.shape.slowFactor - 1);
+        const double workSeconds = std::chrono::duration<double>(deployment.meanWork).count() * meanSlowness;
+        callersPerSecond_ = load * deployment.backends * deployment.shape.slots / workSeconds;
+        addBackends(seed);
+        addEntryVms(seed);
+    }
+
+    NoisyFigures run(Duration length)
+    {
+        const TimePoint end = events_.now() + length;
+        countFrom_ = events_.now() + WarmUp;
+        // Those that come last could not be answered any more.
+        countUntil_ = end - deployment_.deadline;
+        planArrival();
+        planTick();
+        events_.runUntil(end);
+        return figures();
+    }
+
+private:
+    struct Caller {
+        TimePoint since;
+        Duration work{0};
+        int retriesLeft = 0;
+        std::size_t entryVm = 0;
+    };
+
+    struct Sent {
+        std::size_t backend = 0;
+        int number = 0;
+    };
+
+    void addBackends(std::uint64_t seed)
+    {
+        service_.name = deployment_.service;
+        service_.echoesExchangeTag = true;
+        service_.kinds = {{"read", {"GET"}, "/**", KindClass::Read, deployment_.timeout}};
+        const FleetBudgets budgets{RepeatRatio, RepeatSlack, ProbesPerServer, deployment_.zones};
+        service_.retry = repeatRulesFor(budgets, deployment_.entryVms);
+        service_.retry.hedgesFromBudget = policy_ == NoisyPolicy::ProbesAndHedges;
+        const bool hasProbes = policy_ == NoisyPolicy::Probes || policy_ == NoisyPolicy::ProbesAndHedges;
+        service_.choiceProbes = {hasProbes ? probesPerSecondFor(budgets, deployment_.entryVms) : 0, "/health"};
+        for (int number = 0; number < deployment_.backends; ++number) {
+            const std::string name = std::to_string(number);
+            service_.backendServers.push_back({name, name, zoneName(number % deployment_.zones), {}, deployment_.shape.slots});
+            backends_.push_back(std::make_unique<NoisyBackend>(events_, deployment_.shape, seed * 1000 + static_cast<std::uint64_t>(number)));
+        }
+    }
+
+    void addEntryVms(std::uint64_t seed)
+    {
+        for (int number = 0; number < deployment_.entryVms; ++number) {
+            const std::string name = "entry-" + std::to_string(number);
+            const PickPolicy pick = policy_ == NoisyPolicy::Random ? PickPolicy(RandomPick{}) : PickPolicy(LoadReportPick{});
+            const Location place{zoneName(number % deployment_.zones), {}};
+            entryVms_.push_back(
+                std::make_unique<ServiceShard>(Incarnation{name, "n"}, place, service_.name, pick, seed * 77 + static_cast<std::uint64_t>(number)));
+            ServiceActions actions;
+            entryVms_.back()->handle(events_.now(), ServiceConfigured{1, service_}, actions);
+            entryVms_.back()->handle(events_.now(), FleetSizeChanged{deployment_.entryVms, 1}, actions);
+        }
+    }
+
+    Duration oneWay(std::size_t entryVm, std::size_t backend) const
+    {
+        const auto zones = static_cast<std::size_t>(deployment_.zones);
+        return entryVm % zones == backend % zones ? SameZone : OtherZone;
+    }
+
+    void planArrival()
+    {
+        const double wait = -std::log(1 - random_.uniform()) / callersPerSecond_;
+        events_.after(Duration(static_cast<Duration::rep>(wait * 1e6)), [this] {
+            arrive();
+            planArrival();
+        });
+    }
+
+    void planTick()
+    {
+        events_.after(TickInterval, [this] {
+            for (std::size_t index = 0; index < entryVms_.size(); ++index) {
+                handle(index, Tick{});
+            }
+            planTick();
+        });
+    }
+
+    void arrive()
+    {
+        // Log-normal around the mean (sum of uniforms for the normal part).
+        double normal = -6;
+        for (int draw = 0; draw < 12; ++draw) {
+            normal += random_.uniform();
+        }
+        const double factor = std::exp(WorkSpread * normal - WorkSpread * WorkSpread / 2);
+        const auto work = static_cast<Duration::rep>(static_cast<double>(deployment_.meanWork.count()) * factor);
+        Caller caller{events_.now(), Duration(work), deployment_.callerRetries, random_.below(entryVms_.size())};
+        callers_ += isCounted(caller) ? 1 : 0;
+        if (policy_ == NoisyPolicy::Perfect) {
+            servePerfectly(caller, events_.now() + deployment_.objective / PerfectHoldPart);
+        } else {
+            give(caller);
+        }
+    }
+
+    bool isCounted(const Caller &caller) const
+    {
+        return caller.since >= countFrom_ && caller.since < countUntil_;
+    }
+
+    void give(const Caller &caller)
+    {
+        RequestArrived event;
+        event.request = ++lastRequest_;
+        event.callerTimeLeft = caller.since + deployment_.deadline - events_.now();
+        event.deadline = events_.now() + std::min(event.callerTimeLeft, deployment_.timeout);
+        event.maxAttempts = 2;
+        event.latencyObjective = deployment_.objective;
+        open_[event.request] = caller;
+        ++requests_;
+        handle(caller.entryVm, event);
+    }
+
+    void handle(std::size_t entryVm, const ServiceEvent &event)
+    {
+        ServiceActions actions;
+        entryVms_[entryVm]->handle(events_.now(), event, actions);
+        for (const ServiceAction &action : actions) {
+            if (const auto *start = std::get_if<StartAttempt>(&action)) {
+                attempt(entryVm, *start);
+            } else if (const auto *probe = std::get_if<StartProbe>(&action)) {
+                this->probe(entryVm, *probe);
+            } else if (const auto *cancel = std::get_if<CancelAttempt>(&action)) {
+                cancelled({cancel->request, cancel->attempt});
+            } else if (const auto *pass = std::get_if<PassAnswer>(&action)) {
+                answered(pass->request);
+            } else if (const auto *refusal = std::get_if<Refuse>(&action)) {
+                refused(*refusal);
+            }
+        }
+    }
+
+    void attempt(std::size_t entryVm, const StartAttempt &start)
+    {
+        secondAttempts_ += start.attempt > 1 ? 1 : 0;
+        const auto backend = static_cast<std::size_t>(std::stoul(start.backend));
+        const Duration way = oneWay(entryVm, backend);
+        const Duration work = open_.at(start.request).work;
+        events_.after(start.deadline - events_.now(), [this, entryVm, start] {
+            cancelled({start.request, start.attempt});
+            handle(entryVm, AttemptEnded{start.request, start.attempt, LostAnswer{"deadline", true}, std::nullopt});
+        });
+        events_.after(way, [this, entryVm, backend, way, work, start] {
+            const int number = backends_[backend]->arrive(work, [this, entryVm, backend, way, start](bool isRun) {
+                const LoadReport report = backends_[backend]->report();
+                events_.after(way, [this, entryVm, start, isRun, report] {
+                    AttemptEnded ended{start.request, start.attempt, LostAnswer{"reset", false}, std::nullopt};
+                    if (isRun) {
+                        ended.outcome = AnsweredWhole{};
+                        ended.report = report;
+                    }
+                    sent_.erase({start.request, start.attempt});
+                    handle(entryVm, ended);
+                });
+            });
+            if (number > 0) {
+                sent_[{start.request, start.attempt}] = {backend, number};
+            }
+        });
+    }
+
+    void cancelled(const std::pair<RequestId, int> &attempt)
+    {
+        const auto found = sent_.find(attempt);
+        if (found == sent_.end()) {
+            return;
+        }
+        const Sent sent = found->second;
+        sent_.erase(found);
+        backends_[sent.backend]->cancel(sent.number);
+    }
+
+    void probe(std::size_t entryVm, const StartProbe &probe)
+    {
+        ++probes_;
+        const auto backend = static_cast<std::size_t>(std::stoul(probe.backend));
+        const Duration way = oneWay(entryVm, backend);
+        events_.after(way + ProbeCost, [this, entryVm, backend, way, probe] {
+            const LoadReport report = backends_[backend]->report();
+            events_.after(way, [this, entryVm, probe, report] { handle(entryVm, ProbeEnded{probe.backend, true, false, report, probe.request}); });
+        });
+    }
+
+    void answered(RequestId request)
+    {
+        const Caller caller = std::move(open_.extract(request).mapped());
+        finished(caller);
+    }
+
+    void finished(const Caller &caller)
+    {
+        if (isCounted(caller)) {
+            latencies_.push_back(toMilliseconds(events_.now() - caller.since));
+        }
+    }
+
+    void refused(const Refuse &refusal)
+    {
+        Caller caller = std::move(open_.extract(refusal.request).mapped());
+        refusals_ += isCounted(caller) ? 1 : 0;
+        const Duration left = caller.since + deployment_.deadline - events_.now();
+        if (caller.retriesLeft == 0 || left <= Duration(0)) {
+            return;
+        }
+        --caller.retriesLeft;
+        caller.entryVm = random_.below(entryVms_.size());
+        events_.after(std::min(refusal.problem.retryAfter.value_or(Duration(0)), left / ComeBackPart), [this, caller] { give(caller); });
+    }
+
+    /// Sends to the server that would answer first by its present speed, and looks again while only poor ones have room.
+    void servePerfectly(const Caller &caller, TimePoint holdUntil)
+    {
+        NoisyBackend *best = nullptr;
+        std::size_t bestIndex = 0;
+        double bestFactor = 0;
+        for (std::size_t index = 0; index < backends_.size(); ++index) {
+            const int free = deployment_.shape.slots - backends_[index]->held();
+            if (free <= 0) {
+                continue;
+            }
+            const double factor = backends_[index]->slowness() * (free == 1 ? deployment_.shape.lastSlotFactor : 1);
+            const bool isNearer = best && factor == bestFactor && oneWay(caller.entryVm, index) < oneWay(caller.entryVm, bestIndex);
+            if (!best || factor < bestFactor || isNearer) {
+                best = backends_[index].get();
+                bestIndex = index;
+                bestFactor = factor;
+            }
+        }
+        const bool isGood = best && (bestFactor <= PoorFactor || events_.now() >= holdUntil);
+        if (!isGood) {
+            events_.after(PerfectLook, [this, caller, holdUntil] { servePerfectly(caller, holdUntil); });
+            return;
+        }
+        const Duration way = oneWay(caller.entryVm, bestIndex);
+        best->arrive(caller.work, [this, caller, way](bool) { events_.after(2 * way, [this, caller] { finished(caller); }); });
+    }
+
+    NoisyFigures figures()
+    {
+        std::sort(latencies_.begin(), latencies_.end());
+        constexpr double Percent = 100;
+        const auto quantile = [this](double share) {
+            return latencies_.empty() ? 0 : latencies_[static_cast<std::size_t>(share * static_cast<double>(latencies_.size() - 1))];
+        };
+        const double callers = std::max(1.0, static_cast<double>(callers_));
+        const double requests = std::max(1.0, static_cast<double>(requests_));
+        const auto inTime = std::upper_bound(latencies_.begin(), latencies_.end(), toMilliseconds(deployment_.objective)) - latencies_.begin();
+        NoisyFigures result;
+        result.p50 = quantile(0.5);
+        result.p99 = quantile(0.99);
+        result.inObjective = Percent * static_cast<double>(inTime) / callers;
+        result.served = Percent * static_cast<double>(latencies_.size()) / callers;
+        result.refusals = Percent * static_cast<double>(refusals_) / callers;
+        result.secondAttempts = Percent * static_cast<double>(secondAttempts_) / requests;
+        result.probes = static_cast<double>(probes_) / requests;
+        result.callers = callers_;
+        return result;
+    }
+
+    NoisyDeployment deployment_;
+    NoisyPolicy policy_;
+    Random random_;
+    EventQueue events_;
+    TimePoint countFrom_;
+    TimePoint countUntil_;
+    double callersPerSecond_ = 0;
+    Service service_;
+    std::vector<std::unique_ptr<NoisyBackend>> backends_;
+    std::vector<std::unique_ptr<ServiceShard>> entryVms_;
+    RequestId lastRequest_ = 0;
+    std::map<RequestId, Caller> open_;
+    std::map<std::pair<RequestId, int>, Sent> sent_;
+    std::vector<double> latencies_;
+    std::size_t callers_ = 0;
+    std::size_t requests_ = 0;
+    std::size_t refusals_ = 0;
+    std::size_t secondAttempts_ = 0;
+    std::size_t probes_ = 0;
+};
+
+} // namespace
+
+NoisyFigures runNoisyTrial(const NoisyDeployment &deployment, NoisyPolicy policy, double load, std::uint64_t seed, Duration length)
+{
+    return NoisyTrial(deployment, policy, load, seed).run(length);
+}
+
+} // namespace Cloverbarrow::Bench
--- a/src/core/requests/serviceshard.h
+++ b/src/core/requests/serviceshard.h
@@ -117,6 +117,8 @@
     int maxAttempts(const Request &request) const;
     /// @param reserve retries that must be left in a shared budget.
     bool takeHedge(TimePoint now, int reserve);
+    /// @return whether a request was refused lately because no server had room.
+    bool isShortOfRoom(TimePoint now) const;
     /// Probes the server of an attempt that takes long, once.
     void checkServer(TimePoint now, Request &request, ServiceActions &actions);
     /// @return whether the server of the only attempt has not answered a probe that was sent while it works.
@@ -159,6 +161,7 @@
     Random random_;
     Latest<int> entryVms_{1};
     std::uint64_t leavingOrder_ = 0; ///< Of the newest LeavingChanged.
+    std::optional<TimePoint> shortOfRoomAt_; ///< When a request was last refused because no server had room.
     int lowestPriority_ = 0; ///< The greatest number that a request has come with.
     std::map<RequestId, Request> requests_;
     std::deque<RequestId> waiting_;
--- a/src/core/requests/serviceshardchoice.cpp
+++ b/src/core/requests/serviceshardchoice.cpp
@@ -28,6 +28,8 @@
 constexpr double HedgeAfterObjectives = 0.5;
 // With less than this part of its usual work left, a request misses its objective wherever it is sent.
 constexpr double LateBelowWork = 0.5;
+// Second attempts take slots and probes from first ones where both are short.
+constexpr Duration NoHedgeAfterShortage = seconds(5);
 // A server that is alive has answered a probe by then.
 constexpr Duration ProbeAnswerTime = milliseconds(50);
 // Retries that hedges leave in the budget, for requests that failed.
@@ -130,6 +132,7 @@
     if (!request.choice) {
         return false;
     }
+    shortOfRoomAt_ = now;
     const Fate fate = request.mayHaveRun ? Fate::Unknown : Fate::NotRun;
     const auto comeBack = std::chrono::round<Duration>(request.arrival.latencyObjective * ComeBackObjectives);
     refuse(request, {Unavailable, fate, "choose backend server", name_, noRoomDetail(now, request), comeBack}, actions);
@@ -182,7 +185,7 @@
             checkServer(now, request, actions);
         }
         const bool isRescue = isServerSilent(now, request);
-        if (!isRescue && !wantsHedge(now, request, latencyMs)) {
+        if (!isRescue && (isShortOfRoom(now) || !wantsHedge(now, request, latencyMs))) {
             continue;
         }
         const int reserve = isRescue ? 0 : HedgeReserve;
@@ -201,6 +204,11 @@
     }
 }
 
+bool ServiceShard::isShortOfRoom(TimePoint now) const
+{
+    return shortOfRoomAt_ && now - *shortOfRoomAt_ < NoHedgeAfterShortage;
+}
+
 void ServiceShard::checkServer(TimePoint now, Request &request, ServiceActions &actions)
 {
     Attempt &attempt = request.running.front();
--- a/tests/unit/probedchoicetests.cpp
+++ b/tests/unit/probedchoicetests.cpp
@@ -388,3 +388,35 @@
     CHECK(patience.waitedBefore(now + seconds(31), AimedLatency, milliseconds(1400)) == milliseconds(600));
     CHECK(patience.waitedBefore(now + seconds(62), AimedLatency, milliseconds(1400)) == Duration(0));
 }
+
+TEST_CASE("There are no second attempts while requests are refused for want of room", "[choice][hedge][overload]")
+{
+    Probing shard(probedService(3));
+    const LoadReport idle{0, 0, 3, 1.0};
+    const LoadReport full{3, 0, 3, 1.0};
+    shard.reports = {{"b1", idle}, {"b2", idle}, {"b3", idle}};
+    for (RequestId id = 100; id < 120; ++id) {
+        shard.arrive(id);
+        shard.handle(AttemptEnded{id, 1, AnsweredWhole{}, std::nullopt});
+    }
+    shard.reports = {{"b1", full}, {"b2", full}, {"b3", full}};
+    shard.pass(seconds(2));
+    shard.arrive(1);
+    shard.pass(AimedLatency / 4);
+    REQUIRE(shard.refused.size() == 1);
+    shard.reports = {{"b1", idle}, {"b2", idle}, {"b3", idle}};
+    shard.started.clear();
+    SECTION("a moment later")
+    {
+        shard.arrive(2);
+        shard.pass(AimedLatency * 3 / 5);
+        CHECK(shard.started.size() == 1);
+    }
+    SECTION("but again some seconds later")
+    {
+        shard.pass(seconds(6));
+        shard.arrive(2);
+        shard.pass(AimedLatency * 3 / 5);
+        CHECK(shard.started.size() == 2);
+    }
+}
