--- a/bench/directory/main.cpp
+++ b/bench/directory/main.cpp
@@ -132,6 +132,7 @@
 {
     Random random(7);
     std::vector<DirectoryEntry> entries;
+    entries.reserve(static_cast<std::size_t>(servers));
     for (int number = 0; number < servers; ++number) {
         entries.push_back(serverEntry(number, 100 + number, false, random));
     }
--- a/bench/policy/main.cpp
+++ b/bench/policy/main.cpp
@@ -286,6 +286,7 @@
                              &NoisyFigures::secondAttempts,
                              &NoisyFigures::probes}) {
         std::vector<double> values;
+        values.reserve(runs.size());
         for (const NoisyFigures &run : runs) {
             values.push_back(run.*field);
         }
--- a/bench/policy/noisytrial.cpp
+++ b/bench/policy/noisytrial.cpp
@@ -250,7 +250,7 @@
 
     void answered(RequestId request)
     {
-        const Caller caller = std::move(open_.extract(request).mapped());
+        const Caller caller = open_.extract(request).mapped();
         finished(caller);
     }
 
@@ -263,7 +263,7 @@
 
     void refused(const Refuse &refusal)
     {
-        Caller caller = std::move(open_.extract(refusal.request).mapped());
+        Caller caller = open_.extract(refusal.request).mapped();
         refusals_ += isCounted(caller) ? 1 : 0;
         const Duration left = caller.since + deployment_.deadline - events_.now();
         if (caller.retriesLeft == 0 || left <= Duration(0)) {
--- a/src/core/servers/serverchooser.cpp
+++ b/src/core/servers/serverchooser.cpp
@@ -33,6 +33,8 @@
 // Rounds without a choice follow each other at this distance, so that a full service is not asked without pause.
 constexpr Duration RoundPause = milliseconds(30);
 constexpr int QuickRounds = 2;
+// Probes that quiet times save up: those of so long a time at the full rate.
+constexpr double ProbeBurstSeconds = 1;
 // A report this old still tells the state of a server.
 constexpr Duration FreshFor = milliseconds(30);
 // Where no probe may be made, a report this old is still better than none.
@@ -99,7 +101,8 @@
 void ServerChooser::configure(const Service &service, const BackendPool &pool, const std::string &self)
 {
     usual_ = usualServers(pool, self);
-    allowance_.setRate(service.choiceProbes.probesPerSecond * static_cast<double>(service.backendServers.size()));
+    const double perSecond = service.choiceProbes.probesPerSecond * static_cast<double>(service.backendServers.size());
+    allowance_.setRate(perSecond, perSecond * ProbeBurstSeconds);
 }
 
 std::vector<std::size_t> ServerChooser::nextRound(TimePoint now, const BackendPool &pool, std::span<const std::string> tried, Choice &choice, Random &random)
--- a/src/core/servers/serverchooser.h
+++ b/src/core/servers/serverchooser.h
@@ -9,9 +9,9 @@
 
 #include "core/servers/answertime.h"
 #include "core/servers/backendpool.h"
-#include "core/servers/probeallowance.h"
 #include "core/support/random.h"
 #include "core/support/time.h"
+#include "core/support/tokenbucket.h"
 
 #include <cstddef>
 #include <optional>
@@ -86,7 +86,8 @@
     bool isUsual(const Backend &backend) const;
 
     AnswerTimeModel model_;
-    ProbeAllowance allowance_;
+    /// The bound is fixed, so all entry VMs together stay within theirs without asking each other.
+    TokenBucket allowance_{0, 0};
     std::set<std::string, std::less<>> usual_; ///< Servers that are probed first.
 };
 
--- a/src/net/logbudget.cpp
+++ b/src/net/logbudget.cpp
@@ -7,31 +7,22 @@
 
 #include "net/logbudget.h"
 
-#include <algorithm>
 #include <utility>
 
 namespace Cloverbarrow
 {
 
 LogBudget::LogBudget(double perSecond, double burst)
-    : perSecond_(perSecond)
-    , burst_(burst)
-    , tokens_(burst)
+    : lines_(perSecond, burst)
 {
 }
 
 bool LogBudget::take(TimePoint now)
 {
     const std::lock_guard lock(mutex_);
-    const double passed = std::chrono::duration<double>(now - refilledAt_).count();
-    refilledAt_ = now;
-    tokens_ = std::min(burst_, tokens_ + passed * perSecond_);
-    if (tokens_ < 1) {
-        ++leftOut_;
-        return false;
-    }
-    tokens_ -= 1;
-    return true;
+    const bool isWithin = lines_.take(now);
+    leftOut_ += isWithin ? 0 : 1;
+    return isWithin;
 }
 
 std::uint64_t LogBudget::takeLeftOut()
--- a/src/net/logbudget.h
+++ b/src/net/logbudget.h
@@ -8,6 +8,7 @@
 #pragma once
 
 #include "core/support/time.h"
+#include "core/support/tokenbucket.h"
 
 #include <cstdint>
 #include <mutex>
@@ -29,10 +30,7 @@
 
 private:
     std::mutex mutex_;
-    double perSecond_;
-    double burst_;
-    double tokens_;
-    TimePoint refilledAt_;
+    TokenBucket lines_;
     std::uint64_t leftOut_ = 0;
 };
 
