--- a/src/core/requests/serviceshardchoice.cpp
+++ b/src/core/requests/serviceshardchoice.cpp
@@ -6,6 +6,7 @@
 */
 
 #include "core/requests/serviceshard.h"
+#include "core/support/httpstatus.h"
 
 #include <algorithm>
 
@@ -17,7 +18,6 @@
 namespace
 {
 
-constexpr int Unavailable = 503;
 // After a refusal a caller should meet other load: bursts and slow VMs last longer than one objective.
 constexpr double ComeBackObjectives = 1.5;
 // A request may be held for this part of its latency objective before it is sent or refused: a quarter of it is what
@@ -135,7 +135,7 @@
     shortOfRoomAt_ = now;
     const Fate fate = request.mayHaveRun ? Fate::Unknown : Fate::NotRun;
     const auto comeBack = std::chrono::round<Duration>(request.arrival.latencyObjective * ComeBackObjectives);
-    refuse(request, {Unavailable, fate, "choose backend server", name_, noRoomDetail(now, request), comeBack}, actions);
+    refuse(request, {HttpStatus::Unavailable, fate, "choose backend server", name_, noRoomDetail(now, request), comeBack}, actions);
     return true;
 }
 
--- a/src/core/requests/serviceshardoutcome.cpp
+++ b/src/core/requests/serviceshardoutcome.cpp
@@ -8,6 +8,7 @@
 #include "core/requests/serviceshard.h"
 
 #include "core/requests/comeback.h"
+#include "core/support/httpstatus.h"
 
 #include <algorithm>
 
@@ -19,9 +20,6 @@
 namespace
 {
 
-constexpr int ServerError = 500;
-constexpr int BadGateway = 502;
-constexpr int Unavailable = 503;
 // Attempts that never left may be made up for this often.
 constexpr int MaxUnsent = 3;
 
@@ -31,7 +29,7 @@
         if (answer->isNotRun) {
             return AttemptQuality::Neutral;
         }
-        return answer->status < ServerError ? AttemptQuality::Good : AttemptQuality::Failed;
+        return answer->status < HttpStatus::ServerError ? AttemptQuality::Good : AttemptQuality::Failed;
     }
     return AttemptQuality::Failed;
 }
@@ -48,17 +46,17 @@
 
     Problem operator()(const AnsweredWhole &answer) const
     {
-        return {503, fate(answer.isNotRun), "run request", peer, "the backend server did not run the request", ComeBackWhenBusy};
+        return {HttpStatus::Unavailable, fate(answer.isNotRun), "run request", peer, "the backend server did not run the request", ComeBackWhenBusy};
     }
 
     Problem operator()(const NeverLeft &failure) const
     {
-        return {503, fate(true), "connect", peer, failure.reason, ComeBackWhenBusy};
+        return {HttpStatus::Unavailable, fate(true), "connect", peer, failure.reason, ComeBackWhenBusy};
     }
 
     Problem operator()(const LostAnswer &failure) const
     {
-        return {failure.isTimeout ? 504 : 502, fate(false), "await answer", peer, failure.reason, std::nullopt};
+        return {failure.isTimeout ? HttpStatus::GatewayTimeout : HttpStatus::BadGateway, fate(false), "await answer", peer, failure.reason, std::nullopt};
     }
 };
 
@@ -210,9 +208,9 @@
 void ServiceShard::refuse(const Request &request, Problem problem, ServiceActions &actions)
 {
     const RequestId id = request.arrival.request;
-    if (problem.fate == Fate::Unknown && problem.status == Unavailable) {
+    if (problem.fate == Fate::Unknown && problem.status == HttpStatus::Unavailable) {
         // To callers, 503 says that a request was not run.
-        problem.status = BadGateway;
+        problem.status = HttpStatus::BadGateway;
         problem.retryAfter.reset();
     }
     if (!isPayout(request)) {
--- /dev/null
+++ b/src/core/support/httpstatus.h
@@ -0,0 +1,27 @@
+/*
+    This file is part of cloverbarrow.
+
+    SPDX-FileCopyrightText: 2026 The cloverbarrow authors
+    SPDX-License-Identifier: Apache-2.0
+*/
+
+#pragma once
+
+namespace Cloverbarrow::HttpStatus
+{
+
+// Statuses of HTTP (RFC 9110) that decisions or adapters name.
+constexpr int Ok = 200;
+constexpr int Created = 201;
+constexpr int NotModified = 304;
+constexpr int NotFound = 404;
+constexpr int Conflict = 409;
+constexpr int Gone = 410;
+constexpr int Misdirected = 421;
+constexpr int TooMany = 429;
+constexpr int ServerError = 500; ///< The first of those that tell of a failure of the server.
+constexpr int BadGateway = 502;
+constexpr int Unavailable = 503;
+constexpr int GatewayTimeout = 504;
+
+} // namespace Cloverbarrow::HttpStatus
--- a/src/daemon/gateway.cpp
+++ b/src/daemon/gateway.cpp
@@ -7,6 +7,7 @@
 
 #include "daemon/gateway.h"
 
+#include "core/support/httpstatus.h"
 #include "core/support/stablehash.h"
 #include "net/bootclock.h"
 
@@ -28,7 +29,6 @@
 // Call numbers of attempts hold the request and the attempt; probes use the other half of the range.
 constexpr HttpCallId AttemptsPerRequest = 16;
 constexpr HttpCallId FirstProbeCall = HttpCallId(1) << 63U;
-constexpr int ServerError = 500;
 constexpr std::size_t MaxLoggedText = 64;
 
 HttpCallId callId(RequestId request, int attempt)
@@ -289,7 +289,7 @@
         ended.backend = action.backend;
         ended.request = action.request;
         if (const auto *answer = std::get_if<HttpAnswer>(&outcome)) {
-            ended.isHealthy = answer->status < ServerError;
+            ended.isHealthy = answer->status < HttpStatus::ServerError;
             ended.isLeaving = protocol_.isLeaving(answer->headers);
             ended.report = protocol_.load(answer->headers);
         }
--- a/src/daemon/gatewayanswers.cpp
+++ b/src/daemon/gatewayanswers.cpp
@@ -7,6 +7,7 @@
 
 #include "daemon/gateway.h"
 
+#include "core/support/httpstatus.h"
 #include "net/bootclock.h"
 
 #include <utility>
@@ -19,8 +20,6 @@
 namespace
 {
 
-constexpr int ServerError = 500;
-
 } // namespace
 
 void Gateway::drop(const DropRequest &action)
@@ -44,10 +43,10 @@
     }
     HttpAnswer answer = std::move(found->second);
     answer.headers = protocol_.forCaller(answer.headers);
-    if (action.attempt > 1 && answer.status >= ServerError) {
+    if (action.attempt > 1 && answer.status >= HttpStatus::ServerError) {
         protocol_.markRetried(answer);
     }
-    const auto outcome = answer.status < ServerError ? CallerOutcome::Answered : CallerOutcome::ServerError;
+    const auto outcome = answer.status < HttpStatus::ServerError ? CallerOutcome::Answered : CallerOutcome::ServerError;
     log_.answered(exchange->callerId, action.attempt, answer.status, bootNow() - exchange->arrivedAt);
     finish(*exchange, answer, outcome);
 }
--- a/src/net/httpplatformclient.cpp
+++ b/src/net/httpplatformclient.cpp
@@ -6,6 +6,7 @@
 */
 
 #include "net/httpplatformclient.h"
+#include "core/support/httpstatus.h"
 
 #include <nlohmann/json.hpp>
 
@@ -19,10 +20,6 @@
 
 constexpr Duration CallTimeout = seconds(1);
 constexpr Duration WatchSlack = seconds(2);
-constexpr int Ok = 200;
-constexpr int NotModified = 304;
-constexpr int NotFound = 404;
-constexpr int Conflict = 409;
 
 std::string hexByte(unsigned char byte)
 {
@@ -63,11 +60,11 @@
         return failure->hasLeft ? StoreResult(StoreUnknown{}) : StoreResult(StoreDown{});
     }
     const auto &answer = std::get<HttpAnswer>(outcome);
-    if (answer.status == Ok) {
+    if (answer.status == HttpStatus::Ok) {
         const auto found = foundIn(answer);
         return found ? StoreResult(StoreWritten{found->version}) : StoreResult(StoreUnknown{});
     }
-    if (answer.status == Conflict) {
+    if (answer.status == HttpStatus::Conflict) {
         return StoreConflict{};
     }
     // A refusal of load says that nothing was done; of any other answer it cannot be told.
@@ -78,10 +75,10 @@
 StoreResult readResult(const HttpOutcome &outcome)
 {
     if (const auto *answer = std::get_if<HttpAnswer>(&outcome)) {
-        if (answer->status == NotFound) {
+        if (answer->status == HttpStatus::NotFound) {
             return StoreMissing{};
         }
-        if (answer->status == Ok) {
+        if (answer->status == HttpStatus::Ok) {
             if (auto found = foundIn(*answer)) {
                 return std::move(*found);
             }
@@ -96,17 +93,17 @@
     if (!answer) {
         return {};
     }
-    if (answer->status == Ok) {
+    if (answer->status == HttpStatus::Ok) {
         auto found = foundIn(*answer);
         return {found.has_value(), std::move(found)};
     }
-    return {answer->status == NotModified || answer->status == NotFound, std::nullopt};
+    return {answer->status == HttpStatus::NotModified || answer->status == HttpStatus::NotFound, std::nullopt};
 }
 
 VmListResult vmListResult(const HttpOutcome &outcome)
 {
     const auto *answer = std::get_if<HttpAnswer>(&outcome);
-    if (!answer || answer->status != Ok) {
+    if (!answer || answer->status != HttpStatus::Ok) {
         return {};
     }
     try {
--- a/src/net/relayclient.cpp
+++ b/src/net/relayclient.cpp
@@ -7,6 +7,7 @@
 
 #include "net/relayclient.h"
 
+#include "core/support/httpstatus.h"
 #include "net/relaylists.h"
 #include "net/relaymessages.h"
 
@@ -24,8 +25,6 @@
 constexpr Duration ListTimeout = seconds(10);
 constexpr Duration CheckTimeout = milliseconds(400);
 constexpr Duration WatchSlack = milliseconds(1500);
-constexpr int Ok = 200;
-constexpr int Gone = 410;
 // Keeps these calls' numbers apart from those of other users of the client.
 constexpr HttpCallId FirstCall = HttpCallId(3) << 61U;
 
@@ -80,7 +79,7 @@
             auto news = read(action.collection, outcome, failure);
             if (news) {
                 done({action.call, DirectoryChanged{action.collection, std::move(news->entries), news->revision, news->storeRevision}});
-            } else if (hasStatus(outcome, Gone)) {
+            } else if (hasStatus(outcome, HttpStatus::Gone)) {
                 done({action.call, DirectoryHistoryGone{action.collection}});
             } else {
                 done({action.call, DirectoryCallFailed{action.collection, "watch at relay " + action.relay + ": " + failure}});
@@ -93,7 +92,7 @@
     get(action.relay, proofTarget(action.follower), CheckTimeout, [relay = action.relay, done = std::move(done)](const HttpOutcome &outcome) {
         RelayChecked checked{relay, std::nullopt};
         try {
-            if (hasStatus(outcome, Ok)) {
+            if (hasStatus(outcome, HttpStatus::Ok)) {
                 checked.proof = decodeProof(std::get<HttpAnswer>(outcome).body);
             }
         } catch (const std::exception &) {
@@ -124,7 +123,7 @@
         return std::nullopt;
     }
     const auto &answer = std::get<HttpAnswer>(outcome);
-    if (answer.status != Ok) {
+    if (answer.status != HttpStatus::Ok) {
         failure = "status " + std::to_string(answer.status);
         return std::nullopt;
     }
--- a/src/net/relaylists.cpp
+++ b/src/net/relaylists.cpp
@@ -7,6 +7,7 @@
 
 #include "net/relaylists.h"
 
+#include "core/support/httpstatus.h"
 #include "net/gzip.h"
 #include "net/relaymessages.h"
 
@@ -39,7 +40,7 @@
     const std::string text = encodeNews(news);
     const bool isWorthPacking = text.size() > WorthPacking;
     HttpAnswer answer;
-    answer.status = 200;
+    answer.status = HttpStatus::Ok;
     answer.headers.push_back({"Content-Type", "application/json"});
     if (isWorthPacking) {
         answer.headers.push_back({"Content-Encoding", "gzip"});
--- a/src/net/relayserver.cpp
+++ b/src/net/relayserver.cpp
@@ -7,6 +7,7 @@
 
 #include "net/relayserver.h"
 
+#include "core/support/httpstatus.h"
 #include "net/bootclock.h"
 #include "net/relaymessages.h"
 
@@ -19,9 +20,6 @@
 namespace
 {
 
-constexpr int NotFound = 404;
-constexpr int Gone = 410;
-constexpr int NoRelay = 503;
 // A relay that has just begun has read the directory by then.
 constexpr Duration ListPatience = seconds(1);
 
@@ -58,12 +56,12 @@
 {
     if (const auto follower = parseProofTarget(request.target)) {
         const auto proof = source_.proof(*follower);
-        connection->answer(proof ? answerOf(200, encodeProof(*proof)) : answerOf(NoRelay, "{}"), false);
+        connection->answer(proof ? answerOf(HttpStatus::Ok, encodeProof(*proof)) : answerOf(HttpStatus::Unavailable, "{}"), false);
         return;
     }
     const auto asked = parseNewsTarget(request.target);
     if (!asked) {
-        connection->answer(answerOf(NotFound, "{}"), false);
+        connection->answer(answerOf(HttpStatus::NotFound, "{}"), false);
         return;
     }
     const TimePoint now = bootNow();
@@ -99,7 +97,7 @@
     if (!later) {
         const auto news = source_.news(waiting.collection, 0);
         if (!news) {
-            return now >= waiting.until ? std::optional(answerOf(Gone, "{}")) : std::nullopt;
+            return now >= waiting.until ? std::optional(answerOf(HttpStatus::Gone, "{}")) : std::nullopt;
         }
         list = &lists_.pack(waiting.collection, now, *news);
         latest = news->revision;
@@ -114,7 +112,7 @@
 {
     const auto news = source_.news(waiting.collection, waiting.since);
     if (!news) {
-        return answerOf(Gone, "{}");
+        return answerOf(HttpStatus::Gone, "{}");
     }
     if (news->entries.empty() && now < waiting.until) {
         return std::nullopt;
