--- a/src/net/relayserver.cpp
+++ b/src/net/relayserver.cpp
@@ -11,7 +11,6 @@
 #include "net/bootclock.h"
 #include "net/relaymessages.h"
 
-#include <algorithm>
 #include <utility>
 
 namespace Cloverbarrow
@@ -137,11 +136,18 @@
 
 void RelayServer::answerWaiting()
 {
-    const TimePoint now = bootNow();
+    answerThose(bootNow(), [](const Waiting &) { return true; });
+}
+
+void RelayServer::answerThose(TimePoint now, const std::function<bool(const Waiting &)> &isDue)
+{
     Ready ready;
     {
         const std::lock_guard lock(mutex_);
-        std::erase_if(waiting_, [this, now, &ready](const Waiting &item) {
+        std::erase_if(waiting_, [this, now, &isDue, &ready](const Waiting &item) {
+            if (!isDue(item)) {
+                return false;
+            }
             if (item.connection->isGone()) {
                 return true;
             }
@@ -158,14 +164,8 @@
 void RelayServer::sweep(TimePoint now)
 {
     server_->sweep(now);
-    bool isAnyDue = false;
-    {
-        const std::lock_guard lock(mutex_);
-        isAnyDue = std::any_of(waiting_.begin(), waiting_.end(), [now](const Waiting &item) { return item.since == 0 || now >= item.until; });
-    }
-    if (isAnyDue) {
-        answerWaiting();
-    }
+    // Lists may have got their turn; looking for changes costs more, and is done when there are some.
+    answerThose(now, [now](const Waiting &item) { return item.since == 0 || now >= item.until; });
 }
 
 } // namespace Cloverbarrow
--- a/src/net/relayserver.h
+++ b/src/net/relayserver.h
@@ -67,6 +67,8 @@
     std::optional<HttpAnswer> answerFor(const Waiting &waiting, TimePoint now);
     std::optional<HttpAnswer> listFor(const Waiting &waiting, TimePoint now);
     std::optional<HttpAnswer> changesFor(const Waiting &waiting, TimePoint now);
+    /// Answers those of the waiting that are due, as far as there is something to tell.
+    void answerThose(TimePoint now, const std::function<bool(const Waiting &)> &isDue);
     /// Hands answers to their connections. Call without the mutex.
     void give(const Ready &ready);
 
