directory-bench writes its texts in the project's own words

Cause: read in the diff: the benchmark copied field names of the users' store, which only platform/ may know.

--- a/bench/directory/main.cpp
+++ b/bench/directory/main.cpp
@@ -34,7 +34,7 @@
     return std::chrono::duration<double, std::milli>(std::chrono::steady_clock::now() - start).count();
 }
 
-/// A backend server as the users' store would tell of it.
+/// A backend server, with a text about as long as a store would tell it.
 DirectoryEntry serverEntry(int number, std::int64_t revision, bool isDraining, Random &random)
 {
     constexpr std::size_t Digits = 10;
@@ -48,9 +48,9 @@
     const std::string address = "10." + std::to_string(1 + number % 4) + "." + std::to_string(64 + number / 250) + "." + std::to_string(number % 250) + ":8581";
     registration.server = {id, address, Zones[place % Zones.size()], {}, 3};
     registration.isDraining = isDraining;
-    const std::string text = R"({"metadata":{"created_rev":)" + std::to_string(revision) + R"(,"deleting":false,"finalizers":[],"name":")" + id
-        + R"(","revision":)" + std::to_string(revision) + R"(},"specification":{"address":")" + address + R"(","sequence":1,"service":")" + registration.service
-        + R"(","slots":3,"state":")" + (isDraining ? "draining" : "ready") + R"(","version":"v1","warmup_remaining_s":0.0,"zone":")" + registration.server.zone
+    const std::string text = R"({"object":{"created_at":)" + std::to_string(revision) + R"(,"deleting":false,"holders":[],"name":")" + id + R"(","revision":)"
+        + std::to_string(revision) + R"(},"registration":{"address":")" + address + R"(","heartbeat":1,"service":")" + registration.service
+        + R"(","slots":3,"state":")" + (isDraining ? "draining" : "ready") + R"(","version":"v1","warm_up_left_s":0.0,"zone":")" + registration.server.zone
         + R"("},"status":{}})";
     return {id, revision, registration, false, text};
 }
