Slowness lasts as long as the request, and what overload does to answers teaches nothing

Cause: a request keeps the speed that its server tells when it begins, to its end; the model let told slowness pass within 75 ms, so a server at a fifth of its speed seemed to need half of the time that it takes. In a burst 27 in 100 attempts began so. Ruled out by the logs: slowness that passes (914 to 1,406 ms instead of 208 to 222, whatever its report's age). Change: work, the cost of sharing and how far told slowness holds are learnt from answers of servers that told their state at most 10 ms before, each normalised by the others, so overload does not move them. Tests: [answertime], and a request that rather waits than goes to a slow server; both failed before.

--- a/src/core/requests/serviceshard.cpp
+++ b/src/core/requests/serviceshard.cpp
@@ -252,9 +252,7 @@
 void ServiceShard::startAt(TimePoint now, const Backend &backend, Request &request, ServiceActions &actions)
 {
     ++request.attempts;
-    // The server has been taken: this attempt is among those that it holds.
-    const Crowding crowding = crowdingAt(heldBy(backend) - 1, slotsOf(backend));
-    request.running.push_back({request.attempts, backend.server.name, backend.server.address, now, crowding, std::nullopt});
+    request.running.push_back({request.attempts, backend.server.name, backend.server.address, now, startStateOf(backend, now), std::nullopt});
     request.tried.push_back(backend.server.name);
     // The C library's HTTP client may resend on a connection that turns out dead, and only the echoed tag
     // tells an answer from a stray one; so only tagged reads go on a used connection.
--- a/src/core/requests/serviceshard.h
+++ b/src/core/requests/serviceshard.h
@@ -51,7 +51,7 @@
         std::string backend;
         std::string address;
         TimePoint startedAt;
-        Crowding crowding = Crowding::HadRoom; ///< How it found the server.
+        StartState start; ///< How it found the server.
         std::optional<TimePoint> checkedAt; ///< When the server was probed because the answer takes long.
     };
 
--- a/src/core/requests/serviceshardoutcome.cpp
+++ b/src/core/requests/serviceshardoutcome.cpp
@@ -109,7 +109,7 @@
 {
     const auto *lost = std::get_if<LostAnswer>(&outcome);
     // Some servers reset connections when they are full; that is no sign of illness.
-    const bool isShed = probesFirst() && lost && !lost->isTimeout && attempt.crowding == Crowding::HadToWait;
+    const bool isShed = probesFirst() && lost && !lost->isTimeout && crowdingAt(attempt.start.others, attempt.start.slots) == Crowding::HadToWait;
     return isShed ? AttemptQuality::Neutral : Cloverbarrow::qualityOf(outcome);
 }
 
@@ -126,7 +126,7 @@
         noteLeaving(attempt.backend, actions);
     }
     if (Cloverbarrow::qualityOf(event.outcome) == AttemptQuality::Good) {
-        chooser_.model().answered(requests_.at(event.request).arrival.latencyObjective, now - attempt.startedAt, attempt.crowding);
+        chooser_.model().answered(requests_.at(event.request).arrival.latencyObjective, now - attempt.startedAt, attempt.start);
     }
 }
 
--- a/src/core/servers/answertime.cpp
+++ b/src/core/servers/answertime.cpp
@@ -17,18 +17,21 @@
 {
 
 constexpr int UsualSlots = 3;
-// A VM keeps its slowness for some 150 ms (users' sheets, "noise"); what a report tells lasts half of that in the mean.
+// Servers tell their slowness anew many times a second; a report loses half of its worth in this time (neighbours that
+// change every 150 ms, as users measured).
 constexpr double SlownessLastsMs = 75;
-constexpr double SlownessWeight = 0.02;
-constexpr double LatencyWeight = 0.05;
-// Before anything was seen, work is taken as this part of the latency objective (users' sheets: a third).
+constexpr double SlownessWindow = 50; // reports
+// Before anything was seen, work is taken as this part of the latency objective, as where objectives leave room for slow servers.
 constexpr double WorkPartOfObjective = 0.35;
-// Some servers slow all their requests down when the last slot is used (by 1.7 on one of the users' sheets) and some
-// do not. Above this factor a server of three slots does more with two of them.
+constexpr double WorkWindow = 20; // answers
+// Told slowness is believed as told until answers say otherwise.
+constexpr double HoldsGuessWeight = 2; // answers
+constexpr double HoldsWindow = 20; // answers
+// A report this old tells what the request met: few servers have begun another one or changed their speed since.
+constexpr Duration SureFor = milliseconds(10);
+// Slowness that an answer can tell about.
+constexpr double MuchSlowness = 2;
 constexpr double LastSlotWorthFactor = 1.2;
-constexpr double CrowdingWeight = 0.02;
-// A slot that is no longer used teaches nothing more; its factor fades, so that it is tried again at times.
-constexpr double CrowdingFade = 0.0005;
 constexpr double ColdFactor = 2;
 // Stands for the way there and back, and for the price of bytes between availability zones.
 constexpr double OtherZoneMs = 12;
@@ -80,68 +83,78 @@
     return crowdingAt(heldBy(backend), slotsOf(backend));
 }
 
-void AnswerTimeModel::answered(Duration objective, Duration latency, Crowding crowding)
+StartState startStateOf(const Backend &backend, TimePoint now)
 {
-    const double sample = toMilliseconds(latency);
-    const auto [entry, isNew] = meanLatencyMs_.try_emplace(objective, sample);
-    const double relative = sample / entry->second;
-    if (!isNew) {
-        entry->second += LatencyWeight * (sample - entry->second);
+    StartState state;
+    state.others = heldBy(backend) - 1;
+    state.slots = slotsOf(backend);
+    state.slowness = backend.report ? backend.report->slowness : 1;
+    if (backend.reportedAt) {
+        state.reportAge = now - *backend.reportedAt;
     }
-    if (crowding == Crowding::HadRoom) {
-        relativeWithRoom_ += CrowdingWeight * (relative - relativeWithRoom_);
-        relativeOnLastSlot_ += CrowdingFade * (relativeWithRoom_ - relativeOnLastSlot_);
-    } else if (crowding == Crowding::TookLastSlot) {
-        relativeOnLastSlot_ += CrowdingWeight * (relative - relativeOnLastSlot_);
+    return state;
+}
+
+AnswerTimeModel::AnswerTimeModel()
+    : meanSlowness_(1, 1, SlownessWindow)
+    , slownessHolds_(1, HoldsGuessWeight, HoldsWindow)
+{
+}
+
+void AnswerTimeModel::answered(Duration objective, Duration latency, const StartState &start)
+{
+    const bool hadToWait = crowdingAt(start.others, start.slots) == Crowding::HadToWait;
+    if (!start.reportAge || *start.reportAge > SureFor || hadToWait) {
+        return;
+    }
+    const double time = toMilliseconds(latency) / sharing_.factor(start.others, start.slots);
+    if (start.slowness >= MuchSlowness) {
+        const double holds = (time / workMs(objective) - 1) / (start.slowness - 1);
+        slownessHolds_.add(std::clamp(holds, 0.0, 1.0));
+    } else if (start.slowness > UsualSlowness) {
+        return;
+    } else if (SharingCost::isAlone(start.others, start.slots)) {
+        const auto entry = workMs_.try_emplace(objective, WorkPartOfObjective * toMilliseconds(objective), 1, WorkWindow).first;
+        entry->second.add(time);
+    } else {
+        sharing_.answered(start.others, start.slots, toMilliseconds(latency) / workMs(objective));
     }
 }
 
 void AnswerTimeModel::toldSlowness(double slowness)
 {
-    meanSlowness_ += SlownessWeight * (slowness - meanSlowness_);
+    meanSlowness_.add(slowness);
 }
 
 double AnswerTimeModel::workMs(Duration objective) const
 {
-    const double first = WorkPartOfObjective * toMilliseconds(objective);
-    const auto found = meanLatencyMs_.find(objective);
-    // Servers are chosen by their speed, so answers take less than work times mean slowness; half way between
-    // is near enough, as only the order of servers follows from it.
-    return found == meanLatencyMs_.end() ? first : found->second / std::sqrt(meanSlowness_);
+    const auto found = workMs_.find(objective);
+    return found == workMs_.end() ? WorkPartOfObjective * toMilliseconds(objective) : found->second.value();
 }
 
 double AnswerTimeModel::slownessNow(const Backend &backend, TimePoint now) const
 {
+    const double mean = meanSlowness_.value();
     if (!backend.report || !backend.reportedAt) {
-        return meanSlowness_;
+        return mean;
     }
     const double age = toMilliseconds(now - *backend.reportedAt);
-    return meanSlowness_ + (backend.report->slowness - meanSlowness_) * std::exp2(-age / SlownessLastsMs);
+    return mean + (backend.report->slowness - mean) * std::exp2(-age / SlownessLastsMs);
 }
 
 double AnswerTimeModel::expectedMs(const Backend &backend, Duration objective, TimePoint now) const
 {
     const double work = workMs(objective);
-    const double slowness = slownessNow(backend, now);
-    // The present slowness lasts a while; after that the mean is the best guess.
-    double time = work * slowness;
-    if (time > SlownessLastsMs) {
-        time = SlownessLastsMs + (work - SlownessLastsMs / slowness) * meanSlowness_;
-    }
-    if (crowdingOf(backend) != Crowding::HadRoom) {
-        time *= lastSlotFactor();
-    }
+    const int slots = slotsOf(backend);
+    const int held = heldBy(backend);
+    double time = work * (1 + slownessHolds_.value() * (slownessNow(backend, now) - 1));
+    time *= sharing_.factor(std::min(held, slots - 1), slots);
     if (now < backend.warmAt) {
         time *= ColdFactor;
     }
     time *= std::pow(FailureFactor, backend.failureStreak);
-    const int ahead = std::max(0, heldBy(backend) + 1 - slotsOf(backend));
-    return time + ahead * work * meanSlowness_ / slotsOf(backend) + distanceMs(backend.distance);
-}
-
-double AnswerTimeModel::lastSlotFactor() const
-{
-    return std::max(1.0, relativeOnLastSlot_ / relativeWithRoom_);
+    const int ahead = std::max(0, held + 1 - slots);
+    return time + ahead * work * meanSlowness_.value() / slots + distanceMs(backend.distance);
 }
 
 bool AnswerTimeModel::hasRoom(const Backend &backend) const
@@ -158,7 +171,7 @@
 bool AnswerTimeModel::hasRoomAt(int held, int slots) const
 {
     const Crowding crowding = crowdingAt(held, slots);
-    const bool isLastSlotGood = lastSlotFactor() < LastSlotWorthFactor || slots == 1;
+    const bool isLastSlotGood = sharing_.factor(held, slots) < LastSlotWorthFactor || slots == 1;
     return crowding == Crowding::HadRoom || (crowding == Crowding::TookLastSlot && isLastSlotGood);
 }
 
--- a/src/core/servers/answertime.h
+++ b/src/core/servers/answertime.h
@@ -8,9 +8,12 @@
 #pragma once
 
 #include "core/servers/backendpool.h"
+#include "core/servers/learntmean.h"
+#include "core/servers/sharingcost.h"
 #include "core/support/time.h"
 
 #include <map>
+#include <optional>
 
 namespace Cloverbarrow
 {
@@ -22,13 +25,24 @@
     HadToWait,
 };
 
-/// Estimates how long a backend server would take to answer. It learns the usual work of a request, the
-/// mean slowness of the servers' VMs and what the use of a server's last slot costs from answers and reports.
+/// What was known of a server when a request was sent to it.
+struct StartState {
+    int others = 0; ///< Requests that it held.
+    int slots = 1;
+    double slowness = 1;
+    std::optional<Duration> reportAge; ///< Nothing when it had not told of itself.
+};
+
+/// Estimates how long a backend server would take to answer. It learns the usual work of a request, how far told
+/// slowness holds and what sharing a server costs from answers of servers that told their state right before. So
+/// none of it moves with the load: it is the same whether few or all requests meet full or slow servers.
 class AnswerTimeModel
 {
 public:
+    AnswerTimeModel();
+
     /// Takes a good answer. @param objective of the request; requests with the same one are taken as alike.
-    void answered(Duration objective, Duration latency, Crowding crowding);
+    void answered(Duration objective, Duration latency, const StartState &start);
     /// Takes the slowness that a server told.
     void toldSlowness(double slowness);
 
@@ -45,14 +59,13 @@
 
 private:
     bool hasRoomAt(int held, int slots) const;
+    /// @return the slowness that a request sent now is expected to meet.
     double slownessNow(const Backend &backend, TimePoint now) const;
-    /// @return how much longer work takes when all slots are used.
-    double lastSlotFactor() const;
 
-    double meanSlowness_ = 1;
-    std::map<Duration, double> meanLatencyMs_; ///< By latency objective.
-    double relativeWithRoom_ = 1; ///< Mean of latencies over the mean of their kind, by crowding.
-    double relativeOnLastSlot_ = 1;
+    LearntMean meanSlowness_;
+    LearntMean slownessHolds_; ///< Part of told slowness that shows in a request's time: 1 when it lasts as long as the request.
+    std::map<Duration, LearntMean> workMs_; ///< By latency objective.
+    SharingCost sharing_;
 };
 
 /// @return slots of @p backend, as it or its registration last said.
@@ -63,5 +76,7 @@
 Crowding crowdingAt(int held, int slots);
 /// @return how a request sent now would find @p backend.
 Crowding crowdingOf(const Backend &backend);
+/// @return what a request that was just counted at @p backend found there.
+StartState startStateOf(const Backend &backend, TimePoint now);
 
 } // namespace Cloverbarrow
--- /dev/null
+++ b/src/core/servers/sharingcost.cpp
@@ -0,0 +1,74 @@
+/*
+    This file is part of cloverbarrow.
+
+    SPDX-FileCopyrightText: 2026 The cloverbarrow authors
+    SPDX-License-Identifier: Apache-2.0
+*/
+
+#include "core/servers/sharingcost.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace Cloverbarrow
+{
+
+namespace
+{
+
+// Until a share of slots was seen in use, sharing costs nothing there: else it would never be tried. One answer counts as
+// much as this guess, so that three answers show a cost of 1.7.
+constexpr double GuessWeight = 1;
+constexpr double Window = 50; // answers
+// An answer that was delayed by something else, such as slowness that began after the report, says little of sharing.
+constexpr double LargestFactor = 3;
+
+} // namespace
+
+SharingCost::SharingCost()
+    : factors_([]<std::size_t... Index>(std::index_sequence<Index...>) {
+        return std::array{((void)Index, LearntMean(1, GuessWeight, Window))...};
+    }(std::make_index_sequence<Parts>()))
+{
+}
+
+std::size_t SharingCost::partOf(int others, int slots)
+{
+    const int used = std::clamp(others + 1, 1, std::max(1, slots));
+    const auto parts = static_cast<int>(Parts);
+    return static_cast<std::size_t>((used * parts + slots - 1) / std::max(1, slots) - 1);
+}
+
+bool SharingCost::isAlone(int others, int slots)
+{
+    return others == 0 || 2 * (others + 1) <= slots;
+}
+
+void SharingCost::answered(int others, int slots, double factor)
+{
+    if (!isAlone(others, slots)) {
+        factors_[partOf(others, slots)].add(std::min(factor, LargestFactor));
+    }
+}
+
+double SharingCost::factor(int others, int slots) const
+{
+    return isAlone(others, slots) ? 1 : std::max(1.0, factors_[partOf(others, slots)].value());
+}
+
+int SharingCost::bestUse(int slots) const
+{
+    // With so many requests at a time, each of them begins beside all the others.
+    int best = 1;
+    double bestRate = 1;
+    for (int used = 2; used <= slots; ++used) {
+        const double rate = used / factor(used - 1, slots);
+        if (rate > bestRate) {
+            best = used;
+            bestRate = rate;
+        }
+    }
+    return best;
+}
+
+} // namespace Cloverbarrow
--- /dev/null
+++ b/tests/unit/answertimetests.cpp
@@ -0,0 +1,131 @@
+/*
+    This file is part of cloverbarrow.
+
+    SPDX-FileCopyrightText: 2026 The cloverbarrow authors
+    SPDX-License-Identifier: Apache-2.0
+*/
+
+#include "core/servers/answertime.h"
+
+#include <catch2/catch.hpp>
+
+using namespace Cloverbarrow;
+
+namespace
+{
+
+constexpr Duration AimedLatency = milliseconds(600);
+constexpr Duration Work = milliseconds(220);
+constexpr int Slots = 6;
+constexpr TimePoint Now = TimePoint(seconds(100));
+
+StartState found(int others, double slowness = 1, int slots = Slots)
+{
+    return {others, slots, slowness, Duration(0)};
+}
+
+Backend told(const LoadReport &report)
+{
+    Backend backend;
+    backend.distance = Distance::SameZone;
+    backend.report = report;
+    backend.reportedAt = Now;
+    return backend;
+}
+
+void learn(AnswerTimeModel &model, Duration latency, const StartState &start, int answers = 20)
+{
+    for (int answer = 0; answer < answers; ++answer) {
+        model.answered(AimedLatency, latency, start);
+    }
+}
+
+} // namespace
+
+TEST_CASE("A server without room on slots that are worth using has none", "[answertime][overload]")
+{
+    AnswerTimeModel model;
+    for (int answer = 0; answer < 300; ++answer) {
+        model.answered(milliseconds(200), milliseconds(50), found(0, 1, 3));
+        model.answered(milliseconds(200), milliseconds(100), found(2, 1, 3));
+    }
+    CHECK_FALSE(model.hasRoom(told({2, 0, 3, 1.0})));
+    CHECK(model.hasRoom(told({1, 0, 3, 1.0})));
+}
+
+TEST_CASE("Where the last slot costs nothing it is used", "[answertime]")
+{
+    AnswerTimeModel model;
+    for (int answer = 0; answer < 300; ++answer) {
+        model.answered(milliseconds(200), milliseconds(50), found(0, 1, 3));
+        model.answered(milliseconds(200), milliseconds(52), found(2, 1, 3));
+    }
+    CHECK(model.hasRoom(told({2, 0, 3, 1.0})));
+}
+
+TEST_CASE("What overload does to answers does not pass for usual work", "[answertime][overload]")
+{
+    AnswerTimeModel model;
+    learn(model, Work, found(0));
+    const double before = model.workMs(AimedLatency);
+    learn(model, 5 * Work, found(0, 5.0), 1000);
+    learn(model, 2 * Work, found(Slots - 1), 1000);
+    learn(model, 9 * Work, found(Slots + 3), 1000);
+    CHECK(model.workMs(AimedLatency) == Approx(before));
+}
+
+TEST_CASE("The time at a slow server is expected as answers have shown that slowness holds", "[answertime]")
+{
+    AnswerTimeModel model;
+    learn(model, Work, found(0));
+    const Backend slow = told({0, 0, Slots, 5.0});
+    SECTION("a request keeps the speed that it began with")
+    {
+        learn(model, 5 * Work, found(0, 5.0));
+        CHECK(model.expectedMs(slow, AimedLatency, Now) == Approx(5 * toMilliseconds(Work)).epsilon(0.05));
+    }
+    SECTION("slowness passes at once")
+    {
+        learn(model, Work, found(0, 5.0), 200);
+        CHECK(model.expectedMs(slow, AimedLatency, Now) == Approx(toMilliseconds(Work)).epsilon(0.05));
+    }
+}
+
+TEST_CASE("Answers of servers that told long ago teach nothing", "[answertime]")
+{
+    AnswerTimeModel model;
+    learn(model, Work, found(0));
+    const double before = model.workMs(AimedLatency);
+    StartState old = found(0);
+    old.reportAge = seconds(1);
+    learn(model, 4 * Work, old);
+    old.reportAge.reset();
+    learn(model, 4 * Work, old);
+    CHECK(model.workMs(AimedLatency) == Approx(before));
+}
+
+TEST_CASE("The cost of sharing a server is learnt for each number of slots in use", "[answertime][sharing]")
+{
+    SharingCost cost;
+    for (int answer = 0; answer < 20; ++answer) {
+        cost.answered(3, Slots, 1.0);
+        cost.answered(4, Slots, 1.7);
+        cost.answered(5, Slots, 1.7);
+    }
+    CHECK(cost.factor(0, Slots) == 1);
+    CHECK(cost.factor(3, Slots) == Approx(1.0));
+    CHECK(cost.factor(5, Slots) == Approx(1.7).epsilon(0.05));
+    CHECK(cost.bestUse(Slots) == 4);
+}
+
+TEST_CASE("All slots are worth using until sharing them has been seen to cost", "[answertime][sharing]")
+{
+    SharingCost cost;
+    for (const int slots : {1, 2, 3, 6, 10, 64}) {
+        CHECK(cost.bestUse(slots) == slots);
+    }
+    for (int answer = 0; answer < 3; ++answer) {
+        cost.answered(2, 3, 1.7);
+    }
+    CHECK(cost.bestUse(3) == 2);
+}
--- a/tests/unit/probedchoicetests.cpp
+++ b/tests/unit/probedchoicetests.cpp
@@ -186,30 +186,19 @@
     CHECK(shard.probes <= PerSecond * Servers * (Seconds + 1));
 }
 
-TEST_CASE("An urgent request may use the last slot that others leave free", "[choice][overload]")
+TEST_CASE("A request rather waits a moment than goes to a server that would make it late", "[choice][overload]")
 {
-    AnswerTimeModel model;
-    for (int answer = 0; answer < 300; ++answer) {
-        model.answered(AimedLatency, milliseconds(50), Crowding::HadRoom);
-        model.answered(AimedLatency, milliseconds(100), Crowding::TookLastSlot);
-    }
-    Backend backend;
-    backend.report = LoadReport{2, 0, 3, 1.0};
-    CHECK_FALSE(model.hasRoom(backend));
-    backend.report = LoadReport{1, 0, 3, 1.0};
-    CHECK(model.hasRoom(backend));
-}
-
-TEST_CASE("Where the last slot costs nothing it is used", "[choice]")
-{
-    AnswerTimeModel model;
-    for (int answer = 0; answer < 300; ++answer) {
-        model.answered(AimedLatency, milliseconds(50), Crowding::HadRoom);
-        model.answered(AimedLatency, milliseconds(52), Crowding::TookLastSlot);
-    }
-    Backend backend;
-    backend.report = LoadReport{2, 0, 3, 1.0};
-    CHECK(model.hasRoom(backend));
+    Probing shard(probedService(3));
+    const LoadReport full{3, 4, 3, 1.0};
+    // Five times the usual work passes the objective, whatever room there is.
+    shard.reports = {{"b1", {0, 0, 3, 5.0}}, {"b2", full}, {"b3", full}};
+    shard.arrive(1);
+    shard.pass(milliseconds(10));
+    CHECK(shard.started.empty());
+    shard.reports["b2"] = LoadReport{1, 0, 3, 1.0};
+    shard.pass(milliseconds(25));
+    REQUIRE(shard.started.size() == 1);
+    CHECK(shard.started.front().backend == "b2");
 }
 
 TEST_CASE("A slow read gets a second attempt at another server, and the slower one is cancelled", "[choice][hedge]")
