Waiting requests get servers as soon as any news shows room

Cause: only the request that had sent a probe looked at what it told, and answers, which free slots, were looked at by none: a free slot stood until a waiting request's next round, up to 30 ms later. Ruled out: nothing. Change: after each answer and probe all waiting requests are looked at, urgent ones first, then those that can still be in time, then the oldest.

--- a/src/core/requests/serviceshard.cpp
+++ b/src/core/requests/serviceshard.cpp
@@ -145,6 +145,7 @@
         pool_.report(event.backend, *event.report, now);
         chooser_.model().toldSlowness(event.report->slowness);
     }
+    dispatch(now, actions);
     if (event.request) {
         const auto found = requests_.find(*event.request);
         if (found != requests_.end() && found->second.choice) {
--- a/src/core/requests/serviceshard.h
+++ b/src/core/requests/serviceshard.h
@@ -101,6 +101,9 @@
     bool probesFirst() const;
     void beginChoice(TimePoint now, Request &request, bool isHedge, ServiceActions &actions);
     void proceedWithChoice(TimePoint now, Request &request, ServiceActions &actions);
+    /// Gives waiting requests the servers that news have shown to have room, in the order in which they should be served.
+    void dispatch(TimePoint now, ServiceActions &actions);
+    std::vector<RequestId> choosingInOrder(TimePoint now) const;
     ChoiceNeed needOf(TimePoint now, const Request &request) const;
     /// @return how long until the latency objective is missed, counted from the caller's first request; negative when it is.
     Duration objectiveLeft(TimePoint now, const Request &request) const;
--- a/src/core/requests/serviceshardchoice.cpp
+++ b/src/core/requests/serviceshardchoice.cpp
@@ -9,6 +9,7 @@
 #include "core/support/httpstatus.h"
 
 #include <algorithm>
+#include <iterator>
 
 // The part of ServiceShard that chooses servers by probes and sends slow reads a second time.
 
@@ -60,6 +61,39 @@
     }
 }
 
+void ServiceShard::dispatch(TimePoint now, ServiceActions &actions)
+{
+    for (const RequestId id : choosingInOrder(now)) {
+        Request &request = requests_.at(id);
+        const ChoiceStep step = chooser_.look(now, pool_, request.tried, needOf(now, request), *request.choice);
+        if (step.state == ChoiceState::Chosen) {
+            startChosen(now, pool_.takeNamed(now, step.backend), request, actions);
+        }
+    }
+}
+
+std::vector<RequestId> ServiceShard::choosingInOrder(TimePoint now) const
+{
+    struct Place {
+        bool isBehind; ///< Not urgent.
+        bool isLate;
+        RequestId request;
+
+        auto operator<=>(const Place &) const = default;
+    };
+    std::vector<Place> places;
+    for (const auto &[id, request] : requests_) {
+        if (request.choice) {
+            const ChoiceNeed need = needOf(now, request);
+            places.push_back({!need.isUrgent, need.isLate, id});
+        }
+    }
+    std::sort(places.begin(), places.end());
+    std::vector<RequestId> order;
+    std::transform(places.begin(), places.end(), std::back_inserter(order), [](const Place &place) { return place.request; });
+    return order;
+}
+
 ChoiceNeed ServiceShard::needOf(TimePoint now, const Request &request) const
 {
     ChoiceNeed need;
--- a/src/core/requests/serviceshardoutcome.cpp
+++ b/src/core/requests/serviceshardoutcome.cpp
@@ -86,6 +86,8 @@
         conclude(now, request, *attempt, event, verdict, actions);
         requests_.erase(event.request);
     }
+    // The answer has freed a slot, and its report is the newest there is of the server.
+    dispatch(now, actions);
     startWaiting(now, actions);
 }
 
