Slots of servers that are slow for the moment are left free

Cause: 24 in 100 attempts of a burst still began on servers at a fifth of their speed, as a last resort after waiting; each takes a slot for 1.1 s instead of 0.22, and that slot is missing when the server is quick again some 100 ms later. Ruled out by the logs: stale reports (they told the slowness). Change: a server whose told slowness costs more than waiting for its next change of speed gets nothing; measured against the mean of all, so that servers that are all slow are used.

--- a/src/core/servers/answertime.cpp
+++ b/src/core/servers/answertime.cpp
@@ -20,6 +20,8 @@
 // Servers tell their slowness anew many times a second; a report loses half of its worth in this time (neighbours that
 // change every 150 ms, as users measured).
 constexpr double SlownessLastsMs = 75;
+// A slow server is quick again after some such time: the rest of its period, and another one when it stays slow.
+constexpr double SpeedChangesInMs = 2 * SlownessLastsMs;
 constexpr double SlownessWindow = 50; // reports
 // Before anything was seen, work is taken as this part of the latency objective, as where objectives leave room for slow servers.
 constexpr double WorkPartOfObjective = 0.35;
@@ -172,6 +174,12 @@
     return held < sharing_.bestUse(slots);
 }
 
+bool AnswerTimeModel::isBetterLeftFree(const Backend &backend, Duration objective, TimePoint now) const
+{
+    const double lost = workMs(objective) * slownessHolds_.value() * (slownessNow(backend, now) - meanSlowness_.value());
+    return lost > SpeedChangesInMs;
+}
+
 bool AnswerTimeModel::isAsGoodAsAny(const Backend &backend, TimePoint now) const
 {
     const bool isQuick = slownessNow(backend, now) <= UsualSlowness && now >= backend.warmAt;
--- a/src/core/servers/answertime.h
+++ b/src/core/servers/answertime.h
@@ -54,6 +54,8 @@
     bool hasRoom(const Backend &backend) const;
     /// @return whether there would still be room for another request after this one, or the server is idle.
     bool hasRoomToSpare(const Backend &backend) const;
+    /// @return whether @p backend is so slow now that its slots are better left free until its speed changes.
+    bool isBetterLeftFree(const Backend &backend, Duration objective, TimePoint now) const;
     /// @return whether no other server could do much better than @p backend.
     bool isAsGoodAsAny(const Backend &backend, TimePoint now) const;
 
--- a/src/core/servers/serverchooser.cpp
+++ b/src/core/servers/serverchooser.cpp
@@ -169,7 +169,8 @@
 
 bool ServerChooser::mayUse(const Backend &backend, const ChoiceNeed &need, TimePoint now) const
 {
-    return fits(backend, need) && hasToldWithin(backend, now, need.takesOldReports ? UsableFor : FreshFor);
+    const bool isFresh = hasToldWithin(backend, now, need.takesOldReports ? UsableFor : FreshFor);
+    return isFresh && fits(backend, need) && !model_.isBetterLeftFree(backend, need.objective, now);
 }
 
 bool ServerChooser::fits(const Backend &backend, const ChoiceNeed &need) const
--- a/tests/unit/answertimetests.cpp
+++ b/tests/unit/answertimetests.cpp
@@ -140,3 +140,25 @@
     CHECK_FALSE(model.hasRoom(told({4, 0, Slots, 1.0})));
     CHECK_FALSE(model.hasRoom(told({5, 0, Slots, 1.0})));
 }
+
+TEST_CASE("A server that is slow for the moment is better left free, one of many slow ones is not", "[answertime][overload]")
+{
+    AnswerTimeModel model;
+    learn(model, Work, found(0));
+    const Backend slow = told({0, 0, Slots, 5.0});
+    SECTION("others run at their usual speed")
+    {
+        for (int report = 0; report < 100; ++report) {
+            model.toldSlowness(report % 4 == 0 ? 5.0 : 1.0);
+        }
+        CHECK(model.isBetterLeftFree(slow, AimedLatency, Now));
+        CHECK_FALSE(model.isBetterLeftFree(told({0, 0, Slots, 1.0}), AimedLatency, Now));
+    }
+    SECTION("all are as slow")
+    {
+        for (int report = 0; report < 500; ++report) {
+            model.toldSlowness(5.0);
+        }
+        CHECK_FALSE(model.isBetterLeftFree(slow, AimedLatency, Now));
+    }
+}
--- a/tests/unit/probedchoicetests.cpp
+++ b/tests/unit/probedchoicetests.cpp
@@ -201,6 +201,37 @@
     CHECK(shard.started.front().backend == "b2");
 }
 
+TEST_CASE("A slot that an answer has freed goes to the request that waits for one, in time before late", "[choice][overload]")
+{
+    Probing shard(probedService(1));
+    const LoadReport full{3, 0, 3, 1.0};
+    shard.reports = {{"b1", {2, 0, 3, 1.0}}};
+    shard.arrive(1);
+    REQUIRE(shard.started.size() == 1);
+    shard.reports = {{"b1", full}};
+    // So the objective of the second is missed already, and that of the third is not.
+    shard.arriveAgain(2, AimedLatency * 3);
+    shard.arrive(3);
+    shard.pass(milliseconds(10));
+    REQUIRE(shard.started.size() == 1);
+    shard.handle(AttemptEnded{1, 1, AnsweredWhole{}, LoadReport{2, 0, 3, 1.0}});
+    REQUIRE(shard.started.size() == 2);
+    CHECK(shard.started.back().request == 3);
+}
+
+TEST_CASE("Under shortage no slot goes to a request on a server that is slow for the moment", "[choice][overload]")
+{
+    Probing shard(probedService(4));
+    const LoadReport full{3, 4, 3, 1.0};
+    shard.reports = {{"b1", full}, {"b2", full}, {"b3", full}, {"b4", {0, 0, 3, 9.0}}};
+    for (RequestId id = 1; id <= 5; ++id) {
+        shard.arrive(id);
+        shard.pass(AimedLatency);
+    }
+    CHECK(shard.started.empty());
+    CHECK(shard.refused.size() == 5);
+}
+
 TEST_CASE("A slow read gets a second attempt at another server, and the slower one is cancelled", "[choice][hedge]")
 {
     Probing shard(probedService(3));
