Callers turned away by servers that tell of room come back at once

Ruled out: want of room (reports). Change: where the last server told of room and nothing was refused for want of room lately, callers come back after a sixteenth of the objective. Test: [retry] of the choice; it failed before.

--- a/src/core/requests/serviceshardoutcome.cpp
+++ b/src/core/requests/serviceshardoutcome.cpp
@@ -22,6 +22,9 @@
 
 // Attempts that never left may be made up for this often.
 constexpr int MaxUnsent = 3;
+// A server that turns requests away while it tells of room is faulty, not full. Another one may well serve the request, so its
+// caller returns after this part of its objective and can still be in time; after a second it could not.
+constexpr int ComeBackSoonPart = 16;
 
 AttemptQuality qualityOf(const AttemptOutcome &outcome)
 {
@@ -38,6 +41,7 @@
 struct ProblemOf {
     std::string peer;
     bool mayHaveRun;
+    Duration comeBack; ///< After which the same may go well elsewhere.
 
     Fate fate(bool isNotRun) const
     {
@@ -46,12 +50,12 @@
 
     Problem operator()(const AnsweredWhole &answer) const
     {
-        return {HttpStatus::Unavailable, fate(answer.isNotRun), "run request", peer, "the backend server did not run the request", ComeBackWhenBusy};
+        return {HttpStatus::Unavailable, fate(answer.isNotRun), "run request", peer, "the backend server did not run the request", comeBack};
     }
 
     Problem operator()(const NeverLeft &failure) const
     {
-        return {HttpStatus::Unavailable, fate(true), "connect", peer, failure.reason, ComeBackWhenBusy};
+        return {HttpStatus::Unavailable, fate(true), "connect", peer, failure.reason, comeBack};
     }
 
     Problem operator()(const LostAnswer &failure) const
@@ -195,7 +199,14 @@
         }
         return;
     }
-    refuse(request, std::visit(ProblemOf{attempt.backend, request.mayHaveRun}, event.outcome), actions);
+    refuse(request, std::visit(ProblemOf{attempt.backend, request.mayHaveRun, comeBackAfter(now, attempt, request)}, event.outcome), actions);
+}
+
+Duration ServiceShard::comeBackAfter(TimePoint now, const Attempt &attempt, const Request &request) const
+{
+    const bool hadRoom = crowdingAt(attempt.start.others, attempt.start.slots) != Crowding::HadToWait;
+    const Duration objective = request.arrival.latencyObjective;
+    return probesFirst() && hadRoom && !isShortOfRoom(now) ? objective / ComeBackSoonPart : ComeBackWhenBusy;
 }
 
 void ServiceShard::cancelRunning(TimePoint now, Request &request, ServiceActions &actions)
--- a/tests/unit/probedchoicetests.cpp
+++ b/tests/unit/probedchoicetests.cpp
@@ -440,3 +440,20 @@
         CHECK(shard.started.size() == 2);
     }
 }
+
+TEST_CASE("A caller turned away by servers that tell of room comes back in time for its objective", "[choice][retry]")
+{
+    Probing shard(probedService(3));
+    const LoadReport idle{0, 0, 3, 1.0};
+    shard.reports = {{"b1", idle}, {"b2", idle}, {"b3", idle}};
+    shard.arrive(1);
+    AnsweredWhole shed;
+    shed.status = 503;
+    shed.isNotRun = true;
+    shard.handle(AttemptEnded{1, 1, shed, std::nullopt});
+    shard.handle(AttemptEnded{1, 2, shed, std::nullopt});
+    REQUIRE(shard.refused.size() == 1);
+    CHECK(shard.refused.front().problem.fate == Fate::NotRun);
+    REQUIRE(shard.refused.front().problem.retryAfter);
+    CHECK(*shard.refused.front().problem.retryAfter <= AimedLatency / 8);
+}
