Old reports are no reason to send while servers are crowded

Cause: when no probe may be made at the end of the hold, a report of up to a second was gone by; in a burst 11 in 100 requests of a service so reached a full server and 19 in 100 a slow one (p90 of the report's age 217 ms). Ruled out: reports of 30 ms (p90 before the burst 15 ms). With room they count as before, so a service that may hardly be probed is still served. Tests: [choice][overload] and [answertime][overload]; failed before.

--- a/src/core/requests/serviceshard.cpp
+++ b/src/core/requests/serviceshard.cpp
@@ -143,7 +143,7 @@
     reportEjection(now, event.backend, "probe", actions);
     if (event.report) {
         pool_.report(event.backend, *event.report, now);
-        chooser_.model().toldSlowness(event.report->slowness);
+        chooser_.model().told(*event.report);
     }
     dispatch(now, actions);
     if (event.request) {
--- a/src/core/requests/serviceshardoutcome.cpp
+++ b/src/core/requests/serviceshardoutcome.cpp
@@ -125,7 +125,7 @@
     reportEjection(now, attempt.backend, "attempt", actions);
     if (event.report) {
         pool_.report(attempt.backend, *event.report, now);
-        chooser_.model().toldSlowness(event.report->slowness);
+        chooser_.model().told(*event.report);
     }
     const auto *answer = std::get_if<AnsweredWhole>(&event.outcome);
     if (answer && answer->isLeaving) {
--- a/src/core/servers/answertime.cpp
+++ b/src/core/servers/answertime.cpp
@@ -22,7 +22,10 @@
 constexpr double SlownessLastsMs = 75;
 // A slow server is quick again after some such time: the rest of its period, and another one when it stays slow.
 constexpr double SpeedChangesInMs = 2 * SlownessLastsMs;
-constexpr double SlownessWindow = 50; // reports
+constexpr double ReportWindow = 50; // reports
+// With more of the slots in use that are worth it, a server whose report is not fresh has as a rule no room: in a burst of 2.2 times
+// 11 in 100 requests sent by reports of up to a second found all slots taken, and 19 in 100 a slow server.
+constexpr double CrowdedUse = 0.75;
 // Before anything was seen, work is taken as this part of the latency objective, as where objectives leave room for slow servers.
 constexpr double WorkPartOfObjective = 0.35;
 constexpr double WorkWindow = 20; // answers
@@ -97,7 +100,8 @@
 }
 
 AnswerTimeModel::AnswerTimeModel()
-    : meanSlowness_(1, 1, SlownessWindow)
+    : meanSlowness_(1, 1, ReportWindow)
+    , meanUse_(0, 1, ReportWindow)
     , slownessHolds_(1, HoldsGuessWeight, HoldsWindow)
 {
 }
@@ -122,9 +126,18 @@
     }
 }
 
-void AnswerTimeModel::toldSlowness(double slowness)
+void AnswerTimeModel::told(const LoadReport &report)
 {
-    meanSlowness_.add(slowness);
+    meanSlowness_.add(report.slowness);
+    if (report.slots > 0) {
+        const double use = static_cast<double>(report.running + report.waiting) / sharing_.bestUse(report.slots);
+        meanUse_.add(std::min(1.0, use));
+    }
+}
+
+bool AnswerTimeModel::isCrowded() const
+{
+    return meanUse_.value() > CrowdedUse;
 }
 
 double AnswerTimeModel::workMs(Duration objective) const
--- a/src/core/servers/answertime.h
+++ b/src/core/servers/answertime.h
@@ -43,8 +43,8 @@
 
     /// Takes a good answer. @param objective of the request; requests with the same one are taken as alike.
     void answered(Duration objective, Duration latency, const StartState &start);
-    /// Takes the slowness that a server told.
-    void toldSlowness(double slowness);
+    /// Takes what a server told.
+    void told(const LoadReport &report);
 
     /// @return the work of a request on a VM at its usual speed, in milliseconds.
     double workMs(Duration objective) const;
@@ -56,6 +56,8 @@
     bool hasRoomToSpare(const Backend &backend) const;
     /// @return whether @p backend is so slow now that its slots are better left free until its speed changes.
     bool isBetterLeftFree(const Backend &backend, Duration objective, TimePoint now) const;
+    /// @return whether most servers have little room, so that only what was told right now says where there is some.
+    bool isCrowded() const;
     /// @return whether no other server could do much better than @p backend.
     bool isAsGoodAsAny(const Backend &backend, TimePoint now) const;
 
@@ -65,6 +67,7 @@
     double slownessNow(const Backend &backend, TimePoint now) const;
 
     LearntMean meanSlowness_;
+    LearntMean meanUse_; ///< Part of the slots worth using that is in use.
     LearntMean slownessHolds_; ///< Part of told slowness that shows in a request's time: 1 when it lasts as long as the request.
     std::map<Duration, LearntMean> workMs_; ///< By latency objective.
     SharingCost sharing_;
--- a/src/core/servers/serverchooser.cpp
+++ b/src/core/servers/serverchooser.cpp
@@ -37,8 +37,10 @@
 constexpr double ProbeBurstSeconds = 1;
 // A report this old still tells the state of a server.
 constexpr Duration FreshFor = milliseconds(30);
-// Where no probe may be made, a report this old is still better than none.
+// Where no probe may be made, a report this old is still better than none while most servers have room. While few have, one sent
+// by it takes a slot from others and is late itself, so it has to be about fresh.
 constexpr Duration UsableFor = seconds(1);
+constexpr Duration UsableWhenCrowdedFor = milliseconds(60);
 // Above this multiple of the work, another round finds a better server more often than not.
 constexpr double PoorFactor = 2.0;
 
@@ -169,8 +171,9 @@
 
 bool ServerChooser::mayUse(const Backend &backend, const ChoiceNeed &need, TimePoint now) const
 {
-    const bool isFresh = hasToldWithin(backend, now, need.takesOldReports ? UsableFor : FreshFor);
-    return isFresh && fits(backend, need) && !model_.isBetterLeftFree(backend, need.objective, now);
+    const Duration usableFor = model_.isCrowded() ? UsableWhenCrowdedFor : UsableFor;
+    const bool isUsable = hasToldWithin(backend, now, need.takesOldReports ? usableFor : FreshFor);
+    return isUsable && fits(backend, need) && !model_.isBetterLeftFree(backend, need.objective, now);
 }
 
 bool ServerChooser::fits(const Backend &backend, const ChoiceNeed &need) const
--- a/tests/unit/answertimetests.cpp
+++ b/tests/unit/answertimetests.cpp
@@ -149,7 +149,7 @@
     SECTION("others run at their usual speed")
     {
         for (int report = 0; report < 100; ++report) {
-            model.toldSlowness(report % 4 == 0 ? 5.0 : 1.0);
+            model.told({0, 0, Slots, report % 4 == 0 ? 5.0 : 1.0});
         }
         CHECK(model.isBetterLeftFree(slow, AimedLatency, Now));
         CHECK_FALSE(model.isBetterLeftFree(told({0, 0, Slots, 1.0}), AimedLatency, Now));
@@ -157,8 +157,22 @@
     SECTION("all are as slow")
     {
         for (int report = 0; report < 500; ++report) {
-            model.toldSlowness(5.0);
+            model.told({0, 0, Slots, 5.0});
         }
         CHECK_FALSE(model.isBetterLeftFree(slow, AimedLatency, Now));
     }
 }
+
+TEST_CASE("Servers are crowded when most slots that are worth using are in use", "[answertime][overload]")
+{
+    AnswerTimeModel model;
+    CHECK_FALSE(model.isCrowded());
+    for (int report = 0; report < 50; ++report) {
+        model.told({2, 0, Slots, 1.0});
+    }
+    CHECK_FALSE(model.isCrowded());
+    for (int report = 0; report < 200; ++report) {
+        model.told({5, 1, Slots, 1.0});
+    }
+    CHECK(model.isCrowded());
+}
--- a/tests/unit/probedchoicetests.cpp
+++ b/tests/unit/probedchoicetests.cpp
@@ -457,3 +457,28 @@
     REQUIRE(shard.refused.front().problem.retryAfter);
     CHECK(*shard.refused.front().problem.retryAfter <= AimedLatency / 8);
 }
+
+TEST_CASE("Without probes requests go by old reports while servers have room, and nowhere while they are crowded", "[choice][overload]")
+{
+    // One probe in ten seconds and server: nearly all requests find the allowance empty.
+    Probing shard(probedService(3, 0.1));
+    const bool isCrowded = GENERATE(false, true);
+    const LoadReport usual = isCrowded ? LoadReport{3, 2, 3, 1.0} : LoadReport{1, 0, 3, 1.0};
+    const LoadReport last{1, 0, 3, 1.0};
+    for (const char *name : {"b1", "b2", "b3"}) {
+        shard.reports[name] = usual;
+        for (int report = 0; report < 50; ++report) {
+            shard.handle(ProbeEnded{name, true, false, usual, std::nullopt});
+        }
+        shard.handle(ProbeEnded{name, true, false, last, std::nullopt});
+    }
+    shard.arrive(1);
+    shard.pass(milliseconds(200));
+    shard.started.clear();
+    for (RequestId id = 2; id <= 4; ++id) {
+        shard.arrive(id);
+        shard.pass(milliseconds(100));
+    }
+    CHECK(shard.started.size() == (isCrowded ? 0 : 3));
+    CHECK(shard.refused.size() == (isCrowded ? 3 : 0));
+}
