No attempt is begun that cannot end before the deadline

Cause: when an answer was lost at the deadline, a second attempt was begun with 1 or 2 ms left; it ran into the deadline, took a slot for nothing and could never be an offer. Ruled out: nothing. Change: a retry needs half of the usual work as time left. Test: [retry] of the choice; it failed before.

--- a/src/core/requests/serviceshardoutcome.cpp
+++ b/src/core/requests/serviceshardoutcome.cpp
@@ -22,6 +22,9 @@
 
 // Attempts that never left may be made up for this often.
 constexpr int MaxUnsent = 3;
+// Work varies; with less time left than this part of the usual one an attempt ends in vain as good as always. It would only
+// take a slot, and the caller would be told that the request may have been run.
+constexpr double LeastWork = 0.5;
 // A server that turns requests away while it tells of room is faulty, not full. Another one may well serve the request, so its
 // caller returns after this part of its objective and can still be in time; after a second it could not.
 constexpr int ComeBackSoonPart = 16;
@@ -182,11 +185,17 @@
 {
     const bool hasAttempts = request.attempts < maxAttempts(request);
     const bool isWanted = !request.isCallerGone || isPayout(request);
-    const bool isPossible = hasAttempts && isWanted && now < request.arrival.deadline && pool_.hasCandidate();
+    const bool isPossible = hasAttempts && isWanted && mayStillEnd(now, request) && pool_.hasCandidate();
     const bool isFree = isUnsent && probesFirst();
     return isPossible && (isFree || retryBudget_.take(now));
 }
 
+bool ServiceShard::mayStillEnd(TimePoint now, const Request &request) const
+{
+    const double leftMs = toMilliseconds(request.arrival.deadline - now);
+    return probesFirst() ? leftMs > chooser_.model().workMs(request.arrival.latencyObjective) * LeastWork : leftMs > 0;
+}
+
 void ServiceShard::conclude(TimePoint now, Request &request, const Attempt &attempt, const AttemptEnded &event, Verdict verdict, ServiceActions &actions)
 {
     const RequestId id = request.arrival.request;
--- a/tests/unit/probedchoicetests.cpp
+++ b/tests/unit/probedchoicetests.cpp
@@ -501,3 +501,18 @@
     CHECK(shard.started.size() == (isCrowded ? 0 : 3));
     CHECK(shard.refused.size() == (isCrowded ? 3 : 0));
 }
+
+TEST_CASE("No attempt is begun that cannot end before the deadline", "[choice][retry]")
+{
+    Probing shard(probedService(3));
+    const LoadReport idle{0, 0, 3, 1.0};
+    shard.reports = {{"b1", idle}, {"b2", idle}, {"b3", idle}};
+    // The caller's two seconds are used up but for 20 ms when the first attempt is lost.
+    shard.arrive(1, KindClass::Read, 0, seconds(1));
+    REQUIRE(shard.started.size() == 1);
+    shard.pass(milliseconds(980));
+    shard.handle(AttemptEnded{1, 1, LostAnswer{"reset", false}, std::nullopt});
+    CHECK(shard.started.size() == 1);
+    REQUIRE(shard.refused.size() == 1);
+    CHECK(shard.refused.front().problem.fate == Fate::Unknown);
+}
