A server that turns a request away though it told of room is faulty in a shortage too

Cause: the rule for coming back soon asked besides that nothing had been refused for want of room for 5 s, a second state beside the server's report. Change: the report alone decides.

--- a/src/core/requests/serviceshard.h
+++ b/src/core/requests/serviceshard.h
@@ -118,8 +118,6 @@
     std::string noRoomDetail(TimePoint now, const Request &request) const;
     void tickChoices(TimePoint now, ServiceActions &actions);
     int maxAttempts(const Request &request) const;
-    /// @return whether a request was refused lately because no server had room.
-    bool isShortOfRoom(TimePoint now) const;
     /// Probes the server of an attempt that takes long, once.
     void checkServer(TimePoint now, Request &request, ServiceActions &actions);
     /// @return whether the server of the only attempt has not answered a probe that was sent while it works.
@@ -152,7 +150,7 @@
     bool mayStillEnd(TimePoint now, const Request &request) const;
     void conclude(TimePoint now, Request &request, const Attempt &attempt, const AttemptEnded &event, Verdict verdict, ServiceActions &actions);
     /// @return when the caller of a request that was not run should come back, after its last attempt.
-    Duration comeBackAfter(TimePoint now, const Attempt &attempt, const Request &request) const;
+    Duration comeBackAfter(const Attempt &attempt, const Request &request) const;
     void refuse(const Request &request, Problem problem, ServiceActions &actions);
     void applyCap();
 
@@ -169,7 +167,6 @@
     Random random_;
     Latest<int> entryVms_{1};
     std::uint64_t leavingOrder_ = 0; ///< Of the newest LeavingChanged.
-    std::optional<TimePoint> shortOfRoomAt_; ///< When a request was last refused because no server had room.
     int lowestPriority_ = 0; ///< The greatest number that a request has come with.
     std::map<RequestId, Request> requests_;
     std::deque<RequestId> waiting_;
--- a/src/core/requests/serviceshardchoice.cpp
+++ b/src/core/requests/serviceshardchoice.cpp
@@ -32,8 +32,6 @@
 constexpr double CheckAfterObjectives = 0.5;
 // Retries that hedges leave in the budget, for requests that failed.
 constexpr int HedgeReserve = 1;
-// For so long after a refusal for want of room more are to be expected.
-constexpr Duration ShortageLasts = seconds(5);
 // A server that is alive has answered a probe by then.
 constexpr Duration ProbeAnswerTime = milliseconds(50);
 
@@ -167,7 +165,6 @@
     if (!request.choice) {
         return false;
     }
-    shortOfRoomAt_ = now;
     const Fate fate = request.mayHaveRun ? Fate::Unknown : Fate::NotRun;
     const auto comeBack = std::chrono::round<Duration>(request.arrival.latencyObjective * ComeBackObjectives);
     refuse(request, {HttpStatus::Unavailable, fate, "choose backend server", name_, noRoomDetail(now, request), comeBack}, actions);
@@ -234,11 +231,6 @@
     return service_.retry.hedgesFromBudget ? retryBudget_.take(now, HedgeReserve) : hedgeBudget_.take(now);
 }
 
-bool ServiceShard::isShortOfRoom(TimePoint now) const
-{
-    return shortOfRoomAt_ && now - *shortOfRoomAt_ < ShortageLasts;
-}
-
 void ServiceShard::checkServer(TimePoint now, Request &request, ServiceActions &actions)
 {
     Attempt &attempt = request.running.front();
--- a/src/core/requests/serviceshardoutcome.cpp
+++ b/src/core/requests/serviceshardoutcome.cpp
@@ -208,14 +208,14 @@
         }
         return;
     }
-    refuse(request, std::visit(ProblemOf{attempt.backend, request.mayHaveRun, comeBackAfter(now, attempt, request)}, event.outcome), actions);
+    refuse(request, std::visit(ProblemOf{attempt.backend, request.mayHaveRun, comeBackAfter(attempt, request)}, event.outcome), actions);
 }
 
-Duration ServiceShard::comeBackAfter(TimePoint now, const Attempt &attempt, const Request &request) const
+Duration ServiceShard::comeBackAfter(const Attempt &attempt, const Request &request) const
 {
     const bool hadRoom = crowdingAt(attempt.start.others, attempt.start.slots) != Crowding::HadToWait;
     const Duration objective = request.arrival.latencyObjective;
-    return probesFirst() && hadRoom && !isShortOfRoom(now) ? objective / ComeBackSoonPart : ComeBackWhenBusy;
+    return probesFirst() && hadRoom ? objective / ComeBackSoonPart : ComeBackWhenBusy;
 }
 
 void ServiceShard::cancelRunning(TimePoint now, Request &request, ServiceActions &actions)
