A burst is played against the decisions in virtual time

The policy's model of backend servers now does what users' servers were seen to do: a request keeps the speed that it begins with, and slows down when more than a share of the slots is in use, whatever their number. Its trials tell by the second what callers get. Test [overload][burst]: with 17 entry VMs and 13 servers of six slots, in bursts of 1.5, 2.2 and 3 times, at least as many callers a second are served in time as before the burst, and 85 in 100 from two seconds after it on; the same where sharing costs nothing.

--- a/bench/policy/noisybackend.h
+++ b/bench/policy/noisybackend.h
@@ -26,10 +26,12 @@
     double slowShare = 0.25; ///< Part of the time in which neighbours slow a server's VM down.
     double slowFactor = 5;
     Duration slowFor = milliseconds(150); ///< Slowness is drawn anew this often.
-    double lastSlotFactor = 1.7; ///< How much longer a request takes that finds all other slots in use.
+    double fullShare = 0.8; ///< With more of its slots in use a server slows down.
+    double fullFactor = 1.7; ///< How much longer a request takes that begins then.
 };
 
-/// A backend server whose speed changes many times a second, by the draw of its seed alone: the same for every policy.
+/// A backend server whose speed changes many times a second, by the draw of its seed alone: the same for every policy. A request
+/// keeps the speed that it begins with, as users' servers were seen to do.
 class NoisyBackend
 {
 public:
@@ -44,8 +46,8 @@
     LoadReport report() const;
     /// @return how long work takes now, as a multiple of the usual.
     double slowness() const;
-    /// @return when work that starts now would end.
-    Duration timeFor(Duration work) const;
+    /// @return how much longer a request takes that begins now, for the other requests there.
+    double sharingFactor() const;
     int held() const;
 
 private:
--- a/bench/policy/noisytrial.h
+++ b/bench/policy/noisytrial.h
@@ -13,6 +13,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <string>
+#include <vector>
 
 namespace Cloverbarrow::Bench
 {
@@ -29,6 +30,15 @@
     Duration timeout = seconds(1);
     int callerRetries = 2;
     NoisyShape shape;
+    double burstFactor = 1; ///< Times the usual callers, from @p burstFrom on for @p burstFor.
+    Duration burstFrom{0};
+    Duration burstFor{0};
+};
+
+/// Callers whose first try came within one second, and how many of them were answered within the objective.
+struct NoisySecond {
+    int callers = 0;
+    int inTime = 0;
 };
 
 enum class NoisyPolicy {
@@ -49,6 +59,7 @@
     double secondAttempts = 0;
     double probes = 0; ///< For each request.
     std::size_t callers = 0;
+    std::vector<NoisySecond> seconds; ///< From the begin of the trial on.
 };
 
 /// @param load share of all slots that would be busy in the mean if servers were chosen blindly.
