What is decided under overload stands in one place

Moves only: when a request is late, how long it is held, who goes first, when callers come back and when an attempt is too late to begin are pure functions of OverloadPolicy with the load and the figure behind each threshold; ServiceShard passes events to them. Tests [policy].

--- a/src/core/requests/serviceshard.h
+++ b/src/core/requests/serviceshard.h
@@ -147,7 +147,7 @@
     /// @param isUnsent nothing of the last attempt left, so no server saw it and no budget is drawn on.
     bool mayRetry(TimePoint now, const Request &request, bool isUnsent);
     /// @return whether an attempt that is begun now might end before the deadline.
-    bool mayStillEnd(TimePoint now, const Request &request) const;
+    bool hasTimeForAttempt(TimePoint now, const Request &request) const;
     void conclude(TimePoint now, Request &request, const Attempt &attempt, const AttemptEnded &event, Verdict verdict, ServiceActions &actions);
     /// @return when the caller of a request that was not run should come back, after its last attempt.
     Duration comeBackAfter(const Attempt &attempt, const Request &request) const;
--- a/src/core/requests/serviceshardchoice.cpp
+++ b/src/core/requests/serviceshardchoice.cpp
@@ -5,11 +5,12 @@
     SPDX-License-Identifier: Apache-2.0
 */
 
+#include "core/requests/overloadpolicy.h"
 #include "core/requests/serviceshard.h"
 #include "core/support/httpstatus.h"
 
 #include <algorithm>
-#include <iterator>
+#include <utility>
 
 // The part of ServiceShard that chooses servers by probes and sends slow reads a second time.
 
@@ -19,15 +20,6 @@
 namespace
 {
 
-// After a refusal for want of room a caller misses its objective whenever it returns, so the best time for it is when there is
-// room again. Five objectives outlast most bursts, and callers that have less time left shorten it. Against 1.5 objectives
-// a burst of 2.2 times has 11 in 100 fewer refusals and leaves 19 in 100 fewer callers without an answer (three plays of 50 s).
-constexpr double ComeBackObjectives = 5;
-// A request may be held for this part of its latency objective before it is sent or refused. What finds no room within an
-// eighth finds none within a third either (holding as long as an answer could still be in time: no more answers in time).
-constexpr int HoldPart = 8;
-// With less than this part of its usual work left, a request misses its objective wherever it is sent.
-constexpr double LateBelowWork = 0.5;
 // A server is asked whether it still lives when an answer takes this part of the objective.
 constexpr double CheckAfterObjectives = 0.5;
 // Retries that hedges leave in the budget, for requests that failed.
@@ -46,7 +38,7 @@
 {
     request.choice.emplace();
     request.choice->isRescue = isRescue;
-    request.giveUpAt = std::min(now + request.arrival.latencyObjective / HoldPart, request.arrival.deadline);
+    request.giveUpAt = std::min(now + holdFor(request.arrival.latencyObjective), request.arrival.deadline);
     proceedWithChoice(now, request, actions);
 }
 
@@ -73,24 +65,14 @@
 
 std::vector<RequestId> ServiceShard::choosingInOrder(TimePoint now) const
 {
-    struct Place {
-        bool isBehind; ///< Not urgent.
-        bool isLate;
-        RequestId request;
-
-        auto operator<=>(const Place &) const = default;
-    };
-    std::vector<Place> places;
+    std::vector<WaitingRequest> waiting;
     for (const auto &[id, request] : requests_) {
         if (request.choice) {
             const ChoiceNeed need = needOf(now, request);
-            places.push_back({!need.isUrgent, need.isLate, id});
+            waiting.push_back({id, need.isUrgent, need.isLate});
         }
     }
-    std::sort(places.begin(), places.end());
-    std::vector<RequestId> order;
-    std::transform(places.begin(), places.end(), std::back_inserter(order), [](const Place &place) { return place.request; });
-    return order;
+    return inServingOrder(std::move(waiting));
 }
 
 ChoiceNeed ServiceShard::needOf(TimePoint now, const Request &request) const
@@ -98,8 +80,8 @@
     ChoiceNeed need;
     need.objective = request.arrival.latencyObjective;
     const Duration left = objectiveLeft(now, request);
-    need.timeLeft = std::max(left, need.objective / HoldPart);
-    need.isLate = toMilliseconds(left) < chooser_.model().workMs(need.objective) * LateBelowWork;
+    need.timeLeft = std::max(left, holdFor(need.objective));
+    need.isLate = isTooLate(left, chooser_.model().workMs(need.objective));
     need.isUrgent = request.arrival.priority < lowestPriority_;
     if (request.choice->isRescue || need.isLate) {
         // Late is better than never.
@@ -166,7 +148,7 @@
         return false;
     }
     const Fate fate = request.mayHaveRun ? Fate::Unknown : Fate::NotRun;
-    const auto comeBack = std::chrono::round<Duration>(request.arrival.latencyObjective * ComeBackObjectives);
+    const Duration comeBack = comeBackAfterShortage(request.arrival.latencyObjective);
     refuse(request, {HttpStatus::Unavailable, fate, "choose backend server", name_, noRoomDetail(now, request), comeBack}, actions);
     return true;
 }
--- a/src/core/requests/serviceshardoutcome.cpp
+++ b/src/core/requests/serviceshardoutcome.cpp
@@ -8,6 +8,7 @@
 #include "core/requests/serviceshard.h"
 
 #include "core/requests/comeback.h"
+#include "core/requests/overloadpolicy.h"
 #include "core/support/httpstatus.h"
 
 #include <algorithm>
@@ -22,12 +23,6 @@
 
 // Attempts that never left may be made up for this often.
 constexpr int MaxUnsent = 3;
-// Work varies; with less time left than this part of the usual one an attempt ends in vain as good as always. It would only
-// take a slot, and the caller would be told that the request may have been run.
-constexpr double LeastWork = 0.5;
-// A server that turns requests away while it tells of room is faulty, not full. Another one may well serve the request, so its
-// caller returns after this part of its objective and can still be in time; after a second it could not.
-constexpr int ComeBackSoonPart = 16;
 
 AttemptQuality qualityOf(const AttemptOutcome &outcome)
 {
@@ -185,15 +180,15 @@
 {
     const bool hasAttempts = request.attempts < maxAttempts(request);
     const bool isWanted = !request.isCallerGone || isPayout(request);
-    const bool isPossible = hasAttempts && isWanted && mayStillEnd(now, request) && pool_.hasCandidate();
+    const bool isPossible = hasAttempts && isWanted && hasTimeForAttempt(now, request) && pool_.hasCandidate();
     const bool isFree = isUnsent && probesFirst();
     return isPossible && (isFree || retryBudget_.take(now));
 }
 
-bool ServiceShard::mayStillEnd(TimePoint now, const Request &request) const
+bool ServiceShard::hasTimeForAttempt(TimePoint now, const Request &request) const
 {
-    const double leftMs = toMilliseconds(request.arrival.deadline - now);
-    return probesFirst() ? leftMs > chooser_.model().workMs(request.arrival.latencyObjective) * LeastWork : leftMs > 0;
+    const Duration left = request.arrival.deadline - now;
+    return probesFirst() ? mayStillEnd(left, chooser_.model().workMs(request.arrival.latencyObjective)) : left > Duration(0);
 }
 
 void ServiceShard::conclude(TimePoint now, Request &request, const Attempt &attempt, const AttemptEnded &event, Verdict verdict, ServiceActions &actions)
@@ -215,7 +210,7 @@
 {
     const bool hadRoom = crowdingAt(attempt.start.others, attempt.start.slots) != Crowding::HadToWait;
     const Duration objective = request.arrival.latencyObjective;
-    return probesFirst() && hadRoom ? objective / ComeBackSoonPart : ComeBackWhenBusy;
+    return probesFirst() && hadRoom ? comeBackAfterFalseReport(objective) : ComeBackWhenBusy;
 }
 
 void ServiceShard::cancelRunning(TimePoint now, Request &request, ServiceActions &actions)
--- /dev/null
+++ b/tests/unit/overloadpolicytests.cpp
@@ -0,0 +1,35 @@
+/*
+    This file is part of cloverbarrow.
+
+    SPDX-FileCopyrightText: 2026 The cloverbarrow authors
+    SPDX-License-Identifier: Apache-2.0
+*/
+
+#include "core/requests/overloadpolicy.h"
+
+#include <catch2/catch.hpp>
+
+using namespace Cloverbarrow;
+
+TEST_CASE("Urgent requests go first, then those that can still be in time, then the oldest", "[overload][policy]")
+{
+    const std::vector<WaitingRequest> waiting{{1, false, true}, {2, false, false}, {3, true, true}, {4, false, false}, {5, true, false}};
+    CHECK(inServingOrder(waiting) == std::vector<RequestId>{5, 3, 2, 4, 1});
+    CHECK(inServingOrder({}).empty());
+}
+
+TEST_CASE("A request is late once its work no longer fits before the objective", "[overload][policy]")
+{
+    CHECK_FALSE(isTooLate(milliseconds(300), 220));
+    CHECK(isTooLate(milliseconds(100), 220));
+    CHECK(isTooLate(milliseconds(-1), 220));
+    CHECK(mayStillEnd(milliseconds(120), 220));
+    CHECK_FALSE(mayStillEnd(milliseconds(100), 220));
+}
+
+TEST_CASE("A caller that met a false report is back in time, one that met a shortage after it", "[overload][policy]")
+{
+    constexpr Duration Objective = milliseconds(600);
+    CHECK(holdFor(Objective) + comeBackAfterFalseReport(Objective) <= Objective / 4);
+    CHECK(comeBackAfterShortage(Objective) >= 3 * Objective);
+}
