What sharing costs is learnt robustly and fades where it is not tried

Cause: an answer delayed by something else counted up to three times the work, so a tenth of such answers could make a last slot look not worth using where sharing costs nothing; and a slot once given up was never tried again. Ruled out: a careful guess before anything was seen. Change: a factor counts up to 2; what is not used fades with each answer of a less full server. Tests: [sharing]; both failed before.

--- a/src/core/servers/answertime.cpp
+++ b/src/core/servers/answertime.cpp
@@ -121,7 +121,8 @@
     } else if (SharingCost::isAlone(start.others, start.slots)) {
         const auto entry = workMs_.try_emplace(objective, WorkPartOfObjective * toMilliseconds(objective), 1, WorkWindow).first;
         entry->second.add(time);
-    } else {
+    }
+    if (start.slowness <= UsualSlowness) {
         sharing_.answered(start.others, start.slots, toMilliseconds(latency) / workMs(objective));
     }
 }
--- a/src/core/servers/learntmean.h
+++ b/src/core/servers/learntmean.h
@@ -30,6 +30,12 @@
         value_ += (sample - value_) / weight_;
     }
 
+    /// Lets what was learnt fade: moves by @p part of the way to @p target.
+    void fade(double target, double part)
+    {
+        value_ += (target - value_) * part;
+    }
+
     double value() const
     {
         return value_;
--- a/src/core/servers/sharingcost.cpp
+++ b/src/core/servers/sharingcost.cpp
@@ -20,8 +20,12 @@
 // an answer, so that two answers are enough to show a cost that makes a slot not worth using (1.7 as users measured).
 constexpr double GuessWeight = 0.5;
 constexpr double Window = 50; // answers
-// An answer that was delayed by something else, such as slowness that began after the report, says little of sharing.
-constexpr double LargestFactor = 3;
+// An answer that was delayed by something else, such as slowness that began after the report, says little of sharing; counted
+// whole, one in ten such answers would make slots look not worth using where sharing costs nothing.
+constexpr double LargestFactor = 2;
+// Slots that are not used teach nothing, so what they were found to cost fades by this part with each answer of a server that is
+// less full. At six answers a second they are tried again after two minutes or so.
+constexpr double FadePerAnswer = 0.0005;
 
 } // namespace
 
@@ -46,8 +50,12 @@
 
 void SharingCost::answered(int others, int slots, double factor)
 {
+    const std::size_t part = partOf(others, slots);
     if (!isAlone(others, slots)) {
-        factors_[partOf(others, slots)].add(std::min(factor, LargestFactor));
+        factors_[part].add(std::min(factor, LargestFactor));
+    }
+    for (std::size_t fuller = part + 1; fuller < Parts; ++fuller) {
+        factors_[fuller].fade(1, FadePerAnswer);
     }
 }
 
--- a/tests/unit/answertimetests.cpp
+++ b/tests/unit/answertimetests.cpp
@@ -176,3 +176,25 @@
     }
     CHECK(model.isCrowded());
 }
+
+TEST_CASE("Some delayed answers do not make slots look not worth using", "[answertime][sharing]")
+{
+    SharingCost cost;
+    for (int answer = 0; answer < 200; ++answer) {
+        cost.answered(2, 3, answer % 10 == 0 ? 5.0 : 1.0);
+        CHECK((answer < 10 || cost.bestUse(3) == 3));
+    }
+}
+
+TEST_CASE("Slots that were not worth using are tried again after a while", "[answertime][sharing]")
+{
+    SharingCost cost;
+    for (int answer = 0; answer < 50; ++answer) {
+        cost.answered(2, 3, 1.9);
+    }
+    REQUIRE(cost.bestUse(3) == 2);
+    for (int answer = 0; answer < 2000; ++answer) {
+        cost.answered(0, 3, 1.0);
+    }
+    CHECK(cost.bestUse(3) == 3);
+}
