--- a/src/core/directory/relayseat.cpp
+++ b/src/core/directory/relayseat.cpp
@@ -26,7 +26,7 @@
 constexpr Duration OthersInterval = seconds(15);
 // Spreads the first looks, so that few entry VMs try to take the seat at once.
 constexpr Duration FirstStartSpread = seconds(2);
-// A list of 3,000 servers has 100 KB (bench/directory), and after a power cut each follower asks for one: 75 of them keep a
+// A list of 3,000 servers has 100 KB, and after a power cut each follower asks for one: 75 of them keep a
 // link of 10 Mbit/s busy for 6 s, one of 100 Mbit/s for 0.6 s.
 constexpr double FastLinkMbps = 100;
 constexpr Duration SlowLinkStandBack = seconds(1);
--- a/src/core/requests/callerpatience.cpp
+++ b/src/core/requests/callerpatience.cpp
@@ -15,7 +15,7 @@
 namespace
 {
 
-// Callers of a kind wait equally long (users' sheets). What they waited formerly is forgotten after one to two periods.
+// Callers of a kind wait equally long, as users' clients do. What they waited formerly is forgotten after one to two periods.
 constexpr Duration Period = seconds(30);
 
 } // namespace
--- a/src/core/servers/serverchooser.cpp
+++ b/src/core/servers/serverchooser.cpp
@@ -23,11 +23,11 @@
 constexpr std::size_t FirstRoundProbes = 3;
 constexpr std::size_t FirstRoundNear = 2;
 constexpr std::size_t NextRoundProbes = 3;
-// Servers of a service that one entry VM asks first. A new connection costs twelve times a probe on the users' sheets; with
+// Servers of a service that one entry VM asks first. A new connection costs users twelve times a probe; with
 // some 7 requests a second an entry VM keeps connections to about so many in use.
 constexpr std::size_t UsualServers = 12;
 constexpr std::size_t UsualNear = 8;
-// A probe comes back after some 10 ms (6 ms at the server on the users' sheets and the way); waiting longer costs more
+// A probe comes back after some 10 ms (6 ms at users' servers and the way); waiting longer costs more
 // than its news is worth.
 constexpr Duration ProbePatience = milliseconds(20);
 // Rounds without a choice follow each other at this distance, so that a full service is not asked without pause.
--- a/src/net/callerconnection.cpp
+++ b/src/net/callerconnection.cpp
@@ -13,7 +13,6 @@
 #include <poll.h>
 #include <sys/socket.h>
 
-#include <algorithm>
 #include <cerrno>
 
 namespace Cloverbarrow
@@ -82,53 +81,42 @@
 void CallerConnection::answerTo(std::uint64_t number, const HttpAnswer &answer, bool isHead)
 {
     std::unique_lock lock(mutex_);
-    const auto found = std::find_if(pending_.begin(), pending_.end(), [number](const Pending &pending) { return pending.number == number; });
-    give(found == pending_.end() ? nullptr : &*found, {answer, isHead, false}, lock);
+    if (pending_.give(number, {answer, isHead, false})) {
+        release();
+        proceed(lock);
+    }
 }
 
 void CallerConnection::answer(const HttpAnswer &answer, bool isHead)
 {
     std::unique_lock lock(mutex_);
-    give(firstUnanswered(), {answer, isHead, false}, lock);
+    if (pending_.giveFirst({answer, isHead, false})) {
+        release();
+        proceed(lock);
+    }
 }
 
 void CallerConnection::answerBytes(std::string_view bytes, bool closes)
 {
     std::unique_lock lock(mutex_);
-    give(firstUnanswered(), {std::string(bytes), false, closes}, lock);
-}
-
-CallerConnection::Pending *CallerConnection::firstUnanswered()
-{
-    const auto found = std::find_if(pending_.begin(), pending_.end(), [](const Pending &pending) { return !pending.ready; });
-    return found == pending_.end() ? nullptr : &*found;
-}
-
-void CallerConnection::give(Pending *pending, Ready ready, std::unique_lock<std::mutex> &lock)
-{
-    if (state_ != State::Open || !pending || pending->ready) {
-        return;
+    if (pending_.giveFirst({std::string(bytes), false, closes})) {
+        release();
+        proceed(lock);
     }
-    pending->ready = std::move(ready);
-    release();
-    proceed(lock);
 }
 
 void CallerConnection::release()
 {
-    while (state_ == State::Open && !pending_.empty() && pending_.front().ready) {
-        const Pending pending = std::move(pending_.front());
-        pending_.pop_front();
-        // Requests behind this one were handed on, so only the last answer may end the connection.
-        const bool isLast = pending_.empty() && (closesAfterAnswer_ || (hasInputEnded_ && input_.empty()));
-        bool closes = isLast || !pending.keepsConnection;
-        if (const auto *bytes = std::get_if<std::string>(&pending.ready->answer)) {
-            closes = pending.ready->closes;
+    for (auto next = pending_.takeNext(); next; next = pending_.takeNext()) {
+        if (const auto *bytes = std::get_if<std::string>(&next->answer)) {
             output_.append(*bytes);
         } else {
-            output_.append(serialize(std::get<HttpAnswer>(pending.ready->answer), pending.ready->isHead, closes));
+            // Requests behind this one were handed on, so only the last answer may end the connection.
+            const bool isLast = pending_.isEmpty() && (closesAfterAnswer_ || (hasInputEnded_ && input_.empty()));
+            next->closes = next->closes || isLast;
+            output_.append(serialize(std::get<HttpAnswer>(next->answer), next->isHead, next->closes));
         }
-        closesAfterAnswer_ = closesAfterAnswer_ || closes;
+        closesAfterAnswer_ = closesAfterAnswer_ || next->closes;
         since_ = bootNow();
     }
     flushLocked();
@@ -158,7 +146,7 @@
 
 bool CallerConnection::isIdle() const
 {
-    return state_ == State::Open && pending_.empty() && output_.empty();
+    return state_ == State::Open && pending_.isEmpty() && output_.empty();
 }
 
 void CallerConnection::sweep(TimePoint now)
@@ -249,12 +237,11 @@
     if (state_ != State::Open || input_.empty() || !output_.empty()) {
         return false;
     }
-    if (pending_.empty()) {
+    if (pending_.isEmpty()) {
         return true;
     }
     // What is not taken before the connection closes was never read, and the caller may send it again elsewhere.
-    const bool goesOn = !closesAfterAnswer_ && pending_.back().keepsConnection;
-    return goesOn && pending_.size() < use_.requestsInFlight && arePendingReads_ && isRead(input_);
+    return !closesAfterAnswer_ && pending_.size() < use_.requestsInFlight && pending_.takesReads() && isRead(input_);
 }
 
 bool CallerConnection::takeRequest(HttpRequest &request)
@@ -282,9 +269,7 @@
         return false;
     }
     request = std::move(std::get<HttpRequest>(result));
-    request.number = ++lastNumber_;
-    arePendingReads_ = (pending_.empty() || arePendingReads_) && onlyReads;
-    pending_.push_back({request.number, request.keepsConnection, std::nullopt});
+    request.number = pending_.add(request.keepsConnection, onlyReads);
     hasSaidContinue_ = false;
     triedSize_ = 0;
     return true;
@@ -294,7 +279,7 @@
 {
     input_.clear();
     const Problem problem{fault.status, Fate::NotRun, "read request", "caller", fault.message, std::nullopt};
-    pending_.push_back({++lastNumber_, false, Ready{problemAnswer(problem), false, true}});
+    pending_.give(pending_.add(false, false), {problemAnswer(problem), false, true});
     release();
 }
 
@@ -325,7 +310,7 @@
 
 void CallerConnection::sentLocked()
 {
-    if (!pending_.empty()) {
+    if (!pending_.isEmpty()) {
         return;
     }
     if (closesAfterAnswer_ || (hasInputEnded_ && input_.empty())) {
--- a/src/net/callerconnection.h
+++ b/src/net/callerconnection.h
@@ -8,19 +8,18 @@
 #pragma once
 
 #include "core/support/time.h"
+#include "net/answerqueue.h"
 #include "net/descriptor.h"
 #include "net/requestframer.h"
 
 #include <cstddef>
 #include <cstdint>
-#include <deque>
 #include <functional>
 #include <memory>
 #include <mutex>
 #include <optional>
 #include <string>
 #include <string_view>
-#include <variant>
 
 namespace Cloverbarrow
 {
@@ -93,28 +92,12 @@
         Closed,
     };
 
-    /// An answer that is there and may have to wait for others before it.
-    struct Ready {
-        std::variant<HttpAnswer, std::string> answer; ///< Or its bytes.
-        bool isHead = false;
-        bool closes = false;
-    };
-
-    /// A request that has been handed on and not been answered.
-    struct Pending {
-        std::uint64_t number = 0;
-        bool keepsConnection = true;
-        std::optional<Ready> ready;
-    };
-
     bool isIdle() const;
     void sweepReading(TimePoint now);
     void proceed(std::unique_lock<std::mutex> &lock);
     bool mayTakeRequest() const;
     bool takeRequest(HttpRequest &request);
     void fail(const FramingFault &fault);
-    Pending *firstUnanswered();
-    void give(Pending *pending, Ready ready, std::unique_lock<std::mutex> &lock);
     /// Writes out the answers that need not wait for others.
     void release();
     void flushLocked();
@@ -130,9 +113,7 @@
     State state_ = State::Open;
     std::string input_;
     std::size_t triedSize_ = 0;
-    std::deque<Pending> pending_;
-    std::uint64_t lastNumber_ = 0;
-    bool arePendingReads_ = true; ///< All pending requests only read.
+    AnswerQueue pending_;
     std::string output_;
     std::size_t outputSent_ = 0;
     bool closesAfterAnswer_ = false;
--- a/src/net/relaylists.cpp
+++ b/src/net/relaylists.cpp
@@ -21,7 +21,7 @@
 
 // Links of 10 Mbit/s have to carry a configuration of 100 KB to each of some 30 followers.
 constexpr std::size_t WorthPacking = 2000;
-// Packing the entries of 3,000 servers takes 12 ms of a whole core (bench/directory), and entry VMs may have a tenth of one.
+// Packing the entries of 3,000 servers takes 12 ms of a whole core, and entry VMs may have a tenth of one.
 // What changed meanwhile comes with the follower's first watch, at once.
 constexpr Duration ServersReuse = seconds(1);
 // Longer answers fill the link of a small VM, and then checks of the relay come too late.
