--- a/src/net/answerqueue.cpp
+++ b/src/net/answerqueue.cpp
@@ -31,7 +31,7 @@
     return giveTo(std::find_if(pending_.begin(), pending_.end(), isOpen), std::move(answer));
 }
 
-bool AnswerQueue::giveTo(std::deque<Pending>::iterator pending, ReadyAnswer answer)
+bool AnswerQueue::giveTo(const std::deque<Pending>::iterator &pending, ReadyAnswer answer)
 {
     if (pending == pending_.end()) {
         return false;
--- a/src/net/answerqueue.h
+++ b/src/net/answerqueue.h
@@ -55,7 +55,7 @@
         std::optional<ReadyAnswer> answer;
     };
 
-    bool giveTo(std::deque<Pending>::iterator pending, ReadyAnswer answer);
+    bool giveTo(const std::deque<Pending>::iterator &pending, ReadyAnswer answer);
 
     std::deque<Pending> pending_;
     std::uint64_t lastNumber_ = 0;
