What servers tell of their slots may be wrong by any amount

Change: one look for each sixteenth of the slots, with the same result (test over all numbers up to 16); a slowness above 100 is left out of the mean. Tests: [input], and the comparison with counting.

--- a/src/core/requests/serviceshardchoice.cpp
+++ b/src/core/requests/serviceshardchoice.cpp
@@ -183,7 +183,7 @@
 void ServiceShard::rescue(TimePoint now, ServiceActions &actions)
 {
     // A slow answer is no reason for a second attempt: servers tell how slow they are, so requests begin where they end soonest, and
-    // a second one at half of the objective took more slots than it won (six sites' days: up to 0.008 of worth lost, none gained).
+    // a second one at half of the objective took more slots than it won (days of three deployments: 0 to 0.008 of worth lost).
     for (auto &[id, request] : requests_) {
         if (!mayHedge(now, request)) {
             continue;
--- a/src/core/servers/answertime.cpp
+++ b/src/core/servers/answertime.cpp
@@ -23,6 +23,8 @@
 // A slow server is quick again after some such time: the rest of its period, and another one when it stays slow.
 constexpr double SpeedChangesInMs = 2 * SlownessLastsMs;
 constexpr double ReportWindow = 50; // reports
+// A server that tells of more is wrong, or so slow that it says nothing of the others; the mean leaves it out.
+constexpr double LargestSlowness = 100;
 // With more of the slots in use that are worth it, a server whose report is not fresh has as a rule no room: in a burst of 2.2 times
 // 11 in 100 requests sent by reports of up to a second found all slots taken, and 19 in 100 a slow server.
 constexpr double CrowdedUse = 0.75;
@@ -129,7 +131,9 @@
 
 void AnswerTimeModel::told(const LoadReport &report)
 {
-    meanSlowness_.add(report.slowness);
+    if (report.slowness <= LargestSlowness) {
+        meanSlowness_.add(report.slowness);
+    }
     if (report.slots > 0) {
         const double use = static_cast<double>(report.running + report.waiting) / sharing_.bestUse(report.slots);
         meanUse_.add(std::min(1.0, use));
--- a/src/core/servers/sharingcost.cpp
+++ b/src/core/servers/sharingcost.cpp
@@ -72,11 +72,13 @@
 
 int SharingCost::bestUse(int slots) const
 {
-    // With so many requests at a time, each of them begins beside all the others.
+    // With so many requests at a time, each of them begins beside all the others. Within a part of the slots the factor is the same, so
+    // its last number is the best; what a server tells of its slots may be wrong by any amount and must not make this long.
     int best = 1;
     double bestRate = 1;
-    for (int used = 2; used <= slots; ++used) {
-        const double rate = used / factor(used - 1, slots);
+    for (std::size_t part = 0; part < Parts; ++part) {
+        const auto used = static_cast<int>((part + 1) * static_cast<std::size_t>(std::max(1, slots)) / Parts);
+        const double rate = used > 0 ? used / factor(used - 1, slots) : 0;
         if (rate > bestRate) {
             best = used;
             bestRate = rate;
--- a/tests/unit/answertimetests.cpp
+++ b/tests/unit/answertimetests.cpp
@@ -198,3 +198,39 @@
     }
     CHECK(cost.bestUse(3) == 3);
 }
+
+TEST_CASE("Absurd figures of a server neither take long nor change what is expected of others", "[answertime][input]")
+{
+    constexpr int Absurd = 1'000'000;
+    SharingCost cost;
+    for (int look = 0; look < 100'000; ++look) {
+        REQUIRE(cost.bestUse(Absurd) == Absurd);
+    }
+    CHECK(cost.bestUse(0) == 1);
+    CHECK(cost.bestUse(-5) == 1);
+    AnswerTimeModel model;
+    learn(model, Work, found(0));
+    for (int report = 0; report < 100; ++report) {
+        model.told({0, 0, Slots, report % 10 == 0 ? 10'000.0 : 1.0});
+    }
+    CHECK(model.isBetterLeftFree(told({0, 0, Slots, 5.0}), AimedLatency, Now));
+}
+
+TEST_CASE("The best use of a server is found among all numbers of its slots", "[answertime][sharing]")
+{
+    for (int slots = 2; slots <= 16; ++slots) {
+        for (int good = 1; good < slots; ++good) {
+            SharingCost cost;
+            for (int answer = 0; answer < 50; ++answer) {
+                for (int others = 1; others < slots; ++others) {
+                    cost.answered(others, slots, others < good ? 1.0 : 1.95);
+                }
+            }
+            int best = 1;
+            for (int used = 2; used <= slots; ++used) {
+                best = used / cost.factor(used - 1, slots) > best / cost.factor(best - 1, slots) ? used : best;
+            }
+            CHECK(cost.bestUse(slots) == best);
+        }
+    }
+}
