A server that starts again under its id is another one, and an entry of another writer names no server

Cause: servers were known by their id alone, which "no other incarnation ever has". On the users' platform a server now may start again under it, and says when it started. What was believed of the former start (ejection, warm-up, attempts in flight, a leaving mark) held for the later one at the same address. An entry that could not be read left what stood there before, so a server went on being used that another writer had overwritten; one byte that is no text made a whole page unreadable.

Ruled out: comparing the times of starts (wall clocks are set back; the store's revision orders them); a field beside the name in every event (each place that goes by the name would need both).

The registry keeps one entry for each id and takes an unusable one as gone at its revision; relays tell it so.

Left: a million changed entries against the decoder; soak with starts under the same id.

--- a/src/core/directory/directoryevents.h
+++ b/src/core/directory/directoryevents.h
@@ -38,10 +38,10 @@
     bool operator==(const RoutingPlan &) const = default;
 };
 
-/// One incarnation of a backend server, as it registered itself.
+/// One start of a backend server, as it registered itself.
 struct Registration {
     std::string service;
-    BackendServer server; ///< Named by its id, which no other incarnation ever has.
+    BackendServer server; ///< Its name is that of this start: a server that starts again under its id gets another.
     bool isDraining = false;
 
     bool operator==(const Registration &) const = default;
@@ -56,6 +56,7 @@
     std::optional<DirectoryValue> value; ///< Nothing when the object was deleted or cannot be read.
     bool isDeleted = false;
     std::string text; ///< The object as the store wrote it, to be told on to peers unread.
+    std::string fault = {}; ///< Why it has no value although it was not deleted.
 };
 
 // Events
--- a/src/core/directory/directorykeeper.cpp
+++ b/src/core/directory/directorykeeper.cpp
@@ -94,6 +94,7 @@
         isNews = registry_.listed(now, event.entries);
         // A page alone is no whole list; only with the last one is what no page named gone.
         isNews = (isWhole && registry_.listEnded(now, watch.listedUpTo())) || isNews || isWhole;
+        reportUnusable(actions);
     }
     if (isNews) {
         publish(actions);
@@ -107,6 +108,7 @@
     watchOf(event.collection).changed(now, event);
     heardUpTo(event.collection, event.storeRevision);
     const bool isNews = event.collection == Collection::Routing ? takePlans(event.entries, actions) : registry_.changed(now, event.entries);
+    reportUnusable(actions);
     if (isNews) {
         publish(actions);
     }
@@ -240,6 +242,7 @@
     for (const DirectoryEntry &entry : entries) {
         const auto *plan = entry.value ? std::get_if<RoutingPlan>(&*entry.value) : nullptr;
         if (!plan) {
+            reportFault(entry, actions);
             continue;
         }
         if (plan_ && plan->version <= plan_->version) {
@@ -254,6 +257,23 @@
     return isNews;
 }
 
+void DirectoryKeeper::reportUnusable(DirectoryActions &actions)
+{
+    for (const DirectoryEntry &entry : registry_.takeUnusable()) {
+        reportFault(entry, actions);
+    }
+}
+
+void DirectoryKeeper::reportFault(const DirectoryEntry &entry, DirectoryActions &actions)
+{
+    if (entry.fault.empty()) {
+        return;
+    }
+    ++faults_;
+    const std::string where = entry.name + " at revision " + std::to_string(entry.revision);
+    actions.emplace_back(ReportDirectory{"object cannot be used", where + ": " + entry.fault + " (" + std::to_string(faults_) + " so far)"});
+}
+
 void DirectoryKeeper::storeAnswered(TimePoint now, DirectoryActions &actions)
 {
     provenAt_ = now;
--- a/src/core/directory/directorykeeper.h
+++ b/src/core/directory/directorykeeper.h
@@ -52,6 +52,9 @@
 
     CollectionWatch &watchOf(Collection collection);
     bool takePlans(const std::vector<DirectoryEntry> &entries, DirectoryActions &actions);
+    void reportUnusable(DirectoryActions &actions);
+    /// Tells of an entry that has no value although it was not deleted.
+    void reportFault(const DirectoryEntry &entry, DirectoryActions &actions);
     const CollectionWatch &watchOf(Collection collection) const;
     /// @return where the collection stands in arrays.
     static std::size_t indexOf(Collection collection);
@@ -82,6 +85,7 @@
     DirectoryEntry planEntry_; ///< The same, as it came.
     std::int64_t planSequence_ = 1; ///< Counts plans, for peers; 0 asks for the present one.
     std::int64_t published_ = 0;
+    int faults_ = 0; ///< Entries told of by reportFault().
     bool isStoreLost_ = false;
     std::optional<TimePoint> provenAt_; ///< When the store last answered.
     std::optional<TimePoint> currentAt_; ///< When it last did while everything that it holds was known here.
--- a/src/core/directory/serverregistry.cpp
+++ b/src/core/directory/serverregistry.cpp
@@ -8,6 +8,7 @@
 #include "core/directory/serverregistry.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace Cloverbarrow
 {
@@ -111,11 +112,7 @@
 {
     const auto *registration = entry.value ? std::get_if<Registration>(&*entry.value) : nullptr;
     if (!registration) {
-        // An object that cannot be read leaves what was known of it.
-        if (const auto found = entries_.find(entry.name); found != entries_.end()) {
-            found->second.isListed = found->second.isListed || isListed;
-        }
-        return false;
+        return putUnusable(entry);
     }
     if (const auto deletion = deletions_.find(entry.name); deletion != deletions_.end() && entry.revision <= deletion->second.revision) {
         // A relay may be behind.
@@ -141,6 +138,30 @@
     return isNews;
 }
 
+bool ServerRegistry::putUnusable(const DirectoryEntry &entry)
+{
+    const auto found = entries_.find(entry.name);
+    const auto deletion = deletions_.find(entry.name);
+    const std::int64_t known = found != entries_.end() ? found->second.revision : deletion != deletions_.end() ? deletion->second.revision : 0;
+    if (entry.revision <= known) {
+        return false;
+    }
+    unusable_.push_back({entry.name, entry.revision, std::nullopt, false, {}, entry.fault});
+    if (found == entries_.end()) {
+        noteDeletion(entry.name, entry.revision);
+        return false;
+    }
+    // No time to come back: the store is there, and says something else.
+    found->second.goneRevision = entry.revision;
+    erase(found);
+    return true;
+}
+
+std::vector<DirectoryEntry> ServerRegistry::takeUnusable()
+{
+    return std::exchange(unusable_, {});
+}
+
 std::int64_t ServerRegistry::sequence() const
 {
     return sequence_;
@@ -181,8 +202,13 @@
 
 void ServerRegistry::erase(std::map<std::string, Entry>::iterator entry)
 {
-    deletions_.insert_or_assign(entry->first, Deletion{entry->second.goneRevision, ++sequence_});
+    noteDeletion(entry->first, entry->second.goneRevision);
     entries_.erase(entry);
+}
+
+void ServerRegistry::noteDeletion(const std::string &name, std::int64_t revision)
+{
+    deletions_.insert_or_assign(name, Deletion{revision, ++sequence_});
     if (deletions_.size() > MaxDeletions) {
         const auto isOlder = [](const auto &left, const auto &right) { return left.second.sequence < right.second.sequence; };
         const auto oldest = std::min_element(deletions_.begin(), deletions_.end(), isOlder);
--- a/src/core/directory/serverregistry.h
+++ b/src/core/directory/serverregistry.h
@@ -16,8 +16,9 @@
 namespace Cloverbarrow
 {
 
-/// The registered incarnations of backend servers. A partial list never counts as whole, an older revision never
-/// replaces a newer one, and entries that lapsed while the store was away get time to come back.
+/// The registered backend servers, each with its latest start. A partial list never counts as whole, an older revision never
+/// replaces a newer one, and entries that lapsed while the store was away get time to come back. An entry that cannot be read names
+/// no server, whatever stood there before.
 class ServerRegistry
 {
 public:
@@ -35,6 +36,9 @@
     /// Drops entries whose time to come back is over. @return whether any was dropped.
     bool tick(TimePoint now);
 
+    /// @return entries that came to be without a usable server since the last call.
+    std::vector<DirectoryEntry> takeUnusable();
+
     /// @return all registrations of @p service.
     std::vector<Registration> of(const std::string &service) const;
     /// @return the number of the latest change in this registry; peers name it when they ask for what came after.
@@ -60,14 +64,17 @@
     };
 
     bool put(const DirectoryEntry &entry, bool isListed);
+    bool putUnusable(const DirectoryEntry &entry);
     bool remove(TimePoint now, std::map<std::string, Entry>::iterator entry, std::int64_t storeRevision);
     void erase(std::map<std::string, Entry>::iterator entry);
+    void noteDeletion(const std::string &name, std::int64_t revision);
 
     std::map<std::string, Entry> entries_;
     std::map<std::string, Deletion> deletions_; ///< By name, to be told to peers.
     std::int64_t sequence_ = 1; ///< 0 asks for everything.
     std::int64_t forgotten_ = 0; ///< Deletions up to this change are no longer known.
     std::optional<TimePoint> graceUntil_;
+    std::vector<DirectoryEntry> unusable_; ///< Not told yet.
 };
 
 } // namespace Cloverbarrow
--- a/tests/platform/pathtests.cpp
+++ b/tests/platform/pathtests.cpp
@@ -276,6 +276,46 @@
     CHECK(site.backends[1]->runs().empty());
 }
 
+TEST_CASE("A server that starts again under its id is used again, though the former start was leaving", "[platform][path][restart]")
+{
+    Site site;
+    const auto isUsed = [&site](std::size_t index) {
+        const std::size_t before = site.backends[index]->runs().size();
+        for (int request = 0; request < 10; ++request) {
+            CHECK(site.send("GET", "/read/1", "id-" + std::to_string(request))->status == 200);
+            // Past the age up to which the last answer's report chooses the same server again.
+            std::this_thread::sleep_for(milliseconds(35));
+        }
+        return site.backends[index]->runs().size() > before;
+    };
+    const auto register0 = [&site](const Json &born, const std::string &state) {
+        Json registration = site.backends[0]->registration("reclamos", state);
+        registration["born"] = born;
+        site.store.put("servers", "i-1", registration);
+    };
+    register0(1'764'700'000'000, "ready");
+    REQUIRE(eventually([&isUsed] { return isUsed(0); }));
+    SECTION("as another server at its address told")
+    {
+        site.backends[0]->becomeInstance("i-9");
+        REQUIRE(eventually([&isUsed] { return !isUsed(0) && !isUsed(0); }));
+        site.backends[0]->becomeInstance("i-1");
+    }
+    SECTION("as it told itself")
+    {
+        register0(1'764'700'000'000, "draining");
+        REQUIRE(eventually([&isUsed] { return !isUsed(0) && !isUsed(0); }));
+    }
+    SECTION("as an entry of another writer made it seem")
+    {
+        register0("yesterday", "ready");
+        REQUIRE(eventually([&isUsed] { return !isUsed(0) && !isUsed(0); }));
+        CHECK(isUsed(1));
+    }
+    register0(1'764'700'009'000, "ready");
+    CHECK(eventually([&isUsed] { return isUsed(0); }));
+}
+
 TEST_CASE("Operators' limits for callers are in force", "[platform][path][limits]")
 {
     Site site;
--- a/tests/platform/storetests.cpp
+++ b/tests/platform/storetests.cpp
@@ -67,3 +67,76 @@
     }
     client.stop();
 }
+
+namespace
+{
+
+/// A store that answers every call with the same bytes.
+class FixedStore
+{
+public:
+    explicit FixedStore(const std::string &body)
+    {
+        CallerServerOptions options;
+        options.address = "127.0.0.1:0";
+        server_ = std::make_unique<CallerServer>(options, [body](const std::shared_ptr<CallerConnection> &connection, const HttpRequest &) {
+            connection->answer({200, "", {{"Content-Type", "application/json"}}, body}, false);
+        });
+    }
+
+    std::string address() const
+    {
+        return "127.0.0.1:" + std::to_string(server_->port());
+    }
+
+private:
+    std::unique_ptr<CallerServer> server_;
+};
+
+std::string serverObject(const std::string &name, const std::string &zone)
+{
+    return R"({"metadata":{"name":")" + name + R"(","revision":4},"specification":{"service":"s1","address":"10.0.0.1:80","zone":")" + zone
+        + R"(","version":"v1","slots":3,"state":"ready","warmup_remaining_s":0,"sequence":4}})";
+}
+
+} // namespace
+
+TEST_CASE("One entry that cannot be read leaves the rest of its page and of its changes", "[platform][servers]")
+{
+    const std::string spoiled = GENERATE(serverObject("i-2", "bog-\xff"),
+                                         serverObject("i-2", "bog-\x02"),
+                                         std::string(R"({"metadata":{"name":"i-2","revision":5},"specification":"aGVsbG8="})"),
+                                         std::string(R"({"metadata":{"name":"i-2","revision":5}})"),
+                                         std::string(R"({"metadata":{"revision":5},"specification":{}})"),
+                                         std::string(R"({"metadata":7})"),
+                                         std::string("null"));
+    HttpClient client(1);
+    const std::string items = serverObject("i-1", "bog-a") + "," + spoiled + "," + serverObject("i-3", "bog-b");
+    FixedStore lists(R"({"items":[)" + items + R"(],"has_more":false,"store_revision":9})");
+    Platform::Store listed(client, lists.address());
+    std::promise<DirectoryEvent> page;
+    listed.list(ListDirectory{Collection::Servers, {}, {}, 1}, [&page](const DirectoryAnswer &answer) { page.set_value(answer.event); });
+    const auto checkEntries = [](const std::vector<DirectoryEntry> &entries) {
+        REQUIRE(entries.size() >= 2);
+        CHECK(entries.front().value);
+        CHECK(entries.front().name == "i-1");
+        CHECK(entries.back().value);
+        CHECK(entries.back().name == "i-3");
+        const bool hasSpoiled = entries.size() > 2;
+        CHECK((!hasSpoiled || (!entries[1].value && !entries[1].fault.empty())));
+    };
+    const DirectoryEvent pageEvent = page.get_future().get();
+    REQUIRE(std::holds_alternative<DirectoryListed>(pageEvent));
+    checkEntries(std::get<DirectoryListed>(pageEvent).entries);
+
+    const auto event = [](const std::string &object) { return R"({"deleted":false,"object":)" + object + "}"; };
+    const std::string events = event(serverObject("i-1", "bog-a")) + "," + event(spoiled) + "," + event(serverObject("i-3", "bog-b"));
+    FixedStore watches(R"({"events":[)" + events + R"(],"store_revision":9})");
+    Platform::Store watched(client, watches.address());
+    std::promise<DirectoryEvent> change;
+    watched.watch(WatchDirectory{Collection::Servers, 3, seconds(1), {}, 1}, [&change](const DirectoryAnswer &answer) { change.set_value(answer.event); });
+    const DirectoryEvent changeEvent = change.get_future().get();
+    REQUIRE(std::holds_alternative<DirectoryChanged>(changeEvent));
+    checkEntries(std::get<DirectoryChanged>(changeEvent).entries);
+    client.stop();
+}
