Checks of a lost store get rarer

Ruled out: followers (they ask through their relay); the return (24 lists by six relays at two collections).

Change: from the fourth check without an answer on the pause grows to 1.2 s, which is how much later a change made at the store's return is in force.

Unit [outage] failed before: 21 checks in 8 s for 11 allowed.

--- a/src/core/directory/directorykeeper.h
+++ b/src/core/directory/directorykeeper.h
@@ -87,6 +87,7 @@
     DirectoryEntry planEntry_; ///< The same, as it came.
     std::int64_t planSequence_ = 1; ///< Counts plans, for peers; 0 asks for the present one.
     std::int64_t published_ = 0;
+    int lostChecks_ = 0; ///< Without an answer, in a row.
     int faults_ = 0; ///< Entries told of by reportFault().
     bool isStoreLost_ = false;
     std::optional<TimePoint> provenAt_; ///< When the store last answered.
--- a/tests/unit/directorytests.cpp
+++ b/tests/unit/directorytests.cpp
@@ -432,6 +432,37 @@
     CHECK(store.servers() == Names{"i-1@150", "i-9"});
 }
 
+TEST_CASE("A store that is away for long is asked less and less often, and its return is noticed soon", "[directory][outage]")
+{
+    Following store;
+    store.start({server("i-1", 2)});
+    store.answer(store.watch(Collection::Servers).call, DirectoryCallFailed{Collection::Servers, "reset"});
+    const int before = store.checks;
+    const auto passLost = [&store](Duration duration) {
+        for (Duration passed{0}; passed < duration; passed += milliseconds(10)) {
+            const int asked = store.checks;
+            store.pass(milliseconds(10));
+            if (store.checks > asked) {
+                store.answer(0, DirectoryChecked{false});
+            }
+        }
+    };
+    passLost(seconds(8));
+    // 21 when each pause was the same.
+    CHECK(store.checks - before <= 11);
+    const int lost = store.checks;
+    store.pass(milliseconds(1510));
+    CHECK(store.checks == lost + 1);
+    const std::size_t lists = store.lists.size();
+    store.answer(0, DirectoryChecked{true});
+    store.pass(milliseconds(10));
+    CHECK(store.lists.size() == lists + 2);
+    // Once it is back each check is made as before.
+    const int found = store.checks;
+    store.pass(seconds(2));
+    CHECK(store.checks > found);
+}
+
 TEST_CASE("When history is gone the collection is listed again and what is missing is dropped", "[directory]")
 {
     Following store;
