--- a/tests/soak/faultschedule.cpp
+++ b/tests/soak/faultschedule.cpp
@@ -37,11 +37,24 @@
                                  NamedConduct{Conduct::Unsigned, "answers unsigned"},
                                  NamedConduct{Conduct::Unframed, "answers without length"}};
 
+/// What another writer puts in place of a field, as JSON.
+struct SpoiledField {
+    const char *name;
+    const char *value;
+};
+
+constexpr std::array SpoiledFields = {SpoiledField{"address", "7"},
+                                      SpoiledField{"state", "\"resting\""},
+                                      SpoiledField{"slots", "\"three\""},
+                                      SpoiledField{"service", "null"},
+                                      SpoiledField{"born", "-1"}};
+
 } // namespace
 
 FaultSchedule::FaultSchedule(SoakSite &site, std::uint64_t seed)
     : site_(site)
     , random_(seed)
+    , laterRandom_(~seed)
 {
 }
 
@@ -52,6 +65,7 @@
         node.mapped()();
     }
     drawFault();
+    drawLaterFault();
     return milliseconds(random_.below(MostGapMs));
 }
 
@@ -163,6 +177,29 @@
     }
 }
 
+void FaultSchedule::drawLaterFault()
+{
+    constexpr std::size_t StepsPerFault = 6;
+    if (laterRandom_.below(StepsPerFault) > 0) {
+        return;
+    }
+    const std::size_t backend = laterRandom_.below(site_.backends());
+    const std::string name = "backend server " + std::to_string(backend);
+    if (laterRandom_.below(2) == 0) {
+        note(name + " starts again under its id");
+        site_.backendLink(backend).setFault(LinkFault::Reset);
+        endLater(laterRandom_, [this, backend] {
+            site_.backendLink(backend).setFault(LinkFault::None);
+            site_.restartBackend(backend);
+        });
+        return;
+    }
+    const SpoiledField &drawn = SpoiledFields.at(laterRandom_.below(SpoiledFields.size()));
+    note("another writer spoils '" + std::string(drawn.name) + "' of " + name);
+    site_.spoilEntry(backend, drawn.name, nlohmann::json::parse(drawn.value));
+    endLater(laterRandom_, [this, backend] { site_.mendEntry(backend); });
+}
+
 void FaultSchedule::note(const std::string &what)
 {
     const auto since = std::chrono::duration_cast<milliseconds>(Clock::now() - start_);
@@ -171,7 +208,12 @@
 
 void FaultSchedule::endLater(std::function<void()> end)
 {
-    const milliseconds lasts(LeastLastMs + random_.below(MostLastMs - LeastLastMs));
+    endLater(random_, std::move(end));
+}
+
+void FaultSchedule::endLater(Random &random, std::function<void()> end)
+{
+    const milliseconds lasts(LeastLastMs + random.below(MostLastMs - LeastLastMs));
     ends_.emplace(Clock::now() + lasts, std::move(end));
 }
 
--- a/tests/soak/faultschedule.h
+++ b/tests/soak/faultschedule.h
@@ -45,15 +45,19 @@
     void drawStoreFault();
     void drawServerFault();
     void drawChange();
+    /// Draws from a stream of its own, so that seeds from before these faults still bring about what they did.
+    void drawLaterFault();
     void note(const std::string &what);
     /// Carries out @p end after a random time.
     void endLater(std::function<void()> end);
+    void endLater(Random &random, std::function<void()> end);
     void harmLink(FaultProxy &link, const std::string &name);
     std::size_t anyEntryVm();
     std::size_t anyBackend();
 
     SoakSite &site_;
     Random random_;
+    Random laterRandom_;
     Clock::time_point start_ = Clock::now();
     std::multimap<Clock::time_point, std::function<void()>> ends_;
     std::vector<std::future<int>> stopping_;
--- a/tests/soak/soaksite.cpp
+++ b/tests/soak/soaksite.cpp
@@ -162,6 +162,29 @@
     registerBackend(backends_[backend], isDraining ? "draining" : "ready");
 }
 
+void SoakSite::restartBackend(std::size_t backend)
+{
+    const std::lock_guard lock(mutex_);
+    BackendServer &server = backends_[backend];
+    ++server.started;
+    registerBackend(server, "ready");
+}
+
+void SoakSite::spoilEntry(std::size_t backend, const std::string &field, const nlohmann::json &value)
+{
+    const std::lock_guard lock(mutex_);
+    const BackendServer &server = backends_[backend];
+    nlohmann::json entry = store_.specification("servers", server.id);
+    entry[field] = value;
+    store_.put("servers", server.id, entry);
+}
+
+void SoakSite::mendEntry(std::size_t backend)
+{
+    const std::lock_guard lock(mutex_);
+    registerBackend(backends_[backend], "ready");
+}
+
 int SoakSite::configure()
 {
     const std::lock_guard lock(mutex_);
@@ -209,6 +232,7 @@
 {
     auto registration = backend.server->registration("reclamos", state);
     registration["address"] = backend.link->address();
+    registration["born"] = backend.started;
     store_.put("servers", backend.id, registration);
 }
 
--- a/tests/soak/soaksite.h
+++ b/tests/soak/soaksite.h
@@ -74,6 +74,12 @@
     /// A new incarnation takes the backend server's address over; the former one leaves the registry.
     void replaceBackend(std::size_t backend);
     void setDraining(std::size_t backend, bool isDraining);
+    /// The backend server has started again under its id.
+    void restartBackend(std::size_t backend);
+    /// Another writer puts @p field of the server's entry at @p value.
+    void spoilEntry(std::size_t backend, const std::string &field, const nlohmann::json &value);
+    /// The backend server writes its entry again.
+    void mendEntry(std::size_t backend);
     /// Puts the next version of the configuration in force. Each has a host of its own, which the next one drops.
     /// @return its number.
     int configure();
@@ -95,6 +101,7 @@
         std::unique_ptr<FaultProxy> link;
         std::string id;
         int incarnation = 1;
+        std::int64_t started = 1; ///< As it tells; only differs between two starts.
     };
 
     void startLocked(EntryVm &entry);
