A request that had to wait is asked by name; collections are indexed in one place

Behaviour unchanged: the enumeration of crowding had two values that nobody asked for, three places knew where a collection stands in an array, and the learning from an answer asked twice for usual slowness.

--- a/bench/policy/main.cpp
+++ b/bench/policy/main.cpp
@@ -296,7 +296,7 @@
     return median;
 }
 
-/// Servers and callers as on the users' sheets.
+/// Servers and callers as users measured them.
 void compareWithNoise()
 {
     constexpr Duration NoisyLength = seconds(60);
--- a/bench/policy/noisybackend.h
+++ b/bench/policy/noisybackend.h
@@ -19,7 +19,7 @@
 namespace Cloverbarrow::Bench
 {
 
-/// Backend servers as the users' sheets describe them.
+/// Backend servers as users measured them.
 struct NoisyShape {
     int slots = 3;
     int queue = 6; ///< Requests that wait at the server; more are reset.
--- a/bench/policy/noisytrial.cpp
+++ b/bench/policy/noisytrial.cpp
@@ -24,7 +24,7 @@
 namespace
 {
 
-// As on the users' sheets: 1.4 ms between zones, 6 ms a probe, 60 probes a second and server.
+// As users measured: 1.4 ms between zones, 6 ms a probe, 60 probes a second and server.
 constexpr Duration SameZone = microseconds(150);
 constexpr Duration OtherZone = microseconds(1400);
 constexpr Duration ProbeCost = milliseconds(6);
--- a/bench/policy/noisytrial.h
+++ b/bench/policy/noisytrial.h
@@ -18,7 +18,7 @@
 namespace Cloverbarrow::Bench
 {
 
-/// One kind of reads at one service, from the users' sheets.
+/// One kind of reads at one service.
 struct NoisyDeployment {
     std::string service;
     int zones = 4;
--- a/src/core/directory/directoryevents.h
+++ b/src/core/directory/directoryevents.h
@@ -11,6 +11,7 @@
 #include "core/intent/operatorintent.h"
 #include "core/support/time.h"
 
+#include <cstddef>
 #include <cstdint>
 #include <memory>
 #include <optional>
@@ -27,6 +28,15 @@
     Servers,
 };
 
+/// How many there are.
+constexpr std::size_t Collections = 2;
+
+/// @return where the collection stands in arrays of all.
+constexpr std::size_t indexOf(Collection collection)
+{
+    return collection == Collection::Routing ? 0 : 1;
+}
+
 /// The operators' newest configuration: routes and services, without backend servers.
 struct RoutingPlan {
     std::int64_t version = 0; ///< The operators' own; only rises.
--- a/src/core/directory/directorykeeper.cpp
+++ b/src/core/directory/directorykeeper.cpp
@@ -197,11 +197,6 @@
     return collection == Collection::Routing ? routing_ : servers_;
 }
 
-std::size_t DirectoryKeeper::indexOf(Collection collection)
-{
-    return collection == Collection::Routing ? 0 : 1;
-}
-
 void DirectoryKeeper::heardUpTo(Collection collection, std::int64_t storeRevision)
 {
     std::int64_t &known = storeRevision_[indexOf(collection)];
--- a/src/core/directory/directorykeeper.h
+++ b/src/core/directory/directorykeeper.h
@@ -58,8 +58,6 @@
     /// Tells of an entry that has no value although it was not deleted.
     void reportFault(const DirectoryEntry &entry, DirectoryActions &actions);
     const CollectionWatch &watchOf(Collection collection) const;
-    /// @return where the collection stands in arrays.
-    static std::size_t indexOf(Collection collection);
     void heardUpTo(Collection collection, std::int64_t storeRevision);
     /// Begins calls anew when they go to another place from now on.
     void followSource(TimePoint now);
@@ -81,7 +79,7 @@
     std::string source_; ///< Relay that calls go to; empty for the store.
     CollectionWatch routing_;
     CollectionWatch servers_;
-    std::array<std::int64_t, 2> storeRevision_{}; ///< Up to which the store has told of each collection.
+    std::array<std::int64_t, Collections> storeRevision_{}; ///< Up to which the store has told of each collection.
     ServerRegistry registry_;
     std::optional<RoutingPlan> plan_;
     DirectoryEntry planEntry_; ///< The same, as it came.
--- a/src/core/requests/serviceshardoutcome.cpp
+++ b/src/core/requests/serviceshardoutcome.cpp
@@ -113,7 +113,7 @@
 {
     const auto *lost = std::get_if<LostAnswer>(&outcome);
     // Some servers reset connections when they are full; that is no sign of illness.
-    const bool isShed = probesFirst() && lost && !lost->isTimeout && crowdingAt(attempt.start.others, attempt.start.slots) == Crowding::HadToWait;
+    const bool isShed = probesFirst() && lost && !lost->isTimeout && attempt.start.hadToWait();
     return isShed ? AttemptQuality::Neutral : Cloverbarrow::qualityOf(outcome);
 }
 
@@ -208,9 +208,8 @@
 
 Duration ServiceShard::comeBackAfter(const Attempt &attempt, const Request &request) const
 {
-    const bool hadRoom = crowdingAt(attempt.start.others, attempt.start.slots) != Crowding::HadToWait;
     const Duration objective = request.arrival.latencyObjective;
-    return probesFirst() && hadRoom ? comeBackAfterFalseReport(objective) : ComeBackWhenBusy;
+    return probesFirst() && !attempt.start.hadToWait() ? comeBackAfterFalseReport(objective) : ComeBackWhenBusy;
 }
 
 void ServiceShard::cancelRunning(TimePoint now, Request &request, ServiceActions &actions)
--- a/src/core/servers/answertime.cpp
+++ b/src/core/servers/answertime.cpp
@@ -75,20 +75,6 @@
     return std::max(told + backend.sentSinceReport, backend.inFlight);
 }
 
-Crowding crowdingAt(int held, int slots)
-{
-    const int free = slots - held;
-    if (free > 1) {
-        return Crowding::HadRoom;
-    }
-    return free == 1 ? Crowding::TookLastSlot : Crowding::HadToWait;
-}
-
-Crowding crowdingOf(const Backend &backend)
-{
-    return crowdingAt(heldBy(backend), slotsOf(backend));
-}
-
 StartState startStateOf(const Backend &backend, TimePoint now)
 {
     StartState state;
@@ -110,23 +96,23 @@
 
 void AnswerTimeModel::answered(Duration objective, Duration latency, const StartState &start)
 {
-    const bool hadToWait = crowdingAt(start.others, start.slots) == Crowding::HadToWait;
-    if (!start.reportAge || *start.reportAge > SureFor || hadToWait) {
+    if (!start.reportAge || *start.reportAge > SureFor || start.hadToWait()) {
         return;
     }
     const double time = toMilliseconds(latency) / sharing_.factor(start.others, start.slots);
     if (start.slowness >= MuchSlowness) {
         const double holds = (time / workMs(objective) - 1) / (start.slowness - 1);
         slownessHolds_.add(std::clamp(holds, 0.0, 1.0));
-    } else if (start.slowness > UsualSlowness) {
         return;
-    } else if (SharingCost::isAlone(start.others, start.slots)) {
+    }
+    if (start.slowness > UsualSlowness) {
+        return;
+    }
+    if (SharingCost::isAlone(start.others, start.slots)) {
         const auto entry = workMs_.try_emplace(objective, WorkPartOfObjective * toMilliseconds(objective), 1, WorkWindow).first;
         entry->second.add(time);
     }
-    if (start.slowness <= UsualSlowness) {
-        sharing_.answered(start.others, start.slots, toMilliseconds(latency) / workMs(objective));
-    }
+    sharing_.answered(start.others, start.slots, toMilliseconds(latency) / workMs(objective));
 }
 
 void AnswerTimeModel::told(const LoadReport &report)
--- a/src/core/servers/answertime.h
+++ b/src/core/servers/answertime.h
@@ -18,19 +18,18 @@
 namespace Cloverbarrow
 {
 
-/// How full a backend server was when a request was sent to it.
-enum class Crowding {
-    HadRoom,
-    TookLastSlot,
-    HadToWait,
-};
-
 /// What was known of a server when a request was sent to it.
 struct StartState {
     int others = 0; ///< Requests that it held.
     int slots = 1;
     double slowness = 1;
     std::optional<Duration> reportAge; ///< Nothing when it had not told of itself.
+
+    /// @return whether all slots were taken, so that the request had to wait there.
+    bool hadToWait() const
+    {
+        return others >= slots;
+    }
 };
 
 /// Estimates how long a backend server would take to answer. It learns the usual work of a request, how far told
@@ -77,10 +76,6 @@
 int slotsOf(const Backend &backend);
 /// @return requests that @p backend works on or holds, with those sent to it since its last report.
 int heldBy(const Backend &backend);
-/// @return how a request finds a server with @p slots that holds @p held others.
-Crowding crowdingAt(int held, int slots);
-/// @return how a request sent now would find @p backend.
-Crowding crowdingOf(const Backend &backend);
 /// @return what a request that was just counted at @p backend found there.
 StartState startStateOf(const Backend &backend, TimePoint now);
 
--- a/src/net/relaylists.cpp
+++ b/src/net/relaylists.cpp
@@ -28,11 +28,6 @@
 constexpr std::size_t LongList = 16'000;
 constexpr std::size_t LongListsAtOnce = 3;
 
-std::size_t indexOf(Collection collection)
-{
-    return collection == Collection::Routing ? 0 : 1;
-}
-
 } // namespace
 
 HttpAnswer newsAnswer(const DirectoryNews &news)
--- a/src/net/relaylists.h
+++ b/src/net/relaylists.h
@@ -56,7 +56,7 @@
 
     bool isLong(Collection collection) const;
 
-    std::array<Packed, 2> packed_; ///< By collection.
+    std::array<Packed, Collections> packed_; ///< By collection.
     std::vector<Sending> sending_; ///< Long lists that are on their way.
 };
 
--- a/src/net/relayserver.cpp
+++ b/src/net/relayserver.cpp
@@ -154,7 +154,7 @@
     if (news->entries.empty() && now < waiting.until) {
         return std::nullopt;
     }
-    Told &told = told_[waiting.collection == Collection::Routing ? 0 : 1];
+    Told &told = told_[indexOf(waiting.collection)];
     if (told.since != waiting.since || told.revision != news->revision) {
         told = {waiting.since, news->revision, newsAnswer(*news)};
     }
--- a/src/net/relayserver.h
+++ b/src/net/relayserver.h
@@ -88,7 +88,7 @@
     std::mutex mutex_;
     std::vector<Waiting> waiting_;
     std::vector<AwaitsProof> awaitProof_;
-    std::array<Told, 2> told_; ///< By collection.
+    std::array<Told, Collections> told_; ///< By collection.
     RelayLists lists_;
     std::unique_ptr<CallerServer> server_;
 };
