A short grace period is used nearly whole as well

The limit is now less by half a second or a twelfth, whichever is shorter; unchanged at 6 s and above.

--- a/src/daemon/settings.cpp
+++ b/src/daemon/settings.cpp
@@ -25,8 +25,9 @@
 constexpr int MaxBody = 64 * 1024 * 1024;
 constexpr int MaxShutdownMs = 3'600'000;
 constexpr double MaxGraceSeconds = 3600;
-// A process on a tenth of a core has to give up what is left and end within it, before it is killed.
+// A process on a tenth of a core has to give up what is left and end within it, before it is killed. Short times leave less for that.
 constexpr Duration EndBeforeGrace = milliseconds(500);
+constexpr int EndPartOfGrace = 12;
 constexpr int MaxSlowMs = 600'000;
 constexpr double MaxBudget = 1'000'000;
 
@@ -70,7 +71,8 @@
     if (settings.shutdownLimit != unset) {
         reader.fault("grace_s", "either this or limit_ms");
     }
-    settings.shutdownLimit = std::chrono::round<Duration>(std::chrono::duration<double>(graceSeconds)) - EndBeforeGrace;
+    const auto grace = std::chrono::round<Duration>(std::chrono::duration<double>(graceSeconds));
+    settings.shutdownLimit = grace - std::min<Duration>(EndBeforeGrace, grace / EndPartOfGrace);
 }
 
 void readLogLevel(YamlReader &reader, Settings &settings)
