--- a/src/core/directory/relayseat.h
+++ b/src/core/directory/relayseat.h
@@ -38,7 +38,7 @@
     /// A relay with an older proof has no news: changes must be in force within two seconds, an own look included.
     static constexpr Duration ProofLimit = milliseconds(1200);
 
-    /// Longest pause between two checks of a store that was lost, less a quarter for chance. What was changed when it returns is in force this
+    /// Longest pause between two checks of a store that was lost, give or take a quarter. What was changed when it returns is in force that
     /// much later at most.
     static constexpr Duration LongestLostPause = milliseconds(1200);
     /// How long an answer to a check of the store may take. As long as a proof then still is young enough when the next one comes: a store that
