Lost attempts tell what was asked for and by whom

The logs of the incident could not tell whether one request sent again and again ends the servers, or several do: a lost attempt named neither. `attempt ended` now tells digests of the request's content and of its caller where the answer was lost.

--- a/src/daemon/gateway.cpp
+++ b/src/daemon/gateway.cpp
@@ -10,6 +10,7 @@
 #include "core/support/httpstatus.h"
 #include "core/support/stablehash.h"
 #include "net/bootclock.h"
+#include "net/contentdigest.h"
 
 #include <algorithm>
 #include <utility>
@@ -85,13 +86,14 @@
     }
     auto &[route, event, attemptAbove] = std::get<CheckedRequest>(checked);
     const Service &service = intent->configuration.services[route.service];
+    const RequestContent content = Cloverbarrow::contentOf(request, connection->caller());
     log_.routed(callerId, service.name, route.rule ? route.rule->kind : service.kinds[route.kind], *intent, event.deadline - now);
     {
         Shard &shard = shardOf(id);
         const std::lock_guard lock(shard.mutex);
         ++openExchanges_;
         auto kept = std::make_shared<const HttpRequest>(std::move(request));
-        shard.exchanges.emplace(id, Exchange{connection, std::move(kept), intent, route, now, std::move(callerId), attemptAbove, {}});
+        shard.exchanges.emplace(id, Exchange{connection, std::move(kept), intent, route, now, content, std::move(callerId), attemptAbove, {}});
     }
     events_.handle(ForService{intent->configuration.services[route.service].name, std::move(event)});
 }
@@ -249,9 +251,17 @@
     return found == shard.exchanges.end() ? std::string() : found->second.callerId;
 }
 
+RequestContent Gateway::contentOf(RequestId request)
+{
+    Shard &shard = shardOf(request);
+    const std::lock_guard lock(shard.mutex);
+    const auto found = shard.exchanges.find(request);
+    return found == shard.exchanges.end() ? RequestContent{} : found->second.content;
+}
+
 void Gateway::attemptDone(const std::string &service, RequestId request, int attempt, HttpOutcome outcome)
 {
-    log_.attemptEnded(callerIdOf(request), service, attempt, outcome);
+    log_.attemptEnded(callerIdOf(request), contentOf(request), service, attempt, outcome);
     AttemptEnded event{request, attempt, attemptOutcome(outcome, protocol_), std::nullopt};
     if (auto *answer = std::get_if<HttpAnswer>(&outcome)) {
         event.report = protocol_.load(answer->headers);
--- a/src/daemon/gateway.h
+++ b/src/daemon/gateway.h
@@ -7,6 +7,7 @@
 
 #pragma once
 
+#include "core/crashes/requestcontent.h"
 #include "core/node.h"
 #include "core/routing/routingtable.h"
 #include "core/routing/trafficsplitter.h"
@@ -62,6 +63,7 @@
         std::shared_ptr<const IntentInForce> intent; ///< Under which it was routed.
         Route route;
         TimePoint arrivedAt;
+        RequestContent content;
         std::string callerId; ///< The caller's own id of the request, or a number of this process.
         int attemptAbove = 1; ///< Highest attempt number of the levels above.
         std::map<int, HttpAnswer> answers;
@@ -90,6 +92,8 @@
     std::string callerIdOf(const HttpRequest &request, RequestId id) const;
     /// @return the same of a request that is open; empty when it is not.
     std::string callerIdOf(RequestId request);
+    /// @return what a request that is open asks for; empty when it is not.
+    RequestContent contentOf(RequestId request);
     std::optional<Exchange> takeExchange(RequestId request);
     void finish(const Exchange &exchange, const HttpAnswer &answer, CallerOutcome outcome);
     Shard &shardOf(RequestId request);
--- a/src/daemon/requestlog.cpp
+++ b/src/daemon/requestlog.cpp
@@ -75,17 +75,20 @@
                {"slowness", report.slowness}});
 }
 
-void RequestLog::attemptEnded(std::string_view id, const std::string &service, int attempt, const HttpOutcome &outcome) const
+void RequestLog::attemptEnded(std::string_view id, const RequestContent &content, const std::string &service, int attempt, const HttpOutcome &outcome) const
 {
     const auto *failure = std::get_if<HttpFailure>(&outcome);
     const std::int64_t status = failure ? 0 : std::get<HttpAnswer>(outcome).status;
+    const bool isLost = failure && failure->hasLeft;
     log_.info("attempt ended",
               {{"id", id},
                {"attempt", std::int64_t(attempt)},
                {"service", service},
                {"status", status},
                {"left", failure && !failure->hasLeft ? "no" : "yes"},
-               {"reason", failure ? std::string_view(failure->reason) : std::string_view()}});
+               {"reason", failure ? std::string_view(failure->reason) : std::string_view()},
+               {"content", isLost ? std::string_view(content.digest) : std::string_view()},
+               {"caller", isLost ? std::string_view(content.caller) : std::string_view()}});
 }
 
 void RequestLog::attemptCancelled(std::string_view id, const CancelAttempt &action) const
--- a/src/daemon/requestlog.h
+++ b/src/daemon/requestlog.h
@@ -7,6 +7,7 @@
 
 #pragma once
 
+#include "core/crashes/requestcontent.h"
 #include "core/intent/operatorintent.h"
 #include "core/requests/serviceevents.h"
 #include "net/httpclient.h"
@@ -28,7 +29,8 @@
     /// A request that was not given to a service. @param intent null when there is none yet.
     void turnedAway(std::string_view id, const Problem &problem, const IntentInForce *intent, std::string_view target) const;
     void attemptStarted(std::string_view id, const std::string &service, const StartAttempt &action) const;
-    void attemptEnded(std::string_view id, const std::string &service, int attempt, const HttpOutcome &outcome) const;
+    /// @param content told where the answer was lost: the same one again and again is what crashes servers.
+    void attemptEnded(std::string_view id, const RequestContent &content, const std::string &service, int attempt, const HttpOutcome &outcome) const;
     void attemptCancelled(std::string_view id, const CancelAttempt &action) const;
     void serverEjected(const std::string &service, const ServerEjected &action) const;
     void callerGone(std::string_view id, Duration after) const;
--- a/src/net/callerconnection.cpp
+++ b/src/net/callerconnection.cpp
@@ -37,15 +37,21 @@
 
 } // namespace
 
-CallerConnection::CallerConnection(int fd, const CallerBounds &bounds, const Use &use, RequestSink sink)
+CallerConnection::CallerConnection(int fd, const CallerBounds &bounds, const Use &use, RequestSink sink, std::string caller)
     : bounds_(bounds)
     , use_(use)
     , sink_(std::move(sink))
+    , caller_(std::move(caller))
     , socket_(::dup(fd))
     , since_(bootNow())
 {
 }
 
+const std::string &CallerConnection::caller() const
+{
+    return caller_;
+}
+
 void CallerConnection::setBounds(const CallerBounds &bounds)
 {
     const std::lock_guard lock(mutex_);
--- a/src/net/callerconnection.h
+++ b/src/net/callerconnection.h
@@ -54,8 +54,8 @@
         std::size_t requestsInFlight = 1; ///< At most; more are read when answers have gone out.
     };
 
-    /// @param fd is duplicated.
-    CallerConnection(int fd, const CallerBounds &bounds, const Use &use, RequestSink sink);
+    /// @param fd is duplicated. @param caller IP number at the other end.
+    CallerConnection(int fd, const CallerBounds &bounds, const Use &use, RequestSink sink, std::string caller = {});
 
     /// For what comes from now on.
     void setBounds(const CallerBounds &bounds);
@@ -79,6 +79,8 @@
     /// Looks after slow callers, which do not finish sending a request, reading an answer or closing, and after idle ones.
     void sweep(TimePoint now);
 
+    /// @return IP number of the caller.
+    const std::string &caller() const;
     bool isClosed() const;
     /// @return whether part of an answer has not been sent yet.
     bool isSending() const;
@@ -108,6 +110,7 @@
     CallerBounds bounds_;
     Use use_;
     RequestSink sink_;
+    std::string caller_;
     mutable std::mutex mutex_;
     Descriptor socket_;
     State state_ = State::Open;
--- a/src/net/callerserver.cpp
+++ b/src/net/callerserver.cpp
@@ -105,7 +105,7 @@
 
     void onConnection(const std::shared_ptr<Pistache::Tcp::Peer> &peer) override
     {
-        auto connection = std::make_shared<CallerConnection>(peer->fd(), connections_->bounds(), use_, sink_);
+        auto connection = std::make_shared<CallerConnection>(peer->fd(), connections_->bounds(), use_, sink_, peer->address().host());
         peer->putData(ConnectionKey, connection);
         connections_->add(std::move(connection));
     }
--- /dev/null
+++ b/src/net/contentdigest.h
@@ -0,0 +1,21 @@
+/*
+    This file is part of cloverbarrow.
+
+    SPDX-FileCopyrightText: 2026 The cloverbarrow authors
+    SPDX-License-Identifier: Apache-2.0
+*/
+
+#pragma once
+
+#include "core/crashes/requestcontent.h"
+#include "net/httpmessage.h"
+
+#include <string_view>
+
+namespace Cloverbarrow
+{
+
+/// @param caller IP number that the request came from.
+RequestContent contentOf(const HttpRequest &request, std::string_view caller);
+
+} // namespace Cloverbarrow
