--- /dev/null
+++ b/tests/standins/crashingservers.cpp
@@ -0,0 +1,120 @@
+/*
+    This file is part of cloverbarrow.
+
+    SPDX-FileCopyrightText: 2026 The cloverbarrow authors
+    SPDX-License-Identifier: Apache-2.0
+*/
+
+#include "crashingservers.h"
+
+#include <utility>
+
+namespace Cloverbarrow::Standins
+{
+
+namespace
+{
+
+constexpr auto LookPause = std::chrono::milliseconds(2);
+// A lease that is renewed each 1.5 s runs out after three of these.
+constexpr auto LeaseTime = std::chrono::milliseconds(1500);
+
+} // namespace
+
+CrashingServers::CrashingServers(DirectoryStore &store, std::string service, int count, std::chrono::milliseconds pause)
+    : store_(store)
+    , service_(std::move(service))
+    , pause_(pause)
+    , servers_(static_cast<std::size_t>(count))
+{
+    for (std::size_t number = 0; number < servers_.size(); ++number) {
+        begin(servers_[number], number);
+    }
+    thread_ = std::thread([this] {
+        while (!isStopping_) {
+            look();
+            std::this_thread::sleep_for(LookPause);
+        }
+    });
+}
+
+CrashingServers::~CrashingServers()
+{
+    isStopping_ = true;
+    thread_.join();
+}
+
+void CrashingServers::crash(std::size_t number)
+{
+    const std::lock_guard lock(mutex_);
+    Server &server = servers_[number];
+    if (!server.isDown) {
+        server.isDown = true;
+        server.crashedAt = Clock::now();
+        server.backend->endAfterCrash();
+    }
+}
+
+std::size_t CrashingServers::count() const
+{
+    return servers_.size();
+}
+
+std::vector<std::string> CrashingServers::runs() const
+{
+    std::vector<std::string> all;
+    for (const Server &server : servers_) {
+        const auto own = server.backend->runs();
+        all.insert(all.end(), own.begin(), own.end());
+    }
+    return all;
+}
+
+int CrashingServers::crashes() const
+{
+    return crashes_;
+}
+
+void CrashingServers::look()
+{
+    const std::lock_guard lock(mutex_);
+    for (std::size_t number = 0; number < servers_.size(); ++number) {
+        lookAt(servers_[number], number);
+    }
+}
+
+void CrashingServers::lookAt(Server &server, std::size_t number)
+{
+    const auto now = Clock::now();
+    if (!server.isDown && server.backend->hasCrashed()) {
+        ++crashes_;
+        server.isDown = true;
+        server.crashedAt = now;
+        server.backend->endAfterCrash();
+    }
+    if (server.isDown && server.isTold && now - server.crashedAt >= LeaseTime) {
+        store_.remove("servers", server.id);
+        server.isTold = false;
+    }
+    if (server.isDown && now - server.crashedAt >= pause_) {
+        if (std::exchange(server.isTold, true)) {
+            store_.remove("servers", server.id);
+        }
+        begin(server, number);
+        server.isDown = false;
+    }
+}
+
+void CrashingServers::begin(Server &server, std::size_t number)
+{
+    ++server.start;
+    server.id = "i-" + std::to_string(number) + "-" + std::to_string(server.start);
+    if (server.backend) {
+        server.backend->startAfterCrash(server.id);
+    } else {
+        server.backend = std::make_unique<RegisteredBackend>(server.id);
+    }
+    store_.put("servers", server.id, server.backend->registration(service_));
+}
+
+} // namespace Cloverbarrow::Standins
--- a/tests/standins/directorystore.cpp
+++ b/tests/standins/directorystore.cpp
@@ -137,6 +137,9 @@
     if (answer) {
         connection->answer(*answer, false);
     }
+    if (request.method != "GET") {
+        wake();
+    }
 }
 
 HttpAnswer DirectoryStore::object(const HttpRequest &request, const std::string &kind, const std::string &name)
@@ -153,8 +156,10 @@
         return json(objects_[kind][target], 409);
     }
     ++revision_;
-    objects_[kind][target] = {{"metadata", {{"name", target}, {"revision", revision_}}}, {"specification", sent.at("specification")}, {"status", nullptr}};
-    return json(objects_[kind][target]);
+    const Json object = {{"metadata", {{"name", target}, {"revision", revision_}}}, {"specification", sent.at("specification")}, {"status", nullptr}};
+    objects_[kind][target] = object;
+    changes_.push_back({kind, revision_, {{"object", object}, {"deleted", false}}});
+    return json(object);
 }
 
 nlohmann::json DirectoryStore::specification(const std::string &kind, const std::string &name) const
--- a/tests/standins/registeredbackend.cpp
+++ b/tests/standins/registeredbackend.cpp
@@ -17,18 +17,15 @@
 RegisteredBackend::RegisteredBackend(std::string id)
     : id_(std::move(id))
 {
-    CallerServerOptions options;
-    options.address = "127.0.0.1:0";
-    options.use.halfCloseIsGone = true;
-    server_ = std::make_unique<CallerServer>(
-        options, [this](const std::shared_ptr<CallerConnection> &connection, const HttpRequest &request) { accept(connection, request); });
+    listen();
 }
 
 RegisteredBackend::~RegisteredBackend() = default;
 
 std::string RegisteredBackend::address() const
 {
-    return "127.0.0.1:" + std::to_string(server_->port());
+    const std::lock_guard lock(mutex_);
+    return address_;
 }
 
 nlohmann::json RegisteredBackend::registration(const std::string &service, const std::string &state) const
@@ -67,9 +64,62 @@
     return static_cast<int>(std::count_if(hanging_.begin(), hanging_.end(), [](const auto &connection) { return connection->isGone(); }));
 }
 
+bool RegisteredBackend::hasCrashed() const
+{
+    const std::lock_guard lock(mutex_);
+    return hasCrashed_;
+}
+
+void RegisteredBackend::endAfterCrash()
+{
+    // Not under the mutex: the listener's threads may wait for it.
+    server_.reset();
+    const std::lock_guard lock(mutex_);
+    crashLocked();
+}
+
+void RegisteredBackend::startAfterCrash(const std::string &id)
+{
+    {
+        const std::lock_guard lock(mutex_);
+        id_ = id;
+        hasCrashed_ = false;
+    }
+    listen();
+}
+
+void RegisteredBackend::listen()
+{
+    CallerServerOptions options;
+    options.address = "127.0.0.1:0";
+    options.use.halfCloseIsGone = true;
+    server_ = std::make_unique<CallerServer>(
+        options, [this](const std::shared_ptr<CallerConnection> &connection, const HttpRequest &request) { accept(connection, request); });
+    const std::lock_guard lock(mutex_);
+    address_ = "127.0.0.1:" + std::to_string(server_->port());
+}
+
+void RegisteredBackend::crashLocked()
+{
+    hasCrashed_ = true;
+    for (const auto &known : connections_) {
+        if (const auto connection = known.lock()) {
+            connection->abort();
+        }
+    }
+    connections_.clear();
+}
+
 void RegisteredBackend::accept(const std::shared_ptr<CallerConnection> &connection, const HttpRequest &request)
 {
     std::unique_lock lock(mutex_);
+    if (hasCrashed_) {
+        lock.unlock();
+        connection->abort();
+        return;
+    }
+    std::erase_if(connections_, [](const auto &known) { return known.expired(); });
+    connections_.push_back(connection);
     HttpAnswer answer;
     answer.headers = {{Platform::ServerLoadHeader, "0,0,3,100"}, {Platform::InstanceHeader, id_}};
     if (request.target == "/health") {
@@ -92,6 +142,10 @@
         }
     }
     const bool isRun = answer.status == 200;
+    if (isRun && request.target.find(FatalMark) != std::string::npos) {
+        crashLocked();
+        return;
+    }
     if (isRun && conduct_ == Conduct::Hang) {
         hanging_.push_back(connection);
         return;
--- a/tests/standins/registeredbackend.h
+++ b/tests/standins/registeredbackend.h
@@ -49,15 +49,31 @@
     /// @return connections of hanging requests that were closed by their sender.
     int abandoned() const;
 
+    /// @return whether a request has crashed it; what comes until endAfterCrash() is not run.
+    bool hasCrashed() const;
+    /// Ends what is left of the crashed server: nothing listens at its address from now on.
+    void endAfterCrash();
+    /// Starts again after a crash, at an address of its own. @param id of the new start.
+    void startAfterCrash(const std::string &id);
+
 private:
+    void listen();
     void accept(const std::shared_ptr<CallerConnection> &connection, const HttpRequest &request);
+    /// Drops all connections, as the end of a process does. Call under the mutex.
+    void crashLocked();
 
     mutable std::mutex mutex_;
     std::string id_;
     Conduct conduct_ = Conduct::Serve;
     std::vector<std::string> runs_;
     std::vector<std::shared_ptr<CallerConnection>> hanging_;
+    std::vector<std::weak_ptr<CallerConnection>> connections_; ///< That have sent a request.
+    bool hasCrashed_ = false;
+    std::string address_;
     std::unique_ptr<CallerServer> server_;
 };
 
+/// Requests whose target has this text crash the server that begins to run them.
+constexpr const char *FatalMark = "/fatal-";
+
 } // namespace Cloverbarrow::Standins
