Soak with requests that crash servers and servers that crash by themselves; contents answered lately are no cause

The soak's callers now send three contents that crash the servers that begin to run them, at any entry VM, beside all its other faults, and servers crash by themselves; promises: three seconds after the third end at most three more run, and no innocent request is refused for it.

Ends of leaving servers count when they turn probes away; a lost answer of a server without an entry counts at once. A content that was answered within 30 s is not the cause when servers end under it. Refusing a content whoever sends it takes ends under three callers.

--- a/src/core/crashes/crashledger.cpp
+++ b/src/core/crashes/crashledger.cpp
@@ -16,6 +16,9 @@
 namespace
 {
 
+// Looking for what is too old costs time for each end that is known, some thousand at most.
+constexpr Duration ExpiryInterval = seconds(10);
+
 template<typename Map, typename TimeOf>
 void dropOldest(Map &map, std::size_t most, const TimeOf &timeOf)
 {
@@ -91,6 +94,20 @@
 }
 
 void CrashLedger::tick(TimePoint now)
+{
+    for (auto &[end, own] : own_) {
+        if (!own.isTold && (now - own.seenAt >= FirstEndDelay || hasOthersOf(end))) {
+            own.isTold = true;
+            isReportStale_ = true;
+        }
+    }
+    if (now >= nextExpiry_) {
+        nextExpiry_ = now + ExpiryInterval;
+        expire(now);
+    }
+}
+
+void CrashLedger::expire(TimePoint now)
 {
     const auto isOver = [now](TimePoint since) { return now - since > EndLifetime; };
     std::size_t dropped = std::erase_if(own_, [&isOver](const auto &entry) { return isOver(entry.second.seenAt); });
@@ -99,9 +116,6 @@
     for (auto &[end, since] : others_) {
         dropped += isOver(since) && excusedByOthers_.insert(end).second ? 1 : 0;
     }
-    for (auto &[end, own] : own_) {
-        own.isTold = own.isTold || now - own.seenAt >= FirstEndDelay || hasOthersOf(end);
-    }
     if (dropped > 0) {
         reconsider();
     }
@@ -114,7 +128,7 @@
 
 std::optional<CrashReport> CrashLedger::takeReport()
 {
-    if (!hasHeard_) {
+    if (!hasHeard_ || !std::exchange(isReportStale_, false)) {
         return std::nullopt;
     }
     CrashReport report;
@@ -163,6 +177,7 @@
 
 void CrashLedger::reconsider()
 {
+    isReportStale_ = true;
     CrashVerdicts next(counting(), allExcused());
     if (next != verdicts_) {
         verdicts_ = std::move(next);
--- a/src/core/crashes/crashledger.h
+++ b/src/core/crashes/crashledger.h
@@ -59,6 +59,8 @@
         bool isTold = false;
     };
 
+    /// Forgets what is too old.
+    void expire(TimePoint now);
     std::vector<ServerEnd> counting() const;
     std::vector<ServerEnd> allExcused() const;
     bool hasOthersOf(const ServerEnd &end) const;
@@ -73,7 +75,9 @@
     bool hasHeard_ = false; ///< Of what the store holds.
     CrashVerdicts verdicts_;
     bool areVerdictsNew_ = false;
+    bool isReportStale_ = true;
     std::optional<CrashReport> taken_; ///< Last report that was given out.
+    TimePoint nextExpiry_;
 };
 
 } // namespace Cloverbarrow
--- a/src/core/crashes/crashverdicts.cpp
+++ b/src/core/crashes/crashverdicts.cpp
@@ -31,9 +31,8 @@
             refused_.insert(content);
         }
     }
-    // One caller's harm is no reason to refuse another one. Where servers end under the same content of several, it is the content.
     for (const auto &[digest, servers] : serversOfAll) {
-        if (servers.size() >= EndsBorne && callersOf[digest].size() > 1) {
+        if (servers.size() >= EndsBorne && callersOf[digest].size() >= CallersForAll) {
             refusedOfAll_.insert(digest);
         }
     }
--- a/src/core/crashes/crashverdicts.h
+++ b/src/core/crashes/crashverdicts.h
@@ -24,6 +24,10 @@
     /// does; a third with no answer between them is the request's doing. The users bear three as well.
     static constexpr std::size_t EndsBorne = 3;
 
+    /// Callers under whose requests with one content servers have ended, before it is refused whoever sends it: one caller's harm, or two
+    /// callers', is no reason to refuse another one, who may be answered.
+    static constexpr std::size_t CallersForAll = 3;
+
     CrashVerdicts() = default;
     /// @param ends that count. @param excused ends that do not; their callers have had answers.
     CrashVerdicts(std::span<const ServerEnd> ends, std::span<const ServerEnd> excused);
--- a/src/core/crashes/serverendwatch.cpp
+++ b/src/core/crashes/serverendwatch.cpp
@@ -12,11 +12,11 @@
 namespace Cloverbarrow
 {
 
-ServerEndWatch::Found ServerEndWatch::lost(TimePoint now, const std::string &server, const RequestContent &content)
+ServerEndWatch::Found ServerEndWatch::lost(TimePoint now, const std::string &server, const RequestContent &content, Standing standing)
 {
     auto watched = find(server);
     if (watched == watched_.end()) {
-        watched_.push_back({server, now, now, {}, 0, false});
+        watched_.push_back({server, now, now, {}, standing, 0, standing == Standing::Unlisted});
         watched = std::prev(watched_.end());
     }
     const bool isKnown = std::find(watched->contents.begin(), watched->contents.end(), content) != watched->contents.end();
@@ -49,7 +49,7 @@
 {
     for (Watched &watched : watched_) {
         const bool hasEntry = std::find(servers.begin(), servers.end(), watched.server) != servers.end();
-        if (!hasEntry && !watched.hasEnded && now - watched.lostAt < EntryLimit) {
+        if (!hasEntry && !watched.hasEnded && watched.standing != Standing::Leaving && now - watched.lostAt < EntryLimit) {
             watched.hasEnded = true;
             ended(watched.server, {watched.contents, false});
         }
--- a/src/core/crashes/serverendwatch.h
+++ b/src/core/crashes/serverendwatch.h
@@ -48,8 +48,15 @@
         bool isHeardAgain = false; ///< A server that counted as ended has not.
     };
 
+    /// How much is known of a server whose answer was lost.
+    enum class Standing {
+        Serving,
+        Leaving, ///< Its entry goes in any case.
+        Unlisted, ///< Its entry is gone already.
+    };
+
     /// An answer of the server to a request with this content was lost.
-    Found lost(TimePoint now, const std::string &server, const RequestContent &content);
+    Found lost(TimePoint now, const std::string &server, const RequestContent &content, Standing standing = Standing::Serving);
     Found seen(TimePoint now, const std::string &server, LifeSign sign);
     /// The servers that have entries now. @param ended is called for those that have ended.
     void configured(TimePoint now, std::span<const std::string> servers, const std::function<void(const std::string &server, const Found &found)> &ended);
@@ -64,6 +71,7 @@
         TimePoint lostAt;
         TimePoint nextProbe;
         std::vector<RequestContent> contents;
+        Standing standing = Standing::Serving;
         int turnedAway = 0;
         bool hasEnded = false;
     };
--- a/src/core/requests/serviceshard.h
+++ b/src/core/requests/serviceshard.h
@@ -7,6 +7,7 @@
 
 #pragma once
 
+#include "core/crashes/answeredcontents.h"
 #include "core/crashes/crashverdicts.h"
 #include "core/crashes/serverendwatch.h"
 #include "core/payouts/payoutledger.h"
@@ -96,6 +97,8 @@
     void watchForEnd(TimePoint now, const Attempt &attempt, const AttemptEnded &event, ServiceActions &actions);
     /// Takes what an answer or a probe has shown of a server that is watched.
     void noteLifeSign(TimePoint now, const std::string &backend, LifeSign sign, ServiceActions &actions);
+    void noteAnswered(TimePoint now, const RequestContent &content, ServiceActions &actions);
+    ServerEndWatch::Standing standingOf(const std::string &backend) const;
     void tellFound(const std::string &backend, const ServerEndWatch::Found &found, ServiceActions &actions);
     /// Servers whose entries are gone have ended, if answers of them were lost just before.
     void watchEntries(TimePoint now, ServiceActions &actions);
@@ -184,6 +187,7 @@
     std::uint64_t leavingOrder_ = 0; ///< Of the newest LeavingChanged.
     Latest<std::shared_ptr<const CrashVerdicts>> crashVerdicts_{std::make_shared<const CrashVerdicts>()};
     ServerEndWatch endWatch_;
+    AnsweredContents answered_;
     int lowestPriority_ = 0; ///< The greatest number that a request has come with.
     std::map<RequestId, Request> requests_;
     std::deque<RequestId> waiting_;
--- a/src/core/requests/serviceshardcrashes.cpp
+++ b/src/core/requests/serviceshardcrashes.cpp
@@ -35,16 +35,33 @@
     if (const auto *answer = std::get_if<AnsweredWhole>(&event.outcome)) {
         noteLifeSign(now, attempt.backend, LifeSign::Answered, actions);
         const bool isGood = !answer->isNotRun && !answer->isMisleading && answer->status < HttpStatus::ServerError;
-        if (isGood && crashVerdicts_.value()->isSuspect(content)) {
-            actions.emplace_back(TellSuspectAnswered{content});
+        if (isGood) {
+            noteAnswered(now, content, actions);
         }
         return;
     }
-    // A server that leaves ends as it is meant to, and one whose entry is gone has ended before.
-    const Backend *server = pool_.find(attempt.backend);
-    if (server && !server->isLeaving) {
-        tellFound(attempt.backend, endWatch_.lost(now, attempt.backend, content), actions);
-        probeWatched(now, actions);
+    const ServerEndWatch::Standing standing = standingOf(attempt.backend);
+    // A server that is unlisted and slow need not have ended.
+    const bool saysNothing = standing == ServerEndWatch::Standing::Unlisted && std::get<LostAnswer>(event.outcome).isTimeout;
+    if (saysNothing || answered_.has(now, content)) {
+        return;
+    }
+    tellFound(attempt.backend, endWatch_.lost(now, attempt.backend, content, standing), actions);
+    probeWatched(now, actions);
+}
+
+ServerEndWatch::Standing ServiceShard::standingOf(const std::string &backend) const
+{
+    using Standing = ServerEndWatch::Standing;
+    const Backend *server = pool_.find(backend);
+    return !server ? Standing::Unlisted : server->isLeaving ? Standing::Leaving : Standing::Serving;
+}
+
+void ServiceShard::noteAnswered(TimePoint now, const RequestContent &content, ServiceActions &actions)
+{
+    answered_.add(now, content);
+    if (crashVerdicts_.value()->isSuspect(content)) {
+        actions.emplace_back(TellSuspectAnswered{content});
     }
 }
 
--- a/tests/soak/faultschedule.cpp
+++ b/tests/soak/faultschedule.cpp
@@ -23,6 +23,7 @@
 constexpr std::size_t MostGapMs = 250;
 constexpr std::size_t LeastLastMs = 100;
 constexpr std::size_t MostLastMs = 2500;
+constexpr std::uint64_t CrashStream = 0x63726173;
 
 using Standins::Conduct;
 
@@ -55,6 +56,7 @@
     : site_(site)
     , random_(seed)
     , laterRandom_(~seed)
+    , crashRandom_(seed ^ CrashStream)
 {
 }
 
@@ -66,6 +68,7 @@
     }
     drawFault();
     drawLaterFault();
+    drawCrash();
     return milliseconds(random_.below(MostGapMs));
 }
 
@@ -200,6 +203,17 @@
     endLater(laterRandom_, [this, backend] { site_.mendEntry(backend); });
 }
 
+void FaultSchedule::drawCrash()
+{
+    constexpr std::size_t StepsPerCrash = 10;
+    if (crashRandom_.below(StepsPerCrash) > 0) {
+        return;
+    }
+    const std::size_t backend = crashRandom_.below(site_.backends());
+    note("backend server " + std::to_string(backend) + " crashes by itself");
+    site_.crash(backend);
+}
+
 void FaultSchedule::note(const std::string &what)
 {
     const auto since = std::chrono::duration_cast<milliseconds>(Clock::now() - start_);
--- a/tests/soak/faultschedule.h
+++ b/tests/soak/faultschedule.h
@@ -47,6 +47,7 @@
     void drawChange();
     /// Draws from a stream of its own, so that seeds from before these faults still bring about what they did.
     void drawLaterFault();
+    void drawCrash();
     void note(const std::string &what);
     /// Carries out @p end after a random time.
     void endLater(std::function<void()> end);
@@ -58,6 +59,7 @@
     SoakSite &site_;
     Random random_;
     Random laterRandom_;
+    Random crashRandom_;
     Clock::time_point start_ = Clock::now();
     std::multimap<Clock::time_point, std::function<void()>> ends_;
     std::vector<std::future<int>> stopping_;
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -131,11 +131,15 @@
     FaultSchedule schedule(site, seed);
     {
         SoakCallers callers(site, observations, absl::GetFlag(FLAGS_callers), seed);
-        harm(site, schedule, observations, result.breaches);
+        {
+            const FatalCallers fatalCallers(site, seed);
+            harm(site, schedule, observations, result.breaches);
+        }
         site.configure();
         const auto healed = std::chrono::steady_clock::now();
         append(result.breaches, awaitRecovery(site));
         result.recovery = std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::steady_clock::now() - healed);
+        append(result.breaches, breachesUnderFatalRequests(site));
     }
     for (const int code : site.stopAll()) {
         if (code != 0) {
--- a/tests/soak/promises.cpp
+++ b/tests/soak/promises.cpp
@@ -11,6 +11,7 @@
 
 #include <algorithm>
 #include <array>
+#include <functional>
 #include <thread>
 
 namespace Cloverbarrow::Soak
@@ -24,6 +25,13 @@
 constexpr int RecoveryLooks = 600;
 constexpr auto RecoveryPause = std::chrono::milliseconds(100);
 constexpr int ServedInARow = 10;
+// What the users bear of a request that crashes servers, and how often it comes when all faults are over.
+constexpr int EndsBorne = 3;
+constexpr int RetriesBorne = 3;
+constexpr std::size_t FatalRounds = 3;
+constexpr auto FatalPause = std::chrono::milliseconds(150);
+// All entry VMs know by then what has happened before.
+constexpr auto TouchTime = std::chrono::seconds(3);
 
 bool promisesNotRun(int status)
 {
@@ -49,6 +57,9 @@
     if (isSuccess && runs == 0) {
         breaches.push_back({"a success was run", about(seen, answer.body)});
     }
+    if (answer.body.find("servers have ended under this request") != std::string::npos) {
+        breaches.push_back({"an innocent request does not suffer for one that crashes servers", about(seen, answer.body)});
+    }
     if (answer.status == 404) {
         breaches.push_back({"a route that every version has is served", about(seen, answer.body)});
     }
@@ -157,6 +168,38 @@
 
 } // namespace
 
+std::vector<Breach> breachesUnderFatalRequests(const SoakSite &site)
+{
+    BlockingClient client;
+    const auto sendRounds = [&site, &client](const std::function<bool(std::size_t content)> &isWanted) {
+        for (std::size_t round = 0; round < FatalRounds * site.entryVms(); ++round) {
+            for (std::size_t content = 0; content < FatalCallers::Contents; ++content) {
+                if (isWanted(content)) {
+                    FatalCallers::send(site, client, content, round % site.entryVms());
+                }
+            }
+            std::this_thread::sleep_for(FatalPause);
+        }
+    };
+    sendRounds([&site](std::size_t content) { return FatalCallers::runs(site, content) < EndsBorne; });
+    std::this_thread::sleep_for(TouchTime);
+    std::array<int, FatalCallers::Contents> before{};
+    for (std::size_t content = 0; content < before.size(); ++content) {
+        before.at(content) = FatalCallers::runs(site, content);
+    }
+    sendRounds([](std::size_t) { return true; });
+    std::vector<Breach> breaches;
+    for (std::size_t content = 0; content < before.size(); ++content) {
+        const int more = FatalCallers::runs(site, content) - before.at(content);
+        if (before.at(content) >= EndsBorne && more > RetriesBorne) {
+            breaches.push_back({"a request that crashes servers is soon passed on no more",
+                                "content " + std::to_string(content) + ": run " + std::to_string(before.at(content)) + " times, then " + std::to_string(more)
+                                    + " times more, later than 3 s after the third"});
+        }
+    }
+    return breaches;
+}
+
 std::vector<Breach> awaitRecovery(SoakSite &site)
 {
     BlockingClient client;
--- a/tests/soak/promises.h
+++ b/tests/soak/promises.h
@@ -45,6 +45,10 @@
     int asked_ = 0;
 };
 
+/// Sends the requests that crash servers on after the last fault, at each entry VM in turn, until three servers have ended under each, and again
+/// three seconds later. @return a breach for each of which servers then run more than three.
+std::vector<Breach> breachesUnderFatalRequests(const SoakSite &site);
+
 /// @return a line for each entry VM that does not serve the newest configuration, and no other, with all servers well; waits
 /// for that, since it takes some seconds after the last fault.
 std::vector<Breach> awaitRecovery(SoakSite &site);
--- a/tests/soak/soakcallers.cpp
+++ b/tests/soak/soakcallers.cpp
@@ -10,6 +10,7 @@
 #include "core/support/random.h"
 #include "names.h"
 
+#include <algorithm>
 #include <future>
 #include <utility>
 
@@ -24,6 +25,8 @@
 constexpr std::size_t LeaveEach = 12;
 constexpr std::size_t MoveEach = 20;
 constexpr std::size_t MostPauseMs = 25;
+constexpr std::size_t MostFatalPauseMs = 600;
+constexpr Duration FatalPatience = seconds(3);
 constexpr Duration ShortPatience = milliseconds(20);
 // Far longer than the route's time limit and any pause of a process together: an answer that is not there by then never comes.
 constexpr Duration LongPatience = seconds(25);
@@ -105,4 +108,44 @@
     }
 }
 
+FatalCallers::FatalCallers(const SoakSite &site, std::uint64_t seed)
+    : site_(site)
+{
+    for (std::size_t content = 0; content < Contents; ++content) {
+        threads_.emplace_back([this, content, seed] {
+            Random random(~seed + content);
+            BlockingClient client;
+            while (!isStopping_) {
+                send(site_, client, content, random.below(site_.entryVms()));
+                std::this_thread::sleep_for(milliseconds(random.below(MostFatalPauseMs)));
+            }
+        });
+    }
+}
+
+FatalCallers::~FatalCallers()
+{
+    isStopping_ = true;
+    for (std::thread &thread : threads_) {
+        thread.join();
+    }
+}
+
+void FatalCallers::send(const SoakSite &site, BlockingClient &client, std::size_t content, std::size_t entryVm)
+{
+    static std::atomic<int> sent{0};
+    const std::string name = "fatal-" + std::to_string(content);
+    const bool isWrite = content % 2 == 1;
+    const std::string target = (isWrite ? "/pay/" : "/read/") + name;
+    HttpRequest request = callerRequest(isWrite ? "POST" : "GET", "a.example", target, name + "." + std::to_string(++sent));
+    client.send(site.entryAddress(entryVm).callers, std::move(request), FatalPatience);
+}
+
+int FatalCallers::runs(const SoakSite &site, std::size_t content)
+{
+    const std::string prefix = "fatal-" + std::to_string(content) + ".";
+    const auto all = site.runs();
+    return static_cast<int>(std::count_if(all.begin(), all.end(), [&prefix](const std::string &id) { return id.starts_with(prefix); }));
+}
+
 } // namespace Cloverbarrow::Soak
--- a/tests/soak/soakcallers.h
+++ b/tests/soak/soakcallers.h
@@ -72,6 +72,28 @@
     std::vector<std::thread> threads_;
 };
 
+/// Callers whose requests crash the servers that begin to run them, several kinds at once, each sent again and again at any entry VM.
+class FatalCallers
+{
+public:
+    static constexpr std::size_t Contents = 3;
+
+    FatalCallers(const SoakSite &site, std::uint64_t seed);
+    ~FatalCallers();
+    FatalCallers(const FatalCallers &) = delete;
+    FatalCallers &operator=(const FatalCallers &) = delete;
+
+    /// Sends the request of number @p content once. Each content keeps its target and body; ids differ.
+    static void send(const SoakSite &site, BlockingClient &client, std::size_t content, std::size_t entryVm);
+    /// @return how often servers have run the content.
+    static int runs(const SoakSite &site, std::size_t content);
+
+private:
+    const SoakSite &site_;
+    std::atomic<bool> isStopping_{false};
+    std::vector<std::thread> threads_;
+};
+
 /// @return a request with an id, as callers of the platform send it.
 HttpRequest callerRequest(const std::string &method, const std::string &host, const std::string &target, const std::string &id);
 
--- a/tests/soak/soaksite.cpp
+++ b/tests/soak/soaksite.cpp
@@ -25,6 +25,8 @@
 constexpr int StopNoticeMs = 300;
 constexpr double RouteTimeoutSeconds = 2;
 constexpr std::size_t Zones = 2;
+constexpr auto CrashLookPause = std::chrono::milliseconds(5);
+constexpr auto CrashPause = std::chrono::milliseconds(1200);
 
 std::string zoneOf(std::size_t number)
 {
@@ -57,6 +59,18 @@
         entryVms_[number].storeLink = std::make_unique<FaultProxy>(store_.address());
         startLocked(entryVms_[number]);
     }
+    crashThread_ = std::thread([this] {
+        while (!isStopping_) {
+            lookAfterCrashes();
+            std::this_thread::sleep_for(CrashLookPause);
+        }
+    });
+}
+
+SoakSite::~SoakSite()
+{
+    isStopping_ = true;
+    crashThread_.join();
 }
 
 std::size_t SoakSite::entryVms() const
@@ -156,6 +170,38 @@
     registerBackend(server, "ready");
 }
 
+void SoakSite::crash(std::size_t backend)
+{
+    const std::lock_guard lock(mutex_);
+    BackendServer &server = backends_[backend];
+    if (!server.endedAt) {
+        server.endedAt = std::chrono::steady_clock::now();
+        server.server->endAfterCrash();
+    }
+}
+
+void SoakSite::lookAfterCrashes()
+{
+    const std::lock_guard lock(mutex_);
+    const auto now = std::chrono::steady_clock::now();
+    for (std::size_t number = 0; number < backends_.size(); ++number) {
+        BackendServer &server = backends_[number];
+        if (!server.endedAt && server.server->hasCrashed()) {
+            server.endedAt = now;
+            server.server->endAfterCrash();
+        }
+        if (server.endedAt && now - *server.endedAt >= CrashPause) {
+            server.endedAt.reset();
+            store_.remove("servers", server.id);
+            ++server.incarnation;
+            server.id = "i-" + std::to_string(number) + "-" + std::to_string(server.incarnation);
+            server.server->startAfterCrash(server.id);
+            server.link->setTarget(server.server->address());
+            registerBackend(server, "ready");
+        }
+    }
+}
+
 void SoakSite::setDraining(std::size_t backend, bool isDraining)
 {
     const std::lock_guard lock(mutex_);
--- a/tests/soak/soaksite.h
+++ b/tests/soak/soaksite.h
@@ -12,12 +12,15 @@
 #include "process.h"
 #include "registeredbackend.h"
 
+#include <atomic>
+#include <chrono>
 #include <cstdint>
 #include <memory>
 #include <mutex>
 #include <optional>
 #include <set>
 #include <string>
+#include <thread>
 #include <vector>
 
 namespace Cloverbarrow::Soak
@@ -51,6 +54,9 @@
 public:
     /// @param program of the entry VMs. @param folder for settings and logs; kept.
     SoakSite(const SiteSize &size, std::string program, std::string folder);
+    ~SoakSite();
+    SoakSite(const SoakSite &) = delete;
+    SoakSite &operator=(const SoakSite &) = delete;
 
     std::size_t entryVms() const;
     std::size_t backends() const;
@@ -73,6 +79,8 @@
     void conduct(std::size_t backend, Standins::Conduct conduct);
     /// A new incarnation takes the backend server's address over; the former one leaves the registry.
     void replaceBackend(std::size_t backend);
+    /// The backend server ends by itself. As after a crash under a request, it is back after a pause as another start.
+    void crash(std::size_t backend);
     void setDraining(std::size_t backend, bool isDraining);
     /// The backend server has started again under its id.
     void restartBackend(std::size_t backend);
@@ -102,9 +110,12 @@
         std::string id;
         int incarnation = 1;
         std::int64_t started = 1; ///< As it tells; only differs between two starts.
+        std::optional<std::chrono::steady_clock::time_point> endedAt; ///< While it is down after a crash.
     };
 
     void startLocked(EntryVm &entry);
+    /// Ends servers that have crashed, and starts those again whose pause is over.
+    void lookAfterCrashes();
     void registerBackend(BackendServer &backend, const std::string &state);
 
     std::string program_;
@@ -115,6 +126,8 @@
     std::vector<BackendServer> backends_;
     std::set<ProcessStart> killed_;
     int version_ = 0;
+    std::atomic<bool> isStopping_{false};
+    std::thread crashThread_;
 };
 
 /// @return the host that only version @p version of the configuration has a route for.
