A call to the store without any answer renews the watches

Cause: connections of a relay to the store fell silent while new ones worked. Silence is noticed by the cheap check of the store timing out on a silent connection; here a seat's read met that connection first and closed it, the checks went over new ones and were answered, and the watch of crash reports hung for as long as it may wait (30 s). Its zone's entry VMs heard of no end and passed a fatal request on nine times. It concerns the older collections as well: nothing is special to the third.

Change: a call that had no answer of any kind renews all watches where the store is followed and not known to be lost.

--- a/src/core/directory/directoryevents.h
+++ b/src/core/directory/directoryevents.h
@@ -128,12 +128,14 @@
     std::string holder; ///< Address of the relay.
     std::int64_t revision = 0; ///< 0 when nobody has ever taken the seat.
     std::vector<std::string> others; ///< Holders of other zones' seats; empty when they were not read.
+    bool wasSilent = false; ///< No answer of any kind came.
 };
 
 /// A write of this entry VM's crash report has ended.
 struct CrashReportWritten {
     std::int64_t revision = 0; ///< Of the object as it is now; 0 when what became of the call is not known.
     CrashReport report; ///< As the object has it now: not as it was to be written where another revision was found.
+    bool wasSilent = false; ///< No answer of any kind came.
 };
 
 using DirectoryEvent = std::
--- a/src/core/directory/directorykeeper.cpp
+++ b/src/core/directory/directorykeeper.cpp
@@ -201,12 +201,17 @@
 {
     if (event.hasAnswered) {
         provenAt_ = now;
+    } else if (event.wasSilent) {
+        storeCallSilent(now, actions);
     }
     seat_.seatAnswered(now, event, actions);
 }
 
-void DirectoryKeeper::on(TimePoint now, const CrashReportWritten &event, DirectoryActions &)
+void DirectoryKeeper::on(TimePoint now, const CrashReportWritten &event, DirectoryActions &actions)
 {
+    if (event.wasSilent) {
+        storeCallSilent(now, actions);
+    }
     crashWriter_.written(now, event, random_);
 }
 
@@ -368,6 +373,20 @@
     nextCheck_ = now + pause * 3 / 4 + Duration(random_.below(static_cast<std::size_t>((pause / 2).count())));
 }
 
+void DirectoryKeeper::storeCallSilent(TimePoint now, DirectoryActions &actions)
+{
+    if (!isAtStore() || isStoreLost_) {
+        return;
+    }
+    // The silent connection is closed with this call. A check on a new one would find the store well, and a relay whose watch hung told its followers
+    // nothing for as long as a watch may wait, 30 s.
+    actions.emplace_back(ReportDirectory{"watches renewed", "a call to the store got no answer"});
+    registry_.listBroken();
+    routing_.renew(now);
+    servers_.renew(now);
+    crashes_.renew(now);
+}
+
 void DirectoryKeeper::storeFailed(TimePoint now, const std::string &reason, DirectoryActions &actions)
 {
     if (!isStoreLost_) {
--- a/src/core/directory/directorykeeper.h
+++ b/src/core/directory/directorykeeper.h
@@ -75,6 +75,8 @@
     bool isCurrent() const;
     void sourceAnswered(TimePoint now, DirectoryActions &actions);
     void storeAnswered(TimePoint now, DirectoryActions &actions);
+    /// A call to the store got no answer of any kind. Open connections may have fallen silent, and the watches wait on such ones.
+    void storeCallSilent(TimePoint now, DirectoryActions &actions);
     void storeFailed(TimePoint now, const std::string &reason, DirectoryActions &actions);
     void planCheck(TimePoint now);
     void publish(DirectoryActions &actions);
--- a/tests/unit/directorytests.cpp
+++ b/tests/unit/directorytests.cpp
@@ -523,6 +523,29 @@
     CHECK(store.lists.size() == before + Collections);
 }
 
+TEST_CASE("When any call to the store gets no answer, watches begin anew, since open connections may have fallen silent", "[directory][silence]")
+{
+    // Seen in a soak: a relay's open connections to the store fell silent, a seat's read met one of them and closed it, and the checks of the store went over new
+    // connections and were answered. The relay's watch of one collection hung, and its followers heard nothing of it.
+    Following store;
+    store.start({server("i-1", 2)});
+    const std::size_t before = store.lists.size();
+    SECTION("a look at the seat")
+    {
+        store.answer(0, SeatAnswered{false, {}, 0, {}, true});
+    }
+    SECTION("a crash report")
+    {
+        store.answer(0, CrashReportWritten{0, {}, true});
+    }
+    store.pass(milliseconds(20));
+    CHECK(store.lists.size() == before + Collections);
+    // A store that refuses is not silent.
+    store.answer(0, SeatAnswered{});
+    store.pass(milliseconds(20));
+    CHECK(store.lists.size() == before + Collections);
+}
+
 TEST_CASE("After a watch was cut the collection is listed, since its history may be dropped unsaid", "[directory]")
 {
     Following store;
