--- a/src/core/controlshard.cpp
+++ b/src/core/controlshard.cpp
@@ -226,7 +226,8 @@
 
 void ControlShard::tickShutdown(TimePoint now, const WorkLeft &left, ControlActions &actions)
 {
-    const WorkLeft all{left.requests, left.payouts, shares_.holdsAny()};
+    WorkLeft all = left;
+    all.holdsShares = shares_.holdsAny();
     const auto phase = shutdown_.advance(now, all);
     const bool isPastNotice = phase == ShutdownSequence::Phase::Finishing || phase == ShutdownSequence::Phase::Done;
     if (isPastNotice && !hasStoppedAccepting_) {
--- a/src/core/crashes/crashverdicts.cpp
+++ b/src/core/crashes/crashverdicts.cpp
@@ -48,4 +48,9 @@
     return suspects_.contains(content);
 }
 
+const std::set<RequestContent> &CrashVerdicts::suspects() const
+{
+    return suspects_;
+}
+
 } // namespace Cloverbarrow
--- a/src/core/crashes/crashverdicts.h
+++ b/src/core/crashes/crashverdicts.h
@@ -35,6 +35,7 @@
     bool refuses(const RequestContent &content) const;
     /// @return whether a server has ended under the content, so that an answer to it is worth telling.
     bool isSuspect(const RequestContent &content) const;
+    const std::set<RequestContent> &suspects() const;
 
     bool operator==(const CrashVerdicts &) const = default;
 
--- a/src/core/directory/crashreportwriter.cpp
+++ b/src/core/directory/crashreportwriter.cpp
@@ -62,9 +62,14 @@
     nextCall_ = now + pause / 2 + Duration(random.below(static_cast<std::size_t>((pause / 2).count())));
 }
 
+bool CrashReportWriter::hasUnwritten() const
+{
+    return revision_ && wanted_ && *wanted_ != stored_;
+}
+
 void CrashReportWriter::tick(TimePoint now, DirectoryActions &actions)
 {
-    if (!revision_ || !wanted_ || isCalling_ || now < nextCall_ || *wanted_ == stored_) {
+    if (!hasUnwritten() || isCalling_ || now < nextCall_) {
         return;
     }
     isCalling_ = true;
--- a/src/core/directory/crashreportwriter.h
+++ b/src/core/directory/crashreportwriter.h
@@ -29,6 +29,8 @@
     void gone(std::int64_t revision);
     void written(TimePoint now, const CrashReportWritten &answer, Random &random);
     void tick(TimePoint now, DirectoryActions &actions);
+    /// @return whether the store does not hold yet what is wanted.
+    bool hasUnwritten() const;
 
 private:
     std::uint64_t order_ = 0; ///< Of what is wanted.
--- a/src/core/directory/directorykeeper.cpp
+++ b/src/core/directory/directorykeeper.cpp
@@ -220,6 +220,11 @@
     crashWriter_.want(order, std::move(report));
 }
 
+bool DirectoryKeeper::hasUntoldCrashes() const
+{
+    return crashWriter_.hasUnwritten();
+}
+
 void DirectoryKeeper::publishCrashes(DirectoryActions &actions)
 {
     const DirectoryEntry *own = crashBook_.find(self_);
--- a/src/core/directory/directorykeeper.h
+++ b/src/core/directory/directorykeeper.h
@@ -38,6 +38,8 @@
     void setBudgets(const FleetBudgets &budgets, DirectoryActions &actions);
     /// What this entry VM tells of servers that ended under requests. @param order rises with each.
     void tellCrashes(std::uint64_t order, CrashReport report);
+    /// @return whether the store does not hold that yet.
+    bool hasUntoldCrashes() const;
 
     /// @param since number of the latest change here that the peer knows; 0 for a list.
     /// @return what a peer has missed; nothing when it must begin with a list.
--- a/src/core/requests/comeback.h
+++ b/src/core/requests/comeback.h
@@ -16,7 +16,8 @@
 // later; a service without servers gets new ones within some seconds.
 constexpr Duration ComeBackWhenBusy = seconds(1);
 constexpr Duration ComeBackWithoutServer = seconds(5);
-// A request that crashes servers does so until one of the two is mended; nobody gains from it coming sooner.
-constexpr Duration ComeBackAfterCrashes = seconds(60);
+// A request that crashes servers is turned away again, which costs little. One that was only there when they ended has been answered somewhere, and all entry
+// VMs know of that within two seconds.
+constexpr Duration ComeBackAfterCrashes = seconds(2);
 
 } // namespace Cloverbarrow
--- a/src/core/requests/serviceshard.cpp
+++ b/src/core/requests/serviceshard.cpp
@@ -74,7 +74,7 @@
     if (now >= event.deadline) {
         return Problem{504, Fate::NotRun, "admit", name_, "the deadline has passed", std::nullopt};
     }
-    if (crashVerdicts_.value()->refuses(event.content)) {
+    if (isRefusedForEnds(now, event.content)) {
         return crashProblem(Fate::NotRun);
     }
     if (!pool_.hasCandidate()) {
--- a/src/core/requests/serviceshard.h
+++ b/src/core/requests/serviceshard.h
@@ -104,7 +104,9 @@
     void watchEntries(TimePoint now, ServiceActions &actions);
     void probeWatched(TimePoint now, ServiceActions &actions);
     /// Ends requests that wait for a server and are not to be passed on any more.
-    void refuseWaitingSuspects(ServiceActions &actions);
+    void refuseWaitingSuspects(TimePoint now, ServiceActions &actions);
+    /// @return whether the request is not to be passed on, by what all entry VMs know and this one has seen itself.
+    bool isRefusedForEnds(TimePoint now, const RequestContent &content) const;
     Problem crashProblem(Fate fate) const;
     std::optional<Problem> admissionProblem(TimePoint now, const RequestArrived &event) const;
     /// @return most requests that this entry VM may hold for the rest of them to be answered in time.
--- a/src/core/requests/serviceshardcrashes.cpp
+++ b/src/core/requests/serviceshardcrashes.cpp
@@ -18,11 +18,24 @@
 namespace Cloverbarrow
 {
 
-void ServiceShard::on(TimePoint, const CrashVerdictsChanged &event, ServiceActions &actions)
+void ServiceShard::on(TimePoint now, const CrashVerdictsChanged &event, ServiceActions &actions)
 {
-    if (crashVerdicts_.take(event.order, event.verdicts)) {
-        refuseWaitingSuspects(actions);
+    if (!crashVerdicts_.take(event.order, event.verdicts)) {
+        return;
+    }
+    // Answers that came before the ends were told of excuse as well. While one request crashed ten servers again and again, another that is sent 20 times a
+    // second was in hand at three of them within a second, and was refused for the rest of the time in a model of six entry VMs.
+    for (const RequestContent &content : event.verdicts->suspects()) {
+        if (answered_.has(now, content)) {
+            actions.emplace_back(TellSuspectAnswered{content});
+        }
     }
+    refuseWaitingSuspects(now, actions);
+}
+
+bool ServiceShard::isRefusedForEnds(TimePoint now, const RequestContent &content) const
+{
+    return crashVerdicts_.value()->refuses(content) && !answered_.has(now, content);
 }
 
 void ServiceShard::watchForEnd(TimePoint now, const Attempt &attempt, const AttemptEnded &event, ServiceActions &actions)
@@ -105,13 +118,12 @@
     }
 }
 
-void ServiceShard::refuseWaitingSuspects(ServiceActions &actions)
+void ServiceShard::refuseWaitingSuspects(TimePoint now, ServiceActions &actions)
 {
-    const CrashVerdicts &verdicts = *crashVerdicts_.value();
     for (auto entry = requests_.begin(); entry != requests_.end();) {
         const Request &request = entry->second;
         const bool isWaiting = request.running.empty() && (request.choice || std::find(waiting_.begin(), waiting_.end(), entry->first) != waiting_.end());
-        if (!isWaiting || !verdicts.refuses(request.arrival.content)) {
+        if (!isWaiting || !isRefusedForEnds(now, request.arrival.content)) {
             ++entry;
             continue;
         }
--- a/src/core/shutdownsequence.cpp
+++ b/src/core/shutdownsequence.cpp
@@ -12,7 +12,7 @@
 
 namespace
 {
-// A platform that works takes the shares back within a few calls.
+// A platform that works takes the shares back, and what is to be told, within a few calls.
 constexpr Duration GiveBackPatience = seconds(3);
 } // namespace
 
@@ -37,7 +37,7 @@
     if (phase_ == Phase::NotReady && now - requestedAt_ >= notice_) {
         phase_ = Phase::Finishing;
     }
-    const bool isGivenBack = !left.holdsShares || now - requestedAt_ >= notice_ + GiveBackPatience;
+    const bool isGivenBack = (!left.holdsShares && !left.hasUntold) || now - requestedAt_ >= notice_ + GiveBackPatience;
     const bool isFinished = phase_ == Phase::Finishing && left.isNone() && isGivenBack;
     const bool isOverdue = phase_ != Phase::Serving && now - requestedAt_ >= limit_;
     if (isFinished || isOverdue) {
--- a/src/core/shutdownsequence.h
+++ b/src/core/shutdownsequence.h
@@ -20,6 +20,7 @@
     std::size_t requests = 0;
     std::size_t payouts = 0; ///< Whose record is not yet as it should be.
     bool holdsShares = false; ///< Not given back yet; their lease lapses by itself.
+    bool hasUntold = false; ///< The store does not hold yet what only this process has seen.
 
     /// @return whether nothing is left that a caller could miss.
     bool isNone() const
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -251,6 +251,9 @@
         if (stopsTaken_ > 0) {
             // An answer is not given before its last byte has left.
             left.requests += callerServer_->unsentAnswers();
+            // What only this process has seen would be lost with it: while the store refused calls, one that had seen the ends of three servers under a request
+            // was stopped, and six more ended.
+            left.hasUntold = directory_ && directory_->hasUntoldCrashes();
         }
         handle(ControlEvent(ControlTick{left}));
         if (directory_) {
--- a/src/daemon/directoryrunner.cpp
+++ b/src/daemon/directoryrunner.cpp
@@ -67,6 +67,12 @@
     keeper_->tellCrashes(action.order, action.report);
 }
 
+bool DirectoryRunner::hasUntoldCrashes()
+{
+    const std::lock_guard lock(mutex_);
+    return keeper_->hasUntoldCrashes();
+}
+
 void DirectoryRunner::stop()
 {
     isStopped_ = true;
--- a/src/daemon/directoryrunner.h
+++ b/src/daemon/directoryrunner.h
@@ -46,6 +46,8 @@
     void setBudgets(const FleetBudgets &budgets);
     /// What this entry VM tells of servers that ended under requests.
     void tellCrashes(const TellCrashes &action);
+    /// @return whether the store does not hold that yet.
+    bool hasUntoldCrashes();
     /// Answers that come later are left aside.
     void stop();
     /// @return calls made to the store.
--- a/tests/unit/directorytests.cpp
+++ b/tests/unit/directorytests.cpp
@@ -525,8 +525,8 @@
 
 TEST_CASE("When any call to the store gets no answer, watches begin anew, since open connections may have fallen silent", "[directory][silence]")
 {
-    // Seen in a soak: a relay's open connections to the store fell silent, a seat's read met one of them and closed it, and the checks of the store went over new
-    // connections and were answered. The relay's watch of one collection hung, and its followers heard nothing of it.
+    // Seen in a soak: a relay's open connections to the store fell silent, a seat's read met one of them and closed it, and the checks of the store went over
+    // new connections and were answered. The relay's watch of one collection hung, and its followers heard nothing of it.
     Following store;
     store.start({server("i-1", 2)});
     const std::size_t before = store.lists.size();
--- a/tests/unit/shutdowntests.cpp
+++ b/tests/unit/shutdowntests.cpp
@@ -53,6 +53,18 @@
     CHECK(WorkLeft{0, 0, true}.isNone());
 }
 
+TEST_CASE("What the store has not taken yet holds a shutdown up for a moment only", "[shutdown][crash]")
+{
+    // Only this process has seen it; with the store away for long there is nothing to wait for.
+    ShutdownSequence shutdown = requested();
+    CHECK(shutdown.advance(Start + Notice, {0, 0, false, true}) == Phase::Finishing);
+    CHECK(shutdown.advance(Start + Notice + seconds(1), {0, 0, false, true}) == Phase::Finishing);
+    CHECK(shutdown.advance(Start + Notice + seconds(1), {0, 0, false, false}) == Phase::Done);
+    ShutdownSequence other = requested();
+    CHECK(other.advance(Start + Notice, {0, 0, false, true}) == Phase::Finishing);
+    CHECK(other.advance(Start + Notice + seconds(10), {0, 0, false, true}) == Phase::Done);
+}
+
 TEST_CASE("A second request ends a shutdown at once", "[shutdown]")
 {
     ShutdownSequence shutdown = requested();
