A server that left while the store turned an entry VM away is gone at once when a relay says so

A relay gives that time itself, so what follows one gives none. The property of a zone that the store turns away now removes a server too: it failed on the first draw before.

--- a/src/core/directory/directorykeeper.cpp
+++ b/src/core/directory/directorykeeper.cpp
@@ -281,6 +281,11 @@
         return;
     }
     source_ = seat_.relay();
+    if (!source_.empty()) {
+        // The store was away for this entry VM alone. A server that left meanwhile got requests for two seconds more, as long as it may after its word, when
+        // its entry was still waited for here.
+        registry_.followsRelay(now);
+    }
     registry_.listBroken();
     routing_.renew(now);
     servers_.renew(now);
@@ -304,7 +309,6 @@
     } else if (isStoreLost_) {
         // News of a relay are news of the store.
         isStoreLost_ = false;
-        registry_.storeReturned(now);
         actions.emplace_back(ReportDirectory{"store regained", "through the relay"});
     }
 }
--- a/src/core/directory/serverregistry.cpp
+++ b/src/core/directory/serverregistry.cpp
@@ -83,6 +83,16 @@
     graceUntil_ = now + ReturnGrace;
 }
 
+void ServerRegistry::followsRelay(TimePoint now)
+{
+    graceUntil_.reset();
+    for (auto &[name, entry] : entries_) {
+        if (entry.goneAt) {
+            entry.goneAt = std::min(*entry.goneAt, now);
+        }
+    }
+}
+
 bool ServerRegistry::tick(TimePoint now)
 {
     bool isNews = false;
--- a/src/core/directory/serverregistry.h
+++ b/src/core/directory/serverregistry.h
@@ -33,6 +33,8 @@
     bool changed(TimePoint now, const std::vector<DirectoryEntry> &entries);
     /// The store answers again after an outage.
     void storeReturned(TimePoint now);
+    /// What is told from now on comes from a relay that has given entries their time itself: what is gone is gone.
+    void followsRelay(TimePoint now);
     /// Drops entries whose time to come back is over. @return whether any was dropped.
     bool tick(TimePoint now);
 
--- a/tests/property/directoryproperties.cpp
+++ b/tests/property/directoryproperties.cpp
@@ -664,6 +664,8 @@
         constexpr std::size_t Zones = 3;
         ModelFleet fleet(EntryVms, Zones);
         fleet.store.putServer("i-1", false);
+        fleet.store.putServer("i-3", false);
+        fleet.store.putServer("i-4", false);
         // Long enough for relays to have told of each other.
         fleet.pass(seconds(20));
         const auto cutZone = static_cast<std::size_t>(*rc::gen::inRange<int>(0, Zones));
@@ -673,6 +675,8 @@
         fleet.pass(milliseconds(*rc::gen::inRange(10, 3000)));
         fleet.store.putPlan();
         fleet.store.putServer("i-2", true);
+        // Some servers leave without a word: their entry just goes.
+        fleet.store.removeServer("i-3");
         fleet.pass(milliseconds(2000));
         RC_ASSERT(fleet.allBelieveTheStore());
         fleet.joinAll();
