A second witness of ended servers, and no retry that may end one too many

Each report now goes to all known relays as well; a relay counts it, and tells it as its own if the store does not show it after 2 s. A request with two known ends is not retried when its answer is lost, since a retry comes before anything can be known.

Property (a witness restarted during an outage: all refuse within 5 s of its end) and unit tests, among them one that the relay forgets what was withdrawn.

--- a/src/core/controlevents.h
+++ b/src/core/controlevents.h
@@ -133,6 +133,11 @@
     std::uint64_t order = 0; ///< Rises with each such event; an older one that comes late is ignored.
 };
 
+/// An entry VM has told its crash report to this one, which relays.
+struct CrashReportHeard {
+    NamedCrashReport report;
+};
+
 struct StopRequested {
 };
 
@@ -155,6 +160,7 @@
                                   ServerHeardAgain,
                                   SuspectAnswered,
                                   CrashReportsTold,
+                                  CrashReportHeard,
                                   StopRequested>;
 
 // Actions
--- a/src/core/controlshard.cpp
+++ b/src/core/controlshard.cpp
@@ -128,6 +128,11 @@
     }
 }
 
+void ControlShard::on(TimePoint now, const CrashReportHeard &event, ControlActions &)
+{
+    crashes_.heard(now, event.report);
+}
+
 void ControlShard::tellCrashes(ControlActions &actions)
 {
     if (auto verdicts = crashes_.takeVerdicts()) {
--- a/src/core/controlshard.h
+++ b/src/core/controlshard.h
@@ -76,6 +76,7 @@
     void on(TimePoint now, const ServerHeardAgain &event, ControlActions &actions);
     void on(TimePoint now, const SuspectAnswered &event, ControlActions &actions);
     void on(TimePoint now, const CrashReportsTold &event, ControlActions &actions);
+    void on(TimePoint now, const CrashReportHeard &event, ControlActions &actions);
     void on(TimePoint now, const StopRequested &event, ControlActions &actions);
     /// Tells what is new of requests that end servers.
     void tellCrashes(ControlActions &actions);
--- a/src/core/crashes/crashledger.cpp
+++ b/src/core/crashes/crashledger.cpp
@@ -8,6 +8,7 @@
 #include "core/crashes/crashledger.h"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace Cloverbarrow
@@ -121,8 +122,41 @@
     everOwn_.insert(end);
 }
 
+void CrashLedger::heard(TimePoint now, const NamedCrashReport &report)
+{
+    const bool isKnown = heard_.contains(report.entryVm);
+    if (report.entryVm == self_ || (!isKnown && heard_.size() >= MostHeard)) {
+        return;
+    }
+    heard_[report.entryVm] = {now, report.report};
+    reconsider();
+}
+
+void CrashLedger::witness(TimePoint now)
+{
+    const auto isShown = [this](const ServerEnd &end) { return others_.contains(end) || own_.contains(end); };
+    for (auto entry = heard_.begin(); entry != heard_.end();) {
+        const auto &ends = entry->second.report.ends;
+        const bool isAllShown = std::all_of(ends.begin(), ends.end(), isShown);
+        const bool isLate = now - entry->second.at >= WitnessDelay;
+        if (isLate) {
+            for (const ServerEnd &end : ends) {
+                if (!isShown(end)) {
+                    addOwn(end, {now, true});
+                }
+            }
+            boundOwn();
+        }
+        entry = isLate || isAllShown ? heard_.erase(entry) : std::next(entry);
+        if (isLate) {
+            reconsider();
+        }
+    }
+}
+
 void CrashLedger::tick(TimePoint now)
 {
+    witness(now);
     for (auto &[end, own] : own_) {
         if (!own.isTold && (now - own.seenAt >= FirstEndDelay || hasOthersOf(end))) {
             own.isTold = true;
@@ -185,6 +219,9 @@
     for (const auto &[end, since] : others_) {
         all.insert(end);
     }
+    for (const auto &[entryVm, heard] : heard_) {
+        all.insert(heard.report.ends.begin(), heard.report.ends.end());
+    }
     std::erase_if(all, [this](const ServerEnd &end) { return excused_.contains(end) || excusedByOthers_.contains(end); });
     return {all.begin(), all.end()};
 }
--- a/src/core/crashes/crashledger.h
+++ b/src/core/crashes/crashledger.h
@@ -35,6 +35,10 @@
     /// A content of which an excuse was just heard is not refused for so long, whatever ends are told of: a request that is sent all the time is in hand at one
     /// server after the other while another one ends them, and each end takes its time to be excused by those that had the answers. Chosen, not measured.
     static constexpr Duration ExcuseLifetime = seconds(30);
+    /// Longer than an end may be withdrawn.
+    static constexpr Duration WitnessDelay = milliseconds(2000);
+    /// Entry VMs of which a report is kept that the store does not show; many more than end servers at once.
+    static constexpr std::size_t MostHeard = 64;
     /// Own ends and own excuses that are kept; the oldest go first. Some 100 bytes each, in an object of at most a megabyte.
     static constexpr std::size_t MostKept = 512;
 
@@ -49,6 +53,9 @@
     void answered(TimePoint now, const RequestContent &content);
     /// All reports that the store holds now. What the own one has that this process never told is of a former one, and is taken over.
     void told(TimePoint now, const std::vector<NamedCrashReport> &reports);
+    /// Another entry VM tells this relay its report beside the store, which may be away. While the store does not show what it tells, it counts here; when it
+    /// still does not after WitnessDelay, this entry VM tells it as its own, since the other one may have ended.
+    void heard(TimePoint now, const NamedCrashReport &report);
     void tick(TimePoint now);
 
     /// @return verdicts that have changed since the last call; else null.
@@ -57,6 +64,11 @@
     std::optional<CrashReport> takeReport();
 
 private:
+    struct Heard {
+        TimePoint at;
+        CrashReport report;
+    };
+
     struct Own {
         TimePoint seenAt;
         bool isTold = false;
@@ -66,6 +78,8 @@
     void expire(TimePoint now);
     void takeOver(TimePoint now, const CrashReport &former);
     void addOwn(const ServerEnd &end, const Own &own);
+    /// Takes over what was heard and is not shown by the store in time.
+    void witness(TimePoint now);
     std::vector<ServerEnd> counting() const;
     std::vector<ServerEnd> allExcused() const;
     bool hasOthersOf(const ServerEnd &end) const;
@@ -79,6 +93,7 @@
     std::map<ServerEnd, TimePoint> excused_; ///< By this entry VM.
     std::map<ServerEnd, TimePoint> others_; ///< With the time when they were first heard of here.
     std::set<ServerEnd> excusedByOthers_;
+    std::map<std::string, Heard> heard_; ///< By entry VM.
     std::map<RequestContent, TimePoint> answeredAt_; ///< When an excuse of the content was last heard of.
     std::set<ServerEnd> everOwn_; ///< Of this process, also those that were withdrawn since.
     bool hasHeard_ = false; ///< Of what the store holds.
--- a/src/core/crashes/crashverdicts.cpp
+++ b/src/core/crashes/crashverdicts.cpp
@@ -7,8 +7,6 @@
 
 #include "core/crashes/crashverdicts.h"
 
-#include <map>
-
 namespace Cloverbarrow
 {
 
@@ -27,6 +25,7 @@
         answered_.insert(end.content);
     }
     for (const auto &[content, servers] : serversOf) {
+        ends_[content] = servers.size();
         if (servers.size() >= EndsBorne && !answeredLately.contains(content)) {
             refused_.insert(content);
         }
@@ -48,6 +47,12 @@
     return suspects_.contains(content);
 }
 
+std::size_t CrashVerdicts::endsUnder(const RequestContent &content) const
+{
+    const auto found = ends_.find(content);
+    return found == ends_.end() ? 0 : found->second;
+}
+
 const std::set<RequestContent> &CrashVerdicts::suspects() const
 {
     return suspects_;
--- a/src/core/crashes/crashverdicts.h
+++ b/src/core/crashes/crashverdicts.h
@@ -9,6 +9,8 @@
 
 #include "core/crashes/crashreport.h"
 
+#include <cstddef>
+#include <map>
 #include <set>
 #include <span>
 #include <string>
@@ -37,11 +39,14 @@
     /// @return whether a server has ended under the content, so that an answer to it is worth telling.
     bool isSuspect(const RequestContent &content) const;
     const std::set<RequestContent> &suspects() const;
+    /// @return servers that have ended under the content, as far as they count.
+    std::size_t endsUnder(const RequestContent &content) const;
 
     bool operator==(const CrashVerdicts &) const = default;
 
 private:
     std::set<RequestContent> suspects_;
+    std::map<RequestContent, std::size_t> ends_;
     std::set<RequestContent> refused_;
     std::set<std::string> refusedOfAll_; ///< Digests that are refused whoever sends them, but for those that have had an answer.
     std::set<RequestContent> answered_;
--- a/src/core/directory/directoryevents.h
+++ b/src/core/directory/directoryevents.h
@@ -198,6 +198,12 @@
     bool operator==(const WriteCrashReport &) const = default;
 };
 
+/// Tell relays this entry VM's crash report, which the store may not take for a while.
+struct TellRelaysCrashes {
+    std::vector<std::string> relays;
+    CrashReport report;
+};
+
 /// What entry VMs tell of servers that ended under requests has changed.
 struct PublishCrashReports {
     std::vector<NamedCrashReport> reports;
@@ -224,6 +230,7 @@
                                      ReadSeat,
                                      WriteSeat,
                                      WriteCrashReport,
+                                     TellRelaysCrashes,
                                      PublishCrashReports,
                                      PublishDirectory,
                                      ReportDirectory>;
--- a/src/core/directory/directorykeeper.cpp
+++ b/src/core/directory/directorykeeper.cpp
@@ -218,9 +218,18 @@
     crashWriter_.written(now, event, random_);
 }
 
-void DirectoryKeeper::tellCrashes(std::uint64_t order, CrashReport report)
+void DirectoryKeeper::tellCrashes(std::uint64_t order, const CrashReport &report, DirectoryActions &actions)
 {
-    crashWriter_.want(order, std::move(report));
+    crashWriter_.want(order, report);
+    // A second witness of each end: entry VMs that alone had seen the ends of servers were killed while the store refused calls, and the request ended three
+    // more.
+    std::vector<std::string> relays = seat_.otherRelays();
+    if (!source_.empty() && std::find(relays.begin(), relays.end(), source_) == relays.end()) {
+        relays.push_back(source_);
+    }
+    if (crashWriter_.hasUnwritten() && !relays.empty()) {
+        actions.emplace_back(TellRelaysCrashes{std::move(relays), report});
+    }
 }
 
 bool DirectoryKeeper::hasUntoldCrashes() const
--- a/src/core/directory/directorykeeper.h
+++ b/src/core/directory/directorykeeper.h
@@ -37,7 +37,7 @@
     void handle(TimePoint now, const DirectoryAnswer &answer, DirectoryActions &actions);
     void setBudgets(const FleetBudgets &budgets, DirectoryActions &actions);
     /// What this entry VM tells of servers that ended under requests. @param order rises with each.
-    void tellCrashes(std::uint64_t order, CrashReport report);
+    void tellCrashes(std::uint64_t order, const CrashReport &report, DirectoryActions &actions);
     /// @return whether the store does not hold that yet.
     bool hasUntoldCrashes() const;
 
--- a/src/core/requests/serviceshardcrashes.cpp
+++ b/src/core/requests/serviceshardcrashes.cpp
@@ -53,6 +53,7 @@
         }
         return;
     }
+    ++requests_.at(event.request).lost;
     const ServerEndWatch::Standing standing = standingOf(attempt.backend);
     // A server that is unlisted and slow need not have ended.
     const bool saysNothing = standing == ServerEndWatch::Standing::Unlisted && std::get<LostAnswer>(event.outcome).isTimeout;
@@ -133,6 +134,15 @@
     }
 }
 
+bool ServiceShard::mayEndTooMany(TimePoint now, const Request &request) const
+{
+    // It takes a quarter of a second to know of an end, and some more to tell it; a retry is sent at once.
+    const RequestContent &content = request.arrival.content;
+    return isRefusedForEnds(now, content)
+        || (crashVerdicts_.value()->isSuspect(content) && !answered_.has(now, content)
+            && crashVerdicts_.value()->endsUnder(content) + request.lost + request.running.size() >= CrashVerdicts::EndsBorne);
+}
+
 Problem ServiceShard::crashProblem(Fate fate) const
 {
     return {HttpStatus::Unavailable, fate, "admit", name_, "too many servers have ended under this request", ComeBackAfterCrashes};
--- a/src/daemon/directoryrunner.cpp
+++ b/src/daemon/directoryrunner.cpp
@@ -63,8 +63,29 @@
 
 void DirectoryRunner::tellCrashes(const TellCrashes &action)
 {
-    const std::lock_guard lock(mutex_);
-    keeper_->tellCrashes(action.order, action.report);
+    DirectoryActions actions;
+    {
+        const std::lock_guard lock(mutex_);
+        keeper_->tellCrashes(action.order, action.report, actions);
+    }
+    perform(actions);
+}
+
+bool DirectoryRunner::takeCrashReport(const std::string &text)
+{
+    try {
+        const DirectoryEntry entry = store_->decode(Collection::Crashes, text);
+        const auto *report = entry.value ? std::get_if<CrashReport>(&*entry.value) : nullptr;
+        if (!report) {
+            log_.warn("crash report left out", {{"reason", entry.fault}});
+            return false;
+        }
+        events_.handle(ControlEvent(CrashReportHeard{{entry.name, *report}}));
+        return true;
+    } catch (const std::exception &exception) {
+        log_.warn("crash report left out", {{"reason", exception.what()}});
+        return false;
+    }
 }
 
 bool DirectoryRunner::hasUntoldCrashes()
@@ -98,7 +119,8 @@
         const std::lock_guard lock(mutex_);
         return !keeper_ || keeper_->mayProveSoon();
     };
-    server_ = std::make_unique<RelayServer>(address, RelaySource{look, proof, isStarting});
+    const auto crashReport = [this](const std::string &text) { return takeCrashReport(text); };
+    server_ = std::make_unique<RelayServer>(address, RelaySource{look, proof, isStarting, crashReport});
 }
 
 void DirectoryRunner::answered(const DirectoryAnswer &answer)
@@ -158,6 +180,12 @@
         {
             runner.store_->writeCrashReport(runner.name_, typed, done());
         }
+        void operator()(const TellRelaysCrashes &typed) const
+        {
+            for (const std::string &relay : typed.relays) {
+                runner.relay_.tell(relay, {runner.name_, typed.report});
+            }
+        }
         void operator()(const PublishCrashReports &typed) const
         {
             runner.events_.handle(ControlEvent(CrashReportsTold{typed.reports, typed.order}));
--- a/src/daemon/directoryrunner.h
+++ b/src/daemon/directoryrunner.h
@@ -54,6 +54,8 @@
     std::uint64_t calls() const;
 
 private:
+    /// Takes what another entry VM tells of servers that ended. @return whether it can be read.
+    bool takeCrashReport(const std::string &text);
     void startRelay(const std::string &address);
     void answered(const DirectoryAnswer &answer);
     void perform(const DirectoryActions &actions);
--- a/src/net/relayclient.cpp
+++ b/src/net/relayclient.cpp
@@ -102,6 +102,23 @@
     });
 }
 
+void RelayClient::tell(const std::string &relay, const NamedCrashReport &report)
+{
+    HttpCall call;
+    call.address = relay;
+    call.request.method = "POST";
+    call.request.target = std::string(CrashReportTarget);
+    call.request.headers = {{"Host", relay}, {"Content-Type", "application/json"}};
+    call.request.body = codec_.encode(report);
+    call.timeout = CheckTimeout;
+    call.mayReuseConnection = true;
+    client_.start(nextCall_++, std::move(call), [this, relay](const HttpOutcome &outcome) {
+        if (!hasStatus(outcome, HttpStatus::Ok)) {
+            log_.info("crash report not taken", {{"peer", relay}});
+        }
+    });
+}
+
 void RelayClient::get(const std::string &relay, const std::string &target, Duration timeout, HttpDone done)
 {
     HttpCall call;
--- a/src/net/relayserver.cpp
+++ b/src/net/relayserver.cpp
@@ -64,6 +64,11 @@
         acceptProofRequest(connection, *follower);
         return;
     }
+    if (request.target == CrashReportTarget) {
+        const bool isTaken = source_.crashReport && source_.crashReport(request.body);
+        connection->answer(answerOf(isTaken ? HttpStatus::Ok : HttpStatus::NotFound, "{}"), false);
+        return;
+    }
     const auto asked = parseNewsTarget(request.target);
     if (!asked) {
         connection->answer(answerOf(HttpStatus::NotFound, "{}"), false);
--- a/src/net/relayserver.h
+++ b/src/net/relayserver.h
@@ -31,6 +31,8 @@
     std::function<std::optional<RelayProof>(const std::string &follower)> proof;
     /// @return whether this entry VM has just started and may have its first proof soon.
     std::function<bool()> isStarting;
+    /// Takes the crash report that an entry VM tells. @return whether it can be read.
+    std::function<bool(const std::string &text)> crashReport;
 };
 
 /// Tells other entry VMs of the availability zone what this one knows of the directory. JSON over HTTP rather than
--- a/tests/property/directoryproperties.cpp
+++ b/tests/property/directoryproperties.cpp
@@ -320,7 +320,9 @@
             node.verdicts = *verdicts;
         }
         if (auto report = node.ledger.takeReport()) {
-            node.keeper.tellCrashes(++node.reports, std::move(*report));
+            DirectoryActions actions;
+            node.keeper.tellCrashes(++node.reports, *report, actions);
+            take(node, actions);
         }
     }
 
@@ -450,6 +452,15 @@
         answer(node, 0, isLost ? CrashReportWritten{} : CrashReportWritten{entry.revision, std::get<CrashReport>(*entry.value)}, store.answerTime);
     }
 
+    void perform(Node &node, const TellRelaysCrashes &action)
+    {
+        for (const std::string &address : action.relays) {
+            if (Node *relay = find(address)) {
+                relay->ledger.heard(now_, {node.name, action.report});
+            }
+        }
+    }
+
     void perform(Node &node, const PublishCrashReports &action)
     {
         node.ledger.told(now_, action.reports);
@@ -844,3 +855,30 @@
         }
     }));
 }
+
+TEST_CASE("What an entry VM alone has seen of ended servers is not lost with it while the store refuses calls", "[property][directory][crash]")
+{
+    CHECK(rc::check("as long as a relay lives", [] {
+        constexpr int EntryVms = 6;
+        ModelFleet fleet(EntryVms, 3);
+        fleet.store.putServer("i-1", false);
+        // Long enough for relays to have told of each other.
+        fleet.pass(seconds(20));
+        fleet.store.isDown = true;
+        fleet.pass(milliseconds(*rc::gen::inRange(10, 3000)));
+        const RequestContent fatal{"fatal", "caller-9"};
+        const auto witness = static_cast<std::size_t>(*rc::gen::inRange(0, EntryVms));
+        for (int end = 0; end < 3; ++end) {
+            fleet.end(witness, fatal, "fatal-" + std::to_string(end));
+        }
+        fleet.pass(milliseconds(*rc::gen::inRange(500, 3000)));
+        fleet.restart(witness);
+        fleet.pass(milliseconds(*rc::gen::inRange(10, 2000)));
+        fleet.store.isDown = false;
+        // The witness's delay, the store's return and the telling.
+        fleet.pass(seconds(5));
+        for (std::size_t index = 0; index < EntryVms; ++index) {
+            RC_ASSERT(fleet.refuses(index, fatal));
+        }
+    }));
+}
--- a/tests/unit/crashtests.cpp
+++ b/tests/unit/crashtests.cpp
@@ -256,6 +256,34 @@
     CHECK(writes(milliseconds(5110)) == 1);
 }
 
+TEST_CASE("A relay tells what it heard of another entry VM that does not tell it itself", "[crash]")
+{
+    CrashLedger relay("entry-1");
+    relay.told(Start, {});
+    relay.takeReport();
+    const NamedCrashReport other{"entry-2", {{{Fatal, "i-1"}, {Fatal, "i-2"}, {Fatal, "i-3"}}, {}}};
+    relay.heard(Start, other);
+    CHECK(relay.takeVerdicts()->refuses(Fatal));
+    SECTION("and only then")
+    {
+        relay.told(Start + seconds(1), {other});
+        relay.tick(Start + seconds(5));
+        CHECK_FALSE(relay.takeReport());
+    }
+    SECTION("not what that one has withdrawn since")
+    {
+        relay.heard(Start + seconds(1), {"entry-2", {}});
+        relay.tick(Start + seconds(5));
+        CHECK_FALSE(relay.takeVerdicts()->refuses(Fatal));
+    }
+    SECTION("as its own")
+    {
+        relay.tick(Start + CrashLedger::WitnessDelay);
+        CHECK(relay.takeReport()->ends.size() == 3);
+        CHECK(relay.takeVerdicts() == nullptr);
+    }
+}
+
 TEST_CASE("Ends are forgotten in time, and their number is bounded", "[crash]")
 {
     CrashLedger ledger("entry-1");
--- a/tests/unit/probedchoicetests.cpp
+++ b/tests/unit/probedchoicetests.cpp
@@ -541,3 +541,20 @@
     load(100);
     CHECK(probing.endProbes >= ServerEndWatch::TurnsToEnd);
 }
+
+TEST_CASE("A request under which two servers have ended is not retried when its answer is lost", "[choice][crash]")
+{
+    Probing probing(probedService(4));
+    for (const char *name : {"b1", "b2", "b3", "b4"}) {
+        probing.reports[name] = {0, 0, 3, 1};
+    }
+    const RequestContent none; // Of arrivals here.
+    const std::vector<ServerEnd> ends = {{none, "i-8"}, {none, "i-9"}};
+    const std::size_t known = GENERATE(1, 2);
+    probing.handle(CrashVerdictsChanged{std::make_shared<const CrashVerdicts>(std::span(ends).first(known), std::span<const ServerEnd>()), 1});
+    probing.arrive(1);
+    REQUIRE(probing.started.size() == 1);
+    probing.handle(AttemptEnded{1, 1, LostAnswer{"reset", false}, std::nullopt});
+    CHECK(probing.started.size() == (known == 1 ? 2 : 1));
+    CHECK(probing.refused.size() == (known == 1 ? 0 : 1));
+}
