--- a/src/core/crashes/serverendwatch.cpp
+++ b/src/core/crashes/serverendwatch.cpp
@@ -33,9 +33,9 @@
         return {};
     }
     if (sign == LifeSign::Answered) {
-        const Found found{{}, watched->hasEnded && now - watched->lostAt < HeardAgainLimit};
+        const bool isHeardAgain = watched->hasEnded && now - watched->lostAt < HeardAgainLimit;
         watched_.erase(watched);
-        return found;
+        return {{}, isHeardAgain};
     }
     watched->turnedAway += sign == LifeSign::TurnedAway ? 1 : 0;
     if (watched->hasEnded || watched->turnedAway < TurnsToEnd || now - watched->lostAt < ShortestEnd) {
--- a/src/core/node.cpp
+++ b/src/core/node.cpp
@@ -17,8 +17,8 @@
 namespace
 {
 
-/// Passes on to the control shard what a service has found out of servers that ended. @return whether the action was of that kind; it is logged too.
-bool tellControl(const ServiceAction &action, std::vector<NodeEvent> &internal)
+/// Passes on to the control shard what a service has found out of servers that ended, if the action is of that kind.
+void tellControl(const ServiceAction &action, std::vector<NodeEvent> &internal)
 {
     if (const auto *ended = std::get_if<TellServerEnded>(&action)) {
         internal.emplace_back(ControlEvent(ServerEndSeen{ended->backend, ended->contents}));
@@ -26,10 +26,7 @@
         internal.emplace_back(ControlEvent(ServerHeardAgain{heard->backend}));
     } else if (const auto *answered = std::get_if<TellSuspectAnswered>(&action)) {
         internal.emplace_back(ControlEvent(SuspectAnswered{answered->content}));
-    } else {
-        return false;
     }
-    return true;
 }
 
 } // namespace
@@ -103,11 +100,11 @@
     for (ServiceAction &action : own) {
         if (const auto *leaving = std::get_if<TellLeaving>(&action)) {
             internal.emplace_back(ControlEvent(LeavingSeen{event.service, leaving->backend}));
-        } else if (tellControl(action, internal)) {
-            actions.emplace_back(OfService{event.service, std::move(action)});
         } else if (const auto *returned = std::get_if<ReturnPermit>(&action)) {
             internal.emplace_back(ControlEvent(PermitReturned{event.service, returned->share}));
         } else {
+            // What is told of servers that ended is logged as well.
+            tellControl(action, internal);
             actions.emplace_back(OfService{event.service, std::move(action)});
         }
     }
