What requests show of a server is kept apart from what its probes show

Ejections by requests last, each failure is forgotten after 5 s, and at most a third of the servers is ejected by requests, so that an entry VM whose own link is cut does not shut out all.

--- a/src/core/servers/answertime.cpp
+++ b/src/core/servers/answertime.cpp
@@ -157,7 +157,7 @@
     if (now < backend.warmAt) {
         time *= ColdFactor;
     }
-    time *= std::pow(FailureFactor, backend.failureStreak);
+    time *= std::pow(FailureFactor, failuresInForce(backend, now));
     const int ahead = std::max(0, held + 1 - slots);
     return time + ahead * work * meanSlowness_.value() / slots + distanceMs(backend.distance);
 }
@@ -187,7 +187,7 @@
 bool AnswerTimeModel::isAsGoodAsAny(const Backend &backend, TimePoint now) const
 {
     const bool isQuick = slownessNow(backend, now) <= UsualSlowness && now >= backend.warmAt;
-    return isQuick && hasRoomToSpare(backend) && backend.failureStreak == 0 && backend.distance == Distance::SameZone;
+    return isQuick && hasRoomToSpare(backend) && failuresInForce(backend, now) == 0 && backend.distance == Distance::SameZone;
 }
 
 } // namespace Cloverbarrow
--- a/src/core/servers/backendpool.cpp
+++ b/src/core/servers/backendpool.cpp
@@ -21,13 +21,15 @@
 constexpr int FailuresToEject = 3;
 constexpr Duration FirstEjection = seconds(1);
 constexpr int MaxEjectionDoublings = 5;
+// Where other servers have room, one that has failed is not chosen again, and so could never show that it is well.
+constexpr Duration FailureForgotten = seconds(5);
 // A server this many times slower than the median is a straggler: it costs callers more than its slots are worth.
 constexpr double StragglerFactor = 3;
 constexpr int SamplesToJudge = 5;
 // After so many good answers in a row an ejection counts as the first again.
 constexpr int SamplesToForgive = 50;
-// Too many stragglers are no stragglers but an overload.
-constexpr std::size_t MaxStragglerPart = 3;
+// Too many stragglers are no stragglers but an overload, and too many failing servers are one fault. At most one part in so many is ejected.
+constexpr std::size_t MaxEjectedPart = 3;
 constexpr Duration SilenceWorthProbe = milliseconds(500);
 constexpr double LatencyWeight = 0.1;
 // An entry's time to be warm is told anew with each state; what it differs by less than this from the time known is the way it took.
@@ -45,6 +47,11 @@
 
 } // namespace
 
+int failuresInForce(const Backend &backend, TimePoint now)
+{
+    return std::max(0, backend.failureStreak - static_cast<int>((now - backend.failedAt) / FailureForgotten));
+}
+
 BackendPool::BackendPool(PickPolicy policy, Location own)
     : policy_(policy)
     , own_(std::move(own))
@@ -225,12 +232,15 @@
     }
     backend->heardAt = now;
     if (!isHealthy) {
-        countFailure(*backend, now);
+        countProbeFailure(*backend, now);
         return;
     }
-    // Answering a probe is not running a request: the server stays on trial until it has.
-    backend->ejectedUntil = std::min(backend->ejectedUntil, now);
-    backend->failureStreak = 0;
+    backend->probeFailureStreak = 0;
+    // A server may answer probes well and fail all requests. Were these forgotten with each probe, which choices make by the dozen, it would never be
+    // ejected: 18 payouts in 6 s were lost by one entry VM at one server, of 313 at five servers.
+    if (!backend->isEjectedByRequests) {
+        backend->ejectedUntil = std::min(backend->ejectedUntil, now);
+    }
 }
 
 std::optional<std::size_t> BackendPool::wantsProbe(TimePoint now) const
@@ -356,7 +366,7 @@
         }
         ejected += &other != &backend && now < other.ejectedUntil ? 1 : 0;
     }
-    if (latencies.empty() || (ejected + 1) * MaxStragglerPart > backends_.size()) {
+    if (latencies.empty() || (ejected + 1) * MaxEjectedPart > backends_.size()) {
         return false;
     }
     const auto middle = latencies.begin() + static_cast<std::ptrdiff_t>(latencies.size() / 2);
@@ -366,11 +376,31 @@
 
 void BackendPool::countFailure(Backend &backend, TimePoint now)
 {
-    ++backend.failureStreak;
-    if (backend.failureStreak < FailuresToEject && !backend.isOnTrial) {
-        return;
+    backend.failureStreak = std::min(failuresInForce(backend, now) + 1, FailuresToEject);
+    backend.failedAt = now;
+    const bool isIll = backend.failureStreak >= FailuresToEject || backend.isOnTrial;
+    if (isIll && mayEjectByRequests(backend, now)) {
+        eject(backend, now);
+        backend.isEjectedByRequests = true;
     }
-    eject(backend, now);
+}
+
+void BackendPool::countProbeFailure(Backend &backend, TimePoint now)
+{
+    ++backend.probeFailureStreak;
+    if (backend.probeFailureStreak >= FailuresToEject || backend.isOnTrial) {
+        const bool wasByRequests = backend.isEjectedByRequests && now < backend.ejectedUntil;
+        eject(backend, now);
+        backend.isEjectedByRequests = wasByRequests;
+    }
+}
+
+bool BackendPool::mayEjectByRequests(const Backend &backend, TimePoint now) const
+{
+    const auto isOut = [&backend, now](const Backend &other) { return &other != &backend && other.isEjectedByRequests && now < other.ejectedUntil; };
+    const auto out = static_cast<std::size_t>(std::count_if(backends_.begin(), backends_.end(), isOut));
+    // Requests that fail at many servers tell of this entry VM's own link, or of something that avoiding servers does not mend.
+    return out < std::max<std::size_t>(1, backends_.size() / MaxEjectedPart);
 }
 
 void BackendPool::eject(Backend &backend, TimePoint now)
@@ -379,6 +409,8 @@
     backend.ejectedAt = now;
     ++backend.ejections;
     backend.failureStreak = 0;
+    backend.probeFailureStreak = 0;
+    backend.isEjectedByRequests = false;
     backend.samples = 0;
     backend.isOnTrial = true;
 }
--- a/src/core/servers/backendpool.h
+++ b/src/core/servers/backendpool.h
@@ -53,9 +53,12 @@
     RecentSends recentSends;
     double latencyMs = 0; ///< Moving average over good answers; 0 when none was seen.
     int samples = 0; ///< Good answers since the last ejection.
-    int failureStreak = 0;
+    int failureStreak = 0; ///< Requests that failed in a row, at most as many as eject it; see failuresInForce().
+    TimePoint failedAt; ///< The last of them.
+    int probeFailureStreak = 0; ///< Probes that failed in a row.
     int ejections = 0;
     TimePoint ejectedUntil;
+    bool isEjectedByRequests = false; ///< The last time; then no probe ends it.
     std::optional<TimePoint> ejectedAt; ///< The last time.
     bool isOnTrial = false; ///< Was ejected and has given no good answer since.
     bool isLeaving = false;
@@ -63,6 +66,9 @@
     std::optional<TimePoint> heardAt; ///< Last answer of any kind, good or bad.
 };
 
+/// @return failures of requests in a row that still tell against @p backend: each is forgotten after some seconds without another.
+int failuresInForce(const Backend &backend, TimePoint now);
+
 /// How an attempt ended, as far as choosing a server is concerned.
 enum class AttemptQuality {
     Good,
@@ -111,7 +117,7 @@
     void setPeersInFlight(std::string_view name, int count);
     void report(std::string_view name, const LoadReport &report, TimePoint now);
 
-    /// Takes a probe's result: a good one ends an ejection, a bad one is a failure.
+    /// Takes a probe's result: a good one ends an ejection that probes had brought about, a bad one is a failure.
     void probed(std::string_view name, bool isHealthy, TimePoint now);
     /// @return the server whose state a probe would tell most about, if any is worth one.
     std::optional<std::size_t> wantsProbe(TimePoint now) const;
@@ -136,6 +142,9 @@
     bool isStraggler(const Backend &backend, TimePoint now) const;
     void eject(Backend &backend, TimePoint now);
     void countFailure(Backend &backend, TimePoint now);
+    void countProbeFailure(Backend &backend, TimePoint now);
+    /// @return whether so few servers are ejected by requests that another may be.
+    bool mayEjectByRequests(const Backend &backend, TimePoint now) const;
 
     PickPolicy policy_;
     Location own_;
