Entry VMs of an evacuated zone choose their usual servers elsewhere

Cause: of a dozen usual servers eight are of the own zone; when that is evacuated, four or fewer were left, and other probes went to servers without open connections.

--- a/src/core/servers/serverchooser.cpp
+++ b/src/core/servers/serverchooser.cpp
@@ -86,6 +86,10 @@
     std::vector<std::pair<std::uint64_t, const Backend *>> near;
     std::vector<std::pair<std::uint64_t, const Backend *>> far;
     for (const Backend &backend : pool.backends()) {
+        // Were evacuated ones counted, entry VMs of an evacuated zone would be left with a third of their usual servers.
+        if (backend.isEvacuated) {
+            continue;
+        }
         auto &group = backend.distance == Distance::SameZone ? near : far;
         group.emplace_back(stableHash({self, backend.server.name}), &backend);
     }
--- a/tests/unit/evacuationtests.cpp
+++ b/tests/unit/evacuationtests.cpp
@@ -183,3 +183,39 @@
     CHECK(zones.refused.back().problem.retryAfter);
     CHECK(zones.started.empty());
 }
+
+TEST_CASE("An entry VM of an evacuated zone has as many usual servers elsewhere as others have", "[evacuation][subset]")
+{
+    constexpr int ServersOfZone = 40;
+    Service service;
+    service.name = "reclamos";
+    service.choiceProbes = {100, "/health"};
+    for (int number = 0; number < 2 * ServersOfZone; ++number) {
+        const std::string zone = number < ServersOfZone ? "bog-a" : "bog-b";
+        service.backendServers.push_back({"b" + std::to_string(number), "127.0.0.1:" + std::to_string(9000 + number), zone, {}, 2});
+    }
+    service.evacuatedZones = {"bog-a"};
+    ServiceShard shard({"entry-1", "p"}, {"bog-a", "bogota"}, "reclamos", LoadReportPick{}, 7);
+    TimePoint now(seconds(50));
+    ServiceActions actions;
+    shard.handle(now, ServiceConfigured{1, service}, actions);
+    std::set<std::string> probed;
+    for (RequestId id = 1; id <= 100; ++id) {
+        actions.clear();
+        RequestArrived arrived;
+        arrived.request = id;
+        arrived.deadline = now + seconds(2);
+        arrived.callerTimeLeft = seconds(2);
+        arrived.maxAttempts = 1;
+        arrived.latencyObjective = AimedLatency;
+        shard.handle(now, arrived, actions);
+        for (const ServiceAction &action : actions) {
+            if (const auto *probe = std::get_if<StartProbe>(&action)) {
+                probed.insert(probe->backend);
+            }
+        }
+        now += milliseconds(100);
+        shard.handle(now, CallerGone{id}, actions);
+    }
+    CHECK(probed.size() == 12);
+}
