--- a/src/daemon/directoryrunner.cpp
+++ b/src/daemon/directoryrunner.cpp
@@ -43,6 +43,7 @@
     DirectoryActions actions;
     {
         const std::lock_guard lock(mutex_);
+        tellOwnOutcomes(bootNow());
         keeper_->tick(bootNow(), actions);
     }
     perform(actions);
@@ -88,6 +89,30 @@
     }
 }
 
+void DirectoryRunner::noteOutcome(const TellOutcome &outcome)
+{
+    const std::lock_guard lock(mutex_);
+    outcomes_.note(outcome.backend, outcome.isGood, outcome.isServerNamed);
+}
+
+void DirectoryRunner::tellOwnOutcomes(TimePoint now)
+{
+    if (keeper_->isRelaying()) {
+        keeper_->outcomesTold(now, name_, outcomes_.take());
+    }
+}
+
+void DirectoryRunner::check(const CheckRelay &action)
+{
+    OutcomeReport report;
+    // Relays of other zones are asked as nobody's follower, and are not told.
+    if (!action.follower.empty()) {
+        const std::lock_guard lock(mutex_);
+        report = outcomes_.take();
+    }
+    relay_.check(action, report, [this](const DirectoryAnswer &answer) { answered(answer); });
+}
+
 bool DirectoryRunner::hasUntoldCrashes()
 {
     const std::lock_guard lock(mutex_);
@@ -111,8 +136,11 @@
         const std::lock_guard lock(mutex_);
         return keeper_ ? keeper_->newsSince(collection, since) : std::nullopt;
     };
-    const auto proof = [this](const std::string &follower) {
+    const auto proof = [this](const std::string &follower, const OutcomeReport &report) {
         const std::lock_guard lock(mutex_);
+        if (keeper_ && !follower.empty()) {
+            keeper_->outcomesTold(bootNow(), follower, report);
+        }
         return keeper_ ? keeper_->proofFor(bootNow(), follower) : std::nullopt;
     };
     const auto isStarting = [this] {
@@ -166,7 +194,7 @@
         }
         void operator()(const CheckRelay &typed) const
         {
-            runner.relay_.check(typed, done());
+            runner.check(typed);
         }
         void operator()(const ReadSeat &typed) const
         {
@@ -190,6 +218,10 @@
         {
             runner.events_.handle(ControlEvent(CrashReportsTold{typed.reports, typed.order}));
         }
+        void operator()(const PublishFindings &typed) const
+        {
+            runner.events_.handle(FindingsTold{typed.findings, typed.order});
+        }
         void operator()(const PublishDirectory &typed) const
         {
             runner.events_.handle(ControlEvent(DirectoryPublished{typed.intent}));
--- a/src/net/relayclient.cpp
+++ b/src/net/relayclient.cpp
@@ -87,19 +87,23 @@
         });
 }
 
-void RelayClient::check(const CheckRelay &action, DirectoryDone done)
+void RelayClient::check(const CheckRelay &action, const OutcomeReport &outcomes, DirectoryDone done)
 {
-    get(action.relay, proofTarget(action.follower), CheckTimeout, [relay = action.relay, done = std::move(done)](const HttpOutcome &outcome) {
-        RelayChecked checked{relay, std::nullopt};
-        try {
-            if (hasStatus(outcome, HttpStatus::Ok)) {
-                checked.proof = decodeProof(std::get<HttpAnswer>(outcome).body);
+    ask(action.relay,
+        proofTarget(action.follower),
+        encodeOutcomes(outcomes),
+        CheckTimeout,
+        [relay = action.relay, done = std::move(done)](const HttpOutcome &outcome) {
+            RelayChecked checked{relay, std::nullopt};
+            try {
+                if (hasStatus(outcome, HttpStatus::Ok)) {
+                    checked.proof = decodeProof(std::get<HttpAnswer>(outcome).body);
+                }
+            } catch (const std::exception &) {
+                // Told as no answer, which the seat reports with the relay's address.
             }
-        } catch (const std::exception &) {
-            // Told as no answer, which the seat reports with the relay's address.
-        }
-        done({0, checked});
-    });
+            done({0, checked});
+        });
 }
 
 void RelayClient::tell(const std::string &relay, const NamedCrashReport &report)
@@ -120,11 +124,17 @@
 }
 
 void RelayClient::get(const std::string &relay, const std::string &target, Duration timeout, HttpDone done)
+{
+    ask(relay, target, {}, timeout, std::move(done));
+}
+
+void RelayClient::ask(const std::string &relay, const std::string &target, std::string body, Duration timeout, HttpDone done)
 {
     HttpCall call;
     call.address = relay;
-    call.request.method = "GET";
+    call.request.method = body.empty() ? "GET" : "POST";
     call.request.target = target;
+    call.request.body = std::move(body);
     call.request.headers = {{"Host", relay}};
     call.timeout = timeout;
     call.mayReuseConnection = true;
--- a/src/net/relaymessages.h
+++ b/src/net/relaymessages.h
@@ -41,6 +41,10 @@
 std::string proofTarget(const std::string &follower);
 /// @return the follower in @p target, if it asks for that.
 std::optional<std::string> parseProofTarget(std::string_view target);
+/// @return what a follower tells with its question for a proof; empty when there is nothing to tell.
+std::string encodeOutcomes(const OutcomeReport &report);
+/// @throws std::exception when it is of another form, or has figures that no entry VM can have counted.
+OutcomeReport decodeOutcomes(std::string_view text);
 std::string encodeProof(const RelayProof &proof);
 /// @throws std::exception when it is of another form.
 RelayProof decodeProof(std::string_view text);
--- a/src/net/relayserver.cpp
+++ b/src/net/relayserver.cpp
@@ -42,6 +42,7 @@
 
 RelayServer::RelayServer(const std::string &address, RelaySource source)
     : source_(std::move(source))
+    , log_("relay")
 {
     CallerServerOptions options;
     options.address = address;
@@ -61,7 +62,7 @@
 void RelayServer::accept(const std::shared_ptr<CallerConnection> &connection, const HttpRequest &request)
 {
     if (const auto follower = parseProofTarget(request.target)) {
-        acceptProofRequest(connection, *follower);
+        acceptProofRequest(connection, *follower, request.body);
         return;
     }
     if (request.target == CrashReportTarget) {
@@ -89,9 +90,16 @@
     }
 }
 
-void RelayServer::acceptProofRequest(const std::shared_ptr<CallerConnection> &connection, const std::string &follower)
+void RelayServer::acceptProofRequest(const std::shared_ptr<CallerConnection> &connection, const std::string &follower, const std::string &body)
 {
-    const auto proof = source_.proof(follower);
+    OutcomeReport outcomes;
+    try {
+        outcomes = decodeOutcomes(body);
+    } catch (const std::exception &exception) {
+        // The proof is worth more than what it tells.
+        log_.warn("outcomes left out", {{"peer", follower}, {"reason", exception.what()}});
+    }
+    const auto proof = source_.proof(follower, outcomes);
     if (!proof && source_.isStarting()) {
         // After all entry VMs were killed the whole zone asks at once. Told at the moment of the first proof, followers need not ask again.
         const std::lock_guard lock(mutex_);
@@ -110,7 +118,7 @@
             if (item.connection->isGone()) {
                 return true;
             }
-            const auto proof = source_.proof(item.follower);
+            const auto proof = source_.proof(item.follower, {});
             if (!proof && now < item.until) {
                 return false;
             }
--- a/src/net/relayserver.h
+++ b/src/net/relayserver.h
@@ -9,6 +9,7 @@
 
 #include "core/directory/directoryevents.h"
 #include "net/callerserver.h"
+#include "net/log.h"
 #include "net/relaylists.h"
 
 #include <array>
@@ -27,8 +28,8 @@
 struct RelaySource {
     /// @return what has changed in a collection since a revision; nothing when that cannot be told.
     std::function<std::optional<DirectoryNews>(Collection collection, std::int64_t since)> news;
-    /// @param follower that asks. @return nothing when this entry VM is no relay.
-    std::function<std::optional<RelayProof>(const std::string &follower)> proof;
+    /// @param follower that asks. @param outcomes that it tells with its question. @return nothing when this entry VM is no relay.
+    std::function<std::optional<RelayProof>(const std::string &follower, const OutcomeReport &outcomes)> proof;
     /// @return whether this entry VM has just started and may have its first proof soon.
     std::function<bool()> isStarting;
     /// Takes the crash report that an entry VM tells. @return whether it can be read.
@@ -66,7 +67,7 @@
     };
 
     void accept(const std::shared_ptr<CallerConnection> &connection, const HttpRequest &request);
-    void acceptProofRequest(const std::shared_ptr<CallerConnection> &connection, const std::string &follower);
+    void acceptProofRequest(const std::shared_ptr<CallerConnection> &connection, const std::string &follower, const std::string &body);
     /// Answers those that await a proof, if there is one now or their wait is over.
     void answerProofs(TimePoint now);
     /// Changes as they were last told of a collection. Followers mostly ask for the same, and packing costs processor time.
@@ -87,6 +88,7 @@
     void give(const Ready &ready);
 
     RelaySource source_;
+    Log log_;
     std::mutex mutex_;
     std::vector<Waiting> waiting_;
     std::vector<AwaitsProof> awaitProof_;
--- a/tests/property/directoryproperties.cpp
+++ b/tests/property/directoryproperties.cpp
@@ -508,6 +508,10 @@
         node.published = action.intent;
     }
 
+    void perform(Node &, const PublishFindings &)
+    {
+    }
+
     void perform(Node &, const ReportDirectory &)
     {
     }
