--- a/src/core/directory/directoryevents.h
+++ b/src/core/directory/directoryevents.h
@@ -227,6 +227,12 @@
     std::shared_ptr<const IntentInForce> intent;
 };
 
+/// Tell the relays of other zones which servers were found to fail requests in this one.
+struct TellRelaysFailing {
+    std::vector<std::string> relays;
+    std::vector<std::string> servers;
+};
+
 /// What the zone's entry VMs have found out about backend servers has changed.
 struct PublishFindings {
     ZoneFindings findings;
@@ -252,6 +258,7 @@
                                      PublishCrashReports,
                                      PublishDirectory,
                                      PublishFindings,
+                                     TellRelaysFailing,
                                      ReportDirectory>;
 using DirectoryActions = std::vector<DirectoryAction>;
 
--- a/src/core/directory/directorykeeper.cpp
+++ b/src/core/directory/directorykeeper.cpp
@@ -79,6 +79,7 @@
     if (seat_.isRelaying()) {
         takePlace(now, fleet_.ownPlace(now));
         takeFindings(now, failingServers_.findings(now), actions);
+        tellOtherZones(actions);
     } else {
         fleet_.stopCounting();
         if (now - findingsAt_ > FindingsLast) {
--- a/src/core/directory/directorykeeper.h
+++ b/src/core/directory/directorykeeper.h
@@ -50,6 +50,8 @@
     std::optional<RelayProof> proofFor(TimePoint now, const std::string &follower);
     /// An entry VM of the zone tells its relay how its requests have ended.
     void outcomesTold(TimePoint now, const std::string &entryVm, const OutcomeReport &report);
+    /// The relay of another zone tells which servers fail requests there.
+    void failingElsewhere(TimePoint now, const std::string &relay, const std::vector<std::string> &servers);
     /// @return whether others of the zone may follow this entry VM, so that its own outcomes are to be told here.
     bool isRelaying() const;
     /// @return whether this entry VM has just started, and will relay as far as it knows yet.
@@ -105,6 +107,8 @@
     void publish(TimePoint now, DirectoryActions &actions);
     /// Tells the core what the zone has found out about servers, if that is news.
     void takeFindings(TimePoint now, ZoneFindings findings, DirectoryActions &actions);
+    /// Tells the relays of other zones which servers were just found to fail requests here.
+    void tellOtherZones(DirectoryActions &actions);
     /// Takes this entry VM's place among those of its zone, as its relay told it, or as it has it as the relay.
     void takePlace(TimePoint now, const std::optional<FleetPlace> &place);
     /// @return whether this entry VM's place has changed since the last state was published.
--- a/src/core/directory/directorykeeperpeers.cpp
+++ b/src/core/directory/directorykeeperpeers.cpp
@@ -65,6 +65,19 @@
     failingServers_.take(now, entryVm, report);
 }
 
+void DirectoryKeeper::failingElsewhere(TimePoint now, const std::string &relay, const std::vector<std::string> &servers)
+{
+    failingServers_.heardFromZone(now, relay, servers);
+}
+
+void DirectoryKeeper::tellOtherZones(DirectoryActions &actions)
+{
+    std::vector<std::string> servers = failingServers_.takeNewVerdicts();
+    if (!servers.empty() && !seat_.otherRelays().empty()) {
+        actions.emplace_back(TellRelaysFailing{seat_.otherRelays(), std::move(servers)});
+    }
+}
+
 bool DirectoryKeeper::isRelaying() const
 {
     return seat_.isRelaying();
--- a/src/core/directory/failingservers.cpp
+++ b/src/core/directory/failingservers.cpp
@@ -10,6 +10,7 @@
 #include <algorithm>
 #include <cmath>
 #include <set>
+#include <utility>
 
 namespace Cloverbarrow
 {
@@ -36,6 +37,22 @@
 
 } // namespace
 
+void FailingServers::heardFromZone(TimePoint now, const std::string &relay, const std::vector<std::string> &servers)
+{
+    forget(now);
+    for (const std::string &name : servers) {
+        if (servers_.size() < MostServersWatched || servers_.contains(name)) {
+            // As much as one entry VM's word: with the first failure here the server is found to fail in this zone too.
+            servers_[name].notes.push_back({now, relay, 1, 0});
+        }
+    }
+}
+
+std::vector<std::string> FailingServers::takeNewVerdicts()
+{
+    return std::exchange(newVerdicts_, {});
+}
+
 void FailingServers::take(TimePoint now, const std::string &reporter, const OutcomeReport &report)
 {
     forget(now);
@@ -55,7 +72,7 @@
         if (server.notes.size() > MostNotes) {
             server.notes.erase(server.notes.begin());
         }
-        judge(now, server);
+        judge(now, outcome.server, server);
     }
 }
 
@@ -73,7 +90,7 @@
     return found;
 }
 
-void FailingServers::judge(TimePoint now, Server &server) const
+void FailingServers::judge(TimePoint now, const std::string &name, Server &server)
 {
     if (now < server.failingUntil) {
         return;
@@ -88,11 +105,17 @@
             reporters.insert(note.reporter);
         }
     }
-    if (reporters.size() < ReportersNeeded || failed < good * FailuresPerGood) {
+    if (good > 0 && failed == 0) {
+        server.verdicts = 0;
+    }
+    // Soon after a verdict the next failure shows that the server still fails.
+    const std::size_t needed = server.verdicts > 0 ? 1 : ReportersNeeded;
+    if (reporters.size() < needed || failed < good * FailuresPerGood) {
         return;
     }
     server.failingUntil = now + FirstVerdict * (1 << std::min(server.verdicts, MostDoublings));
     ++server.verdicts;
+    newVerdicts_.push_back(name);
     // What led to this verdict does not lead to the next: the server is tried again in between.
     server.notes.clear();
 }
--- a/src/core/directory/failingservers.h
+++ b/src/core/directory/failingservers.h
@@ -24,6 +24,10 @@
 public:
     /// @param reporter entry VM that tells. @param report since it last told.
     void take(TimePoint now, const std::string &reporter, const OutcomeReport &report);
+    /// The relay of another zone has found that @p servers fail requests there.
+    void heardFromZone(TimePoint now, const std::string &relay, const std::vector<std::string> &servers);
+    /// @return servers that were found to fail requests here since the last call, to be told to other zones.
+    std::vector<std::string> takeNewVerdicts();
     /// @return servers that get no requests now, and those of which good answers are to be told too.
     ZoneFindings findings(TimePoint now);
 
@@ -42,7 +46,7 @@
         int verdicts = 0; ///< In a row; each lasts twice as long as the one before.
     };
 
-    void judge(TimePoint now, Server &server) const;
+    void judge(TimePoint now, const std::string &name, Server &server);
     /// @return whether most requests of the entry VM fail, wherever they go, so that its own link is to blame.
     bool isReporterIll(const std::string &reporter) const;
     void forget(TimePoint now);
@@ -54,6 +58,7 @@
     };
 
     std::map<std::string, Server> servers_;
+    std::vector<std::string> newVerdicts_;
     std::map<std::string, Sums> reporters_; ///< Decaying sums over all servers.
 };
 
--- a/src/daemon/directoryrunner.cpp
+++ b/src/daemon/directoryrunner.cpp
@@ -148,7 +148,13 @@
         return !keeper_ || keeper_->mayProveSoon();
     };
     const auto crashReport = [this](const std::string &text) { return takeCrashReport(text); };
-    server_ = std::make_unique<RelayServer>(address, RelaySource{look, proof, isStarting, crashReport});
+    const auto failing = [this](const std::string &zone, const std::vector<std::string> &servers) {
+        const std::lock_guard lock(mutex_);
+        if (keeper_) {
+            keeper_->failingElsewhere(bootNow(), zone, servers);
+        }
+    };
+    server_ = std::make_unique<RelayServer>(address, RelaySource{look, proof, isStarting, crashReport, failing});
 }
 
 void DirectoryRunner::answered(const DirectoryAnswer &answer)
@@ -218,6 +224,12 @@
         {
             runner.events_.handle(ControlEvent(CrashReportsTold{typed.reports, typed.order}));
         }
+        void operator()(const TellRelaysFailing &typed) const
+        {
+            for (const std::string &relay : typed.relays) {
+                runner.relay_.tellFailing(relay, runner.zone_, typed.servers);
+            }
+        }
         void operator()(const PublishFindings &typed) const
         {
             runner.events_.handle(FindingsTold{typed.findings, typed.order});
--- a/src/net/relayclient.cpp
+++ b/src/net/relayclient.cpp
@@ -123,6 +123,15 @@
     });
 }
 
+void RelayClient::tellFailing(const std::string &relay, const std::string &zone, const std::vector<std::string> &servers)
+{
+    ask(relay, std::string(FailingTarget), encodeFailing({zone, servers}), CheckTimeout, [this, relay](const HttpOutcome &outcome) {
+        if (!hasStatus(outcome, HttpStatus::Ok)) {
+            log_.info("word of failing servers not taken", {{"peer", relay}});
+        }
+    });
+}
+
 void RelayClient::get(const std::string &relay, const std::string &target, Duration timeout, HttpDone done)
 {
     ask(relay, target, {}, timeout, std::move(done));
--- a/src/net/relayclient.h
+++ b/src/net/relayclient.h
@@ -30,6 +30,8 @@
     void check(const CheckRelay &action, const OutcomeReport &outcomes, DirectoryDone done);
     /// Tells a relay a crash report; what becomes of it is not known, and the store is told as well.
     void tell(const std::string &relay, const NamedCrashReport &report);
+    /// Tells the relay of another zone which servers fail requests in @p zone.
+    void tellFailing(const std::string &relay, const std::string &zone, const std::vector<std::string> &servers);
 
 private:
     /// Sends @p body with the question, if there is one.
--- a/src/net/relaymessages.cpp
+++ b/src/net/relaymessages.cpp
@@ -128,6 +128,21 @@
     return target.starts_with(ProofPath) ? std::optional(std::string(target.substr(ProofPath.size()))) : std::nullopt;
 }
 
+std::string encodeFailing(const FailingInZone &failing)
+{
+    return Json{{"zone", failing.zone}, {"servers", failing.servers}}.dump();
+}
+
+FailingInZone decodeFailing(std::string_view text)
+{
+    const Json body = Json::parse(text);
+    FailingInZone failing{body.at("zone").get<std::string>(), body.at("servers").get<std::vector<std::string>>()};
+    if (failing.servers.size() > OutcomeTally::MostServers) {
+        throw std::invalid_argument(std::to_string(failing.servers.size()) + " servers");
+    }
+    return failing;
+}
+
 std::string encodeOutcomes(const OutcomeReport &report)
 {
     if (report.servers.empty() && report.good == 0) {
--- a/src/net/relayserver.cpp
+++ b/src/net/relayserver.cpp
@@ -70,6 +70,10 @@
         connection->answer(answerOf(isTaken ? HttpStatus::Ok : HttpStatus::NotFound, "{}"), false);
         return;
     }
+    if (request.target == FailingTarget) {
+        acceptFailing(connection, request.body);
+        return;
+    }
     const auto asked = parseNewsTarget(request.target);
     if (!asked) {
         connection->answer(answerOf(HttpStatus::NotFound, "{}"), false);
@@ -109,6 +113,21 @@
     connection->answer(proofAnswer(proof), false);
 }
 
+void RelayServer::acceptFailing(const std::shared_ptr<CallerConnection> &connection, const std::string &body)
+{
+    int status = HttpStatus::Ok;
+    try {
+        const FailingInZone told = decodeFailing(body);
+        if (source_.failing) {
+            source_.failing(told.zone, told.servers);
+        }
+    } catch (const std::exception &exception) {
+        log_.warn("word of failing servers left out", {{"reason", exception.what()}});
+        status = HttpStatus::BadRequest;
+    }
+    connection->answer(answerOf(status, "{}"), false);
+}
+
 void RelayServer::answerProofs(TimePoint now)
 {
     Ready ready;
--- a/src/net/relayserver.h
+++ b/src/net/relayserver.h
@@ -34,6 +34,8 @@
     std::function<bool()> isStarting;
     /// Takes the crash report that an entry VM tells. @return whether it can be read.
     std::function<bool(const std::string &text)> crashReport;
+    /// Takes which servers fail requests in another zone.
+    std::function<void(const std::string &zone, const std::vector<std::string> &servers)> failing;
 };
 
 /// Tells other entry VMs of the availability zone what this one knows of the directory. JSON over HTTP rather than
@@ -68,6 +70,7 @@
 
     void accept(const std::shared_ptr<CallerConnection> &connection, const HttpRequest &request);
     void acceptProofRequest(const std::shared_ptr<CallerConnection> &connection, const std::string &follower, const std::string &body);
+    void acceptFailing(const std::shared_ptr<CallerConnection> &connection, const std::string &body);
     /// Answers those that await a proof, if there is one now or their wait is over.
     void answerProofs(TimePoint now);
     /// Changes as they were last told of a collection. Followers mostly ask for the same, and packing costs processor time.
--- a/tests/property/directoryproperties.cpp
+++ b/tests/property/directoryproperties.cpp
@@ -508,6 +508,10 @@
         node.published = action.intent;
     }
 
+    void perform(Node &, const TellRelaysFailing &)
+    {
+    }
+
     void perform(Node &, const PublishFindings &)
     {
     }
