--- a/src/ctl/requeststory.cpp
+++ b/src/ctl/requeststory.cpp
@@ -52,6 +52,20 @@
 
 } // namespace
 
+std::map<std::string, std::string> RequestStory::evacuatedAmong(const std::vector<Line> &before)
+{
+    std::map<std::string, std::string> since;
+    // The detail begins with the zone's name.
+    for (const Line &line : before) {
+        if (line.message == "zone evacuated") {
+            since[line.detail.substr(0, line.detail.find(','))] = line.time;
+        } else if (line.message == "zone taken back") {
+            since.erase(line.detail.substr(0, line.detail.find(',')));
+        }
+    }
+    return since;
+}
+
 RequestStory::RequestStory(std::string requestId)
     : requestId_(std::move(requestId))
 {
@@ -67,7 +81,9 @@
     if (!json.is_object() || !json.contains("entry_vm") || !json.contains("message")) {
         return;
     }
-    Line taken{json.value("time", ""), json.value("entry_vm", ""), textOf(json), count_++};
+    const bool hasDetail = json.contains("detail") && json.at("detail").is_string();
+    const std::string detail = hasDetail ? json.at("detail").get<std::string>() : std::string();
+    Line taken{json.value("time", ""), json.value("entry_vm", ""), textOf(json), json.value("message", ""), detail, count_++};
     if (json.value("id", "") == requestId_) {
         hasFinalAnswer_ = hasFinalAnswer_ || isFinal(json.value("message", ""));
         own_.push_back(std::move(taken));
@@ -90,6 +106,9 @@
             std::copy_if(beliefs->second.lines.begin(), beliefs->second.lines.end(), std::back_inserter(before), [&line](const Line &belief) {
                 return belief.time <= line.time;
             });
+            for (const auto &[zone, since] : evacuatedAmong(before)) {
+                story.push_back("  before: " + print(since, line.entryVm, "zone " + zone + " is evacuated, so its servers get no requests"));
+            }
             const std::size_t first = before.size() > BeliefsShown ? before.size() - BeliefsShown : 0;
             for (std::size_t index = first; index < before.size(); ++index) {
                 story.push_back("  before: " + print(before[index].time, line.entryVm, before[index].text));
--- a/src/ctl/requeststory.h
+++ b/src/ctl/requeststory.h
@@ -33,6 +33,8 @@
         std::string time;
         std::string entryVm;
         std::string text;
+        std::string message;
+        std::string detail;
         std::size_t order = 0;
     };
 
@@ -40,6 +42,9 @@
         std::vector<Line> lines; ///< Of the parts that are not about requests.
     };
 
+    /// @return zones that were evacuated after these lines, each with the time since when.
+    static std::map<std::string, std::string> evacuatedAmong(const std::vector<Line> &before);
+
     std::string requestId_;
     std::size_t count_ = 0;
     std::vector<Line> own_;
--- a/tests/unit/logtests.cpp
+++ b/tests/unit/logtests.cpp
@@ -15,6 +15,7 @@
 #include <fcntl.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <array>
 #include <filesystem>
 #include <fstream>
@@ -75,6 +76,25 @@
     CHECK(RequestStory("b").tell().empty());
 }
 
+TEST_CASE("A story says which zones were evacuated when the request came, however long before", "[log][explain][evacuation]")
+{
+    RequestStory story("a");
+    const auto believe = [&story](const std::string &time, const std::string &message, const std::string &detail) {
+        story.add(R"({"time":")" + time + R"(","entry_vm":"e1","part":"directory","message":")" + message + R"(","detail":")" + detail + R"("})");
+    };
+    believe("t1", "zone evacuated", "sala-a, with 3 backend servers known");
+    believe("t2", "zone evacuated", "sala-b, with 3 backend servers known");
+    believe("t3", "zone taken back", "sala-b, with 3 backend servers known");
+    for (int number = 0; number < 6; ++number) {
+        believe("t4", "configuration version", "r" + std::to_string(number));
+    }
+    story.add(R"({"time":"t5","entry_vm":"e1","part":"request","message":"refused","id":"a"})");
+    believe("t6", "zone evacuated", "sala-d, with 3 backend servers known");
+    const auto told = story.tell();
+    CHECK(std::count_if(told.begin(), told.end(), [](const std::string &line) { return line.find("is evacuated") != std::string::npos; }) == 1);
+    CHECK(told.front().find("zone sala-a is evacuated") != std::string::npos);
+}
+
 TEST_CASE("A flood of lines is bounded, and what is left out is counted", "[log]")
 {
     LogBudget budget(400, 1000);
