--- a/src/core/directory/directoryevents.h
+++ b/src/core/directory/directoryevents.h
@@ -8,7 +8,6 @@
 #pragma once
 
 #include "core/crashes/crashreport.h"
-#include "core/directory/serveroutcomes.h"
 #include "core/intent/configuration.h"
 #include "core/intent/operatorintent.h"
 #include "core/support/time.h"
@@ -124,7 +123,6 @@
     bool hearsFromStore = false; ///< Itself, and now; otherwise from another relay, or no longer.
     int entryVms = 1; ///< Of the availability zone, as the relay counts them.
     std::vector<std::string> otherRelays; ///< Of other zones, as the relay knows them.
-    ZoneFindings findings = {}; ///< Of the relay's zone.
     std::optional<FleetPlace> place = {}; ///< Of the asking entry VM, if it is of the relay's zone and these have been counted long enough.
 };
 
@@ -227,18 +225,6 @@
     std::shared_ptr<const IntentInForce> intent;
 };
 
-/// Tell the relays of other zones which servers were found to fail requests in this one.
-struct TellRelaysFailing {
-    std::vector<std::string> relays;
-    std::vector<std::string> servers;
-};
-
-/// What the zone's entry VMs have found out about backend servers has changed.
-struct PublishFindings {
-    ZoneFindings findings;
-    std::uint64_t order = 0; ///< Rises with each.
-};
-
 /// A belief about the store or its objects has changed; for the log.
 struct ReportDirectory {
     std::string what;
@@ -257,8 +243,6 @@
                                      TellRelaysCrashes,
                                      PublishCrashReports,
                                      PublishDirectory,
-                                     PublishFindings,
-                                     TellRelaysFailing,
                                      ReportDirectory>;
 using DirectoryActions = std::vector<DirectoryAction>;
 
--- a/src/core/directory/directorykeeper.cpp
+++ b/src/core/directory/directorykeeper.cpp
@@ -16,8 +16,6 @@
 
 namespace
 {
-// Without a relay an entry VM goes by what it sees itself.
-constexpr Duration FindingsLast = seconds(3);
 // A watch that hangs is noticed by the store not answering a cheap call meanwhile.
 constexpr Duration CheckInterval = milliseconds(1500);
 // Calls are paid for while the store is down as well, so checks of a lost one get rarer: of 8 s without it a relay made 21, now 11 at most.
@@ -78,13 +76,8 @@
     }
     if (seat_.isRelaying()) {
         takePlace(now, fleet_.ownPlace(now));
-        takeFindings(now, failingServers_.findings(now), actions);
-        tellOtherZones(actions);
     } else {
         fleet_.stopCounting();
-        if (now - findingsAt_ > FindingsLast) {
-            takeFindings(now, {}, actions);
-        }
     }
     if (registry_.tick(now) || hasWaitedForCrashes(now) || hasPlaceChanged(now)) {
         publish(now, actions);
@@ -261,9 +254,6 @@
     if (event.proof && !seat_.isRelaying()) {
         countedInZone(now, event.proof->entryVms, actions);
         takePlace(now, event.proof->place);
-        if (event.relay == source_) {
-            takeFindings(now, event.proof->findings, actions);
-        }
     }
     seat_.relayChecked(now, event, actions);
 }
--- a/src/core/directory/directorykeeper.h
+++ b/src/core/directory/directorykeeper.h
@@ -10,7 +10,6 @@
 #include "core/directory/collectionwatch.h"
 #include "core/directory/crashreportwriter.h"
 #include "core/directory/directoryevents.h"
-#include "core/directory/failingservers.h"
 #include "core/directory/fleetestimate.h"
 #include "core/directory/objectbook.h"
 #include "core/directory/relayseat.h"
@@ -48,12 +47,6 @@
     /// @param follower that asks. @return what shows that this relay hears from the store; nothing when it never has,
     /// or this is no relay.
     std::optional<RelayProof> proofFor(TimePoint now, const std::string &follower);
-    /// An entry VM of the zone tells its relay how its requests have ended.
-    void outcomesTold(TimePoint now, const std::string &entryVm, const OutcomeReport &report);
-    /// The relay of another zone tells which servers fail requests there.
-    void failingElsewhere(TimePoint now, const std::string &relay, const std::vector<std::string> &servers);
-    /// @return whether others of the zone may follow this entry VM, so that its own outcomes are to be told here.
-    bool isRelaying() const;
     /// @return whether this entry VM has just started, and will relay as far as it knows yet.
     bool mayProveSoon() const;
 
@@ -105,10 +98,6 @@
     void storeFailed(TimePoint now, const std::string &reason, DirectoryActions &actions);
     void planCheck(TimePoint now);
     void publish(TimePoint now, DirectoryActions &actions);
-    /// Tells the core what the zone has found out about servers, if that is news.
-    void takeFindings(TimePoint now, ZoneFindings findings, DirectoryActions &actions);
-    /// Tells the relays of other zones which servers were just found to fail requests here.
-    void tellOtherZones(DirectoryActions &actions);
     /// Takes this entry VM's place among those of its zone, as its relay told it, or as it has it as the relay.
     void takePlace(TimePoint now, const std::optional<FleetPlace> &place);
     /// @return whether this entry VM's place has changed since the last state was published.
@@ -121,10 +110,6 @@
     FleetBudgets budgets_;
     FleetEstimate fleet_;
     Random random_;
-    FailingServers failingServers_; ///< While this entry VM relays.
-    ZoneFindings findings_;
-    TimePoint findingsAt_;
-    std::uint64_t findingsTold_ = 0;
     std::optional<FleetPlace> place_; ///< Among the entry VMs of the zone.
     TimePoint placeToldAt_;
     std::optional<FleetPlace> publishedPlace_;
--- a/src/core/directory/directorykeeperpeers.cpp
+++ b/src/core/directory/directorykeeperpeers.cpp
@@ -46,12 +46,7 @@
         place = fleet_.followerAsked(now, follower);
     }
     const bool hearsFromStore = seat_.state() == RelaySeat::State::Holding && !isStoreLost_;
-    return RelayProof{now - *currentAt_,
-                      hearsFromStore,
-                      fleet_.countedInZone(now),
-                      seat_.otherRelays(),
-                      follower.empty() ? ZoneFindings{} : failingServers_.findings(now),
-                      place};
+    return RelayProof{now - *currentAt_, hearsFromStore, fleet_.countedInZone(now), seat_.otherRelays(), place};
 }
 
 bool DirectoryKeeper::mayProveSoon() const
@@ -60,46 +55,6 @@
     return isDeciding || (seat_.isRelaying() && !currentAt_);
 }
 
-void DirectoryKeeper::outcomesTold(TimePoint now, const std::string &entryVm, const OutcomeReport &report)
-{
-    failingServers_.take(now, entryVm, report);
-}
-
-void DirectoryKeeper::failingElsewhere(TimePoint now, const std::string &relay, const std::vector<std::string> &servers)
-{
-    failingServers_.heardFromZone(now, relay, servers);
-}
-
-void DirectoryKeeper::tellOtherZones(DirectoryActions &actions)
-{
-    std::vector<std::string> servers = failingServers_.takeNewVerdicts();
-    if (!servers.empty() && !seat_.otherRelays().empty()) {
-        actions.emplace_back(TellRelaysFailing{seat_.otherRelays(), std::move(servers)});
-    }
-}
-
-bool DirectoryKeeper::isRelaying() const
-{
-    return seat_.isRelaying();
-}
-
-void DirectoryKeeper::takeFindings(TimePoint now, ZoneFindings findings, DirectoryActions &actions)
-{
-    findingsAt_ = now;
-    if (findings == findings_) {
-        return;
-    }
-    if (findings.failing != findings_.failing) {
-        std::string names;
-        for (const std::string &server : findings.failing) {
-            names += (names.empty() ? "" : ",") + server;
-        }
-        actions.emplace_back(ReportDirectory{"servers that fail requests in the zone", names});
-    }
-    findings_ = std::move(findings);
-    actions.emplace_back(PublishFindings{findings_, ++findingsTold_});
-}
-
 void DirectoryKeeper::takePlace(TimePoint now, const std::optional<FleetPlace> &place)
 {
     if (place) {
--- a/src/core/node.cpp
+++ b/src/core/node.cpp
@@ -77,8 +77,6 @@
         handleService(now, *service, actions, internal);
     } else if (std::holds_alternative<ServicesTick>(event)) {
         tellAll(Tick{}, internal);
-    } else if (const auto *told = std::get_if<FindingsTold>(&event)) {
-        tellAll(*told, internal);
     } else {
         handleControl(now, std::get<ControlEvent>(event), actions, internal);
     }
--- a/src/core/node.h
+++ b/src/core/node.h
@@ -34,7 +34,7 @@
 struct ServicesTick {
 };
 
-using NodeEvent = std::variant<ForService, ControlEvent, ServicesTick, FindingsTold>;
+using NodeEvent = std::variant<ForService, ControlEvent, ServicesTick>;
 
 /// An action of one service.
 struct OfService {
--- a/src/core/requests/serviceevents.h
+++ b/src/core/requests/serviceevents.h
@@ -10,7 +10,6 @@
 #include "core/crashes/crashverdicts.h"
 #include "core/crashes/requestcontent.h"
 #include "core/crashes/serverendwatch.h"
-#include "core/directory/serveroutcomes.h"
 #include "core/intent/configuration.h"
 #include "core/servers/loadreport.h"
 #include "core/storecall.h"
@@ -160,12 +159,6 @@
     std::uint64_t order = 0; ///< As in LeavingChanged.
 };
 
-/// What the zone's entry VMs have found out about backend servers.
-struct FindingsTold {
-    ZoneFindings findings;
-    std::uint64_t order = 0; ///< As in LeavingChanged.
-};
-
 struct Tick {
 };
 
@@ -180,7 +173,6 @@
                                   FleetSizeChanged,
                                   PeersInFlightTold,
                                   CrashVerdictsChanged,
-                                  FindingsTold,
                                   Tick>;
 
 // Actions
@@ -316,15 +308,6 @@
     bool operator==(const TellSuspectAnswered &) const = default;
 };
 
-/// A request has ended at a backend server; to be told within the zone.
-struct TellOutcome {
-    std::string backend;
-    bool isGood = false;
-    bool isServerNamed = false; ///< Otherwise it only counts in the sum of good answers.
-
-    bool operator==(const TellOutcome &) const = default;
-};
-
 /// A backend server gets no attempts for a while; for the log.
 struct ServerEjected {
     std::string backend;
@@ -347,7 +330,6 @@
                                    TellServerEnded,
                                    TellServerHeardAgain,
                                    TellSuspectAnswered,
-                                   TellOutcome,
                                    ServerEjected>;
 using ServiceActions = std::vector<ServiceAction>;
 
--- a/src/core/requests/serviceshard.cpp
+++ b/src/core/requests/serviceshard.cpp
@@ -219,14 +219,6 @@
     pool_.setPeersInFlight(event.backend, event.count);
 }
 
-void ServiceShard::on(TimePoint, const FindingsTold &event, ServiceActions &)
-{
-    if (event.order > findingsOrder_) {
-        findingsOrder_ = event.order;
-        pool_.setFindings(event.findings);
-    }
-}
-
 void ServiceShard::on(TimePoint now, const Tick &, ServiceActions &actions)
 {
     expireWaiting(now, actions);
--- a/src/core/requests/serviceshard.h
+++ b/src/core/requests/serviceshard.h
@@ -92,7 +92,6 @@
     void on(TimePoint now, const FleetSizeChanged &event, ServiceActions &actions);
     void on(TimePoint now, const PeersInFlightTold &event, ServiceActions &actions);
     void on(TimePoint now, const CrashVerdictsChanged &event, ServiceActions &actions);
-    void on(TimePoint now, const FindingsTold &event, ServiceActions &actions);
     void on(TimePoint now, const Tick &event, ServiceActions &actions);
 
     /// Notes that an answer was lost, and finds out whether its server has ended.
@@ -160,8 +159,6 @@
     std::optional<Attempt> takeRunning(RequestId request, int number);
     /// Tells when the server was ejected just now. @param after what ended.
     void reportEjection(TimePoint now, const std::string &backend, const char *after, ServiceActions &actions);
-    /// Tells the zone how the attempt has ended.
-    void tellOutcome(const Attempt &attempt, const AttemptOutcome &outcome, ServiceActions &actions) const;
     void noteLeaving(const std::string &backend, ServiceActions &actions);
     AttemptQuality qualityOf(const Attempt &attempt, const AttemptOutcome &outcome) const;
     void learn(TimePoint now, const Attempt &attempt, const AttemptEnded &event, ServiceActions &actions);
@@ -192,7 +189,6 @@
     PayoutLedger ledger_;
     Random random_;
     Latest<int> entryVms_{1};
-    std::uint64_t findingsOrder_ = 0; ///< Of the newest FindingsTold.
     std::uint64_t leavingOrder_ = 0; ///< Of the newest LeavingChanged.
     Latest<std::shared_ptr<const CrashVerdicts>> crashVerdicts_{std::make_shared<const CrashVerdicts>()};
     ServerEndWatch endWatch_;
--- a/src/core/requests/serviceshardoutcome.cpp
+++ b/src/core/requests/serviceshardoutcome.cpp
@@ -122,7 +122,6 @@
 {
     pool_.release(attempt.backend, qualityOf(attempt, event.outcome), now - attempt.startedAt, now);
     reportEjection(now, attempt.backend, "attempt", actions);
-    tellOutcome(attempt, event.outcome, actions);
     if (event.warmUp) {
         pool_.warmUpTold(attempt.backend, *event.warmUp, now);
     }
@@ -139,18 +138,6 @@
     }
 }
 
-void ServiceShard::tellOutcome(const Attempt &attempt, const AttemptOutcome &outcome, ServiceActions &actions) const
-{
-    const AttemptQuality quality = qualityOf(attempt, outcome);
-    const Backend *backend = pool_.find(attempt.backend);
-    // An attempt of which nothing left tells of this entry VM's connections, not of how the server treats requests.
-    if (!probesFirst() || !backend || quality == AttemptQuality::Neutral || std::holds_alternative<NeverLeft>(outcome)) {
-        return;
-    }
-    const bool isGood = quality == AttemptQuality::Good;
-    actions.emplace_back(TellOutcome{attempt.backend, isGood, !isGood || backend->isSuspectedInZone});
-}
-
 void ServiceShard::reportEjection(TimePoint now, const std::string &backend, const char *after, ServiceActions &actions)
 {
     const Backend *known = pool_.find(backend);
--- a/src/core/servers/backendpool.cpp
+++ b/src/core/servers/backendpool.cpp
@@ -83,7 +83,6 @@
         next.push_back(std::move(backend));
     }
     backends_ = std::move(next);
-    applyFindings();
 }
 
 void BackendPool::takeEntryWarmUp(Backend &backend, TimePoint now)
@@ -147,25 +146,6 @@
     return static_cast<std::size_t>(backend - backends_.data());
 }
 
-void BackendPool::setFindings(const ZoneFindings &findings)
-{
-    findings_ = findings;
-    applyFindings();
-}
-
-void BackendPool::applyFindings()
-{
-    const std::size_t most = backends_.size() / MaxEjectedPart;
-    std::size_t failing = 0;
-    for (Backend &backend : backends_) {
-        const bool isFailing = std::binary_search(findings_.failing.begin(), findings_.failing.end(), backend.server.name);
-        failing += isFailing ? 1 : 0;
-        // Beyond a third it is no fault of single servers, and the rest could not bear their requests.
-        backend.isFailingInZone = isFailing && failing <= most;
-        backend.isSuspectedInZone = isFailing || std::binary_search(findings_.suspected.begin(), findings_.suspected.end(), backend.server.name);
-    }
-}
-
 void BackendPool::countTaken(Backend &backend, TimePoint now)
 {
     ++backend.inFlight;
@@ -313,9 +293,6 @@
     if (ignoreEjection) {
         return true;
     }
-    if (backend.isFailingInZone) {
-        return false;
-    }
     const bool isTrialTaken = backend.isOnTrial && backend.inFlight > 0;
     return now >= backend.ejectedUntil && !isTrialTaken;
 }
--- a/src/core/servers/backendpool.h
+++ b/src/core/servers/backendpool.h
@@ -7,7 +7,6 @@
 
 #pragma once
 
-#include "core/directory/serveroutcomes.h"
 #include "core/intent/configuration.h"
 #include "core/servers/coldstartfence.h"
 #include "core/servers/loadreport.h"
@@ -63,8 +62,6 @@
     std::optional<TimePoint> ejectedAt; ///< The last time.
     bool isOnTrial = false; ///< Was ejected and has given no good answer since.
     bool isLeaving = false;
-    bool isFailingInZone = false; ///< By the requests of all entry VMs of the zone.
-    bool isSuspectedInZone = false; ///< The zone is told of good answers as well.
     bool isEvacuated = false; ///< Its availability zone gets no requests until operators take it back.
     std::optional<TimePoint> heardAt; ///< Last answer of any kind, good or bad.
 };
@@ -115,8 +112,6 @@
 
     /// Counts an attempt's end. Names of servers that were removed meanwhile are ignored.
     void release(std::string_view name, AttemptQuality quality, Duration latency, TimePoint now);
-    /// Takes what the zone's entry VMs have found out. At most a third of the servers is kept out for it.
-    void setFindings(const ZoneFindings &findings);
     /// The server called @p name has told how much longer it stays cold.
     void warmUpTold(std::string_view name, Duration left, TimePoint now);
     void setPeersInFlight(std::string_view name, int count);
@@ -134,7 +129,6 @@
 private:
     Distance distanceTo(const BackendServer &server) const;
     Backend *findMutable(std::string_view name);
-    void applyFindings();
     /// Takes what the server's entry tells of its warm-up.
     static void takeEntryWarmUp(Backend &backend, TimePoint now);
     /// @return whether the bound on requests to cold servers leaves room for one to @p backend.
@@ -158,7 +152,6 @@
     std::set<std::string, std::less<>> leaving_; ///< Names, also of servers that come back into the configuration.
     int inFlightCap_ = 1000;
     ColdStartRules coldStart_;
-    ZoneFindings findings_;
     std::optional<TimePoint> configuredAt_; ///< For the first time.
 };
 
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -83,23 +83,13 @@
     node_->handle(bootNow(), event, actions);
     for (const NodeAction &action : actions) {
         if (const auto *service = std::get_if<OfService>(&action)) {
-            perform(*service);
+            gateway_->perform(*service);
         } else {
             perform(std::get<ControlAction>(action));
         }
     }
 }
 
-void Daemon::perform(const OfService &action)
-{
-    const auto *outcome = std::get_if<TellOutcome>(&action.action);
-    if (!outcome) {
-        gateway_->perform(action);
-    } else if (directory_) {
-        directory_->noteOutcome(*outcome);
-    }
-}
-
 void Daemon::perform(const ControlAction &action)
 {
     struct Performer {
--- a/src/daemon/daemon.h
+++ b/src/daemon/daemon.h
@@ -78,7 +78,6 @@
     void startOwnFleet();
     void startDirectory(const DirectoryParts &parts);
     ControlSettings controlSettings() const;
-    void perform(const OfService &action);
     void perform(const ControlAction &action);
     void askStore(const AskStore &action);
     void watch(const WatchIntent &action);
--- a/src/daemon/directoryrunner.cpp
+++ b/src/daemon/directoryrunner.cpp
@@ -43,7 +43,6 @@
     DirectoryActions actions;
     {
         const std::lock_guard lock(mutex_);
-        tellOwnOutcomes(bootNow());
         keeper_->tick(bootNow(), actions);
     }
     perform(actions);
@@ -89,30 +88,6 @@
     }
 }
 
-void DirectoryRunner::noteOutcome(const TellOutcome &outcome)
-{
-    const std::lock_guard lock(mutex_);
-    outcomes_.note(outcome.backend, outcome.isGood, outcome.isServerNamed);
-}
-
-void DirectoryRunner::tellOwnOutcomes(TimePoint now)
-{
-    if (keeper_->isRelaying()) {
-        keeper_->outcomesTold(now, name_, outcomes_.take());
-    }
-}
-
-void DirectoryRunner::check(const CheckRelay &action)
-{
-    OutcomeReport report;
-    // Relays of other zones are asked as nobody's follower, and are not told.
-    if (!action.follower.empty()) {
-        const std::lock_guard lock(mutex_);
-        report = outcomes_.take();
-    }
-    relay_.check(action, report, [this](const DirectoryAnswer &answer) { answered(answer); });
-}
-
 bool DirectoryRunner::hasUntoldCrashes()
 {
     const std::lock_guard lock(mutex_);
@@ -136,11 +111,8 @@
         const std::lock_guard lock(mutex_);
         return keeper_ ? keeper_->newsSince(collection, since) : std::nullopt;
     };
-    const auto proof = [this](const std::string &follower, const OutcomeReport &report) {
+    const auto proof = [this](const std::string &follower) {
         const std::lock_guard lock(mutex_);
-        if (keeper_ && !follower.empty()) {
-            keeper_->outcomesTold(bootNow(), follower, report);
-        }
         return keeper_ ? keeper_->proofFor(bootNow(), follower) : std::nullopt;
     };
     const auto isStarting = [this] {
@@ -148,13 +120,7 @@
         return !keeper_ || keeper_->mayProveSoon();
     };
     const auto crashReport = [this](const std::string &text) { return takeCrashReport(text); };
-    const auto failing = [this](const std::string &zone, const std::vector<std::string> &servers) {
-        const std::lock_guard lock(mutex_);
-        if (keeper_) {
-            keeper_->failingElsewhere(bootNow(), zone, servers);
-        }
-    };
-    server_ = std::make_unique<RelayServer>(address, RelaySource{look, proof, isStarting, crashReport, failing});
+    server_ = std::make_unique<RelayServer>(address, RelaySource{look, proof, isStarting, crashReport});
 }
 
 void DirectoryRunner::answered(const DirectoryAnswer &answer)
@@ -200,7 +166,7 @@
         }
         void operator()(const CheckRelay &typed) const
         {
-            runner.check(typed);
+            runner.relay_.check(typed, done());
         }
         void operator()(const ReadSeat &typed) const
         {
@@ -224,16 +190,6 @@
         {
             runner.events_.handle(ControlEvent(CrashReportsTold{typed.reports, typed.order}));
         }
-        void operator()(const TellRelaysFailing &typed) const
-        {
-            for (const std::string &relay : typed.relays) {
-                runner.relay_.tellFailing(relay, runner.zone_, typed.servers);
-            }
-        }
-        void operator()(const PublishFindings &typed) const
-        {
-            runner.events_.handle(FindingsTold{typed.findings, typed.order});
-        }
         void operator()(const PublishDirectory &typed) const
         {
             runner.events_.handle(ControlEvent(DirectoryPublished{typed.intent}));
--- a/src/daemon/directoryrunner.h
+++ b/src/daemon/directoryrunner.h
@@ -46,8 +46,6 @@
     void setBudgets(const FleetBudgets &budgets);
     /// What this entry VM tells of servers that ended under requests.
     void tellCrashes(const TellCrashes &action);
-    /// A request of this entry VM has ended, to be told within the zone.
-    void noteOutcome(const TellOutcome &outcome);
     /// @return whether the store does not hold that yet.
     bool hasUntoldCrashes();
     /// Answers that come later are left aside.
@@ -58,9 +56,6 @@
 private:
     /// Takes what another entry VM tells of servers that ended. @return whether it can be read.
     bool takeCrashReport(const std::string &text);
-    /// Takes what this entry VM has to tell, when it relays itself.
-    void tellOwnOutcomes(TimePoint now);
-    void check(const CheckRelay &action);
     void startRelay(const std::string &address);
     void answered(const DirectoryAnswer &answer);
     void perform(const DirectoryActions &actions);
@@ -74,7 +69,6 @@
     std::atomic<bool> isStopped_{false};
     std::mutex mutex_;
     std::optional<DirectoryKeeper> keeper_; ///< Guarded by the mutex.
-    OutcomeTally outcomes_; ///< Guarded by the mutex.
     std::unique_ptr<RelayServer> server_; ///< Null where nobody relays.
 };
 
--- a/src/daemon/gateway.cpp
+++ b/src/daemon/gateway.cpp
@@ -180,10 +180,6 @@
         {
             gateway.log_.suspectAnswered(of.service, typed);
         }
-        void operator()(const TellOutcome &) const
-        {
-            // Told within the zone, which is no exchange.
-        }
         void operator()(const ServerEjected &typed) const
         {
             gateway.log_.serverEjected(of.service, typed);
--- a/src/net/relayclient.cpp
+++ b/src/net/relayclient.cpp
@@ -87,23 +87,19 @@
         });
 }
 
-void RelayClient::check(const CheckRelay &action, const OutcomeReport &outcomes, DirectoryDone done)
+void RelayClient::check(const CheckRelay &action, DirectoryDone done)
 {
-    ask(action.relay,
-        proofTarget(action.follower),
-        encodeOutcomes(outcomes),
-        CheckTimeout,
-        [relay = action.relay, done = std::move(done)](const HttpOutcome &outcome) {
-            RelayChecked checked{relay, std::nullopt};
-            try {
-                if (hasStatus(outcome, HttpStatus::Ok)) {
-                    checked.proof = decodeProof(std::get<HttpAnswer>(outcome).body);
-                }
-            } catch (const std::exception &) {
-                // Told as no answer, which the seat reports with the relay's address.
+    get(action.relay, proofTarget(action.follower), CheckTimeout, [relay = action.relay, done = std::move(done)](const HttpOutcome &outcome) {
+        RelayChecked checked{relay, std::nullopt};
+        try {
+            if (hasStatus(outcome, HttpStatus::Ok)) {
+                checked.proof = decodeProof(std::get<HttpAnswer>(outcome).body);
             }
-            done({0, checked});
-        });
+        } catch (const std::exception &) {
+            // Told as no answer, which the seat reports with the relay's address.
+        }
+        done({0, checked});
+    });
 }
 
 void RelayClient::tell(const std::string &relay, const NamedCrashReport &report)
@@ -123,27 +119,12 @@
     });
 }
 
-void RelayClient::tellFailing(const std::string &relay, const std::string &zone, const std::vector<std::string> &servers)
-{
-    ask(relay, std::string(FailingTarget), encodeFailing({zone, servers}), CheckTimeout, [this, relay](const HttpOutcome &outcome) {
-        if (!hasStatus(outcome, HttpStatus::Ok)) {
-            log_.info("word of failing servers not taken", {{"peer", relay}});
-        }
-    });
-}
-
 void RelayClient::get(const std::string &relay, const std::string &target, Duration timeout, HttpDone done)
-{
-    ask(relay, target, {}, timeout, std::move(done));
-}
-
-void RelayClient::ask(const std::string &relay, const std::string &target, std::string body, Duration timeout, HttpDone done)
 {
     HttpCall call;
     call.address = relay;
-    call.request.method = body.empty() ? "GET" : "POST";
+    call.request.method = "GET";
     call.request.target = target;
-    call.request.body = std::move(body);
     call.request.headers = {{"Host", relay}};
     call.timeout = timeout;
     call.mayReuseConnection = true;
--- a/src/net/relayclient.h
+++ b/src/net/relayclient.h
@@ -26,16 +26,11 @@
 
     void list(const ListDirectory &action, DirectoryDone done);
     void watch(const WatchDirectory &action, DirectoryDone done);
-    /// @param outcomes told with the question.
-    void check(const CheckRelay &action, const OutcomeReport &outcomes, DirectoryDone done);
+    void check(const CheckRelay &action, DirectoryDone done);
     /// Tells a relay a crash report; what becomes of it is not known, and the store is told as well.
     void tell(const std::string &relay, const NamedCrashReport &report);
-    /// Tells the relay of another zone which servers fail requests in @p zone.
-    void tellFailing(const std::string &relay, const std::string &zone, const std::vector<std::string> &servers);
 
 private:
-    /// Sends @p body with the question, if there is one.
-    void ask(const std::string &relay, const std::string &target, std::string body, Duration timeout, HttpDone done);
     void get(const std::string &relay, const std::string &target, Duration timeout, HttpDone done);
     /// @return the news; nothing when the answer is none, with the reason.
     std::optional<DirectoryNews> read(Collection collection, const HttpOutcome &outcome, std::string &failure) const;
--- a/src/net/relaymessages.cpp
+++ b/src/net/relaymessages.cpp
@@ -24,8 +24,6 @@
 
 constexpr std::string_view NewsPath = "/relay/news/";
 constexpr std::string_view ProofPath = "/relay/proof/";
-// Requests that ended between two questions, some seconds apart at most.
-constexpr int MaxCount = 1'000'000;
 // Far more entry VMs than one availability zone has.
 constexpr int MaxPlaces = 100'000;
 /// In the order of the collections.
@@ -48,16 +46,6 @@
     return isWhole && value >= 0 ? std::optional(value) : std::nullopt;
 }
 
-/// @throws std::exception when no entry VM can have counted so many between two questions.
-int countIn(const Json &body, const char *key)
-{
-    const int count = body.at(key).get<int>();
-    if (count < 0 || count > MaxCount) {
-        throw std::invalid_argument(std::string(key) + " is " + std::to_string(count));
-    }
-    return count;
-}
-
 /// @throws std::exception when no entry VM can have such a place.
 FleetPlace placeIn(const Json &body)
 {
@@ -128,59 +116,9 @@
     return target.starts_with(ProofPath) ? std::optional(std::string(target.substr(ProofPath.size()))) : std::nullopt;
 }
 
-std::string encodeFailing(const FailingInZone &failing)
-{
-    return Json{{"zone", failing.zone}, {"servers", failing.servers}}.dump();
-}
-
-FailingInZone decodeFailing(std::string_view text)
-{
-    const Json body = Json::parse(text);
-    FailingInZone failing{body.at("zone").get<std::string>(), body.at("servers").get<std::vector<std::string>>()};
-    if (failing.servers.size() > OutcomeTally::MostServers) {
-        throw std::invalid_argument(std::to_string(failing.servers.size()) + " servers");
-    }
-    return failing;
-}
-
-std::string encodeOutcomes(const OutcomeReport &report)
-{
-    if (report.servers.empty() && report.good == 0) {
-        return {};
-    }
-    Json servers = Json::array();
-    for (const ServerOutcome &outcome : report.servers) {
-        servers.push_back({{"server", outcome.server}, {"failed", outcome.failed}, {"good", outcome.good}});
-    }
-    return Json{{"servers", std::move(servers)}, {"good", report.good}}.dump();
-}
-
-OutcomeReport decodeOutcomes(std::string_view text)
-{
-    OutcomeReport report;
-    if (text.empty()) {
-        return report;
-    }
-    const Json body = Json::parse(text);
-    report.good = countIn(body, "good");
-    for (const Json &item : body.at("servers")) {
-        report.servers.push_back({item.at("server").get<std::string>(), countIn(item, "failed"), countIn(item, "good")});
-    }
-    if (report.servers.size() > OutcomeTally::MostServers) {
-        throw std::invalid_argument(std::to_string(report.servers.size()) + " servers");
-    }
-    return report;
-}
-
 std::string encodeProof(const RelayProof &proof)
 {
     Json body = {{"age_us", proof.age.count()}, {"hears_from_store", proof.hearsFromStore}, {"entry_vms", proof.entryVms}, {"other_relays", proof.otherRelays}};
-    if (!proof.findings.failing.empty()) {
-        body["failing"] = proof.findings.failing;
-    }
-    if (!proof.findings.suspected.empty()) {
-        body["suspected"] = proof.findings.suspected;
-    }
     if (proof.place) {
         body["place"] = {{"number", proof.place->number}, {"count", proof.place->count}};
     }
@@ -194,8 +132,6 @@
                      body.at("hears_from_store").get<bool>(),
                      body.at("entry_vms").get<int>(),
                      body.at("other_relays").get<std::vector<std::string>>()};
-    proof.findings.failing = body.value("failing", std::vector<std::string>());
-    proof.findings.suspected = body.value("suspected", std::vector<std::string>());
     if (body.contains("place")) {
         proof.place = placeIn(body.at("place"));
     }
--- a/src/net/relaymessages.h
+++ b/src/net/relaymessages.h
@@ -33,19 +33,6 @@
 /// The request target under which a relay takes a crash report, as the body of the request.
 constexpr std::string_view CrashReportTarget = "/relay/crash-report";
 
-/// The request target under which a relay takes which servers fail requests in another zone, as the body of the request.
-constexpr std::string_view FailingTarget = "/relay/failing";
-
-/// Servers that fail requests in an availability zone.
-struct FailingInZone {
-    std::string zone;
-    std::vector<std::string> servers;
-};
-
-std::string encodeFailing(const FailingInZone &failing);
-/// @throws std::exception when it is of another form.
-FailingInZone decodeFailing(std::string_view text);
-
 std::string encodeNews(const DirectoryNews &news);
 /// @return the news; entries have their texts only. @throws std::exception when it is of another form.
 DirectoryNews decodeNews(std::string_view text);
@@ -54,10 +41,6 @@
 std::string proofTarget(const std::string &follower);
 /// @return the follower in @p target, if it asks for that.
 std::optional<std::string> parseProofTarget(std::string_view target);
-/// @return what a follower tells with its question for a proof; empty when there is nothing to tell.
-std::string encodeOutcomes(const OutcomeReport &report);
-/// @throws std::exception when it is of another form, or has figures that no entry VM can have counted.
-OutcomeReport decodeOutcomes(std::string_view text);
 std::string encodeProof(const RelayProof &proof);
 /// @throws std::exception when it is of another form.
 RelayProof decodeProof(std::string_view text);
--- a/src/net/relayserver.cpp
+++ b/src/net/relayserver.cpp
@@ -42,7 +42,6 @@
 
 RelayServer::RelayServer(const std::string &address, RelaySource source)
     : source_(std::move(source))
-    , log_("relay")
 {
     CallerServerOptions options;
     options.address = address;
@@ -62,7 +61,7 @@
 void RelayServer::accept(const std::shared_ptr<CallerConnection> &connection, const HttpRequest &request)
 {
     if (const auto follower = parseProofTarget(request.target)) {
-        acceptProofRequest(connection, *follower, request.body);
+        acceptProofRequest(connection, *follower);
         return;
     }
     if (request.target == CrashReportTarget) {
@@ -70,10 +69,6 @@
         connection->answer(answerOf(isTaken ? HttpStatus::Ok : HttpStatus::NotFound, "{}"), false);
         return;
     }
-    if (request.target == FailingTarget) {
-        acceptFailing(connection, request.body);
-        return;
-    }
     const auto asked = parseNewsTarget(request.target);
     if (!asked) {
         connection->answer(answerOf(HttpStatus::NotFound, "{}"), false);
@@ -94,16 +89,9 @@
     }
 }
 
-void RelayServer::acceptProofRequest(const std::shared_ptr<CallerConnection> &connection, const std::string &follower, const std::string &body)
+void RelayServer::acceptProofRequest(const std::shared_ptr<CallerConnection> &connection, const std::string &follower)
 {
-    OutcomeReport outcomes;
-    try {
-        outcomes = decodeOutcomes(body);
-    } catch (const std::exception &exception) {
-        // The proof is worth more than what it tells.
-        log_.warn("outcomes left out", {{"peer", follower}, {"reason", exception.what()}});
-    }
-    const auto proof = source_.proof(follower, outcomes);
+    const auto proof = source_.proof(follower);
     if (!proof && source_.isStarting()) {
         // After all entry VMs were killed the whole zone asks at once. Told at the moment of the first proof, followers need not ask again.
         const std::lock_guard lock(mutex_);
@@ -113,21 +101,6 @@
     connection->answer(proofAnswer(proof), false);
 }
 
-void RelayServer::acceptFailing(const std::shared_ptr<CallerConnection> &connection, const std::string &body)
-{
-    int status = HttpStatus::Ok;
-    try {
-        const FailingInZone told = decodeFailing(body);
-        if (source_.failing) {
-            source_.failing(told.zone, told.servers);
-        }
-    } catch (const std::exception &exception) {
-        log_.warn("word of failing servers left out", {{"reason", exception.what()}});
-        status = HttpStatus::BadRequest;
-    }
-    connection->answer(answerOf(status, "{}"), false);
-}
-
 void RelayServer::answerProofs(TimePoint now)
 {
     Ready ready;
@@ -137,7 +110,7 @@
             if (item.connection->isGone()) {
                 return true;
             }
-            const auto proof = source_.proof(item.follower, {});
+            const auto proof = source_.proof(item.follower);
             if (!proof && now < item.until) {
                 return false;
             }
--- a/src/net/relayserver.h
+++ b/src/net/relayserver.h
@@ -9,7 +9,6 @@
 
 #include "core/directory/directoryevents.h"
 #include "net/callerserver.h"
-#include "net/log.h"
 #include "net/relaylists.h"
 
 #include <array>
@@ -28,14 +27,12 @@
 struct RelaySource {
     /// @return what has changed in a collection since a revision; nothing when that cannot be told.
     std::function<std::optional<DirectoryNews>(Collection collection, std::int64_t since)> news;
-    /// @param follower that asks. @param outcomes that it tells with its question. @return nothing when this entry VM is no relay.
-    std::function<std::optional<RelayProof>(const std::string &follower, const OutcomeReport &outcomes)> proof;
+    /// @param follower that asks. @return nothing when this entry VM is no relay.
+    std::function<std::optional<RelayProof>(const std::string &follower)> proof;
     /// @return whether this entry VM has just started and may have its first proof soon.
     std::function<bool()> isStarting;
     /// Takes the crash report that an entry VM tells. @return whether it can be read.
     std::function<bool(const std::string &text)> crashReport;
-    /// Takes which servers fail requests in another zone.
-    std::function<void(const std::string &zone, const std::vector<std::string> &servers)> failing;
 };
 
 /// Tells other entry VMs of the availability zone what this one knows of the directory. JSON over HTTP rather than
@@ -69,8 +66,7 @@
     };
 
     void accept(const std::shared_ptr<CallerConnection> &connection, const HttpRequest &request);
-    void acceptProofRequest(const std::shared_ptr<CallerConnection> &connection, const std::string &follower, const std::string &body);
-    void acceptFailing(const std::shared_ptr<CallerConnection> &connection, const std::string &body);
+    void acceptProofRequest(const std::shared_ptr<CallerConnection> &connection, const std::string &follower);
     /// Answers those that await a proof, if there is one now or their wait is over.
     void answerProofs(TimePoint now);
     /// Changes as they were last told of a collection. Followers mostly ask for the same, and packing costs processor time.
@@ -91,7 +87,6 @@
     void give(const Ready &ready);
 
     RelaySource source_;
-    Log log_;
     std::mutex mutex_;
     std::vector<Waiting> waiting_;
     std::vector<AwaitsProof> awaitProof_;
--- a/tests/property/directoryproperties.cpp
+++ b/tests/property/directoryproperties.cpp
@@ -508,14 +508,6 @@
         node.published = action.intent;
     }
 
-    void perform(Node &, const TellRelaysFailing &)
-    {
-    }
-
-    void perform(Node &, const PublishFindings &)
-    {
-    }
-
     void perform(Node &, const ReportDirectory &)
     {
     }
--- a/tests/support/describe.cpp
+++ b/tests/support/describe.cpp
@@ -97,10 +97,6 @@
     {
         return "tell answered " + action.content.digest;
     }
-    std::string operator()(const TellOutcome &action) const
-    {
-        return std::string("tell ") + (action.isGood ? "good answer of " : "failure of ") + action.backend;
-    }
     std::string operator()(const ServerEjected &action) const
     {
         return "eject " + action.backend + " for " + std::to_string(std::chrono::floor<milliseconds>(action.lasts).count()) + " ms after " + action.reason;
--- a/tests/unit/relayservertests.cpp
+++ b/tests/unit/relayservertests.cpp
@@ -26,7 +26,7 @@
     StartingRelay()
     {
         const auto news = [](Collection, std::int64_t) { return std::optional<DirectoryNews>(); };
-        const auto proof = [this](const std::string &, const OutcomeReport &) { return hasProof ? std::optional(RelayProof{}) : std::nullopt; };
+        const auto proof = [this](const std::string &) { return hasProof ? std::optional(RelayProof{}) : std::nullopt; };
         server = std::make_unique<RelayServer>("127.0.0.1:0", RelaySource{news, proof, [this] { return isStarting.load(); }});
     }
 
