--- a/src/core/directory/serverregistry.cpp
+++ b/src/core/directory/serverregistry.cpp
@@ -19,8 +19,6 @@
 constexpr Duration ReturnGrace = seconds(2);
 // Followers that missed more than this many begin with a list.
 constexpr std::size_t MaxDeletions = 1000;
-// What the time until a server is warm differs by less than this from the time that was known is the way it took.
-constexpr Duration WarmUpTolerance = milliseconds(300);
 
 /// @return whether the two tell the same but for the warm-up, whose rest passes by itself.
 bool isSameButWarmUp(const Registration &known, Registration newer)
--- a/src/core/intent/configuration.h
+++ b/src/core/intent/configuration.h
@@ -49,6 +49,9 @@
     bool operator==(const BackendServer &) const = default;
 };
 
+/// A warm-up is told anew with each state of a server. What its end differs by less than this from the end that was known is the way it took.
+constexpr Duration WarmUpTolerance = milliseconds(300);
+
 /// Bounds on repeated attempts.
 struct RetryRules {
     int maxAttempts = 3;
--- a/src/core/requests/serviceshard.cpp
+++ b/src/core/requests/serviceshard.cpp
@@ -147,13 +147,7 @@
         pool_.probed(event.backend, event.isHealthy || (event.request && event.report), now);
         reportEjection(now, event.backend, "probe", actions);
     }
-    if (event.warmUp) {
-        pool_.warmUpTold(event.backend, *event.warmUp, now);
-    }
-    if (event.report) {
-        pool_.report(event.backend, *event.report, now);
-        chooser_.model().told(*event.report);
-    }
+    takeTold(now, event.backend, event.report, event.warmUp);
     dispatch(now, actions);
     if (event.request) {
         const auto found = requests_.find(*event.request);
@@ -166,6 +160,17 @@
     startWaiting(now, actions);
 }
 
+void ServiceShard::takeTold(TimePoint now, const std::string &backend, const std::optional<LoadReport> &report, const std::optional<Duration> &warmUp)
+{
+    if (warmUp) {
+        pool_.warmUpTold(backend, *warmUp, now);
+    }
+    if (report) {
+        pool_.report(backend, *report, now);
+        chooser_.model().told(*report);
+    }
+}
+
 void ServiceShard::on(TimePoint now, const PayoutStoreAnswered &event, ServiceActions &actions)
 {
     const auto decision = ledger_.storeAnswered(event, now, actions);
--- a/src/core/requests/serviceshard.h
+++ b/src/core/requests/serviceshard.h
@@ -159,6 +159,8 @@
     std::optional<Attempt> takeRunning(RequestId request, int number);
     /// Tells when the server was ejected just now. @param after what ended.
     void reportEjection(TimePoint now, const std::string &backend, const char *after, ServiceActions &actions);
+    /// Takes what a server told of itself, with an answer or a probe.
+    void takeTold(TimePoint now, const std::string &backend, const std::optional<LoadReport> &report, const std::optional<Duration> &warmUp);
     void noteLeaving(const std::string &backend, ServiceActions &actions);
     AttemptQuality qualityOf(const Attempt &attempt, const AttemptOutcome &outcome) const;
     void learn(TimePoint now, const Attempt &attempt, const AttemptEnded &event, ServiceActions &actions);
--- a/src/core/requests/serviceshardoutcome.cpp
+++ b/src/core/requests/serviceshardoutcome.cpp
@@ -122,13 +122,7 @@
 {
     pool_.release(attempt.backend, qualityOf(attempt, event.outcome), now - attempt.startedAt, now);
     reportEjection(now, attempt.backend, "attempt", actions);
-    if (event.warmUp) {
-        pool_.warmUpTold(attempt.backend, *event.warmUp, now);
-    }
-    if (event.report) {
-        pool_.report(attempt.backend, *event.report, now);
-        chooser_.model().told(*event.report);
-    }
+    takeTold(now, attempt.backend, event.report, event.warmUp);
     const auto *answer = std::get_if<AnsweredWhole>(&event.outcome);
     if (answer && answer->isLeaving) {
         noteLeaving(attempt.backend, actions);
--- a/src/core/servers/backendpool.cpp
+++ b/src/core/servers/backendpool.cpp
@@ -32,8 +32,6 @@
 constexpr std::size_t MaxEjectedPart = 3;
 constexpr Duration SilenceWorthProbe = milliseconds(500);
 constexpr double LatencyWeight = 0.1;
-// An entry's time to be warm is told anew with each state; what it differs by less than this from the time known is the way it took.
-constexpr Duration WarmUpTolerance = milliseconds(300);
 
 bool isIn(std::span<const std::string> names, std::string_view name)
 {
@@ -60,9 +58,9 @@
 
 void BackendPool::configure(const Service &service, TimePoint now)
 {
-    // Looked up by name in one pass: a service may have more than a thousand servers, and each change comes here.
     coldStart_ = service.coldStart;
     configuredAt_ = configuredAt_.value_or(now);
+    // Looked up by name in one pass: a service may have more than a thousand servers, and each change comes here.
     std::unordered_map<std::string_view, Backend *> known;
     for (Backend &backend : backends_) {
         known.emplace(backend.server.name, &backend);
@@ -76,10 +74,11 @@
         }
         backend.server = server;
         takeEntryWarmUp(backend, now);
-        backend.isColdSender = coldStart_.isBounded && isColdSender(coldStart_, server.name);
         backend.isLeaving = leaving_.contains(server.name);
         backend.isEvacuated = isIn(service.evacuatedZones, server.zone);
         backend.distance = distanceTo(server);
+        // Entry VMs of other zones leave cold servers alone: they have no place among the senders.
+        backend.isColdSender = coldStart_.isBounded && backend.distance == Distance::SameZone && isColdSender(coldStart_, server.name);
         next.push_back(std::move(backend));
     }
     backends_ = std::move(next);
@@ -302,12 +301,10 @@
     if (!coldStart_.isBounded || now >= backend.warmAt) {
         return true;
     }
-    // Idle servers look best to all entry VMs at once, and a cold one crashes at a rate that it bears when warm. Entry VMs of other zones leave it
-    // alone: they have no place among its senders.
-    const bool isSender = backend.isColdSender && backend.distance == Distance::SameZone;
+    // Idle servers look best to all entry VMs at once, and a cold one crashes at a rate that it bears when warm.
     // What a former process of this entry VM sent is in no window any more by then.
     const bool hasWaited = configuredAt_ && now - *configuredAt_ >= coldStart_.window;
-    return isSender && hasWaited && backend.recentSends.allows(now, coldStart_.requestsEach, coldStart_.window);
+    return backend.isColdSender && hasWaited && backend.recentSends.allows(now, coldStart_.requestsEach, coldStart_.window);
 }
 
 std::vector<std::size_t> BackendPool::candidates(TimePoint now, std::span<const std::string> tried) const
--- a/tests/platform/crashtests.cpp
+++ b/tests/platform/crashtests.cpp
@@ -7,6 +7,7 @@
 
 #include "crashingservers.h"
 #include "directorystore.h"
+#include "eventually.h"
 #include "names.h"
 #include "net/httpclient.h"
 #include "process.h"
@@ -18,7 +19,6 @@
 
 #include <filesystem>
 #include <fstream>
-#include <functional>
 #include <future>
 #include <set>
 #include <thread>
@@ -35,17 +35,6 @@
 // Within which all entry VMs know what one of them has seen.
 constexpr auto TouchTime = seconds(3);
 
-bool eventually(const std::function<bool()> &isTrue)
-{
-    for (int look = 0; look < 2000; ++look) {
-        if (isTrue()) {
-            return true;
-        }
-        std::this_thread::sleep_for(milliseconds(10));
-    }
-    return false;
-}
-
 /// A store, backend servers that crash under some requests, and entry VMs of two availability zones as processes of their own.
 class CrashSite
 {
--- a/tests/platform/evacuationpathtests.cpp
+++ b/tests/platform/evacuationpathtests.cpp
@@ -6,6 +6,7 @@
 */
 
 #include "directorystore.h"
+#include "eventually.h"
 #include "faultproxy.h"
 #include "names.h"
 #include "net/httpclient.h"
@@ -20,7 +21,6 @@
 #include <atomic>
 #include <filesystem>
 #include <fstream>
-#include <functional>
 #include <future>
 #include <memory>
 #include <thread>
@@ -36,17 +36,6 @@
 
 using Json = nlohmann::json;
 
-bool eventually(const std::function<bool()> &isTrue)
-{
-    for (int look = 0; look < 2000; ++look) {
-        if (isTrue()) {
-            return true;
-        }
-        std::this_thread::sleep_for(milliseconds(10));
-    }
-    return false;
-}
-
 /// Two entry VMs of one zone, of which one relays, a backend server in each of two zones, and callers that send all the while.
 class LoadedZones
 {
--- a/tests/platform/pathtests.cpp
+++ b/tests/platform/pathtests.cpp
@@ -6,6 +6,7 @@
 */
 
 #include "directorystore.h"
+#include "eventually.h"
 #include "names.h"
 #include "net/httpclient.h"
 #include "process.h"
@@ -20,7 +21,6 @@
 #include <csignal>
 #include <filesystem>
 #include <fstream>
-#include <functional>
 #include <future>
 #include <thread>
 
@@ -33,17 +33,6 @@
 
 using Json = nlohmann::json;
 
-bool eventually(const std::function<bool()> &isTrue)
-{
-    for (int look = 0; look < 2000; ++look) {
-        if (isTrue()) {
-            return true;
-        }
-        std::this_thread::sleep_for(milliseconds(10));
-    }
-    return false;
-}
-
 /// A store, three backend servers and one entry VM as a process of its own.
 class Site
 {
