The answer of another server at the same address is no sign of life

Cause: a crashed server starts again under another id at its former address. Requests that were under way to the former one get 421 there. ServiceShard took every whole answer for a sign of life, so the end that had just been found was withdrawn; before it was found, its watch was dropped. "server has not ended" stands in the logs in the millisecond of such a 421, at four entry VMs. Ruled out there: a lost witness; none was killed.

Change: AnsweredWhole says whether another server answered. Such an answer turns the watch's question away. Looked for elsewhere: what the answer tells of load and of the warm-up was taken for the server that had been asked, and into the model of the service; it is left aside now. Probes compare the instance already; ejection and failures count such an answer as neutral; learnt work takes none that was not run; deployments of the project's own have no such answer, and their measuring needs no change. A server that starts again under its id and answers where the former start was asked cannot be told apart by its answers; there the limit of 1.5 s holds, as before.

The fleet property now has servers that start again at the address of the former start; it held before the mend as well (100 draws), so it shows nothing of it.

--- a/src/core/requests/serviceevents.h
+++ b/src/core/requests/serviceevents.h
@@ -82,6 +82,7 @@
     std::string shortResult; ///< The body, where short enough to keep with a payout.
     bool isResultWhole = true; ///< False when the body is too long to keep.
     bool isMisleading = false; ///< Passed on, it would tell the caller what the backend server did not say.
+    bool isByAnother = false; ///< Another backend server answered, which has the address of the one that was asked now.
 };
 
 /// Nothing of the request left this entry VM.
--- a/src/core/requests/serviceshardcrashes.cpp
+++ b/src/core/requests/serviceshardcrashes.cpp
@@ -46,7 +46,8 @@
     }
     const RequestContent &content = requests_.at(event.request).arrival.content;
     if (const auto *answer = std::get_if<AnsweredWhole>(&event.outcome)) {
-        noteLifeSign(now, attempt.backend, LifeSign::Answered, actions);
+        // Were the answer of a later server at the same address a sign of life, the end that was just found would be withdrawn again.
+        noteLifeSign(now, attempt.backend, answer->isByAnother ? LifeSign::TurnedAway : LifeSign::Answered, actions);
         const bool isGood = !answer->isNotRun && !answer->isMisleading && answer->status < HttpStatus::ServerError;
         if (isGood) {
             noteAnswered(now, content, actions);
--- a/src/core/requests/serviceshardoutcome.cpp
+++ b/src/core/requests/serviceshardoutcome.cpp
@@ -122,8 +122,11 @@
 {
     pool_.release(attempt.backend, qualityOf(attempt, event.outcome), now - attempt.startedAt, now);
     reportEjection(now, attempt.backend, "attempt", actions);
-    takeTold(now, attempt.backend, event.report, event.warmUp);
     const auto *answer = std::get_if<AnsweredWhole>(&event.outcome);
+    if (!answer || !answer->isByAnother) {
+        // Another server tells of itself, and may be of another service, whose slots and speed are none of this one's.
+        takeTold(now, attempt.backend, event.report, event.warmUp);
+    }
     if (answer && answer->isLeaving) {
         noteLeaving(attempt.backend, actions);
     }
--- a/tests/property/crashproperties.cpp
+++ b/tests/property/crashproperties.cpp
@@ -274,7 +274,7 @@
     {
         const auto found = std::find_if(servers_.begin(), servers_.end(), [&backend](const Server &server) { return server.name == backend && server.isUp; });
         if (found == servers_.end()) {
-            ended(run, NeverLeft{"refused"});
+            ended(run, isAddressReused(backend) ? answerOfAnother() : NeverLeft{"refused"});
             return;
         }
         found->running.push_back(run);
@@ -293,6 +293,23 @@
         after(Work, [this, run, index] { finish(run, index); });
     }
 
+    /// @return whether a later start of the server is up at the address of @p backend.
+    bool isAddressReused(const std::string &backend) const
+    {
+        const auto isLater = [&backend](const Server &server) { return server.isUp && backend.starts_with(server.name.substr(0, server.name.rfind('-') + 1)); };
+        return std::any_of(servers_.begin(), servers_.end(), isLater);
+    }
+
+    static AttemptOutcome answerOfAnother()
+    {
+        AnsweredWhole answer;
+        answer.status = 421;
+        answer.isNotRun = true;
+        answer.isLeaving = true;
+        answer.isByAnother = true;
+        return answer;
+    }
+
     void finish(const Run &run, std::size_t index)
     {
         auto &running = servers_[index].running;
