Watches on connections that have fallen silent are renewed when other relays know more

Its checks of the store were answered on other connections, so no line told of a lost store, and followers trusted its proofs. Keep-alives do not show it where something between (there a loopback proxy) answers for the far end. Ruled out: a lost seat, an outage.

Change: relays tell the newest revision of any entry that they know of each collection with their proofs, and ask one another by turns, every 2 s; followers hear it with the proofs that they get anyway. A watch that lags behind by 1.5 s is renewed, once for what the other knew. Ways weighed: shorter waits of watches (each return is a paid call; four collections at four relays would be 64 calls a minute more at 10 s); a check that rides on the watch's connection (the HTTP client chooses the connection).

Why it holds: the property of fleets whose watches are never answered fails at its first draw without the comparison and holds with it (100 draws, any collection, any entry VM, within 4.5 s); another shows that 200 changes in a fleet that is well bring about no list more. A zone without other zones beside it still waits for the watch's end.

--- a/src/core/directory/directoryevents.h
+++ b/src/core/directory/directoryevents.h
@@ -13,6 +13,7 @@
 #include "core/intent/operatorintent.h"
 #include "core/support/time.h"
 
+#include <array>
 #include <cstddef>
 #include <cstdint>
 #include <memory>
@@ -118,6 +119,9 @@
     bool hasAnswered = false;
 };
 
+/// The newest revision of any entry that is known of each collection; 0 where none is.
+using NewestRevisions = std::array<std::int64_t, Collections>;
+
 /// What a relay shows of itself.
 struct RelayProof {
     Duration age{0}; ///< Since the store last answered the relay.
@@ -125,6 +129,7 @@
     int entryVms = 1; ///< Of the availability zone, as the relay counts them.
     std::vector<std::string> otherRelays; ///< Of other zones, as the relay knows them.
     std::optional<FleetPlace> place = {}; ///< Of the asking entry VM, if it is of the relay's zone and these have been counted long enough.
+    NewestRevisions newest{}; ///< That the relay knows.
 };
 
 /// The check whether a relay answers has ended.
@@ -133,6 +138,12 @@
     std::optional<RelayProof> proof; ///< Nothing without an answer.
 };
 
+/// A relay of another zone has told what it knows.
+struct RelayCompared {
+    std::string relay;
+    std::optional<RelayProof> proof; ///< Nothing without an answer.
+};
+
 /// A read or write of the seat has ended.
 struct SeatAnswered {
     bool hasAnswered = false; ///< False when what became of the call is not known.
@@ -149,8 +160,15 @@
     bool wasSilent = false; ///< No answer of any kind came.
 };
 
-using DirectoryEvent = std::
-    variant<DirectoryListed, DirectoryChanged, DirectoryHistoryGone, DirectoryCallFailed, DirectoryChecked, RelayChecked, SeatAnswered, CrashReportWritten>;
+using DirectoryEvent = std::variant<DirectoryListed,
+                                    DirectoryChanged,
+                                    DirectoryHistoryGone,
+                                    DirectoryCallFailed,
+                                    DirectoryChecked,
+                                    RelayChecked,
+                                    RelayCompared,
+                                    SeatAnswered,
+                                    CrashReportWritten>;
 
 // Actions
 
@@ -186,6 +204,13 @@
     bool operator==(const CheckRelay &) const = default;
 };
 
+/// Ask a relay of another zone what it knows, to see whether watches here still hear of changes.
+struct CompareRelay {
+    std::string relay;
+
+    bool operator==(const CompareRelay &) const = default;
+};
+
 /// Read who relays in this availability zone.
 struct ReadSeat {
     bool mayBeOld = false; ///< Costs less, and may tell of an earlier holder.
@@ -248,6 +273,7 @@
                                      WatchDirectory,
                                      CheckDirectory,
                                      CheckRelay,
+                                     CompareRelay,
                                      ReadSeat,
                                      WriteSeat,
                                      WriteCrashReport,
--- a/src/core/directory/directorykeeper.cpp
+++ b/src/core/directory/directorykeeper.cpp
@@ -26,6 +26,9 @@
 // A single call that was cut is made up for at once, but not by all entry VMs in the same moment.
 constexpr Duration FirstCheckSpread = milliseconds(100);
 
+/// In the order of the collections.
+constexpr std::array CollectionNames = {"routing", "servers", "crashes", "evacuations"};
+
 /// @return the collection that the event answers a call for, if any.
 std::optional<Collection> collectionOf(const DirectoryEvent &event)
 {
@@ -71,6 +74,7 @@
         crashes_.tick(now, source_, actions);
         evacuations_.tick(now, source_, actions);
     }
+    compareWatches(now, actions);
     if (!isStoreLost_) {
         // Calls are paid for while the store is away as well.
         crashWriter_.tick(now, actions);
@@ -104,6 +108,7 @@
 
 void DirectoryKeeper::on(TimePoint now, const DirectoryListed &event, DirectoryActions &actions)
 {
+    comparison_.known(event.collection, event.entries);
     CollectionWatch &watch = watchOf(event.collection);
     const bool isWhole = watch.listed(now, event);
     if (isWhole) {
@@ -175,6 +180,7 @@
 
 void DirectoryKeeper::on(TimePoint now, const DirectoryChanged &event, DirectoryActions &actions)
 {
+    comparison_.known(event.collection, event.entries);
     sourceAnswered(now, actions);
     watchOf(event.collection).changed(now, event);
     heardUpTo(event.collection, event.storeRevision);
@@ -203,8 +209,7 @@
 void DirectoryKeeper::on(TimePoint now, const DirectoryHistoryGone &event, DirectoryActions &actions)
 {
     sourceAnswered(now, actions);
-    constexpr std::array Names = {"routing", "servers", "crashes", "evacuations"};
-    actions.emplace_back(ReportDirectory{"history gone", Names.at(indexOf(event.collection))});
+    actions.emplace_back(ReportDirectory{"history gone", CollectionNames.at(indexOf(event.collection))});
     if (event.collection == Collection::Servers) {
         registry_.listBroken();
     }
@@ -256,9 +261,35 @@
         countedInZone(now, event.proof->entryVms, actions);
         takePlace(now, event.proof->place);
     }
+    if (event.proof && event.relay == source_) {
+        comparison_.told(now, event.proof->newest);
+    }
     seat_.relayChecked(now, event, actions);
 }
 
+void DirectoryKeeper::on(TimePoint now, const RelayCompared &event, DirectoryActions &)
+{
+    if (event.proof && isAtStore()) {
+        comparison_.told(now, event.proof->newest);
+    }
+}
+
+void DirectoryKeeper::compareWatches(TimePoint now, DirectoryActions &actions)
+{
+    for (const Collection collection : {Collection::Routing, Collection::Servers, Collection::Crashes, Collection::Evacuations}) {
+        if (watchOf(collection).isCurrent() && comparison_.takeHung(now, collection)) {
+            actions.emplace_back(ReportDirectory{"watch renewed, another relay has heard more", CollectionNames.at(indexOf(collection))});
+            watchOf(collection).renew(now);
+        }
+    }
+    if (!isAtStore() || isStoreLost_) {
+        return;
+    }
+    if (const auto relay = comparison_.nextRelay(now, seat_.otherRelays())) {
+        actions.emplace_back(CompareRelay{*relay});
+    }
+}
+
 void DirectoryKeeper::on(TimePoint now, const SeatAnswered &event, DirectoryActions &actions)
 {
     if (event.hasAnswered) {
--- a/src/core/directory/directorykeeper.h
+++ b/src/core/directory/directorykeeper.h
@@ -14,6 +14,7 @@
 #include "core/directory/objectbook.h"
 #include "core/directory/relayseat.h"
 #include "core/directory/serverregistry.h"
+#include "core/directory/watchcomparison.h"
 #include "core/requests/fleetbudgets.h"
 #include "core/support/random.h"
 
@@ -61,6 +62,7 @@
     void on(TimePoint now, const DirectoryCallFailed &event, DirectoryActions &actions);
     void on(TimePoint now, const DirectoryChecked &event, DirectoryActions &actions);
     void on(TimePoint now, const RelayChecked &event, DirectoryActions &actions);
+    void on(TimePoint now, const RelayCompared &event, DirectoryActions &actions);
     void on(TimePoint now, const SeatAnswered &event, DirectoryActions &actions);
     void on(TimePoint now, const CrashReportWritten &event, DirectoryActions &actions);
 
@@ -78,6 +80,8 @@
     bool takeEvacuatedZones(DirectoryActions &actions);
     /// Tells what has changed in the crash reports.
     void publishCrashes(TimePoint now, DirectoryActions &actions);
+    /// Renews watches that hear of nothing any more, and asks other relays what they have heard.
+    void compareWatches(TimePoint now, DirectoryActions &actions);
     void reportFaults(const std::vector<DirectoryEntry> &entries, DirectoryActions &actions);
     CollectionWatch &watchOf(Collection collection);
     bool takePlans(const std::vector<DirectoryEntry> &entries, DirectoryActions &actions);
@@ -137,6 +141,7 @@
     std::vector<std::string> metRelays_; ///< Of other zones, with which crash news were exchanged.
     std::optional<TimePoint> servedSince_; ///< When all else that is needed to serve was first known.
     bool isCrashWaitOver_ = false;
+    WatchComparison comparison_;
     std::optional<RoutingPlan> plan_;
     DirectoryEntry planEntry_; ///< The same, as it came.
     std::int64_t planSequence_ = 1; ///< Counts plans, for peers; 0 asks for the present one.
--- a/src/core/directory/directorykeeperpeers.cpp
+++ b/src/core/directory/directorykeeperpeers.cpp
@@ -49,7 +49,7 @@
         place = fleet_.followerAsked(now, follower);
     }
     const bool hearsFromStore = seat_.state() == RelaySeat::State::Holding && !isStoreLost_;
-    return RelayProof{now - *currentAt_, hearsFromStore, fleet_.countedInZone(now), seat_.otherRelays(), place};
+    return RelayProof{now - *currentAt_, hearsFromStore, fleet_.countedInZone(now), seat_.otherRelays(), place, comparison_.newest()};
 }
 
 bool DirectoryKeeper::mayProveSoon() const
--- a/src/daemon/directoryrunner.cpp
+++ b/src/daemon/directoryrunner.cpp
@@ -193,6 +193,10 @@
         {
             runner.relay_.check(typed, done());
         }
+        void operator()(const CompareRelay &typed) const
+        {
+            runner.relay_.compare(typed, done());
+        }
         void operator()(const ReadSeat &typed) const
         {
             runner.store_->readSeat(runner.zone_, typed, done());
--- a/src/net/relayclient.cpp
+++ b/src/net/relayclient.cpp
@@ -46,6 +46,19 @@
     return latest;
 }
 
+/// @return the proof that a relay has answered; nothing when there is none, which the seat reports with the relay's address.
+std::optional<RelayProof> proofIn(const HttpOutcome &outcome)
+{
+    if (!hasStatus(outcome, HttpStatus::Ok)) {
+        return std::nullopt;
+    }
+    try {
+        return decodeProof(std::get<HttpAnswer>(outcome).body);
+    } catch (const std::exception &) {
+        return std::nullopt;
+    }
+}
+
 } // namespace
 
 RelayClient::RelayClient(HttpClient &client, const DirectoryClient &codec)
@@ -91,15 +104,14 @@
 void RelayClient::check(const CheckRelay &action, DirectoryDone done)
 {
     get(action.relay, proofTarget(action.follower), CheckTimeout, [relay = action.relay, done = std::move(done)](const HttpOutcome &outcome) {
-        RelayChecked checked{relay, std::nullopt};
-        try {
-            if (hasStatus(outcome, HttpStatus::Ok)) {
-                checked.proof = decodeProof(std::get<HttpAnswer>(outcome).body);
-            }
-        } catch (const std::exception &) {
-            // Told as no answer, which the seat reports with the relay's address.
-        }
-        done({0, checked});
+        done({0, RelayChecked{relay, proofIn(outcome)}});
+    });
+}
+
+void RelayClient::compare(const CompareRelay &action, DirectoryDone done)
+{
+    get(action.relay, proofTarget({}), CheckTimeout, [relay = action.relay, done = std::move(done)](const HttpOutcome &outcome) {
+        done({0, RelayCompared{relay, proofIn(outcome)}});
     });
 }
 
--- a/src/net/relayclient.h
+++ b/src/net/relayclient.h
@@ -27,6 +27,7 @@
     void list(const ListDirectory &action, DirectoryDone done);
     void watch(const WatchDirectory &action, DirectoryDone done);
     void check(const CheckRelay &action, DirectoryDone done);
+    void compare(const CompareRelay &action, DirectoryDone done);
     /// Tells another entry VM crash news. Such as get lost are told again, and the store is told what they say as well.
     void tell(const std::string &address, const CrashNewsMessage &message);
 
--- a/src/net/relaymessages.cpp
+++ b/src/net/relaymessages.cpp
@@ -119,6 +119,7 @@
 std::string encodeProof(const RelayProof &proof)
 {
     Json body = {{"age_us", proof.age.count()}, {"hears_from_store", proof.hearsFromStore}, {"entry_vms", proof.entryVms}, {"other_relays", proof.otherRelays}};
+    body["newest"] = proof.newest;
     if (proof.place) {
         body["place"] = {{"number", proof.place->number}, {"count", proof.place->count}};
     }
@@ -132,6 +133,9 @@
                      body.at("hears_from_store").get<bool>(),
                      body.at("entry_vms").get<int>(),
                      body.at("other_relays").get<std::vector<std::string>>()};
+    if (body.contains("newest")) {
+        proof.newest = body.at("newest").get<NewestRevisions>();
+    }
     if (body.contains("place")) {
         proof.place = placeIn(body.at("place"));
     }
--- a/tests/property/directoryproperties.cpp
+++ b/tests/property/directoryproperties.cpp
@@ -250,6 +250,12 @@
         }
     }
 
+    /// The connections on which this entry VM's watches wait fall silent: they are never answered, and new calls are.
+    void silence(std::size_t index)
+    {
+        nodes_[index % nodes_.size()].waiting.clear();
+    }
+
     bool allBelieveTheStore() const
     {
         return std::all_of(nodes_.begin(), nodes_.end(), [this](const Node &node) { return believes(node); });
@@ -482,6 +488,12 @@
         answer(node, 0, RelayChecked{action.relay, relay ? relay->keeper.proofFor(now_, action.follower) : std::nullopt});
     }
 
+    void perform(Node &node, const CompareRelay &action)
+    {
+        Node *relay = find(action.relay);
+        answer(node, 0, RelayCompared{action.relay, relay ? relay->keeper.proofFor(now_, {}) : std::nullopt});
+    }
+
     void perform(Node &node, const ReadSeat &)
     {
         SeatAnswered seat{true, {}, 0, {}};
@@ -1085,3 +1097,54 @@
         }
     }));
 }
+
+// The entry VMs of a zone refused all requests for 26 s, since their relay did not hear that an evacuation was taken back. Its watches waited on connections
+// to the store that had fallen silent, while its checks of the store were answered on others.
+//
+// What showed the cause: "watch evacuations: Timeout was reached" at the relay, 31.5 s after the watch had begun, and in the next 0.1 s all that it had
+// missed; no line told of a lost store before (soak seeds 503 and 61047).
+TEST_CASE("Watches on connections that have fallen silent are renewed soon", "[property][directory][relay][silent]")
+{
+    CHECK(rc::check("whatever collection has changed, at any entry VM, while calls on other connections are answered", [] {
+        constexpr int EntryVms = 6;
+        ModelFleet fleet(EntryVms, 2);
+        fleet.store.putServer("i-1", false);
+        fleet.store.evacuate("bog-a");
+        fleet.pass(seconds(20));
+        const auto silent = static_cast<std::size_t>(*rc::gen::inRange(0, EntryVms));
+        fleet.silence(silent);
+        switch (*rc::gen::inRange(0, 3)) {
+        case 0:
+            fleet.store.putPlan();
+            break;
+        case 1:
+            fleet.store.putServer("i-2", false);
+            break;
+        default:
+            fleet.store.takeBack("bog-a");
+            break;
+        }
+        // The question to another relay, the lag that is borne, the list, and its way to followers.
+        fleet.pass(WatchComparison::Interval + WatchComparison::LagLimit + seconds(1));
+        RC_ASSERT(fleet.allBelieveTheStore());
+    }));
+}
+
+TEST_CASE("Watches that hear of all changes are not renewed", "[property][directory][relay][silent]")
+{
+    ModelFleet fleet(8, 4);
+    fleet.store.putServer("i-1", false);
+    fleet.pass(seconds(20));
+    Random luck(7);
+    const auto before = fleet.listsAtStore;
+    for (int change = 0; change < 200; ++change) {
+        const std::string id = "i-" + std::to_string(luck.below(5));
+        if (luck.below(3) == 0) {
+            fleet.store.removeServer(id);
+        } else {
+            fleet.store.putServer(id, luck.below(2) == 0);
+        }
+        fleet.pass(milliseconds(luck.below(1000)));
+    }
+    CHECK(fleet.listsAtStore == before);
+}
