A lost answer counts once others could have excused it, and is told only when its server is not heard at once

A lost answer now counts 50 ms after it was known here; excuses are passed on to followers; attempts of other requests in flight do not count before a retry, as before. Ruled out: a pause after the start of an entry VM (tried, reverted: the fleet had run for a second in the draw that failed).

--- a/src/core/controlshard.cpp
+++ b/src/core/controlshard.cpp
@@ -115,12 +115,12 @@
     }
 }
 
-void ControlShard::on(TimePoint, const ServerHeardAgain &event, ControlActions &)
+void ControlShard::on(TimePoint now, const ServerHeardAgain &event, ControlActions &)
 {
     if (event.wasEnded) {
-        crashes_.heardAgain(event.backend);
+        crashes_.heardAgain(now, event.backend);
     } else {
-        crashes_.cleared(event.backend);
+        crashes_.cleared(now, event.backend);
     }
 }
 
--- a/src/core/crashes/crashledger.cpp
+++ b/src/core/crashes/crashledger.cpp
@@ -51,7 +51,7 @@
         suspected_.try_emplace(suspicion, now);
     }
     boundOwn();
-    reconsider();
+    reconsider(now);
 }
 
 void CrashLedger::ended(TimePoint now, const RequestContent &content, const std::string &server)
@@ -59,28 +59,28 @@
     suspected_.erase({content, server});
     addOwn({content, server}, {now, false});
     boundOwn();
-    reconsider();
+    reconsider(now);
 }
 
-void CrashLedger::cleared(const std::string &server)
+void CrashLedger::cleared(TimePoint now, const std::string &server)
 {
     if (std::erase_if(suspected_, [&server](const auto &entry) { return entry.first.server == server; }) > 0) {
-        reconsider();
+        reconsider(now);
     }
 }
 
-void CrashLedger::heardAgain(const std::string &server)
+void CrashLedger::heardAgain(TimePoint now, const std::string &server)
 {
-    cleared(server);
+    cleared(now, server);
     std::erase_if(own_, [&server](const auto &entry) { return entry.first.server == server; });
-    reconsider();
+    reconsider(now);
 }
 
 void CrashLedger::answered(TimePoint now, const RequestContent &content)
 {
     std::erase_if(suspected_, [&content](const auto &entry) { return entry.first.content == content; });
     std::vector<ServerEnd> known = counting();
-    const std::vector<ServerEnd> suspicions = countingSuspicions();
+    const std::vector<ServerEnd> suspicions = suspicionsBefore(now);
     known.insert(known.end(), suspicions.begin(), suspicions.end());
     for (const ServerEnd &end : known) {
         if (end.content != content) {
@@ -96,7 +96,7 @@
         }
     }
     boundOwn();
-    reconsider();
+    reconsider(now);
 }
 
 void CrashLedger::told(TimePoint now, const std::vector<NamedCrashReport> &reports)
@@ -119,7 +119,7 @@
     noteExcuses(now, before);
     hasHeard_ = true;
     boundOwn();
-    reconsider();
+    reconsider(now);
 }
 
 void CrashLedger::noteExcuses(TimePoint now, const std::set<ServerEnd> &before)
@@ -164,7 +164,7 @@
         answeredAt_[end.content] = now;
     }
     boundOwn();
-    reconsider();
+    reconsider(now);
 }
 
 void CrashLedger::setWitness(bool isWitness)
@@ -191,7 +191,7 @@
     }
     if (!late.empty()) {
         boundOwn();
-        reconsider();
+        reconsider(now);
     }
 }
 
@@ -207,7 +207,10 @@
     // An entry VM that was suspended knows nothing of what its servers did meanwhile.
     const auto isUndecided = [now](const auto &entry) { return now - entry.second > SuspicionLifetime; };
     if (std::erase_if(suspected_, isUndecided) > 0) {
-        reconsider();
+        reconsider(now);
+    }
+    if (suspicionsBefore(now - ExcuseTime).size() != countedSuspicions_) {
+        reconsider(now);
     }
     if (now >= nextExpiry_) {
         nextExpiry_ = now + ExpiryInterval;
@@ -231,7 +234,7 @@
         : 0;
     dropped += std::erase_if(answeredAt_, [now](const auto &entry) { return now - entry.second > ExcuseLifetime; });
     if (dropped > 0) {
-        reconsider();
+        reconsider(now);
     }
 }
 
@@ -267,7 +270,8 @@
 std::optional<CrashSpread> CrashLedger::takeSpread(TimePoint now)
 {
     const bool isRepeated = isOpen(lastNews_) && now >= nextNews_;
-    if (!isNewsStale_ && !isRepeated) {
+    const bool mayBeDue = !suspected_.empty();
+    if (!isNewsStale_ && !isRepeated && !mayBeDue) {
         return std::nullopt;
     }
     isNewsStale_ = false;
@@ -308,7 +312,9 @@
         }
     }
     for (const auto &[end, since] : suspected_) {
-        news.suspected.push_back(end);
+        if (now - since >= FirstSuspicionDelay || serversKnownUnder(end.content) > 1) {
+            news.suspected.push_back(end);
+        }
     }
     for (const auto &[end, since] : excused_) {
         // Whoever has heard of the end has heard of this by then.
@@ -334,7 +340,10 @@
 
 bool CrashLedger::isWorthPassingOn(const CrashNews &news) const
 {
-    const auto isNearVerdict = [this](const ServerEnd &end) { return verdicts_.serversUnder(end.content).size() + 1 >= CrashVerdicts::EndsBorne; };
+    if (!news.report.excused.empty()) {
+        return true;
+    }
+    const auto isNearVerdict = [this](const ServerEnd &end) { return serversKnownUnder(end.content) + 1 >= CrashVerdicts::EndsBorne; };
     return std::any_of(news.report.ends.begin(), news.report.ends.end(), isNearVerdict)
         || std::any_of(news.suspected.begin(), news.suspected.end(), isNearVerdict);
 }
@@ -365,23 +374,33 @@
     return {all.begin(), all.end()};
 }
 
-std::vector<ServerEnd> CrashLedger::countingSuspicions() const
+std::vector<ServerEnd> CrashLedger::suspicionsBefore(TimePoint until) const
 {
-    std::vector<ServerEnd> all;
-    const auto add = [this, &all](const ServerEnd &end) {
-        if (!isExcused(end)) {
+    std::vector<ServerEnd> all = heard_.suspectedBefore(until);
+    for (const auto &[end, since] : suspected_) {
+        if (since <= until) {
             all.push_back(end);
         }
-    };
-    for (const auto &[end, since] : suspected_) {
-        add(end);
-    }
-    for (const CrashNews &news : heard_.all()) {
-        std::for_each(news.suspected.begin(), news.suspected.end(), add);
     }
+    std::erase_if(all, [this](const ServerEnd &end) { return isExcused(end); });
     return all;
 }
 
+std::size_t CrashLedger::serversKnownUnder(const RequestContent &content) const
+{
+    std::set<std::string> servers;
+    const auto add = [&content, &servers](const ServerEnd &end) {
+        if (end.content == content) {
+            servers.insert(end.server);
+        }
+    };
+    const auto ends = counting();
+    const auto suspicions = suspicionsBefore(TimePoint::max());
+    std::for_each(ends.begin(), ends.end(), add);
+    std::for_each(suspicions.begin(), suspicions.end(), add);
+    return servers.size();
+}
+
 bool CrashLedger::isExcused(const ServerEnd &end) const
 {
     return excused_.contains(end) || excusedByOthers_.contains(end) || heardExcused_.contains(end);
@@ -405,7 +424,7 @@
     return std::any_of(own_.begin(), own_.end(), isOther) || std::any_of(others_.begin(), others_.end(), isOther);
 }
 
-void CrashLedger::reconsider()
+void CrashLedger::reconsider(TimePoint now)
 {
     isReportStale_ = true;
     isNewsStale_ = true;
@@ -413,7 +432,9 @@
     for (const auto &[content, at] : answeredAt_) {
         answeredLately.insert(content);
     }
-    CrashVerdicts next(counting(), allExcused(), answeredLately, countingSuspicions());
+    const std::vector<ServerEnd> suspicions = suspicionsBefore(now - ExcuseTime);
+    countedSuspicions_ = suspicions.size();
+    CrashVerdicts next(counting(), allExcused(), answeredLately, suspicions);
     if (next != verdicts_) {
         verdicts_ = std::move(next);
         areVerdictsNew_ = true;
--- a/src/core/crashes/crashledger.h
+++ b/src/core/crashes/crashledger.h
@@ -39,6 +39,11 @@
     static constexpr Duration ExcuseLifetime = seconds(30);
     /// Longer than an end may be withdrawn.
     static constexpr Duration WitnessDelay = milliseconds(2000);
+    /// A lost answer is told only then, unless another server is known under its content: a server that lives has answered its first probe by then, and when
+    /// connections to all servers are reset at once, nobody needs to be told.
+    static constexpr Duration FirstSuspicionDelay = milliseconds(50);
+    /// A lost answer counts from then on. Other entry VMs that have had answers to the same content have excused it by then.
+    static constexpr Duration ExcuseTime = milliseconds(50);
     /// Lost answers of which it is not known by then whether their servers have ended say nothing any more: as long as an entry may take to go.
     static constexpr Duration SuspicionLifetime = seconds(10);
     /// While something is not shown by the store, relays are told again, since news may get lost and who falls silent may have ended.
@@ -54,9 +59,9 @@
     /// A server has ended while this entry VM waited there for an answer.
     void ended(TimePoint now, const RequestContent &content, const std::string &server);
     /// The server that may have ended has not.
-    void cleared(const std::string &server);
+    void cleared(TimePoint now, const std::string &server);
     /// The server that counted as ended has not.
-    void heardAgain(const std::string &server);
+    void heardAgain(TimePoint now, const std::string &server);
     /// A server has answered a request with this content.
     void answered(TimePoint now, const RequestContent &content);
     /// All reports that the store holds now. What the own one has that this process never told is of a former one, and is taken over.
@@ -97,15 +102,17 @@
     void spreadOwn(TimePoint now, CrashSpread &spread);
     /// @return whether @p next says what @p last did not, or no longer says what is not known otherwise.
     bool isNewsAfter(const CrashNews &last, const CrashNews &next) const;
-    /// @return whether two servers or more are known under one of its contents, so that followers should know before a third ends.
+    /// @return whether two servers or more are known under one of its contents, so that followers should know before a third ends, or ends are excused.
     bool isWorthPassingOn(const CrashNews &news) const;
     std::vector<ServerEnd> counting() const;
-    /// @return lost answers that count, own and heard.
-    std::vector<ServerEnd> countingSuspicions() const;
+    /// @return lost answers that are not excused, own and heard, of those that were known before @p until.
+    std::vector<ServerEnd> suspicionsBefore(TimePoint until) const;
+    /// @return how many servers have ended, or may have, under the content, also those that do not count yet.
+    std::size_t serversKnownUnder(const RequestContent &content) const;
     bool isExcused(const ServerEnd &end) const;
     std::vector<ServerEnd> allExcused() const;
     bool hasOthersOf(const ServerEnd &end) const;
-    void reconsider();
+    void reconsider(TimePoint now);
     /// @param before excuses of others that were known already.
     void noteExcuses(TimePoint now, const std::set<ServerEnd> &before);
     void boundOwn();
@@ -129,6 +136,7 @@
     bool isReportStale_ = true;
     std::optional<CrashReport> taken_; ///< Last report that was given out.
     bool isNewsStale_ = false;
+    std::size_t countedSuspicions_ = 0; ///< In the verdicts.
     CrashNews lastNews_; ///< Last own news that were given out.
     bool areFollowersTold_ = false; ///< Of these.
     bool wereFollowersTold_ = false; ///< Of earlier ones, so they have to hear of a withdrawal.
--- a/src/core/crashes/heardcrashnews.cpp
+++ b/src/core/crashes/heardcrashnews.cpp
@@ -8,6 +8,7 @@
 #include "core/crashes/heardcrashnews.h"
 
 #include <algorithm>
+#include <iterator>
 
 namespace Cloverbarrow
 {
@@ -27,10 +28,11 @@
     heard.news = news;
     heard.at = now;
     heard.isTold = heard.isTold && !saysMore;
-    const auto &ends = news.report.ends;
-    std::erase_if(heard.endsSince, [&ends](const auto &entry) { return std::find(ends.begin(), ends.end(), entry.first) == ends.end(); });
-    for (const ServerEnd &end : ends) {
-        heard.endsSince.try_emplace(end, now);
+    std::set<ServerEnd> told(news.report.ends.begin(), news.report.ends.end());
+    told.insert(news.suspected.begin(), news.suspected.end());
+    std::erase_if(heard.since, [&told](const auto &entry) { return !told.contains(entry.first); });
+    for (const ServerEnd &end : told) {
+        heard.since.try_emplace(end, now);
     }
     return saysMore;
 }
@@ -64,13 +66,11 @@
 {
     std::vector<ServerEnd> late;
     for (auto &[process, heard] : heard_) {
-        std::erase_if(heard.endsSince, [&, now, delay](const auto &entry) {
-            const bool isLate = now - entry.second >= delay;
-            if (isLate && !isShown(entry.first)) {
-                late.push_back(entry.first);
+        for (const ServerEnd &end : heard.news.report.ends) {
+            if (now - heard.since.at(end) >= delay && heard.witnessed.insert(end).second && !isShown(end)) {
+                late.push_back(end);
             }
-            return isLate;
-        });
+        }
         if (now - heard.at >= SilenceLimit) {
             std::copy_if(heard.news.suspected.begin(), heard.news.suspected.end(), std::back_inserter(late), std::not_fn(isShown));
         }
@@ -91,6 +91,17 @@
     return untold;
 }
 
+std::vector<ServerEnd> HeardCrashNews::suspectedBefore(TimePoint until) const
+{
+    std::vector<ServerEnd> all;
+    for (const auto &[process, heard] : heard_) {
+        const auto &since = heard.since;
+        const auto isBefore = [&since, until](const ServerEnd &end) { return since.at(end) <= until; };
+        std::copy_if(heard.news.suspected.begin(), heard.news.suspected.end(), std::back_inserter(all), isBefore);
+    }
+    return all;
+}
+
 std::vector<CrashNews> HeardCrashNews::all() const
 {
     std::vector<CrashNews> all;
--- a/src/core/crashes/heardcrashnews.h
+++ b/src/core/crashes/heardcrashnews.h
@@ -12,6 +12,7 @@
 
 #include <functional>
 #include <map>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -46,6 +47,8 @@
     std::vector<CrashNews> takeUntold(const std::function<bool(const CrashNews &news)> &isWorthTelling);
 
     std::vector<CrashNews> all() const;
+    /// @return suspicions that were first heard of before @p until.
+    std::vector<ServerEnd> suspectedBefore(TimePoint until) const;
 
 private:
     struct Heard {
@@ -53,7 +56,8 @@
         TimePoint at; ///< Last heard of.
         bool isTold = false; ///< To followers, as it is now.
         bool wasTold = false; ///< Earlier news of the process were, so followers have to hear of a withdrawal.
-        std::map<ServerEnd, TimePoint> endsSince;
+        std::map<ServerEnd, TimePoint> since; ///< When each end and suspicion was first heard of.
+        std::set<ServerEnd> witnessed; ///< Ends that takeUnwitnessed() has told.
     };
     using Process = std::pair<std::string, std::string>; ///< Entry VM and process.
 
--- a/src/core/requests/serviceshard.cpp
+++ b/src/core/requests/serviceshard.cpp
@@ -74,7 +74,7 @@
     if (now >= event.deadline) {
         return Problem{504, Fate::NotRun, "admit", name_, "the deadline has passed", std::nullopt};
     }
-    if (mayEndTooMany(now, event.content)) {
+    if (isRefusedForEnds(now, event.content)) {
         return crashProblem(event.content, Fate::NotRun);
     }
     if (!pool_.hasCandidate()) {
--- a/src/core/requests/serviceshard.h
+++ b/src/core/requests/serviceshard.h
@@ -108,8 +108,8 @@
     void refuseWaitingSuspects(TimePoint now, ServiceActions &actions);
     /// @return whether the request is not to be passed on, by what all entry VMs know and this one has seen itself.
     bool isRefusedForEnds(TimePoint now, const RequestContent &content) const;
-    /// @return whether one more attempt may end a server beyond those that are borne, were all lost answers ends and all attempts under way lost.
-    bool mayEndTooMany(TimePoint now, const RequestContent &content) const;
+    /// @return whether one more attempt may end a server beyond those that are borne, were all lost answers ends.
+    bool mayEndTooMany(TimePoint now, const Request &request) const;
     Problem crashProblem(const RequestContent &content, Fate fate) const;
     std::optional<Problem> admissionProblem(TimePoint now, const RequestArrived &event) const;
     /// @return most requests that this entry VM may hold for the rest of them to be answered in time.
--- a/src/core/requests/serviceshardchoice.cpp
+++ b/src/core/requests/serviceshardchoice.cpp
@@ -240,7 +240,7 @@
 {
     const bool isRead = kindClass(request) == KindClass::Read && !request.arrival.isRetryAbove;
     const bool isInTime = now < request.arrival.deadline;
-    const bool isBorne = !mayEndTooMany(now, request.arrival.content);
+    const bool isBorne = !mayEndTooMany(now, request);
     return isRead && isInTime && isBorne && !request.choice && request.running.size() == 1 && request.attempts < maxAttempts(request);
 }
 
--- a/src/core/requests/serviceshardcrashes.cpp
+++ b/src/core/requests/serviceshardcrashes.cpp
@@ -142,33 +142,27 @@
     }
 }
 
-bool ServiceShard::mayEndTooMany(TimePoint now, const RequestContent &content) const
+bool ServiceShard::mayEndTooMany(TimePoint now, const Request &request) const
 {
+    const RequestContent &content = request.arrival.content;
     if (isRefusedForEnds(now, content)) {
         return true;
     }
     if (!crashVerdicts_.value()->isSuspect(content) || answered_.has(now, content)) {
         return false;
     }
-    // It takes a quarter of a second to know of an end, and some more to tell it; a retry is sent at once, and the caller may send the same again meanwhile.
+    // It takes a quarter of a second to know of an end, and some more to tell it; a retry is sent at once.
     std::set<std::string> servers = crashVerdicts_.value()->serversUnder(content);
-    for (const auto &[id, request] : requests_) {
-        if (request.arrival.content != content) {
-            continue;
-        }
-        servers.insert(request.lostAt.begin(), request.lostAt.end());
-        for (const Attempt &attempt : request.running) {
-            servers.insert(attempt.backend);
-        }
+    servers.insert(request.lostAt.begin(), request.lostAt.end());
+    for (const Attempt &attempt : request.running) {
+        servers.insert(attempt.backend);
     }
     return servers.size() >= CrashVerdicts::EndsBorne;
 }
 
 Problem ServiceShard::crashProblem(const RequestContent &content, Fate fate) const
 {
-    const CrashVerdicts &verdicts = *crashVerdicts_.value();
-    const bool isForNow = verdicts.refusesForNow(content) || !verdicts.refuses(content);
-    const Duration comeBack = isForNow ? ComeBackAfterSuspicion : ComeBackAfterCrashes;
+    const Duration comeBack = crashVerdicts_.value()->refusesForNow(content) ? ComeBackAfterSuspicion : ComeBackAfterCrashes;
     return {HttpStatus::Unavailable, fate, "admit", name_, "too many servers have ended under this request", comeBack};
 }
 
--- a/src/core/requests/serviceshardoutcome.cpp
+++ b/src/core/requests/serviceshardoutcome.cpp
@@ -181,7 +181,7 @@
 {
     const bool hasAttempts = request.attempts < maxAttempts(request);
     const bool isWanted = !request.isCallerGone || isPayout(request);
-    const bool isBorne = !mayEndTooMany(now, request.arrival.content);
+    const bool isBorne = !mayEndTooMany(now, request);
     const bool isPossible = hasAttempts && isWanted && isBorne && hasTimeForAttempt(now, request) && pool_.hasCandidate();
     const bool isFree = isUnsent && probesFirst();
     return isPossible && (isFree || retryBudget_.take(now));
--- a/tests/unit/probedchoicetests.cpp
+++ b/tests/unit/probedchoicetests.cpp
@@ -5,6 +5,7 @@
     SPDX-License-Identifier: Apache-2.0
 */
 
+#include "core/requests/comeback.h"
 #include "core/requests/serviceshard.h"
 
 #include <catch2/catch.hpp>
@@ -565,6 +566,24 @@
     CHECK(probing.refused.size() == (known == 1 ? 0 : 1));
 }
 
+TEST_CASE("A request that is refused for lost answers comes back sooner than one for servers that have ended", "[choice][crash]")
+{
+    Probing probing(probedService(4));
+    for (const char *name : {"b1", "b2", "b3", "b4"}) {
+        probing.reports[name] = {0, 0, 3, 1};
+    }
+    const RequestContent none; // Of arrivals here.
+    const std::vector<ServerEnd> servers = {{none, "i-7"}, {none, "i-8"}, {none, "i-9"}};
+    const bool haveEnded = GENERATE(false, true);
+    const std::span<const ServerEnd> nothing;
+    const auto verdicts = haveEnded ? std::make_shared<const CrashVerdicts>(servers, nothing)
+                                    : std::make_shared<const CrashVerdicts>(nothing, nothing, std::set<RequestContent>{}, servers);
+    probing.handle(CrashVerdictsChanged{verdicts, 1});
+    probing.arrive(1);
+    REQUIRE(probing.refused.size() == 1);
+    CHECK(*probing.refused.back().problem.retryAfter == (haveEnded ? ComeBackAfterCrashes : ComeBackAfterSuspicion));
+}
+
 TEST_CASE("Probes that ask whether a server has ended do not eject it again and again", "[choice][crash]")
 {
     // Seen in a soak: fifteen ejections in 1.5 s, the last ones for 32 s, of a server whose link was cut for a moment.
