--- a/src/core/crashes/serverendwatch.cpp
+++ b/src/core/crashes/serverendwatch.cpp
@@ -16,7 +16,7 @@
 {
     auto watched = find(server);
     if (watched == watched_.end()) {
-        // A probe that was answered before Settle says nothing; begun at once, it cost the first of three and 120 ms.
+        // A probe that was answered before Settle says nothing; one that is sent at once takes 120 ms more to find the end.
         watched_.push_back({server, now, now + Settle, {}, standing, 0, standing == Standing::Unlisted});
         watched = std::prev(watched_.end());
     }
