What backend servers' answers say of request limits is logged and counted

Each change of what a server's answers of one kind (run, not run, probe) say is a line and counts. Nothing is decided by it. The stand-in server names limits; the site of the evacuation tests is a class of its own.

--- a/src/core/requests/serviceevents.h
+++ b/src/core/requests/serviceevents.h
@@ -12,6 +12,7 @@
 #include "core/crashes/serverendwatch.h"
 #include "core/intent/configuration.h"
 #include "core/servers/loadreport.h"
+#include "core/servers/requestlimit.h"
 #include "core/storecall.h"
 #include "core/support/time.h"
 
@@ -105,6 +106,7 @@
     AttemptOutcome outcome;
     std::optional<LoadReport> report; ///< As the backend server told when it answered.
     std::optional<Duration> warmUp = {}; ///< How much longer it stays cold, as it told then.
+    std::optional<LimitNotice> limit = {}; ///< Nothing without a whole answer.
 };
 
 /// A share of the measuring budget may be used for one probe now.
@@ -122,6 +124,7 @@
     LifeSign sign = LifeSign::Silent;
     bool checksEnd = false; ///< As in StartProbe.
     std::optional<Duration> warmUp = {}; ///< How much longer the server stays cold, as it told.
+    std::optional<LimitNotice> limit = {}; ///< Nothing without a whole answer.
 };
 
 /// The platform's answer about a payout's record.
@@ -327,6 +330,15 @@
     bool operator==(const ServerEjected &) const = default;
 };
 
+/// A backend server's answers of one kind now name another limit than before, or none; for the log.
+struct ServerLimitNoticed {
+    std::string backend;
+    NoticeSource source = NoticeSource::Run;
+    LimitNotice notice;
+
+    bool operator==(const ServerLimitNoticed &) const = default;
+};
+
 using ServiceAction = std::variant<StartAttempt,
                                    CancelAttempt,
                                    DropRequest,
@@ -341,7 +353,8 @@
                                    TellServerEnded,
                                    TellServerHeardAgain,
                                    TellSuspectAnswered,
-                                   ServerEjected>;
+                                   ServerEjected,
+                                   ServerLimitNoticed>;
 using ServiceActions = std::vector<ServiceAction>;
 
 } // namespace Cloverbarrow
--- a/src/core/requests/serviceshard.cpp
+++ b/src/core/requests/serviceshard.cpp
@@ -148,6 +148,7 @@
         reportEjection(now, event.backend, "probe", actions);
     }
     takeTold(now, event.backend, event.report, event.warmUp);
+    takeLimitNotice(event.backend, NoticeSource::Probe, event.limit, actions);
     dispatch(now, actions);
     if (event.request) {
         const auto found = requests_.find(*event.request);
@@ -171,6 +172,13 @@
     }
 }
 
+void ServiceShard::takeLimitNotice(const std::string &backend, NoticeSource source, const std::optional<LimitNotice> &notice, ServiceActions &actions)
+{
+    if (notice && pool_.takeLimitNotice(backend, source, *notice)) {
+        actions.emplace_back(ServerLimitNoticed{backend, source, *notice});
+    }
+}
+
 void ServiceShard::on(TimePoint now, const PayoutStoreAnswered &event, ServiceActions &actions)
 {
     const auto decision = ledger_.storeAnswered(event, now, actions);
--- a/src/core/servers/backendpool.cpp
+++ b/src/core/servers/backendpool.cpp
@@ -205,6 +205,18 @@
     }
 }
 
+bool BackendPool::takeLimitNotice(std::string_view name, NoticeSource source, const LimitNotice &notice)
+{
+    Backend *backend = findMutable(name);
+    if (!backend) {
+        return false;
+    }
+    LimitNotice &last = backend->limitNotices[static_cast<std::size_t>(source)];
+    const bool isChanged = last != notice;
+    last = notice;
+    return isChanged;
+}
+
 void BackendPool::setPeersInFlight(std::string_view name, int count)
 {
     if (Backend *backend = findMutable(name)) {
--- a/src/core/servers/backendpool.h
+++ b/src/core/servers/backendpool.h
@@ -11,9 +11,11 @@
 #include "core/servers/coldstartfence.h"
 #include "core/servers/loadreport.h"
 #include "core/servers/pickpolicy.h"
+#include "core/servers/requestlimit.h"
 #include "core/support/random.h"
 #include "core/support/time.h"
 
+#include <array>
 #include <cstddef>
 #include <optional>
 #include <set>
@@ -63,6 +65,7 @@
     bool isOnTrial = false; ///< Was ejected and has given no good answer since.
     bool isLeaving = false;
     bool isEvacuated = false; ///< Its availability zone gets no requests until operators take it back.
+    std::array<LimitNotice, NoticeSources> limitNotices; ///< The last one of each kind of answer.
     std::optional<TimePoint> heardAt; ///< Last answer of any kind, good or bad.
 };
 
@@ -114,6 +117,8 @@
     void release(std::string_view name, AttemptQuality quality, Duration latency, TimePoint now);
     /// The server called @p name has told how much longer it stays cold.
     void warmUpTold(std::string_view name, Duration left, TimePoint now);
+    /// Takes what an answer says of a limit. @return whether answers of this kind said something else before.
+    bool takeLimitNotice(std::string_view name, NoticeSource source, const LimitNotice &notice);
     void setPeersInFlight(std::string_view name, int count);
     void report(std::string_view name, const LoadReport &report, TimePoint now);
 
--- a/src/core/support/text.cpp
+++ b/src/core/support/text.cpp
@@ -25,6 +25,19 @@
     return value;
 }
 
+std::optional<double> parseDecimal(std::string_view text, double highest)
+{
+    const auto isAllowed = [](char character) { return character == '.' || (character >= '0' && character <= '9'); };
+    double value = 0;
+    const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value, std::chars_format::fixed);
+    const bool isWhole = error == std::errc() && end == text.data() + text.size();
+    // Words for values that are none, and signs, are numbers to the standard library.
+    if (!isWhole || !std::all_of(text.begin(), text.end(), isAllowed) || value > highest) {
+        return std::nullopt;
+    }
+    return value;
+}
+
 std::string_view trimmed(std::string_view text)
 {
     const std::size_t first = text.find_first_not_of(" \t");
--- a/src/core/support/text.h
+++ b/src/core/support/text.h
@@ -16,6 +16,9 @@
 /// @return the number in @p text, which must be all of it and from 0 to @p highest.
 std::optional<int> parseNumber(std::string_view text, int highest);
 
+/// @return the decimal number in @p text, which must be all of it, without a sign or an exponent, and from 0 to @p highest.
+std::optional<double> parseDecimal(std::string_view text, double highest);
+
 /// @return @p text without blanks and tabs at its ends.
 std::string_view trimmed(std::string_view text);
 
--- a/src/daemon/gateway.cpp
+++ b/src/daemon/gateway.cpp
@@ -190,6 +190,11 @@
         {
             gateway.log_.serverEjected(of.service, typed);
         }
+        void operator()(const ServerLimitNoticed &typed) const
+        {
+            gateway.log_.serverLimitNoticed(of.service, typed);
+            gateway.telemetry_.limitNoticed(of.service, typed.notice);
+        }
     };
     std::visit(Performer{*this, action}, action.action);
 }
@@ -284,6 +289,7 @@
     if (auto *answer = std::get_if<HttpAnswer>(&outcome)) {
         event.report = protocol_.load(answer->headers);
         event.warmUp = protocol_.warmUp(answer->headers);
+        event.limit = protocol_.requestLimit(answer->headers);
         Shard &shard = shardOf(request);
         const std::lock_guard lock(shard.mutex);
         if (const auto found = shard.exchanges.find(request); found != shard.exchanges.end()) {
@@ -324,6 +330,7 @@
             ended.sign = LifeSign::Answered;
             ended.report = protocol_.load(answer->headers);
             ended.warmUp = protocol_.warmUp(answer->headers);
+            ended.limit = protocol_.requestLimit(answer->headers);
         } else if (std::get<HttpFailure>(outcome).isTurnedAway) {
             ended.sign = LifeSign::TurnedAway;
         }
--- a/src/daemon/ownprotocol.cpp
+++ b/src/daemon/ownprotocol.cpp
@@ -101,6 +101,11 @@
     return std::nullopt;
 }
 
+LimitNotice OwnProtocol::requestLimit(const Headers &) const
+{
+    return NoRequestLimit{};
+}
+
 bool OwnProtocol::isLeaving(const Headers &headers) const
 {
     return isSet(headers, LeavingHeader, "true");
--- a/src/daemon/ownprotocol.h
+++ b/src/daemon/ownprotocol.h
@@ -23,6 +23,7 @@
     AnsweredWhole read(const HttpAnswer &answer) const override;
     std::optional<LoadReport> load(const Headers &headers) const override;
     std::optional<Duration> warmUp(const Headers &headers) const override;
+    LimitNotice requestLimit(const Headers &headers) const override;
     bool isLeaving(const Headers &headers) const override;
     Headers forCaller(const Headers &headers) const override;
     void markRetried(HttpAnswer &answer) const override;
--- a/src/daemon/requestlog.cpp
+++ b/src/daemon/requestlog.cpp
@@ -101,6 +101,33 @@
     log_.info("server ejected", {{"service", service}, {"server", action.backend}, {"lasts_ms", toMilliseconds(action.lasts)}, {"after", action.reason}});
 }
 
+void RequestLog::serverLimitNoticed(const std::string &service, const ServerLimitNoticed &action) const
+{
+    constexpr std::array Sources = {"run", "rejection", "probe"};
+    const char *source = Sources[static_cast<std::size_t>(action.source)];
+    struct Writer {
+        const Log &log;
+        const std::string &service;
+        const std::string &server;
+        const char *source;
+
+        void operator()(const NoRequestLimit &) const
+        {
+            log.info("answers name no request limit any more", {{"service", service}, {"server", server}, {"source", source}});
+        }
+        void operator()(const RequestLimit &limit) const
+        {
+            log.info("answers name a request limit",
+                     {{"service", service}, {"server", server}, {"source", source}, {"per_second", limit.perSecond}, {"header", limit.header}});
+        }
+        void operator()(const UnreadableLimit &limit) const
+        {
+            log.warn("request limit cannot be read", {{"service", service}, {"server", server}, {"source", source}, {"text", limit.text}});
+        }
+    };
+    std::visit(Writer{log_, service, action.backend, source}, action.notice);
+}
+
 void RequestLog::serverEnded(const std::string &service, const TellServerEnded &action) const
 {
     for (const RequestContent &content : action.contents) {
--- a/src/daemon/telemetry.cpp
+++ b/src/daemon/telemetry.cpp
@@ -14,6 +14,7 @@
 #include <prometheus/text_serializer.h>
 
 #include <algorithm>
+#include <array>
 
 namespace Cloverbarrow
 {
@@ -49,6 +50,10 @@
         : latency(prometheus::BuildHistogram().Name("cloverbarrow_request_seconds").Help("Time from a caller's whole request to its answer").Register(registry))
         , attempts(prometheus::BuildCounter().Name("cloverbarrow_attempts_total").Help("Attempts sent to backend servers").Register(registry))
         , probes(prometheus::BuildCounter().Name("cloverbarrow_probes_total").Help("Measurements sent to backend servers").Register(registry))
+        , limits(prometheus::BuildCounter()
+                     .Name("cloverbarrow_server_limit_notices_total")
+                     .Help("Changes of request limits that backend servers name")
+                     .Register(registry))
         , state(prometheus::BuildGauge().Name("cloverbarrow_state").Help("State of this entry VM").Register(registry))
     {
     }
@@ -56,6 +61,7 @@
     prometheus::Family<prometheus::Histogram> &latency;
     prometheus::Family<prometheus::Counter> &attempts;
     prometheus::Family<prometheus::Counter> &probes;
+    prometheus::Family<prometheus::Counter> &limits;
     prometheus::Family<prometheus::Gauge> &state;
 };
 
@@ -90,6 +96,12 @@
     families_->probes.Add({{"service", service}}).Increment();
 }
 
+void Telemetry::limitNoticed(const std::string &service, const LimitNotice &notice)
+{
+    constexpr std::array Kinds = {"none", "named", "unreadable"};
+    families_->limits.Add({{"service", service}, {"notice", Kinds[notice.index()]}}).Increment();
+}
+
 void Telemetry::setGauges(const NodeGauges &gauges)
 {
     const auto set = [this](const char *name, double value) { families_->state.Add({{"of", name}}).Set(value); };
--- a/src/daemon/telemetry.h
+++ b/src/daemon/telemetry.h
@@ -9,6 +9,7 @@
 
 #include "core/burn/burncounter.h"
 #include "core/intent/configuration.h"
+#include "core/servers/requestlimit.h"
 #include "core/support/time.h"
 
 #include <cstdint>
@@ -59,6 +60,8 @@
     void requestEnded(TimePoint now, const Service &service, const RequestKind &kind, CallerOutcome outcome, Duration latency);
     void attemptStarted(const std::string &service, bool isRetry);
     void probeStarted(const std::string &service);
+    /// Counts that a backend server's answers name another limit than before.
+    void limitNoticed(const std::string &service, const LimitNotice &notice);
     void setGauges(const NodeGauges &gauges);
 
     /// One service and kind over one window.
--- a/src/net/exchangeprotocol.h
+++ b/src/net/exchangeprotocol.h
@@ -46,6 +46,8 @@
     virtual std::optional<LoadReport> load(const Headers &headers) const = 0;
     /// @return how much longer the backend server stays cold after its start; nothing when it does not say.
     virtual std::optional<Duration> warmUp(const Headers &headers) const = 0;
+    /// @return what the answer says of a limit on the backend server's requests.
+    virtual LimitNotice requestLimit(const Headers &headers) const = 0;
     virtual bool isLeaving(const Headers &headers) const = 0;
     /// @return headers of a backend server's answer that are for the caller.
     virtual Headers forCaller(const Headers &headers) const = 0;
--- a/tests/platform/exchangetests.cpp
+++ b/tests/platform/exchangetests.cpp
@@ -85,3 +85,16 @@
     CHECK(refusal.status == 503);
     CHECK(findHeader(refusal.headers, "Retry-After") == "0.200");
 }
+
+TEST_CASE("A request limit is read from a decimal number, and anything else is told apart from none", "[platform][limit]")
+{
+    const auto limitIn = [](const Headers &headers) { return Protocol.requestLimit(headers); };
+    CHECK(std::get<RequestLimit>(limitIn({{Platform::ServerLimitHeader, "2.7"}})).perSecond == 2.7);
+    CHECK(std::get<RequestLimit>(limitIn({{Platform::ServerLimitHeader, " 12 "}})).perSecond == 12);
+    CHECK(std::get<RequestLimit>(limitIn({{Platform::ServerLimitHeader, "0"}})).perSecond == 0);
+    CHECK(std::holds_alternative<NoRequestLimit>(limitIn({{Platform::ServerLoadHeader, "1,0,3"}})));
+    const std::string bad =
+        GENERATE(as<std::string>(), "", "-1", "+1", "nan", "inf", "1e9", "0x10", "2,7", "2.7.1", "1 2", "99999999999", std::string(10'000, '9'));
+    CHECK(std::holds_alternative<UnreadableLimit>(limitIn({{Platform::ServerLimitHeader, bad}})));
+    CHECK(std::holds_alternative<UnreadableLimit>(limitIn({{Platform::ServerLimitHeader, "2"}, {Platform::ServerLimitHeader, "3"}})));
+}
--- /dev/null
+++ b/tests/platform/loadedzones.h
@@ -0,0 +1,68 @@
+/*
+    This file is part of cloverbarrow.
+
+    SPDX-FileCopyrightText: 2026 The cloverbarrow authors
+    SPDX-License-Identifier: Apache-2.0
+*/
+
+#pragma once
+
+#include "directorystore.h"
+#include "faultproxy.h"
+#include "net/httpclient.h"
+#include "process.h"
+#include "registeredbackend.h"
+
+#include <atomic>
+#include <memory>
+#include <string>
+#include <thread>
+#include <vector>
+
+namespace Cloverbarrow::Tests
+{
+
+/// Entry VMs of one availability zone, of which one relays, a backend server in each of two zones, and a caller at each entry VM that sends all the while.
+class LoadedZones
+{
+public:
+    explicit LoadedZones(int entryVms = 2);
+    ~LoadedZones();
+
+    void startLoad();
+    void stopLoad();
+    /// All connections to the store are reset, and new ones for a moment.
+    void resetStoreLinks();
+    /// The store turns the last entry VM away from now on.
+    void turnLastAway();
+    std::size_t runsNear() const;
+    std::size_t runsFar() const;
+    Standins::RegisteredBackend &near();
+    Standins::RegisteredBackend &far();
+    bool areAllServed() const;
+    std::size_t served() const;
+
+    Standins::DirectoryStore store;
+
+private:
+    void registerIn(const std::string &zone, const Standins::RegisteredBackend &backend, const std::string &id);
+    void start(const std::string &name);
+    void send(const std::string &address);
+    int statusOf(HttpClient &client, const std::string &address, const std::string &method, const std::string &target, const std::string &id);
+
+    static std::string makeFolder();
+
+    std::string folder_ = makeFolder();
+    Standins::RegisteredBackend near_{"i-1"};
+    Standins::RegisteredBackend far_{"i-2"};
+    std::vector<std::unique_ptr<Standins::FaultProxy>> links_;
+    std::vector<std::unique_ptr<Process>> entryVms_;
+    std::vector<std::string> callers_;
+    std::atomic<HttpCallId> calls_{0};
+    std::atomic<bool> isStopping_{false};
+    std::atomic<std::size_t> served_{0};
+    std::atomic<std::size_t> notServed_{0};
+    std::vector<std::thread> threads_;
+};
+
+} // namespace Cloverbarrow::Tests
--- a/tests/standins/registeredbackend.cpp
+++ b/tests/standins/registeredbackend.cpp
@@ -68,6 +68,23 @@
     return mostWhileCold_;
 }
 
+void RegisteredBackend::nameLimit(const std::string &text, LimitBearers bearers)
+{
+    const std::lock_guard lock(mutex_);
+    limit_ = text;
+    limitBearers_ = bearers;
+}
+
+int RegisteredBackend::mostRuns(Duration window, TimePoint from) const
+{
+    const std::lock_guard lock(mutex_);
+    std::ptrdiff_t most = 0;
+    for (auto first = std::lower_bound(runTimes_.begin(), runTimes_.end(), from); first != runTimes_.end(); ++first) {
+        most = std::max(most, std::lower_bound(first, runTimes_.end(), *first + window) - first);
+    }
+    return static_cast<int>(most);
+}
+
 Duration RegisteredBackend::coldLeftLocked() const
 {
     return std::max(Duration(0), warmAt_ - bootNow());
@@ -165,7 +182,11 @@
     if (const Duration left = coldLeftLocked(); left > Duration(0)) {
         answer.headers.push_back({Platform::WarmUpMsHeader, std::to_string(std::chrono::ceil<milliseconds>(left).count())});
     }
-    if (request.target == "/health") {
+    const bool isProbe = request.target == "/health";
+    if (!limit_.empty() && (!isProbe || limitBearers_ == LimitBearers::RequestsAndProbes)) {
+        answer.headers.push_back({Platform::ServerLimitHeader, limit_});
+    }
+    if (isProbe) {
         lock.unlock();
         connection->answer(answer, false);
         return;
@@ -179,6 +200,7 @@
         answer.headers.push_back({Platform::NotExecutedHeader, "1"});
     } else {
         runs_.push_back(requestId);
+        runTimes_.push_back(bootNow());
         countColdRunLocked();
         answer.body = id_ + " ran " + request.method + " " + request.target + " " + request.body;
         if (conduct_ != Conduct::Unsigned) {
--- a/tests/standins/registeredbackend.h
+++ b/tests/standins/registeredbackend.h
@@ -32,6 +32,12 @@
     Unframed, ///< Answers without a length and closes the connection.
 };
 
+/// Which answers name a limit on requests.
+enum class LimitBearers {
+    Requests,
+    RequestsAndProbes,
+};
+
 /// Small stand-in for a backend server on the users' platform: checks the expected instance, echoes the
 /// request's id, signs its answers and tells its load.
 class RegisteredBackend
@@ -48,6 +54,10 @@
     void chill(Duration duration);
     /// @return most requests that it began to run in any second while it was cold, from a moment after it had turned so.
     int mostWhileCold() const;
+    /// Names a limit on requests in its answers from now on. @param text of the limit; empty for none.
+    void nameLimit(const std::string &text, LimitBearers bearers = LimitBearers::RequestsAndProbes);
+    /// @return most requests that it began to run in any @p window that began at @p from or later.
+    int mostRuns(Duration window, TimePoint from) const;
     /// Another incarnation takes the address over.
     void becomeInstance(const std::string &id);
     /// @return ids of the requests that were run.
@@ -75,6 +85,9 @@
     std::string id_;
     Conduct conduct_ = Conduct::Serve;
     std::vector<std::string> runs_;
+    std::vector<TimePoint> runTimes_; ///< In order.
+    std::string limit_;
+    LimitBearers limitBearers_ = LimitBearers::RequestsAndProbes;
     TimePoint chilledAt_;
     TimePoint warmAt_;
     std::deque<TimePoint> coldRuns_; ///< Of the last second.
--- a/tests/support/describe.cpp
+++ b/tests/support/describe.cpp
@@ -105,6 +105,11 @@
     {
         return "eject " + action.backend + " for " + std::to_string(std::chrono::floor<milliseconds>(action.lasts).count()) + " ms after " + action.reason;
     }
+    std::string operator()(const ServerLimitNoticed &action) const
+    {
+        const auto *limit = std::get_if<RequestLimit>(&action.notice);
+        return "limit of " + action.backend + (limit ? " is " + std::to_string(limit->perSecond) : " is none");
+    }
     std::string operator()(const SendHeartbeat &action) const
     {
         const Heartbeat &heartbeat = action.heartbeat;
