A server's request limit is shared by few entry VMs of its zone, as the bound of cold servers is

Servers that named a limit went on getting as many requests as before: no line read the limit (264 requests in 4 s at a server that names 2 a second, 17 allowed; the test failed before). Ruled out by the code: a limit read late, or kept by each entry VM for itself.

Equal parts by chance do not hold the bound at size, so a limit is kept like the bound of cold servers: a rendezvous hash over places says who sends, and the two are one concept now (FleetAllowance, senderRank, shareOf, SendHistory). An allowance has room for the senders by two numberings of places; a place that changed twice within a window waits, as does a process that has just started. Requests that were long under way count from their end, since they may have waited in a connection. A limit ends with an answer that would name one and does not; where the order of two answers is not known, the lower limit holds.

--- a/src/core/directory/directorykeeper.cpp
+++ b/src/core/directory/directorykeeper.cpp
@@ -544,7 +544,8 @@
     for (Service service : plan_->services) {
         service.retry = repeatRulesFor(budgets_, fleet_.entryVms());
         service.evacuatedZones = evacuatedZones_;
-        service.coldStart = coldStartRulesFor(budgets_, service.coldRequestsPerSecond, publishedPlace_);
+        service.coldStart = coldStartAllowance(budgets_, service.coldRequestsPerSecond);
+        service.place = publishedPlace_;
         service.choiceProbes.probesPerSecond = probesPerSecondFor(budgets_, fleet_.entryVms());
         for (Registration &registration : registry_.of(now, service.name)) {
             if (registration.isDraining) {
--- a/src/core/directory/fleetestimate.h
+++ b/src/core/directory/fleetestimate.h
@@ -28,7 +28,7 @@
     explicit FleetEstimate(int zones);
 
     /// An entry VM that was not told its place for so long has none any more. Shorter than a place is kept for it.
-    static constexpr Duration PlaceLasts = seconds(3);
+    static constexpr Duration PlaceLasts = FleetPlaceLifetime;
 
     void setZones(int zones);
     /// Another entry VM of the zone asked this one, which relays. @return its place; nothing before the zone was counted for some time.
--- a/src/core/intent/configuration.h
+++ b/src/core/intent/configuration.h
@@ -8,6 +8,7 @@
 #pragma once
 
 #include "core/requests/repeatfence.h"
+#include "core/servers/fleetallowance.h"
 #include "core/support/time.h"
 
 #include <cstddef>
@@ -92,25 +93,6 @@
     bool operator==(const ChoiceProbes &) const = default;
 };
 
-/// Where one entry VM stands among those of its availability zone.
-struct FleetPlace {
-    int number = 0; ///< From 0; no two entry VMs of the zone have the same.
-    int count = 1; ///< Places that there are, taken or not.
-
-    bool operator==(const FleetPlace &) const = default;
-};
-
-/// Bound on the requests that cold servers get from all entry VMs together. Of the server's availability zone a few send to it at all.
-struct ColdStartRules {
-    bool isBounded = false;
-    int senders = 0; ///< Entry VMs that send to one cold server.
-    int requestsEach = 0; ///< Most of one of them in any `window`.
-    Duration window = seconds(1);
-    std::optional<FleetPlace> place; ///< Of this entry VM; without one it sends none.
-
-    bool operator==(const ColdStartRules &) const = default;
-};
-
 /// Service-level objective of one request kind.
 struct Objective {
     std::string kind;
@@ -136,7 +118,8 @@
     MeasuringBudget measuring;
     ChoiceProbes choiceProbes;
     double coldRequestsPerSecond = 0; ///< That one of its servers bears after its start; 0 when operators name no bound.
-    ColdStartRules coldStart;
+    std::optional<FleetAllowance> coldStart; ///< What cold servers may get; nothing where there is no bound.
+    std::optional<FleetPlace> place; ///< Of this entry VM; without one it sends nothing to servers with a bound.
     std::vector<Objective> objectives;
 
     /// @return whether a request may be served in @p zone.
--- a/src/core/requests/fleetbudgets.cpp
+++ b/src/core/requests/fleetbudgets.cpp
@@ -49,26 +49,21 @@
     return budgets.probesPerServer / entryVms;
 }
 
-ColdStartRules coldStartRulesFor(const FleetBudgets &budgets, double requestsPerSecond, const std::optional<FleetPlace> &place)
+std::optional<FleetAllowance> coldStartAllowance(const FleetBudgets &budgets, double requestsPerSecond)
 {
-    ColdStartRules rules;
     if (requestsPerSecond <= 0 || requestsPerSecond > LargestColdRate) {
-        return rules;
+        return std::nullopt;
     }
-    rules.isBounded = true;
-    rules.place = place;
     const double steady = requestsPerSecond * budgets.coldOverage;
     const double most = steady + budgets.coldSlack;
     // The slack is left for sets of senders that overlap: a server that gets much more than the steady rate crashes.
     const double rate = std::min(steady, most / SetsOfPlaces);
     const int requests = std::max(1, static_cast<int>(rate));
     if (requests * SetsOfPlaces > most) {
-        return rules;
+        return FleetAllowance{};
     }
-    rules.window = rate < 1 ? std::chrono::round<Duration>(ColdWindow / std::max(rate, 1 / LargestColdRate)) : ColdWindow;
-    rules.senders = place ? std::min(requests, place->count) : requests;
-    rules.requestsEach = requests / rules.senders;
-    return rules;
+    const Duration window = rate < 1 ? std::chrono::round<Duration>(ColdWindow / std::max(rate, 1 / LargestColdRate)) : ColdWindow;
+    return FleetAllowance{requests, window, requests};
 }
 
 } // namespace Cloverbarrow
--- a/src/core/requests/fleetbudgets.h
+++ b/src/core/requests/fleetbudgets.h
@@ -29,8 +29,8 @@
 /// @param entryVms as above. @return probes a second of one entry VM for each backend server.
 double probesPerSecondFor(const FleetBudgets &budgets, int entryVms);
 
-/// @param requestsPerSecond that a cold server bears; 0 when there is no bound. @param place of this entry VM in its zone, if it has one.
-/// @return what this entry VM may send to cold servers.
-ColdStartRules coldStartRulesFor(const FleetBudgets &budgets, double requestsPerSecond, const std::optional<FleetPlace> &place);
+/// @param requestsPerSecond that a cold server bears; 0 when there is no bound.
+/// @return what the entry VMs of a zone may send to one cold server; nothing when there is no bound.
+std::optional<FleetAllowance> coldStartAllowance(const FleetBudgets &budgets, double requestsPerSecond);
 
 } // namespace Cloverbarrow
--- a/src/core/requests/serviceevents.h
+++ b/src/core/requests/serviceevents.h
@@ -125,6 +125,7 @@
     bool checksEnd = false; ///< As in StartProbe.
     std::optional<Duration> warmUp = {}; ///< How much longer the server stays cold, as it told.
     std::optional<LimitNotice> limit = {}; ///< Nothing without a whole answer.
+    TimePoint askedAt = {}; ///< When the probe was sent.
 };
 
 /// The platform's answer about a payout's record.
--- a/src/core/requests/serviceshard.cpp
+++ b/src/core/requests/serviceshard.cpp
@@ -148,7 +148,7 @@
         reportEjection(now, event.backend, "probe", actions);
     }
     takeTold(now, event.backend, event.report, event.warmUp);
-    takeLimitNotice(event.backend, NoticeSource::Probe, event.limit, actions);
+    takeLimitNotice(now, event.askedAt, event.backend, NoticeSource::Probe, event.limit, actions);
     dispatch(now, actions);
     if (event.request) {
         const auto found = requests_.find(*event.request);
@@ -172,9 +172,10 @@
     }
 }
 
-void ServiceShard::takeLimitNotice(const std::string &backend, NoticeSource source, const std::optional<LimitNotice> &notice, ServiceActions &actions)
+void ServiceShard::takeLimitNotice(
+    TimePoint now, TimePoint askedAt, const std::string &backend, NoticeSource source, const std::optional<LimitNotice> &notice, ServiceActions &actions)
 {
-    if (notice && pool_.takeLimitNotice(backend, source, *notice)) {
+    if (notice && pool_.takeLimitNotice(now, askedAt, backend, source, *notice)) {
         actions.emplace_back(ServerLimitNoticed{backend, source, *notice});
     }
 }
--- a/src/core/requests/serviceshard.h
+++ b/src/core/requests/serviceshard.h
@@ -161,7 +161,9 @@
     void reportEjection(TimePoint now, const std::string &backend, const char *after, ServiceActions &actions);
     /// Takes what a server told of itself, with an answer or a probe.
     void takeTold(TimePoint now, const std::string &backend, const std::optional<LoadReport> &report, const std::optional<Duration> &warmUp);
-    void takeLimitNotice(const std::string &backend, NoticeSource source, const std::optional<LimitNotice> &notice, ServiceActions &actions);
+    /// Takes what an answer said of a limit. @param askedAt when the request was sent that it answers.
+    void takeLimitNotice(
+        TimePoint now, TimePoint askedAt, const std::string &backend, NoticeSource source, const std::optional<LimitNotice> &notice, ServiceActions &actions);
     void noteLeaving(const std::string &backend, ServiceActions &actions);
     AttemptQuality qualityOf(const Attempt &attempt, const AttemptOutcome &outcome) const;
     void learn(TimePoint now, const Attempt &attempt, const AttemptEnded &event, ServiceActions &actions);
--- a/src/core/requests/serviceshardoutcome.cpp
+++ b/src/core/requests/serviceshardoutcome.cpp
@@ -126,7 +126,8 @@
     if (!answer || !answer->isByAnother) {
         // Another server tells of itself, and may be of another service, whose slots and speed are none of this one's.
         takeTold(now, attempt.backend, event.report, event.warmUp);
-        takeLimitNotice(attempt.backend, answer && answer->isNotRun ? NoticeSource::Rejection : NoticeSource::Run, event.limit, actions);
+        takeLimitNotice(
+            now, attempt.startedAt, attempt.backend, answer && answer->isNotRun ? NoticeSource::Rejection : NoticeSource::Run, event.limit, actions);
     }
     if (answer && answer->isLeaving) {
         noteLeaving(attempt.backend, actions);
--- a/src/core/servers/backendpool.cpp
+++ b/src/core/servers/backendpool.cpp
@@ -60,6 +60,7 @@
 {
     coldStart_ = service.coldStart;
     configuredAt_ = configuredAt_.value_or(now);
+    const bool isPlaceNew = takePlace(service.place, now);
     // Looked up by name in one pass: a service may have more than a thousand servers, and each change comes here.
     std::unordered_map<std::string_view, Backend *> known;
     for (Backend &backend : backends_) {
@@ -69,7 +70,9 @@
     next.reserve(service.backendServers.size());
     for (const BackendServer &server : service.backendServers) {
         Backend backend;
-        if (const auto found = known.find(server.name); found != known.end() && found->second->server.address == server.address) {
+        const auto found = known.find(server.name);
+        const bool isKnown = found != known.end() && found->second->server.address == server.address;
+        if (isKnown) {
             backend = *found->second;
         }
         backend.server = server;
@@ -77,13 +80,34 @@
         backend.isLeaving = leaving_.contains(server.name);
         backend.isEvacuated = isIn(service.evacuatedZones, server.zone);
         backend.distance = distanceTo(server);
-        // Entry VMs of other zones leave cold servers alone: they have no place among the senders.
-        backend.isColdSender = coldStart_.isBounded && backend.distance == Distance::SameZone && isColdSender(coldStart_, server.name);
+        if (isPlaceNew || !isKnown) {
+            backend.senderRank = rankAt(backend);
+        }
         next.push_back(std::move(backend));
     }
     backends_ = std::move(next);
 }
 
+bool BackendPool::takePlace(const std::optional<FleetPlace> &place, TimePoint now)
+{
+    if (place == place_) {
+        return false;
+    }
+    place_ = place;
+    if (place && place != lastPlace_) {
+        formerPlaceChangedAt_ = std::exchange(placeChangedAt_, now);
+        lastPlace_ = place;
+    }
+    return true;
+}
+
+std::optional<int> BackendPool::rankAt(const Backend &backend) const
+{
+    // Entry VMs of other zones leave servers with a bound alone: they have no place among the senders.
+    const bool isSender = place_ && backend.distance == Distance::SameZone;
+    return isSender ? std::optional(senderRank(*place_, backend.server.name)) : std::nullopt;
+}
+
 void BackendPool::takeEntryWarmUp(Backend &backend, TimePoint now)
 {
     const TimePoint warmAt = now + backend.server.warmUp;
@@ -149,10 +173,8 @@
 {
     ++backend.inFlight;
     ++backend.sentSinceReport;
-    if (coldStart_.isBounded) {
-        // Kept for warm servers as well: one that turns cold may have got requests just before.
-        backend.recentSends.add(now, coldStart_.requestsEach);
-    }
+    // Kept for servers without a bound as well: one that gets a bound has had requests just before.
+    backend.sends.started(now);
 }
 
 std::vector<std::size_t> BackendPool::openServers(TimePoint now, std::span<const std::string> excluded) const
@@ -190,6 +212,7 @@
         return;
     }
     backend->inFlight = std::max(0, backend->inFlight - 1);
+    backend->sends.ended(now, now - latency);
     backend->heardAt = now;
     if (quality == AttemptQuality::Failed) {
         countFailure(*backend, now);
@@ -205,18 +228,38 @@
     }
 }
 
-bool BackendPool::takeLimitNotice(std::string_view name, NoticeSource source, const LimitNotice &notice)
+bool BackendPool::takeLimitNotice(TimePoint now, TimePoint askedAt, std::string_view name, NoticeSource source, const LimitNotice &notice)
 {
     Backend *backend = findMutable(name);
     if (!backend) {
         return false;
     }
+    backend->limit.take(now, askedAt, source, notice);
     LimitNotice &last = backend->limitNotices[static_cast<std::size_t>(source)];
     const bool isChanged = last != notice;
     last = notice;
     return isChanged;
 }
 
+std::optional<TimePoint> BackendPool::boundedUntil(TimePoint now) const
+{
+    std::optional<TimePoint> first;
+    for (const Backend &backend : backends_) {
+        if (!isServing(backend)) {
+            continue;
+        }
+        if (isWithinBounds(backend, now)) {
+            return std::nullopt;
+        }
+        TimePoint open = now;
+        for (const FleetAllowance &allowance : bounds(backend, now)) {
+            open = std::max(open, openingOf(backend, allowance, now).value_or(TimePoint::max()));
+        }
+        first = std::min(first.value_or(TimePoint::max()), open);
+    }
+    return first;
+}
+
 void BackendPool::setPeersInFlight(std::string_view name, int count)
 {
     if (Backend *backend = findMutable(name)) {
@@ -298,7 +341,7 @@
 bool BackendPool::mayTake(const Backend &backend, TimePoint now, bool ignoreEjection) const
 {
     // Every way to a server passes here: first attempts, retries, second attempts, and probes that choose a server for them.
-    if (!isServing(backend) || backend.inFlight >= inFlightCap_ || !mayTakeCold(backend, now)) {
+    if (!isServing(backend) || backend.inFlight >= inFlightCap_ || !isWithinBounds(backend, now)) {
         return false;
     }
     if (ignoreEjection) {
@@ -308,15 +351,40 @@
     return now >= backend.ejectedUntil && !isTrialTaken;
 }
 
-bool BackendPool::mayTakeCold(const Backend &backend, TimePoint now) const
+std::vector<FleetAllowance> BackendPool::bounds(const Backend &backend, TimePoint now) const
 {
-    if (!coldStart_.isBounded || now >= backend.warmAt) {
-        return true;
+    std::vector<FleetAllowance> all;
+    if (coldStart_ && now < backend.warmAt) {
+        // Idle servers look best to all entry VMs at once, and a cold one crashes at a rate that it bears when warm.
+        all.push_back(*coldStart_);
+    }
+    if (const auto limit = backend.limit.allowance()) {
+        all.push_back(*limit);
+    }
+    return all;
+}
+
+bool BackendPool::isWithinBounds(const Backend &backend, TimePoint now) const
+{
+    const auto all = bounds(backend, now);
+    return std::all_of(all.begin(), all.end(), [this, &backend, now](const FleetAllowance &allowance) {
+        const auto opening = openingOf(backend, allowance, now);
+        return opening && now >= *opening;
+    });
+}
+
+std::optional<TimePoint> BackendPool::openingOf(const Backend &backend, const FleetAllowance &allowance, TimePoint now) const
+{
+    const int share = backend.senderRank ? shareOf(allowance, *backend.senderRank, place_->count) : 0;
+    const auto opening = backend.sends.fewerAt(now, share, allowance.window);
+    if (!opening) {
+        return std::nullopt;
     }
-    // Idle servers look best to all entry VMs at once, and a cold one crashes at a rate that it bears when warm.
+    // Allowances leave room for the senders by one change of places, not by two. Others notice a change later by the lifetime of a place.
+    const TimePoint settled = formerPlaceChangedAt_ + allowance.window + FleetPlaceLifetime;
     // What a former process of this entry VM sent is in no window any more by then.
-    const bool hasWaited = configuredAt_ && now - *configuredAt_ >= coldStart_.window;
-    return backend.isColdSender && hasWaited && backend.recentSends.allows(now, coldStart_.requestsEach, coldStart_.window);
+    const TimePoint forgotten = *configuredAt_ + allowance.window;
+    return std::max({*opening, settled, forgotten});
 }
 
 std::vector<std::size_t> BackendPool::candidates(TimePoint now, std::span<const std::string> tried) const
--- a/src/core/servers/backendpool.h
+++ b/src/core/servers/backendpool.h
@@ -8,10 +8,10 @@
 #pragma once
 
 #include "core/intent/configuration.h"
-#include "core/servers/coldstartfence.h"
 #include "core/servers/loadreport.h"
 #include "core/servers/pickpolicy.h"
 #include "core/servers/requestlimit.h"
+#include "core/servers/sendhistory.h"
 #include "core/support/random.h"
 #include "core/support/time.h"
 
@@ -51,8 +51,9 @@
     int sentSinceReport = 0; ///< Attempts of this entry VM since then.
     TimePoint warmAt; ///< Until then it is slow after its start, and gets few requests.
     TimePoint warmAtByEntry; ///< The same, as its entry last told.
-    bool isColdSender = false; ///< This entry VM is one of those that send to it while it is cold.
-    RecentSends recentSends;
+    KnownLimit limit;
+    std::optional<int> senderRank; ///< Of this entry VM among those that send to it while it has a bound; nothing where it is none of them.
+    SendHistory sends;
     double latencyMs = 0; ///< Moving average over good answers; 0 when none was seen.
     int samples = 0; ///< Good answers since the last ejection.
     int failureStreak = 0; ///< Requests that failed in a row, at most as many as eject it; see failuresInForce().
@@ -118,7 +119,10 @@
     /// The server called @p name has told how much longer it stays cold.
     void warmUpTold(std::string_view name, Duration left, TimePoint now);
     /// Takes what an answer says of a limit. @return whether answers of this kind said something else before.
-    bool takeLimitNotice(std::string_view name, NoticeSource source, const LimitNotice &notice);
+    bool takeLimitNotice(TimePoint now, TimePoint askedAt, std::string_view name, NoticeSource source, const LimitNotice &notice);
+    /// @return when a server may take an attempt again, where nothing but their bounds keeps all servers from it, TimePoint::max() when this entry VM
+    /// sends to none of them; nothing where a server takes one now or is kept from it by something else.
+    std::optional<TimePoint> boundedUntil(TimePoint now) const;
     void setPeersInFlight(std::string_view name, int count);
     void report(std::string_view name, const LoadReport &report, TimePoint now);
 
@@ -136,8 +140,16 @@
     Backend *findMutable(std::string_view name);
     /// Takes what the server's entry tells of its warm-up.
     static void takeEntryWarmUp(Backend &backend, TimePoint now);
-    /// @return whether the bound on requests to cold servers leaves room for one to @p backend.
-    bool mayTakeCold(const Backend &backend, TimePoint now) const;
+    /// Takes this entry VM's place. @return whether it is not the one that was known.
+    bool takePlace(const std::optional<FleetPlace> &place, TimePoint now);
+    /// @return rank of this entry VM among the senders to @p backend; nothing where it is none of them.
+    std::optional<int> rankAt(const Backend &backend) const;
+    /// @return bounds on the requests that @p backend gets from all entry VMs, as far as any is in force.
+    std::vector<FleetAllowance> bounds(const Backend &backend, TimePoint now) const;
+    /// @return whether the bounds in force leave room for a request to @p backend.
+    bool isWithinBounds(const Backend &backend, TimePoint now) const;
+    /// @return when @p allowance leaves room for a request of this entry VM; nothing when it never does.
+    std::optional<TimePoint> openingOf(const Backend &backend, const FleetAllowance &allowance, TimePoint now) const;
     void countTaken(Backend &backend, TimePoint now);
     bool mayTake(const Backend &backend, TimePoint now, bool ignoreEjection) const;
     std::vector<std::size_t> candidates(TimePoint now, std::span<const std::string> tried) const;
@@ -156,7 +168,11 @@
     std::vector<Backend> backends_;
     std::set<std::string, std::less<>> leaving_; ///< Names, also of servers that come back into the configuration.
     int inFlightCap_ = 1000;
-    ColdStartRules coldStart_;
+    std::optional<FleetAllowance> coldStart_;
+    std::optional<FleetPlace> place_;
+    std::optional<FleetPlace> lastPlace_; ///< Also while there is none.
+    TimePoint placeChangedAt_;
+    TimePoint formerPlaceChangedAt_; ///< The change before.
     std::optional<TimePoint> configuredAt_; ///< For the first time.
 };
 
--- a/src/core/servers/requestlimit.h
+++ b/src/core/servers/requestlimit.h
@@ -7,7 +7,12 @@
 
 #pragma once
 
+#include "core/servers/fleetallowance.h"
+#include "core/support/time.h"
+
+#include <array>
 #include <cstddef>
+#include <optional>
 #include <string>
 #include <variant>
 
@@ -46,4 +51,30 @@
 
 constexpr std::size_t NoticeSources = 3;
 
+/// @return what all entry VMs of a zone may send to a server that takes @p perSecond requests a second.
+FleetAllowance allowanceFor(double perSecond);
+
+/// The limit on the requests of one server, as its answers have named it. Where the order of two answers is not known, the lower limit holds.
+class KnownLimit
+{
+public:
+    /// @param askedAt when the request was sent that @p notice answers. @return whether the limit in force has changed.
+    bool take(TimePoint now, TimePoint askedAt, NoticeSource source, const LimitNotice &notice);
+    /// @return requests a second; nothing while no limit is in force.
+    std::optional<double> perSecond() const;
+    /// @return what all entry VMs of a zone may send to the server; nothing while no limit is in force.
+    std::optional<FleetAllowance> allowance() const;
+    /// @return whether answers of this kind have ever named a limit, so that one without ends it.
+    bool isNamedBy(NoticeSource source) const;
+    /// @return when an answer last named the limit in force.
+    TimePoint namedAt() const;
+
+private:
+    bool set(std::optional<double> perSecond);
+
+    std::optional<double> perSecond_;
+    TimePoint namedAt_;
+    std::array<bool, NoticeSources> areNamedBy_{};
+};
+
 } // namespace Cloverbarrow
--- a/src/daemon/gateway.cpp
+++ b/src/daemon/gateway.cpp
@@ -319,11 +319,12 @@
     call.address = action.address;
     call.timeout = action.request || action.checksEnd ? ChoiceProbeTimeout : ProbeTimeout;
     call.mayReuseConnection = action.request.has_value();
-    backends_.start(nextProbe_++, std::move(call), [this, service = of.service, action](const HttpOutcome &outcome) {
+    backends_.start(nextProbe_++, std::move(call), [this, service = of.service, action, askedAt = bootNow()](const HttpOutcome &outcome) {
         ProbeEnded ended;
         ended.backend = action.backend;
         ended.request = action.request;
         ended.checksEnd = action.checksEnd;
+        ended.askedAt = askedAt;
         if (const auto *answer = std::get_if<HttpAnswer>(&outcome)) {
             ended.isHealthy = answer->status < HttpStatus::ServerError;
             ended.isLeaving = protocol_.isLeaving(answer->headers);
--- a/tests/property/coldstartproperties.cpp
+++ b/tests/property/coldstartproperties.cpp
@@ -165,7 +165,8 @@
         node.configured = node.place;
         Service service;
         service.name = "polizas";
-        service.coldStart = coldStartRulesFor(budgets_, requestsPerSecond_, node.place);
+        service.coldStart = coldStartAllowance(budgets_, requestsPerSecond_);
+        service.place = node.place;
         service.backendServers.push_back({"cold", "127.0.0.1:9001", "bog-a", {}, 2, seconds(86'400)});
         node.pool.configure(service, now_);
     }
--- a/tests/unit/coldstarttests.cpp
+++ b/tests/unit/coldstarttests.cpp
@@ -11,6 +11,8 @@
 
 #include <catch2/catch.hpp>
 
+#include <algorithm>
+
 using namespace Cloverbarrow;
 
 namespace
@@ -24,7 +26,8 @@
     Service service;
     service.name = "polizas";
     service.coldRequestsPerSecond = 2.5;
-    service.coldStart = coldStartRulesFor(FleetBudgets{}, service.coldRequestsPerSecond, place);
+    service.coldStart = coldStartAllowance(FleetBudgets{}, service.coldRequestsPerSecond);
+    service.place = place;
     service.backendServers.push_back({"b1", "127.0.0.1:9001", zone, {}, 2, warmUp});
     return service;
 }
@@ -47,30 +50,30 @@
 TEST_CASE("The part of an entry VM in what a cold server bears follows from the bound", "[cold][budget]")
 {
     const FleetBudgets budgets;
-    const ColdStartRules rules = coldStartRulesFor(budgets, 2.5, Place);
-    CHECK(rules.isBounded);
-    CHECK(rules.senders * rules.requestsEach == 3);
+    const auto allowance = coldStartAllowance(budgets, 2.5);
+    REQUIRE(allowance);
+    CHECK(allowance->requests == 3);
+    CHECK(allowance->senders == 3);
     SECTION("one entry VM alone has it all")
     {
-        const ColdStartRules alone = coldStartRulesFor(budgets, 2.5, FleetPlace{0, 1});
-        CHECK(alone.senders == 1);
-        CHECK(alone.requestsEach == 3);
+        CHECK(shareOf(*allowance, 0, 1) == 3);
     }
     SECTION("a rate below one a second is a longer window")
     {
-        const ColdStartRules slow = coldStartRulesFor({0.2, 50, 60, 1, 1, 5}, 0.2, Place);
-        CHECK(slow.senders == 1);
-        CHECK(slow.requestsEach == 1);
-        CHECK(slow.window > seconds(3));
+        const auto slow = coldStartAllowance({0.2, 50, 60, 1, 1, 5}, 0.2);
+        REQUIRE(slow);
+        CHECK(slow->senders == 1);
+        CHECK(slow->requests == 1);
+        CHECK(slow->window > seconds(3));
     }
     SECTION("where one of each set of senders were too many, none is sent")
     {
-        CHECK(coldStartRulesFor({0.2, 50, 60, 1, 1, 0}, 2.5, Place).requestsEach == 0);
+        CHECK(coldStartAllowance({0.2, 50, 60, 1, 1, 0}, 2.5)->requests == 0);
     }
     SECTION("without a bound there is none, and absurd ones are none")
     {
-        CHECK_FALSE(coldStartRulesFor(budgets, 0, Place).isBounded);
-        CHECK_FALSE(coldStartRulesFor(budgets, 1e9, Place).isBounded);
+        CHECK_FALSE(coldStartAllowance(budgets, 0));
+        CHECK_FALSE(coldStartAllowance(budgets, 1e9));
     }
 }
 
@@ -138,15 +141,18 @@
 
 TEST_CASE("Of a zone's entry VMs as many are senders of each server as may be, whatever their number", "[cold][fleet]")
 {
+    const FleetAllowance allowance = *coldStartAllowance(FleetBudgets{}, 2.5);
     for (const int count : {1, 4, 24, 80}) {
         for (int server = 0; server < 50; ++server) {
             int senders = 0;
-            ColdStartRules rules;
+            int requests = 0;
             for (int number = 0; number < count; ++number) {
-                rules = coldStartRulesFor(FleetBudgets{}, 2.5, FleetPlace{number, count});
-                senders += isColdSender(rules, "i-" + std::to_string(server)) ? 1 : 0;
+                const int share = shareOf(allowance, senderRank({number, count}, "i-" + std::to_string(server)), count);
+                senders += share > 0 ? 1 : 0;
+                requests += share;
             }
-            CHECK(senders == rules.senders);
+            CHECK(senders == std::min(allowance.senders, count));
+            CHECK(requests == allowance.requests);
         }
     }
 }
