--- a/src/core/directory/directoryevents.h
+++ b/src/core/directory/directoryevents.h
@@ -9,6 +9,7 @@
 
 #include "core/crashes/crashnews.h"
 #include "core/crashes/crashreport.h"
+#include "core/directory/limitexchange.h"
 #include "core/intent/configuration.h"
 #include "core/intent/operatorintent.h"
 #include "core/support/time.h"
@@ -130,6 +131,7 @@
     std::vector<std::string> otherRelays; ///< Of other zones, as the relay knows them.
     std::optional<FleetPlace> place = {}; ///< Of the asking entry VM, if it is of the relay's zone and these have been counted long enough.
     NewestRevisions newest{}; ///< That the relay knows.
+    LimitVersion limits = {}; ///< Of the relay's reports on request limits.
 };
 
 /// The check whether a relay answers has ended.
--- a/src/core/directory/directorykeeper.h
+++ b/src/core/directory/directorykeeper.h
@@ -43,6 +43,8 @@
     void spreadCrashNews(const CrashSpread &spread, DirectoryActions &actions) const;
     /// Tells one relay all crash news. @param wantsAnswer the same is to be told in return.
     void sendCrashNews(const std::string &relay, std::vector<CrashNews> news, bool wantsAnswer, DirectoryActions &actions) const;
+    /// @return addresses of the entry VMs that reports on request limits are exchanged with.
+    std::vector<std::string> limitPeers() const;
     /// @return whether the store does not hold that yet.
     bool hasUntoldCrashes() const;
 
@@ -107,6 +109,8 @@
     void planCheck(TimePoint now);
     void publish(TimePoint now, DirectoryActions &actions);
     /// Tells whether this entry VM relays or follows none, and brings about an exchange of crash news with relays that are new to it.
+    /// @return the relay that is followed, and those of other zones.
+    std::vector<std::string> knownRelays() const;
     void meetPeers(DirectoryActions &actions);
     /// Takes this entry VM's place among those of its zone, as its relay told it, or as it has it as the relay.
     void takePlace(TimePoint now, const std::optional<FleetPlace> &place);
--- a/src/core/directory/directorykeeperpeers.cpp
+++ b/src/core/directory/directorykeeperpeers.cpp
@@ -62,10 +62,7 @@
 {
     // A second witness of each lost answer: entry VMs that alone had seen the ends of servers were killed while the store refused calls, and the request
     // ended more.
-    std::vector<std::string> relays = seat_.otherRelays();
-    if (!source_.empty() && std::find(relays.begin(), relays.end(), source_) == relays.end()) {
-        relays.push_back(source_);
-    }
+    std::vector<std::string> relays = knownRelays();
     if (spread.own && !relays.empty()) {
         actions.emplace_back(TellCrashNews{std::move(relays), {{}, {*spread.own}}});
     }
@@ -75,6 +72,22 @@
     }
 }
 
+std::vector<std::string> DirectoryKeeper::knownRelays() const
+{
+    std::vector<std::string> relays = seat_.otherRelays();
+    if (!source_.empty() && std::find(relays.begin(), relays.end(), source_) == relays.end()) {
+        relays.push_back(source_);
+    }
+    return relays;
+}
+
+std::vector<std::string> DirectoryKeeper::limitPeers() const
+{
+    // Followers hear from their relay what others have told it.
+    const bool isFollower = seat_.state() == RelaySeat::State::Following && !seat_.isRelaying();
+    return isFollower ? std::vector<std::string>{source_} : knownRelays();
+}
+
 void DirectoryKeeper::sendCrashNews(const std::string &relay, std::vector<CrashNews> news, bool wantsAnswer, DirectoryActions &actions) const
 {
     actions.emplace_back(TellCrashNews{{relay}, {wantsAnswer ? seat_.ownAddress() : std::string(), std::move(news)}});
--- /dev/null
+++ b/src/core/directory/limitexchange.cpp
@@ -0,0 +1,169 @@
+/*
+    This file is part of cloverbarrow.
+
+    SPDX-FileCopyrightText: 2026 The cloverbarrow authors
+    SPDX-License-Identifier: Apache-2.0
+*/
+
+#include "core/directory/limitexchange.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace Cloverbarrow
+{
+
+namespace
+{
+
+// Limits may change several times a second; changes within this time go together.
+constexpr Duration AskPause = milliseconds(200);
+constexpr Duration FailurePause = seconds(1);
+// Servers whose reports are kept; some 60 bytes each.
+constexpr std::size_t MostEntries = 4096;
+// Addresses of entry VMs that have come and gone are not kept for ever.
+constexpr std::size_t MostPeers = 256;
+
+} // namespace
+
+LimitExchange::LimitExchange(std::uint64_t process)
+    : process_(process)
+{
+}
+
+void LimitExchange::heard(const LimitReport &report)
+{
+    takeReport(report);
+}
+
+LimitVersion LimitExchange::version() const
+{
+    return {process_, sequence_};
+}
+
+void LimitExchange::shown(const std::string &peer, const LimitVersion &version)
+{
+    if (version.sequence == 0 && !peers_.contains(peer)) {
+        return;
+    }
+    if (peers_.size() >= MostPeers) {
+        peers_.clear();
+    }
+    Peer &known = peers_[peer];
+    if (known.shown.process != version.process) {
+        // Another process at the address has none of the changes yet.
+        known.acknowledged = 0;
+    }
+    known.shown = version;
+}
+
+std::vector<LimitExchange::Message> LimitExchange::takeDue(TimePoint now, std::span<const std::string> receivers)
+{
+    if (sequence_ > 0) {
+        for (const std::string &receiver : receivers) {
+            peers_.try_emplace(receiver);
+        }
+    }
+    std::vector<Message> due;
+    for (auto &[address, peer] : peers_) {
+        const bool isReceiver = std::find(receivers.begin(), receivers.end(), address) != receivers.end();
+        const bool hasToTell = peer.acknowledged < sequence_;
+        const bool hasToLearn = peer.shown != peer.known;
+        if (!isReceiver || peer.isAsked || now < peer.nextAsk || (!hasToTell && !hasToLearn)) {
+            continue;
+        }
+        peer.isAsked = true;
+        peer.nextAsk = now + AskPause;
+        due.push_back({address, {version(), peer.known, changedSince(peer.acknowledged)}});
+    }
+    return due;
+}
+
+void LimitExchange::answered(const Message &sent, const std::optional<LimitUpdate> &answer)
+{
+    const auto found = peers_.find(sent.peer);
+    if (found == peers_.end()) {
+        return;
+    }
+    Peer &peer = found->second;
+    peer.isAsked = false;
+    if (!answer) {
+        peer.nextAsk += FailurePause;
+        return;
+    }
+    peer.acknowledged = sent.update.version.sequence;
+    peer.known = answer->version;
+    peer.shown = answer->version;
+    const std::uint64_t before = sequence_;
+    takeReports(answer->reports);
+    if (peer.acknowledged == before) {
+        // It need not be told what it has told.
+        peer.acknowledged = sequence_;
+    }
+}
+
+LimitUpdate LimitExchange::take(const LimitUpdate &update)
+{
+    const std::uint64_t since = update.known.process == process_ ? update.known.sequence : 0;
+    // What the sender tells is not told back to it.
+    auto reports = changedSince(since);
+    std::erase_if(reports, [&update](const LimitReport &report) {
+        return std::any_of(update.reports.begin(), update.reports.end(), [&report](const LimitReport &told) {
+            return told.server == report.server && told.perSecond == report.perSecond;
+        });
+    });
+    takeReports(update.reports);
+    return {version(), update.version, std::move(reports)};
+}
+
+std::vector<LimitReport> LimitExchange::takeLearnt()
+{
+    return std::exchange(learnt_, {});
+}
+
+bool LimitExchange::takeReport(const LimitReport &report)
+{
+    const auto [found, isNew] = entries_.try_emplace(report.server, Entry{report, 0});
+    Entry &entry = found->second;
+    if (!isNew && report.heardAt <= entry.report.heardAt) {
+        return false;
+    }
+    const bool isChanged = isNew || report.perSecond != entry.report.perSecond;
+    entry.report = report;
+    if (isChanged) {
+        entry.sequence = ++sequence_;
+        boundEntries();
+    }
+    return isChanged;
+}
+
+void LimitExchange::takeReports(const std::vector<LimitReport> &reports)
+{
+    for (const LimitReport &report : reports) {
+        if (takeReport(report)) {
+            learnt_.push_back(report);
+        }
+    }
+}
+
+std::vector<LimitReport> LimitExchange::changedSince(std::uint64_t sequence) const
+{
+    std::vector<LimitReport> changed;
+    for (const auto &[server, entry] : entries_) {
+        if (entry.sequence > sequence) {
+            changed.push_back(entry.report);
+        }
+    }
+    return changed;
+}
+
+void LimitExchange::boundEntries()
+{
+    if (entries_.size() <= MostEntries) {
+        return;
+    }
+    const auto isOlder = [](const auto &left, const auto &right) { return left.second.sequence < right.second.sequence; };
+    entries_.erase(std::min_element(entries_.begin(), entries_.end(), isOlder));
+}
+
+} // namespace Cloverbarrow
--- a/src/core/node.cpp
+++ b/src/core/node.cpp
@@ -79,6 +79,8 @@
         handleService(now, *service, actions, internal);
     } else if (std::holds_alternative<ServicesTick>(event)) {
         tellAll(Tick{}, internal);
+    } else if (const auto *limits = std::get_if<LimitsReported>(&event)) {
+        tellAll(*limits, internal);
     } else {
         handleControl(now, std::get<ControlEvent>(event), actions, internal);
     }
--- a/src/core/node.h
+++ b/src/core/node.h
@@ -34,7 +34,7 @@
 struct ServicesTick {
 };
 
-using NodeEvent = std::variant<ForService, ControlEvent, ServicesTick>;
+using NodeEvent = std::variant<ForService, ControlEvent, ServicesTick, LimitsReported>;
 
 /// An action of one service.
 struct OfService {
--- a/src/core/requests/serviceevents.h
+++ b/src/core/requests/serviceevents.h
@@ -122,7 +122,7 @@
     std::optional<LoadReport> report;
     std::optional<RequestId> request; ///< That waits for it to choose a server.
     LifeSign sign = LifeSign::Silent;
-    bool checksEnd = false; ///< As in StartProbe.
+    bool isExtra = false; ///< As in StartProbe.
     std::optional<Duration> warmUp = {}; ///< How much longer the server stays cold, as it told.
     std::optional<LimitNotice> limit = {}; ///< Nothing without a whole answer.
     TimePoint askedAt = {}; ///< When the probe was sent.
@@ -164,6 +164,11 @@
     std::uint64_t order = 0; ///< As in LeavingChanged.
 };
 
+/// What peers have heard of limits on requests, also of servers of other services.
+struct LimitsReported {
+    std::vector<LimitReport> reports;
+};
+
 struct Tick {
 };
 
@@ -178,6 +183,7 @@
                                   FleetSizeChanged,
                                   PeersInFlightTold,
                                   CrashVerdictsChanged,
+                                  LimitsReported,
                                   Tick>;
 
 // Actions
@@ -195,6 +201,9 @@
     Duration reportAge{0};
     int probes = 0; ///< Servers that were asked for this choice.
     Duration waitedBefore{0}; ///< How long the caller had waited with earlier requests.
+    std::optional<double> limit; ///< On the server's requests a second.
+    Duration limitAge{0}; ///< Since it was last heard.
+    int limitShare = 0; ///< Requests of this entry VM in a window of it.
 };
 
 /// Send the request to a backend server.
@@ -272,7 +281,7 @@
     std::string address;
     std::string path;
     std::optional<RequestId> request; ///< That waits for it to choose a server; such a probe uses no share.
-    bool checksEnd = false; ///< Asked after a lost answer, whether the server has ended; uses no share.
+    bool isExtra = false; ///< Asks whether the server has ended, after a lost answer, or whether its limit still stands; uses no share.
 
     bool operator==(const StartProbe &) const = default;
 };
@@ -331,13 +340,23 @@
     bool operator==(const ServerEjected &) const = default;
 };
 
-/// A backend server's answers of one kind now name another limit than before, or none; for the log.
-struct ServerLimitNoticed {
+/// The limit on a backend server's requests was named, has changed, or has ended.
+struct ServerLimitChanged {
+    std::string backend;
+    std::optional<double> perSecond; ///< Nothing when it has ended.
+    std::optional<int> share; ///< Requests that this entry VM may send in a window of it.
+    std::optional<NoticeSource> source; ///< Nothing when a peer has told.
+    TimePoint heardAt;
+
+    bool operator==(const ServerLimitChanged &) const = default;
+};
+
+/// A backend server names a limit that cannot be read; the one in force stays.
+struct ServerLimitUnreadable {
     std::string backend;
-    NoticeSource source = NoticeSource::Run;
-    LimitNotice notice;
+    std::string text;
 
-    bool operator==(const ServerLimitNoticed &) const = default;
+    bool operator==(const ServerLimitUnreadable &) const = default;
 };
 
 using ServiceAction = std::variant<StartAttempt,
@@ -355,7 +374,8 @@
                                    TellServerHeardAgain,
                                    TellSuspectAnswered,
                                    ServerEjected,
-                                   ServerLimitNoticed>;
+                                   ServerLimitChanged,
+                                   ServerLimitUnreadable>;
 using ServiceActions = std::vector<ServiceAction>;
 
 } // namespace Cloverbarrow
--- a/src/core/requests/serviceshard.cpp
+++ b/src/core/requests/serviceshard.cpp
@@ -14,6 +14,13 @@
 namespace Cloverbarrow
 {
 
+namespace
+{
+
+constexpr const char *AllBounded = "all backend servers have got the requests that their limits, or their starts, allow";
+
+} // namespace
+
 ServiceShard::ServiceShard(Incarnation self, Location own, std::string name, PickPolicy policy, std::uint64_t seed)
     : self_(std::move(self))
     , name_(std::move(name))
@@ -80,6 +87,9 @@
     if (!pool_.hasCandidate()) {
         return Problem{503, Fate::NotRun, "choose backend server", name_, "no backend server in an allowed place", ComeBackWithoutServer};
     }
+    if (const auto wait = boundedFor(now, event.latencyObjective)) {
+        return Problem{503, Fate::NotRun, "choose backend server", name_, AllBounded, *wait};
+    }
     const std::size_t held = std::max(requests_.size(), ledger_.openCount());
     if (held >= static_cast<std::size_t>(service_.limits.maxInFlight)) {
         return Problem{503, Fate::NotRun, "admit", name_, "too many requests in flight", ComeBackWhenBusy};
@@ -143,7 +153,7 @@
         noteLeaving(event.backend, actions);
     }
     // A load report from a server that calls itself ill still tells that it answers; requests show the rest.
-    if (!event.checksEnd || event.sign == LifeSign::Answered) {
+    if (!event.isExtra || event.sign == LifeSign::Answered) {
         pool_.probed(event.backend, event.isHealthy || (event.request && event.report), now);
         reportEjection(now, event.backend, "probe", actions);
     }
@@ -175,9 +185,41 @@
 void ServiceShard::takeLimitNotice(
     TimePoint now, TimePoint askedAt, const std::string &backend, NoticeSource source, const std::optional<LimitNotice> &notice, ServiceActions &actions)
 {
-    if (notice && pool_.takeLimitNotice(now, askedAt, backend, source, *notice)) {
-        actions.emplace_back(ServerLimitNoticed{backend, source, *notice});
+    if (!notice) {
+        return;
+    }
+    if (const auto *unreadable = std::get_if<UnreadableLimit>(&*notice)) {
+        actions.emplace_back(ServerLimitUnreadable{backend, unreadable->text});
+    } else if (pool_.takeLimitNotice(now, askedAt, backend, source, *notice)) {
+        reportLimit(backend, source, actions);
+    }
+}
+
+void ServiceShard::reportLimit(const std::string &backend, std::optional<NoticeSource> source, ServiceActions &actions) const
+{
+    const Backend &known = *pool_.find(backend);
+    actions.emplace_back(ServerLimitChanged{backend, known.limit.perSecond(), pool_.limitShare(known), source, known.limit.heardAt()});
+}
+
+void ServiceShard::on(TimePoint now, const LimitsReported &event, ServiceActions &actions)
+{
+    for (const LimitReport &report : event.reports) {
+        if (pool_.takeLimitReport(report)) {
+            reportLimit(report.server, std::nullopt, actions);
+        }
+    }
+    dispatch(now, actions);
+}
+
+void ServiceShard::checkLimits(TimePoint now, ServiceActions &actions)
+{
+    const auto index = probesFirst() ? pool_.wantsLimitCheck(now) : std::nullopt;
+    if (!index || !chooser_.takeProbe(now)) {
+        return;
     }
+    const BackendServer &server = pool_.backends()[*index].server;
+    pool_.limitChecked(server.name, now);
+    actions.emplace_back(StartProbe{0, server.name, server.address, service_.choiceProbes.path, std::nullopt, true});
 }
 
 void ServiceShard::on(TimePoint now, const PayoutStoreAnswered &event, ServiceActions &actions)
@@ -239,6 +281,7 @@
     startWaiting(now, actions);
     tickChoices(now, actions);
     probeWatched(now, actions);
+    checkLimits(now, actions);
     if (probesFirst() && service_.retry.hedgesFromBudget) {
         rescue(now, actions);
     } else if (!probesFirst() && (service_.retry.hedgesFromBudget || service_.retry.hedgePercent > 0)) {
@@ -292,6 +335,9 @@
     note.reportAge = backend.reportedAt ? now - *backend.reportedAt : Duration(0);
     note.probes = request.probes;
     note.waitedBefore = request.arrival.waitedBefore;
+    note.limit = backend.limit.perSecond();
+    note.limitAge = now - backend.limit.heardAt();
+    note.limitShare = pool_.limitShare(backend).value_or(0);
     const bool mayReuse = service_.echoesExchangeTag && kindClass(request) == KindClass::Read;
     actions.emplace_back(
         StartAttempt{request.arrival.request, request.attempts, backend.server.name, backend.server.address, request.arrival.deadline, mayReuse, note});
--- a/src/core/requests/serviceshard.h
+++ b/src/core/requests/serviceshard.h
@@ -92,6 +92,7 @@
     void on(TimePoint now, const FleetSizeChanged &event, ServiceActions &actions);
     void on(TimePoint now, const PeersInFlightTold &event, ServiceActions &actions);
     void on(TimePoint now, const CrashVerdictsChanged &event, ServiceActions &actions);
+    void on(TimePoint now, const LimitsReported &event, ServiceActions &actions);
     void on(TimePoint now, const Tick &event, ServiceActions &actions);
 
     /// Notes that an answer was lost, and finds out whether its server has ended.
@@ -164,6 +165,12 @@
     /// Takes what an answer said of a limit. @param askedAt when the request was sent that it answers.
     void takeLimitNotice(
         TimePoint now, TimePoint askedAt, const std::string &backend, NoticeSource source, const std::optional<LimitNotice> &notice, ServiceActions &actions);
+    /// Tells that the limit on a server's requests has changed. @param source nothing when a peer has told.
+    void reportLimit(const std::string &backend, std::optional<NoticeSource> source, ServiceActions &actions) const;
+    /// Asks servers that are not heard of whether their limits still stand.
+    void checkLimits(TimePoint now, ServiceActions &actions);
+    /// @return after what time a caller should retry, where bounds keep all servers from a request for longer than it is held; else nothing.
+    std::optional<Duration> boundedFor(TimePoint now, Duration objective) const;
     void noteLeaving(const std::string &backend, ServiceActions &actions);
     AttemptQuality qualityOf(const Attempt &attempt, const AttemptOutcome &outcome) const;
     void learn(TimePoint now, const Attempt &attempt, const AttemptEnded &event, ServiceActions &actions);
--- a/src/core/requests/serviceshardchoice.cpp
+++ b/src/core/requests/serviceshardchoice.cpp
@@ -39,10 +39,21 @@
 {
     request.choice.emplace();
     request.choice->isRescue = isRescue;
-    request.giveUpAt = std::min(now + holdFor(request.arrival.latencyObjective), request.arrival.deadline);
+    const bool isInVain = boundedFor(now, request.arrival.latencyObjective).has_value();
+    request.giveUpAt = isInVain ? now : std::min(now + holdFor(request.arrival.latencyObjective), request.arrival.deadline);
     proceedWithChoice(now, request, actions);
 }
 
+std::optional<Duration> ServiceShard::boundedFor(TimePoint now, Duration objective) const
+{
+    const auto until = probesFirst() ? pool_.boundedUntil(now) : std::nullopt;
+    if (!until || *until <= now + holdFor(objective)) {
+        return std::nullopt;
+    }
+    // An entry VM that sends to none of the servers knows of no room; others may have some.
+    return std::min(*until == TimePoint::max() ? Duration::max() : *until - now, comeBackAfterShortage(objective));
+}
+
 void ServiceShard::proceedWithChoice(TimePoint now, Request &request, ServiceActions &actions)
 {
     const ChoiceStep step = chooser_.look(now, pool_, request.tried, needOf(now, request), *request.choice);
@@ -149,7 +160,8 @@
         return false;
     }
     const Fate fate = request.mayHaveRun ? Fate::Unknown : Fate::NotRun;
-    const Duration comeBack = pool_.hasCandidate() ? comeBackAfterShortage(request.arrival.latencyObjective) : ComeBackWithoutServer;
+    const Duration objective = request.arrival.latencyObjective;
+    const Duration comeBack = pool_.hasCandidate() ? boundedFor(now, objective).value_or(comeBackAfterShortage(objective)) : ComeBackWithoutServer;
     refuse(request, {HttpStatus::Unavailable, fate, "choose backend server", name_, noRoomDetail(now, request), comeBack}, actions);
     return true;
 }
--- a/src/core/servers/backendpool.cpp
+++ b/src/core/servers/backendpool.cpp
@@ -32,6 +32,7 @@
 constexpr std::size_t MaxEjectedPart = 3;
 constexpr Duration SilenceWorthProbe = milliseconds(500);
 constexpr double LatencyWeight = 0.1;
+constexpr Duration LimitCheckPause = seconds(2);
 
 bool isIn(std::span<const std::string> names, std::string_view name)
 {
@@ -231,14 +232,41 @@
 bool BackendPool::takeLimitNotice(TimePoint now, TimePoint askedAt, std::string_view name, NoticeSource source, const LimitNotice &notice)
 {
     Backend *backend = findMutable(name);
-    if (!backend) {
-        return false;
+    return backend && backend->limit.take(now, askedAt, source, notice);
+}
+
+bool BackendPool::takeLimitReport(const LimitReport &report)
+{
+    Backend *backend = findMutable(report.server);
+    return backend && backend->limit.takeReport(report);
+}
+
+std::optional<std::size_t> BackendPool::wantsLimitCheck(TimePoint now) const
+{
+    // Who sends nothing to a server hears nothing of the end of its limit, and may have to use the server then.
+    const auto isDue = [now](const Backend &backend) {
+        const bool isAskable = isServing(backend) && backend.limit.perSecond() && backend.limit.isNamedBy(NoticeSource::Probe);
+        const TimePoint last = std::max(backend.limit.heardAt(), backend.limitProbedAt.value_or(TimePoint()));
+        return isAskable && now - last >= LimitCheckPause;
+    };
+    const auto found = std::find_if(backends_.begin(), backends_.end(), isDue);
+    if (found == backends_.end()) {
+        return std::nullopt;
+    }
+    return static_cast<std::size_t>(found - backends_.begin());
+}
+
+void BackendPool::limitChecked(std::string_view name, TimePoint now)
+{
+    if (Backend *backend = findMutable(name)) {
+        backend->limitProbedAt = now;
     }
-    backend->limit.take(now, askedAt, source, notice);
-    LimitNotice &last = backend->limitNotices[static_cast<std::size_t>(source)];
-    const bool isChanged = last != notice;
-    last = notice;
-    return isChanged;
+}
+
+std::optional<int> BackendPool::limitShare(const Backend &backend) const
+{
+    const auto allowance = backend.limit.allowance();
+    return allowance ? std::optional(ownShare(backend, *allowance)) : std::nullopt;
 }
 
 std::optional<TimePoint> BackendPool::boundedUntil(TimePoint now) const
@@ -373,10 +401,14 @@
     });
 }
 
+int BackendPool::ownShare(const Backend &backend, const FleetAllowance &allowance) const
+{
+    return backend.senderRank && place_ ? shareOf(allowance, *backend.senderRank, place_->count) : 0;
+}
+
 std::optional<TimePoint> BackendPool::openingOf(const Backend &backend, const FleetAllowance &allowance, TimePoint now) const
 {
-    const int share = backend.senderRank ? shareOf(allowance, *backend.senderRank, place_->count) : 0;
-    const auto opening = backend.sends.fewerAt(now, share, allowance.window);
+    const auto opening = backend.sends.fewerAt(now, ownShare(backend, allowance), allowance.window);
     if (!opening) {
         return std::nullopt;
     }
--- a/src/core/servers/backendpool.h
+++ b/src/core/servers/backendpool.h
@@ -15,7 +15,6 @@
 #include "core/support/random.h"
 #include "core/support/time.h"
 
-#include <array>
 #include <cstddef>
 #include <optional>
 #include <set>
@@ -66,7 +65,7 @@
     bool isOnTrial = false; ///< Was ejected and has given no good answer since.
     bool isLeaving = false;
     bool isEvacuated = false; ///< Its availability zone gets no requests until operators take it back.
-    std::array<LimitNotice, NoticeSources> limitNotices; ///< The last one of each kind of answer.
+    std::optional<TimePoint> limitProbedAt; ///< When it was last asked whether its limit still stands.
     std::optional<TimePoint> heardAt; ///< Last answer of any kind, good or bad.
 };
 
@@ -118,8 +117,16 @@
     void release(std::string_view name, AttemptQuality quality, Duration latency, TimePoint now);
     /// The server called @p name has told how much longer it stays cold.
     void warmUpTold(std::string_view name, Duration left, TimePoint now);
-    /// Takes what an answer says of a limit. @return whether answers of this kind said something else before.
+    /// Takes what an answer says of a limit. @param askedAt when the request was sent that it answers. @return whether the limit in force has changed.
     bool takeLimitNotice(TimePoint now, TimePoint askedAt, std::string_view name, NoticeSource source, const LimitNotice &notice);
+    /// Takes what a peer has heard of a limit. @return as above.
+    bool takeLimitReport(const LimitReport &report);
+    /// @return a server that is to be asked whether its limit still stands, if any is.
+    std::optional<std::size_t> wantsLimitCheck(TimePoint now) const;
+    /// The server called @p name is being asked that.
+    void limitChecked(std::string_view name, TimePoint now);
+    /// @return requests that this entry VM may send to @p backend in a window of its limit; nothing without one.
+    std::optional<int> limitShare(const Backend &backend) const;
     /// @return when a server may take an attempt again, where nothing but their bounds keeps all servers from it, TimePoint::max() when this entry VM
     /// sends to none of them; nothing where a server takes one now or is kept from it by something else.
     std::optional<TimePoint> boundedUntil(TimePoint now) const;
@@ -148,6 +155,7 @@
     std::vector<FleetAllowance> bounds(const Backend &backend, TimePoint now) const;
     /// @return whether the bounds in force leave room for a request to @p backend.
     bool isWithinBounds(const Backend &backend, TimePoint now) const;
+    int ownShare(const Backend &backend, const FleetAllowance &allowance) const;
     /// @return when @p allowance leaves room for a request of this entry VM; nothing when it never does.
     std::optional<TimePoint> openingOf(const Backend &backend, const FleetAllowance &allowance, TimePoint now) const;
     void countTaken(Backend &backend, TimePoint now);
--- a/src/core/servers/requestlimit.cpp
+++ b/src/core/servers/requestlimit.cpp
@@ -61,9 +61,20 @@
         return false;
     }
     namedAt_ = limit ? now : namedAt_;
+    heardAt_ = now;
     return set(limit ? std::optional(limit->perSecond) : std::nullopt);
 }
 
+bool KnownLimit::takeReport(const LimitReport &report)
+{
+    if (report.heardAt <= heardAt_) {
+        return false;
+    }
+    namedAt_ = report.perSecond ? report.heardAt : namedAt_;
+    heardAt_ = report.heardAt;
+    return set(report.perSecond);
+}
+
 bool KnownLimit::set(std::optional<double> perSecond)
 {
     return std::exchange(perSecond_, perSecond) != perSecond;
@@ -84,9 +95,9 @@
     return areNamedBy_[static_cast<std::size_t>(source)];
 }
 
-TimePoint KnownLimit::namedAt() const
+TimePoint KnownLimit::heardAt() const
 {
-    return namedAt_;
+    return heardAt_;
 }
 
 } // namespace Cloverbarrow
--- a/src/core/servers/requestlimit.h
+++ b/src/core/servers/requestlimit.h
@@ -8,6 +8,7 @@
 #pragma once
 
 #include "core/servers/fleetallowance.h"
+#include "core/servers/limitreport.h"
 #include "core/support/time.h"
 
 #include <array>
@@ -27,7 +28,6 @@
 /// Requests a second that a backend server takes from all entry VMs together.
 struct RequestLimit {
     double perSecond = 0;
-    std::string header = {}; ///< That named it.
 
     bool operator==(const RequestLimit &) const = default;
 };
@@ -60,21 +60,24 @@
 public:
     /// @param askedAt when the request was sent that @p notice answers. @return whether the limit in force has changed.
     bool take(TimePoint now, TimePoint askedAt, NoticeSource source, const LimitNotice &notice);
+    /// Takes what a peer has heard of the limit. @return as above.
+    bool takeReport(const LimitReport &report);
     /// @return requests a second; nothing while no limit is in force.
     std::optional<double> perSecond() const;
     /// @return what all entry VMs of a zone may send to the server; nothing while no limit is in force.
     std::optional<FleetAllowance> allowance() const;
     /// @return whether answers of this kind have ever named a limit, so that one without ends it.
     bool isNamedBy(NoticeSource source) const;
-    /// @return when an answer last named the limit in force.
-    TimePoint namedAt() const;
+    /// @return when it was last heard whether there is a limit.
+    TimePoint heardAt() const;
 
 private:
     bool set(std::optional<double> perSecond);
 
     std::optional<double> perSecond_;
-    TimePoint namedAt_;
-    std::array<bool, NoticeSources> areNamedBy_{};
+    TimePoint namedAt_; ///< When an answer last named the limit in force.
+    TimePoint heardAt_;
+    std::array<bool, NoticeSources> areNamedBy_ = {true, false, false}; ///< Kinds of answers that name a limit while there is one.
 };
 
 } // namespace Cloverbarrow
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -83,6 +83,7 @@
     node_->handle(bootNow(), event, actions);
     for (const NodeAction &action : actions) {
         if (const auto *service = std::get_if<OfService>(&action)) {
+            reportLimit(*service);
             gateway_->perform(*service);
         } else {
             perform(std::get<ControlAction>(action));
@@ -90,6 +91,14 @@
     }
 }
 
+void Daemon::reportLimit(const OfService &action)
+{
+    const auto *changed = std::get_if<ServerLimitChanged>(&action.action);
+    if (directory_ && changed && changed->source) {
+        directory_->reportLimit({changed->backend, changed->perSecond, changed->heardAt});
+    }
+}
+
 void Daemon::perform(const ControlAction &action)
 {
     struct Performer {
--- a/src/daemon/daemon.h
+++ b/src/daemon/daemon.h
@@ -79,6 +79,8 @@
     void startDirectory(const DirectoryParts &parts);
     ControlSettings controlSettings() const;
     void perform(const ControlAction &action);
+    /// Tells peers when a server has told this entry VM of its limit.
+    void reportLimit(const OfService &action);
     void askStore(const AskStore &action);
     void watch(const WatchIntent &action);
     void listVms();
--- a/src/daemon/directoryrunner.cpp
+++ b/src/daemon/directoryrunner.cpp
@@ -10,6 +10,7 @@
 #include "core/support/address.h"
 #include "net/bootclock.h"
 #include "net/crashjson.h"
+#include "net/relaymessages.h"
 
 #include <utility>
 
@@ -29,6 +30,7 @@
     , log_("directory")
     , store_(std::move(client))
     , relay_(http, *store_)
+    , limits_(seed)
 {
     std::string own;
     if (!settings.relayAddress.empty()) {
@@ -47,6 +49,7 @@
         keeper_->tick(bootNow(), actions);
     }
     perform(actions);
+    exchangeLimits();
     if (server_) {
         server_->sweep(bootNow());
     }
@@ -113,6 +116,61 @@
                {"suspected", static_cast<std::int64_t>(news.suspected.size())}});
 }
 
+void DirectoryRunner::reportLimit(const LimitReport &report)
+{
+    const std::lock_guard lock(limitsMutex_);
+    limits_.heard(report);
+}
+
+std::optional<std::string> DirectoryRunner::takeLimits(const std::string &text)
+{
+    LimitUpdate own;
+    try {
+        const std::lock_guard lock(limitsMutex_);
+        own = limits_.take(decodeLimitUpdate(bootNow(), text));
+    } catch (const std::exception &exception) {
+        log_.warn("request limits left out", {{"reason", exception.what()}});
+        return std::nullopt;
+    }
+    passOnLimits();
+    return encodeLimitUpdate(bootNow(), own);
+}
+
+void DirectoryRunner::exchangeLimits()
+{
+    std::vector<std::string> receivers;
+    {
+        const std::lock_guard lock(mutex_);
+        receivers = keeper_->limitPeers();
+    }
+    std::vector<LimitExchange::Message> due;
+    {
+        const std::lock_guard lock(limitsMutex_);
+        due = limits_.takeDue(bootNow(), receivers);
+    }
+    for (const LimitExchange::Message &message : due) {
+        relay_.exchange(message, [this, message](const std::optional<LimitUpdate> &answer) {
+            {
+                const std::lock_guard lock(limitsMutex_);
+                limits_.answered(message, answer);
+            }
+            passOnLimits();
+        });
+    }
+}
+
+void DirectoryRunner::passOnLimits()
+{
+    std::vector<LimitReport> learnt;
+    {
+        const std::lock_guard lock(limitsMutex_);
+        learnt = limits_.takeLearnt();
+    }
+    if (!learnt.empty() && !isStopped_) {
+        events_.handle(LimitsReported{std::move(learnt)});
+    }
+}
+
 bool DirectoryRunner::hasUntoldCrashes()
 {
     const std::lock_guard lock(mutex_);
@@ -137,15 +195,24 @@
         return keeper_ ? keeper_->newsSince(collection, since) : std::nullopt;
     };
     const auto proof = [this](const std::string &follower) {
-        const std::lock_guard lock(mutex_);
-        return keeper_ ? keeper_->proofFor(bootNow(), follower) : std::nullopt;
+        std::optional<RelayProof> shown;
+        {
+            const std::lock_guard lock(mutex_);
+            shown = keeper_ ? keeper_->proofFor(bootNow(), follower) : std::nullopt;
+        }
+        if (shown) {
+            const std::lock_guard lock(limitsMutex_);
+            shown->limits = limits_.version();
+        }
+        return shown;
     };
     const auto isStarting = [this] {
         const std::lock_guard lock(mutex_);
         return !keeper_ || keeper_->mayProveSoon();
     };
     const auto crashNews = [this](const std::string &text) { return takeCrashNews(text); };
-    server_ = std::make_unique<RelayServer>(address, RelaySource{look, proof, isStarting, crashNews});
+    server_ =
+        std::make_unique<RelayServer>(address, RelaySource{look, proof, isStarting, crashNews, [this](const std::string &text) { return takeLimits(text); }});
 }
 
 void DirectoryRunner::answered(const DirectoryAnswer &answer)
@@ -153,6 +220,7 @@
     if (isStopped_) {
         return;
     }
+    takeLimitVersion(answer.event);
     DirectoryActions actions;
     {
         const std::lock_guard lock(mutex_);
@@ -164,6 +232,21 @@
     }
 }
 
+void DirectoryRunner::takeLimitVersion(const DirectoryEvent &event)
+{
+    const auto take = [this](const std::string &relay, const std::optional<RelayProof> &proof) {
+        if (proof) {
+            const std::lock_guard lock(limitsMutex_);
+            limits_.shown(relay, proof->limits);
+        }
+    };
+    if (const auto *checked = std::get_if<RelayChecked>(&event)) {
+        take(checked->relay, checked->proof);
+    } else if (const auto *compared = std::get_if<RelayCompared>(&event)) {
+        take(compared->relay, compared->proof);
+    }
+}
+
 void DirectoryRunner::perform(const DirectoryActions &actions)
 {
     struct Performer {
--- a/src/daemon/directoryrunner.h
+++ b/src/daemon/directoryrunner.h
@@ -49,6 +49,8 @@
     /// What is told of them to others beside the store.
     void tellCrashes(const SpreadCrashNews &action);
     void tellCrashes(const SendCrashNews &action);
+    /// A server has told this entry VM of its limit on requests.
+    void reportLimit(const LimitReport &report);
     /// @return whether the store does not hold that yet.
     bool hasUntoldCrashes();
     /// Answers that come later are left aside.
@@ -60,6 +62,13 @@
     /// Takes what another entry VM tells of servers that ended. @return whether it can be read.
     bool takeCrashNews(const std::string &text);
     void logNews(const CrashNews &news);
+    /// Takes an entry VM's reports on request limits. @return the own ones; nothing when they cannot be read.
+    std::optional<std::string> takeLimits(const std::string &text);
+    /// Takes what a relay's proof shows of its reports on request limits.
+    void takeLimitVersion(const DirectoryEvent &event);
+    void exchangeLimits();
+    /// Hands reports of peers to the core.
+    void passOnLimits();
     void startRelay(const std::string &address);
     void answered(const DirectoryAnswer &answer);
     void perform(const DirectoryActions &actions);
@@ -73,6 +82,8 @@
     std::atomic<bool> isStopped_{false};
     std::mutex mutex_;
     std::optional<DirectoryKeeper> keeper_; ///< Guarded by the mutex.
+    std::mutex limitsMutex_;
+    LimitExchange limits_; ///< Guarded by its mutex.
     std::unique_ptr<RelayServer> server_; ///< Null where nobody relays.
 };
 
--- a/src/daemon/gateway.cpp
+++ b/src/daemon/gateway.cpp
@@ -190,10 +190,15 @@
         {
             gateway.log_.serverEjected(of.service, typed);
         }
-        void operator()(const ServerLimitNoticed &typed) const
+        void operator()(const ServerLimitChanged &typed) const
         {
-            gateway.log_.serverLimitNoticed(of.service, typed);
-            gateway.telemetry_.limitNoticed(of.service, typed.notice);
+            gateway.log_.serverLimitChanged(of.service, typed);
+            gateway.telemetry_.limitChanged(of.service, typed.backend, typed.perSecond);
+        }
+        void operator()(const ServerLimitUnreadable &typed) const
+        {
+            gateway.log_.serverLimitUnreadable(of.service, typed);
+            gateway.telemetry_.limitUnreadable(of.service);
         }
     };
     std::visit(Performer{*this, action}, action.action);
@@ -317,13 +322,13 @@
     telemetry_.probeStarted(of.service);
     HttpCall call = protocol_.probe(action);
     call.address = action.address;
-    call.timeout = action.request || action.checksEnd ? ChoiceProbeTimeout : ProbeTimeout;
+    call.timeout = action.request || action.isExtra ? ChoiceProbeTimeout : ProbeTimeout;
     call.mayReuseConnection = action.request.has_value();
     backends_.start(nextProbe_++, std::move(call), [this, service = of.service, action, askedAt = bootNow()](const HttpOutcome &outcome) {
         ProbeEnded ended;
         ended.backend = action.backend;
         ended.request = action.request;
-        ended.checksEnd = action.checksEnd;
+        ended.isExtra = action.isExtra;
         ended.askedAt = askedAt;
         if (const auto *answer = std::get_if<HttpAnswer>(&outcome)) {
             ended.isHealthy = answer->status < HttpStatus::ServerError;
@@ -336,7 +341,7 @@
             ended.sign = LifeSign::TurnedAway;
         }
         events_.handle(ForService{service, ended});
-        if (!action.request && !action.checksEnd) {
+        if (!action.request && !action.isExtra) {
             events_.handle(ControlEvent(ProbeFinished{service, action.share}));
         }
     });
--- a/src/daemon/requestlog.cpp
+++ b/src/daemon/requestlog.cpp
@@ -72,7 +72,10 @@
                {"running", std::int64_t(report.running)},
                {"waiting", std::int64_t(report.waiting)},
                {"slots", std::int64_t(report.slots)},
-               {"slowness", report.slowness}});
+               {"slowness", report.slowness},
+               {"limit_per_second", action.note.limit.value_or(-1)},
+               {"limit_age_ms", action.note.limit ? toMilliseconds(action.note.limitAge) : -1.0},
+               {"limit_share", std::int64_t(action.note.limitShare)}});
 }
 
 void RequestLog::attemptEnded(std::string_view id, const RequestContent &content, const std::string &service, int attempt, const HttpOutcome &outcome) const
@@ -101,31 +104,25 @@
     log_.info("server ejected", {{"service", service}, {"server", action.backend}, {"lasts_ms", toMilliseconds(action.lasts)}, {"after", action.reason}});
 }
 
-void RequestLog::serverLimitNoticed(const std::string &service, const ServerLimitNoticed &action) const
-{
-    constexpr std::array Sources = {"run", "rejection", "probe"};
-    const char *source = Sources[static_cast<std::size_t>(action.source)];
-    struct Writer {
-        const Log &log;
-        const std::string &service;
-        const std::string &server;
-        const char *source;
-
-        void operator()(const NoRequestLimit &) const
-        {
-            log.info("answers name no request limit any more", {{"service", service}, {"server", server}, {"source", source}});
-        }
-        void operator()(const RequestLimit &limit) const
-        {
-            log.info("answers name a request limit",
-                     {{"service", service}, {"server", server}, {"source", source}, {"per_second", limit.perSecond}, {"header", limit.header}});
-        }
-        void operator()(const UnreadableLimit &limit) const
-        {
-            log.warn("request limit cannot be read", {{"service", service}, {"server", server}, {"source", source}, {"text", limit.text}});
-        }
-    };
-    std::visit(Writer{log_, service, action.backend, source}, action.notice);
+void RequestLog::serverLimitChanged(const std::string &service, const ServerLimitChanged &action) const
+{
+    constexpr std::array Sources = {"answer", "rejection", "probe"};
+    const char *source = action.source ? Sources[static_cast<std::size_t>(*action.source)] : "peer";
+    if (action.perSecond) {
+        log_.info("server limit",
+                  {{"service", service},
+                   {"server", action.backend},
+                   {"per_second", *action.perSecond},
+                   {"share", std::int64_t(action.share.value_or(0))},
+                   {"told_by", source}});
+    } else {
+        log_.info("server limit ended", {{"service", service}, {"server", action.backend}, {"told_by", source}});
+    }
+}
+
+void RequestLog::serverLimitUnreadable(const std::string &service, const ServerLimitUnreadable &action) const
+{
+    log_.warn("server limit cannot be read", {{"service", service}, {"server", action.backend}, {"text", action.text}});
 }
 
 void RequestLog::serverEnded(const std::string &service, const TellServerEnded &action) const
--- a/src/daemon/requestlog.h
+++ b/src/daemon/requestlog.h
@@ -33,7 +33,8 @@
     void attemptEnded(std::string_view id, const RequestContent &content, const std::string &service, int attempt, const HttpOutcome &outcome) const;
     void attemptCancelled(std::string_view id, const CancelAttempt &action) const;
     void serverEjected(const std::string &service, const ServerEjected &action) const;
-    void serverLimitNoticed(const std::string &service, const ServerLimitNoticed &action) const;
+    void serverLimitChanged(const std::string &service, const ServerLimitChanged &action) const;
+    void serverLimitUnreadable(const std::string &service, const ServerLimitUnreadable &action) const;
     void serverEnded(const std::string &service, const TellServerEnded &action) const;
     void serverHeardAgain(const std::string &service, const TellServerHeardAgain &action) const;
     void suspectAnswered(const std::string &service, const TellSuspectAnswered &action) const;
--- a/src/daemon/telemetry.cpp
+++ b/src/daemon/telemetry.cpp
@@ -14,7 +14,6 @@
 #include <prometheus/text_serializer.h>
 
 #include <algorithm>
-#include <array>
 
 namespace Cloverbarrow
 {
@@ -51,9 +50,10 @@
         , attempts(prometheus::BuildCounter().Name("cloverbarrow_attempts_total").Help("Attempts sent to backend servers").Register(registry))
         , probes(prometheus::BuildCounter().Name("cloverbarrow_probes_total").Help("Measurements sent to backend servers").Register(registry))
         , limits(prometheus::BuildCounter()
-                     .Name("cloverbarrow_server_limit_notices_total")
+                     .Name("cloverbarrow_server_limit_changes_total")
                      .Help("Changes of request limits that backend servers name")
                      .Register(registry))
+        , limited(prometheus::BuildGauge().Name("cloverbarrow_limited_servers").Help("Backend servers that name a request limit").Register(registry))
         , state(prometheus::BuildGauge().Name("cloverbarrow_state").Help("State of this entry VM").Register(registry))
     {
     }
@@ -62,6 +62,7 @@
     prometheus::Family<prometheus::Counter> &attempts;
     prometheus::Family<prometheus::Counter> &probes;
     prometheus::Family<prometheus::Counter> &limits;
+    prometheus::Family<prometheus::Gauge> &limited;
     prometheus::Family<prometheus::Gauge> &state;
 };
 
@@ -96,10 +97,22 @@
     families_->probes.Add({{"service", service}}).Increment();
 }
 
-void Telemetry::limitNoticed(const std::string &service, const LimitNotice &notice)
+void Telemetry::limitChanged(const std::string &service, const std::string &server, const std::optional<double> &perSecond)
 {
-    constexpr std::array Kinds = {"none", "named", "unreadable"};
-    families_->limits.Add({{"service", service}, {"notice", Kinds[notice.index()]}}).Increment();
+    families_->limits.Add({{"service", service}, {"change", perSecond ? "named" : "ended"}}).Increment();
+    const std::lock_guard lock(limitMutex_);
+    auto &servers = limited_[service];
+    if (perSecond) {
+        servers.insert(server);
+    } else {
+        servers.erase(server);
+    }
+    families_->limited.Add({{"service", service}}).Set(static_cast<double>(servers.size()));
+}
+
+void Telemetry::limitUnreadable(const std::string &service)
+{
+    families_->limits.Add({{"service", service}, {"change", "unreadable"}}).Increment();
 }
 
 void Telemetry::setGauges(const NodeGauges &gauges)
--- a/src/daemon/telemetry.h
+++ b/src/daemon/telemetry.h
@@ -9,13 +9,14 @@
 
 #include "core/burn/burncounter.h"
 #include "core/intent/configuration.h"
-#include "core/servers/requestlimit.h"
 #include "core/support/time.h"
 
 #include <cstdint>
 #include <map>
 #include <memory>
 #include <mutex>
+#include <optional>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -60,8 +61,9 @@
     void requestEnded(TimePoint now, const Service &service, const RequestKind &kind, CallerOutcome outcome, Duration latency);
     void attemptStarted(const std::string &service, bool isRetry);
     void probeStarted(const std::string &service);
-    /// Counts that a backend server's answers name another limit than before.
-    void limitNoticed(const std::string &service, const LimitNotice &notice);
+    /// A backend server's limit on requests has changed. @param perSecond nothing when it has ended.
+    void limitChanged(const std::string &service, const std::string &server, const std::optional<double> &perSecond);
+    void limitUnreadable(const std::string &service);
     void setGauges(const NodeGauges &gauges);
 
     /// One service and kind over one window.
@@ -85,6 +87,8 @@
     std::unique_ptr<Families> families_;
     mutable std::mutex burnMutex_;
     std::map<Key, BurnCounter> burn_;
+    std::mutex limitMutex_;
+    std::map<std::string, std::set<std::string>> limited_; ///< Servers with a limit, by service.
 };
 
 } // namespace Cloverbarrow
--- a/src/net/relayclient.cpp
+++ b/src/net/relayclient.cpp
@@ -8,6 +8,7 @@
 #include "net/relayclient.h"
 
 #include "core/support/httpstatus.h"
+#include "net/bootclock.h"
 #include "net/crashjson.h"
 #include "net/relaylists.h"
 #include "net/relaymessages.h"
@@ -116,20 +117,43 @@
 }
 
 void RelayClient::tell(const std::string &address, const CrashNewsMessage &message)
+{
+    post(address, CrashNewsTarget, encodeCrashNews(message), [this, address](const HttpOutcome &outcome) {
+        if (!hasStatus(outcome, HttpStatus::Ok)) {
+            log_.info("crash news not taken", {{"peer", address}});
+        }
+    });
+}
+
+void RelayClient::exchange(const LimitExchange::Message &message, std::function<void(std::optional<LimitUpdate>)> done)
+{
+    const auto take = [this, address = message.peer, done = std::move(done)](const HttpOutcome &outcome) {
+        if (!hasStatus(outcome, HttpStatus::Ok)) {
+            log_.info("request limits not exchanged", {{"peer", address}});
+            done(std::nullopt);
+            return;
+        }
+        try {
+            done(decodeLimitUpdate(bootNow(), std::get<HttpAnswer>(outcome).body));
+        } catch (const std::exception &exception) {
+            log_.warn("request limits left out", {{"peer", address}, {"reason", exception.what()}});
+            done(std::nullopt);
+        }
+    };
+    post(message.peer, LimitsTarget, encodeLimitUpdate(bootNow(), message.update), take);
+}
+
+void RelayClient::post(const std::string &address, std::string_view target, std::string body, HttpDone done)
 {
     HttpCall call;
     call.address = address;
     call.request.method = "POST";
-    call.request.target = std::string(CrashNewsTarget);
+    call.request.target = std::string(target);
     call.request.headers = {{"Host", address}, {"Content-Type", "application/json"}};
-    call.request.body = encodeCrashNews(message);
+    call.request.body = std::move(body);
     call.timeout = CheckTimeout;
     call.mayReuseConnection = true;
-    client_.start(nextCall_++, std::move(call), [this, address](const HttpOutcome &outcome) {
-        if (!hasStatus(outcome, HttpStatus::Ok)) {
-            log_.info("crash news not taken", {{"peer", address}});
-        }
-    });
+    client_.start(nextCall_++, std::move(call), std::move(done));
 }
 
 void RelayClient::get(const std::string &relay, const std::string &target, Duration timeout, HttpDone done)
--- a/src/net/relaymessages.cpp
+++ b/src/net/relaymessages.cpp
@@ -56,8 +56,55 @@
     return place;
 }
 
+Json encodeVersion(const LimitVersion &version)
+{
+    return {{"process", version.process}, {"sequence", version.sequence}};
+}
+
+LimitVersion decodeVersion(const Json &body)
+{
+    return {body.at("process").get<std::uint64_t>(), body.at("sequence").get<std::uint64_t>()};
+}
+
+/// @throws std::exception when no server can name such a limit.
+std::optional<double> limitIn(const Json &report)
+{
+    if (!report.contains("per_second")) {
+        return std::nullopt;
+    }
+    const auto perSecond = report.at("per_second").get<double>();
+    if (!(perSecond >= 0)) {
+        throw std::invalid_argument("limit of " + std::to_string(perSecond) + " a second");
+    }
+    return perSecond;
+}
+
 } // namespace
 
+std::string encodeLimitUpdate(TimePoint now, const LimitUpdate &update)
+{
+    Json reports = Json::array();
+    for (const LimitReport &report : update.reports) {
+        Json item = {{"server", report.server}, {"age_us", (now - report.heardAt).count()}};
+        if (report.perSecond) {
+            item["per_second"] = *report.perSecond;
+        }
+        reports.push_back(std::move(item));
+    }
+    return Json{{"version", encodeVersion(update.version)}, {"known", encodeVersion(update.known)}, {"reports", std::move(reports)}}.dump();
+}
+
+LimitUpdate decodeLimitUpdate(TimePoint now, std::string_view text)
+{
+    const Json body = Json::parse(text);
+    LimitUpdate update{decodeVersion(body.at("version")), decodeVersion(body.at("known")), {}};
+    for (const Json &report : body.at("reports")) {
+        const Duration age(std::max<Duration::rep>(0, report.at("age_us").get<Duration::rep>()));
+        update.reports.push_back({report.at("server").get<std::string>(), limitIn(report), now - age});
+    }
+    return update;
+}
+
 std::string newsTarget(const NewsRequest &request)
 {
     const std::string_view name = CollectionNames.at(indexOf(request.collection));
@@ -120,6 +167,9 @@
 {
     Json body = {{"age_us", proof.age.count()}, {"hears_from_store", proof.hearsFromStore}, {"entry_vms", proof.entryVms}, {"other_relays", proof.otherRelays}};
     body["newest"] = proof.newest;
+    if (proof.limits.sequence > 0) {
+        body["limits"] = encodeVersion(proof.limits);
+    }
     if (proof.place) {
         body["place"] = {{"number", proof.place->number}, {"count", proof.place->count}};
     }
@@ -136,6 +186,9 @@
     if (body.contains("newest")) {
         proof.newest = body.at("newest").get<NewestRevisions>();
     }
+    if (body.contains("limits")) {
+        proof.limits = decodeVersion(body.at("limits"));
+    }
     if (body.contains("place")) {
         proof.place = placeIn(body.at("place"));
     }
--- a/src/net/relaymessages.h
+++ b/src/net/relaymessages.h
@@ -37,6 +37,14 @@
 /// @return the news; entries have their texts only. @throws std::exception when it is of another form.
 DirectoryNews decodeNews(std::string_view text);
 
+/// The request target under which an entry VM takes reports on request limits, as the body of the request, and answers with its own.
+constexpr std::string_view LimitsTarget = "/relay/limits";
+
+/// @param now by which ages are told.
+std::string encodeLimitUpdate(TimePoint now, const LimitUpdate &update);
+/// @throws std::exception when it is of another form.
+LimitUpdate decodeLimitUpdate(TimePoint now, std::string_view text);
+
 /// @return the request target under which a relay shows @p follower that it hears from the store.
 std::string proofTarget(const std::string &follower);
 /// @return the follower in @p target, if it asks for that.
--- a/src/net/relayserver.cpp
+++ b/src/net/relayserver.cpp
@@ -69,6 +69,11 @@
         connection->answer(answerOf(isTaken ? HttpStatus::Ok : HttpStatus::NotFound, "{}"), false);
         return;
     }
+    if (request.target == LimitsTarget) {
+        const auto own = source_.limits ? source_.limits(request.body) : std::nullopt;
+        connection->answer(answerOf(own ? HttpStatus::Ok : HttpStatus::NotFound, own.value_or("{}")), false);
+        return;
+    }
     const auto asked = parseNewsTarget(request.target);
     if (!asked) {
         connection->answer(answerOf(HttpStatus::NotFound, "{}"), false);
--- a/src/net/relayserver.h
+++ b/src/net/relayserver.h
@@ -33,6 +33,8 @@
     std::function<bool()> isStarting;
     /// Takes the crash news that an entry VM tells. @return whether they can be read.
     std::function<bool(const std::string &text)> crashNews;
+    /// Takes an entry VM's reports on request limits. @return the own ones; nothing when they cannot be read.
+    std::function<std::optional<std::string>(const std::string &text)> limits;
 };
 
 /// Tells other entry VMs of the availability zone what this one knows of the directory. JSON over HTTP rather than
--- a/tests/platform/anotherservertests.cpp
+++ b/tests/platform/anotherservertests.cpp
@@ -103,7 +103,7 @@
         if (const auto *probe = std::get_if<StartProbe>(&action)) {
             const bool isUp = probe->backend != ended;
             const auto report = isUp ? std::optional(LoadReport{0, 0, 3, 1.0}) : std::nullopt;
-            handle(ProbeEnded{probe->backend, isUp, false, report, probe->request, isUp ? LifeSign::Answered : LifeSign::TurnedAway, probe->checksEnd});
+            handle(ProbeEnded{probe->backend, isUp, false, report, probe->request, isUp ? LifeSign::Answered : LifeSign::TurnedAway, probe->isExtra});
         } else if (const auto *start = std::get_if<StartAttempt>(&action)) {
             started = *start;
         } else if (std::holds_alternative<TellServerEnded>(action)) {
--- a/tests/platform/requestlimittests.cpp
+++ b/tests/platform/requestlimittests.cpp
@@ -50,3 +50,21 @@
     zones.stopLoad();
     CHECK(zones.areAllServed());
 }
+
+TEST_CASE("A server whose request limit has ended is used again by entry VMs that had stopped sending to it", "[platform][path][limit]")
+{
+    const LimitBearers bearers = GENERATE(LimitBearers::Requests, LimitBearers::RequestsAndProbes);
+    LoadedZones zones(EntryVms);
+    zones.startLoad();
+    REQUIRE(eventually([&zones] { return zones.runsNear() > 20; }));
+    zones.near().nameLimit("2.0", bearers);
+    std::this_thread::sleep_for(TouchTime + Window);
+    zones.near().nameLimit("", bearers);
+    std::this_thread::sleep_for(TouchTime);
+    const TimePoint from = bootNow();
+    std::this_thread::sleep_for(Window);
+    // Two requests in 60 ms of each of four callers go to two servers.
+    CHECK(zones.near().mostRuns(Window, from) >= 60);
+    zones.stopLoad();
+    CHECK(zones.areAllServed());
+}
--- a/tests/support/describe.cpp
+++ b/tests/support/describe.cpp
@@ -105,10 +105,13 @@
     {
         return "eject " + action.backend + " for " + std::to_string(std::chrono::floor<milliseconds>(action.lasts).count()) + " ms after " + action.reason;
     }
-    std::string operator()(const ServerLimitNoticed &action) const
+    std::string operator()(const ServerLimitChanged &action) const
     {
-        const auto *limit = std::get_if<RequestLimit>(&action.notice);
-        return "limit of " + action.backend + (limit ? " is " + std::to_string(limit->perSecond) : " is none");
+        return "limit of " + action.backend + (action.perSecond ? " is " + std::to_string(*action.perSecond) : " has ended");
+    }
+    std::string operator()(const ServerLimitUnreadable &action) const
+    {
+        return "limit of " + action.backend + " cannot be read: " + action.text;
     }
     std::string operator()(const SendHeartbeat &action) const
     {
--- a/tests/unit/lyingservertests.cpp
+++ b/tests/unit/lyingservertests.cpp
@@ -86,7 +86,7 @@
         if (const auto *probe = std::get_if<StartProbe>(&action)) {
             const bool isWell = !isLinkCut && !calledIll.contains(probe->backend);
             const LifeSign sign = isLinkCut ? LifeSign::Silent : LifeSign::Answered;
-            handle(ProbeEnded{probe->backend, isWell, false, isLinkCut ? std::nullopt : std::optional(load), probe->request, sign, probe->checksEnd});
+            handle(ProbeEnded{probe->backend, isWell, false, isLinkCut ? std::nullopt : std::optional(load), probe->request, sign, probe->isExtra});
         } else if (const auto *start = std::get_if<StartAttempt>(&action)) {
             end(*start);
         } else if (std::holds_alternative<Refuse>(action)) {
--- a/tests/unit/probedchoicetests.cpp
+++ b/tests/unit/probedchoicetests.cpp
@@ -99,8 +99,8 @@
     {
         if (const auto *probe = std::get_if<StartProbe>(&action)) {
             ++probes;
-            endProbes += probe->checksEnd ? 1 : 0;
-            if (probe->checksEnd && !reports.contains(probe->backend)) {
+            endProbes += probe->isExtra ? 1 : 0;
+            if (probe->isExtra && !reports.contains(probe->backend)) {
                 handle(ProbeEnded{probe->backend, false, false, std::nullopt, std::nullopt, LifeSign::Silent, true});
             }
             if (const auto found = reports.find(probe->backend); found != reports.end()) {
