Request limits hold over whole fleets, also while they change and entry VMs start anew

A property over whole zones without a network (1 to 400 entry VMs, restarts, cuts, relays that hand over; limits that fall, rise, end and return) found, each before its mend: a higher limit gave its whole allowance at once (10 requests where a window that began before the rise allows 9), so an allowance is now that of the window's mean; reports that came before a server or service was known were lost, so a node keeps them; places that nobody has left their shares unused (with one entry VM up to all of it), so a zone has as many places as entry VMs. A sender spreads its share over the window, at most twice as fast as evenly.

Share of the limit that is used while all want to send: 0.7 or more of it, 1 to 200 entry VMs, limits of 0.5 to 10 (property).

--- a/src/core/directory/fleetestimate.cpp
+++ b/src/core/directory/fleetestimate.cpp
@@ -29,7 +29,6 @@
 // All entry VMs of a zone have asked by then, also slow ones after they were all started anew (0.1 core: 1.5 s); were places told before, each would
 // think itself one of few.
 constexpr Duration CountingTime = seconds(2);
-constexpr int PlaceStep = 4;
 // This entry VM's own, when it relays.
 constexpr int OwnPlace = 0;
 
@@ -85,7 +84,7 @@
     for (const auto &[address, follower] : followers_) {
         count = std::max(count, follower.place + 1);
     }
-    return (count + PlaceStep - 1) / PlaceStep * PlaceStep;
+    return count;
 }
 
 bool FleetEstimate::hasCounted(TimePoint now) const
--- a/src/core/directory/fleetestimate.h
+++ b/src/core/directory/fleetestimate.h
@@ -54,7 +54,7 @@
 
     /// @return the lowest place that nobody has.
     int freePlace() const;
-    /// @return how many places there are at least; rises by steps, so that one more entry VM seldom moves others' shares.
+    /// @return how many places there are. One more moves the senders of few servers, and one that nobody has would leave their shares unused.
     int places() const;
     bool hasCounted(TimePoint now) const;
 
--- a/src/core/node.cpp
+++ b/src/core/node.cpp
@@ -9,6 +9,7 @@
 
 #include "core/support/stablehash.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace Cloverbarrow
@@ -17,6 +18,9 @@
 namespace
 {
 
+// Servers whose limits peers have told, also of such as have ended since.
+constexpr std::size_t MostLimitReports = 4096;
+
 /// Passes on to the control shard what a service has found out of servers that ended, if the action is of that kind.
 void tellControl(const ServiceAction &action, std::vector<NodeEvent> &internal)
 {
@@ -80,7 +84,7 @@
     } else if (std::holds_alternative<ServicesTick>(event)) {
         tellAll(Tick{}, internal);
     } else if (const auto *limits = std::get_if<LimitsReported>(&event)) {
-        tellAll(*limits, internal);
+        takeLimits(*limits, internal);
     } else {
         handleControl(now, std::get<ControlEvent>(event), actions, internal);
     }
@@ -171,6 +175,16 @@
             internal.emplace_back(ForService{service.name, ServiceConfigured{intent->version, service}});
         }
     }
+    if (!limitReports_.empty()) {
+        // Reports may come before the server is known.
+        LimitsReported limits;
+        for (const auto &[server, report] : limitReports_) {
+            limits.reports.push_back(report);
+        }
+        for (const Service &service : intent->configuration.services) {
+            internal.emplace_back(ForService{service.name, limits});
+        }
+    }
     // A service that is gone keeps its shard until its requests have ended; without servers it takes no new ones.
     for (const auto &[name, shard] : services_) {
         if (!intent->configuration.findService(name)) {
@@ -179,6 +193,21 @@
     }
 }
 
+void Node::takeLimits(const LimitsReported &limits, std::vector<NodeEvent> &internal)
+{
+    {
+        const std::lock_guard lock(mapMutex_);
+        for (const LimitReport &report : limits.reports) {
+            limitReports_.insert_or_assign(report.server, report);
+        }
+        const auto isOlder = [](const auto &left, const auto &right) { return left.second.heardAt < right.second.heardAt; };
+        while (limitReports_.size() > MostLimitReports) {
+            limitReports_.erase(std::min_element(limitReports_.begin(), limitReports_.end(), isOlder));
+        }
+    }
+    tellAll(limits, internal);
+}
+
 void Node::resize(const FleetResized &fleet, std::vector<NodeEvent> &internal)
 {
     {
--- a/src/core/node.h
+++ b/src/core/node.h
@@ -101,6 +101,8 @@
     void handleService(TimePoint now, const ForService &event, NodeActions &actions, std::vector<NodeEvent> &internal);
     void handleControl(TimePoint now, const ControlEvent &event, NodeActions &actions, std::vector<NodeEvent> &internal);
     void install(const std::shared_ptr<const IntentInForce> &intent, std::vector<NodeEvent> &internal);
+    /// Takes reports of peers on request limits.
+    void takeLimits(const LimitsReported &limits, std::vector<NodeEvent> &internal);
     void resize(const FleetResized &fleet, std::vector<NodeEvent> &internal);
     void spread(const CrashVerdictsReached &reached, std::vector<NodeEvent> &internal);
     void tellLeaving(std::vector<NodeEvent> &internal) const;
@@ -117,6 +119,7 @@
     std::shared_ptr<const IntentInForce> intent_;
     Latest<int> entryVms_{1};
     Latest<std::shared_ptr<const CrashVerdicts>> crashVerdicts_{nullptr};
+    std::map<std::string, LimitReport> limitReports_; ///< Newest of each server, guarded by the map's mutex.
 };
 
 } // namespace Cloverbarrow
--- a/src/core/requests/serviceshard.cpp
+++ b/src/core/requests/serviceshard.cpp
@@ -191,21 +191,21 @@
     if (const auto *unreadable = std::get_if<UnreadableLimit>(&*notice)) {
         actions.emplace_back(ServerLimitUnreadable{backend, unreadable->text});
     } else if (pool_.takeLimitNotice(now, askedAt, backend, source, *notice)) {
-        reportLimit(backend, source, actions);
+        reportLimit(now, backend, source, actions);
     }
 }
 
-void ServiceShard::reportLimit(const std::string &backend, std::optional<NoticeSource> source, ServiceActions &actions) const
+void ServiceShard::reportLimit(TimePoint now, const std::string &backend, std::optional<NoticeSource> source, ServiceActions &actions) const
 {
     const Backend &known = *pool_.find(backend);
-    actions.emplace_back(ServerLimitChanged{backend, known.limit.perSecond(), pool_.limitShare(known), source, known.limit.heardAt()});
+    actions.emplace_back(ServerLimitChanged{backend, known.limit.perSecond(), pool_.limitShare(known, now), source, known.limit.heardAt()});
 }
 
 void ServiceShard::on(TimePoint now, const LimitsReported &event, ServiceActions &actions)
 {
     for (const LimitReport &report : event.reports) {
-        if (pool_.takeLimitReport(report)) {
-            reportLimit(report.server, std::nullopt, actions);
+        if (pool_.takeLimitReport(now, report)) {
+            reportLimit(now, report.server, std::nullopt, actions);
         }
     }
     dispatch(now, actions);
@@ -337,7 +337,7 @@
     note.waitedBefore = request.arrival.waitedBefore;
     note.limit = backend.limit.perSecond();
     note.limitAge = now - backend.limit.heardAt();
-    note.limitShare = pool_.limitShare(backend).value_or(0);
+    note.limitShare = pool_.limitShare(backend, now).value_or(0);
     const bool mayReuse = service_.echoesExchangeTag && kindClass(request) == KindClass::Read;
     actions.emplace_back(
         StartAttempt{request.arrival.request, request.attempts, backend.server.name, backend.server.address, request.arrival.deadline, mayReuse, note});
--- a/src/core/servers/backendpool.cpp
+++ b/src/core/servers/backendpool.cpp
@@ -33,6 +33,8 @@
 constexpr Duration SilenceWorthProbe = milliseconds(500);
 constexpr double LatencyWeight = 0.1;
 constexpr Duration LimitCheckPause = seconds(2);
+// A sender sends at most so many times faster than its share of a bound would be if it were spread evenly.
+constexpr int LargestPaceFactor = 2;
 
 bool isIn(std::span<const std::string> names, std::string_view name)
 {
@@ -235,10 +237,10 @@
     return backend && backend->limit.take(now, askedAt, source, notice);
 }
 
-bool BackendPool::takeLimitReport(const LimitReport &report)
+bool BackendPool::takeLimitReport(TimePoint now, const LimitReport &report)
 {
     Backend *backend = findMutable(report.server);
-    return backend && backend->limit.takeReport(report);
+    return backend && backend->limit.takeReport(now, report);
 }
 
 std::optional<std::size_t> BackendPool::wantsLimitCheck(TimePoint now) const
@@ -263,9 +265,9 @@
     }
 }
 
-std::optional<int> BackendPool::limitShare(const Backend &backend) const
+std::optional<int> BackendPool::limitShare(const Backend &backend, TimePoint now) const
 {
-    const auto allowance = backend.limit.allowance();
+    const auto allowance = backend.limit.allowance(now);
     return allowance ? std::optional(ownShare(backend, *allowance)) : std::nullopt;
 }
 
@@ -386,7 +388,7 @@
         // Idle servers look best to all entry VMs at once, and a cold one crashes at a rate that it bears when warm.
         all.push_back(*coldStart_);
     }
-    if (const auto limit = backend.limit.allowance()) {
+    if (const auto limit = backend.limit.allowance(now)) {
         all.push_back(*limit);
     }
     return all;
@@ -408,15 +410,18 @@
 
 std::optional<TimePoint> BackendPool::openingOf(const Backend &backend, const FleetAllowance &allowance, TimePoint now) const
 {
-    const auto opening = backend.sends.fewerAt(now, ownShare(backend, allowance), allowance.window);
+    const int share = ownShare(backend, allowance);
+    const auto opening = backend.sends.fewerAt(now, share, allowance.window);
     if (!opening) {
         return std::nullopt;
     }
+    // A server that takes few requests does not take the share of a window at once.
+    const TimePoint paced = backend.sends.lastStart() + allowance.window / (share * LargestPaceFactor);
     // Allowances leave room for the senders by one change of places, not by two. Others notice a change later by the lifetime of a place.
     const TimePoint settled = formerPlaceChangedAt_ + allowance.window + FleetPlaceLifetime;
     // What a former process of this entry VM sent is in no window any more by then.
     const TimePoint forgotten = *configuredAt_ + allowance.window;
-    return std::max({*opening, settled, forgotten});
+    return std::max({*opening, paced, settled, forgotten});
 }
 
 std::vector<std::size_t> BackendPool::candidates(TimePoint now, std::span<const std::string> tried) const
--- a/src/core/servers/backendpool.h
+++ b/src/core/servers/backendpool.h
@@ -120,13 +120,13 @@
     /// Takes what an answer says of a limit. @param askedAt when the request was sent that it answers. @return whether the limit in force has changed.
     bool takeLimitNotice(TimePoint now, TimePoint askedAt, std::string_view name, NoticeSource source, const LimitNotice &notice);
     /// Takes what a peer has heard of a limit. @return as above.
-    bool takeLimitReport(const LimitReport &report);
+    bool takeLimitReport(TimePoint now, const LimitReport &report);
     /// @return a server that is to be asked whether its limit still stands, if any is.
     std::optional<std::size_t> wantsLimitCheck(TimePoint now) const;
     /// The server called @p name is being asked that.
     void limitChecked(std::string_view name, TimePoint now);
     /// @return requests that this entry VM may send to @p backend in a window of its limit; nothing without one.
-    std::optional<int> limitShare(const Backend &backend) const;
+    std::optional<int> limitShare(const Backend &backend, TimePoint now) const;
     /// @return when a server may take an attempt again, where nothing but their bounds keeps all servers from it, TimePoint::max() when this entry VM
     /// sends to none of them; nothing where a server takes one now or is kept from it by something else.
     std::optional<TimePoint> boundedUntil(TimePoint now) const;
--- a/src/core/servers/requestlimit.cpp
+++ b/src/core/servers/requestlimit.cpp
@@ -62,22 +62,32 @@
     }
     namedAt_ = limit ? now : namedAt_;
     heardAt_ = now;
-    return set(limit ? std::optional(limit->perSecond) : std::nullopt);
+    return set(now, limit ? std::optional(limit->perSecond) : std::nullopt);
 }
 
-bool KnownLimit::takeReport(const LimitReport &report)
+bool KnownLimit::takeReport(TimePoint now, const LimitReport &report)
 {
     if (report.heardAt <= heardAt_) {
         return false;
     }
     namedAt_ = report.perSecond ? report.heardAt : namedAt_;
     heardAt_ = report.heardAt;
-    return set(report.perSecond);
+    return set(now, report.perSecond);
 }
 
-bool KnownLimit::set(std::optional<double> perSecond)
+bool KnownLimit::set(TimePoint now, std::optional<double> perSecond)
 {
-    return std::exchange(perSecond_, perSecond) != perSecond;
+    if (perSecond == perSecond_) {
+        return false;
+    }
+    std::erase_if(rises_, [now](const Rise &rise) { return now - rise.at >= Window; });
+    if (!perSecond || !perSecond_) {
+        rises_.clear();
+    } else if (*perSecond > *perSecond_) {
+        rises_.push_back({now, *perSecond_});
+    }
+    perSecond_ = perSecond;
+    return true;
 }
 
 std::optional<double> KnownLimit::perSecond() const
@@ -85,9 +95,21 @@
     return perSecond_;
 }
 
-std::optional<FleetAllowance> KnownLimit::allowance() const
+std::optional<FleetAllowance> KnownLimit::allowance(TimePoint now) const
 {
-    return perSecond_ ? std::optional(allowanceFor(*perSecond_)) : std::nullopt;
+    if (!perSecond_) {
+        return std::nullopt;
+    }
+    // Were the whole allowance of a higher limit there at once, a window that began before the rise would get too many.
+    double mean = 0;
+    Duration since = Window;
+    for (const Rise &rise : rises_) {
+        const Duration age = std::min(now - rise.at, since);
+        mean += std::min(rise.from, *perSecond_) * ((since - age) / std::chrono::duration<double>(Window));
+        since = age;
+    }
+    mean += *perSecond_ * (since / std::chrono::duration<double>(Window));
+    return allowanceFor(std::min(mean, *perSecond_));
 }
 
 bool KnownLimit::isNamedBy(NoticeSource source) const
--- a/src/core/servers/requestlimit.h
+++ b/src/core/servers/requestlimit.h
@@ -16,6 +16,7 @@
 #include <optional>
 #include <string>
 #include <variant>
+#include <vector>
 
 namespace Cloverbarrow
 {
@@ -61,20 +62,26 @@
     /// @param askedAt when the request was sent that @p notice answers. @return whether the limit in force has changed.
     bool take(TimePoint now, TimePoint askedAt, NoticeSource source, const LimitNotice &notice);
     /// Takes what a peer has heard of the limit. @return as above.
-    bool takeReport(const LimitReport &report);
+    bool takeReport(TimePoint now, const LimitReport &report);
     /// @return requests a second; nothing while no limit is in force.
     std::optional<double> perSecond() const;
     /// @return what all entry VMs of a zone may send to the server; nothing while no limit is in force.
-    std::optional<FleetAllowance> allowance() const;
+    std::optional<FleetAllowance> allowance(TimePoint now) const;
     /// @return whether answers of this kind have ever named a limit, so that one without ends it.
     bool isNamedBy(NoticeSource source) const;
     /// @return when it was last heard whether there is a limit.
     TimePoint heardAt() const;
 
 private:
-    bool set(std::optional<double> perSecond);
+    struct Rise {
+        TimePoint at;
+        double from = 0; ///< Requests a second before.
+    };
+
+    bool set(TimePoint now, std::optional<double> perSecond);
 
     std::optional<double> perSecond_;
+    std::vector<Rise> rises_; ///< Of the limit in force, within the last window.
     TimePoint namedAt_; ///< When an answer last named the limit in force.
     TimePoint heardAt_;
     std::array<bool, NoticeSources> areNamedBy_ = {true, false, false}; ///< Kinds of answers that name a limit while there is one.
--- a/src/core/servers/sendhistory.cpp
+++ b/src/core/servers/sendhistory.cpp
@@ -69,4 +69,9 @@
     return std::max(now, *last);
 }
 
+TimePoint SendHistory::lastStart() const
+{
+    return sends_.empty() ? TimePoint() : sends_.back().startedAt;
+}
+
 } // namespace Cloverbarrow
--- a/src/core/servers/sendhistory.h
+++ b/src/core/servers/sendhistory.h
@@ -27,6 +27,9 @@
     /// @return when fewer than @p most will be counted, if no more are sent and those under way end now; nothing when @p most is 0.
     std::optional<TimePoint> fewerAt(TimePoint now, int most, Duration window) const;
 
+    /// @return when the last request was sent; long ago when none was.
+    TimePoint lastStart() const;
+
 private:
     struct Send {
         TimePoint startedAt;
--- /dev/null
+++ b/tests/property/requestlimitproperties.cpp
@@ -0,0 +1,183 @@
+/*
+    This file is part of cloverbarrow.
+
+    SPDX-FileCopyrightText: 2026 The cloverbarrow authors
+    SPDX-License-Identifier: Apache-2.0
+*/
+
+#include "boundedzone.h"
+
+#include <catch2/catch.hpp>
+#include <rapidcheck.h>
+
+#include <algorithm>
+#include <limits>
+#include <optional>
+#include <vector>
+
+using namespace Cloverbarrow;
+using namespace Cloverbarrow::Tests;
+
+namespace
+{
+
+constexpr Duration Window = seconds(4);
+constexpr double Overage = 1.5;
+constexpr double Slack = 5;
+// Within which all entry VMs keep a limit that was named.
+constexpr Duration TouchTime = seconds(3);
+// In which a zone's entry VMs have got their places.
+constexpr Duration StartTime = seconds(8);
+
+/// What a server has named, over time.
+class NamedLimits
+{
+public:
+    void name(TimePoint now, const std::optional<double> &perSecond)
+    {
+        changes_.push_back({now, perSecond});
+    }
+
+    /// @return requests that may arrive in the window up to @p end; no bound where there was no limit for a part of it.
+    double allowedUpTo(TimePoint end) const
+    {
+        double requests = Slack;
+        for (std::size_t index = 0; index < changes_.size(); ++index) {
+            const TimePoint from = std::max(changes_[index].at, end - Window);
+            const TimePoint until = index + 1 < changes_.size() ? std::min(changes_[index + 1].at, end) : end;
+            if (from < until) {
+                const auto perSecond = changes_[index].perSecond;
+                requests += perSecond ? Overage * *perSecond * std::chrono::duration<double>(until - from).count() : std::numeric_limits<double>::infinity();
+            }
+        }
+        return changes_.empty() || changes_.front().at > end - Window ? std::numeric_limits<double>::infinity() : requests;
+    }
+
+private:
+    struct Change {
+        TimePoint at;
+        std::optional<double> perSecond;
+    };
+
+    std::vector<Change> changes_;
+};
+
+/// @return whether no window has more arrivals than its limits allow. @param isCounted which arrivals count.
+template<typename IsCounted>
+bool keeps(const BoundedZone &zone, const NamedLimits &limits, IsCounted isCounted)
+{
+    std::vector<TimePoint> times;
+    for (const Arrival &arrival : zone.arrivals()) {
+        if (isCounted(arrival)) {
+            times.push_back(arrival.at);
+        }
+    }
+    std::size_t first = 0;
+    for (std::size_t last = 0; last < times.size(); ++last) {
+        while (times[last] - times[first] >= Window) {
+            ++first;
+        }
+        if (static_cast<double>(last - first + 1) > limits.allowedUpTo(times[last])) {
+            return false;
+        }
+    }
+    return true;
+}
+
+/// Something that befalls the zone, as drawn.
+void trouble(BoundedZone &zone, int entryVms)
+{
+    const auto index = static_cast<std::size_t>(*rc::gen::inRange(0, entryVms));
+    switch (*rc::gen::inRange(0, 4)) {
+    case 0:
+        zone.restart(index);
+        break;
+    case 1:
+        zone.handOver(index);
+        break;
+    case 2:
+        zone.setCut(index, true);
+        break;
+    default:
+        zone.setCut(index, false);
+        break;
+    }
+}
+
+} // namespace
+
+TEST_CASE("A server with a request limit gets no more than it allows from all entry VMs, whatever becomes of the fleet", "[property][limit][fleet]")
+{
+    CHECK(rc::check("with entry VMs that start anew, are cut off and take the relay over", [] {
+        const int entryVms = *rc::gen::element(1, 3, 6, 14, 30, 95, 200, 400);
+        const bool probesNameLimit = *rc::gen::arbitrary<bool>();
+        const Duration answersAfter = milliseconds(*rc::gen::element(0, 100, 400));
+        BoundedZone zone(entryVms, FleetBudgets{}, {0, answersAfter, probesNameLimit}, *rc::gen::arbitrary<std::uint64_t>());
+        zone.pass(StartTime);
+        NamedLimits limits;
+        const double perSecond = *rc::gen::element(0.0, 0.2, 0.5, 1.0, 2.7, 10.0);
+        zone.nameLimit(perSecond);
+        limits.name(zone.now(), perSecond);
+        const TimePoint keptFrom = zone.now() + TouchTime;
+        zone.pass(TouchTime + milliseconds(100));
+        const int troubles = *rc::gen::inRange(0, 8);
+        for (int count = 0; count < troubles; ++count) {
+            trouble(zone, entryVms);
+            zone.pass(milliseconds(*rc::gen::inRange(10, 3000)));
+        }
+        zone.pass(Window);
+        RC_ASSERT(keeps(zone, limits, [keptFrom](const Arrival &arrival) { return arrival.at >= keptFrom; }));
+    }));
+}
+
+TEST_CASE("A request limit that changes is kept by the entry VMs that the server has told", "[property][limit][fleet]")
+{
+    CHECK(rc::check("falls, rises, ends and returns", [] {
+        const int entryVms = *rc::gen::element(1, 3, 6, 14, 30, 95);
+        const bool probesNameLimit = *rc::gen::arbitrary<bool>();
+        BoundedZone zone(entryVms, FleetBudgets{}, {0, milliseconds(100), probesNameLimit}, *rc::gen::arbitrary<std::uint64_t>());
+        zone.pass(StartTime);
+        NamedLimits limits;
+        const int changes = *rc::gen::inRange(1, 8);
+        for (int count = 0; count < changes; ++count) {
+            const bool isNone = count > 0 && *rc::gen::inRange(0, 4) == 0;
+            const auto limit = isNone ? std::optional<double>() : std::optional(*rc::gen::element(0.0, 0.5, 1.0, 2.7, 5.0));
+            zone.nameLimit(limit);
+            limits.name(zone.now(), limit);
+            zone.pass(milliseconds(*rc::gen::element(100, 300, 1000, 4000)));
+        }
+        zone.pass(Window);
+        RC_ASSERT(keeps(zone, limits, [](const Arrival &arrival) { return arrival.isTold; }));
+    }));
+}
+
+TEST_CASE("All entry VMs of a zone soon know that a request limit was named, and that it has ended", "[property][limit][fleet]")
+{
+    CHECK(rc::check("whether probes name it or not", [] {
+        const int entryVms = *rc::gen::element(1, 6, 30, 95, 400);
+        BoundedZone zone(entryVms, FleetBudgets{}, {0, milliseconds(100), *rc::gen::arbitrary<bool>()}, *rc::gen::arbitrary<std::uint64_t>());
+        zone.pass(StartTime);
+        zone.nameLimit(2.0);
+        zone.pass(TouchTime);
+        RC_ASSERT(zone.knowingLimit() == entryVms);
+        zone.nameLimit(std::nullopt);
+        zone.pass(TouchTime);
+        RC_ASSERT(zone.knowingLimit() == 0);
+    }));
+}
+
+TEST_CASE("A server with a request limit is used at the rate that it allows while all is well", "[property][limit][fleet]")
+{
+    CHECK(rc::check("whatever the number of entry VMs", [] {
+        const double perSecond = *rc::gen::element(0.5, 1.0, 2.7, 10.0);
+        BoundedZone zone(*rc::gen::element(1, 3, 6, 14, 30, 95, 200), FleetBudgets{}, {0, milliseconds(100), false}, *rc::gen::arbitrary<std::uint64_t>());
+        zone.pass(StartTime);
+        zone.nameLimit(perSecond);
+        zone.pass(2 * Window);
+        const std::size_t before = zone.arrivals().size();
+        constexpr int Windows = 5;
+        zone.pass(Windows * Window);
+        // The allowance is 0.8 of the limit or more.
+        RC_ASSERT(static_cast<double>(zone.arrivals().size() - before) >= 0.7 * perSecond * Windows * 4);
+    }));
+}
--- /dev/null
+++ b/tests/support/boundedzone.cpp
@@ -0,0 +1,266 @@
+/*
+    This file is part of cloverbarrow.
+
+    SPDX-FileCopyrightText: 2026 The cloverbarrow authors
+    SPDX-License-Identifier: Apache-2.0
+*/
+
+#include "boundedzone.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace Cloverbarrow::Tests
+{
+
+namespace
+{
+
+constexpr Duration Step = milliseconds(20);
+constexpr Duration AskEvery = milliseconds(400);
+// Between two requests of one entry VM for a server without a bound.
+constexpr Duration SendEvery = milliseconds(250);
+constexpr Duration ProbeEvery = milliseconds(500);
+// A relay whose zone has another one is followed no longer than this.
+constexpr Duration HandOver = seconds(1);
+constexpr Duration ToldFor = milliseconds(500);
+
+LimitNotice noticeOf(const std::optional<double> &limit)
+{
+    return limit ? LimitNotice(RequestLimit{*limit}) : LimitNotice(NoRequestLimit{});
+}
+
+} // namespace
+
+BoundedZone::Node::Node(std::string ownName, const FleetBudgets &budgets, std::uint64_t number)
+    : name(std::move(ownName))
+    , estimate(budgets.zones)
+    , limits(number)
+    , process(number)
+{
+}
+
+BoundedZone::BoundedZone(int entryVms, const FleetBudgets &budgets, const BoundedServer &server, std::uint64_t seed)
+    : budgets_(budgets)
+    , server_(server)
+    , random_(seed)
+{
+    for (int number = 0; number < entryVms; ++number) {
+        nodes_.emplace_back("vm-" + std::to_string(number), budgets, ++processes_);
+        configure(nodes_.back());
+    }
+}
+
+void BoundedZone::pass(Duration duration)
+{
+    for (const TimePoint until = now_ + duration; now_ < until;) {
+        now_ += Step;
+        deliverAnswers();
+        for (std::size_t index = 0; index < nodes_.size(); ++index) {
+            turn(index);
+        }
+    }
+}
+
+void BoundedZone::nameLimit(const std::optional<double> &perSecond)
+{
+    const bool isFall = perSecond && limit_ && *perSecond < *limit_;
+    if (isFall || perSecond.has_value() != limit_.has_value()) {
+        for (Node &node : nodes_) {
+            node.limitToldAt.reset();
+        }
+    }
+    limit_ = perSecond;
+}
+
+void BoundedZone::restart(std::size_t index)
+{
+    Node &node = nodes_[index % nodes_.size()];
+    node = Node(node.name, budgets_, ++processes_);
+    configure(node);
+}
+
+void BoundedZone::handOver(std::size_t next)
+{
+    relay_ = next % nodes_.size();
+}
+
+void BoundedZone::setCut(std::size_t index, bool isCut)
+{
+    nodes_[index % nodes_.size()].isCut = isCut;
+}
+
+TimePoint BoundedZone::now() const
+{
+    return now_;
+}
+
+const std::vector<Arrival> &BoundedZone::arrivals() const
+{
+    return arrivals_;
+}
+
+int BoundedZone::mostIn(Duration window) const
+{
+    std::size_t most = 0;
+    std::size_t first = 0;
+    for (std::size_t last = 0; last < arrivals_.size(); ++last) {
+        while (arrivals_[last].at - arrivals_[first].at >= window) {
+            ++first;
+        }
+        most = std::max(most, last - first + 1);
+    }
+    return static_cast<int>(most);
+}
+
+int BoundedZone::knowingLimit() const
+{
+    const auto knows = [](const Node &node) { return node.pool.find("server")->limit.perSecond().has_value(); };
+    return static_cast<int>(std::count_if(nodes_.begin(), nodes_.end(), knows));
+}
+
+void BoundedZone::turn(std::size_t index)
+{
+    Node &node = nodes_[index];
+    follow(node);
+    const bool isRelay = index == relay_;
+    if (isRelay) {
+        takePlace(node, node.estimate.ownPlace(now_));
+    } else {
+        node.estimate.stopCounting();
+    }
+    if (!isRelay && now_ >= node.nextAsk) {
+        ask(index);
+    }
+    exchangeLimits(index);
+    if (now_ - node.toldAt > FleetEstimate::PlaceLasts) {
+        node.place.reset();
+    }
+    if (node.place != node.configured) {
+        configure(node);
+    }
+    probe(index);
+    send(index);
+}
+
+void BoundedZone::send(std::size_t index)
+{
+    Node &node = nodes_[index];
+    const bool isBounded = server_.coldRequestsPerSecond > 0 || node.pool.find("server")->limit.perSecond();
+    // A process serves once it has heard from a relay.
+    const bool isServing = node.hasAsked || index == relay_;
+    if (!isServing || (!isBounded && now_ < node.nextSend)) {
+        return;
+    }
+    node.nextSend = now_ + SendEvery;
+    while (node.pool.takeNamed(now_, "server")) {
+        arrivals_.push_back({now_, node.limitToldAt && now_ - *node.limitToldAt >= ToldFor});
+        if (server_.answersAfter == Duration(0)) {
+            node.pool.release("server", AttemptQuality::Neutral, Duration(0), now_);
+            takeNotice(node, now_, NoticeSource::Run, limit_);
+        } else {
+            answers_.push_back({now_ + server_.answersAfter, now_, index, node.process});
+        }
+        if (!isBounded) {
+            return;
+        }
+    }
+}
+
+void BoundedZone::probe(std::size_t index)
+{
+    Node &node = nodes_[index];
+    if (server_.probesNameLimit && now_ >= node.nextProbe) {
+        node.nextProbe = now_ + ProbeEvery;
+        takeNotice(node, now_, NoticeSource::Probe, limit_);
+    }
+}
+
+void BoundedZone::deliverAnswers()
+{
+    while (!answers_.empty() && answers_.front().at <= now_) {
+        const Answer answer = answers_.front();
+        answers_.pop_front();
+        Node &node = nodes_[answer.node];
+        if (node.process != answer.process) {
+            continue;
+        }
+        node.pool.release("server", AttemptQuality::Neutral, now_ - answer.askedAt, now_);
+        // What the server says when it answers, not when it was asked.
+        takeNotice(node, answer.askedAt, NoticeSource::Run, limit_);
+    }
+}
+
+void BoundedZone::takeNotice(Node &node, TimePoint askedAt, NoticeSource source, const std::optional<double> &limit)
+{
+    if (limit) {
+        node.limitToldAt = node.limitToldAt.value_or(now_);
+    }
+    if (node.pool.takeLimitNotice(now_, askedAt, "server", source, noticeOf(limit))) {
+        const KnownLimit &known = node.pool.find("server")->limit;
+        node.limits.heard({"server", known.perSecond(), known.heardAt()});
+    }
+}
+
+void BoundedZone::follow(Node &node)
+{
+    if (node.follows == relay_) {
+        node.changesAt = TimePoint();
+    } else if (node.changesAt == TimePoint()) {
+        node.changesAt = now_ + Duration(random_.below(static_cast<std::size_t>(HandOver.count())));
+    } else if (now_ >= node.changesAt) {
+        node.follows = relay_;
+        node.changesAt = TimePoint();
+    }
+}
+
+bool BoundedZone::reachesRelay(std::size_t index) const
+{
+    const Node &node = nodes_[index];
+    return index != relay_ && !node.isCut && node.follows == relay_ && !nodes_[relay_].isCut;
+}
+
+void BoundedZone::ask(std::size_t index)
+{
+    Node &node = nodes_[index];
+    node.nextAsk = now_ + AskEvery * 3 / 4 + Duration(random_.below(static_cast<std::size_t>((AskEvery / 2).count())));
+    if (reachesRelay(index)) {
+        node.hasAsked = true;
+        takePlace(node, nodes_[relay_].estimate.followerAsked(now_, node.name));
+        node.limits.shown(nodes_[relay_].name, nodes_[relay_].limits.version());
+    }
+}
+
+void BoundedZone::exchangeLimits(std::size_t index)
+{
+    Node &node = nodes_[index];
+    const std::vector<std::string> receivers = {nodes_[node.follows].name};
+    for (const LimitExchange::Message &message : node.limits.takeDue(now_, index == relay_ ? std::vector<std::string>() : receivers)) {
+        node.limits.answered(message, reachesRelay(index) ? std::optional(nodes_[relay_].limits.take(message.update)) : std::nullopt);
+    }
+    for (const LimitReport &report : node.limits.takeLearnt()) {
+        node.pool.takeLimitReport(now_, report);
+    }
+}
+
+void BoundedZone::takePlace(Node &node, const std::optional<FleetPlace> &place)
+{
+    if (place) {
+        node.place = place;
+        node.toldAt = now_;
+    }
+}
+
+void BoundedZone::configure(Node &node)
+{
+    node.configured = node.place;
+    Service service;
+    service.name = "polizas";
+    service.coldStart = coldStartAllowance(budgets_, server_.coldRequestsPerSecond);
+    service.place = node.place;
+    const Duration warmUp = server_.coldRequestsPerSecond > 0 ? Duration(seconds(86'400)) : Duration(0);
+    service.backendServers.push_back({"server", "127.0.0.1:9001", "bog-a", {}, 2, warmUp});
+    node.pool.configure(service, now_);
+}
+
+} // namespace Cloverbarrow::Tests
