A limit's end is found out although its senders have no requests, and places close up after entry VMs have gone

Places that nobody has had for ten seconds are closed; a limit that still stands is told again every two seconds; after a window and two seconds without a word entry VMs try one after the other, by rank. Lines on limits have a part of their own, since the bound on lines of requests had left some out.

A property fails without the trials.

--- a/src/core/directory/fleetestimate.cpp
+++ b/src/core/directory/fleetestimate.cpp
@@ -29,6 +29,8 @@
 // All entry VMs of a zone have asked by then, also slow ones after they were all started anew (0.1 core: 1.5 s); were places told before, each would
 // think itself one of few.
 constexpr Duration CountingTime = seconds(2);
+// An entry VM that starts again takes its place back by then, and bounds that places share out have room for one change within this time.
+constexpr Duration GapsStay = seconds(10);
 // This entry VM's own, when it relays.
 constexpr int OwnPlace = 0;
 
@@ -49,6 +51,7 @@
 {
     std::erase_if(followers_, [now](const auto &entry) { return now - entry.second.askedAt > FollowerStays; });
     countingSince_ = countingSince_.value_or(now);
+    closeGaps(now);
     auto found = followers_.find(follower);
     if (found == followers_.end()) {
         found = followers_.emplace(follower, Follower{now, freePlace()}).first;
@@ -78,6 +81,28 @@
     return place;
 }
 
+void FleetEstimate::closeGaps(TimePoint now)
+{
+    if (freePlace() >= places()) {
+        gapsSince_.reset();
+        return;
+    }
+    gapsSince_ = gapsSince_.value_or(now);
+    if (now - *gapsSince_ < GapsStay) {
+        return;
+    }
+    gapsSince_.reset();
+    std::vector<Follower *> inOrder;
+    for (auto &[address, follower] : followers_) {
+        inOrder.push_back(&follower);
+    }
+    std::sort(inOrder.begin(), inOrder.end(), [](const Follower *left, const Follower *right) { return left->place < right->place; });
+    int place = OwnPlace;
+    for (Follower *follower : inOrder) {
+        follower->place = ++place;
+    }
+}
+
 int FleetEstimate::places() const
 {
     int count = 1;
--- a/src/core/directory/fleetestimate.h
+++ b/src/core/directory/fleetestimate.h
@@ -54,6 +54,8 @@
 
     /// @return the lowest place that nobody has.
     int freePlace() const;
+    /// Takes out places that nobody has had for some time.
+    void closeGaps(TimePoint now);
     /// @return how many places there are. One more moves the senders of few servers, and one that nobody has would leave their shares unused.
     int places() const;
     bool hasCounted(TimePoint now) const;
@@ -61,6 +63,7 @@
     int zones_;
     std::map<std::string, Follower> followers_; ///< By address.
     std::optional<TimePoint> countingSince_;
+    std::optional<TimePoint> gapsSince_; ///< Since then there are places that nobody has.
     int entryVms_;
     std::optional<TimePoint> heldUntil_; ///< Before then the estimate does not fall.
 };
--- a/src/core/directory/limitexchange.cpp
+++ b/src/core/directory/limitexchange.cpp
@@ -109,7 +109,7 @@
     auto reports = changedSince(since);
     std::erase_if(reports, [&update](const LimitReport &report) {
         return std::any_of(update.reports.begin(), update.reports.end(), [&report](const LimitReport &told) {
-            return told.server == report.server && told.perSecond == report.perSecond;
+            return told.server == report.server && told.heardAt >= report.heardAt;
         });
     });
     takeReports(update.reports);
@@ -128,7 +128,8 @@
     if (!isNew && report.heardAt <= entry.report.heardAt) {
         return false;
     }
-    const bool isChanged = isNew || report.perSecond != entry.report.perSecond;
+    const bool isConfirmed = report.heardAt - entry.report.heardAt >= LimitConfirmPause / 2;
+    const bool isChanged = isNew || isConfirmed || report.perSecond != entry.report.perSecond;
     entry.report = report;
     if (isChanged) {
         entry.sequence = ++sequence_;
--- a/src/core/requests/serviceevents.h
+++ b/src/core/requests/serviceevents.h
@@ -340,15 +340,16 @@
     bool operator==(const ServerEjected &) const = default;
 };
 
-/// The limit on a backend server's requests was named, has changed, or has ended.
-struct ServerLimitChanged {
+/// The limit on a backend server's requests was named, has changed, or has ended, or has been named again after a while.
+struct ServerLimitHeard {
     std::string backend;
     std::optional<double> perSecond; ///< Nothing when it has ended.
     std::optional<int> share; ///< Requests that this entry VM may send in a window of it.
     std::optional<NoticeSource> source; ///< Nothing when a peer has told.
     TimePoint heardAt;
+    bool isChanged = true;
 
-    bool operator==(const ServerLimitChanged &) const = default;
+    bool operator==(const ServerLimitHeard &) const = default;
 };
 
 /// A backend server names a limit that cannot be read; the one in force stays.
@@ -374,7 +375,7 @@
                                    TellServerHeardAgain,
                                    TellSuspectAnswered,
                                    ServerEjected,
-                                   ServerLimitChanged,
+                                   ServerLimitHeard,
                                    ServerLimitUnreadable>;
 using ServiceActions = std::vector<ServiceAction>;
 
--- a/src/core/requests/serviceshard.cpp
+++ b/src/core/requests/serviceshard.cpp
@@ -191,21 +191,23 @@
     if (const auto *unreadable = std::get_if<UnreadableLimit>(&*notice)) {
         actions.emplace_back(ServerLimitUnreadable{backend, unreadable->text});
     } else if (pool_.takeLimitNotice(now, askedAt, backend, source, *notice)) {
-        reportLimit(now, backend, source, actions);
+        reportLimit(now, backend, source, true, actions);
+    } else if (pool_.takeLimitConfirmation(backend)) {
+        reportLimit(now, backend, source, false, actions);
     }
 }
 
-void ServiceShard::reportLimit(TimePoint now, const std::string &backend, std::optional<NoticeSource> source, ServiceActions &actions) const
+void ServiceShard::reportLimit(TimePoint now, const std::string &backend, std::optional<NoticeSource> source, bool isChanged, ServiceActions &actions) const
 {
     const Backend &known = *pool_.find(backend);
-    actions.emplace_back(ServerLimitChanged{backend, known.limit.perSecond(), pool_.limitShare(known, now), source, known.limit.heardAt()});
+    actions.emplace_back(ServerLimitHeard{backend, known.limit.perSecond(), pool_.limitShare(known, now), source, known.limit.heardAt(), isChanged});
 }
 
 void ServiceShard::on(TimePoint now, const LimitsReported &event, ServiceActions &actions)
 {
     for (const LimitReport &report : event.reports) {
         if (pool_.takeLimitReport(now, report)) {
-            reportLimit(now, report.server, std::nullopt, actions);
+            reportLimit(now, report.server, std::nullopt, true, actions);
         }
     }
     dispatch(now, actions);
--- a/src/core/requests/serviceshard.h
+++ b/src/core/requests/serviceshard.h
@@ -166,7 +166,7 @@
     void takeLimitNotice(
         TimePoint now, TimePoint askedAt, const std::string &backend, NoticeSource source, const std::optional<LimitNotice> &notice, ServiceActions &actions);
     /// Tells that the limit on a server's requests has changed. @param source nothing when a peer has told.
-    void reportLimit(TimePoint now, const std::string &backend, std::optional<NoticeSource> source, ServiceActions &actions) const;
+    void reportLimit(TimePoint now, const std::string &backend, std::optional<NoticeSource> source, bool isChanged, ServiceActions &actions) const;
     /// Asks servers that are not heard of whether their limits still stand.
     void checkLimits(TimePoint now, ServiceActions &actions);
     /// @return after what time a caller should retry, where bounds keep all servers from a request for longer than it is held; else nothing.
--- a/src/core/servers/backendpool.cpp
+++ b/src/core/servers/backendpool.cpp
@@ -33,6 +33,9 @@
 constexpr Duration SilenceWorthProbe = milliseconds(500);
 constexpr double LatencyWeight = 0.1;
 constexpr Duration LimitCheckPause = seconds(2);
+// While senders have requests, reports that a limit still stands come sooner after a window.
+constexpr Duration LimitSilence = seconds(2);
+constexpr Duration LimitTrialPause = seconds(1);
 // A sender sends at most so many times faster than its share of a bound would be if it were spread evenly.
 constexpr int LargestPaceFactor = 2;
 
@@ -243,6 +246,12 @@
     return backend && backend->limit.takeReport(now, report);
 }
 
+bool BackendPool::takeLimitConfirmation(std::string_view name)
+{
+    Backend *backend = findMutable(name);
+    return backend && backend->limit.takeConfirmation();
+}
+
 std::optional<std::size_t> BackendPool::wantsLimitCheck(TimePoint now) const
 {
     // Who sends nothing to a server hears nothing of the end of its limit, and may have to use the server then.
@@ -403,6 +412,16 @@
     });
 }
 
+std::optional<TimePoint> BackendPool::silenceEnd(const Backend &backend, const FleetAllowance &allowance) const
+{
+    if (!backend.limit.perSecond() || !backend.senderRank) {
+        return std::nullopt;
+    }
+    // The senders may have no requests, or not reach the server. One entry VM after the other then finds out whether the limit still stands.
+    const TimePoint last = std::max(backend.limit.heardAt(), backend.sends.lastStart());
+    return last + allowance.window + LimitSilence + LimitTrialPause * *backend.senderRank;
+}
+
 int BackendPool::ownShare(const Backend &backend, const FleetAllowance &allowance) const
 {
     return backend.senderRank && place_ ? shareOf(allowance, *backend.senderRank, place_->count) : 0;
@@ -411,10 +430,13 @@
 std::optional<TimePoint> BackendPool::openingOf(const Backend &backend, const FleetAllowance &allowance, TimePoint now) const
 {
     const int share = ownShare(backend, allowance);
-    const auto opening = backend.sends.fewerAt(now, share, allowance.window);
+    const auto opening = share > 0 ? backend.sends.fewerAt(now, share, allowance.window) : silenceEnd(backend, allowance);
     if (!opening) {
         return std::nullopt;
     }
+    if (share == 0) {
+        return opening;
+    }
     // A server that takes few requests does not take the share of a window at once.
     const TimePoint paced = backend.sends.lastStart() + allowance.window / (share * LargestPaceFactor);
     // Allowances leave room for the senders by one change of places, not by two. Others notice a change later by the lifetime of a place.
--- a/src/core/servers/backendpool.h
+++ b/src/core/servers/backendpool.h
@@ -121,6 +121,8 @@
     bool takeLimitNotice(TimePoint now, TimePoint askedAt, std::string_view name, NoticeSource source, const LimitNotice &notice);
     /// Takes what a peer has heard of a limit. @return as above.
     bool takeLimitReport(TimePoint now, const LimitReport &report);
+    /// @return whether peers are to be told that the limit of the server called @p name still stands.
+    bool takeLimitConfirmation(std::string_view name);
     /// @return a server that is to be asked whether its limit still stands, if any is.
     std::optional<std::size_t> wantsLimitCheck(TimePoint now) const;
     /// The server called @p name is being asked that.
@@ -155,6 +157,8 @@
     std::vector<FleetAllowance> bounds(const Backend &backend, TimePoint now) const;
     /// @return whether the bounds in force leave room for a request to @p backend.
     bool isWithinBounds(const Backend &backend, TimePoint now) const;
+    /// @return when this entry VM, which has no share, may send a request to @p backend to hear whether its limit still stands; nothing when it may not.
+    std::optional<TimePoint> silenceEnd(const Backend &backend, const FleetAllowance &allowance) const;
     int ownShare(const Backend &backend, const FleetAllowance &allowance) const;
     /// @return when @p allowance leaves room for a request of this entry VM; nothing when it never does.
     std::optional<TimePoint> openingOf(const Backend &backend, const FleetAllowance &allowance, TimePoint now) const;
--- a/src/core/servers/limitreport.h
+++ b/src/core/servers/limitreport.h
@@ -15,6 +15,9 @@
 namespace Cloverbarrow
 {
 
+/// A limit that still stands is told again after this time.
+constexpr Duration LimitConfirmPause = seconds(2);
+
 /// What some entry VM has heard of the limit on one server's requests.
 struct LimitReport {
     std::string server;
--- a/src/core/servers/requestlimit.cpp
+++ b/src/core/servers/requestlimit.cpp
@@ -72,6 +72,7 @@
     }
     namedAt_ = report.perSecond ? report.heardAt : namedAt_;
     heardAt_ = report.heardAt;
+    toldAt_ = report.heardAt;
     return set(now, report.perSecond);
 }
 
@@ -87,6 +88,7 @@
         rises_.push_back({now, *perSecond_});
     }
     perSecond_ = perSecond;
+    toldAt_ = heardAt_;
     return true;
 }
 
@@ -117,6 +119,15 @@
     return areNamedBy_[static_cast<std::size_t>(source)];
 }
 
+bool KnownLimit::takeConfirmation()
+{
+    if (!perSecond_ || heardAt_ - toldAt_ < LimitConfirmPause) {
+        return false;
+    }
+    toldAt_ = heardAt_;
+    return true;
+}
+
 TimePoint KnownLimit::heardAt() const
 {
     return heardAt_;
--- a/src/core/servers/requestlimit.h
+++ b/src/core/servers/requestlimit.h
@@ -71,6 +71,8 @@
     bool isNamedBy(NoticeSource source) const;
     /// @return when it was last heard whether there is a limit.
     TimePoint heardAt() const;
+    /// @return whether peers are to be told that the limit in force still stands; counted as told if so.
+    bool takeConfirmation();
 
 private:
     struct Rise {
@@ -84,6 +86,7 @@
     std::vector<Rise> rises_; ///< Of the limit in force, within the last window.
     TimePoint namedAt_; ///< When an answer last named the limit in force.
     TimePoint heardAt_;
+    TimePoint toldAt_; ///< Heard then, it was told to peers, or by one.
     std::array<bool, NoticeSources> areNamedBy_ = {true, false, false}; ///< Kinds of answers that name a limit while there is one.
 };
 
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -93,7 +93,7 @@
 
 void Daemon::reportLimit(const OfService &action)
 {
-    const auto *changed = std::get_if<ServerLimitChanged>(&action.action);
+    const auto *changed = std::get_if<ServerLimitHeard>(&action.action);
     if (directory_ && changed && changed->source) {
         directory_->reportLimit({changed->backend, changed->perSecond, changed->heardAt});
     }
--- a/src/daemon/gateway.cpp
+++ b/src/daemon/gateway.cpp
@@ -190,10 +190,12 @@
         {
             gateway.log_.serverEjected(of.service, typed);
         }
-        void operator()(const ServerLimitChanged &typed) const
+        void operator()(const ServerLimitHeard &typed) const
         {
-            gateway.log_.serverLimitChanged(of.service, typed);
-            gateway.telemetry_.limitChanged(of.service, typed.backend, typed.perSecond);
+            if (typed.isChanged) {
+                gateway.log_.serverLimitChanged(of.service, typed);
+                gateway.telemetry_.limitChanged(of.service, typed.backend, typed.perSecond);
+            }
         }
         void operator()(const ServerLimitUnreadable &typed) const
         {
--- a/src/daemon/requestlog.cpp
+++ b/src/daemon/requestlog.cpp
@@ -27,6 +27,7 @@
 
 RequestLog::RequestLog()
     : log_("request")
+    , limitLog_("limits")
 {
 }
 
@@ -104,25 +105,25 @@
     log_.info("server ejected", {{"service", service}, {"server", action.backend}, {"lasts_ms", toMilliseconds(action.lasts)}, {"after", action.reason}});
 }
 
-void RequestLog::serverLimitChanged(const std::string &service, const ServerLimitChanged &action) const
+void RequestLog::serverLimitChanged(const std::string &service, const ServerLimitHeard &action) const
 {
     constexpr std::array Sources = {"answer", "rejection", "probe"};
     const char *source = action.source ? Sources[static_cast<std::size_t>(*action.source)] : "peer";
     if (action.perSecond) {
-        log_.info("server limit",
-                  {{"service", service},
-                   {"server", action.backend},
-                   {"per_second", *action.perSecond},
-                   {"share", std::int64_t(action.share.value_or(0))},
-                   {"told_by", source}});
+        limitLog_.info("server limit",
+                       {{"service", service},
+                        {"server", action.backend},
+                        {"per_second", *action.perSecond},
+                        {"share", std::int64_t(action.share.value_or(0))},
+                        {"told_by", source}});
     } else {
-        log_.info("server limit ended", {{"service", service}, {"server", action.backend}, {"told_by", source}});
+        limitLog_.info("server limit ended", {{"service", service}, {"server", action.backend}, {"told_by", source}});
     }
 }
 
 void RequestLog::serverLimitUnreadable(const std::string &service, const ServerLimitUnreadable &action) const
 {
-    log_.warn("server limit cannot be read", {{"service", service}, {"server", action.backend}, {"text", action.text}});
+    limitLog_.warn("server limit cannot be read", {{"service", service}, {"server", action.backend}, {"text", action.text}});
 }
 
 void RequestLog::serverEnded(const std::string &service, const TellServerEnded &action) const
--- a/src/daemon/requestlog.h
+++ b/src/daemon/requestlog.h
@@ -33,7 +33,7 @@
     void attemptEnded(std::string_view id, const RequestContent &content, const std::string &service, int attempt, const HttpOutcome &outcome) const;
     void attemptCancelled(std::string_view id, const CancelAttempt &action) const;
     void serverEjected(const std::string &service, const ServerEjected &action) const;
-    void serverLimitChanged(const std::string &service, const ServerLimitChanged &action) const;
+    void serverLimitChanged(const std::string &service, const ServerLimitHeard &action) const;
     void serverLimitUnreadable(const std::string &service, const ServerLimitUnreadable &action) const;
     void serverEnded(const std::string &service, const TellServerEnded &action) const;
     void serverHeardAgain(const std::string &service, const TellServerHeardAgain &action) const;
@@ -44,6 +44,7 @@
 
 private:
     Log log_;
+    Log limitLog_; ///< A part of its own, so that many requests leave no line of these out.
 };
 
 } // namespace Cloverbarrow
--- a/tests/property/requestlimitproperties.cpp
+++ b/tests/property/requestlimitproperties.cpp
@@ -181,3 +181,24 @@
         RC_ASSERT(static_cast<double>(zone.arrivals().size() - before) >= 0.7 * perSecond * Windows * 4);
     }));
 }
+
+TEST_CASE("A request limit's end is found out although its senders have no requests", "[property][limit][fleet]")
+{
+    CHECK(rc::check("or have ended", [] {
+        const int entryVms = *rc::gen::element(6, 30, 95);
+        BoundedZone zone(entryVms, FleetBudgets{}, {0, milliseconds(100), false}, *rc::gen::arbitrary<std::uint64_t>());
+        zone.pass(StartTime);
+        const double perSecond = *rc::gen::element(0.0, 1.0, 2.7);
+        zone.nameLimit(perSecond);
+        NamedLimits limits;
+        limits.name(zone.now(), perSecond);
+        const TimePoint keptFrom = zone.now() + TouchTime;
+        zone.pass(TouchTime + milliseconds(100));
+        zone.silenceSenders();
+        zone.pass(seconds(20));
+        RC_ASSERT(keeps(zone, limits, [keptFrom](const Arrival &arrival) { return arrival.at >= keptFrom; }));
+        zone.nameLimit(std::nullopt);
+        zone.pass(seconds(20));
+        RC_ASSERT(zone.knowingLimit() == 0);
+    }));
+}
--- a/tests/soak/faultschedule.cpp
+++ b/tests/soak/faultschedule.cpp
@@ -25,6 +25,7 @@
 constexpr std::size_t MostLastMs = 2500;
 constexpr std::uint64_t CrashStream = 0x63726173;
 constexpr std::uint64_t PlaceStream = 0x706c6163;
+constexpr std::uint64_t LimitStream = 0x6c696d69;
 
 using Standins::Conduct;
 
@@ -59,6 +60,7 @@
     , laterRandom_(~seed)
     , crashRandom_(seed ^ CrashStream)
     , placeRandom_(seed ^ PlaceStream)
+    , limitRandom_(seed ^ LimitStream)
 {
 }
 
@@ -72,6 +74,7 @@
     drawLaterFault();
     drawCrash();
     drawPlaceFault();
+    drawLimit();
     return milliseconds(random_.below(MostGapMs));
 }
 
@@ -240,6 +243,20 @@
     });
 }
 
+void FaultSchedule::drawLimit()
+{
+    constexpr std::size_t StepsPerFault = 8;
+    constexpr std::array Limits = {"0", "0.5", "2.7", "20", "nan", "2,7"};
+    if (limitRandom_.below(StepsPerFault) > 0) {
+        return;
+    }
+    const std::size_t backend = limitRandom_.below(site_.backends());
+    const char *limit = Limits.at(limitRandom_.below(Limits.size()));
+    note("backend server " + std::to_string(backend) + " names a limit of " + limit);
+    site_.nameLimit(backend, limit);
+    endLater(limitRandom_, [this, backend] { site_.nameLimit(backend, ""); });
+}
+
 void FaultSchedule::note(const std::string &what)
 {
     const auto since = std::chrono::duration_cast<milliseconds>(Clock::now() - start_);
--- a/tests/soak/faultschedule.h
+++ b/tests/soak/faultschedule.h
@@ -49,6 +49,7 @@
     void drawLaterFault();
     void drawCrash();
     void drawPlaceFault();
+    void drawLimit();
     void note(const std::string &what);
     /// Carries out @p end after a random time.
     void endLater(std::function<void()> end);
@@ -62,6 +63,7 @@
     Random laterRandom_;
     Random crashRandom_;
     Random placeRandom_;
+    Random limitRandom_;
     Clock::time_point start_ = Clock::now();
     bool isEvacuated_ = false; ///< Some availability zone is.
     std::multimap<Clock::time_point, std::function<void()>> ends_;
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -141,6 +141,7 @@
         result.recovery = std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::steady_clock::now() - healed);
         append(result.breaches, breachesUnderFatalRequests(site));
         append(result.breaches, breachesUnderEvacuation(site));
+        append(result.breaches, breachesUnderLimits(site));
     }
     append(result.breaches, breachesAtColdServers(site));
     for (const int code : site.stopAll()) {
--- a/tests/soak/promises.cpp
+++ b/tests/soak/promises.cpp
@@ -8,6 +8,7 @@
 #include "promises.h"
 
 #include "names.h"
+#include "net/bootclock.h"
 
 #include <algorithm>
 #include <array>
@@ -38,6 +39,12 @@
 // Requests a second that all entry VMs together may send to a cold server: 2.5 of the configuration, 1.5 and 8 as the settings leave them.
 constexpr double ColdBound = 2.5 * 1.5 + 8;
 
+// What a server with a limit may get in a window: one and a half times what it allows, and some more.
+constexpr double Limit = 1;
+constexpr Duration LimitWindow = seconds(4);
+constexpr int LimitBound = static_cast<int>(1.5 * 4 * Limit + 5);
+constexpr auto LimitMargin = std::chrono::milliseconds(500);
+
 bool promisesNotRun(int status)
 {
     constexpr std::array Promises = {408, 421, 429, 503};
@@ -227,6 +234,34 @@
     return breaches;
 }
 
+std::vector<Breach> breachesUnderLimits(SoakSite &site)
+{
+    constexpr std::array<std::size_t, 2> Limited = {0, 1};
+    for (const std::size_t backend : Limited) {
+        site.nameLimit(backend, std::to_string(Limit));
+    }
+    std::this_thread::sleep_for(TouchTime);
+    const TimePoint keptFrom = bootNow();
+    std::this_thread::sleep_for(LimitWindow + LimitMargin);
+    std::vector<Breach> breaches;
+    for (const std::size_t backend : Limited) {
+        if (const int most = site.mostRunsAt(backend, LimitWindow, keptFrom); most > LimitBound) {
+            breaches.push_back({"a server with a limit gets no more than it allows",
+                                "backend server " + std::to_string(backend) + " ran " + std::to_string(most) + " in 4 s"});
+        }
+        site.nameLimit(backend, "");
+    }
+    std::this_thread::sleep_for(TouchTime);
+    const TimePoint usedFrom = bootNow();
+    std::this_thread::sleep_for(LimitMargin);
+    for (const std::size_t backend : Limited) {
+        if (site.mostRunsAt(backend, LimitMargin, usedFrom) <= static_cast<int>(Limit)) {
+            breaches.push_back({"a server whose limit has ended is used again", "backend server " + std::to_string(backend)});
+        }
+    }
+    return breaches;
+}
+
 std::vector<Breach> breachesAtColdServers(const SoakSite &site)
 {
     if (const int most = site.mostWhileCold(); most > ColdBound) {
--- a/tests/soak/promises.h
+++ b/tests/soak/promises.h
@@ -53,6 +53,10 @@
 /// entry VMs have to hear of it.
 std::vector<Breach> breachesUnderEvacuation(SoakSite &site);
 
+/// Lets a backend server of each zone name a limit on its requests, with all else well. @return a breach for each that gets more from the time on
+/// that entry VMs have to hear of it, or that is not used again after the limit has ended.
+std::vector<Breach> breachesUnderLimits(SoakSite &site);
+
 /// @return a breach if any server got more requests in a second than it bears while it is cold.
 std::vector<Breach> breachesAtColdServers(const SoakSite &site);
 
--- a/tests/soak/soaksite.cpp
+++ b/tests/soak/soaksite.cpp
@@ -261,6 +261,17 @@
     return most;
 }
 
+void SoakSite::nameLimit(std::size_t backend, const std::string &text)
+{
+    // In answers to requests alone, so that entry VMs have to tell each other.
+    backends_[backend].server->nameLimit(text, Standins::LimitBearers::Requests);
+}
+
+int SoakSite::mostRunsAt(std::size_t backend, Duration window, TimePoint from) const
+{
+    return backends_[backend].server->mostRuns(window, from);
+}
+
 int SoakSite::configure()
 {
     const std::lock_guard lock(mutex_);
--- a/tests/soak/soaksite.h
+++ b/tests/soak/soaksite.h
@@ -99,6 +99,10 @@
     void chill(std::size_t backend);
     /// @return most requests that a backend server began to run in any second while it was cold.
     int mostWhileCold() const;
+    /// The backend server names a limit on its requests. @param text of the limit; empty for none.
+    void nameLimit(std::size_t backend, const std::string &text);
+    /// @return most requests that the backend server began to run in any @p window that began at @p from or later.
+    int mostRunsAt(std::size_t backend, Duration window, TimePoint from) const;
     /// Puts the next version of the configuration in force. Each has a host of its own, which the next one drops.
     /// @return its number.
     int configure();
--- a/tests/support/boundedzone.cpp
+++ b/tests/support/boundedzone.cpp
@@ -85,6 +85,13 @@
     relay_ = next % nodes_.size();
 }
 
+void BoundedZone::silenceSenders()
+{
+    for (Node &node : nodes_) {
+        node.hasRequests = node.pool.limitShare(*node.pool.find("server"), now_).value_or(0) == 0;
+    }
+}
+
 void BoundedZone::setCut(std::size_t index, bool isCut)
 {
     nodes_[index % nodes_.size()].isCut = isCut;
@@ -148,7 +155,7 @@
     Node &node = nodes_[index];
     const bool isBounded = server_.coldRequestsPerSecond > 0 || node.pool.find("server")->limit.perSecond();
     // A process serves once it has heard from a relay.
-    const bool isServing = node.hasAsked || index == relay_;
+    const bool isServing = node.hasRequests && (node.hasAsked || index == relay_);
     if (!isServing || (!isBounded && now_ < node.nextSend)) {
         return;
     }
@@ -196,7 +203,8 @@
     if (limit) {
         node.limitToldAt = node.limitToldAt.value_or(now_);
     }
-    if (node.pool.takeLimitNotice(now_, askedAt, "server", source, noticeOf(limit))) {
+    const bool isChanged = node.pool.takeLimitNotice(now_, askedAt, "server", source, noticeOf(limit));
+    if (isChanged || node.pool.takeLimitConfirmation("server")) {
         const KnownLimit &known = node.pool.find("server")->limit;
         node.limits.heard({"server", known.perSecond(), known.heardAt()});
     }
--- a/tests/support/boundedzone.h
+++ b/tests/support/boundedzone.h
@@ -48,6 +48,8 @@
     void restart(std::size_t index);
     /// Another entry VM relays from now on; followers notice one after the other.
     void handOver(std::size_t next);
+    /// Entry VMs that have a share in the limit of the server have no requests for it from now on.
+    void silenceSenders();
     void setCut(std::size_t index, bool isCut);
 
     TimePoint now() const;
@@ -76,6 +78,7 @@
         std::size_t follows = 0;
         TimePoint changesAt;
         bool isCut = false;
+        bool hasRequests = true;
         bool hasAsked = false; ///< A relay, and was answered.
     };
 
--- a/tests/support/describe.cpp
+++ b/tests/support/describe.cpp
@@ -105,7 +105,7 @@
     {
         return "eject " + action.backend + " for " + std::to_string(std::chrono::floor<milliseconds>(action.lasts).count()) + " ms after " + action.reason;
     }
-    std::string operator()(const ServerLimitChanged &action) const
+    std::string operator()(const ServerLimitHeard &action) const
     {
         return "limit of " + action.backend + (action.perSecond ? " is " + std::to_string(*action.perSecond) : " has ended");
     }
