--- a/src/core/requests/serviceshardchoice.cpp
+++ b/src/core/requests/serviceshardchoice.cpp
@@ -131,7 +131,7 @@
         startChosen(now, pool_.takeNamed(now, step.backend), request, actions);
     } else if (!ServerChooser::knowsAny(now, pool_)) {
         // No server answers probes; that alone is no reason to serve nobody.
-        startChosen(now, pool_.take(now, random_, request.tried), request, actions);
+        startChosen(now, pool_.takeUnheard(now, random_, request.tried), request, actions);
     }
 }
 
--- a/src/core/servers/backendpool.cpp
+++ b/src/core/servers/backendpool.cpp
@@ -155,6 +155,13 @@
     return takeOneOf(now, random, open(now, tried, false));
 }
 
+std::optional<std::size_t> BackendPool::takeUnheard(TimePoint now, Random &random, std::span<const std::string> tried)
+{
+    std::vector<std::size_t> indices = candidates(now, tried);
+    std::erase_if(indices, [this, now](std::size_t index) { return coldStart_ && !isWithin(backends_[index], *coldStart_, now); });
+    return takeOneOf(now, random, indices);
+}
+
 std::optional<std::size_t> BackendPool::takeOneOf(TimePoint now, Random &random, std::span<const std::size_t> indices)
 {
     if (indices.empty()) {
@@ -406,10 +413,13 @@
 bool BackendPool::isWithinBounds(const Backend &backend, TimePoint now) const
 {
     const auto all = bounds(backend, now);
-    return std::all_of(all.begin(), all.end(), [this, &backend, now](const FleetAllowance &allowance) {
-        const auto opening = openingOf(backend, allowance, now);
-        return opening && now >= *opening;
-    });
+    return std::all_of(all.begin(), all.end(), [this, &backend, now](const FleetAllowance &allowance) { return isWithin(backend, allowance, now); });
+}
+
+bool BackendPool::isWithin(const Backend &backend, const FleetAllowance &allowance, TimePoint now) const
+{
+    const auto opening = openingOf(backend, allowance, now);
+    return opening && now >= *opening;
 }
 
 std::optional<TimePoint> BackendPool::silenceEnd(const Backend &backend, const FleetAllowance &allowance) const
--- a/src/core/servers/backendpool.h
+++ b/src/core/servers/backendpool.h
@@ -101,6 +101,9 @@
     /// Like take(), but only a server that was not tried and has room now.
     std::optional<std::size_t> takeFresh(TimePoint now, Random &random, std::span<const std::string> tried);
 
+    /// Like take(), where servers have not told of themselves lately: each is kept to the bound of a cold one, which it may be by now.
+    std::optional<std::size_t> takeUnheard(TimePoint now, Random &random, std::span<const std::string> tried);
+
     /// Counts an attempt at the server called @p name. @return its index, or nothing when it may take none now.
     std::optional<std::size_t> takeNamed(TimePoint now, std::string_view name);
     /// @return servers that may take an attempt now and are not in @p excluded.
@@ -160,6 +163,7 @@
     /// @return when this entry VM, which has no share, may send a request to @p backend to hear whether its limit still stands; nothing when it may not.
     std::optional<TimePoint> silenceEnd(const Backend &backend, const FleetAllowance &allowance) const;
     int ownShare(const Backend &backend, const FleetAllowance &allowance) const;
+    bool isWithin(const Backend &backend, const FleetAllowance &allowance, TimePoint now) const;
     /// @return when @p allowance leaves room for a request of this entry VM; nothing when it never does.
     std::optional<TimePoint> openingOf(const Backend &backend, const FleetAllowance &allowance, TimePoint now) const;
     void countTaken(Backend &backend, TimePoint now);
--- a/tests/unit/probedchoicetests.cpp
+++ b/tests/unit/probedchoicetests.cpp
@@ -152,6 +152,22 @@
     CHECK(shard.started.size() == 1);
 }
 
+TEST_CASE("Where no server answers probes, none gets more than the bound of a cold one, which it may be", "[choice][cold]")
+{
+    Service service = probedService(2, 0.001);
+    service.coldStart = FleetAllowance{3, milliseconds(1050), 3};
+    service.place = FleetPlace{0, 1};
+    Probing shard(service);
+    shard.pass(seconds(10));
+    for (RequestId id = 1; id <= 20; ++id) {
+        shard.arrive(id);
+    }
+    shard.pass(milliseconds(500));
+    CHECK(shard.started.size() <= 6);
+    CHECK_FALSE(shard.started.empty());
+    CHECK(shard.started.size() + shard.refused.size() == 20);
+}
+
 TEST_CASE("When all servers are full, a request is refused within an eighth of its objective and told to come back after the shortage", "[choice][overload]")
 {
     Probing shard(probedService(3));
