--- a/src/core/requests/serviceshardchoice.cpp
+++ b/src/core/requests/serviceshardchoice.cpp
@@ -56,6 +56,10 @@
 
 void ServiceShard::proceedWithChoice(TimePoint now, Request &request, ServiceActions &actions)
 {
+    if (const auto trial = request.choice->isRescue ? std::nullopt : pool_.takeLimitTrial(now, request.tried)) {
+        startChosen(now, trial, request, actions);
+        return;
+    }
     const ChoiceStep step = chooser_.look(now, pool_, request.tried, needOf(now, request), *request.choice);
     if (step.state == ChoiceState::Chosen) {
         startChosen(now, pool_.takeNamed(now, step.backend), request, actions);
--- a/src/core/servers/backendpool.cpp
+++ b/src/core/servers/backendpool.cpp
@@ -32,7 +32,7 @@
 constexpr std::size_t MaxEjectedPart = 3;
 constexpr Duration SilenceWorthProbe = milliseconds(500);
 constexpr double LatencyWeight = 0.1;
-constexpr Duration LimitCheckPause = seconds(2);
+constexpr Duration LimitCheckPause = seconds(1);
 // While senders have requests, reports that a limit still stands come sooner after a window.
 constexpr Duration LimitSilence = seconds(2);
 constexpr Duration LimitTrialPause = seconds(1);
@@ -261,11 +261,11 @@
 
 std::optional<std::size_t> BackendPool::wantsLimitCheck(TimePoint now) const
 {
-    // Who sends nothing to a server hears nothing of the end of its limit, and may have to use the server then.
-    const auto isDue = [now](const Backend &backend) {
-        const bool isAskable = isServing(backend) && backend.limit.perSecond() && backend.limit.isNamedBy(NoticeSource::Probe);
-        const TimePoint last = std::max(backend.limit.heardAt(), backend.limitProbedAt.value_or(TimePoint()));
-        return isAskable && now - last >= LimitCheckPause;
+    // Who sends nothing to a server hears nothing of the end of its limit. Where probes do not tell, the answer to one lets a request go there.
+    const auto isDue = [this, now](const Backend &backend) {
+        const bool isAsked = backend.limitProbedAt && now - *backend.limitProbedAt < LimitCheckPause;
+        const bool isTelling = backend.limit.isNamedBy(NoticeSource::Probe) || mayTake(backend, now, true);
+        return isServing(backend) && isLimitSilent(backend, now) && !isAsked && isTelling;
     };
     const auto found = std::find_if(backends_.begin(), backends_.end(), isDue);
     if (found == backends_.end()) {
@@ -274,6 +274,26 @@
     return static_cast<std::size_t>(found - backends_.begin());
 }
 
+std::optional<std::size_t> BackendPool::takeLimitTrial(TimePoint now, std::span<const std::string> tried)
+{
+    // Choices go to servers that have just told of themselves, as those with many requests do; others would get none as long as these have room.
+    const auto isDue = [this, now, tried](const Backend &backend) {
+        const bool isAlive = backend.reportedAt && now - *backend.reportedAt < LimitCheckPause;
+        return isLimitSilent(backend, now) && isAlive && mayTake(backend, now, true) && !isIn(tried, backend.server.name);
+    };
+    const auto found = std::find_if(backends_.begin(), backends_.end(), isDue);
+    if (found == backends_.end()) {
+        return std::nullopt;
+    }
+    countTaken(*found, now);
+    return static_cast<std::size_t>(found - backends_.begin());
+}
+
+bool BackendPool::isLimitSilent(const Backend &backend, TimePoint now)
+{
+    return backend.limit.perSecond() && backend.inFlight == 0 && now - backend.limit.heardAt() >= LimitConfirmPause;
+}
+
 void BackendPool::limitChecked(std::string_view name, TimePoint now)
 {
     if (Backend *backend = findMutable(name)) {
--- a/src/core/servers/backendpool.h
+++ b/src/core/servers/backendpool.h
@@ -128,6 +128,8 @@
     bool takeLimitConfirmation(std::string_view name);
     /// @return a server that is to be asked whether its limit still stands, if any is.
     std::optional<std::size_t> wantsLimitCheck(TimePoint now) const;
+    /// @return a server that should get the next request, so that it is heard whether its limit still stands; nothing where none is due.
+    std::optional<std::size_t> takeLimitTrial(TimePoint now, std::span<const std::string> tried);
     /// The server called @p name is being asked that.
     void limitChecked(std::string_view name, TimePoint now);
     /// @return requests that this entry VM may send to @p backend in a window of its limit; nothing without one.
@@ -162,6 +164,8 @@
     bool isWithinBounds(const Backend &backend, TimePoint now) const;
     /// @return when this entry VM, which has no share, may send a request to @p backend to hear whether its limit still stands; nothing when it may not.
     std::optional<TimePoint> silenceEnd(const Backend &backend, const FleetAllowance &allowance) const;
+    /// @return whether it has not been heard for a while whether the server's limit still stands.
+    static bool isLimitSilent(const Backend &backend, TimePoint now);
     int ownShare(const Backend &backend, const FleetAllowance &allowance) const;
     bool isWithin(const Backend &backend, const FleetAllowance &allowance, TimePoint now) const;
     /// @return when @p allowance leaves room for a request of this entry VM; nothing when it never does.
--- a/tests/unit/probedchoicetests.cpp
+++ b/tests/unit/probedchoicetests.cpp
@@ -615,3 +615,23 @@
     CHECK(probing.endProbes >= ServerEndWatch::TurnsToEnd);
     CHECK(probing.ejections <= 1);
 }
+
+TEST_CASE("A server whose limit nobody has heard of for a while gets a request though others have just told of room", "[choice][limit]")
+{
+    Service service = probedService(2);
+    service.place = FleetPlace{0, 1};
+    Probing shard(service);
+    shard.reports = {{"b1", {0, 0, 3, 1.0}}, {"b2", {1, 0, 3, 1.0}}};
+    shard.pass(seconds(10));
+    shard.handle(ProbeEnded{"b2", true, false, LoadReport{1, 0, 3, 1.0}, std::nullopt, LifeSign::Answered, true, {}, RequestLimit{2.7}});
+    for (RequestId id = 1; id <= 300; ++id) {
+        shard.arrive(id);
+        shard.pass(milliseconds(5));
+        shard.handle(AttemptEnded{id, 1, AnsweredWhole{200}, LoadReport{0, 0, 3, 1.0}});
+        shard.pass(milliseconds(10));
+    }
+    // By the first ones, what it has just told of itself is fresh.
+    const auto isLaterAtLimited = [](const StartAttempt &attempt) { return attempt.request > 20 && attempt.backend == "b2"; };
+    const auto atLimited = std::count_if(shard.started.begin(), shard.started.end(), isLaterAtLimited);
+    CHECK(atLimited >= 1);
+}
