--- a/src/core/servers/backendpool.cpp
+++ b/src/core/servers/backendpool.cpp
@@ -66,7 +66,7 @@
 {
     coldStart_ = service.coldStart;
     configuredAt_ = configuredAt_.value_or(now);
-    const bool isPlaceNew = takePlace(service.place, now);
+    const bool isPlaceNew = std::exchange(place_, service.place) != service.place;
     // Looked up by name in one pass: a service may have more than a thousand servers, and each change comes here.
     std::unordered_map<std::string_view, Backend *> known;
     for (Backend &backend : backends_) {
@@ -87,31 +87,25 @@
         backend.isEvacuated = isIn(service.evacuatedZones, server.zone);
         backend.distance = distanceTo(server);
         if (isPlaceNew || !isKnown) {
-            backend.senderRank = rankAt(backend);
+            rankSender(backend, now);
         }
         next.push_back(std::move(backend));
     }
     backends_ = std::move(next);
 }
 
-bool BackendPool::takePlace(const std::optional<FleetPlace> &place, TimePoint now)
-{
-    if (place == place_) {
-        return false;
-    }
-    place_ = place;
-    if (place && place != lastPlace_) {
-        formerPlaceChangedAt_ = std::exchange(placeChangedAt_, now);
-        lastPlace_ = place;
-    }
-    return true;
-}
-
-std::optional<int> BackendPool::rankAt(const Backend &backend) const
+void BackendPool::rankSender(Backend &backend, TimePoint now) const
 {
     // Entry VMs of other zones leave servers with a bound alone: they have no place among the senders.
     const bool isSender = place_ && backend.distance == Distance::SameZone;
-    return isSender ? std::optional(senderRank(*place_, backend.server.name)) : std::nullopt;
+    backend.senderRank = isSender ? std::optional(senderRank(*place_, backend.server.name)) : std::nullopt;
+    if (!isSender || backend.senderRank == backend.lastSenderRank) {
+        return;
+    }
+    if (backend.lastSenderRank) {
+        backend.formerRankChangedAt = std::exchange(backend.rankChangedAt, now);
+    }
+    backend.lastSenderRank = backend.senderRank;
 }
 
 void BackendPool::takeEntryWarmUp(Backend &backend, TimePoint now)
@@ -279,7 +273,8 @@
     // Choices go to servers that have just told of themselves, as those with many requests do; others would get none as long as these have room.
     const auto isDue = [this, now, tried](const Backend &backend) {
         const bool isAlive = backend.reportedAt && now - *backend.reportedAt < LimitCheckPause;
-        return isLimitSilent(backend, now) && isAlive && mayTake(backend, now, true) && !isIn(tried, backend.server.name);
+        const bool hasRoom = isAlive && backend.report->running + backend.report->waiting < std::max(1, backend.report->slots);
+        return isLimitSilent(backend, now) && hasRoom && mayTake(backend, now, false) && !isIn(tried, backend.server.name);
     };
     const auto found = std::find_if(backends_.begin(), backends_.end(), isDue);
     if (found == backends_.end()) {
@@ -470,7 +465,7 @@
     // A server that takes few requests does not take the share of a window at once.
     const TimePoint paced = backend.sends.lastStart() + allowance.window / (share * LargestPaceFactor);
     // Allowances leave room for the senders by one change of places, not by two. Others notice a change later by the lifetime of a place.
-    const TimePoint settled = formerPlaceChangedAt_ + allowance.window + FleetPlaceLifetime;
+    const TimePoint settled = backend.formerRankChangedAt + allowance.window + FleetPlaceLifetime;
     // What a former process of this entry VM sent is in no window any more by then.
     const TimePoint forgotten = *configuredAt_ + allowance.window;
     return std::max({*opening, paced, settled, forgotten});
--- a/src/core/servers/backendpool.h
+++ b/src/core/servers/backendpool.h
@@ -52,6 +52,9 @@
     TimePoint warmAtByEntry; ///< The same, as its entry last told.
     KnownLimit limit;
     std::optional<int> senderRank; ///< Of this entry VM among those that send to it while it has a bound; nothing where it is none of them.
+    std::optional<int> lastSenderRank; ///< The same, also while it is none of them.
+    TimePoint rankChangedAt;
+    TimePoint formerRankChangedAt; ///< The change before.
     SendHistory sends;
     double latencyMs = 0; ///< Moving average over good answers; 0 when none was seen.
     int samples = 0; ///< Good answers since the last ejection.
@@ -154,10 +157,8 @@
     Backend *findMutable(std::string_view name);
     /// Takes what the server's entry tells of its warm-up.
     static void takeEntryWarmUp(Backend &backend, TimePoint now);
-    /// Takes this entry VM's place. @return whether it is not the one that was known.
-    bool takePlace(const std::optional<FleetPlace> &place, TimePoint now);
-    /// @return rank of this entry VM among the senders to @p backend; nothing where it is none of them.
-    std::optional<int> rankAt(const Backend &backend) const;
+    /// Finds out the rank of this entry VM among the senders to @p backend.
+    void rankSender(Backend &backend, TimePoint now) const;
     /// @return bounds on the requests that @p backend gets from all entry VMs, as far as any is in force.
     std::vector<FleetAllowance> bounds(const Backend &backend, TimePoint now) const;
     /// @return whether the bounds in force leave room for a request to @p backend.
@@ -190,9 +191,6 @@
     int inFlightCap_ = 1000;
     std::optional<FleetAllowance> coldStart_;
     std::optional<FleetPlace> place_;
-    std::optional<FleetPlace> lastPlace_; ///< Also while there is none.
-    TimePoint placeChangedAt_;
-    TimePoint formerPlaceChangedAt_; ///< The change before.
     std::optional<TimePoint> configuredAt_; ///< For the first time.
 };
 
