--- a/tests/platform/exchangetests.cpp
+++ b/tests/platform/exchangetests.cpp
@@ -98,3 +98,10 @@
     CHECK(std::holds_alternative<UnreadableLimit>(limitIn({{Platform::ServerLimitHeader, bad}})));
     CHECK(std::holds_alternative<UnreadableLimit>(limitIn({{Platform::ServerLimitHeader, "2"}, {Platform::ServerLimitHeader, "3"}})));
 }
+
+TEST_CASE("A request limit does not reach callers", "[platform][limit]")
+{
+    const Headers kept = Protocol.forCaller({{Platform::ServerLimitHeader, "2.7"}, {Platform::BareServerLimitHeader, "2.7"}, {Platform::StampHeader, "s"}});
+    CHECK(kept.size() == 1);
+    CHECK(findHeader(kept, Platform::StampHeader) == "s");
+}
