Followers of a dead relay exchange crash reports with its standbys while the store refuses calls

What callers saw: after a zone's relay had ended during an outage of the store, one entry VM refused a request that crashes servers and another one passed it on; each server that it ended was missing for all callers.

Cause: reports went to relays alone, and only a relay knows its followers. While the store refuses calls the relay's lease cannot be taken, so the survivors had nobody to report to.

Change: a relay's answer to a check names up to three followers as standbys, some 60 bytes within the zone for each check. Standbys hold no lease and prove nothing about the store, so nothing else depends on who they are. One that is named also asks the relays of other zones.

--- a/src/core/directory/directoryevents.h
+++ b/src/core/directory/directoryevents.h
@@ -132,6 +132,7 @@
     std::optional<FleetPlace> place = {}; ///< Of the asking entry VM, if it is of the relay's zone and these have been counted long enough.
     NewestRevisions newest{}; ///< That the relay knows.
     LimitVersion limits = {}; ///< Of the relay's reports on request limits.
+    std::vector<std::string> standbys = {}; ///< Followers that stand in for the relay when it does not answer.
 };
 
 /// The check whether a relay answers has ended.
--- a/src/core/directory/directorykeeper.cpp
+++ b/src/core/directory/directorykeeper.cpp
@@ -55,6 +55,7 @@
     , crashes_(Collection::Crashes)
     , evacuations_(Collection::Evacuations)
     , self_(std::move(self))
+    , reportPeers_(seat_.ownAddress())
 {
 }
 
@@ -66,6 +67,7 @@
     }
     followSource(now, actions);
     meetPeers(actions);
+    meetSubstitutes(now, actions);
     // While the store is away only the cheap check is made; its answer starts the calls again.
     const bool isWaiting = seat_.state() == RelaySeat::State::Deciding || (isAtStore() && isStoreLost_ && provenAt_);
     if (!isWaiting) {
@@ -257,6 +259,9 @@
         // Proofs pass from relay to relay with their age, so two that follow each other prove nothing anew.
         currentAt_ = std::max(currentAt_.value_or(TimePoint()), now - event.proof->age);
     }
+    if (event.proof && event.relay == source_ && seat_.followsOwnZone()) {
+        reportPeers_.named(source_, event.proof->standbys);
+    }
     if (event.proof && !seat_.isRelaying()) {
         countedInZone(now, event.proof->entryVms, actions);
         takePlace(now, event.proof->place);
--- a/src/core/directory/directorykeeper.h
+++ b/src/core/directory/directorykeeper.h
@@ -13,6 +13,7 @@
 #include "core/directory/fleetestimate.h"
 #include "core/directory/objectbook.h"
 #include "core/directory/relayseat.h"
+#include "core/directory/reportpeers.h"
 #include "core/directory/serverregistry.h"
 #include "core/directory/watchcomparison.h"
 #include "core/requests/fleetbudgets.h"
@@ -40,7 +41,9 @@
     /// What this entry VM tells of servers that ended under requests. @param order rises with each.
     void tellCrashes(std::uint64_t order, const CrashReport &report);
     /// Tells relays and followers crash news beside the store.
-    void spreadCrashNews(const CrashSpread &spread, DirectoryActions &actions) const;
+    void spreadCrashNews(TimePoint now, const CrashSpread &spread, DirectoryActions &actions) const;
+    /// The entry VM at address @p peer has asked for all crash news.
+    void crashNewsAsked(TimePoint now, const std::string &peer);
     /// Tells one relay all crash news. @param wantsAnswer the same is to be told in return.
     void sendCrashNews(const std::string &relay, std::vector<CrashNews> news, bool wantsAnswer, DirectoryActions &actions) const;
     /// @return addresses of the entry VMs that reports on request limits are exchanged with.
@@ -108,10 +111,14 @@
     void storeFailed(TimePoint now, const std::string &reason, DirectoryActions &actions);
     void planCheck(TimePoint now);
     void publish(TimePoint now, DirectoryActions &actions);
-    /// Tells whether this entry VM relays or follows none, and brings about an exchange of crash news with relays that are new to it.
-    /// @return the relay that is followed, and those of other zones.
+    /// @return the relay that is followed, and those of other zones; with whoever stands in when none of the own zone is followed.
     std::vector<std::string> knownRelays() const;
+    /// @return whether no relay tells this entry VM what others of its zone report.
+    bool lacksRelay() const;
+    /// Tells whether this entry VM relays or follows none, and brings about an exchange of crash news with relays that are new to it.
     void meetPeers(DirectoryActions &actions);
+    /// Exchanges crash news with whoever stands in for the relay of the own zone.
+    void meetSubstitutes(TimePoint now, DirectoryActions &actions);
     /// Takes this entry VM's place among those of its zone, as its relay told it, or as it has it as the relay.
     void takePlace(TimePoint now, const std::optional<FleetPlace> &place);
     /// @return whether this entry VM's place has changed since the last state was published.
@@ -143,6 +150,7 @@
     std::uint64_t crashesPublished_ = 0;
     bool wasWitness_ = false; ///< As last published.
     std::vector<std::string> metRelays_; ///< Of other zones, with which crash news were exchanged.
+    ReportPeers reportPeers_;
     std::optional<TimePoint> servedSince_; ///< When all else that is needed to serve was first known.
     bool isCrashWaitOver_ = false;
     WatchComparison comparison_;
--- a/src/core/directory/directorykeeperpeers.cpp
+++ b/src/core/directory/directorykeeperpeers.cpp
@@ -15,6 +15,18 @@
 namespace Cloverbarrow
 {
 
+namespace
+{
+
+void addOnce(std::vector<std::string> &addresses, const std::string &address)
+{
+    if (std::find(addresses.begin(), addresses.end(), address) == addresses.end()) {
+        addresses.push_back(address);
+    }
+}
+
+} // namespace
+
 std::optional<DirectoryNews> DirectoryKeeper::newsSince(Collection collection, std::int64_t since) const
 {
     if (!watchOf(collection).isComplete()) {
@@ -44,12 +56,15 @@
     if (!seat_.isRelaying() || !currentAt_) {
         return std::nullopt;
     }
-    std::optional<FleetPlace> place;
+    const bool hearsFromStore = seat_.state() == RelaySeat::State::Holding && !isStoreLost_;
+    RelayProof proof{now - *currentAt_, hearsFromStore, fleet_.countedInZone(now), seat_.otherRelays()};
     if (!follower.empty()) {
-        place = fleet_.followerAsked(now, follower);
+        proof.place = fleet_.followerAsked(now, follower);
+        proof.entryVms = fleet_.countedInZone(now);
+        proof.standbys = fleet_.standbys(now);
     }
-    const bool hearsFromStore = seat_.state() == RelaySeat::State::Holding && !isStoreLost_;
-    return RelayProof{now - *currentAt_, hearsFromStore, fleet_.countedInZone(now), seat_.otherRelays(), place, comparison_.newest()};
+    proof.newest = comparison_.newest();
+    return proof;
 }
 
 bool DirectoryKeeper::mayProveSoon() const
@@ -58,7 +73,7 @@
     return isDeciding || (seat_.isRelaying() && !currentAt_);
 }
 
-void DirectoryKeeper::spreadCrashNews(const CrashSpread &spread, DirectoryActions &actions) const
+void DirectoryKeeper::spreadCrashNews(TimePoint now, const CrashSpread &spread, DirectoryActions &actions) const
 {
     // A second witness of each lost answer: entry VMs that alone had seen the ends of servers were killed while the store refused calls, and the request
     // ended more.
@@ -66,21 +81,59 @@
     if (spread.own && !relays.empty()) {
         actions.emplace_back(TellCrashNews{std::move(relays), {{}, {*spread.own}}});
     }
-    auto followers = fleet_.followers();
-    if (!spread.passedOn.empty() && !followers.empty()) {
-        actions.emplace_back(TellCrashNews{std::move(followers), {{}, spread.passedOn}});
+    auto receivers = fleet_.followers();
+    for (const std::string &asker : reportPeers_.askers(now)) {
+        addOnce(receivers, asker);
+    }
+    if (!spread.passedOn.empty() && !receivers.empty()) {
+        actions.emplace_back(TellCrashNews{std::move(receivers), {{}, spread.passedOn}});
     }
 }
 
+void DirectoryKeeper::crashNewsAsked(TimePoint now, const std::string &peer)
+{
+    reportPeers_.asked(now, peer);
+}
+
 std::vector<std::string> DirectoryKeeper::knownRelays() const
 {
     std::vector<std::string> relays = seat_.otherRelays();
-    if (!source_.empty() && std::find(relays.begin(), relays.end(), source_) == relays.end()) {
-        relays.push_back(source_);
+    if (!source_.empty()) {
+        addOnce(relays, source_);
+    }
+    if (lacksRelay()) {
+        for (const std::string &substitute : reportPeers_.substitutes()) {
+            addOnce(relays, substitute);
+        }
     }
     return relays;
 }
 
+bool DirectoryKeeper::lacksRelay() const
+{
+    return !seat_.isRelaying() && !seat_.followsOwnZone();
+}
+
+void DirectoryKeeper::meetSubstitutes(TimePoint now, DirectoryActions &actions)
+{
+    if (!lacksRelay() || !reportPeers_.takeDue(now)) {
+        return;
+    }
+    std::vector<std::string> peers = reportPeers_.substitutes();
+    if (!source_.empty()) {
+        addOnce(peers, source_);
+    }
+    if (reportPeers_.isStandby()) {
+        // One way between zones for all entry VMs of this one.
+        for (const std::string &relay : seat_.otherRelays()) {
+            addOnce(peers, relay);
+        }
+    }
+    for (std::string &peer : peers) {
+        actions.emplace_back(ExchangeCrashNews{std::move(peer)});
+    }
+}
+
 std::vector<std::string> DirectoryKeeper::limitPeers() const
 {
     // Followers hear from their relay what others have told it.
--- a/src/core/directory/fleetestimate.cpp
+++ b/src/core/directory/fleetestimate.cpp
@@ -31,6 +31,8 @@
 constexpr Duration CountingTime = seconds(2);
 // An entry VM that starts again takes its place back by then, and bounds that places share out have room for one change within this time.
 constexpr Duration GapsStay = seconds(10);
+// Each proof names them, some 20 bytes each. With three, two may end together with the relay.
+constexpr std::size_t MostStandbys = 3;
 // This entry VM's own, when it relays.
 constexpr int OwnPlace = 0;
 
@@ -126,6 +128,23 @@
     return addresses;
 }
 
+std::vector<std::string> FleetEstimate::standbys(TimePoint now) const
+{
+    std::map<int, std::string> byPlace;
+    for (const auto &[address, follower] : followers_) {
+        if (now - follower.askedAt <= FollowerStays) {
+            byPlace.emplace(follower.place, address);
+        }
+    }
+    std::vector<std::string> addresses;
+    for (const auto &[place, address] : byPlace) {
+        if (addresses.size() < MostStandbys) {
+            addresses.push_back(address);
+        }
+    }
+    return addresses;
+}
+
 int FleetEstimate::countedInZone(TimePoint now) const
 {
     const auto asks = [now](const auto &entry) { return now - entry.second.askedAt <= FollowerStays; };
--- a/src/core/directory/fleetestimate.h
+++ b/src/core/directory/fleetestimate.h
@@ -39,6 +39,8 @@
     void stopCounting();
     /// @return addresses of the entry VMs that have asked this one lately.
     std::vector<std::string> followers() const;
+    /// @return addresses of the followers that stand in for this relay when it does not answer: those with the lowest places.
+    std::vector<std::string> standbys(TimePoint now) const;
     /// @return entry VMs of the zone, with this one, as its relay counts them.
     int countedInZone(TimePoint now) const;
 
--- a/src/core/directory/relayseat.cpp
+++ b/src/core/directory/relayseat.cpp
@@ -238,6 +238,11 @@
     return state_ == State::Holding || (state_ == State::Following && holder_ == own_);
 }
 
+bool RelaySeat::followsOwnZone() const
+{
+    return state_ == State::Following && !isAway();
+}
+
 const std::string &RelaySeat::relay() const
 {
     static const std::string none;
--- a/src/core/directory/relayseat.h
+++ b/src/core/directory/relayseat.h
@@ -71,6 +71,8 @@
     State state() const;
     /// @return whether others may follow this entry VM: it holds the seat, also while it hears from another zone's relay.
     bool isRelaying() const;
+    /// @return whether a relay of the own availability zone is followed.
+    bool followsOwnZone() const;
     /// @return address of the relay that is followed; empty otherwise.
     const std::string &relay() const;
     /// @return address under which this entry VM relays; empty where there are no relays.
--- a/src/daemon/directoryrunner.cpp
+++ b/src/daemon/directoryrunner.cpp
@@ -76,7 +76,7 @@
     DirectoryActions actions;
     {
         const std::lock_guard lock(mutex_);
-        keeper_->spreadCrashNews(action.spread, actions);
+        keeper_->spreadCrashNews(bootNow(), action.spread, actions);
     }
     perform(actions);
 }
@@ -98,7 +98,9 @@
         for (const CrashNews &news : message.news) {
             logNews(news);
         }
+        const std::string asker = message.answerTo;
         events_.handle(ControlEvent(CrashNewsHeard{std::move(message)}));
+        takeNewsAsker(asker);
         return true;
     } catch (const std::exception &exception) {
         log_.warn("crash news left out", {{"reason", exception.what()}});
@@ -106,6 +108,14 @@
     }
 }
 
+void DirectoryRunner::takeNewsAsker(const std::string &asker)
+{
+    const std::lock_guard lock(mutex_);
+    if (keeper_ && !asker.empty()) {
+        keeper_->crashNewsAsked(bootNow(), asker);
+    }
+}
+
 void DirectoryRunner::logNews(const CrashNews &news)
 {
     log_.info("crash news heard",
--- a/src/net/relaymessages.cpp
+++ b/src/net/relaymessages.cpp
@@ -24,6 +24,8 @@
 
 constexpr std::string_view NewsPath = "/relay/news/";
 constexpr std::string_view ProofPath = "/relay/proof/";
+// More than a relay names.
+constexpr std::size_t MaxStandbys = 16;
 // Far more entry VMs than one availability zone has.
 constexpr int MaxPlaces = 100'000;
 /// In the order of the collections.
@@ -170,6 +172,9 @@
     if (proof.limits.sequence > 0) {
         body["limits"] = encodeVersion(proof.limits);
     }
+    if (!proof.standbys.empty()) {
+        body["standbys"] = proof.standbys;
+    }
     if (proof.place) {
         body["place"] = {{"number", proof.place->number}, {"count", proof.place->count}};
     }
@@ -189,6 +194,12 @@
     if (body.contains("limits")) {
         proof.limits = decodeVersion(body.at("limits"));
     }
+    if (body.contains("standbys")) {
+        proof.standbys = body.at("standbys").get<std::vector<std::string>>();
+        if (proof.standbys.size() > MaxStandbys) {
+            throw std::invalid_argument(std::to_string(proof.standbys.size()) + " standbys");
+        }
+    }
     if (body.contains("place")) {
         proof.place = placeIn(body.at("place"));
     }
--- a/tests/property/directoryproperties.cpp
+++ b/tests/property/directoryproperties.cpp
@@ -185,7 +185,7 @@
             const std::string zone = "zone-" + std::to_string(number % zones);
             const std::string name = "vm-" + std::to_string(number);
             DirectoryKeeper keeper(FleetBudgets{}, RelaySeat(address, false, seed), seed, name);
-            nodes_.push_back({name, address, zone, std::move(keeper), CrashLedger(name, "0"), {}, 0, nullptr, false, {}, {}});
+            nodes_.push_back({name, address, zone, std::move(keeper), CrashLedger(name, "0"), {}, 0, nullptr, false, false, false, {}, {}, 0, {}});
         }
     }
 
@@ -196,6 +196,9 @@
             dropHistory();
             findEnds();
             for (Node &node : nodes_) {
+                if (node.isGone) {
+                    continue;
+                }
                 DirectoryActions actions;
                 node.ledger.tick(now_);
                 tell(node);
@@ -230,11 +233,28 @@
         node.ledger = CrashLedger(node.name, std::to_string(seed));
         node.verdicts = {};
         node.reports = 0;
+        node.isWitness = false;
+        node.published = nullptr;
+        node.calls.clear();
+        node.waiting.clear();
+    }
+
+    /// The VM ends and does not come back.
+    void remove(std::size_t index)
+    {
+        Node &node = nodes_[index % nodes_.size()];
+        node.isGone = true;
         node.published = nullptr;
         node.calls.clear();
         node.waiting.clear();
     }
 
+    /// @return whether other entry VMs may follow this one.
+    bool isRelay(std::size_t index) const
+    {
+        return nodes_[index % nodes_.size()].isWitness && !nodes_[index % nodes_.size()].isGone;
+    }
+
     /// Cuts all watches at the store and drops history a moment later. A watch that begins in between is not cut, and
     /// hears of nothing until the next change of its collection.
     void compact()
@@ -328,6 +348,8 @@
         std::uint64_t reports = 0; ///< Told so far.
         std::shared_ptr<const IntentInForce> published;
         bool isCut = false;
+        bool isGone = false;
+        bool isWitness = false;
         std::vector<Call> calls;
         std::vector<WatchDirectory> waiting;
         int process = 0; ///< Counts starts.
@@ -401,7 +423,7 @@
         }
         if (auto spread = node.ledger.takeSpread(now_)) {
             DirectoryActions actions;
-            node.keeper.spreadCrashNews(*spread, actions);
+            node.keeper.spreadCrashNews(now_, *spread, actions);
             take(node, actions);
         }
     }
@@ -557,6 +579,7 @@
             receiver.ledger.heard(now_, news);
         }
         if (!message.answerTo.empty()) {
+            receiver.keeper.crashNewsAsked(now_, message.answerTo);
             send(receiver, message.answerTo, false);
         }
     }
@@ -575,6 +598,7 @@
 
     void perform(Node &node, const PublishWitnessing &action)
     {
+        node.isWitness = action.isWitness;
         node.ledger.setWitness(action.isWitness);
     }
 
@@ -602,7 +626,8 @@
 
     Node *find(const std::string &address)
     {
-        const auto found = std::find_if(nodes_.begin(), nodes_.end(), [&address](const Node &node) { return node.address == address; });
+        const auto isAt = [&address](const Node &node) { return node.address == address && !node.isGone; };
+        const auto found = std::find_if(nodes_.begin(), nodes_.end(), isAt);
         return found == nodes_.end() ? nullptr : &*found;
     }
 
@@ -1074,6 +1099,38 @@
     }));
 }
 
+TEST_CASE("Entry VMs whose relay has ended tell each other of lost answers while the store refuses calls", "[property][directory][crash][standby]")
+{
+    CHECK(rc::check("although no entry VM can take the relay's seat", [] {
+        constexpr int EntryVms = 6;
+        ModelFleet fleet(EntryVms, 1);
+        fleet.store.putServer("i-1", false);
+        fleet.pass(seconds(20));
+        fleet.store.isDown = true;
+        fleet.pass(milliseconds(*rc::gen::inRange(10, 5000)));
+        std::vector<std::size_t> alive;
+        for (std::size_t index = 0; index < EntryVms; ++index) {
+            if (fleet.isRelay(index)) {
+                fleet.remove(index);
+            } else {
+                alive.push_back(index);
+            }
+        }
+        RC_ASSERT(alive.size() == EntryVms - 1);
+        fleet.pass(milliseconds(*rc::gen::inRange(0, 3000)));
+        const RequestContent fatal{"fatal", "caller-9"};
+        for (int lost = 0; lost < 3; ++lost) {
+            fleet.lose(*rc::gen::elementOf(alive), fatal, "fatal-" + std::to_string(lost), milliseconds(300));
+            fleet.pass(milliseconds(100));
+        }
+        // The relay's silence has to be noticed, where it has just ended.
+        fleet.pass(seconds(1));
+        for (const std::size_t index : alive) {
+            RC_ASSERT(fleet.refuses(index, fatal));
+        }
+    }));
+}
+
 TEST_CASE("An entry VM that starts while the store refuses calls learns what the others refuse", "[property][directory][crash]")
 {
     CHECK(rc::check("from its relay, or as the relay from its followers", [] {
