An entry VM that started during an outage of the store asks its zone's relay for crash reports before it serves

What callers saw: for up to two seconds after the store's return entry VMs that had started meanwhile passed on requests that others had refused for seconds, and each ended a server more.

Cause: they read the store themselves as soon as it answers, and it does not show yet what was reported during the outage.

Change: before its first state is published, an entry VM asks the holder of its zone's lease for all reports and waits for the answer, 0.3 s at most from when it could serve (the wait for the store's reports that there was before). An entry VM with reports that the store lacks does not rest longer between its checks of a lost store.

--- a/src/core/crashes/crashnews.h
+++ b/src/core/crashes/crashnews.h
@@ -41,6 +41,7 @@
 struct CrashNewsMessage {
     std::string answerTo; ///< Relay address of the sender, where it wants all news that the receiver holds; else empty.
     std::vector<CrashNews> news;
+    std::string answerOf = {}; ///< Relay address of the sender, where this answers such a message; else empty.
 
     bool operator==(const CrashNewsMessage &) const = default;
 };
--- a/src/core/directory/directorykeeper.cpp
+++ b/src/core/directory/directorykeeper.cpp
@@ -20,9 +20,9 @@
 constexpr Duration CheckInterval = milliseconds(1500);
 // Calls are paid for while the store is down as well, so checks of a lost one get rarer: of 8 s without it a relay made 21, now 11 at most.
 constexpr int QuickLostChecks = 3;
-// An entry VM that has just started reads under which requests servers have ended before it serves, but does not wait for long: where it served at once, it
+// An entry VM that has just started learns under which requests servers have ended before it serves, but does not wait for long: where it served at once, it
 // passed on such a request up to four times before it knew. A list that is not there by then comes late or never, as from a relay of an earlier release.
-constexpr Duration CrashListPatience = milliseconds(300);
+constexpr Duration CrashReportPatience = milliseconds(300);
 // A single call that was cut is made up for at once, but not by all entry VMs in the same moment.
 constexpr Duration FirstCheckSpread = milliseconds(100);
 
@@ -299,6 +299,7 @@
 {
     if (event.hasAnswered) {
         provenAt_ = now;
+        askFirstReports(event.holder, actions);
     } else if (event.wasSilent) {
         storeCallSilent(now, actions);
     }
@@ -328,11 +329,38 @@
     if (published_ > 0 || !isServable() || isCrashWaitOver_) {
         return false;
     }
+    if (!hasFirstReports_ && firstReporter_.empty() && !std::exchange(hasLookedForReporter_, true)) {
+        seat_.lookNow(now);
+    }
     servedSince_ = servedSince_.value_or(now);
-    isCrashWaitOver_ = now - *servedSince_ >= CrashListPatience;
+    isCrashWaitOver_ = knowsCrashReports() || now - *servedSince_ >= CrashReportPatience;
     return isCrashWaitOver_;
 }
 
+bool DirectoryKeeper::knowsCrashReports() const
+{
+    return crashes_.isComplete() && (hasFirstReports_ || seat_.ownAddress().empty());
+}
+
+void DirectoryKeeper::askFirstReports(const std::string &holder, DirectoryActions &actions)
+{
+    if (published_ > 0 || hasFirstReports_ || holder == firstReporter_) {
+        hasFirstReports_ = hasFirstReports_ || holder.empty();
+        return;
+    }
+    hasFirstReports_ = holder == seat_.ownAddress();
+    if (!hasFirstReports_) {
+        // During an outage of the store the zone's relay learns of reports that the store shows only some time after its return.
+        firstReporter_ = holder;
+        actions.emplace_back(ExchangeCrashNews{holder});
+    }
+}
+
+void DirectoryKeeper::crashNewsAnswered(const std::string &peer)
+{
+    hasFirstReports_ = hasFirstReports_ || peer == firstReporter_;
+}
+
 void DirectoryKeeper::publishCrashes(TimePoint now, DirectoryActions &actions)
 {
     const DirectoryEntry *own = crashBook_.find(self_);
@@ -387,7 +415,9 @@
     }
     source_ = seat_.relay();
     if (!source_.empty()) {
-        actions.emplace_back(ExchangeCrashNews{source_});
+        if (source_ != firstReporter_ || hasFirstReports_) {
+            actions.emplace_back(ExchangeCrashNews{source_});
+        }
         // The store was away for this entry VM alone. A server that left meanwhile got requests for two seconds more, as long as it may after its word, when
         // its entry was still waited for here.
         registry_.followsRelay(now);
@@ -503,7 +533,9 @@
 {
     const bool isHurried = isStoreLost_ || seat_.state() == RelaySeat::State::Holding;
     const Duration usual = isHurried ? RelaySeat::CheckInterval : CheckInterval;
-    const Duration pause = lostChecks_ > QuickLostChecks ? std::min(usual * (lostChecks_ - QuickLostChecks + 1), RelaySeat::LongestLostPause) : usual;
+    // What is not in the store yet is written as soon as it is back: entry VMs that have just started know it from there alone.
+    const bool isRested = lostChecks_ > QuickLostChecks && !crashWriter_.hasUnwritten();
+    const Duration pause = isRested ? std::min(usual * (lostChecks_ - QuickLostChecks + 1), RelaySeat::LongestLostPause) : usual;
     // Between three quarters and five quarters, so that entry VMs do not ask all at once.
     nextCheck_ = now + pause * 3 / 4 + Duration(random_.below(static_cast<std::size_t>((pause / 2).count())));
 }
@@ -536,7 +568,7 @@
 
 void DirectoryKeeper::publish(TimePoint now, DirectoryActions &actions)
 {
-    if (!isServable() || (published_ == 0 && !crashes_.isComplete() && !isCrashWaitOver_)) {
+    if (!isServable() || (published_ == 0 && !knowsCrashReports() && !isCrashWaitOver_)) {
         return;
     }
     publishedPlace_ = placeNow(now);
--- a/src/core/directory/directorykeeper.h
+++ b/src/core/directory/directorykeeper.h
@@ -44,6 +44,8 @@
     void spreadCrashNews(TimePoint now, const CrashSpread &spread, DirectoryActions &actions) const;
     /// The entry VM at address @p peer has asked for all crash news.
     void crashNewsAsked(TimePoint now, const std::string &peer);
+    /// The entry VM at address @p peer has told all crash news that it holds.
+    void crashNewsAnswered(const std::string &peer);
     /// Tells one relay all crash news. @param wantsAnswer the same is to be told in return.
     void sendCrashNews(const std::string &relay, std::vector<CrashNews> news, bool wantsAnswer, DirectoryActions &actions) const;
     /// @return addresses of the entry VMs that reports on request limits are exchanged with.
@@ -73,8 +75,12 @@
 
     /// @return whether all is known that a request must not be sent without.
     bool isServable() const;
-    /// @return whether the first state is to be published now although the crash reports have not been read.
+    /// @return whether the first state is to be published now: crash reports are known, or have been waited for long enough.
     bool hasWaitedForCrashes(TimePoint now);
+    /// @return whether the store and the zone's relay have told their crash reports.
+    bool knowsCrashReports() const;
+    /// Asks the zone's relay for crash reports before the first state is published.
+    void askFirstReports(const std::string &holder, DirectoryActions &actions);
     /// Takes a page of a list. @return whether there is something new to publish. @param isWhole it was the last page.
     bool takeList(TimePoint now, const DirectoryListed &event, bool isWhole, DirectoryActions &actions);
     bool takeCrashList(TimePoint now, const DirectoryListed &event, bool isWhole, DirectoryActions &actions);
@@ -151,6 +157,9 @@
     bool wasWitness_ = false; ///< As last published.
     std::vector<std::string> metRelays_; ///< Of other zones, with which crash news were exchanged.
     ReportPeers reportPeers_;
+    std::string firstReporter_; ///< Relay that is asked for crash reports before the first state is published.
+    bool hasFirstReports_ = false; ///< It has answered, or there is none.
+    bool hasLookedForReporter_ = false;
     std::optional<TimePoint> servedSince_; ///< When all else that is needed to serve was first known.
     bool isCrashWaitOver_ = false;
     WatchComparison comparison_;
--- a/src/core/directory/directorykeeperpeers.cpp
+++ b/src/core/directory/directorykeeperpeers.cpp
@@ -143,7 +143,10 @@
 
 void DirectoryKeeper::sendCrashNews(const std::string &relay, std::vector<CrashNews> news, bool wantsAnswer, DirectoryActions &actions) const
 {
-    actions.emplace_back(TellCrashNews{{relay}, {wantsAnswer ? seat_.ownAddress() : std::string(), std::move(news)}});
+    const std::string &own = seat_.ownAddress();
+    CrashNewsMessage message{{}, std::move(news)};
+    (wantsAnswer ? message.answerTo : message.answerOf) = own;
+    actions.emplace_back(TellCrashNews{{relay}, std::move(message)});
 }
 
 void DirectoryKeeper::meetPeers(DirectoryActions &actions)
--- a/src/core/directory/relayseat.cpp
+++ b/src/core/directory/relayseat.cpp
@@ -228,6 +228,13 @@
     }
 }
 
+void RelaySeat::lookNow(TimePoint now)
+{
+    if (state_ == State::Alone && !own_.empty()) {
+        lookAt_ = now;
+    }
+}
+
 RelaySeat::State RelaySeat::state() const
 {
     return state_;
--- a/src/core/directory/relayseat.h
+++ b/src/core/directory/relayseat.h
@@ -63,6 +63,8 @@
     void storeAnswered(TimePoint now, DirectoryActions &actions);
     /// The store did not answer a check of this entry VM.
     void storeFailed();
+    /// Reads the seat soon, where no relay of the own zone is followed.
+    void lookNow(TimePoint now);
     /// The store answers again after an outage; the seat may have been taken over meanwhile.
     void storeReturned(DirectoryActions &actions);
     /// The store has not answered this entry VM, which follows it, for long; relays may still hear from it.
--- a/src/daemon/directoryrunner.cpp
+++ b/src/daemon/directoryrunner.cpp
@@ -99,8 +99,9 @@
             logNews(news);
         }
         const std::string asker = message.answerTo;
+        const std::string answerer = message.answerOf;
         events_.handle(ControlEvent(CrashNewsHeard{std::move(message)}));
-        takeNewsAsker(asker);
+        takeNewsPeer(asker, answerer);
         return true;
     } catch (const std::exception &exception) {
         log_.warn("crash news left out", {{"reason", exception.what()}});
@@ -108,12 +109,15 @@
     }
 }
 
-void DirectoryRunner::takeNewsAsker(const std::string &asker)
+void DirectoryRunner::takeNewsPeer(const std::string &asker, const std::string &answerer)
 {
     const std::lock_guard lock(mutex_);
     if (keeper_ && !asker.empty()) {
         keeper_->crashNewsAsked(bootNow(), asker);
     }
+    if (keeper_ && !answerer.empty()) {
+        keeper_->crashNewsAnswered(answerer);
+    }
 }
 
 void DirectoryRunner::logNews(const CrashNews &news)
--- a/src/daemon/directoryrunner.h
+++ b/src/daemon/directoryrunner.h
@@ -61,8 +61,8 @@
 private:
     /// Takes what another entry VM tells of servers that ended. @return whether it can be read.
     bool takeCrashNews(const std::string &text);
-    /// Another entry VM may have asked for crash news.
-    void takeNewsAsker(const std::string &asker);
+    /// Another entry VM has asked for crash news, or has answered with its own.
+    void takeNewsPeer(const std::string &asker, const std::string &answerer);
     void logNews(const CrashNews &news);
     /// Takes an entry VM's reports on request limits. @return the own ones; nothing when they cannot be read.
     std::optional<std::string> takeLimits(const std::string &text);
--- a/src/net/crashjson.cpp
+++ b/src/net/crashjson.cpp
@@ -90,7 +90,11 @@
     for (const CrashNews &news : message.news) {
         all.push_back(encodeNews(news));
     }
-    return Json{{"answer_to", message.answerTo}, {"news", std::move(all)}}.dump();
+    Json body = {{"answer_to", message.answerTo}, {"news", std::move(all)}};
+    if (!message.answerOf.empty()) {
+        body["answer_of"] = message.answerOf;
+    }
+    return body.dump();
 }
 
 CrashNewsMessage decodeCrashNews(std::string_view text)
@@ -98,6 +102,7 @@
     const Json body = Json::parse(text);
     CrashNewsMessage message;
     message.answerTo = body.at("answer_to").get<std::string>();
+    message.answerOf = body.value("answer_of", std::string());
     if (body.at("news").size() > MostNews) {
         throw std::invalid_argument("news of " + std::to_string(body.at("news").size()) + " processes");
     }
--- a/tests/property/directoryproperties.cpp
+++ b/tests/property/directoryproperties.cpp
@@ -578,6 +578,9 @@
         for (const CrashNews &news : message.news) {
             receiver.ledger.heard(now_, news);
         }
+        if (!message.answerOf.empty()) {
+            receiver.keeper.crashNewsAnswered(message.answerOf);
+        }
         if (!message.answerTo.empty()) {
             receiver.keeper.crashNewsAsked(now_, message.answerTo);
             send(receiver, message.answerTo, false);
@@ -1131,6 +1134,36 @@
     }));
 }
 
+TEST_CASE("An entry VM that started while the store refused calls serves no request that its relay refuses", "[property][directory][crash][start]")
+{
+    CHECK(rc::check("from the first moment on", [] {
+        constexpr int EntryVms = 6;
+        ModelFleet fleet(EntryVms, *rc::gen::inRange(1, 4));
+        fleet.store.putServer("i-1", false);
+        fleet.pass(seconds(20));
+        fleet.store.isDown = true;
+        const RequestContent fatal{"fatal", "caller-9"};
+        for (std::size_t lost = 0; lost < 3; ++lost) {
+            fleet.lose(lost, fatal, "fatal-" + std::to_string(lost), milliseconds(300));
+            fleet.pass(milliseconds(100));
+        }
+        // Until the ends of all three are found.
+        fleet.pass(milliseconds(*rc::gen::inRange(500, 5000)));
+        std::size_t started = 0;
+        while (fleet.isRelay(started)) {
+            ++started;
+        }
+        fleet.restart(started);
+        fleet.pass(milliseconds(*rc::gen::inRange(0, 5000)));
+        fleet.store.isDown = false;
+        for (Duration passed(0); passed < TouchTime; passed += Step) {
+            fleet.pass(Step);
+            RC_ASSERT(!fleet.isServing(started) || fleet.refuses(started, fatal));
+        }
+        RC_ASSERT(fleet.isServing(started));
+    }));
+}
+
 TEST_CASE("An entry VM that starts while the store refuses calls learns what the others refuse", "[property][directory][crash]")
 {
     CHECK(rc::check("from its relay, or as the relay from its followers", [] {
