Followers of a dead relay exchange request limits with its standbys while the store refuses calls

What callers saw: requests went on to a server that had named a limit, each entry VM of the zone learning of it by a request of its own.

Cause: as with crash reports, reports on limits went to relays alone, and an entry VM fetched others' reports only when a relay's proof showed a newer version; an entry VM without a relay saw no proof. Found by looking for the cause of the crash reports elsewhere.

Change: the exchange also polls peers that show no version, each 0.4 s: the standbys and the address of the relay, as long as no relay of the own zone is followed. Answers hold changes only, as before.

--- a/src/core/directory/directorykeeper.h
+++ b/src/core/directory/directorykeeper.h
@@ -48,8 +48,8 @@
     void crashNewsAnswered(const std::string &peer);
     /// Tells one relay all crash news. @param wantsAnswer the same is to be told in return.
     void sendCrashNews(const std::string &relay, std::vector<CrashNews> news, bool wantsAnswer, DirectoryActions &actions) const;
-    /// @return addresses of the entry VMs that reports on request limits are exchanged with.
-    std::vector<std::string> limitPeers() const;
+    /// @return with whom reports on request limits are exchanged.
+    LimitPeers limitPeers() const;
     /// @return whether the store does not hold that yet.
     bool hasUntoldCrashes() const;
 
@@ -117,8 +117,10 @@
     void storeFailed(TimePoint now, const std::string &reason, DirectoryActions &actions);
     void planCheck(TimePoint now);
     void publish(TimePoint now, DirectoryActions &actions);
-    /// @return the relay that is followed, and those of other zones; with whoever stands in when none of the own zone is followed.
+    /// @return the relay that is followed, and those of other zones.
     std::vector<std::string> knownRelays() const;
+    /// @return whoever stands in for the relay of the own zone, where none is followed.
+    std::vector<std::string> substitutes() const;
     /// @return whether no relay tells this entry VM what others of its zone report.
     bool lacksRelay() const;
     /// Tells whether this entry VM relays or follows none, and brings about an exchange of crash news with relays that are new to it.
--- a/src/core/directory/directorykeeperpeers.cpp
+++ b/src/core/directory/directorykeeperpeers.cpp
@@ -78,6 +78,9 @@
     // A second witness of each lost answer: entry VMs that alone had seen the ends of servers were killed while the store refused calls, and the request
     // ended more.
     std::vector<std::string> relays = knownRelays();
+    for (const std::string &substitute : substitutes()) {
+        addOnce(relays, substitute);
+    }
     if (spread.own && !relays.empty()) {
         actions.emplace_back(TellCrashNews{std::move(relays), {{}, {*spread.own}}});
     }
@@ -101,14 +104,14 @@
     if (!source_.empty()) {
         addOnce(relays, source_);
     }
-    if (lacksRelay()) {
-        for (const std::string &substitute : reportPeers_.substitutes()) {
-            addOnce(relays, substitute);
-        }
-    }
     return relays;
 }
 
+std::vector<std::string> DirectoryKeeper::substitutes() const
+{
+    return lacksRelay() ? reportPeers_.substitutes() : std::vector<std::string>();
+}
+
 bool DirectoryKeeper::lacksRelay() const
 {
     return !seat_.isRelaying() && !seat_.followsOwnZone();
@@ -134,11 +137,11 @@
     }
 }
 
-std::vector<std::string> DirectoryKeeper::limitPeers() const
+LimitPeers DirectoryKeeper::limitPeers() const
 {
     // Followers hear from their relay what others have told it.
     const bool isFollower = seat_.state() == RelaySeat::State::Following && !seat_.isRelaying();
-    return isFollower ? std::vector<std::string>{source_} : knownRelays();
+    return {isFollower ? std::vector<std::string>{source_} : knownRelays(), substitutes()};
 }
 
 void DirectoryKeeper::sendCrashNews(const std::string &relay, std::vector<CrashNews> news, bool wantsAnswer, DirectoryActions &actions) const
--- a/src/core/directory/limitexchange.cpp
+++ b/src/core/directory/limitexchange.cpp
@@ -19,6 +19,8 @@
 // Limits may change several times a second; changes within this time go together.
 constexpr Duration AskPause = milliseconds(200);
 constexpr Duration FailurePause = seconds(1);
+// Between two questions to a peer that shows no version.
+constexpr Duration PollPause = milliseconds(400);
 // Servers whose reports are kept; some 60 bytes each.
 constexpr std::size_t MostEntries = 4096;
 // Addresses of entry VMs that have come and gone are not kept for ever.
@@ -57,19 +59,23 @@
     known.shown = version;
 }
 
-std::vector<LimitExchange::Message> LimitExchange::takeDue(TimePoint now, std::span<const std::string> receivers)
+std::vector<LimitExchange::Message> LimitExchange::takeDue(TimePoint now, const LimitPeers &peers)
 {
     if (sequence_ > 0) {
-        for (const std::string &receiver : receivers) {
+        for (const std::string &receiver : peers.receivers) {
             peers_.try_emplace(receiver);
         }
     }
+    for (const std::string &polled : peers.polled) {
+        peers_.try_emplace(polled);
+    }
+    const auto isIn = [](const std::vector<std::string> &addresses, const std::string &address) {
+        return std::find(addresses.begin(), addresses.end(), address) != addresses.end();
+    };
     std::vector<Message> due;
     for (auto &[address, peer] : peers_) {
-        const bool isReceiver = std::find(receivers.begin(), receivers.end(), address) != receivers.end();
-        const bool hasToTell = peer.acknowledged < sequence_;
-        const bool hasToLearn = peer.shown != peer.known;
-        if (!isReceiver || peer.isAsked || now < peer.nextAsk || (!hasToTell && !hasToLearn)) {
+        peer.isPolled = isIn(peers.polled, address);
+        if ((!peer.isPolled && !isIn(peers.receivers, address)) || !isDue(now, peer)) {
             continue;
         }
         peer.isAsked = true;
@@ -79,6 +85,16 @@
     return due;
 }
 
+bool LimitExchange::isDue(TimePoint now, const Peer &peer) const
+{
+    if (peer.isAsked || now < peer.nextAsk) {
+        return false;
+    }
+    const bool hasToTell = peer.acknowledged < sequence_;
+    const bool hasToLearn = peer.isPolled ? now - peer.nextAsk >= PollPause - AskPause : peer.shown != peer.known;
+    return hasToTell || hasToLearn;
+}
+
 void LimitExchange::answered(const Message &sent, const std::optional<LimitUpdate> &answer)
 {
     const auto found = peers_.find(sent.peer);
--- a/src/core/directory/limitexchange.h
+++ b/src/core/directory/limitexchange.h
@@ -13,7 +13,6 @@
 #include <cstdint>
 #include <map>
 #include <optional>
-#include <span>
 #include <string>
 #include <vector>
 
@@ -37,6 +36,12 @@
     bool operator==(const LimitUpdate &) const = default;
 };
 
+/// Addresses of the entry VMs that reports are exchanged with.
+struct LimitPeers {
+    std::vector<std::string> receivers; ///< That are to have all changes, and show their versions as relays do.
+    std::vector<std::string> polled; ///< That are to have all changes, and show no versions.
+};
+
 /// Spreads what entry VMs hear of request limits: each gives changes to its relay, relays give them to each other, and followers fetch them. Of two
 /// reports on a server the one that was heard later holds.
 class LimitExchange
@@ -56,8 +61,8 @@
     LimitVersion version() const;
     /// The peer at address @p peer has shown its version.
     void shown(const std::string &peer, const LimitVersion &version);
-    /// @param receivers addresses of peers that are to have all changes. @return updates that are to be sent now; their answers bring what the peers know.
-    std::vector<Message> takeDue(TimePoint now, std::span<const std::string> receivers);
+    /// @return updates that are to be sent now; their answers bring what the peers know.
+    std::vector<Message> takeDue(TimePoint now, const LimitPeers &peers);
     /// A message has been answered, or has not.
     void answered(const Message &sent, const std::optional<LimitUpdate> &answer);
     /// Takes a peer's message. @return the answer.
@@ -76,12 +81,15 @@
         LimitVersion shown; ///< What it is known to have.
         std::uint64_t acknowledged = 0; ///< Own sequence that it has.
         bool isAsked = false;
+        bool isPolled = false;
         TimePoint nextAsk;
     };
 
     /// @return whether the report is news.
     bool takeReport(const LimitReport &report);
     void takeReports(const std::vector<LimitReport> &reports);
+    /// @return whether the peer is to be asked now.
+    bool isDue(TimePoint now, const Peer &peer) const;
     std::vector<LimitReport> changedSince(std::uint64_t sequence) const;
     void boundEntries();
 
--- a/src/daemon/directoryrunner.cpp
+++ b/src/daemon/directoryrunner.cpp
@@ -152,15 +152,15 @@
 
 void DirectoryRunner::exchangeLimits()
 {
-    std::vector<std::string> receivers;
+    LimitPeers peers;
     {
         const std::lock_guard lock(mutex_);
-        receivers = keeper_->limitPeers();
+        peers = keeper_->limitPeers();
     }
     std::vector<LimitExchange::Message> due;
     {
         const std::lock_guard lock(limitsMutex_);
-        due = limits_.takeDue(bootNow(), receivers);
+        due = limits_.takeDue(bootNow(), peers);
     }
     for (const LimitExchange::Message &message : due) {
         relay_.exchange(message, [this, message](const std::optional<LimitUpdate> &answer) {
--- a/tests/property/directoryproperties.cpp
+++ b/tests/property/directoryproperties.cpp
@@ -185,7 +185,8 @@
             const std::string zone = "zone-" + std::to_string(number % zones);
             const std::string name = "vm-" + std::to_string(number);
             DirectoryKeeper keeper(FleetBudgets{}, RelaySeat(address, false, seed), seed, name);
-            nodes_.push_back({name, address, zone, std::move(keeper), CrashLedger(name, "0"), {}, 0, nullptr, false, false, false, {}, {}, 0, {}});
+            nodes_.push_back(
+                {name, address, zone, std::move(keeper), CrashLedger(name, "0"), {}, 0, nullptr, false, false, false, {}, {}, 0, {}, LimitExchange(seed)});
         }
     }
 
@@ -204,6 +205,7 @@
                 tell(node);
                 node.keeper.tick(now_, actions);
                 take(node, actions);
+                exchangeLimits(node);
             }
             deliver();
         }
@@ -231,6 +233,8 @@
         const auto seed = static_cast<std::uint64_t>(index) + 100 + restarts_++;
         node.keeper = DirectoryKeeper(FleetBudgets{}, RelaySeat(node.address, false, seed), seed, node.name);
         node.ledger = CrashLedger(node.name, std::to_string(seed));
+        node.limits = LimitExchange(seed);
+        node.limitedServers.clear();
         node.verdicts = {};
         node.reports = 0;
         node.isWitness = false;
@@ -311,6 +315,18 @@
         return nodes_[index % nodes_.size()].verdicts.refuses(content);
     }
 
+    /// A server tells this entry VM how many requests a second it takes.
+    void nameLimit(std::size_t index, const std::string &server, double perSecond)
+    {
+        nodes_[index % nodes_.size()].limits.heard({server, perSecond, now_});
+        nodes_[index % nodes_.size()].limitedServers.insert(server);
+    }
+
+    bool knowsLimit(std::size_t index, const std::string &server) const
+    {
+        return nodes_[index % nodes_.size()].limitedServers.contains(server);
+    }
+
     /// @return whether the entry VM knows routes and servers, so that it passes requests on at all.
     bool isServing(std::size_t index) const
     {
@@ -354,6 +370,8 @@
         std::vector<WatchDirectory> waiting;
         int process = 0; ///< Counts starts.
         TimePoint startedAt;
+        LimitExchange limits;
+        std::set<std::string> limitedServers{};
     };
 
     /// The end of a server that an entry VM will have found out.
@@ -428,6 +446,29 @@
         }
     }
 
+    void exchangeLimits(Node &node)
+    {
+        for (const LimitExchange::Message &message : node.limits.takeDue(now_, node.keeper.limitPeers())) {
+            Node *peer = find(message.peer);
+            node.limits.answered(message, peer ? std::optional(peer->limits.take(message.update)) : std::nullopt);
+        }
+        for (const LimitReport &report : node.limits.takeLearnt()) {
+            node.limitedServers.insert(report.server);
+        }
+    }
+
+    /// What @p relay shows of itself to an entry VM that asks.
+    std::optional<RelayProof> proofOf(Node &node, const std::string &relay, const std::string &follower)
+    {
+        Node *asked = find(relay);
+        auto proof = asked ? asked->keeper.proofFor(now_, follower) : std::nullopt;
+        if (proof) {
+            proof->limits = asked->limits.version();
+            node.limits.shown(relay, proof->limits);
+        }
+        return proof;
+    }
+
     void take(Node &node, const DirectoryActions &actions)
     {
         for (const DirectoryAction &action : actions) {
@@ -506,14 +547,12 @@
 
     void perform(Node &node, const CheckRelay &action)
     {
-        Node *relay = find(action.relay);
-        answer(node, 0, RelayChecked{action.relay, relay ? relay->keeper.proofFor(now_, action.follower) : std::nullopt});
+        answer(node, 0, RelayChecked{action.relay, proofOf(node, action.relay, action.follower)});
     }
 
     void perform(Node &node, const CompareRelay &action)
     {
-        Node *relay = find(action.relay);
-        answer(node, 0, RelayCompared{action.relay, relay ? relay->keeper.proofFor(now_, {}) : std::nullopt});
+        answer(node, 0, RelayCompared{action.relay, proofOf(node, action.relay, {})});
     }
 
     void perform(Node &node, const ReadSeat &)
@@ -1102,6 +1141,25 @@
     }));
 }
 
+namespace
+{
+
+/// Ends the VMs of all relays for good. @return those that are left.
+std::vector<std::size_t> endRelay(ModelFleet &fleet, std::size_t entryVms)
+{
+    std::vector<std::size_t> alive;
+    for (std::size_t index = 0; index < entryVms; ++index) {
+        if (fleet.isRelay(index)) {
+            fleet.remove(index);
+        } else {
+            alive.push_back(index);
+        }
+    }
+    return alive;
+}
+
+} // namespace
+
 TEST_CASE("Entry VMs whose relay has ended tell each other of lost answers while the store refuses calls", "[property][directory][crash][standby]")
 {
     CHECK(rc::check("although no entry VM can take the relay's seat", [] {
@@ -1111,14 +1169,7 @@
         fleet.pass(seconds(20));
         fleet.store.isDown = true;
         fleet.pass(milliseconds(*rc::gen::inRange(10, 5000)));
-        std::vector<std::size_t> alive;
-        for (std::size_t index = 0; index < EntryVms; ++index) {
-            if (fleet.isRelay(index)) {
-                fleet.remove(index);
-            } else {
-                alive.push_back(index);
-            }
-        }
+        const std::vector<std::size_t> alive = endRelay(fleet, EntryVms);
         RC_ASSERT(alive.size() == EntryVms - 1);
         fleet.pass(milliseconds(*rc::gen::inRange(0, 3000)));
         const RequestContent fatal{"fatal", "caller-9"};
@@ -1134,6 +1185,25 @@
     }));
 }
 
+TEST_CASE("Entry VMs whose relay has ended tell each other of request limits while the store refuses calls", "[property][directory][limit][standby]")
+{
+    CHECK(rc::check("within two seconds", [] {
+        constexpr int EntryVms = 6;
+        ModelFleet fleet(EntryVms, 1);
+        fleet.store.putServer("i-1", false);
+        fleet.pass(seconds(20));
+        fleet.store.isDown = true;
+        const std::vector<std::size_t> alive = endRelay(fleet, EntryVms);
+        fleet.pass(milliseconds(*rc::gen::inRange(0, 3000)));
+        const std::size_t told = *rc::gen::elementOf(alive);
+        fleet.nameLimit(told, "i-1", 2);
+        fleet.pass(seconds(2));
+        for (const std::size_t index : alive) {
+            RC_ASSERT(fleet.knowsLimit(index, "i-1"));
+        }
+    }));
+}
+
 TEST_CASE("An entry VM that started while the store refused calls serves no request that its relay refuses", "[property][directory][crash][start]")
 {
     CHECK(rc::check("from the first moment on", [] {
--- a/tests/support/boundedzone.cpp
+++ b/tests/support/boundedzone.cpp
@@ -242,8 +242,8 @@
 void BoundedZone::exchangeLimits(std::size_t index)
 {
     Node &node = nodes_[index];
-    const std::vector<std::string> receivers = {nodes_[node.follows].name};
-    for (const LimitExchange::Message &message : node.limits.takeDue(now_, index == relay_ ? std::vector<std::string>() : receivers)) {
+    const LimitPeers peers = {{nodes_[node.follows].name}, {}};
+    for (const LimitExchange::Message &message : node.limits.takeDue(now_, index == relay_ ? LimitPeers{} : peers)) {
         node.limits.answered(message, reachesRelay(index) ? std::optional(nodes_[relay_].limits.take(message.update)) : std::nullopt);
     }
     for (const LimitReport &report : node.limits.takeLearnt()) {
