--- a/src/core/directory/directorykeeper.cpp
+++ b/src/core/directory/directorykeeper.cpp
@@ -20,8 +20,8 @@
 constexpr Duration CheckInterval = milliseconds(1500);
 // Calls are paid for while the store is down as well, so checks of a lost one get rarer: of 8 s without it a relay made 21, now 11 at most.
 constexpr int QuickLostChecks = 3;
-// An entry VM that has just started learns under which requests servers have ended before it serves, but does not wait for long: where it served at once, it
-// passed on such a request up to four times before it knew. A list that is not there by then comes late or never, as from a relay of an earlier release.
+// An entry VM that has just started learns under which requests servers have ended before it serves. Reports that are not there by then come late or never, as
+// from a relay that has ended or is of an earlier release.
 constexpr Duration CrashReportPatience = milliseconds(300);
 // A single call that was cut is made up for at once, but not by all entry VMs in the same moment.
 constexpr Duration FirstCheckSpread = milliseconds(100);
@@ -344,16 +344,14 @@
 
 void DirectoryKeeper::askFirstReports(const std::string &holder, DirectoryActions &actions)
 {
+    const bool isNobodyElse = holder.empty() || holder == seat_.ownAddress();
+    hasFirstReports_ = hasFirstReports_ || isNobodyElse;
     if (published_ > 0 || hasFirstReports_ || holder == firstReporter_) {
-        hasFirstReports_ = hasFirstReports_ || holder.empty();
         return;
     }
-    hasFirstReports_ = holder == seat_.ownAddress();
-    if (!hasFirstReports_) {
-        // During an outage of the store the zone's relay learns of reports that the store shows only some time after its return.
-        firstReporter_ = holder;
-        actions.emplace_back(ExchangeCrashNews{holder});
-    }
+    // Reports of an outage reach the zone's relay during it, and the store some time after its return.
+    firstReporter_ = holder;
+    actions.emplace_back(ExchangeCrashNews{holder});
 }
 
 void DirectoryKeeper::crashNewsAnswered(const std::string &peer)
@@ -415,9 +413,7 @@
     }
     source_ = seat_.relay();
     if (!source_.empty()) {
-        if (source_ != firstReporter_ || hasFirstReports_) {
-            actions.emplace_back(ExchangeCrashNews{source_});
-        }
+        actions.emplace_back(ExchangeCrashNews{source_});
         // The store was away for this entry VM alone. A server that left meanwhile got requests for two seconds more, as long as it may after its word, when
         // its entry was still waited for here.
         registry_.followsRelay(now);
--- a/src/core/directory/directorykeeperpeers.cpp
+++ b/src/core/directory/directorykeeperpeers.cpp
@@ -127,7 +127,7 @@
         addOnce(peers, source_);
     }
     if (reportPeers_.isStandby()) {
-        // One way between zones for all entry VMs of this one.
+        // Traffic between zones is dear, so standbys alone keep in touch with other zones.
         for (const std::string &relay : seat_.otherRelays()) {
             addOnce(peers, relay);
         }
