--- a/tests/property/directoryproperties.cpp
+++ b/tests/property/directoryproperties.cpp
@@ -243,6 +243,13 @@
         node.waiting.clear();
     }
 
+    /// The VM is replaced by another one of its name, under a new address.
+    void replace(std::size_t index)
+    {
+        nodes_[index % nodes_.size()].address = "10.0.1." + std::to_string(++replaced_) + ":7200";
+        restart(index);
+    }
+
     /// The VM ends and does not come back.
     void remove(std::size_t index)
     {
@@ -327,6 +334,11 @@
         return nodes_[index % nodes_.size()].limitedServers.contains(server);
     }
 
+    bool isRefusedAnywhere(const RequestContent &content) const
+    {
+        return std::any_of(nodes_.begin(), nodes_.end(), [&content](const Node &node) { return node.verdicts.refuses(content); });
+    }
+
     /// @return whether the entry VM knows routes and servers, so that it passes requests on at all.
     bool isServing(std::size_t index) const
     {
@@ -759,6 +771,7 @@
     TimePoint now_ = TimePoint(seconds(100));
     std::optional<TimePoint> dropAt_;
     std::uint64_t restarts_ = 0;
+    int replaced_ = 0;
     std::vector<Finding> findings_;
     std::vector<Node> nodes_;
 };
@@ -1119,6 +1132,40 @@
     }));
 }
 
+TEST_CASE("While any entry VM refuses a request that crashes servers, entry VMs that were replaced soon do as well", "[property][directory][crash][replaced]")
+{
+    CHECK(rc::check("although they come under new addresses while the store refuses calls", [] {
+        constexpr std::size_t EntryVms = 6;
+        constexpr int RetriesBorne = 3;
+        ModelFleet fleet(static_cast<int>(EntryVms), *rc::gen::inRange(1, 4));
+        Random luck(*rc::gen::arbitrary<std::uint64_t>());
+        fleet.store.putServer("i-1", false);
+        fleet.pass(seconds(20));
+        fleet.store.isDown = true;
+        const RequestContent fatal{"fatal", "caller-9"};
+        const auto every = milliseconds(*rc::gen::inRange(100, 600));
+        const std::size_t replaceEach = *rc::gen::inRange<std::size_t>(8, 60);
+        int runs = 0;
+        int late = 0;
+        Duration sinceThird(0);
+        for (int step = 0; step < 60; ++step) {
+            const std::size_t index = luck.below(EntryVms);
+            if (fleet.isServing(index) && !fleet.refuses(index, fatal)) {
+                const bool isLate = sinceThird > TouchTime && fleet.hasRunFor(index, TouchTime);
+                late += isLate && fleet.isRefusedAnywhere(fatal) ? 1 : 0;
+                fleet.lose(index, fatal, "fatal-" + std::to_string(++runs), milliseconds(250 + luck.below(1500)));
+            }
+            if (luck.below(replaceEach) == 0) {
+                fleet.replace(luck.below(EntryVms));
+            }
+            fleet.store.isDown = step < 40;
+            fleet.pass(every);
+            sinceThird += runs >= 3 ? Duration(every) : Duration(0);
+        }
+        RC_ASSERT(late <= RetriesBorne);
+    }));
+}
+
 TEST_CASE("Lost answers are told to all entry VMs before the next request of the same caller comes", "[property][directory][crash]")
 {
     CHECK(rc::check("at whatever entry VMs, with and without the store", [] {
