--- a/tests/property/directoryproperties.cpp
+++ b/tests/property/directoryproperties.cpp
@@ -1093,6 +1093,45 @@
     }));
 }
 
+namespace
+{
+
+const RequestContent Fatal{"fatal", "caller-9"};
+
+/// Plays an outage of the store in which a request that crashes servers is sent to one entry VM after the other. @param endOne ends an entry VM.
+/// @param isCounted of an entry VM that passes the request on. @return counted runs later than TouchTime after the third end.
+int lateRunsOverOutage(const std::function<void(ModelFleet &, std::size_t)> &endOne, const std::function<bool(const ModelFleet &)> &isCounted)
+{
+    constexpr int EntryVms = 6;
+    ModelFleet fleet(EntryVms, *rc::gen::inRange(1, 4));
+    Random luck(*rc::gen::arbitrary<std::uint64_t>());
+    fleet.store.putServer("i-1", false);
+    fleet.pass(seconds(20));
+    fleet.store.isDown = true;
+    const auto every = milliseconds(*rc::gen::inRange(100, 600));
+    const std::size_t endEach = *rc::gen::inRange<std::size_t>(8, 60);
+    int runs = 0;
+    int late = 0;
+    Duration sinceThird(0);
+    for (int step = 0; step < 60; ++step) {
+        const std::size_t index = luck.below(EntryVms);
+        if (fleet.isServing(index) && !fleet.refuses(index, Fatal)) {
+            const bool isLate = sinceThird > TouchTime && fleet.hasRunFor(index, TouchTime);
+            late += isLate && isCounted(fleet) ? 1 : 0;
+            fleet.lose(index, Fatal, "fatal-" + std::to_string(++runs), milliseconds(250 + luck.below(1500)));
+        }
+        if (luck.below(endEach) == 0) {
+            endOne(fleet, luck.below(EntryVms));
+        }
+        fleet.store.isDown = step < 40;
+        fleet.pass(every);
+        sinceThird += runs >= 3 ? Duration(every) : Duration(0);
+    }
+    return late;
+}
+
+} // namespace
+
 // One caller sent a request that crashes servers at one entry VM after the other, each 150 ms. That a server has ended is found out a quarter of a second or
 // more later, and told through the store later still, so four entry VMs ended a server each before any of them knew of the first end. Three ends that an
 // earlier request had shown were lost with the entry VMs that had seen them, which were killed or stopped while the store refused calls.
@@ -1102,32 +1141,9 @@
 TEST_CASE("A request that crashes servers is soon passed on no more while the store refuses calls and entry VMs are killed", "[property][directory][crash]")
 {
     CHECK(rc::check("and later than three seconds after the third end it is passed on three times at most", [] {
-        constexpr int EntryVms = 6;
         constexpr int RetriesBorne = 3;
-        ModelFleet fleet(EntryVms, *rc::gen::inRange(1, 4));
-        Random luck(*rc::gen::arbitrary<std::uint64_t>());
-        fleet.store.putServer("i-1", false);
-        fleet.pass(seconds(20));
-        fleet.store.isDown = true;
-        const RequestContent fatal{"fatal", "caller-9"};
-        const auto every = milliseconds(*rc::gen::inRange(100, 600));
-        const std::size_t killEach = *rc::gen::inRange<std::size_t>(8, 60);
-        int runs = 0;
-        int late = 0;
-        Duration sinceThird(0);
-        for (int step = 0; step < 60; ++step) {
-            const std::size_t index = luck.below(EntryVms);
-            if (fleet.isServing(index) && !fleet.refuses(index, fatal)) {
-                late += sinceThird > TouchTime && fleet.hasRunFor(index, TouchTime) ? 1 : 0;
-                fleet.lose(index, fatal, "fatal-" + std::to_string(++runs), milliseconds(250 + luck.below(1500)));
-            }
-            if (luck.below(killEach) == 0) {
-                fleet.restart(luck.below(EntryVms));
-            }
-            fleet.store.isDown = step < 40;
-            fleet.pass(every);
-            sinceThird += runs >= 3 ? Duration(every) : Duration(0);
-        }
+        const auto kill = [](ModelFleet &fleet, std::size_t index) { fleet.restart(index); };
+        const int late = lateRunsOverOutage(kill, [](const ModelFleet &) { return true; });
         RC_ASSERT(late <= RetriesBorne);
     }));
 }
@@ -1135,33 +1151,9 @@
 TEST_CASE("While any entry VM refuses a request that crashes servers, entry VMs that were replaced soon do as well", "[property][directory][crash][replaced]")
 {
     CHECK(rc::check("although they come under new addresses while the store refuses calls", [] {
-        constexpr std::size_t EntryVms = 6;
         constexpr int RetriesBorne = 3;
-        ModelFleet fleet(static_cast<int>(EntryVms), *rc::gen::inRange(1, 4));
-        Random luck(*rc::gen::arbitrary<std::uint64_t>());
-        fleet.store.putServer("i-1", false);
-        fleet.pass(seconds(20));
-        fleet.store.isDown = true;
-        const RequestContent fatal{"fatal", "caller-9"};
-        const auto every = milliseconds(*rc::gen::inRange(100, 600));
-        const std::size_t replaceEach = *rc::gen::inRange<std::size_t>(8, 60);
-        int runs = 0;
-        int late = 0;
-        Duration sinceThird(0);
-        for (int step = 0; step < 60; ++step) {
-            const std::size_t index = luck.below(EntryVms);
-            if (fleet.isServing(index) && !fleet.refuses(index, fatal)) {
-                const bool isLate = sinceThird > TouchTime && fleet.hasRunFor(index, TouchTime);
-                late += isLate && fleet.isRefusedAnywhere(fatal) ? 1 : 0;
-                fleet.lose(index, fatal, "fatal-" + std::to_string(++runs), milliseconds(250 + luck.below(1500)));
-            }
-            if (luck.below(replaceEach) == 0) {
-                fleet.replace(luck.below(EntryVms));
-            }
-            fleet.store.isDown = step < 40;
-            fleet.pass(every);
-            sinceThird += runs >= 3 ? Duration(every) : Duration(0);
-        }
+        const auto replace = [](ModelFleet &fleet, std::size_t index) { fleet.replace(index); };
+        const int late = lateRunsOverOutage(replace, [](const ModelFleet &fleet) { return fleet.isRefusedAnywhere(Fatal); });
         RC_ASSERT(late <= RetriesBorne);
     }));
 }
