--- a/src/core/controlshard.cpp
+++ b/src/core/controlshard.cpp
@@ -65,6 +65,11 @@
     return leaving_.leavingServers(service);
 }
 
+const CrashUpdateCounts &ControlShard::crashUpdateCounts() const
+{
+    return crashTracker_.updateCounts();
+}
+
 bool ControlShard::isReady() const
 {
     return isReady_;
--- a/src/core/controlshard.h
+++ b/src/core/controlshard.h
@@ -50,6 +50,7 @@
     const IntentManager &intent() const;
     const ProbeShares &shares() const;
     std::vector<std::string> leavingServers(const std::string &service) const;
+    const CrashUpdateCounts &crashUpdateCounts() const;
     bool isReady() const;
     /// @return why this entry VM is not ready; empty when it is.
     const std::string &reason() const;
--- a/src/core/crashes/crashupdate.h
+++ b/src/core/crashes/crashupdate.h
@@ -38,6 +38,13 @@
     bool operator==(const CrashUpdateVersion &) const = default;
 };
 
+/// Work that crash updates have caused since the start of the process.
+struct CrashUpdateCounts {
+    std::uint64_t received = 0; ///< Updates of peers that contained something new.
+    std::uint64_t forwards = 0; ///< Times at which all followers were notified.
+    std::uint64_t blocklistRebuilds = 0;
+};
+
 /// Updates to send now.
 struct CrashBroadcast {
     std::optional<CrashUpdate> local; ///< Update of this process, for the relays.
--- a/src/core/crashes/poisonrequesttracker.cpp
+++ b/src/core/crashes/poisonrequesttracker.cpp
@@ -159,6 +159,7 @@
     if (isLocal || !peerUpdates_.apply(now, update)) {
         return;
     }
+    ++updateCounts_.received;
     for (const ServerCrash &crash : update.report.exonerated) {
         directPeerExonerations_.emplace(crash, now);
         exoneratedAt_[crash.fingerprint] = now;
@@ -302,6 +303,7 @@
         }
         if (!broadcast.forwarded.empty()) {
             forwardTokens_.take(now);
+            ++updateCounts_.forwards;
         }
     }
     return broadcast.local || !broadcast.forwarded.empty() ? std::optional(std::move(broadcast)) : std::nullopt;
@@ -379,6 +381,11 @@
     return all;
 }
 
+const CrashUpdateCounts &PoisonRequestTracker::updateCounts() const
+{
+    return updateCounts_;
+}
+
 std::vector<ServerCrash> PoisonRequestTracker::countedCrashes() const
 {
     std::set<ServerCrash> all;
@@ -452,6 +459,7 @@
     isReportStale_ = true;
     isUpdateStale_ = true;
     isRebuildDue_ = false;
+    ++updateCounts_.blocklistRebuilds;
     std::set<RequestFingerprint> recentlyAnswered;
     for (const auto &[fingerprint, at] : exoneratedAt_) {
         recentlyAnswered.insert(fingerprint);
--- a/src/core/crashes/poisonrequesttracker.h
+++ b/src/core/crashes/poisonrequesttracker.h
@@ -94,6 +94,7 @@
     std::optional<CrashBroadcast> takeBroadcast(TimePoint now);
     /// @return local and received updates that the store does not contain.
     std::vector<CrashUpdate> pendingUpdates() const;
+    const CrashUpdateCounts &updateCounts() const;
 
 private:
     struct LocalCrash {
@@ -158,6 +159,7 @@
     CrashUpdate lastLocalUpdate_; ///< Last local update that takeBroadcast() returned.
     bool areFollowersNotified_ = false; ///< Whether followers have that update.
     bool wereFollowersNotified_ = false; ///< Whether followers have an earlier update, so that they need withdrawals too.
+    CrashUpdateCounts updateCounts_;
     TokenBucket forwardTokens_{ForwardsPerSecond, ForwardBurst};
     TimePoint nextResend_; ///< When the local update is due to be sent again.
     TimePoint nextExpiry_;
--- a/src/daemon/telemetry.cpp
+++ b/src/daemon/telemetry.cpp
@@ -123,6 +123,9 @@
     set("configuration_version", static_cast<double>(gauges.configurationVersion));
     set("ready", gauges.isReady ? 1 : 0);
     set("platform_calls", static_cast<double>(gauges.platformCalls));
+    set("crash_updates_received", static_cast<double>(gauges.crashUpdates.received));
+    set("crash_update_forwards", static_cast<double>(gauges.crashUpdates.forwards));
+    set("blocklist_rebuilds", static_cast<double>(gauges.crashUpdates.blocklistRebuilds));
 }
 
 std::vector<Telemetry::Burn> Telemetry::burn(TimePoint now) const
--- a/src/daemon/telemetry.h
+++ b/src/daemon/telemetry.h
@@ -8,6 +8,7 @@
 #pragma once
 
 #include "core/burn/burncounter.h"
+#include "core/crashes/crashupdate.h"
 #include "core/intent/configuration.h"
 #include "core/support/time.h"
 
@@ -47,6 +48,7 @@
     std::int64_t configurationVersion = 0;
     bool isReady = false;
     std::uint64_t platformCalls = 0;
+    CrashUpdateCounts crashUpdates;
 };
 
 /// Metrics of this entry VM and the counts for the burn report of service-level objectives.
