Failing test: a wave of lost answers rebuilds the blocklist at each tick

The second test fails: updates of peers are applied at most each 30 ms, but the tick rebuilds the blocklist whenever a suspicion comes of age, 400 times in a second of lost answers at 400 entry VMs; 34 are allowed.

--- a/tests/unit/crashupdatetests.cpp
+++ b/tests/unit/crashupdatetests.cpp
@@ -11,6 +11,8 @@
 #include <catch2/catch.hpp>
 
 #include <algorithm>
+#include <iterator>
+#include <set>
 
 using namespace Cloverbarrow;
 
@@ -38,6 +40,17 @@
     return blocklist->blocks(fingerprint);
 }
 
+constexpr int WaveEntryVms = 400;
+constexpr Duration WaveDuration = seconds(1);
+
+/// @return the update of one of many entry VMs that each lose two answers to a request of their own.
+CrashUpdate waveUpdate(int number)
+{
+    const std::string name = std::to_string(number);
+    const RequestFingerprint fingerprint{"read-" + name, "caller-" + name};
+    return updateFrom("peer-" + name, 1, {}, {{fingerprint, "i-1"}, {fingerprint, "i-2"}});
+}
+
 } // namespace
 
 TEST_CASE("Lost answers count as crashes until their servers answer", "[crash]")
@@ -197,6 +210,46 @@
     }
 }
 
+TEST_CASE("A wave of lost answers does not make a relay notify its followers of each of them", "[crash]")
+{
+    PoisonRequestTracker relay("entry-1", "1");
+    relay.setProxyReporter(true);
+    relay.takeBroadcast(Start);
+    int notifications = 0;
+    std::set<std::string> forwarded;
+    const auto collectForwards = [&](TimePoint now) {
+        if (const auto broadcast = relay.takeBroadcast(now); broadcast && !broadcast->forwarded.empty()) {
+            ++notifications;
+            std::transform(broadcast->forwarded.begin(), broadcast->forwarded.end(), std::inserter(forwarded, forwarded.end()), [](const CrashUpdate &update) {
+                return update.entryVm;
+            });
+        }
+    };
+    for (int number = 0; number < WaveEntryVms; ++number) {
+        const TimePoint now = Start + WaveDuration * number / WaveEntryVms;
+        relay.updateReceived(now, waveUpdate(number));
+        relay.tick(now);
+        collectForwards(now);
+    }
+    CHECK(notifications <= PoisonRequestTracker::ForwardBurst + PoisonRequestTracker::ForwardsPerSecond);
+    collectForwards(Start + 2 * WaveDuration);
+    CHECK(forwarded.size() == WaveEntryVms);
+}
+
+TEST_CASE("A wave of lost answers does not make an entry VM rebuild its blocklist at each tick", "[crash]")
+{
+    PoisonRequestTracker tracker("entry-1", "1");
+    for (int number = 0; number < WaveEntryVms; ++number) {
+        const TimePoint now = Start + WaveDuration * number / WaveEntryVms;
+        tracker.updateReceived(now, waveUpdate(number));
+        tracker.tick(now);
+    }
+    CHECK(tracker.updateCounts().blocklistRebuilds <= 1 + WaveDuration / PoisonRequestTracker::MinRebuildInterval);
+    const TimePoint end = Start + 2 * WaveDuration;
+    tracker.tick(end);
+    CHECK(tracker.takeBlocklist()->suspects().size() == PeerCrashUpdates::MaxProcesses);
+}
+
 TEST_CASE("Late updates do not replace newer ones, and those of a successor do not replace those of its predecessor", "[crash]")
 {
     PoisonRequestTracker tracker("entry-1", "1");
