Blocklist: suspicions that become due are applied in batches

Cause of that class: work for crash updates that grows with the fleet takes the entry VMs' processor time. One path was left: tick() rebuilt the blocklist at once whenever a suspicion came of age. Change: tick() keeps the same least interval as updates do.

--- a/src/core/crashes/poisonrequesttracker.cpp
+++ b/src/core/crashes/poisonrequesttracker.cpp
@@ -165,11 +165,11 @@
         exoneratedAt_[crash.fingerprint] = now;
     }
     enforceSizeLimits();
-    if (!updatesAppliedAt_ || now - *updatesAppliedAt_ >= MinRebuildInterval) {
+    if (mayApplyUpdates(now)) {
         updatesAppliedAt_ = now;
         rebuildBlocklist(now);
     } else {
-        // Counted now, so that it is forwarded without delay, but applied to the blocklist with the next tick.
+        // Counted now, so that it is forwarded without delay, but applied to the blocklist by tick().
         addAffectedServers(update.report.crashes);
         addAffectedServers(update.suspected);
         isRebuildDue_ = true;
@@ -177,6 +177,11 @@
     }
 }
 
+bool PoisonRequestTracker::mayApplyUpdates(TimePoint now) const
+{
+    return !updatesAppliedAt_ || now - *updatesAppliedAt_ >= MinRebuildInterval;
+}
+
 void PoisonRequestTracker::setProxyReporter(bool isProxyReporter)
 {
     isProxyReporter_ = isProxyReporter;
@@ -219,10 +224,8 @@
     if (std::erase_if(suspected_, isUnresolved) > 0) {
         rebuildBlocklist(now);
     }
-    if (isRebuildDue_) {
+    if (mayApplyUpdates(now) && (isRebuildDue_ || suspicionsBefore(now - SuspicionGracePeriod).size() != countedSuspicions_)) {
         updatesAppliedAt_ = now;
-    }
-    if (isRebuildDue_ || suspicionsBefore(now - SuspicionGracePeriod).size() != countedSuspicions_) {
         rebuildBlocklist(now);
     }
     if (now >= nextExpiry_) {
