Proxy reports: suspicions of an unresponsive entry VM are taken over once

Change: remembered as taken over, as crashes are. The new test failed before (one more rebuild at the next tick, none is needed) and passes.

--- a/src/core/crashes/peercrashupdates.cpp
+++ b/src/core/crashes/peercrashupdates.cpp
@@ -72,8 +72,13 @@
                 overdue.push_back(crash);
             }
         }
-        if (now - state.receivedAt >= UnresponsiveLimit) {
-            std::copy_if(state.update.suspected.begin(), state.update.suspected.end(), std::back_inserter(overdue), std::not_fn(isStored));
+        if (now - state.receivedAt < UnresponsiveLimit) {
+            continue;
+        }
+        for (const ServerCrash &suspicion : state.update.suspected) {
+            if (state.suspicionsReportedByProxy.insert(suspicion).second && !isStored(suspicion)) {
+                overdue.push_back(suspicion);
+            }
         }
     }
     return overdue;
--- a/src/core/crashes/peercrashupdates.h
+++ b/src/core/crashes/peercrashupdates.h
@@ -40,8 +40,8 @@
     bool apply(TimePoint now, const CrashUpdate &update);
     /// Drops updates that the store contains and those that are too old. @return whether anything was dropped.
     bool expire(TimePoint now, const IsStored &isStored, Duration crashLifetime);
-    /// @return what a proxy reporter should write to the store: crashes that the store does not contain @p delay after they were received, each
-    /// returned once, and suspicions of processes that have become unresponsive.
+    /// @return what a proxy reporter should write to the store: crashes that the store does not contain @p delay after they were received, and
+    /// suspicions of processes that have become unresponsive. Each is returned once.
     std::vector<ServerCrash> takeOverdue(TimePoint now, Duration delay, const IsStored &isStored);
     /// @return updates that have not been forwarded and that satisfy @p isWorthForwarding or replace an update that was forwarded.
     std::vector<CrashUpdate> takeUnforwarded(const std::function<bool(const CrashUpdate &update)> &isWorthForwarding);
@@ -58,6 +58,7 @@
         bool wasForwarded = false; ///< Whether followers have an earlier update of the process, so that they need withdrawals too.
         std::map<ServerCrash, TimePoint> firstReceivedAt; ///< When each crash and suspicion was first received.
         std::set<ServerCrash> reportedByProxy; ///< Crashes that takeOverdue() has handled.
+        std::set<ServerCrash> suspicionsReportedByProxy; ///< Suspicions that takeOverdue() has handled.
     };
     using Process = std::pair<std::string, std::string>; ///< Names of entry VM and process.
 
--- a/tests/unit/crashupdatetests.cpp
+++ b/tests/unit/crashupdatetests.cpp
@@ -298,6 +298,24 @@
     }
 }
 
+TEST_CASE("A relay reports the lost answers of an unresponsive entry VM once, even if it cannot keep all of them", "[crash]")
+{
+    PoisonRequestTracker relay("entry-1", "1");
+    relay.reportsReceived(Start, {});
+    relay.setProxyReporter(true);
+    std::vector<ServerCrash> lost;
+    for (std::size_t number = 0; number <= PoisonRequestTracker::MaxEntries; ++number) {
+        lost.push_back(crashOf("i-" + std::to_string(number)));
+    }
+    relay.updateReceived(Start, updateFrom("entry-2", 1, {}, lost));
+    const TimePoint overdue = Start + PeerCrashUpdates::UnresponsiveLimit;
+    relay.tick(overdue);
+    CHECK(relay.takeReport()->crashes.size() == PoisonRequestTracker::MaxEntries);
+    const auto rebuilds = relay.updateCounts().blocklistRebuilds;
+    relay.tick(overdue + seconds(1));
+    CHECK(relay.updateCounts().blocklistRebuilds == rebuilds);
+}
+
 TEST_CASE("When updates of too many processes arrive, the process with the oldest update is evicted", "[crash]")
 {
     PeerCrashUpdates updates;
