--- a/tests/standins/registeredbackend.cpp
+++ b/tests/standins/registeredbackend.cpp
@@ -75,6 +75,12 @@
     limitScope_ = scope;
 }
 
+void RegisteredBackend::announceLeaving()
+{
+    const std::lock_guard lock(mutex_);
+    isLeaving_ = true;
+}
+
 int RegisteredBackend::maxExecutions(Duration window, TimePoint from) const
 {
     const std::lock_guard lock(mutex_);
@@ -107,6 +113,7 @@
 {
     const std::lock_guard lock(mutex_);
     id_ = id;
+    isLeaving_ = false;
 }
 
 std::vector<std::string> RegisteredBackend::executedRequestIds() const
@@ -140,6 +147,7 @@
     {
         const std::lock_guard lock(mutex_);
         id_ = id;
+        isLeaving_ = false;
         hasCrashed_ = false;
     }
     listen();
@@ -182,6 +190,9 @@
     if (const Duration remaining = remainingWarmUpLocked(); remaining > Duration(0)) {
         answer.headers.push_back({Platform::WarmUpMsHeader, std::to_string(std::chrono::ceil<milliseconds>(remaining).count())});
     }
+    if (isLeaving_) {
+        answer.headers.push_back({Platform::ServerLeavingHeader, "1"});
+    }
     const bool isProbe = request.target == "/health";
     if (!limit_.empty() && (!isProbe || limitScope_ == LimitScope::RequestsAndProbes)) {
         answer.headers.push_back({Platform::ServerLimitHeader, limit_});
--- a/tests/standins/registeredbackend.h
+++ b/tests/standins/registeredbackend.h
@@ -55,6 +55,8 @@
     int maxColdRequestsPerSecond() const;
     /// Announces a request limit in the answers from now on. @param text value of the header; empty for no limit.
     void announceLimit(const std::string &text, LimitScope scope = LimitScope::RequestsAndProbes);
+    /// Announces in all answers from now on that the server is leaving. The next incarnation does not.
+    void announceLeaving();
     /// @return maximum number of requests whose execution began within any @p window that begins at @p from or later.
     int maxExecutions(Duration window, TimePoint from) const;
     /// Acts as another backend server that took over the address.
@@ -87,6 +89,7 @@
     std::vector<TimePoint> executionTimes_; ///< In ascending order.
     std::string limit_;
     LimitScope limitScope_ = LimitScope::RequestsAndProbes;
+    bool isLeaving_ = false;
     TimePoint coldSince_;
     TimePoint warmAt_;
     std::deque<TimePoint> coldExecutions_; ///< Executions in the last second while cold.
