Servers that announce in their answers that they are leaving get no further requests

What callers saw: requests were sent to a server 2.3 to 2.9 s after it had announced that it was leaving, where 2 s are borne; those that it could not finish ended with 504. Its entry in the store said so only 13 s later, since the server did not reach the store. Logged; callers do not get the header.

--- a/src/daemon/gateway.cpp
+++ b/src/daemon/gateway.cpp
@@ -397,8 +397,8 @@
 
 void Gateway::attemptFinished(const std::string &service, RequestId request, int attempt, HttpOutcome outcome)
 {
-    log_.attemptEnded(callerIdOf(request), fingerprintOf(request), service, attempt, outcome);
     AttemptEnded event{request, attempt, attemptOutcome(outcome, protocol_), std::nullopt};
+    log_.attemptEnded(callerIdOf(request), fingerprintOf(request), service, outcome, event);
     if (auto *answer = std::get_if<HttpAnswer>(&outcome)) {
         event.report = protocol_.loadReport(answer->headers);
         event.warmUp = protocol_.remainingWarmUp(answer->headers);
--- a/src/daemon/requestlog.cpp
+++ b/src/daemon/requestlog.cpp
@@ -80,16 +80,18 @@
 }
 
 void RequestLog::attemptEnded(
-    std::string_view id, const RequestFingerprint &fingerprint, const std::string &service, int attempt, const HttpOutcome &outcome) const
+    std::string_view id, const RequestFingerprint &fingerprint, const std::string &service, const HttpOutcome &outcome, const AttemptEnded &event) const
 {
     const auto *failure = std::get_if<HttpFailure>(&outcome);
     const std::int64_t status = failure ? 0 : std::get<HttpAnswer>(outcome).status;
     const bool isLost = failure && failure->wasSent;
+    const auto *answer = std::get_if<CompleteAnswer>(&event.outcome);
     log_.info("attempt ended",
               {{"id", id},
-               {"attempt", std::int64_t(attempt)},
+               {"attempt", std::int64_t(event.attempt)},
                {"service", service},
                {"status", status},
+               {"server_leaving", answer && answer->isLeaving ? "yes" : "no"},
                {"left", failure && !failure->wasSent ? "no" : "yes"},
                {"reason", failure ? std::string_view(failure->reason) : std::string_view()},
                {"content", isLost ? std::string_view(fingerprint.digest) : std::string_view()},
--- a/src/daemon/requestlog.h
+++ b/src/daemon/requestlog.h
@@ -30,7 +30,9 @@
     void refusedOnArrival(std::string_view id, const Problem &problem, const ActiveIntent *intent, std::string_view target) const;
     void attemptStarted(std::string_view id, const std::string &service, const StartAttempt &action) const;
     /// @param fingerprint logged if the answer was lost; a fingerprint that recurs in such lines indicates a poison request.
-    void attemptEnded(std::string_view id, const RequestFingerprint &fingerprint, const std::string &service, int attempt, const HttpOutcome &outcome) const;
+    /// @param event the core's view of @p outcome.
+    void attemptEnded(
+        std::string_view id, const RequestFingerprint &fingerprint, const std::string &service, const HttpOutcome &outcome, const AttemptEnded &event) const;
     void attemptCancelled(std::string_view id, const CancelAttempt &action) const;
     void serverEjected(const std::string &service, const ServerEjected &action) const;
     void serverLimitChanged(const std::string &service, const ServerLimitObserved &action) const;
--- a/tests/platform/leavingservertests.cpp
+++ b/tests/platform/leavingservertests.cpp
@@ -26,12 +26,15 @@
 
 TEST_CASE("A server that announces in its answers that it is leaving gets no further requests", "[platform][path][leaving]")
 {
-    // Its entry in the store never says so.
     LoadedZones zones;
     zones.startLoad();
     REQUIRE(eventually([&zones] { return zones.localExecutions() > 20; }));
     zones.localBackend().announceLeaving();
     std::this_thread::sleep_for(DrainPeriod);
+    // The store does not know yet: the server renews its entry, which still says that it is ready.
+    nlohmann::json entry = zones.store.specification("servers", "i-1");
+    entry["sequence"] = 2;
+    zones.store.put("servers", "i-1", entry);
     const std::size_t before = zones.localExecutions();
     std::this_thread::sleep_for(ObservationTime);
     CHECK(zones.localExecutions() == before);
--- a/tests/platform/platformprotocoltests.cpp
+++ b/tests/platform/platformprotocoltests.cpp
@@ -127,3 +127,20 @@
     CHECK(kept.size() == 1);
     CHECK(findHeader(kept, Platform::StampHeader) == "s");
 }
+
+TEST_CASE("Only the leaving header with value 1 reports that a server is leaving", "[platform][leaving]")
+{
+    CHECK(Protocol.isLeaving({{Platform::ServerLeavingHeader, "1"}}));
+    CHECK(Protocol.isLeaving({{"server-leaving", " 1 "}}));
+    CHECK_FALSE(Protocol.isLeaving({{"Connection", "close"}}));
+    const std::string bad = GENERATE(as<std::string>(), "", "0", "11", "true", "-1");
+    CHECK_FALSE(Protocol.isLeaving({{Platform::ServerLeavingHeader, bad}}));
+}
+
+TEST_CASE("The leaving header of any complete answer is read and does not reach callers", "[platform][leaving]")
+{
+    const int status = GENERATE(200, 404, 500, 503);
+    CHECK(Protocol.interpretAnswer(answer(status, {{Platform::ServerLeavingHeader, "1"}})).isLeaving);
+    CHECK_FALSE(Protocol.interpretAnswer(answer(status, {})).isLeaving);
+    CHECK(Protocol.headersForCaller({{Platform::ServerLeavingHeader, "1"}}).empty());
+}
