--- /dev/null
+++ b/tests/platform/retryaftertests.cpp
@@ -0,0 +1,61 @@
+/*
+    This file is part of cloverbarrow.
+
+    SPDX-FileCopyrightText: 2026 The cloverbarrow authors
+    SPDX-License-Identifier: Apache-2.0
+*/
+
+#include "eventually.h"
+#include "loadedzones.h"
+
+#include "net/bootclock.h"
+
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+#include <thread>
+
+using namespace Cloverbarrow;
+using namespace Cloverbarrow::Standins;
+using namespace Cloverbarrow::Tests;
+
+namespace
+{
+
+constexpr Duration RequestedPause = seconds(3);
+// Requests that are on their way when the server rejects another one may still arrive.
+constexpr Duration Grace = milliseconds(500);
+constexpr std::ptrdiff_t RequestsTolerated = 2;
+
+/// @return number of requests that arrived at the server from @p from until @p to.
+std::ptrdiff_t arrivalsBetween(const RegisteredBackend &backend, TimePoint from, TimePoint to)
+{
+    const auto times = backend.arrivalTimes();
+    return std::count_if(times.begin(), times.end(), [from, to](TimePoint at) { return at >= from && at < to; });
+}
+
+} // namespace
+
+TEST_CASE("A server that rejects a request with Retry-After gets no requests from that entry VM until then", "[platform][path][backoff]")
+{
+    LoadedZones zones(1);
+    zones.startLoad();
+    REQUIRE(eventually([&zones] { return zones.localExecutions() > 20; }));
+    RegisteredBackend &server = zones.localBackend();
+    server.setRetryAfter("3");
+    const TimePoint from = bootNow();
+    server.setAnswerMode(AnswerMode::Shed);
+    REQUIRE(eventually([&] { return arrivalsBetween(server, from, TimePoint::max()) > 0; }));
+    const auto arrivals = server.arrivalTimes();
+    const TimePoint rejectedAt = *std::lower_bound(arrivals.begin(), arrivals.end(), from);
+    std::this_thread::sleep_for(RequestedPause);
+    CHECK(arrivalsBetween(server, rejectedAt + Grace, rejectedAt + RequestedPause) <= RequestsTolerated);
+    SECTION("but then it is used again")
+    {
+        server.setAnswerMode(AnswerMode::Serve);
+        const std::size_t before = zones.localExecutions();
+        CHECK(eventually([&] { return zones.localExecutions() > before + 5; }));
+    }
+    zones.stopLoad();
+    CHECK(zones.areAllServed());
+}
--- a/tests/standins/registeredbackend.cpp
+++ b/tests/standins/registeredbackend.cpp
@@ -81,6 +81,18 @@
     isLeaving_ = true;
 }
 
+void RegisteredBackend::setRetryAfter(const std::string &text)
+{
+    const std::lock_guard lock(mutex_);
+    retryAfter_ = text;
+}
+
+std::vector<TimePoint> RegisteredBackend::arrivalTimes() const
+{
+    const std::lock_guard lock(mutex_);
+    return arrivalTimes_;
+}
+
 int RegisteredBackend::maxExecutions(Duration window, TimePoint from) const
 {
     const std::lock_guard lock(mutex_);
@@ -207,9 +219,14 @@
     if (findHeader(request.headers, Platform::ExpectInstanceHeader).value_or(id_) != id_) {
         answer.status = 421;
     } else if (answerMode_ == AnswerMode::Shed) {
+        arrivalTimes_.push_back(bootNow());
         answer.status = 503;
         answer.headers.push_back({Platform::NotExecutedHeader, "1"});
+        if (!retryAfter_.empty()) {
+            answer.headers.push_back({Platform::RetryAfterHeader, retryAfter_});
+        }
     } else {
+        arrivalTimes_.push_back(bootNow());
         executedRequestIds_.push_back(requestId);
         executionTimes_.push_back(bootNow());
         recordColdExecutionLocked();
--- a/tests/standins/registeredbackend.h
+++ b/tests/standins/registeredbackend.h
@@ -57,6 +57,10 @@
     void announceLimit(const std::string &text, LimitScope scope = LimitScope::RequestsAndProbes);
     /// Announces in all answers from now on that the server is leaving. The next incarnation does not.
     void announceLeaving();
+    /// Adds a Retry-After header to the answers in AnswerMode::Shed. @param text value of the header; empty for none.
+    void setRetryAfter(const std::string &text);
+    /// @return when requests for this server arrived, including rejected ones, in ascending order.
+    std::vector<TimePoint> arrivalTimes() const;
     /// @return maximum number of requests whose execution began within any @p window that begins at @p from or later.
     int maxExecutions(Duration window, TimePoint from) const;
     /// Acts as another backend server that took over the address.
@@ -87,6 +91,8 @@
     AnswerMode answerMode_ = AnswerMode::Serve;
     std::vector<std::string> executedRequestIds_;
     std::vector<TimePoint> executionTimes_; ///< In ascending order.
+    std::vector<TimePoint> arrivalTimes_; ///< In ascending order.
+    std::string retryAfter_;
     std::string limit_;
     LimitScope limitScope_ = LimitScope::RequestsAndProbes;
     bool isLeaving_ = false;
