Servers that reject requests with Retry-After get none until then

What callers saw: 9 to 11 of 50 reads a second refused while eight of ten servers had free slots, since two that reported free capacity rejected all they got and were chosen first. They had asked each entry VM for 3 s without requests and got 14 to 27 in 0.6 s. Cause: the Retry-After of a server was not read. Change: BackendPool keeps the end of the backoff that a server has requested; acceptsRequests(), which every way to a server passes, respects it. Where all servers have requested one, requests are refused at once with the time until the first is over. Logged and counted, unreadable values too.

--- a/src/core/requests/serviceevents.h
+++ b/src/core/requests/serviceevents.h
@@ -12,6 +12,7 @@
 #include "core/crashes/requestfingerprint.h"
 #include "core/intent/configuration.h"
 #include "core/rollouts/versionevidence.h"
+#include "core/servers/backoffnotice.h"
 #include "core/servers/loadreport.h"
 #include "core/servers/requestlimit.h"
 #include "core/storecall.h"
@@ -109,6 +110,7 @@
     std::optional<LoadReport> report; ///< As reported with the answer.
     std::optional<Duration> warmUp = {}; ///< Remaining warm-up time of the server, as reported with the answer.
     std::optional<LimitNotice> limit = {}; ///< Empty without a complete answer.
+    BackoffNotice backoff = {};
 };
 
 /// One probe may be sent now, from this share of the probe budget.
@@ -128,6 +130,7 @@
     std::optional<Duration> warmUp = {}; ///< Remaining warm-up time of the server, as reported with the answer.
     std::optional<LimitNotice> limit = {}; ///< Empty without a complete answer.
     TimePoint sentAt = {}; ///< When the probe was sent.
+    BackoffNotice backoff = {};
 };
 
 /// The platform's answer to a call for a payout record.
@@ -373,6 +376,22 @@
     bool operator==(const ServerLimitUnreadable &) const = default;
 };
 
+/// A backend server gets no requests for some time, as it has requested; only for the log.
+struct ServerBackoffStarted {
+    std::string backend;
+    Duration duration{0};
+
+    bool operator==(const ServerBackoffStarted &) const = default;
+};
+
+/// A backend server requested a backoff that cannot be parsed; it is ignored.
+struct ServerBackoffUnreadable {
+    std::string backend;
+    std::string text;
+
+    bool operator==(const ServerBackoffUnreadable &) const = default;
+};
+
 /// Outcome of an attempt while a rollout is running.
 struct VersionOutcomeObserved {
     VersionOutcome outcome;
@@ -397,6 +416,8 @@
                                    ServerEjected,
                                    ServerLimitObserved,
                                    ServerLimitUnreadable,
+                                   ServerBackoffStarted,
+                                   ServerBackoffUnreadable,
                                    VersionOutcomeObserved>;
 using ServiceActions = std::vector<ServiceAction>;
 
--- a/src/core/requests/serviceshard.cpp
+++ b/src/core/requests/serviceshard.cpp
@@ -17,7 +17,8 @@
 namespace
 {
 
-constexpr const char *AllServersLimited = "all backend servers have got the requests that their limits, or their starts, allow";
+constexpr const char *AllServersLimited =
+    "no backend server accepts a request now: they have announced limits, have just started, or have asked for no requests";
 
 } // namespace
 
@@ -161,6 +162,7 @@
     }
     applyServerReport(now, event.backend, event.report, event.warmUp);
     applyLimitNotice(now, event.sentAt, event.backend, NoticeSource::Probe, event.limit, actions);
+    applyBackoffNotice(now, event.backend, event.backoff, actions);
     dispatch(now, actions);
     if (event.request) {
         const auto found = requests_.find(*event.request);
@@ -199,6 +201,15 @@
     }
 }
 
+void ServiceShard::applyBackoffNotice(TimePoint now, const std::string &backend, const BackoffNotice &notice, ServiceActions &actions)
+{
+    if (const auto *unreadable = std::get_if<UnreadableBackoff>(&notice)) {
+        actions.emplace_back(ServerBackoffUnreadable{backend, unreadable->text});
+    } else if (const auto *requested = std::get_if<BackoffRequest>(&notice); requested && pool_.applyBackoff(backend, requested->duration, now)) {
+        actions.emplace_back(ServerBackoffStarted{backend, requested->duration});
+    }
+}
+
 void ServiceShard::reportLimit(TimePoint now, const std::string &backend, std::optional<NoticeSource> source, bool isChanged, ServiceActions &actions) const
 {
     const Backend &server = *pool_.find(backend);
--- a/src/core/requests/serviceshard.h
+++ b/src/core/requests/serviceshard.h
@@ -170,11 +170,13 @@
     /// Applies what an answer announced about a limit. @param sentAt when the answered request was sent.
     void applyLimitNotice(
         TimePoint now, TimePoint sentAt, const std::string &backend, NoticeSource source, const std::optional<LimitNotice> &notice, ServiceActions &actions);
+    void applyBackoffNotice(TimePoint now, const std::string &backend, const BackoffNotice &notice, ServiceActions &actions);
     /// Reports the limit on a server's requests. @param source empty when a peer has reported the limit.
     void reportLimit(TimePoint now, const std::string &backend, std::optional<NoticeSource> source, bool isChanged, ServiceActions &actions) const;
     /// Probes servers that get no requests, to check whether their limits still apply.
     void checkLimits(TimePoint now, ServiceActions &actions);
-    /// @return the delay after which a caller should retry, if the limits of all servers exclude a request for longer than it may be queued; otherwise nothing.
+    /// @return the delay after which a caller should retry, if limits and requested backoffs keep requests from all servers for longer than one may be queued;
+    /// otherwise nothing.
     std::optional<Duration> retryAfterIfAllLimited(TimePoint now, Duration objective) const;
     void markLeaving(const std::string &backend, ServiceActions &actions);
     AttemptQuality qualityOf(const Attempt &attempt, const AttemptOutcome &outcome) const;
--- a/src/core/requests/serviceshardoutcome.cpp
+++ b/src/core/requests/serviceshardoutcome.cpp
@@ -140,6 +140,7 @@
         applyServerReport(now, attempt.backend, event.report, event.warmUp);
         applyLimitNotice(
             now, attempt.startedAt, attempt.backend, answer && answer->isNotExecuted ? NoticeSource::Rejection : NoticeSource::Executed, event.limit, actions);
+        applyBackoffNotice(now, attempt.backend, event.backoff, actions);
     }
     if (answer && answer->isLeaving) {
         markLeaving(attempt.backend, actions);
--- a/src/core/servers/backendpool.cpp
+++ b/src/core/servers/backendpool.cpp
@@ -261,6 +261,16 @@
     return backend && backend->limit.applyReport(now, report);
 }
 
+bool BackendPool::applyBackoff(std::string_view name, Duration duration, TimePoint now)
+{
+    Backend *backend = findMutable(name);
+    if (!backend || now + duration <= std::max(now, backend->backoffUntil)) {
+        return false;
+    }
+    backend->backoffUntil = now + duration;
+    return true;
+}
+
 bool BackendPool::claimLimitConfirmation(std::string_view name)
 {
     Backend *backend = findMutable(name);
@@ -273,7 +283,7 @@
     // refreshes the load report that takeForLimitCheck() needs to send a request there.
     const auto isDue = [this, now](const Backend &backend) {
         const bool isChecked = backend.limitProbedAt && now - *backend.limitProbedAt < LimitCheckInterval;
-        const bool canTell = backend.limit.isAnnouncedBy(NoticeSource::Probe) || mayTake(backend, now, true);
+        const bool canTell = (backend.limit.isAnnouncedBy(NoticeSource::Probe) && now >= backend.backoffUntil) || mayTake(backend, now, true);
         return isServing(backend) && isLimitStale(backend, now) && !isChecked && canTell;
     };
     const auto found = std::find_if(backends_.begin(), backends_.end(), isDue);
@@ -325,10 +335,10 @@
         if (!isServing(backend)) {
             continue;
         }
-        if (isWithinQuotas(backend, now)) {
+        if (acceptsRequests(backend, now)) {
             return std::nullopt;
         }
-        TimePoint allowedAt = now;
+        TimePoint allowedAt = std::max(now, backend.backoffUntil);
         for (const ServerQuota &quota : quotasInForce(backend, now)) {
             allowedAt = std::max(allowedAt, sendAllowedAt(backend, quota, now).value_or(TimePoint::max()));
         }
@@ -418,7 +428,7 @@
 bool BackendPool::mayTake(const Backend &backend, TimePoint now, bool ignoreEjection) const
 {
     // All sends pass this check: first attempts, retries, hedges, and probes that select a server for them.
-    if (!isServing(backend) || backend.inFlight >= inFlightCap_ || !isWithinQuotas(backend, now)) {
+    if (!isServing(backend) || backend.inFlight >= inFlightCap_ || !acceptsRequests(backend, now)) {
         return false;
     }
     if (ignoreEjection) {
@@ -441,10 +451,11 @@
     return all;
 }
 
-bool BackendPool::isWithinQuotas(const Backend &backend, TimePoint now) const
+bool BackendPool::acceptsRequests(const Backend &backend, TimePoint now) const
 {
     const auto all = quotasInForce(backend, now);
-    return std::all_of(all.begin(), all.end(), [this, &backend, now](const ServerQuota &quota) { return isWithinQuota(backend, quota, now); });
+    return now >= backend.backoffUntil
+        && std::all_of(all.begin(), all.end(), [this, &backend, now](const ServerQuota &quota) { return isWithinQuota(backend, quota, now); });
 }
 
 bool BackendPool::isWithinQuota(const Backend &backend, const ServerQuota &quota, TimePoint now) const
--- a/src/core/servers/backendpool.h
+++ b/src/core/servers/backendpool.h
@@ -63,6 +63,7 @@
     int probeFailureStreak = 0; ///< Consecutive failed probes.
     int ejections = 0;
     TimePoint ejectedUntil;
+    TimePoint backoffUntil; ///< The server has asked for no requests until then.
     bool isEjectedByRequests = false; ///< Whether failed requests caused the last ejection; a good probe does not end such an ejection.
     std::optional<TimePoint> ejectedAt; ///< Start of the last ejection.
     bool isOnTrial = false; ///< Has been ejected and has not given a good answer since.
@@ -135,6 +136,8 @@
     bool applyLimitNotice(TimePoint now, TimePoint sentAt, std::string_view name, NoticeSource source, const LimitNotice &notice);
     /// Applies a limit that a peer has observed. @return whether the limit in force has changed.
     bool applyLimitReport(TimePoint now, const LimitReport &report);
+    /// Keeps requests from the server called @p name for @p duration, as it has requested. @return whether this is later than any earlier backoff ends.
+    bool applyBackoff(std::string_view name, Duration duration, TimePoint now);
     /// @return whether to notify peers that the limit of the server called @p name is still in force; if so, they count as notified.
     bool claimLimitConfirmation(std::string_view name);
     /// @return a server that is due for a probe of whether its limit is still in force, if any.
@@ -146,8 +149,8 @@
     void markLimitChecked(std::string_view name, TimePoint now);
     /// @return requests that this entry VM may send to @p backend in one window of its limit; nothing if no limit is in force.
     std::optional<int> limitShare(const Backend &backend, TimePoint now) const;
-    /// @return when the first server may take an attempt again if the quotas of all servers are exhausted; TimePoint::max() if this entry VM
-    /// has no share in any quota; nothing if the quota of at least one server has free capacity.
+    /// @return when the first server may take an attempt again if quotas and requested backoffs keep attempts from all servers; TimePoint::max() if
+    /// this entry VM has no share in any quota; nothing if at least one server may take an attempt.
     std::optional<TimePoint> rateLimitedUntil(TimePoint now) const;
     void setPeersInFlight(std::string_view name, int count);
     void applyLoadReport(std::string_view name, const LoadReport &report, TimePoint now);
@@ -170,8 +173,8 @@
     void updateSenderRank(Backend &backend, TimePoint now) const;
     /// @return the quotas in force for @p backend, for its cold start and for its request limit.
     std::vector<ServerQuota> quotasInForce(const Backend &backend, TimePoint now) const;
-    /// @return whether all quotas in force allow a request to @p backend now.
-    bool isWithinQuotas(const Backend &backend, TimePoint now) const;
+    /// @return whether all quotas in force and the backoff that the server requested allow a request to @p backend now.
+    bool acceptsRequests(const Backend &backend, TimePoint now) const;
     /// @return when this entry VM, which has no share, may send one request to @p backend to check whether its limit is still in force; nothing if never.
     std::optional<TimePoint> limitCheckAllowedAt(const Backend &backend, const ServerQuota &quota) const;
     /// @return whether the server's limit was not confirmed within LimitConfirmInterval and no attempt in flight may confirm it.
--- a/src/daemon/builtinprotocol.cpp
+++ b/src/daemon/builtinprotocol.cpp
@@ -112,6 +112,12 @@
     return NoRequestLimit{};
 }
 
+BackoffNotice BuiltInProtocol::backoffNotice(const HttpAnswer &) const
+{
+    // Backend servers of this protocol report their load instead.
+    return NoBackoff{};
+}
+
 bool BuiltInProtocol::isLeaving(const Headers &headers) const
 {
     return isSet(headers, LeavingHeader, "true");
--- a/src/daemon/builtinprotocol.h
+++ b/src/daemon/builtinprotocol.h
@@ -25,6 +25,7 @@
     std::optional<LoadReport> loadReport(const Headers &headers) const override;
     std::optional<Duration> remainingWarmUp(const Headers &headers) const override;
     LimitNotice limitNotice(const Headers &headers) const override;
+    BackoffNotice backoffNotice(const HttpAnswer &answer) const override;
     bool isLeaving(const Headers &headers) const override;
     Headers headersForCaller(const Headers &headers) const override;
     void markRetried(HttpAnswer &answer) const override;
--- a/src/daemon/gateway.cpp
+++ b/src/daemon/gateway.cpp
@@ -303,6 +303,16 @@
             gateway.log_.serverLimitUnreadable(serviceAction.service, typed);
             gateway.telemetry_.limitUnreadable(serviceAction.service);
         }
+        void operator()(const ServerBackoffStarted &typed) const
+        {
+            gateway.log_.serverBackoffStarted(serviceAction.service, typed);
+            gateway.telemetry_.backoffStarted(serviceAction.service);
+        }
+        void operator()(const ServerBackoffUnreadable &typed) const
+        {
+            gateway.log_.serverBackoffUnreadable(serviceAction.service, typed);
+            gateway.telemetry_.backoffUnreadable(serviceAction.service);
+        }
         void operator()(const VersionOutcomeObserved &) const
         {
             // Counted by the directory, which compares versions.
@@ -403,6 +413,7 @@
         event.report = protocol_.loadReport(answer->headers);
         event.warmUp = protocol_.remainingWarmUp(answer->headers);
         event.limit = protocol_.limitNotice(answer->headers);
+        event.backoff = protocol_.backoffNotice(*answer);
         Shard &shard = shardOf(request);
         const std::lock_guard lock(shard.mutex);
         if (const auto found = shard.exchanges.find(request); found != shard.exchanges.end()) {
@@ -445,6 +456,7 @@
             ended.report = protocol_.loadReport(answer->headers);
             ended.warmUp = protocol_.remainingWarmUp(answer->headers);
             ended.limit = protocol_.limitNotice(answer->headers);
+            ended.backoff = protocol_.backoffNotice(*answer);
         } else if (std::get<HttpFailure>(outcome).isRejected) {
             ended.liveness = ServerLiveness::Rejected;
         }
--- a/src/daemon/requestlog.cpp
+++ b/src/daemon/requestlog.cpp
@@ -129,6 +129,16 @@
     limitLog_.warn("server request limit is invalid", {{"service", service}, {"server", action.backend}, {"text", action.text}});
 }
 
+void RequestLog::serverBackoffStarted(const std::string &service, const ServerBackoffStarted &action) const
+{
+    limitLog_.info("server requests a backoff", {{"service", service}, {"server", action.backend}, {"lasts_ms", toMilliseconds(action.duration)}});
+}
+
+void RequestLog::serverBackoffUnreadable(const std::string &service, const ServerBackoffUnreadable &action) const
+{
+    limitLog_.warn("server backoff is invalid", {{"service", service}, {"server", action.backend}, {"text", action.text}});
+}
+
 void RequestLog::serverCrashed(const std::string &service, const ReportServerCrash &action) const
 {
     for (const RequestFingerprint &fingerprint : action.fingerprints) {
--- a/src/daemon/requestlog.h
+++ b/src/daemon/requestlog.h
@@ -37,6 +37,8 @@
     void serverEjected(const std::string &service, const ServerEjected &action) const;
     void serverLimitChanged(const std::string &service, const ServerLimitObserved &action) const;
     void serverLimitUnreadable(const std::string &service, const ServerLimitUnreadable &action) const;
+    void serverBackoffStarted(const std::string &service, const ServerBackoffStarted &action) const;
+    void serverBackoffUnreadable(const std::string &service, const ServerBackoffUnreadable &action) const;
     void serverCrashed(const std::string &service, const ReportServerCrash &action) const;
     void serverRecovered(const std::string &service, const ReportServerRecovered &action) const;
     void requestExonerated(const std::string &service, const ReportSuspectAnswered &action) const;
--- a/src/daemon/telemetry.cpp
+++ b/src/daemon/telemetry.cpp
@@ -54,6 +54,8 @@
                      .Help("Changes of request limits that backend servers name")
                      .Register(registry))
         , limited(prometheus::BuildGauge().Name("cloverbarrow_limited_servers").Help("Backend servers that name a request limit").Register(registry))
+        , backoffs(
+              prometheus::BuildCounter().Name("cloverbarrow_server_backoffs_total").Help("Backoffs that backend servers have requested").Register(registry))
         , state(prometheus::BuildGauge().Name("cloverbarrow_state").Help("State of this entry VM").Register(registry))
     {
     }
@@ -63,6 +65,7 @@
     prometheus::Family<prometheus::Counter> &probes;
     prometheus::Family<prometheus::Counter> &limits;
     prometheus::Family<prometheus::Gauge> &limited;
+    prometheus::Family<prometheus::Counter> &backoffs;
     prometheus::Family<prometheus::Gauge> &state;
 };
 
@@ -115,6 +118,16 @@
     families_->limits.Add({{"service", service}, {"change", "unreadable"}}).Increment();
 }
 
+void Telemetry::backoffStarted(const std::string &service)
+{
+    families_->backoffs.Add({{"service", service}, {"request", "valid"}}).Increment();
+}
+
+void Telemetry::backoffUnreadable(const std::string &service)
+{
+    families_->backoffs.Add({{"service", service}, {"request", "unreadable"}}).Increment();
+}
+
 void Telemetry::setGauges(const NodeGauges &gauges)
 {
     const auto set = [this](const char *name, double value) { families_->state.Add({{"of", name}}).Set(value); };
--- a/src/daemon/telemetry.h
+++ b/src/daemon/telemetry.h
@@ -66,6 +66,9 @@
     /// A backend server's request limit has changed. @param perSecond nothing if the limit was removed.
     void limitChanged(const std::string &service, const std::string &server, const std::optional<double> &perSecond);
     void limitUnreadable(const std::string &service);
+    /// A backend server has requested a backoff.
+    void backoffStarted(const std::string &service);
+    void backoffUnreadable(const std::string &service);
     void setGauges(const NodeGauges &gauges);
 
     /// Counts of one service and request kind over one window.
--- a/src/net/exchangeprotocol.h
+++ b/src/net/exchangeprotocol.h
@@ -52,6 +52,8 @@
     virtual std::optional<Duration> remainingWarmUp(const Headers &headers) const = 0;
     /// @return the request limit that the backend server announces in the answer; the text if it is unreadable.
     virtual LimitNotice limitNotice(const Headers &headers) const = 0;
+    /// @return the backoff that the backend server requests in the answer; the text if it is unreadable.
+    virtual BackoffNotice backoffNotice(const HttpAnswer &answer) const = 0;
     virtual bool isLeaving(const Headers &headers) const = 0;
     /// @return headers of a backend server's answer that are forwarded to the caller.
     virtual Headers headersForCaller(const Headers &headers) const = 0;
--- a/tests/platform/loadedzones.cpp
+++ b/tests/platform/loadedzones.cpp
@@ -105,6 +105,11 @@
     return served_;
 }
 
+std::size_t LoadedZones::failed() const
+{
+    return failed_;
+}
+
 void LoadedZones::registerBackend(const std::string &zone, const RegisteredBackend &backend, const std::string &id)
 {
     nlohmann::json registration = backend.registration("reclamos");
--- a/tests/platform/loadedzones.h
+++ b/tests/platform/loadedzones.h
@@ -42,6 +42,8 @@
     Standins::RegisteredBackend &remoteBackend();
     bool areAllServed() const;
     std::size_t served() const;
+    /// @return number of requests that were not answered with status 200.
+    std::size_t failed() const;
 
     Standins::DirectoryStore store;
 
--- a/tests/platform/platformprotocoltests.cpp
+++ b/tests/platform/platformprotocoltests.cpp
@@ -144,3 +144,16 @@
     CHECK_FALSE(Protocol.interpretAnswer(answer(status, {})).isLeaving);
     CHECK(Protocol.headersForCaller({{Platform::ServerLeavingHeader, "1"}}).empty());
 }
+
+TEST_CASE("A backoff is decoded from Retry-After of status 503, and an invalid one is distinguished from none", "[platform][backoff]")
+{
+    const auto backoffIn = [](int status, const Headers &headers) { return Protocol.backoffNotice(answer(status, headers)); };
+    CHECK(backoffIn(503, {{"Retry-After", "3"}}) == BackoffNotice(BackoffRequest{seconds(3)}));
+    CHECK(backoffIn(503, {{"retry-after", " 0.25 "}}) == BackoffNotice(BackoffRequest{milliseconds(250)}));
+    CHECK(backoffIn(503, {{Platform::NotExecutedHeader, "1"}}) == BackoffNotice(NoBackoff{}));
+    CHECK(backoffIn(200, {{"Retry-After", "3"}}) == BackoffNotice(NoBackoff{}));
+    const std::string bad =
+        GENERATE(as<std::string>(), "", "-1", "nan", "inf", "1e3", "3s", "99999999999", "Wed, 21 Oct 2026 07:28:00 GMT", std::string(10'000, '9'));
+    CHECK(std::holds_alternative<UnreadableBackoff>(backoffIn(503, {{"Retry-After", bad}})));
+    CHECK(std::holds_alternative<UnreadableBackoff>(backoffIn(503, {{"Retry-After", "1"}, {"Retry-After", "2"}})));
+}
--- a/tests/support/describe.cpp
+++ b/tests/support/describe.cpp
@@ -113,6 +113,14 @@
     {
         return "limit of " + action.backend + " cannot be read: " + action.text;
     }
+    std::string operator()(const ServerBackoffStarted &action) const
+    {
+        return "backoff of " + action.backend + " for " + std::to_string(std::chrono::floor<milliseconds>(action.duration).count()) + " ms";
+    }
+    std::string operator()(const ServerBackoffUnreadable &action) const
+    {
+        return "backoff of " + action.backend + " cannot be read: " + action.text;
+    }
     std::string operator()(const VersionOutcomeObserved &action) const
     {
         return std::string("answer of ") + (action.outcome.isTargetVersion ? "the target version" : "another version");
--- a/tests/unit/probedchoicetests.cpp
+++ b/tests/unit/probedchoicetests.cpp
@@ -75,6 +75,14 @@
         arrive(id, KindClass::Read, 0, waited);
     }
 
+    /// The first attempt of the request is rejected with Retry-After.
+    void reject(RequestId id, Duration backoff)
+    {
+        AttemptEnded ended{id, 1, CompleteAnswer{503, true}, std::nullopt};
+        ended.backoff = BackoffRequest{backoff};
+        handle(ended);
+    }
+
     void advance(Duration duration)
     {
         constexpr Duration Step = milliseconds(5);
@@ -91,6 +99,7 @@
     std::vector<ReturnAnswer> returned;
     std::vector<CancelAttempt> cancelled;
     int probes = 0;
+    std::set<std::string> probedServers;
     int ejections = 0;
     int crashProbes = 0; ///< Number of probes that check whether a server has crashed.
 
@@ -99,6 +108,7 @@
     {
         if (const auto *probe = std::get_if<StartProbe>(&action)) {
             ++probes;
+            probedServers.insert(probe->backend);
             crashProbes += probe->isStatusCheck ? 1 : 0;
             if (probe->isStatusCheck && !reports.contains(probe->backend)) {
                 handle(ProbeEnded{probe->backend, false, false, std::nullopt, std::nullopt, ServerLiveness::Unresponsive, true});
@@ -636,3 +646,67 @@
     const auto atLimited = std::count_if(shard.started.begin(), shard.started.end(), isLaterAtLimited);
     CHECK(atLimited >= 1);
 }
+
+TEST_CASE("A server that has requested a backoff gets neither requests nor probes until it is over", "[choice][backoff]")
+{
+    ProbingShard shard(probedService(2));
+    shard.reports = {{"b1", {0, 0, 3, 1}}, {"b2", {0, 0, 3, 3}}};
+    shard.arrive(1);
+    REQUIRE(shard.started.back().backend == "b1");
+    SECTION("once it has rejected a request")
+    {
+        shard.reject(1, seconds(3));
+        shard.advance(milliseconds(60));
+        shard.handle(AttemptEnded{1, 2, CompleteAnswer{}, std::nullopt});
+    }
+    SECTION("also after it has requested a shorter one")
+    {
+        shard.arrive(2);
+        REQUIRE(shard.started.back().backend == "b1");
+        shard.reject(1, seconds(3));
+        shard.reject(2, milliseconds(100));
+        shard.advance(milliseconds(60));
+        shard.handle(AttemptEnded{1, 2, CompleteAnswer{}, std::nullopt});
+    }
+    SECTION("also when an answer to a probe requests it")
+    {
+        shard.handle(AttemptEnded{1, 1, CompleteAnswer{}, std::nullopt});
+        ProbeEnded probed{"b1", false, false, std::nullopt, std::nullopt, ServerLiveness::Answered};
+        probed.backoff = BackoffRequest{seconds(3)};
+        shard.handle(probed);
+    }
+    shard.started.clear();
+    shard.refused.clear();
+    shard.probedServers.clear();
+    for (RequestId id = 10; id < 30; ++id) {
+        shard.advance(milliseconds(140));
+        shard.arrive(id);
+        shard.handle(AttemptEnded{id, 1, CompleteAnswer{}, std::nullopt});
+    }
+    CHECK(shard.probedServers == std::set<std::string>{"b2"});
+    CHECK(std::all_of(shard.started.begin(), shard.started.end(), [](const StartAttempt &start) { return start.backend == "b2"; }));
+    CHECK(shard.refused.empty());
+    shard.advance(milliseconds(300));
+    shard.arrive(30);
+    CHECK(shard.started.back().backend == "b1");
+}
+
+TEST_CASE("While all servers have requested a backoff, requests are refused at once with the time until the first one is over", "[choice][backoff]")
+{
+    ProbingShard shard(probedService(2));
+    shard.reports = {{"b1", {0, 0, 3, 1}}, {"b2", {0, 0, 3, 1}}};
+    shard.arrive(1);
+    shard.reject(1, milliseconds(800));
+    const std::string second = shard.started.back().backend;
+    AttemptEnded ended{1, 2, CompleteAnswer{503, true}, std::nullopt};
+    ended.backoff = BackoffRequest{milliseconds(600)};
+    shard.handle(ended);
+    CHECK(shard.refused.size() == 1);
+    shard.arrive(2);
+    REQUIRE(shard.refused.size() == 2);
+    CHECK(shard.refused.back().problem.executionStatus == ExecutionStatus::NotExecuted);
+    CHECK(shard.refused.back().problem.retryAfter == milliseconds(600));
+    shard.advance(milliseconds(600));
+    shard.arrive(3);
+    CHECK(shard.started.back().backend == second);
+}
