Soak: servers that announce that they are leaving, and that reject requests with Retry-After

Both come in series and overlap with the other faults, each group with its own random stream. Invariants: no request that a caller sends later than the drain period after an entry VM passed on an answer with Server-Leaving reaches that server from that process; no more than two reach a server from a process between half a second after a rejection with Retry-After and the end of that time, unless the link had a fault or the process was paused when it was rejected.

--- a/tests/platform/retryaftertests.cpp
+++ b/tests/platform/retryaftertests.cpp
@@ -30,8 +30,8 @@
 /// @return number of requests that arrived at the server from @p from until @p to.
 std::ptrdiff_t arrivalsBetween(const RegisteredBackend &backend, TimePoint from, TimePoint to)
 {
-    const auto times = backend.arrivalTimes();
-    return std::count_if(times.begin(), times.end(), [from, to](TimePoint at) { return at >= from && at < to; });
+    const auto all = backend.arrivals();
+    return std::count_if(all.begin(), all.end(), [from, to](const Arrival &arrival) { return arrival.at >= from && arrival.at < to; });
 }
 
 } // namespace
@@ -46,8 +46,10 @@
     const TimePoint from = bootNow();
     server.setAnswerMode(AnswerMode::Shed);
     REQUIRE(eventually([&] { return arrivalsBetween(server, from, TimePoint::max()) > 0; }));
-    const auto arrivals = server.arrivalTimes();
-    const TimePoint rejectedAt = *std::lower_bound(arrivals.begin(), arrivals.end(), from);
+    const auto arrivals = server.arrivals();
+    const auto rejected = std::find_if(arrivals.begin(), arrivals.end(), [from](const Arrival &arrival) { return arrival.at >= from; });
+    REQUIRE(rejected != arrivals.end());
+    const TimePoint rejectedAt = rejected->at;
     std::this_thread::sleep_for(RequestedPause);
     CHECK(arrivalsBetween(server, rejectedAt + Grace, rejectedAt + RequestedPause) <= RequestsTolerated);
     // A rejected request may find no other server: the only one stands in another zone, and there are few probes for two servers.
--- a/tests/soak/faultinjector.cpp
+++ b/tests/soak/faultinjector.cpp
@@ -27,6 +27,8 @@
 constexpr std::uint64_t CrashStream = 0x63726173;
 constexpr std::uint64_t EvacuationStream = 0x706c6163;
 constexpr std::uint64_t LimitStream = 0x6c696d69;
+constexpr std::uint64_t LeavingStream = 0x6c656176;
+constexpr std::uint64_t BackoffStream = 0x6261636b;
 
 using Standins::AnswerMode;
 
@@ -62,6 +64,8 @@
     , crashRandom_(seed ^ CrashStream)
     , evacuationRandom_(seed ^ EvacuationStream)
     , limitRandom_(seed ^ LimitStream)
+    , leavingRandom_(seed ^ LeavingStream)
+    , backoffRandom_(seed ^ BackoffStream)
 {
 }
 
@@ -76,6 +80,8 @@
     injectCrash();
     injectColdServerOrEvacuation();
     injectRequestLimit();
+    injectLeaving();
+    injectBackoff();
     return milliseconds(random_.below(MaxIntervalMs));
 }
 
@@ -259,6 +265,44 @@
     endLater(limitRandom_, [this, backend] { site_.announceLimit(backend, ""); });
 }
 
+void FaultInjector::injectLeaving()
+{
+    constexpr std::size_t StepsPerFault = 8;
+    constexpr std::size_t MaxLeavingServers = 2;
+    // Longer than a drain period, so that requests sent after it are noticed.
+    constexpr std::size_t MinLeavingMs = 2500;
+    constexpr std::size_t MaxLeavingMs = 5000;
+    if (leavingRandom_.below(StepsPerFault) > 0) {
+        return;
+    }
+    const std::size_t backend = leavingRandom_.below(site_.backends());
+    const milliseconds duration(MinLeavingMs + leavingRandom_.below(MaxLeavingMs - MinLeavingMs));
+    if (leavingServers_ >= MaxLeavingServers) {
+        return;
+    }
+    ++leavingServers_;
+    recordEvent("backend server " + std::to_string(backend) + " announces that it is leaving");
+    site_.announceLeaving(backend);
+    pendingEnds_.emplace(Clock::now() + duration, [this, backend] {
+        --leavingServers_;
+        site_.replaceBackend(backend);
+    });
+}
+
+void FaultInjector::injectBackoff()
+{
+    constexpr std::size_t StepsPerFault = 4;
+    constexpr std::array RetryAfters = {"0.7", "1", "2.5", "3", "0", "nan", "-1", "Wed, 21 Oct 2026 07:28:00 GMT"};
+    if (backoffRandom_.below(StepsPerFault) > 0) {
+        return;
+    }
+    const std::size_t backend = backoffRandom_.below(site_.backends());
+    const char *retryAfter = RetryAfters.at(backoffRandom_.below(RetryAfters.size()));
+    recordEvent("backend server " + std::to_string(backend) + " rejects requests with Retry-After: " + retryAfter);
+    site_.rejectWithRetryAfter(backend, retryAfter);
+    endLater(backoffRandom_, [this, backend] { site_.stopRejecting(backend); });
+}
+
 void FaultInjector::recordEvent(const std::string &what)
 {
     const auto since = std::chrono::duration_cast<milliseconds>(Clock::now() - start_);
--- a/tests/soak/faultinjector.h
+++ b/tests/soak/faultinjector.h
@@ -54,6 +54,10 @@
     void injectColdServerOrEvacuation();
     /// Lets a backend server announce a request limit, valid or not.
     void injectRequestLimit();
+    /// Lets a backend server announce that it is leaving until it is replaced.
+    void injectLeaving();
+    /// Lets a backend server reject requests with Retry-After, valid or not.
+    void injectBackoff();
     void recordEvent(const std::string &what);
     /// Calls @p end after a random time.
     void endLater(std::function<void()> end);
@@ -68,7 +72,10 @@
     Random crashRandom_;
     Random evacuationRandom_;
     Random limitRandom_;
+    Random leavingRandom_;
+    Random backoffRandom_;
     Clock::time_point start_ = Clock::now();
+    std::size_t leavingServers_ = 0; ///< Backend servers that announce that they are leaving.
     bool isEvacuated_ = false; ///< Whether any availability zone is evacuated.
     std::multimap<Clock::time_point, std::function<void()>> pendingEnds_; ///< Ends of active faults by due time.
     std::vector<std::future<int>> pendingExits_;
--- a/tests/soak/invariants.cpp
+++ b/tests/soak/invariants.cpp
@@ -46,6 +46,12 @@
 constexpr int LimitBound = static_cast<int>(1.5 * 4 * AnnouncedLimit + 5);
 constexpr auto LimitMargin = std::chrono::milliseconds(500);
 
+// Time after an answer with the leaving header within which requests may still be sent to the server.
+constexpr Duration DrainPeriod = seconds(2);
+// Requests that arrive within this time after a rejection with Retry-After do not count.
+constexpr Duration BackoffGrace = milliseconds(500);
+constexpr std::ptrdiff_t RequestsToleratedInBackoff = 2;
+
 bool declaresNotExecuted(int status)
 {
     constexpr std::array Statuses = {408, 421, 429, 503};
@@ -116,6 +122,83 @@
     return violations;
 }
 
+namespace
+{
+
+/// The process that sent a request to a server, and the caller's view of the request.
+using Senders = std::map<std::string, const Observation *>;
+
+std::string nameOf(const ProcessStart &process)
+{
+    return "entry-" + std::to_string(process.entryVm) + "." + std::to_string(process.number);
+}
+
+void checkLeaving(const std::vector<Standins::Arrival> &arrivals, const Senders &senders, std::vector<Violation> &violations)
+{
+    using SenderAndServer = std::pair<ProcessStart, std::string>;
+    std::map<SenderAndServer, TimePoint> toldAt;
+    for (const Standins::Arrival &arrival : arrivals) {
+        const auto sender = senders.find(arrival.requestId);
+        const auto *answer = sender == senders.end() ? nullptr : std::get_if<HttpAnswer>(&sender->second->outcome);
+        const bool isPassedOn = answer && answer->status == 200 && answer->body.starts_with(arrival.server + " ");
+        if (arrival.announcesLeaving && isPassedOn) {
+            toldAt.try_emplace({sender->second->process, arrival.server}, sender->second->endedAt);
+        }
+    }
+    for (const Standins::Arrival &arrival : arrivals) {
+        const auto sender = senders.find(arrival.requestId);
+        if (sender == senders.end()) {
+            continue;
+        }
+        const auto told = toldAt.find({sender->second->process, arrival.server});
+        if (told != toldAt.end() && sender->second->sentAt > told->second + DrainPeriod) {
+            violations.push_back({"a server that has announced that it is leaving gets no requests",
+                                  arrival.requestId + " from " + nameOf(sender->second->process) + " at " + arrival.server});
+        }
+    }
+}
+
+void checkBackoffs(const SoakSite &site, std::size_t backend, const Senders &senders, std::vector<Violation> &violations)
+{
+    const auto arrivals = site.arrivalsAt(backend);
+    const auto senderOf = [&senders](const Standins::Arrival &arrival) {
+        const auto sender = senders.find(arrival.requestId);
+        return sender == senders.end() ? std::optional<ProcessStart>() : sender->second->process;
+    };
+    for (const Standins::Arrival &rejected : arrivals) {
+        const auto process = rejected.backoff > BackoffGrace ? senderOf(rejected) : std::nullopt;
+        // While the link has a fault or the process is paused, the rejection may not have been received.
+        if (!process || site.wasDisturbed(*process, backend, rejected.at, rejected.at + BackoffGrace)) {
+            continue;
+        }
+        const auto isUnwanted = [&](const Standins::Arrival &arrival) {
+            return arrival.server == rejected.server && arrival.at > rejected.at + BackoffGrace && arrival.at < rejected.at + rejected.backoff
+                && senderOf(arrival) == process;
+        };
+        if (const auto count = std::count_if(arrivals.begin(), arrivals.end(), isUnwanted); count > RequestsToleratedInBackoff) {
+            violations.push_back(
+                {"a server that has requested a backoff gets no requests",
+                 rejected.server + " got " + std::to_string(count) + " from " + nameOf(*process) + " after it rejected " + rejected.requestId});
+        }
+    }
+}
+
+} // namespace
+
+std::vector<Violation> violationsOfAnnouncements(const SoakSite &site, const std::vector<Observation> &observations)
+{
+    Senders senders;
+    for (const Observation &observed : observations) {
+        senders.emplace(observed.id, &observed);
+    }
+    std::vector<Violation> violations;
+    for (std::size_t backend = 0; backend < site.backends(); ++backend) {
+        checkLeaving(site.arrivalsAt(backend), senders, violations);
+        checkBackoffs(site, backend, senders, violations);
+    }
+    return violations;
+}
+
 VersionMonitor::VersionMonitor(const SoakSite &site)
     : site_(site)
 {
--- a/tests/soak/invariants.h
+++ b/tests/soak/invariants.h
@@ -26,6 +26,11 @@
 /// @return all violations so far; each call returns the earlier ones again.
 std::vector<Violation> violationsIn(const SoakSite &site, const std::vector<Observation> &observations);
 
+/// Compares what backend servers announced in their answers with the requests that they got afterwards.
+/// @return a violation for each entry VM's process that sent requests to a server after the drain period that follows an answer with the leaving header, or
+/// more than two requests while the server had asked it for none.
+std::vector<Violation> violationsOfAnnouncements(const SoakSite &site, const std::vector<Observation> &observations);
+
 /// Checks that the configuration version of an entry VM's process never decreases. It requests hosts of which each exists in one version only.
 class VersionMonitor
 {
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -155,6 +155,7 @@
     }
     const auto observed = observations.all();
     append(result.violations, violationsIn(site, observed));
+    append(result.violations, violationsOfAnnouncements(site, observed));
     result.requests = observed.size();
     result.answered = static_cast<std::size_t>(std::count_if(observed.begin(), observed.end(), [](const Observation &item) {
         const auto *answer = std::get_if<HttpAnswer>(&item.outcome);
--- a/tests/soak/soakcallers.cpp
+++ b/tests/soak/soakcallers.cpp
@@ -9,6 +9,7 @@
 
 #include "core/support/random.h"
 #include "names.h"
+#include "net/bootclock.h"
 
 #include <algorithm>
 #include <future>
@@ -98,7 +99,9 @@
         observed.process = entry.start;
         const std::string target = (observed.isWrite ? "/pay/" : "/read/") + observed.id;
         HttpRequest request = callerRequest(observed.isWrite ? "POST" : "GET", "a.example", target, observed.id);
+        observed.sentAt = bootNow();
         observed.outcome = client.send(entry.callers, std::move(request), observed.hasShortTimeout ? ShortTimeout : LongTimeout);
+        observed.endedAt = bootNow();
         const bool hasFailed = std::holds_alternative<HttpFailure>(observed.outcome);
         observations_.add(std::move(observed));
         if (hasFailed || random.below(RequestsPerMove) == 0) {
--- a/tests/soak/soakcallers.h
+++ b/tests/soak/soakcallers.h
@@ -26,6 +26,8 @@
     bool isWrite = false;
     ProcessStart process; ///< Process that the request was sent to.
     bool hasShortTimeout = false; ///< Whether the caller used the short timeout.
+    TimePoint sentAt;
+    TimePoint endedAt;
     HttpOutcome outcome;
 };
 
--- a/tests/soak/soaksite.cpp
+++ b/tests/soak/soaksite.cpp
@@ -7,6 +7,7 @@
 
 #include "soaksite.h"
 
+#include "net/bootclock.h"
 #include "sampleplan.h"
 
 #include <algorithm>
@@ -102,7 +103,22 @@
 void SoakSite::signal(std::size_t entryVm, int number)
 {
     const std::lock_guard lock(mutex_);
-    entryVms_[entryVm].process->signal(number);
+    const EntryVm &entry = entryVms_[entryVm];
+    if (number == SIGSTOP) {
+        pauses_.push_back({entry.start, bootNow()});
+    } else if (number == SIGCONT) {
+        endPausesLocked(entry.start);
+    }
+    entry.process->signal(number);
+}
+
+void SoakSite::endPausesLocked(const ProcessStart &process)
+{
+    for (Pause &pause : pauses_) {
+        if (pause.process == process && pause.to == TimePoint::max()) {
+            pause.to = bootNow();
+        }
+    }
 }
 
 void SoakSite::killAndRestart(std::size_t entryVm)
@@ -121,6 +137,7 @@
         // Callers keep using the former address meanwhile, as they do before they notice that a process is leaving.
         const std::lock_guard lock(mutex_);
         stopping = std::move(entryVms_[entryVm].process);
+        endPausesLocked(entryVms_[entryVm].start);
         startLocked(entryVms_[entryVm]);
     }
     stopping->signal(SIGCONT);
@@ -204,6 +221,35 @@
     }
 }
 
+void SoakSite::announceLeaving(std::size_t backend)
+{
+    backends_[backend].server->announceLeaving();
+}
+
+void SoakSite::rejectWithRetryAfter(std::size_t backend, const std::string &retryAfter)
+{
+    backends_[backend].server->setRetryAfter(retryAfter);
+    backends_[backend].server->setAnswerMode(Standins::AnswerMode::Shed);
+}
+
+void SoakSite::stopRejecting(std::size_t backend)
+{
+    backends_[backend].server->setAnswerMode(Standins::AnswerMode::Serve);
+    backends_[backend].server->setRetryAfter("");
+}
+
+std::vector<Standins::Arrival> SoakSite::arrivalsAt(std::size_t backend) const
+{
+    return backends_[backend].server->arrivals();
+}
+
+bool SoakSite::wasDisturbed(const ProcessStart &start, std::size_t backend, TimePoint from, TimePoint to) const
+{
+    const std::lock_guard lock(mutex_);
+    const auto isIn = [&](const Pause &pause) { return pause.process == start && pause.from <= to && pause.to >= from; };
+    return std::any_of(pauses_.begin(), pauses_.end(), isIn) || backends_[backend].link->hadFault(from, to);
+}
+
 void SoakSite::setDraining(std::size_t backend, bool isDraining)
 {
     const std::lock_guard lock(mutex_);
--- a/tests/soak/soaksite.h
+++ b/tests/soak/soaksite.h
@@ -83,6 +83,16 @@
     void replaceBackend(std::size_t backend);
     /// Crashes the backend server without a request. As after a crash by a request, a new incarnation starts after a pause.
     void crashBackend(std::size_t backend);
+    /// Announces in the answers of the backend server that it is leaving. Its entry in the store stays as it is.
+    void announceLeaving(std::size_t backend);
+    /// Lets the backend server reject all requests. @param retryAfter value of the Retry-After header of its rejections.
+    void rejectWithRetryAfter(std::size_t backend, const std::string &retryAfter);
+    /// Ends rejectWithRetryAfter().
+    void stopRejecting(std::size_t backend);
+    /// @return requests that arrived at the backend server, in order.
+    std::vector<Standins::Arrival> arrivalsAt(std::size_t backend) const;
+    /// @return whether, at some time from @p from until @p to, the process was paused or the link to the backend server had a fault.
+    bool wasDisturbed(const ProcessStart &start, std::size_t backend, TimePoint from, TimePoint to) const;
     void setDraining(std::size_t backend, bool isDraining);
     /// Registers the backend server as restarted under the same id.
     void restartBackend(std::size_t backend);
@@ -127,8 +137,15 @@
         std::optional<std::chrono::steady_clock::time_point> crashedAt; ///< Time of its crash, while it is down.
     };
 
+    struct Pause {
+        ProcessStart process;
+        TimePoint from;
+        TimePoint to = TimePoint::max();
+    };
+
     /// Starts a process. The caller holds the mutex, except in the constructor.
     void startLocked(EntryVm &entry);
+    void endPausesLocked(const ProcessStart &process);
     /// Stops the listeners of crashed servers and restarts servers whose pause is over.
     void handleCrashes();
     void registerBackend(BackendServer &backend, const std::string &state);
@@ -140,6 +157,7 @@
     std::vector<EntryVm> entryVms_;
     std::vector<BackendServer> backends_;
     std::set<ProcessStart> killedProcesses_;
+    std::vector<Pause> pauses_;
     int version_ = 0;
     std::atomic<bool> isStopping_{false};
     std::thread crashThread_;
--- a/tests/standins/faultproxy.cpp
+++ b/tests/standins/faultproxy.cpp
@@ -8,6 +8,7 @@
 #include "faultproxy.h"
 
 #include "core/support/address.h"
+#include "net/bootclock.h"
 
 #include <arpa/inet.h>
 #include <netinet/in.h>
@@ -15,10 +16,10 @@
 #include <poll.h>
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <array>
 #include <cerrno>
 #include <stdexcept>
-#include <vector>
 
 namespace Cloverbarrow::Standins
 {
@@ -100,14 +101,33 @@
 
 void FaultProxy::setFault(LinkFault fault)
 {
+    const std::lock_guard lock(faultsMutex_);
+    const TimePoint now = bootNow();
+    if (fault_ != LinkFault::None && !faults_.empty()) {
+        faults_.back().to = now;
+    }
+    if (fault != LinkFault::None) {
+        faults_.push_back({now});
+    }
     fault_ = fault;
 }
 
 void FaultProxy::stallOpenConnections()
 {
+    const std::lock_guard lock(faultsMutex_);
+    if (fault_ == LinkFault::None) {
+        const TimePoint now = bootNow();
+        faults_.push_back({now, now});
+    }
     stallsOpenConnections_ = true;
 }
 
+bool FaultProxy::hadFault(TimePoint from, TimePoint to) const
+{
+    const std::lock_guard lock(faultsMutex_);
+    return std::any_of(faults_.begin(), faults_.end(), [from, to](const FaultPeriod &period) { return period.from <= to && period.to >= from; });
+}
+
 void FaultProxy::run()
 {
     while (!isStopping_) {
--- a/tests/standins/faultproxy.h
+++ b/tests/standins/faultproxy.h
@@ -17,6 +17,7 @@
 #include <mutex>
 #include <string>
 #include <thread>
+#include <vector>
 
 namespace Cloverbarrow::Standins
 {
@@ -49,10 +50,17 @@
     void setFault(LinkFault fault);
     /// Connections that are open now never carry another byte; new ones are not affected.
     void stallOpenConnections();
+    /// @return whether the link had any fault at some time from @p from until @p to.
+    bool hadFault(TimePoint from, TimePoint to) const;
 
 private:
     using Clock = std::chrono::steady_clock;
 
+    struct FaultPeriod {
+        TimePoint from;
+        TimePoint to = TimePoint::max();
+    };
+
     struct DelayedBytes {
         Clock::time_point due;
         std::string bytes;
@@ -85,6 +93,8 @@
     std::string target_; ///< Guarded by the mutex.
     Descriptor listener_;
     std::string address_;
+    mutable std::mutex faultsMutex_;
+    std::vector<FaultPeriod> faults_; ///< In order; guarded by the mutex.
     std::atomic<LinkFault> fault_{LinkFault::None};
     std::atomic<bool> stallsOpenConnections_{false};
     std::atomic<bool> isStopping_{false};
--- a/tests/standins/registeredbackend.cpp
+++ b/tests/standins/registeredbackend.cpp
@@ -7,6 +7,7 @@
 
 #include "registeredbackend.h"
 
+#include "core/support/text.h"
 #include "names.h"
 #include "net/bootclock.h"
 
@@ -20,6 +21,7 @@
 
 // Requests that were sent before the cold state could reach the entry VMs do not count.
 constexpr Duration ColdPropagationTime = milliseconds(150);
+constexpr double MaxBackoffSeconds = 3600;
 
 } // namespace
 
@@ -87,10 +89,19 @@
     retryAfter_ = text;
 }
 
-std::vector<TimePoint> RegisteredBackend::arrivalTimes() const
+std::vector<Arrival> RegisteredBackend::arrivals() const
 {
     const std::lock_guard lock(mutex_);
-    return arrivalTimes_;
+    return arrivals_;
+}
+
+void RegisteredBackend::recordArrivalLocked(const std::string &requestId)
+{
+    Arrival arrival{id_, requestId, bootNow(), isLeaving_};
+    if (const auto wait = parseDecimal(retryAfter_, MaxBackoffSeconds); wait && answerMode_ == AnswerMode::Shed) {
+        arrival.backoff = std::chrono::duration_cast<Duration>(std::chrono::duration<double>(*wait));
+    }
+    arrivals_.push_back(std::move(arrival));
 }
 
 int RegisteredBackend::maxExecutions(Duration window, TimePoint from) const
@@ -219,14 +230,14 @@
     if (findHeader(request.headers, Platform::ExpectInstanceHeader).value_or(id_) != id_) {
         answer.status = 421;
     } else if (answerMode_ == AnswerMode::Shed) {
-        arrivalTimes_.push_back(bootNow());
+        recordArrivalLocked(requestId);
         answer.status = 503;
         answer.headers.push_back({Platform::NotExecutedHeader, "1"});
         if (!retryAfter_.empty()) {
             answer.headers.push_back({Platform::RetryAfterHeader, retryAfter_});
         }
     } else {
-        arrivalTimes_.push_back(bootNow());
+        recordArrivalLocked(requestId);
         executedRequestIds_.push_back(requestId);
         executionTimes_.push_back(bootNow());
         recordColdExecutionLocked();
@@ -245,11 +256,12 @@
         return;
     }
     const AnswerMode mode = answerMode_;
+    const std::string leavingLine = isLeaving_ ? std::string(Platform::ServerLeavingHeader) + ": 1\r\n" : std::string();
     lock.unlock();
     if (isExecuted && mode == AnswerMode::Reset) {
         connection->abort();
     } else if (isExecuted && mode == AnswerMode::Unframed) {
-        connection->answerBytes(std::string("HTTP/1.1 200 OK\r\n") + Platform::RequestIdHeader + ": " + requestId + "\r\n" + Platform::StampHeader
+        connection->answerBytes(std::string("HTTP/1.1 200 OK\r\n") + Platform::RequestIdHeader + ": " + requestId + "\r\n" + leavingLine + Platform::StampHeader
                                     + ": s\r\n\r\n" + answer.body,
                                 true);
     } else {
--- a/tests/standins/registeredbackend.h
+++ b/tests/standins/registeredbackend.h
@@ -38,6 +38,15 @@
     RequestsAndProbes,
 };
 
+/// A request that arrived at a server, and what its answer announces.
+struct Arrival {
+    std::string server; ///< Id of the incarnation.
+    std::string requestId;
+    TimePoint at;
+    bool announcesLeaving = false;
+    Duration backoff{0}; ///< As requested in the rejection; 0 for none.
+};
+
 /// Stand-in for a backend server on the platform: checks the expected instance, echoes the request's id, signs its answers and reports its load.
 class RegisteredBackend
 {
@@ -59,8 +68,8 @@
     void announceLeaving();
     /// Adds a Retry-After header to the answers in AnswerMode::Shed. @param text value of the header; empty for none.
     void setRetryAfter(const std::string &text);
-    /// @return when requests for this server arrived, including rejected ones, in ascending order.
-    std::vector<TimePoint> arrivalTimes() const;
+    /// @return all requests for this server, including rejected ones, in order.
+    std::vector<Arrival> arrivals() const;
     /// @return maximum number of requests whose execution began within any @p window that begins at @p from or later.
     int maxExecutions(Duration window, TimePoint from) const;
     /// Acts as another backend server that took over the address.
@@ -83,6 +92,7 @@
     /// @return remaining time for which the server is cold. Call with the mutex held.
     Duration remainingWarmUpLocked() const;
     void recordColdExecutionLocked();
+    void recordArrivalLocked(const std::string &requestId);
     /// Closes all connections, as the exit of a process does. Call with the mutex held.
     void crashLocked();
 
@@ -91,7 +101,7 @@
     AnswerMode answerMode_ = AnswerMode::Serve;
     std::vector<std::string> executedRequestIds_;
     std::vector<TimePoint> executionTimes_; ///< In ascending order.
-    std::vector<TimePoint> arrivalTimes_; ///< In ascending order.
+    std::vector<Arrival> arrivals_;
     std::string retryAfter_;
     std::string limit_;
     LimitScope limitScope_ = LimitScope::RequestsAndProbes;
