--- a/src/core/crashes/poisonrequesttracker.cpp
+++ b/src/core/crashes/poisonrequesttracker.cpp
@@ -165,11 +165,11 @@
         exoneratedAt_[crash.fingerprint] = now;
     }
     enforceSizeLimits();
-    if (mayApplyUpdates(now)) {
+    if (!updatesAppliedAt_ || now - *updatesAppliedAt_ >= MinRebuildInterval) {
         updatesAppliedAt_ = now;
         rebuildBlocklist(now);
     } else {
-        // Counted now, so that it is forwarded without delay, but applied to the blocklist by tick().
+        // Counted now, so that it is forwarded without delay, but applied to the blocklist with the next tick.
         addAffectedServers(update.report.crashes);
         addAffectedServers(update.suspected);
         isRebuildDue_ = true;
@@ -177,11 +177,6 @@
     }
 }
 
-bool PoisonRequestTracker::mayApplyUpdates(TimePoint now) const
-{
-    return !updatesAppliedAt_ || now - *updatesAppliedAt_ >= MinRebuildInterval;
-}
-
 void PoisonRequestTracker::setProxyReporter(bool isProxyReporter)
 {
     isProxyReporter_ = isProxyReporter;
@@ -224,8 +219,10 @@
     if (std::erase_if(suspected_, isUnresolved) > 0) {
         rebuildBlocklist(now);
     }
-    if (mayApplyUpdates(now) && (isRebuildDue_ || suspicionsBefore(now - SuspicionGracePeriod).size() != countedSuspicions_)) {
+    if (isRebuildDue_) {
         updatesAppliedAt_ = now;
+    }
+    if (isRebuildDue_ || suspicionsBefore(now - SuspicionGracePeriod).size() != countedSuspicions_) {
         rebuildBlocklist(now);
     }
     if (now >= nextExpiry_) {
--- a/src/core/crashes/poisonrequesttracker.h
+++ b/src/core/crashes/poisonrequesttracker.h
@@ -55,8 +55,8 @@
     /// entry VMs takes all of their processor time.
     static constexpr double ForwardsPerSecond = 10;
     static constexpr double ForwardBurst = 5;
-    /// Minimum interval between rebuilds of the blocklist for updates of peers and for suspicions that have become due. A relay receives those of the whole
-    /// fleet, and a rebuild takes time for each known crash.
+    /// Minimum interval between rebuilds of the blocklist for updates of peers. A relay receives those of the whole fleet, and a rebuild takes time for each
+    /// known crash.
     static constexpr Duration MinRebuildInterval = milliseconds(30);
     /// Most local crashes, suspicions and exonerations of each sort that are kept; the oldest are evicted first. An entry takes about 100 bytes, in a store
     /// object of at most 1 MB.
@@ -127,8 +127,6 @@
     bool isExonerated(const ServerCrash &crash) const;
     std::vector<ServerCrash> allExonerated() const;
     bool hasCrashOnOtherServer(const ServerCrash &crash) const;
-    /// @return whether the blocklist may be rebuilt again for updates and suspicions that have become due.
-    bool mayApplyUpdates(TimePoint now) const;
     void rebuildBlocklist(TimePoint now);
     void addAffectedServers(const std::vector<ServerCrash> &crashes);
     /// @param before exonerations by peers that were received earlier.
