--- a/src/daemon/telemetry.h
+++ b/src/daemon/telemetry.h
@@ -68,6 +68,7 @@
     void limitUnreadable(const std::string &service);
     /// A backend server has requested a backoff.
     void backoffStarted(const std::string &service);
+    /// A backend server has requested a backoff that cannot be parsed.
     void backoffUnreadable(const std::string &service);
     void setGauges(const NodeGauges &gauges);
 
