--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -300,7 +300,8 @@
 {
     NodeGauges gauges = node_->withControl([](const ControlShard &control) {
         const Membership &membership = control.membership();
-        return NodeGauges{membership.liveCount(), membership.clearedSuspicions(), control.intent().version(), control.isReady(), 0, control.crashUpdateCounts()};
+        return NodeGauges{
+            membership.liveCount(), membership.clearedSuspicions(), control.intent().version(), control.isReady(), 0, control.crashUpdateCounts()};
     });
     gauges.platformCalls = directory_ ? directory_->storeCallCount() : platform_->calls();
     telemetry_.setGauges(gauges);
