--- a/tests/soak/invariants.cpp
+++ b/tests/soak/invariants.cpp
@@ -125,7 +125,7 @@
 namespace
 {
 
-/// The process that sent a request to a server, and the caller's view of the request.
+/// Observations of callers by request id.
 using Senders = std::map<std::string, const Observation *>;
 
 std::string nameOf(const ProcessStart &process)
@@ -137,13 +137,13 @@
 {
     const auto arrivals = site.arrivalsAt(backend);
     using SenderAndServer = std::pair<ProcessStart, std::string>;
-    std::map<SenderAndServer, TimePoint> toldAt;
+    std::map<SenderAndServer, TimePoint> announcedAt;
     for (const Standins::Arrival &arrival : arrivals) {
         const auto sender = senders.find(arrival.requestId);
         const auto *answer = sender == senders.end() ? nullptr : std::get_if<HttpAnswer>(&sender->second->outcome);
         const bool isPassedOn = answer && answer->status == 200 && answer->body.starts_with(arrival.server + " ");
         if (arrival.announcesLeaving && isPassedOn) {
-            toldAt.try_emplace({sender->second->process, arrival.server}, sender->second->endedAt);
+            announcedAt.try_emplace({sender->second->process, arrival.server}, sender->second->endedAt);
         }
     }
     for (const Standins::Arrival &arrival : arrivals) {
@@ -151,10 +151,10 @@
         if (sender == senders.end()) {
             continue;
         }
-        const auto told = toldAt.find({sender->second->process, arrival.server});
+        const auto announced = announcedAt.find({sender->second->process, arrival.server});
         // A server that has been restarted under its id is not leaving any more.
-        if (told != toldAt.end() && sender->second->sentAt > told->second + DrainPeriod
-            && !site.wasRestarted(backend, told->second - PropagationTime, sender->second->sentAt)) {
+        if (announced != announcedAt.end() && sender->second->sentAt > announced->second + DrainPeriod
+            && !site.wasRestarted(backend, announced->second - PropagationTime, sender->second->sentAt)) {
             violations.push_back({"a server that has announced that it is leaving gets no requests",
                                   arrival.requestId + " from " + nameOf(sender->second->process) + " at " + arrival.server});
         }
