A relay that followed the store without a relay before lists the servers to its followers

Cause: only relays keep the texts of registrations. An entry VM that becomes a relay lists the servers again because its source changes; one that followed the store without a relay keeps its source, so it had proofs but no texts. Each list of its followers ended with 410 after 1 s; they left it, followed the store themselves, became relays in turn, and the zones changed relays about every second, for as long as a soak looked (20 s after the last fault). Ranks moved with the relays, so limited servers had no sender for long. Change: the servers are listed again when forwarding begins while texts are missing.

--- a/src/core/directory/directorymanager.cpp
+++ b/src/core/directory/directorymanager.cpp
@@ -67,7 +67,11 @@
     if (isAtStore() && isStoreUnreachable_ && (hasCheckFailed_ || !storeAnsweredAt_)) {
         election_.storeUnresponsive(now, actions);
     }
-    registry_.setForwarding(election_.isRelaying() || election_.state() == RelayElection::State::Deciding);
+    if (registry_.setForwarding(election_.isRelaying() || election_.state() == RelayElection::State::Deciding)) {
+        // An entry VM that followed the store without a relay keeps its source, so switchSource() does not list the servers again.
+        registry_.abortList();
+        servers_.restart(now);
+    }
     switchSource(now, actions);
     exchangeWithNewRelays(actions);
     exchangeWithSubstitutes(now, actions);
--- a/src/core/directory/serverregistry.cpp
+++ b/src/core/directory/serverregistry.cpp
@@ -159,15 +159,19 @@
     return hasChanged;
 }
 
-void ServerRegistry::setForwarding(bool isForwarding)
+bool ServerRegistry::setForwarding(bool isForwarding)
 {
-    if (isForwarding == std::exchange(isForwarding_, isForwarding) || isForwarding) {
-        return;
+    const bool wasForwarding = std::exchange(isForwarding_, isForwarding);
+    if (isForwarding) {
+        return !wasForwarding && missingTexts_ > 0;
     }
-    for (auto &[name, entry] : entries_) {
-        setText(entry, {});
-        entry.text.shrink_to_fit();
+    if (wasForwarding) {
+        for (auto &[name, entry] : entries_) {
+            setText(entry, {});
+            entry.text.shrink_to_fit();
+        }
     }
+    return false;
 }
 
 void ServerRegistry::setText(Entry &entry, const std::string &text)
--- a/src/core/directory/serverregistry.h
+++ b/src/core/directory/serverregistry.h
@@ -39,7 +39,8 @@
     bool tick(TimePoint now);
 
     /// Sets whether entries are forwarded to peers. Only then their texts are kept, which take most of the memory of an entry.
-    void setForwarding(bool isForwarding);
+    /// @return whether forwarding has begun and texts are missing, so that the servers have to be listed again.
+    bool setForwarding(bool isForwarding);
     /// @return entries received since the last call that could not be parsed.
     std::vector<DirectoryEntry> takeUnusable();
 
--- a/tests/property/directoryproperties.cpp
+++ b/tests/property/directoryproperties.cpp
@@ -938,6 +938,28 @@
     }));
 }
 
+TEST_CASE("Once all failures have ended, no entry VM lists the directory at the store any more", "[property][directory][relay]")
+{
+    CHECK(rc::check("since relays and followers have settled", [] {
+        // Takeovers, retries and the grace period for expired entries are over by then.
+        constexpr Duration SettlingTime = seconds(15);
+        ModelFleet fleet(4, *rc::gen::inRange(1, 5));
+        fleet.store.putServer("i-1", false);
+        fleet.advance(seconds(3));
+        const int eventCount = *rc::gen::inRange(1, 25);
+        for (int event = 0; event < eventCount; ++event) {
+            applyRandomEvent(fleet);
+            fleet.advance(milliseconds(*rc::gen::inRange(10, 1500)));
+        }
+        fleet.store.isDown = false;
+        fleet.reconnectAll();
+        fleet.advance(SettlingTime);
+        fleet.storeListCalls = {};
+        fleet.advance(seconds(20));
+        RC_ASSERT(fleet.storeListCalls == (std::array<int, CollectionCount>{}));
+    }));
+}
+
 TEST_CASE("A change takes effect within two seconds at every entry VM that reaches the store", "[property][directory][relay]")
 {
     CHECK(rc::check("also when the relay has just been disconnected or restarted", [] {
--- a/tests/unit/directorytests.cpp
+++ b/tests/unit/directorytests.cpp
@@ -377,6 +377,41 @@
     CHECK(manager.proofFor(start + milliseconds(140), "10.0.0.2:7200")->age == milliseconds(10));
 }
 
+TEST_CASE("A relay that followed the store without a relay before lists the servers to its followers", "[directory][relay]")
+{
+    const std::string localAddress = "10.0.0.1:7200";
+    DirectoryManager manager(FleetBudgets{}, RelayElection(localAddress, false, 7), 7);
+    TimePoint now(seconds(50));
+    // The leader record cannot be read at first, and names this entry VM later.
+    bool isLeader = false;
+    const auto run = [&](Duration duration) {
+        for (const TimePoint until = now + duration; now < until;) {
+            now += milliseconds(10);
+            DirectoryActions actions;
+            manager.tick(now, actions);
+            for (const DirectoryAction &action : actions) {
+                DirectoryActions ignored;
+                if (const auto *list = std::get_if<ListDirectory>(&action)) {
+                    DirectoryEntry server = serverEntry("i-1", 3);
+                    server.text = "registration";
+                    const std::vector<DirectoryEntry> entries = list->collection == Collection::Servers ? std::vector{server} : std::vector<DirectoryEntry>();
+                    manager.handle(now, {list->call, DirectoryListed{list->collection, entries, false, {}, 10, 10}}, ignored);
+                } else if (std::holds_alternative<ReadLeaderRecord>(action)) {
+                    manager.handle(now, {0, LeaderRecordAnswered{isLeader, isLeader ? localAddress : std::string(), isLeader ? 5 : 0, {}}}, ignored);
+                }
+            }
+        }
+    };
+    run(milliseconds(500));
+    REQUIRE_FALSE(manager.proofFor(now, "10.0.0.2:7200"));
+    isLeader = true;
+    run(seconds(4));
+    REQUIRE(manager.proofFor(now, "10.0.0.2:7200"));
+    const auto update = manager.updateSince(Collection::Servers, 0);
+    REQUIRE(update);
+    CHECK(update->entries.at(0).text == "registration");
+}
+
 TEST_CASE("A relay that received an older list gives no proof before it has the later changes", "[directory][relay]")
 {
     const TimePoint start(seconds(50));
