The reason why an entry VM leaves its relay is logged

Cause: the log said "a list or watch failed" for each failed call at a relay, so a relay that could not list the servers looked like one that had gone. Change: the reason of the failed call, with the address and status, is passed on to the log.

--- a/src/core/directory/directorymanager.cpp
+++ b/src/core/directory/directorymanager.cpp
@@ -250,7 +250,7 @@
     if (source_.empty()) {
         storeFailed(now, event.reason, actions);
     } else {
-        election_.relayFailed(now, actions);
+        election_.relayFailed(now, event.reason, actions);
     }
 }
 
--- a/src/core/directory/relayelection.cpp
+++ b/src/core/directory/relayelection.cpp
@@ -186,10 +186,10 @@
     }
 }
 
-void RelayElection::relayFailed(TimePoint now, DirectoryActions &actions)
+void RelayElection::relayFailed(TimePoint now, const std::string &reason, DirectoryActions &actions)
 {
     if (state_ == State::Following && pendingAnswers_ == 0) {
-        leaveRelay(now, "a list or watch failed", actions);
+        leaveRelay(now, reason, actions);
     }
 }
 
--- a/src/core/directory/relayelection.h
+++ b/src/core/directory/relayelection.h
@@ -58,7 +58,7 @@
     /// A relay check has ended, with or without an answer.
     void relayChecked(TimePoint now, const RelayChecked &check, DirectoryActions &actions);
     /// A list or watch at the relay failed.
-    void relayFailed(TimePoint now, DirectoryActions &actions);
+    void relayFailed(TimePoint now, const std::string &reason, DirectoryActions &actions);
     /// The store has answered a call of this entry VM.
     void storeAnswered(TimePoint now, DirectoryActions &actions);
     /// The store has not answered a check of this entry VM.
