Vacant ranks have no share of a server's quota

Cause: when an entry VM is replaced by one with another address, its rank stayed among the senders to limited and cold servers until the ranks were renumbered, up to 15 s later. A server whose only sender had that rank got nothing, and the end of its limit was found 7 s later or more. Change: a relay names the ranks of entry VMs that have asked nothing for 5 s as vacant, and they get no share.

--- a/src/core/directory/fleetestimate.cpp
+++ b/src/core/directory/fleetestimate.cpp
@@ -9,6 +9,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <set>
 
 namespace Cloverbarrow
 {
@@ -51,21 +52,45 @@
 
 std::optional<FleetRank> FleetEstimate::onFollowerRequest(TimePoint now, const std::string &follower)
 {
-    std::erase_if(followers_, [now](const auto &entry) { return now - entry.second.lastRequestAt > FollowerLifetime; });
     countingSince_ = countingSince_.value_or(now);
-    compactRanks(now);
+    releaseRanks(now);
     auto found = followers_.find(follower);
     if (found == followers_.end()) {
         found = followers_.emplace(follower, Follower{now, lowestFreeRank()}).first;
     }
     found->second.lastRequestAt = now;
-    return hasCountedLongEnough(now) ? std::optional(FleetRank{found->second.rank, rankCount()}) : std::nullopt;
+    return rankAs(now, found->second.rank);
 }
 
 std::optional<FleetRank> FleetEstimate::localRank(TimePoint now)
 {
     countingSince_ = countingSince_.value_or(now);
-    return hasCountedLongEnough(now) ? std::optional(FleetRank{RelayRank, rankCount()}) : std::nullopt;
+    releaseRanks(now);
+    return rankAs(now, RelayRank);
+}
+
+std::optional<FleetRank> FleetEstimate::rankAs(TimePoint now, int number) const
+{
+    if (!hasCountedLongEnough(now)) {
+        return std::nullopt;
+    }
+    FleetRank rank{number, rankCount()};
+    std::set<int> assigned = {RelayRank};
+    for (const auto &[address, follower] : followers_) {
+        assigned.insert(follower.rank);
+    }
+    for (int other = 0; other < rank.count; ++other) {
+        if (!assigned.contains(other)) {
+            rank.vacant.push_back(other);
+        }
+    }
+    return rank;
+}
+
+void FleetEstimate::releaseRanks(TimePoint now)
+{
+    std::erase_if(followers_, [now](const auto &entry) { return now - entry.second.lastRequestAt > FollowerLifetime; });
+    compactRanks(now);
 }
 
 void FleetEstimate::stopCounting()
--- a/src/core/directory/fleetestimate.h
+++ b/src/core/directory/fleetestimate.h
@@ -54,11 +54,15 @@
         int rank = 0;
     };
 
+    /// @return the rank @p number with the state of the other ranks; empty until the zone has been counted long enough.
+    std::optional<FleetRank> rankAs(TimePoint now, int number) const;
+    /// Releases the ranks of followers that no longer send requests.
+    void releaseRanks(TimePoint now);
     /// @return the lowest unused rank.
     int lowestFreeRank() const;
     /// Renumbers the ranks if some have been unused for a while.
     void compactRanks(TimePoint now);
-    /// @return number of ranks. One more rank changes the senders of only a few servers; an unused rank would leave their shares unused.
+    /// @return number of ranks, assigned or not.
     int rankCount() const;
     bool hasCountedLongEnough(TimePoint now) const;
 
--- a/src/core/servers/backendpool.cpp
+++ b/src/core/servers/backendpool.cpp
@@ -483,7 +483,7 @@
 
 int BackendPool::localShare(const Backend &backend, const ServerQuota &quota) const
 {
-    return backend.senderRank && rank_ ? shareOf(quota, *backend.senderRank, rank_->count) : 0;
+    return backend.senderRank && rank_ ? shareOf(quota, *backend.senderRank, assignedRanks(*rank_)) : 0;
 }
 
 std::optional<TimePoint> BackendPool::sendAllowedAt(const Backend &backend, const ServerQuota &quota, TimePoint now) const
--- a/src/core/servers/serverquota.cpp
+++ b/src/core/servers/serverquota.cpp
@@ -16,13 +16,19 @@
 namespace Cloverbarrow
 {
 
+int assignedRanks(const FleetRank &rank)
+{
+    return rank.count - static_cast<int>(rank.vacant.size());
+}
+
 int senderRank(const FleetRank &rank, std::string_view server)
 {
     const auto weightOf = [server](int number) { return std::pair(stableHash({std::to_string(number), server}), number); };
     const auto localWeight = weightOf(rank.number);
     int rankAmongSenders = 0;
     for (int number = 0; number < rank.count; ++number) {
-        rankAmongSenders += weightOf(number) < localWeight ? 1 : 0;
+        const bool isAssigned = !std::binary_search(rank.vacant.begin(), rank.vacant.end(), number);
+        rankAmongSenders += isAssigned && weightOf(number) < localWeight ? 1 : 0;
     }
     return rankAmongSenders;
 }
--- a/src/core/servers/serverquota.h
+++ b/src/core/servers/serverquota.h
@@ -10,6 +10,7 @@
 #include "core/support/time.h"
 
 #include <string_view>
+#include <vector>
 
 namespace Cloverbarrow
 {
@@ -18,6 +19,7 @@
 struct FleetRank {
     int number = 0; ///< From 0; unique in the zone.
     int count = 1; ///< Number of ranks in the zone, assigned or not.
+    std::vector<int> vacant = {}; ///< Ranks that are not assigned, in ascending order.
 
     bool operator==(const FleetRank &) const = default;
 };
@@ -35,11 +37,14 @@
     bool operator==(const ServerQuota &) const = default;
 };
 
-/// @return the rank, from 0, of the entry VM with @p rank among the senders to @p server. It is a rendezvous hash over the ranks of the zone, so few
-/// servers change their senders when entry VMs start or stop.
+/// @return number of ranks that are assigned to an entry VM.
+int assignedRanks(const FleetRank &rank);
+
+/// @return the rank, from 0, of the entry VM with @p rank among the senders to @p server. It is a rendezvous hash over the assigned ranks of the zone, so
+/// few servers change their senders when entry VMs start or stop.
 int senderRank(const FleetRank &rank, std::string_view server);
 
-/// @param rank among the senders to the server. @param ranks number of ranks in the zone.
+/// @param rank among the senders to the server. @param ranks number of assigned ranks in the zone.
 /// @return requests that the entry VM of this rank may send in any window.
 int shareOf(const ServerQuota &quota, int rank, int ranks);
 
--- a/src/net/relaymessages.cpp
+++ b/src/net/relaymessages.cpp
@@ -52,10 +52,18 @@
 /// @throws std::exception if the rank is out of range.
 FleetRank rankIn(const Json &body)
 {
-    const FleetRank rank{body.at("number").get<int>(), body.at("count").get<int>()};
+    FleetRank rank{body.at("number").get<int>(), body.at("count").get<int>()};
     if (rank.number < 0 || rank.number >= rank.count || rank.count > MaxEntryVms) {
         throw std::invalid_argument("invalid rank " + std::to_string(rank.number) + " of " + std::to_string(rank.count));
     }
+    rank.vacant = body.value("vacant", std::vector<int>());
+    int next = 0;
+    for (const int vacant : rank.vacant) {
+        if (vacant < next || vacant >= rank.count || vacant == rank.number) {
+            throw std::invalid_argument("invalid vacant rank " + std::to_string(vacant));
+        }
+        next = vacant + 1;
+    }
     return rank;
 }
 
@@ -179,6 +187,9 @@
     }
     if (proof.rank) {
         body["place"] = {{"number", proof.rank->number}, {"count", proof.rank->count}};
+        if (!proof.rank->vacant.empty()) {
+            body["place"]["vacant"] = proof.rank->vacant;
+        }
     }
     return body.dump();
 }
--- a/tests/property/requestlimitproperties.cpp
+++ b/tests/property/requestlimitproperties.cpp
@@ -203,3 +203,30 @@
         RC_ASSERT(zone.entryVmsWithLimit() == 0);
     }));
 }
+
+TEST_CASE("The end of a request limit is soon received although the entry VMs with a share of it were replaced", "[property][limit][fleet]")
+{
+    CHECK(rc::check("by entry VMs with other addresses", [] {
+        // At its minimum the ranks of the former entry VMs have been released, and the entry VMs that have got their shares may use them.
+        const Duration takeoverTime = milliseconds(*rc::gen::inRange(10'000, 25'000));
+        const int entryVms = *rc::gen::element(3, 6, 14, 30, 95);
+        SimulatedZone zone(entryVms, FleetBudgets{}, {0, milliseconds(100), false}, *rc::gen::arbitrary<std::uint64_t>());
+        zone.advance(StartTime);
+        constexpr double PerSecond = 2;
+        zone.announceLimit(PerSecond);
+        AnnouncedLimits limits;
+        limits.announce(zone.now(), PerSecond);
+        const TimePoint enforcedFrom = zone.now() + PropagationLimit;
+        zone.advance(PropagationLimit + milliseconds(100));
+        zone.replaceSenders();
+        if (*rc::gen::arbitrary<bool>()) {
+            zone.advance(milliseconds(*rc::gen::inRange(0, 3000)));
+            zone.changeRelay(static_cast<std::size_t>(*rc::gen::inRange(0, entryVms)));
+        }
+        zone.advance(takeoverTime);
+        RC_ASSERT(areLimitsKept(zone, limits, [enforcedFrom](const Arrival &arrival) { return arrival.at >= enforcedFrom; }));
+        zone.announceLimit(std::nullopt);
+        zone.advance(PropagationLimit);
+        RC_ASSERT(zone.entryVmsWithLimit() == 0);
+    }));
+}
--- a/tests/support/simulatedzone.cpp
+++ b/tests/support/simulatedzone.cpp
@@ -80,11 +80,27 @@
     configure(entryVm);
 }
 
+void SimulatedZone::replace(std::size_t index)
+{
+    EntryVm &entryVm = entryVms_[index % entryVms_.size()];
+    entryVm = EntryVm(entryVm.name + "-replaced", budgets_, ++processCount_);
+    configure(entryVm);
+}
+
 void SimulatedZone::changeRelay(std::size_t next)
 {
     relay_ = next % entryVms_.size();
 }
 
+void SimulatedZone::replaceSenders()
+{
+    for (std::size_t index = 0; index < entryVms_.size(); ++index) {
+        if (index != relay_ && entryVms_[index].pool.limitShare(*entryVms_[index].pool.find("server"), now_).value_or(0) > 0) {
+            replace(index);
+        }
+    }
+}
+
 void SimulatedZone::stopSenders()
 {
     for (EntryVm &entryVm : entryVms_) {
--- a/tests/support/simulatedzone.h
+++ b/tests/support/simulatedzone.h
@@ -46,6 +46,10 @@
     void announceLimit(const std::optional<double> &perSecond);
     /// Restarts the process of an entry VM: its state is lost, and requests that it sent before have arrived at the server.
     void restart(std::size_t index);
+    /// Replaces an entry VM by one with another address.
+    void replace(std::size_t index);
+    /// Replaces the entry VMs that have a share of the server's limit, except for the relay.
+    void replaceSenders();
     /// Makes another entry VM the relay; each follower switches to it after a random delay.
     void changeRelay(std::size_t next);
     /// Entry VMs that have a share of the server's limit get no more requests for it.
--- a/tests/unit/fleetbudgettests.cpp
+++ b/tests/unit/fleetbudgettests.cpp
@@ -8,7 +8,9 @@
 #include "core/directory/fleetestimate.h"
 #include "core/requests/fleetbudgets.h"
 #include "core/requests/retrybudget.h"
+#include "core/servers/serverquota.h"
 #include "core/support/random.h"
+#include "net/relaymessages.h"
 
 #include <catch2/catch.hpp>
 
@@ -127,3 +129,47 @@
         CHECK(estimate.countedInZone(Start + seconds(10)) == 1);
     }
 }
+
+TEST_CASE("The relay names the ranks of entry VMs that have stopped as vacant", "[fleet][limit]")
+{
+    FleetEstimate estimate(4);
+    const TimePoint counted = Start + seconds(3);
+    for (const TimePoint at : {Start, counted}) {
+        estimate.onFollowerRequest(at, "10.0.0.1");
+        estimate.onFollowerRequest(at, "10.0.0.2");
+    }
+    REQUIRE(estimate.localRank(counted) == FleetRank{0, 3});
+    estimate.onFollowerRequest(counted + seconds(3), "10.0.0.2");
+    const TimePoint later = counted + seconds(6);
+    CHECK(estimate.onFollowerRequest(later, "10.0.0.2") == FleetRank{2, 3, {1}});
+    CHECK(estimate.localRank(later) == FleetRank{0, 3, {1}});
+    SECTION("until another entry VM takes one")
+    {
+        CHECK(estimate.onFollowerRequest(later, "10.0.0.3") == FleetRank{1, 3});
+    }
+}
+
+TEST_CASE("Vacant ranks have no share of a quota", "[fleet][limit]")
+{
+    constexpr int Count = 6;
+    const ServerQuota quota{12, seconds(4), 3};
+    for (int vacant = 0; vacant < Count; ++vacant) {
+        int shares = 0;
+        for (int number = 0; number < Count; ++number) {
+            const FleetRank rank{number, Count, {vacant}};
+            shares += number == vacant ? 0 : shareOf(quota, senderRank(rank, "i-1"), assignedRanks(rank));
+        }
+        CHECK(shares == quota.requests);
+    }
+}
+
+TEST_CASE("Vacant ranks are sent to followers, and invalid ones are rejected", "[fleet][relay]")
+{
+    RelayProof proof;
+    proof.rank = FleetRank{2, 5, {1, 3}};
+    CHECK(decodeProof(encodeProof(proof)).rank == proof.rank);
+    for (const std::vector<int> &vacant : {std::vector{3, 1}, std::vector{1, 1}, std::vector{2}, std::vector{5}, std::vector{-1}}) {
+        proof.rank->vacant = vacant;
+        CHECK_THROWS(decodeProof(encodeProof(proof)));
+    }
+}
