--- a/src/core/crashes/poisonrequesttracker.cpp
+++ b/src/core/crashes/poisonrequesttracker.cpp
@@ -192,16 +192,17 @@
 bool PoisonRequestTracker::changesDecision(const CrashReport &report) const
 {
     const auto isBlocked = [this](const ServerCrash &crash) { return blocklist_.blocks(crash.fingerprint); };
-    const auto isToBeBlocked = [this, &isBlocked](const ServerCrash &crash) { return !isBlocked(crash) && hasBlockingCount(crash.fingerprint); };
-    return std::any_of(report.crashes.begin(), report.crashes.end(), isToBeBlocked)
-        || std::any_of(report.exonerated.begin(), report.exonerated.end(), isBlocked);
+    return hasRequestToBlock(report.crashes) || std::any_of(report.exonerated.begin(), report.exonerated.end(), isBlocked);
 }
 
-bool PoisonRequestTracker::hasBlockingCount(const RequestFingerprint &fingerprint) const
+bool PoisonRequestTracker::hasRequestToBlock(const std::vector<ServerCrash> &crashes) const
 {
-    const auto sameDigest = crashedServers_.find(fingerprint.digest);
-    const std::size_t crashes = sameDigest == crashedServers_.end() ? 0 : sameDigest->second.size();
-    return std::max(affectedServerCount(fingerprint), crashes) >= RequestBlocklist::CrashesToBlock;
+    return std::any_of(crashes.begin(), crashes.end(), [this](const ServerCrash &crash) {
+        const auto found = crashedServers_.find(crash.fingerprint.digest);
+        const std::size_t crashedServers = found == crashedServers_.end() ? 0 : found->second.size();
+        const std::size_t servers = std::max(affectedServerCount(crash.fingerprint), crashedServers);
+        return servers >= RequestBlocklist::CrashesToBlock && !blocklist_.blocks(crash.fingerprint);
+    });
 }
 
 void PoisonRequestTracker::setProxyReporter(bool isProxyReporter)
@@ -248,9 +249,8 @@
     }
     const std::vector<ServerCrash> suspicions = suspicionsBefore(now - SuspicionGracePeriod);
     if (suspicions.size() != countedSuspicions_) {
-        const auto isToBeBlocked = [this](const ServerCrash &crash) { return !blocklist_.blocks(crash.fingerprint) && hasBlockingCount(crash.fingerprint); };
         isRebuildDue_ = true;
-        isRebuildUrgent_ = isRebuildUrgent_ || std::any_of(suspicions.begin(), suspicions.end(), isToBeBlocked);
+        isRebuildUrgent_ = isRebuildUrgent_ || hasRequestToBlock(suspicions);
     }
     if (isRebuildDue_ && (isRebuildUrgent_ || mayRebuild(now))) {
         applyUpdates(now);
--- a/src/core/crashes/poisonrequesttracker.h
+++ b/src/core/crashes/poisonrequesttracker.h
@@ -134,8 +134,8 @@
     void rebuildBlocklist(TimePoint now);
     /// @return whether a report that has not been applied yet may block a request or end its being blocked.
     bool changesDecision(const CrashReport &report) const;
-    /// @return whether enough servers to block the request are linked to it, or have crashed while they processed it for any caller.
-    bool hasBlockingCount(const RequestFingerprint &fingerprint) const;
+    /// @return whether one of the requests is not blocked although enough servers are linked to it, or have crashed while they processed it for any caller.
+    bool hasRequestToBlock(const std::vector<ServerCrash> &crashes) const;
     void addAffectedServers(const std::vector<ServerCrash> &crashes);
     void addCrashedServers(const std::vector<ServerCrash> &crashes);
     /// @param before exonerations by peers that were received earlier.
--- a/src/core/directory/fleetestimate.cpp
+++ b/src/core/directory/fleetestimate.cpp
@@ -9,7 +9,6 @@
 
 #include <algorithm>
 #include <cmath>
-#include <set>
 
 namespace Cloverbarrow
 {
@@ -74,13 +73,10 @@
     if (!hasCountedLongEnough(now)) {
         return std::nullopt;
     }
-    FleetRank rank{number, rankCount()};
-    std::set<int> assigned = {RelayRank};
-    for (const auto &[address, follower] : followers_) {
-        assigned.insert(follower.rank);
-    }
+    const std::vector<bool> assigned = rankAssignments();
+    FleetRank rank{number, static_cast<int>(assigned.size())};
     for (int other = 0; other < rank.count; ++other) {
-        if (!assigned.contains(other)) {
+        if (!assigned[static_cast<std::size_t>(other)]) {
             rank.vacant.push_back(other);
         }
     }
@@ -98,14 +94,20 @@
     countingSince_.reset();
 }
 
-int FleetEstimate::lowestFreeRank() const
+std::vector<bool> FleetEstimate::rankAssignments() const
 {
-    int rank = RelayRank + 1;
-    const auto isTaken = [&rank](const auto &entry) { return entry.second.rank == rank; };
-    while (std::any_of(followers_.begin(), followers_.end(), isTaken)) {
-        ++rank;
+    std::vector<bool> assigned(static_cast<std::size_t>(rankCount()), false);
+    assigned[RelayRank] = true;
+    for (const auto &[address, follower] : followers_) {
+        assigned[static_cast<std::size_t>(follower.rank)] = true;
     }
-    return rank;
+    return assigned;
+}
+
+int FleetEstimate::lowestFreeRank() const
+{
+    const std::vector<bool> assigned = rankAssignments();
+    return static_cast<int>(std::find(assigned.begin(), assigned.end(), false) - assigned.begin());
 }
 
 void FleetEstimate::compactRanks(TimePoint now)
--- a/src/core/directory/fleetestimate.h
+++ b/src/core/directory/fleetestimate.h
@@ -58,6 +58,8 @@
     std::optional<FleetRank> rankAs(TimePoint now, int number) const;
     /// Releases the ranks of followers that no longer send requests.
     void releaseRanks(TimePoint now);
+    /// @return for each rank whether it is assigned.
+    std::vector<bool> rankAssignments() const;
     /// @return the lowest unused rank.
     int lowestFreeRank() const;
     /// Renumbers the ranks if some have been unused for a while.
