Failing test: entry VMs partitioned from all backend servers

The test plays it with real processes: fault proxies cut the links of single processes to all backend servers, so that connections hang, are reset, or live on while new ones are rejected; one entry VM, and all of a zone.

--- a/tests/standins/faultproxy.cpp
+++ b/tests/standins/faultproxy.cpp
@@ -9,6 +9,7 @@
 
 #include "core/support/address.h"
 #include "net/bootclock.h"
+#include "socketowner.h"
 
 #include <arpa/inet.h>
 #include <netinet/in.h>
@@ -67,6 +68,12 @@
     return Names.at(static_cast<std::size_t>(fault));
 }
 
+const char *nameOf(PartitionMode mode)
+{
+    constexpr std::array Names = {"hanging", "reset", "new connections rejected"};
+    return Names.at(static_cast<std::size_t>(mode));
+}
+
 FaultProxy::FaultProxy(std::string target)
     : target_(std::move(target))
     , listener_(newSocket(SOCK_NONBLOCK))
@@ -122,6 +129,40 @@
     stallsOpenConnections_ = true;
 }
 
+void FaultProxy::setPartition(std::vector<pid_t> processes, PartitionMode mode)
+{
+    {
+        const std::lock_guard lock(faultsMutex_);
+        // A partition that has ended may still have delayed requests, so it counts as a fault until the next change.
+        faults_.push_back({bootNow(), processes.empty() ? bootNow() : TimePoint::max()});
+        for (std::size_t index = 0; index + 1 < faults_.size(); ++index) {
+            faults_[index].to = std::min(faults_[index].to, bootNow());
+        }
+    }
+    const std::lock_guard lock(partitionMutex_);
+    partition_ = {std::move(processes), mode};
+    hasPartitionChanged_ = true;
+}
+
+FaultProxy::Partition FaultProxy::updatePartition()
+{
+    const std::lock_guard lock(partitionMutex_);
+    if (hasPartitionChanged_.exchange(false)) {
+        for (Link &link : links_) {
+            link.isInPartition = !partition_.processes.empty() && ownerOfLocalPort(link.callerPort, partition_.processes);
+        }
+    }
+    return partition_;
+}
+
+LinkFault FaultProxy::faultOf(const Link &link, LinkFault fault, PartitionMode mode)
+{
+    if (!link.isInPartition || mode == PartitionMode::RejectNew) {
+        return fault;
+    }
+    return mode == PartitionMode::Hang ? LinkFault::Cut : LinkFault::Reset;
+}
+
 bool FaultProxy::hadFault(TimePoint from, TimePoint to) const
 {
     const std::lock_guard lock(faultsMutex_);
@@ -138,29 +179,38 @@
         }
         ::poll(waits.data(), waits.size(), PollMs);
         const LinkFault fault = fault_;
+        const Partition partition = updatePartition();
         if ((waits.front().revents & POLLIN) != 0) {
-            acceptOne();
+            acceptOne(partition);
         }
         const bool stallsOpen = stallsOpenConnections_.exchange(false);
         for (Link &link : links_) {
             link.isStalled = link.isStalled || stallsOpen;
-            transfer(link, fault);
+            transfer(link, faultOf(link, fault, partition.mode));
         }
         std::erase_if(links_, isFinished);
-        if (fault != LinkFault::None) {
+        if (fault != LinkFault::None || !partition.processes.empty()) {
             // Bytes that are held back keep the descriptors readable; without this pause the loop would spin.
             std::this_thread::sleep_for(std::chrono::milliseconds(PollMs));
         }
     }
 }
 
-void FaultProxy::acceptOne()
+void FaultProxy::acceptOne(const Partition &partition)
 {
     Link link;
-    link.caller = Descriptor(::accept4(listener_.get(), nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC));
+    sockaddr_in caller{};
+    socklen_t size = sizeof caller;
+    link.caller = Descriptor(::accept4(listener_.get(), reinterpret_cast<sockaddr *>(&caller), &size, SOCK_NONBLOCK | SOCK_CLOEXEC));
     if (!link.caller.isOpen()) {
         return;
     }
+    link.callerPort = ntohs(caller.sin_port);
+    link.isInPartition = !partition.processes.empty() && ownerOfLocalPort(link.callerPort, partition.processes);
+    if (link.isInPartition && partition.mode == PartitionMode::RejectNew) {
+        resetOnClose(link.caller);
+        return;
+    }
     link.target = newSocket();
     const sockaddr_in target = [this] {
         const std::lock_guard lock(targetMutex_);
--- a/tests/standins/faultproxy.h
+++ b/tests/standins/faultproxy.h
@@ -10,8 +10,11 @@
 #include "core/support/time.h"
 #include "net/descriptor.h"
 
+#include <sys/types.h>
+
 #include <atomic>
 #include <chrono>
+#include <cstdint>
 #include <deque>
 #include <list>
 #include <mutex>
@@ -34,6 +37,15 @@
 
 const char *nameOf(LinkFault fault);
 
+/// How a client is partitioned from the target of a link.
+enum class PartitionMode {
+    Hang, ///< No bytes pass.
+    Reset, ///< Connections are reset, open ones and new ones.
+    RejectNew, ///< Open connections work; new ones are reset.
+};
+
+const char *nameOf(PartitionMode mode);
+
 /// TCP proxy on a loopback address that injects faults into a link.
 class FaultProxy
 {
@@ -50,6 +62,8 @@
     void setFault(LinkFault fault);
     /// Connections that are open now never carry another byte; new ones are not affected.
     void stallOpenConnections();
+    /// Partitions the clients in @p processes, which are child processes, from the target. Replaces the partition before; an empty set ends it.
+    void setPartition(std::vector<pid_t> processes, PartitionMode mode);
     /// @return whether the link had any fault at some time from @p from until @p to.
     bool hadFault(TimePoint from, TimePoint to) const;
 
@@ -75,15 +89,25 @@
 
     struct Link {
         Descriptor caller;
+        std::uint16_t callerPort = 0;
         Descriptor target;
         Direction toTarget;
         Direction fromTarget;
         bool isStalled = false;
+        bool isInPartition = false; ///< Whether its client is in the current partition.
+    };
+
+    struct Partition {
+        std::vector<pid_t> processes;
+        PartitionMode mode = PartitionMode::Hang;
     };
 
     void run();
-    void acceptOne();
+    void acceptOne(const Partition &partition);
+    /// Applies a new partition to the open links. @return the current one.
+    Partition updatePartition();
     void transfer(Link &link, LinkFault fault) const;
+    static LinkFault faultOf(const Link &link, LinkFault fault, PartitionMode mode);
     /// @return whether the connection stays open.
     static bool receive(const Descriptor &from, Direction &direction, Clock::time_point due);
     static bool deliver(Direction &direction, const Descriptor &to);
@@ -97,6 +121,9 @@
     std::vector<FaultPeriod> faults_; ///< In order; guarded by the mutex.
     std::atomic<LinkFault> fault_{LinkFault::None};
     std::atomic<bool> stallsOpenConnections_{false};
+    std::mutex partitionMutex_;
+    Partition partition_; ///< Guarded by the mutex.
+    std::atomic<bool> hasPartitionChanged_{false};
     std::atomic<bool> isStopping_{false};
     std::list<Link> links_; ///< Used only by the proxy's thread.
     std::thread thread_;
