--- a/src/core/directory/directoryevents.h
+++ b/src/core/directory/directoryevents.h
@@ -12,6 +12,7 @@
 #include "core/directory/limitexchange.h"
 #include "core/intent/configuration.h"
 #include "core/intent/operatorintent.h"
+#include "core/requests/forwardingpeers.h"
 #include "core/rollouts/rolloutcoordinator.h"
 #include "core/support/time.h"
 
@@ -135,6 +136,7 @@
     NewestRevisions newestRevisions{}; ///< Newest revisions received by the relay.
     LimitVersion limitVersion = {}; ///< Version of the relay's reports on request limits.
     std::vector<std::string> standbys = {}; ///< Addresses of followers that replace the relay for exchanges of reports when it does not answer.
+    std::optional<PeerAddresses> peers = {}; ///< A sample of entry VMs to which requests can be forwarded. Not in every proof.
 };
 
 /// Result of a relay check (CheckRelay).
@@ -263,6 +265,12 @@
     RolloutReports reports;
 };
 
+/// Passes the addresses of entry VMs to which requests can be forwarded to the core.
+struct PublishForwardingPeers {
+    PeerAddresses peers;
+    std::uint64_t order = 0; ///< Increases with each such action.
+};
+
 /// Announces whether this entry VM is a proxy reporter: a relay, or an entry VM without a relay, which publishes crash reports to the store on
 /// behalf of entry VMs that may be dead.
 struct PublishProxyReporting {
@@ -300,6 +308,7 @@
                                      ExchangeCrashUpdates,
                                      SendRolloutReports,
                                      WriteRolloutStatus,
+                                     PublishForwardingPeers,
                                      PublishProxyReporting,
                                      PublishCrashReports,
                                      PublishDirectory,
--- a/src/core/directory/directorymanager.cpp
+++ b/src/core/directory/directorymanager.cpp
@@ -75,6 +75,7 @@
     switchSource(now, actions);
     exchangeWithNewRelays(actions);
     exchangeWithSubstitutes(now, actions);
+    publishForwardingPeers(actions);
     // While the store is unreachable, only the cheap check is made; a successful one restarts the other calls.
     const bool isWaiting = election_.state() == RelayElection::State::Deciding || (isAtStore() && isStoreUnreachable_ && storeAnsweredAt_);
     if (!isWaiting) {
@@ -281,6 +282,9 @@
     if (event.proof && event.relay == source_ && election_.followsOwnZone()) {
         reportPeers_.setStandbys(source_, event.proof->standbys);
     }
+    if (event.proof && event.proof->peers && event.relay == source_) {
+        namedPeers_ = event.proof->peers;
+    }
     if (event.proof && !election_.isRelaying()) {
         updateFleetSize(now, event.proof->entryVms, actions);
         setRank(now, event.proof->rank);
@@ -296,6 +300,9 @@
     if (event.proof && isAtStore()) {
         comparison_.peerRevisionsReceived(now, event.proof->newestRevisions);
     }
+    if (event.proof && event.proof->peers) {
+        otherZonePeers_[event.relay] = event.proof->peers->sameZone;
+    }
 }
 
 void DirectoryManager::restartStaleWatches(TimePoint now, DirectoryActions &actions)
--- a/src/core/directory/directorymanager.h
+++ b/src/core/directory/directorymanager.h
@@ -21,6 +21,7 @@
 #include "core/support/random.h"
 
 #include <array>
+#include <map>
 #include <memory>
 #include <optional>
 
@@ -159,6 +160,12 @@
     bool hasRankChanged(TimePoint now) const;
     /// @return this entry VM's rank; empty if it has expired.
     std::optional<FleetRank> currentRank(TimePoint now) const;
+    /// @return entry VMs to which requests can be forwarded.
+    PeerAddresses forwardingPeers() const;
+    /// @return a selection of the entry VMs of other zones, as their relays have named them.
+    std::vector<std::string> peersOfOtherZones() const;
+    /// Publishes the forwarding peers if they have changed.
+    void publishForwardingPeers(DirectoryActions &actions);
     /// Divides the shared budgets again if the estimated fleet size has changed. @param entryVms number of entry VMs in the zone.
     void updateFleetSize(TimePoint now, int entryVms, DirectoryActions &actions);
 
@@ -188,6 +195,10 @@
     bool wasProxyReporter_ = false; ///< As last announced.
     std::vector<std::string> contactedRelays_; ///< Relays of other zones with which crash updates were exchanged.
     ReportPeers reportPeers_;
+    std::map<std::string, std::vector<std::string>> otherZonePeers_; ///< Entry VMs of other zones by the relay that named them; used by relays.
+    std::optional<PeerAddresses> namedPeers_; ///< As last named by the followed relay.
+    PeerAddresses publishedPeers_;
+    std::uint64_t peersPublished_ = 0;
     std::string initialReportRelay_; ///< Relay from which crash reports are requested before the first state is published.
     bool hasInitialReports_ = false; ///< Whether that relay has answered or there is none.
     bool hasRequestedLeaderRead_ = false;
--- a/src/core/directory/directorymanagerpeers.cpp
+++ b/src/core/directory/directorymanagerpeers.cpp
@@ -62,6 +62,11 @@
         proof.rank = fleet_.onFollowerRequest(now, follower);
         proof.entryVms = fleet_.countedInZone(now);
         proof.standbys = fleet_.standbys(now);
+        if (fleet_.takePeersDue(now, follower)) {
+            proof.peers = PeerAddresses{fleet_.peersFor(follower), peersOfOtherZones()};
+        }
+    } else {
+        proof.peers = PeerAddresses{fleet_.peersFor(follower), {}};
     }
     proof.newestRevisions = comparison_.newestRevisions();
     return proof;
@@ -137,6 +142,53 @@
     }
 }
 
+PeerAddresses DirectoryManager::forwardingPeers() const
+{
+    PeerAddresses peers;
+    if (election_.isRelaying()) {
+        peers = {fleet_.peersFor(localAddress()), peersOfOtherZones()};
+    } else if (namedPeers_) {
+        peers = *namedPeers_;
+    }
+    // The only known ones before the first proof with a selection, and while the relays are of an earlier release.
+    for (const std::string &standby : reportPeers_.substitutes()) {
+        addIfMissing(peers.sameZone, standby);
+    }
+    if (!source_.empty()) {
+        addIfMissing(election_.followsOwnZone() ? peers.sameZone : peers.otherZones, source_);
+    }
+    for (const std::string &relay : election_.otherRelays()) {
+        addIfMissing(peers.otherZones, relay);
+    }
+    std::erase(peers.sameZone, localAddress());
+    std::erase(peers.otherZones, localAddress());
+    return peers;
+}
+
+std::vector<std::string> DirectoryManager::peersOfOtherZones() const
+{
+    // One of each zone by turns, so that no zone takes all places.
+    std::vector<std::string> addresses;
+    for (std::size_t place = 0; place < FleetEstimate::MaxPeers; ++place) {
+        for (const std::string &relay : election_.otherRelays()) {
+            const auto named = otherZonePeers_.find(relay);
+            if (named != otherZonePeers_.end() && place < named->second.size() && addresses.size() < FleetEstimate::MaxPeers) {
+                addIfMissing(addresses, named->second[place]);
+            }
+        }
+    }
+    return addresses;
+}
+
+void DirectoryManager::publishForwardingPeers(DirectoryActions &actions)
+{
+    PeerAddresses peers = forwardingPeers();
+    if (peers != publishedPeers_) {
+        publishedPeers_ = std::move(peers);
+        actions.emplace_back(PublishForwardingPeers{publishedPeers_, ++peersPublished_});
+    }
+}
+
 LimitPeers DirectoryManager::limitPeers() const
 {
     // A follower receives the peers' reports from its relay.
--- a/src/core/directory/fleetestimate.cpp
+++ b/src/core/directory/fleetestimate.cpp
@@ -7,6 +7,8 @@
 
 #include "core/directory/fleetestimate.h"
 
+#include "core/support/stablehash.h"
+
 #include <algorithm>
 #include <cmath>
 
@@ -55,7 +57,7 @@
     releaseRanks(now);
     auto found = followers_.find(follower);
     if (found == followers_.end()) {
-        found = followers_.emplace(follower, Follower{now, lowestFreeRank()}).first;
+        found = followers_.emplace(follower, Follower{now, lowestFreeRank(), std::nullopt}).first;
     }
     found->second.lastRequestAt = now;
     return rankAs(now, found->second.rank);
@@ -172,6 +174,33 @@
     return addresses;
 }
 
+std::vector<std::string> FleetEstimate::peersFor(const std::string &requester) const
+{
+    std::map<std::uint64_t, std::string> byHash;
+    for (const auto &[address, follower] : followers_) {
+        if (address != requester) {
+            byHash.emplace(stableHash({requester, address}), address);
+        }
+    }
+    std::vector<std::string> addresses;
+    for (const auto &[hash, address] : byHash) {
+        if (addresses.size() < MaxPeers) {
+            addresses.push_back(address);
+        }
+    }
+    return addresses;
+}
+
+bool FleetEstimate::takePeersDue(TimePoint now, const std::string &follower)
+{
+    const auto found = followers_.find(follower);
+    if (found == followers_.end() || (found->second.peersSentAt && now - *found->second.peersSentAt < PeersInterval)) {
+        return false;
+    }
+    found->second.peersSentAt = now;
+    return true;
+}
+
 int FleetEstimate::countedInZone(TimePoint now) const
 {
     const auto isActive = [now](const auto &entry) { return now - entry.second.lastRequestAt <= FollowerLifetime; };
--- a/src/core/directory/fleetestimate.h
+++ b/src/core/directory/fleetestimate.h
@@ -10,6 +10,7 @@
 #include "core/intent/configuration.h"
 #include "core/support/time.h"
 
+#include <cstddef>
 #include <map>
 #include <optional>
 #include <string>
@@ -27,6 +28,10 @@
     /// @param zones number of availability zones with entry VMs.
     explicit FleetEstimate(int zones);
 
+    static constexpr std::size_t MaxPeers = 8;
+    /// Interval at which followers receive their selection of peers. Each proof would cost 160 bytes more.
+    static constexpr Duration PeersInterval = seconds(2);
+
     /// A rank expires if the relay has not confirmed it for this long. Shorter than the time for which the relay reserves it.
     static constexpr Duration RankLifetime = FleetRankLifetime;
 
@@ -41,6 +46,10 @@
     std::vector<std::string> followers() const;
     /// @return addresses of the followers with the lowest ranks, which replace this relay for exchanges of reports when it does not answer.
     std::vector<std::string> standbys(TimePoint now) const;
+    /// @return up to MaxPeers followers, a different selection for each @p requester, so that what all of them send is spread evenly.
+    std::vector<std::string> peersFor(const std::string &requester) const;
+    /// @return whether peersFor() is to be sent to the follower again. If so, it counts as sent.
+    bool takePeersDue(TimePoint now, const std::string &follower);
     /// @return number of entry VMs in the zone as counted by this relay, itself included.
     int countedInZone(TimePoint now) const;
 
@@ -52,6 +61,7 @@
     struct Follower {
         TimePoint lastRequestAt; ///< When it last sent a request.
         int rank = 0;
+        std::optional<TimePoint> peersSentAt;
     };
 
     /// @return the rank @p number with the state of the other ranks; empty until the zone has been counted long enough.
--- a/src/core/node.cpp
+++ b/src/core/node.cpp
@@ -85,6 +85,8 @@
         enqueueForAllServices(Tick{}, internal);
     } else if (const auto *limits = std::get_if<LimitsReported>(&event)) {
         recordLimitReports(*limits, internal);
+    } else if (const auto *peers = std::get_if<ForwardingPeersChanged>(&event)) {
+        distributePeers(*peers, internal);
     } else {
         handleControl(now, std::get<ControlEvent>(event), actions, internal);
     }
@@ -166,6 +168,7 @@
             shard = std::make_shared<GuardedShard>(service.name,
                                                    ServiceShard(settings_.self.id, {settings_.self.zone, settings_.self.region}, service.name, policy_, seed));
             internal.emplace_back(EventForService{service.name, FleetSizeChanged{entryVms_.value(), entryVms_.order()}});
+            internal.emplace_back(EventForService{service.name, forwardingPeers_});
             if (blocklist_.value()) {
                 internal.emplace_back(EventForService{service.name, BlocklistChanged{blocklist_.value(), blocklist_.order()}});
             }
@@ -208,6 +211,17 @@
     enqueueForAllServices(limits, internal);
 }
 
+void Node::distributePeers(const ForwardingPeersChanged &peers, std::vector<NodeEvent> &internal)
+{
+    {
+        const std::lock_guard lock(mapMutex_);
+        if (peers.order > forwardingPeers_.order) {
+            forwardingPeers_ = peers;
+        }
+    }
+    enqueueForAllServices(peers, internal);
+}
+
 void Node::resize(const UpdateFleetSize &fleet, std::vector<NodeEvent> &internal)
 {
     {
--- a/src/core/node.h
+++ b/src/core/node.h
@@ -34,7 +34,7 @@
 struct ServicesTick {
 };
 
-using NodeEvent = std::variant<EventForService, ControlEvent, ServicesTick, LimitsReported>;
+using NodeEvent = std::variant<EventForService, ControlEvent, ServicesTick, LimitsReported, ForwardingPeersChanged>;
 
 /// An action of the service with this name.
 struct ActionOfService {
@@ -103,6 +103,7 @@
     void install(const std::shared_ptr<const ActiveIntent> &intent, std::vector<NodeEvent> &internal);
     /// Stores the reports of peers on request limits and passes them to all services.
     void recordLimitReports(const LimitsReported &limits, std::vector<NodeEvent> &internal);
+    void distributePeers(const ForwardingPeersChanged &peers, std::vector<NodeEvent> &internal);
     void resize(const UpdateFleetSize &fleet, std::vector<NodeEvent> &internal);
     void distributeBlocklist(const UpdateBlocklist &update, std::vector<NodeEvent> &internal);
     void notifyLeavingChanged(std::vector<NodeEvent> &internal) const;
@@ -119,6 +120,7 @@
     std::shared_ptr<const ActiveIntent> intent_;
     Latest<int> entryVms_{1};
     Latest<std::shared_ptr<const RequestBlocklist>> blocklist_{nullptr};
+    ForwardingPeersChanged forwardingPeers_; ///< The newest such event; guarded by mapMutex_.
     std::map<std::string, LimitReport> limitReports_; ///< The newest report for each server; guarded by mapMutex_.
 };
 
--- a/src/core/requests/serviceevents.h
+++ b/src/core/requests/serviceevents.h
@@ -11,6 +11,7 @@
 #include "core/crashes/requestblocklist.h"
 #include "core/crashes/requestfingerprint.h"
 #include "core/intent/configuration.h"
+#include "core/requests/forwardingpeers.h"
 #include "core/rollouts/versionevidence.h"
 #include "core/servers/backoffnotice.h"
 #include "core/servers/loadreport.h"
@@ -47,6 +48,7 @@
     std::string peer;
     std::string detail;
     std::optional<Duration> retryAfter;
+    bool isLocalFault = false; ///< The cause lies with this entry VM, so another one may serve the request.
 
     bool operator==(const Problem &) const = default;
 };
@@ -69,6 +71,7 @@
     std::string idempotencyKey; ///< Payouts only.
     std::string digest; ///< Digest of method, target and body; payouts only.
     RequestFingerprint fingerprint; ///< Identifies the same request when it is sent again.
+    bool isForwarded = false; ///< Another entry VM has forwarded it, which counts it for budgets and quotas. It is not forwarded again.
 };
 
 /// The caller has disconnected and no longer waits for the answer.
@@ -113,6 +116,30 @@
     BackoffNotice backoff = {};
 };
 
+/// A peer has returned the answer of a backend server to a forwarded request.
+struct ForwardAnswered {
+};
+
+/// A peer has refused a forwarded request.
+struct ForwardRefused {
+    Problem problem;
+};
+
+using ForwardOutcome = std::variant<ForwardAnswered, ForwardRefused, NotSent, LostAnswer>;
+
+/// The forwarding of a request to a peer has ended, with or without success.
+struct ForwardEnded {
+    RequestId request = 0;
+    int attempt = 1;
+    ForwardOutcome outcome;
+};
+
+/// Other entry VMs to which requests can be forwarded.
+struct ForwardingPeersChanged {
+    PeerAddresses peers;
+    std::uint64_t order = 0; ///< As in LeavingServersChanged.
+};
+
 /// One probe may be sent now, from this share of the probe budget.
 struct ProbePermitted {
     int share = 0;
@@ -131,6 +158,7 @@
     std::optional<LimitNotice> limit = {}; ///< Empty without a complete answer.
     TimePoint sentAt = {}; ///< When the probe was sent.
     BackoffNotice backoff = {};
+    bool usedNewConnection = false; ///< A connection was opened for the probe, or could not be opened. May be false after an answer.
 };
 
 /// The platform's answer to a call for a payout record.
@@ -191,6 +219,8 @@
 using ServiceEvent = std::variant<RequestArrived,
                                   CallerGone,
                                   AttemptEnded,
+                                  ForwardEnded,
+                                  ForwardingPeersChanged,
                                   ProbePermitted,
                                   ProbeEnded,
                                   PayoutStoreAnswered,
@@ -240,6 +270,27 @@
     }
 };
 
+/// Forward the request to another entry VM, since this one reaches no backend server.
+struct StartForward {
+    RequestId request = 0;
+    int attempt = 1;
+    std::string peer; ///< Address of the entry VM.
+    TimePoint deadline;
+    int maxAttempts = 1; ///< Attempts that the peer may make.
+    Duration priorWait{0}; ///< How long the caller has waited so far.
+    bool mayReuseConnection = false;
+
+    bool operator==(const StartForward &) const = default;
+};
+
+/// Whether this entry VM reaches the servers of the service has changed; only for the log.
+struct ServerReachabilityChanged {
+    bool isPartitioned = false; ///< No server can be reached.
+    bool rejectsNewConnections = false; ///< No new connection to any server can be opened.
+
+    bool operator==(const ServerReachabilityChanged &) const = default;
+};
+
 /// The answer of the attempt is no longer needed.
 struct CancelAttempt {
     RequestId request = 0;
@@ -400,6 +451,8 @@
 };
 
 using ServiceAction = std::variant<StartAttempt,
+                                   StartForward,
+                                   ServerReachabilityChanged,
                                    CancelAttempt,
                                    DropRequest,
                                    ReturnAnswer,
--- a/src/core/requests/serviceshard.cpp
+++ b/src/core/requests/serviceshard.cpp
@@ -66,8 +66,10 @@
     }
     request.versions = versions_.next(pool_);
     lowestPriority_ = std::max(lowestPriority_, event.priority);
-    retryBudget_.addFirstAttempt(now);
-    hedgeBudget_.addFirstAttempt(now);
+    if (!event.isForwarded) {
+        retryBudget_.addFirstAttempt(now);
+        hedgeBudget_.addFirstAttempt(now);
+    }
     if (isPayout(request)) {
         payouts_.open(event, actions);
     } else {
@@ -87,6 +89,9 @@
     if (isBlocked(now, event.fingerprint)) {
         return blockedRequestProblem(event.fingerprint, ExecutionStatus::NotExecuted);
     }
+    if (event.isForwarded && !mayAcceptForwarded(now, event.kindClass)) {
+        return Problem{503, ExecutionStatus::NotExecuted, "admit", name_, "no forwarded requests are accepted now", RetryAfterAtOtherEntryVm, true};
+    }
     if (!pool_.hasCandidate()) {
         return Problem{503, ExecutionStatus::NotExecuted, "choose backend server", name_, "no backend server in an allowed place", RetryAfterWithoutServer};
     }
@@ -152,6 +157,11 @@
 {
     // A probe does not count as an attempt in flight; only its result is used.
     recordLiveness(now, event.backend, event.liveness, actions);
+    if (event.liveness == ServerLiveness::Answered) {
+        reachability_.contactSucceeded(event.isStatusCheck);
+    } else {
+        reachability_.contactFailed(now, event.backend, event.isStatusCheck || event.usedNewConnection);
+    }
     if (event.isLeaving) {
         markLeaving(event.backend, actions);
     }
@@ -172,6 +182,7 @@
             continueChoice(now, found->second, actions);
         }
     }
+    forwardWaiting(now, actions);
     startQueued(now, actions);
 }
 
@@ -299,7 +310,10 @@
 {
     expireQueued(now, actions);
     startQueued(now, actions);
+    forwardWaiting(now, actions);
     tickChoices(now, actions);
+    checkReachability(now, actions);
+    reportReachability(now, actions);
     probeSuspectedServers(now, actions);
     checkLimits(now, actions);
     if (probesBeforeChoice() && service_->retry.hedgesFromBudget) {
@@ -328,7 +342,9 @@
 void ServiceShard::startOrQueue(TimePoint now, Request &request, ServiceActions &actions)
 {
     if (probesBeforeChoice()) {
-        beginChoice(now, request, false, actions);
+        if (!tryForward(now, request, actions)) {
+            beginChoice(now, request, false, actions);
+        }
         return;
     }
     // Requests that are already queued are served first.
--- a/src/core/requests/serviceshard.h
+++ b/src/core/requests/serviceshard.h
@@ -12,10 +12,12 @@
 #include "core/crashes/requestblocklist.h"
 #include "core/payouts/payoutcoordinator.h"
 #include "core/requests/callertimeoutestimator.h"
+#include "core/requests/forwardingpeers.h"
 #include "core/requests/retrybudget.h"
 #include "core/requests/serviceevents.h"
 #include "core/rollouts/versionsplitter.h"
 #include "core/servers/backendpool.h"
+#include "core/servers/reachabilitymonitor.h"
 #include "core/servers/serverchooser.h"
 #include "core/support/latest.h"
 #include "core/support/random.h"
@@ -58,6 +60,7 @@
         TimePoint startedAt;
         ServerSnapshot serverAtStart; ///< State of the server when the attempt started.
         std::optional<TimePoint> checkedAt; ///< When the server was probed because its answer took long.
+        bool isForward = false; ///< Forwarded to the entry VM at the address; the name of the server is empty.
     };
 
     struct Request {
@@ -73,6 +76,8 @@
         bool mayHaveExecuted = false; ///< An earlier attempt may have been executed.
         bool isCallerGone = false;
         std::vector<std::string> serversOfLostAnswers; ///< Servers whose answers were lost.
+        int forwards = 0; ///< How often it was forwarded to a peer.
+        bool isHandedOver = false; ///< A peer may have made all remaining attempts.
     };
 
     /// What to do after an attempt.
@@ -86,6 +91,8 @@
     void on(TimePoint now, const RequestArrived &event, ServiceActions &actions);
     void on(TimePoint now, const CallerGone &event, ServiceActions &actions);
     void on(TimePoint now, const AttemptEnded &event, ServiceActions &actions);
+    void on(TimePoint now, const ForwardEnded &event, ServiceActions &actions);
+    void on(TimePoint now, const ForwardingPeersChanged &event, ServiceActions &actions);
     void on(TimePoint now, const ProbePermitted &event, ServiceActions &actions);
     void on(TimePoint now, const ProbeEnded &event, ServiceActions &actions);
     void on(TimePoint now, const PayoutStoreAnswered &event, ServiceActions &actions);
@@ -114,6 +121,23 @@
     /// @return whether one more attempt may crash more servers than are tolerated, assuming that each lost answer was a crash.
     bool mayCrashTooManyServers(TimePoint now, const Request &request) const;
     Problem blockedRequestProblem(const RequestFingerprint &fingerprint, ExecutionStatus status) const;
+    /// Records what the outcome of an attempt shows about the connection to its server.
+    void recordReachability(TimePoint now, const Attempt &attempt, const Request &request, const AttemptOutcome &outcome);
+    /// @return whether an attempt of such a request opens a new connection.
+    bool needsNewConnection(KindClass kindClass) const;
+    /// @return whether this entry VM is partitioned from all servers that could execute such a request.
+    bool isPartitionedFor(TimePoint now, KindClass kindClass) const;
+    /// @return whether a request that a peer has forwarded may be accepted.
+    bool mayAcceptForwarded(TimePoint now, KindClass kindClass) const;
+    /// Forwards the request to a peer if this entry VM is partitioned from the servers. @return whether it was forwarded.
+    bool tryForward(TimePoint now, Request &request, ServiceActions &actions);
+    /// Forwards requests that wait for a server while this entry VM is partitioned.
+    void forwardWaiting(TimePoint now, ServiceActions &actions);
+    /// Forwards a read whose only attempt gets no answer, as its second attempt. @return whether it was forwarded.
+    bool forwardHedge(TimePoint now, Request &request, ServiceActions &actions);
+    /// Probes a server while this entry VM is partitioned, to detect the end of the partition.
+    void checkReachability(TimePoint now, ServiceActions &actions);
+    void reportReachability(TimePoint now, ServiceActions &actions);
     std::optional<Problem> admissionProblem(TimePoint now, const RequestArrived &event) const;
     /// @return the maximum number of requests that this entry VM may hold so that they can still be answered in time.
     std::size_t maxHeldRequests(Duration timeLeft) const;
@@ -160,6 +184,8 @@
     bool takeHedgeFromBudget(TimePoint now);
     /// @param latencyMs mean latency of the servers.
     static bool isSlow(TimePoint now, const Request &request, double latencyMs);
+    /// @return number of attempts that may have reached a server.
+    static int sentAttempts(const Request &request);
     void cancelRunning(TimePoint now, Request &request, ServiceActions &actions);
     /// Removes the attempt from those in flight. @return the attempt, or nothing when it has already ended.
     std::optional<Attempt> takeRunning(RequestId request, int number);
@@ -213,6 +239,10 @@
     Latest<std::shared_ptr<const RequestBlocklist>> blocklist_{std::make_shared<const RequestBlocklist>()};
     CrashDetector crashDetector_;
     AnsweredRequestCache answeredRequests_;
+    ReachabilityMonitor reachability_;
+    ForwardingPeers forwardingPeers_;
+    std::uint64_t forwardingPeersOrder_ = 0; ///< Order of the newest event that has been applied.
+    ServerReachabilityChanged reportedReachability_; ///< As last reported.
     int lowestPriority_ = 0; ///< The greatest priority number seen; 0 is the most urgent.
     std::map<RequestId, Request> requests_;
     std::deque<RequestId> queuedRequests_;
--- a/src/core/requests/serviceshardchoice.cpp
+++ b/src/core/requests/serviceshardchoice.cpp
@@ -207,7 +207,7 @@
             continue;
         }
         probeSlowServer(now, request, actions);
-        if (isServerUnresponsive(now, request) && retryBudget_.isAvailable(now, 0)) {
+        if (isServerUnresponsive(now, request) && retryBudget_.isAvailable(now, 0) && !forwardHedge(now, request, actions)) {
             beginChoice(now, request, true, actions);
         }
     }
@@ -257,7 +257,8 @@
     const bool isRead = kindClass(request) == KindClass::Read && !request.arrival.isPartOfRetry;
     const bool isInTime = now < request.arrival.deadline;
     const bool isTolerated = !mayCrashTooManyServers(now, request);
-    return isRead && isInTime && isTolerated && !request.choice && request.running.size() == 1 && request.attempts < maxAttempts(request);
+    const bool isAtServer = request.running.size() == 1 && !request.running.front().isForward;
+    return isRead && isInTime && isTolerated && !request.choice && isAtServer && request.attempts < maxAttempts(request);
 }
 
 bool ServiceShard::isSlow(TimePoint now, const Request &request, double latencyMs)
--- /dev/null
+++ b/src/core/requests/serviceshardforwarding.cpp
@@ -0,0 +1,214 @@
+/*
+    This file is part of cloverbarrow.
+
+    SPDX-FileCopyrightText: 2026 The cloverbarrow authors
+    SPDX-License-Identifier: Apache-2.0
+*/
+
+#include "core/requests/retryafter.h"
+#include "core/requests/serviceshard.h"
+#include "core/support/httpstatus.h"
+
+#include <algorithm>
+#include <utility>
+
+// The part of ServiceShard that forwards requests to other entry VMs while this one is partitioned from all backend servers.
+
+namespace Cloverbarrow
+{
+
+namespace
+{
+
+// The first peer may be partitioned as well, and the second one restarting.
+constexpr int MaxForwards = 3;
+// Forwarded requests that are accepted in any case, and for each request of this entry VM's own callers. They bound what the callers of partitioned
+// entry VMs take from those of this one.
+constexpr std::size_t MinForwardedRequests = 8;
+constexpr std::size_t ForwardedPerOwnRequest = 2;
+
+bool isKnownNotExecuted(const ForwardOutcome &outcome)
+{
+    const auto *refused = std::get_if<ForwardRefused>(&outcome);
+    return std::holds_alternative<NotSent>(outcome) || (refused && refused->problem.executionStatus == ExecutionStatus::NotExecuted);
+}
+
+/// @return whether the peer could not serve the request for a reason of its own.
+bool isPeerUnable(const ForwardOutcome &outcome)
+{
+    const auto *refused = std::get_if<ForwardRefused>(&outcome);
+    return refused ? refused->problem.isLocalFault : !std::holds_alternative<ForwardAnswered>(outcome);
+}
+
+/// Visitor that builds the refusal for a forwarded request without an answer.
+struct ForwardProblemBuilder {
+    const std::string &peer;
+
+    Problem operator()(const ForwardAnswered &) const
+    {
+        return {};
+    }
+    Problem operator()(const ForwardRefused &refused) const
+    {
+        return refused.problem;
+    }
+    Problem operator()(const NotSent &failure) const
+    {
+        return {HttpStatus::ServiceUnavailable, ExecutionStatus::NotExecuted, "forward", peer, failure.reason, RetryAfterAtOtherEntryVm};
+    }
+    Problem operator()(const LostAnswer &failure) const
+    {
+        const int status = failure.isTimeout ? HttpStatus::GatewayTimeout : HttpStatus::BadGateway;
+        return {status, ExecutionStatus::Unknown, "forward", peer, failure.reason, std::nullopt};
+    }
+};
+
+} // namespace
+
+void ServiceShard::on(TimePoint, const ForwardingPeersChanged &event, ServiceActions &)
+{
+    if (event.order > forwardingPeersOrder_) {
+        forwardingPeersOrder_ = event.order;
+        forwardingPeers_.setAddresses(event.peers);
+    }
+}
+
+void ServiceShard::on(TimePoint now, const ForwardEnded &event, ServiceActions &actions)
+{
+    const auto attempt = takeRunning(event.request, event.attempt);
+    if (!attempt) {
+        return;
+    }
+    Request &request = requests_.at(event.request);
+    if (isPeerUnable(event.outcome)) {
+        forwardingPeers_.markUnable(now, attempt->address);
+    } else {
+        forwardingPeers_.markAble(attempt->address);
+    }
+    if (std::holds_alternative<ForwardAnswered>(event.outcome)) {
+        cancelRunning(now, request, actions);
+        actions.emplace_back(ReturnAnswer{event.request, event.attempt});
+        requests_.erase(event.request);
+        return;
+    }
+    const bool isNotExecuted = isKnownNotExecuted(event.outcome);
+    request.mayHaveExecuted = request.mayHaveExecuted || !isNotExecuted;
+    if (isNotExecuted) {
+        request.isHandedOver = false;
+        ++request.unsentAttempts;
+    }
+    const bool isAnotherPeerTried = isNotExecuted && isPeerUnable(event.outcome) && !request.isCallerGone && tryForward(now, request, actions);
+    // An attempt in flight may still get an answer.
+    if (isAnotherPeerTried || !request.running.empty()) {
+        return;
+    }
+    Problem problem = std::visit(ForwardProblemBuilder{attempt->address}, event.outcome);
+    if (request.mayHaveExecuted) {
+        problem.executionStatus = ExecutionStatus::Unknown;
+    }
+    problem.isLocalFault = false;
+    refuse(request, std::move(problem), actions);
+    requests_.erase(event.request);
+}
+
+void ServiceShard::recordReachability(TimePoint now, const Attempt &attempt, const Request &request, const AttemptOutcome &outcome)
+{
+    if (std::holds_alternative<CompleteAnswer>(outcome)) {
+        reachability_.contactSucceeded(needsNewConnection(kindClass(request)));
+    } else {
+        // A request that was not sent failed to open its connection.
+        reachability_.contactFailed(now, attempt.backend, std::holds_alternative<NotSent>(outcome) || needsNewConnection(kindClass(request)));
+    }
+}
+
+bool ServiceShard::needsNewConnection(KindClass kindClass) const
+{
+    return !service_->echoesExchangeTag || kindClass != KindClass::Read;
+}
+
+bool ServiceShard::isPartitionedFor(TimePoint now, KindClass kindClass) const
+{
+    const std::size_t servers = pool_.servingCount();
+    return reachability_.isPartitioned(now, servers) || (needsNewConnection(kindClass) && reachability_.rejectsNewConnections(now, servers));
+}
+
+bool ServiceShard::mayAcceptForwarded(TimePoint now, KindClass kindClass) const
+{
+    const auto forwarded =
+        static_cast<std::size_t>(std::count_if(requests_.begin(), requests_.end(), [](const auto &entry) { return entry.second.arrival.isForwarded; }));
+    const std::size_t own = requests_.size() - forwarded;
+    return pool_.hasCandidate() && !isPartitionedFor(now, kindClass) && forwarded < MinForwardedRequests + ForwardedPerOwnRequest * own;
+}
+
+int ServiceShard::sentAttempts(const Request &request)
+{
+    return request.attempts - request.unsentAttempts;
+}
+
+bool ServiceShard::tryForward(TimePoint now, Request &request, ServiceActions &actions)
+{
+    // A read that was not sent had found no open connection.
+    const KindClass effectiveClass = request.unsentAttempts > 0 ? KindClass::Write : kindClass(request);
+    // A forwarded request is not forwarded again, so there are no loops.
+    if (request.arrival.isForwarded || isPayout(request) || request.forwards >= MaxForwards || !isPartitionedFor(now, effectiveClass)) {
+        return false;
+    }
+    const int attemptsLeft = request.arrival.maxAttempts - sentAttempts(request);
+    const auto peer = attemptsLeft > 0 ? forwardingPeers_.choose(now, request.forwards > 0, random_) : std::nullopt;
+    if (!peer) {
+        return false;
+    }
+    ++request.forwards;
+    ++request.attempts;
+    request.isHandedOver = true;
+    request.choice.reset();
+    request.running.push_back({request.attempts, {}, *peer, now, {}, std::nullopt, true});
+    const Duration priorWait = request.arrival.priorWait + (now - request.arrival.arrivedAt);
+    actions.emplace_back(StartForward{
+        request.arrival.request, request.attempts, *peer, request.arrival.deadline, attemptsLeft, priorWait, !needsNewConnection(kindClass(request))});
+    return true;
+}
+
+void ServiceShard::forwardWaiting(TimePoint now, ServiceActions &actions)
+{
+    if (!isPartitionedFor(now, KindClass::Write)) {
+        return;
+    }
+    for (auto &[id, request] : requests_) {
+        const bool isWaiting = request.choice && request.running.empty();
+        if (isWaiting) {
+            tryForward(now, request, actions);
+        }
+    }
+}
+
+bool ServiceShard::forwardHedge(TimePoint now, Request &request, ServiceActions &actions)
+{
+    // The first attempt may reach its server when the partition ends.
+    return tryForward(now, request, actions) && retryBudget_.take(now);
+}
+
+void ServiceShard::checkReachability(TimePoint now, ServiceActions &actions)
+{
+    if (!reachability_.takeCheck(now, pool_.servingCount()) || !chooser_.takeProbe(now)) {
+        return;
+    }
+    const auto servers = pool_.backends();
+    if (servers.empty()) {
+        return;
+    }
+    const BackendServer &server = servers[random_.below(servers.size())].server;
+    actions.emplace_back(StartProbe{0, server.name, server.address, service_->choiceProbes.path, std::nullopt, true});
+}
+
+void ServiceShard::reportReachability(TimePoint now, ServiceActions &actions)
+{
+    const std::size_t servers = pool_.servingCount();
+    const ServerReachabilityChanged current{reachability_.isPartitioned(now, servers), reachability_.rejectsNewConnections(now, servers)};
+    if (current != reportedReachability_) {
+        reportedReachability_ = current;
+        actions.emplace_back(current);
+    }
+}
+
+} // namespace Cloverbarrow
--- a/src/core/requests/serviceshardoutcome.cpp
+++ b/src/core/requests/serviceshardoutcome.cpp
@@ -83,6 +83,7 @@
     Request &request = requests_.at(event.request);
     reportVersionOutcome(now, *attempt, event, actions);
     recordOutcome(now, *attempt, event, actions);
+    recordReachability(now, *attempt, request, event.outcome);
     watchForCrash(now, *attempt, event, actions);
     const Disposition disposition = dispositionOf(request, event.outcome);
     const bool isGood = disposition == Disposition::Return;
@@ -213,7 +214,7 @@
     const bool hasAttempts = request.attempts < maxAttempts(request);
     const bool isWanted = !request.isCallerGone || isPayout(request);
     const bool isTolerated = !mayCrashTooManyServers(now, request);
-    const bool isPossible = hasAttempts && isWanted && isTolerated && hasTimeForAttempt(now, request) && pool_.hasCandidate();
+    const bool isPossible = hasAttempts && !request.isHandedOver && isWanted && isTolerated && hasTimeForAttempt(now, request) && pool_.hasCandidate();
     const bool isFree = isUnsent && probesBeforeChoice();
     return isPossible && (isFree || retryBudget_.take(now));
 }
--- a/src/daemon/daemon.h
+++ b/src/daemon/daemon.h
@@ -113,6 +113,7 @@
     Telemetry telemetry_;
     ListenAddresses addresses_;
     HttpClient backendClient_;
+    std::unique_ptr<HttpClient> forwardClient_; ///< For requests that are forwarded to other entry VMs; null without a directory.
     std::unique_ptr<HttpClient> directoryHttpClient_; ///< For calls to the store and to relays; null without a directory.
     std::shared_ptr<const ExchangeProtocol> protocol_;
     // Used without a directory, when entry VMs run the built-in fleet protocols.
--- a/src/daemon/daemonstart.cpp
+++ b/src/daemon/daemonstart.cpp
@@ -57,6 +57,11 @@
     node_ = std::make_unique<Node>(controlSettings(), LoadReportPick{});
     gateway_ = std::make_unique<Gateway>(*node_, *this, backendClient_, platform_.get(), *protocol_, telemetry_, nonce_);
     gateway_->setQuotas(directory_ ? &directory_->quotas() : nullptr);
+    if (directory_) {
+        gateway_->setForwarding(forwardClient_.get(), settings_.region);
+        directory_->setForwardedRequestHandler(
+            [this](const std::shared_ptr<CallerConnection> &connection, HttpRequest request) { gateway_->acceptForwarded(connection, std::move(request)); });
+    }
     CallerServerOptions options{settings_.callersAddress, static_cast<std::size_t>(settings_.callerThreads), callerBoundsFromSettings(), {}};
     options.connectionOptions = {settings_.directory.has_value(), MaxRequestsInFlight};
     callerServer_ = std::make_unique<CallerServer>(
@@ -94,6 +99,8 @@
     // 1,040). With a shared client four watches and a check used all connections to the store, so that later calls waited until a watch was answered, and
     // configurations arrived up to 13 s late.
     directoryHttpClient_ = std::make_unique<HttpClient>(1);
+    // A separate client, so that large bodies do not delay calls to the store and to relays.
+    forwardClient_ = std::make_unique<HttpClient>(1);
     directory_ = std::make_unique<DirectoryRunner>(
         *settings_.directory, settings_.name, settings_.zone, seedOf(nonce_), adapters.makeClient(*directoryHttpClient_), *directoryHttpClient_, *this);
 }
@@ -106,6 +113,7 @@
     if (directory_) {
         directory_->stop();
         directoryHttpClient_->stop();
+        forwardClient_->stop();
     }
     if (!settings_.directory) {
         adminServer_->stop();
--- a/src/daemon/directoryrunner.cpp
+++ b/src/daemon/directoryrunner.cpp
@@ -8,8 +8,10 @@
 #include "daemon/directoryrunner.h"
 
 #include "core/support/address.h"
+#include "core/support/httpstatus.h"
 #include "net/bootclock.h"
 #include "net/crashjson.h"
+#include "net/forwarding.h"
 #include "net/relaymessages.h"
 #include "net/rolloutmessages.h"
 
@@ -262,14 +264,43 @@
         return !manager_ || manager_->mayHaveProofSoon();
     };
     const auto acceptUpdates = [this](const std::string &text) { return acceptCrashUpdates(text); };
-    relayServer_ = std::make_unique<RelayServer>(address,
-                                                 RelaySource{collectionUpdate,
-                                                             proof,
-                                                             isStarting,
-                                                             acceptUpdates,
-                                                             [this](const std::string &text) { return acceptLimitUpdate(text); },
-                                                             [this](const std::string &text) { return quotas_.acceptClaims(text); },
-                                                             [this](const std::string &text) { return acceptRolloutReports(text); }});
+    relayServer_ = std::make_unique<RelayServer>(
+        address,
+        RelaySource{collectionUpdate,
+                    proof,
+                    isStarting,
+                    acceptUpdates,
+                    [this](const std::string &text) { return acceptLimitUpdate(text); },
+                    [this](const std::string &text) { return quotas_.acceptClaims(text); },
+                    [this](const std::string &text) { return acceptRolloutReports(text); },
+                    [this](const std::shared_ptr<CallerConnection> &connection, HttpRequest request) { acceptForwarded(connection, std::move(request)); }});
+}
+
+void DirectoryRunner::setForwardedRequestHandler(RequestHandler handler)
+{
+    const std::lock_guard lock(forwardHandlerMutex_);
+    forwardHandler_ = std::move(handler);
+}
+
+void DirectoryRunner::acceptForwarded(const std::shared_ptr<CallerConnection> &connection, HttpRequest request)
+{
+    RequestHandler handler;
+    {
+        const std::lock_guard lock(forwardHandlerMutex_);
+        handler = forwardHandler_;
+    }
+    if (handler) {
+        handler(connection, std::move(request));
+        return;
+    }
+    const Problem problem{HttpStatus::ServiceUnavailable, ExecutionStatus::NotExecuted, "admit", "entry VM", "this entry VM is starting", std::nullopt, true};
+    const std::string tag(findHeader(request.headers, ForwardTagHeader).value_or(""));
+    connection->answer(forwardedRefusal(problem, tag), false);
+}
+
+std::size_t DirectoryRunner::unsentAnswers() const
+{
+    return relayServer_ ? relayServer_->unsentAnswers() : 0;
 }
 
 void DirectoryRunner::handleAnswer(const DirectoryAnswer &answer)
@@ -372,6 +403,10 @@
         {
             runner.events_.handle(ControlEvent(CrashUpdatesRequested{typed.relay}));
         }
+        void operator()(const PublishForwardingPeers &typed) const
+        {
+            runner.events_.handle(ForwardingPeersChanged{typed.peers, typed.order});
+        }
         void operator()(const PublishProxyReporting &typed) const
         {
             runner.events_.handle(ControlEvent(ProxyReporterChanged{typed.isProxyReporter}));
--- a/src/daemon/directoryrunner.h
+++ b/src/daemon/directoryrunner.h
@@ -60,6 +60,10 @@
     void stop();
     /// @return number of calls made to the store.
     std::uint64_t storeCallCount() const;
+    /// Sets what handles requests that other entry VMs have forwarded. Until then they are rejected.
+    void setForwardedRequestHandler(RequestHandler handler);
+    /// @return number of connections to the relay server with an answer that the peer has not read completely.
+    std::size_t unsentAnswers() const;
     /// Holds back requests of workspaces until their quotas allow them.
     QuotaRunner &quotas();
 
@@ -79,6 +83,7 @@
     /// Passes request limits learned from peers to the core.
     void forwardLearnedLimits();
     QuotaPeers quotaPeers();
+    void acceptForwarded(const std::shared_ptr<CallerConnection> &connection, HttpRequest request);
     void startRelayServer(const std::string &address);
     void handleAnswer(const DirectoryAnswer &answer);
     void perform(const DirectoryActions &actions);
@@ -95,6 +100,8 @@
     std::mutex limitsMutex_;
     LimitExchange limitExchange_; ///< Guarded by limitsMutex_.
     QuotaRunner quotas_;
+    std::mutex forwardHandlerMutex_;
+    RequestHandler forwardHandler_; ///< Guarded by forwardHandlerMutex_.
     std::unique_ptr<RelayServer> relayServer_; ///< Null if the settings name no relay address.
 };
 
--- a/src/daemon/gateway.cpp
+++ b/src/daemon/gateway.cpp
@@ -28,16 +28,10 @@
 constexpr Duration ChoiceProbeTimeout = milliseconds(300);
 // Advised to refused callers: a new process has read the directory by then, and in any case a retry reaches another entry VM.
 constexpr Duration RetryAfterElsewhere = milliseconds(150);
-// Call ids of attempts combine the ids of request and attempt; probes use the upper half of the range.
-constexpr HttpCallId AttemptsPerRequest = 16;
+// Probes use the upper half of the range of call ids.
 constexpr HttpCallId FirstProbeCall = HttpCallId(1) << 63U;
 constexpr std::size_t MaxLoggedText = 64;
 
-HttpCallId callId(RequestId request, int attempt)
-{
-    return request * AttemptsPerRequest + static_cast<HttpCallId>(attempt);
-}
-
 AttemptOutcome attemptOutcome(const HttpOutcome &outcome, const ExchangeProtocol &protocol)
 {
     if (const auto *failure = std::get_if<HttpFailure>(&outcome)) {
@@ -110,6 +104,13 @@
     }
 }
 
+HttpCallId Gateway::callId(RequestId request, int attempt)
+{
+    // More than the attempts of one request, with those that were never sent.
+    constexpr HttpCallId AttemptsPerRequest = 16;
+    return request * AttemptsPerRequest + static_cast<HttpCallId>(attempt);
+}
+
 void Gateway::setQuotas(QuotaRunner *quotas)
 {
     quotas_ = quotas;
@@ -233,6 +234,14 @@
         {
             gateway.startAttempt(serviceAction, typed);
         }
+        void operator()(const StartForward &typed) const
+        {
+            gateway.startForward(serviceAction, typed);
+        }
+        void operator()(const ServerReachabilityChanged &typed) const
+        {
+            gateway.log_.serverReachabilityChanged(serviceAction.service, typed);
+        }
         void operator()(const CancelAttempt &typed) const
         {
             gateway.cancelAttempt(typed);
@@ -427,6 +436,9 @@
 {
     log_.attemptCancelled(callerIdOf(action.request), action);
     backendClient_.cancel(callId(action.request, action.attempt), action.address);
+    if (forwardClient_) {
+        forwardClient_->cancel(callId(action.request, action.attempt), action.address);
+    }
 }
 
 void Gateway::callPayoutStore(const ActionOfService &serviceAction, const CallPayoutStore &action)
@@ -457,8 +469,10 @@
             ended.warmUp = protocol_.remainingWarmUp(answer->headers);
             ended.limit = protocol_.limitNotice(answer->headers);
             ended.backoff = protocol_.backoffNotice(*answer);
-        } else if (std::get<HttpFailure>(outcome).isRejected) {
-            ended.liveness = ServerLiveness::Rejected;
+        } else {
+            const auto &failure = std::get<HttpFailure>(outcome);
+            ended.liveness = failure.isRejected ? ServerLiveness::Rejected : ServerLiveness::Unresponsive;
+            ended.usedNewConnection = failure.usedNewConnection;
         }
         events_.handle(EventForService{service, ended});
         if (!action.request && !action.isStatusCheck) {
--- a/src/daemon/gateway.h
+++ b/src/daemon/gateway.h
@@ -50,6 +50,11 @@
     /// Sets what enforces the quotas of workspaces. Without it they are not enforced.
     void setQuotas(QuotaRunner *quotas);
 
+    /// Lets requests be forwarded to other entry VMs, and those of others be accepted. @param client sends them. @param region of this entry VM.
+    void setForwarding(HttpClient *client, std::string region);
+    /// Handles a request that another entry VM has forwarded.
+    void acceptForwarded(const std::shared_ptr<CallerConnection> &connection, HttpRequest request);
+
     /// Handles a complete request of a caller.
     void accept(const std::shared_ptr<CallerConnection> &connection, HttpRequest request);
     /// Performs an action of the core.
@@ -73,6 +78,7 @@
         int incomingAttemptNumber = 1; ///< Attempt number that the caller sent; above 1 if the caller or a load balancer in front of this one is retrying.
         const Workspace *workspace = nullptr; ///< Owned by the intent; nullptr if the caller is anonymous.
         std::map<int, HttpAnswer> answers;
+        std::optional<std::string> forwardTag = {}; ///< Tag of the forwarding if another entry VM has forwarded the request.
     };
 
     static constexpr std::size_t ShardCount = 16;
@@ -82,7 +88,12 @@
         std::map<RequestId, Exchange> exchanges;
     };
 
+    static HttpCallId callId(RequestId request, int attempt);
     void startAttempt(const ActionOfService &serviceAction, const StartAttempt &action);
+    void startForward(const ActionOfService &serviceAction, const StartForward &action);
+    /// @return the call that forwards the request of @p exchange.
+    HttpCall forwardCallFor(const Exchange &exchange, const std::string &service, const StartForward &action) const;
+    void forwardFinished(const std::string &service, const StartForward &action, HttpOutcome outcome);
     void cancelAttempt(const CancelAttempt &action);
     void dropRequest(const DropRequest &action);
     void returnAnswer(const ReturnAnswer &action);
@@ -118,6 +129,8 @@
     PlatformClient *platform_;
     const ExchangeProtocol &protocol_;
     QuotaRunner *quotas_ = nullptr;
+    HttpClient *forwardClient_ = nullptr; ///< Null if requests are not forwarded.
+    std::string region_;
     Telemetry &telemetry_;
     RequestLog log_;
     std::string nonce_;
--- a/src/daemon/gatewayanswers.cpp
+++ b/src/daemon/gatewayanswers.cpp
@@ -9,6 +9,7 @@
 
 #include "core/support/httpstatus.h"
 #include "net/bootclock.h"
+#include "net/forwarding.h"
 
 #include <utility>
 
@@ -41,6 +42,9 @@
     if (action.attempt > 1 && answer.status >= HttpStatus::ServerError) {
         protocol_.markRetried(answer);
     }
+    if (exchange->forwardTag) {
+        markForwardedAnswer(answer, *exchange->forwardTag);
+    }
     const auto outcome = answer.status < HttpStatus::ServerError ? CallerOutcome::Answered : CallerOutcome::ServerError;
     log_.answered(exchange->callerId, action.attempt, answer.status, bootNow() - exchange->arrivedAt);
     sendFinalAnswer(*exchange, answer, outcome);
@@ -65,7 +69,8 @@
     if (const auto exchange = takeExchange(action.request)) {
         const auto outcome = action.problem.executionStatus == ExecutionStatus::NotExecuted ? CallerOutcome::NotExecuted : CallerOutcome::Unknown;
         log_.refused(exchange->callerId, action.problem, bootNow() - exchange->arrivedAt);
-        sendFinalAnswer(*exchange, protocol_.refusalAnswer(action.problem), outcome);
+        const HttpAnswer answer = exchange->forwardTag ? forwardedRefusal(action.problem, *exchange->forwardTag) : protocol_.refusalAnswer(action.problem);
+        sendFinalAnswer(*exchange, answer, outcome);
     }
 }
 
@@ -85,6 +90,11 @@
 
 void Gateway::sendFinalAnswer(const Exchange &exchange, const HttpAnswer &answer, CallerOutcome outcome)
 {
+    if (exchange.forwardTag) {
+        // Metrics count it at the entry VM that has forwarded it.
+        exchange.connection->answerTo(exchange.request->number, answer, exchange.request->method == "HEAD");
+        return;
+    }
     const TimePoint now = bootNow();
     const Service &service = exchange.intent->configuration.services[exchange.route.service];
     const RequestKind &kind = exchange.route.rule ? exchange.route.rule->kind : service.kinds[exchange.route.kind];
--- a/src/daemon/requestlog.cpp
+++ b/src/daemon/requestlog.cpp
@@ -98,6 +98,56 @@
                {"caller", isLost ? std::string_view(fingerprint.caller) : std::string_view()}});
 }
 
+void RequestLog::forwardStarted(std::string_view id, const std::string &service, const StartForward &action) const
+{
+    log_.info("forward started",
+              {{"id", id},
+               {"attempt", std::int64_t(action.attempt)},
+               {"service", service},
+               {"peer", action.peer},
+               {"max_attempts", std::int64_t(action.maxAttempts)}});
+}
+
+void RequestLog::forwardEnded(std::string_view id, const std::string &service, const StartForward &action, const ForwardEnded &event) const
+{
+    struct Describer {
+        std::string operator()(const ForwardAnswered &) const
+        {
+            return "answered";
+        }
+        std::string operator()(const ForwardRefused &refused) const
+        {
+            return std::string("refused, ") + textOf(refused.problem.executionStatus) + ": " + refused.problem.detail;
+        }
+        std::string operator()(const NotSent &failure) const
+        {
+            return "not sent: " + failure.reason;
+        }
+        std::string operator()(const LostAnswer &failure) const
+        {
+            return "answer lost: " + failure.reason;
+        }
+    };
+    log_.info("forward ended",
+              {{"id", id},
+               {"attempt", std::int64_t(event.attempt)},
+               {"service", service},
+               {"peer", action.peer},
+               {"result", std::visit(Describer{}, event.outcome)}});
+}
+
+void RequestLog::forwardAccepted(std::string_view id, const std::string &service, Duration timeLeft) const
+{
+    log_.info("forward accepted", {{"id", id}, {"service", service}, {"time_left_ms", toMilliseconds(timeLeft)}});
+}
+
+void RequestLog::serverReachabilityChanged(const std::string &service, const ServerReachabilityChanged &action) const
+{
+    log_.warn(
+        action.isPartitioned || action.rejectsNewConnections ? "servers unreachable" : "servers reachable",
+        {{"service", service}, {"any_connection", action.isPartitioned ? "no" : "yes"}, {"new_connections", action.rejectsNewConnections ? "no" : "yes"}});
+}
+
 void RequestLog::attemptCancelled(std::string_view id, const CancelAttempt &action) const
 {
     log_.info("attempt cancelled", {{"id", id}, {"attempt", std::int64_t(action.attempt)}, {"address", action.address}});
--- a/src/daemon/requestlog.h
+++ b/src/daemon/requestlog.h
@@ -33,6 +33,11 @@
     /// @param event the core's view of @p outcome.
     void attemptEnded(
         std::string_view id, const RequestFingerprint &fingerprint, const std::string &service, const HttpOutcome &outcome, const AttemptEnded &event) const;
+    void forwardStarted(std::string_view id, const std::string &service, const StartForward &action) const;
+    void forwardEnded(std::string_view id, const std::string &service, const StartForward &action, const ForwardEnded &event) const;
+    /// A request that another entry VM has forwarded was accepted.
+    void forwardAccepted(std::string_view id, const std::string &service, Duration timeLeft) const;
+    void serverReachabilityChanged(const std::string &service, const ServerReachabilityChanged &action) const;
     void attemptCancelled(std::string_view id, const CancelAttempt &action) const;
     void serverEjected(const std::string &service, const ServerEjected &action) const;
     void serverLimitChanged(const std::string &service, const ServerLimitObserved &action) const;
--- a/src/daemon/telemetry.cpp
+++ b/src/daemon/telemetry.cpp
@@ -48,6 +48,7 @@
     explicit Families(prometheus::Registry &registry)
         : latency(prometheus::BuildHistogram().Name("cloverbarrow_request_seconds").Help("Time from a caller's whole request to its answer").Register(registry))
         , attempts(prometheus::BuildCounter().Name("cloverbarrow_attempts_total").Help("Attempts sent to backend servers").Register(registry))
+        , forwards(prometheus::BuildCounter().Name("cloverbarrow_forwards_total").Help("Requests forwarded to other entry VMs").Register(registry))
         , probes(prometheus::BuildCounter().Name("cloverbarrow_probes_total").Help("Measurements sent to backend servers").Register(registry))
         , limits(prometheus::BuildCounter()
                      .Name("cloverbarrow_server_limit_changes_total")
@@ -62,6 +63,7 @@
 
     prometheus::Family<prometheus::Histogram> &latency;
     prometheus::Family<prometheus::Counter> &attempts;
+    prometheus::Family<prometheus::Counter> &forwards;
     prometheus::Family<prometheus::Counter> &probes;
     prometheus::Family<prometheus::Counter> &limits;
     prometheus::Family<prometheus::Gauge> &limited;
@@ -95,6 +97,11 @@
     families_->attempts.Add({{"service", service}, {"retry", isRetry ? "yes" : "no"}}).Increment();
 }
 
+void Telemetry::requestForwarded(const std::string &service)
+{
+    families_->forwards.Add({{"service", service}}).Increment();
+}
+
 void Telemetry::probeStarted(const std::string &service)
 {
     families_->probes.Add({{"service", service}}).Increment();
--- a/src/daemon/telemetry.h
+++ b/src/daemon/telemetry.h
@@ -62,6 +62,8 @@
     /// Counts a caller's request.
     void requestFinished(TimePoint now, const Service &service, const RequestKind &kind, CallerOutcome outcome, Duration latency);
     void attemptStarted(const std::string &service, bool isRetry);
+    /// A request was forwarded to another entry VM.
+    void requestForwarded(const std::string &service);
     void probeStarted(const std::string &service);
     /// A backend server's request limit has changed. @param perSecond nothing if the limit was removed.
     void limitChanged(const std::string &service, const std::string &server, const std::optional<double> &perSecond);
--- /dev/null
+++ b/src/net/forwarding.cpp
@@ -0,0 +1,145 @@
+/*
+    This file is part of cloverbarrow.
+
+    SPDX-FileCopyrightText: 2026 The cloverbarrow authors
+    SPDX-License-Identifier: Apache-2.0
+*/
+
+#include "net/forwarding.h"
+
+#include "core/support/httpstatus.h"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+
+namespace Cloverbarrow
+{
+
+namespace
+{
+
+using Json = nlohmann::json;
+
+constexpr std::string_view ResultAnswer = "answer";
+constexpr std::string_view ResultRefusal = "refusal ";
+constexpr int ClientError = 400; // Lowest status of the client error class (4xx).
+constexpr int MaxForwardedAttempts = 100;
+
+} // namespace
+
+std::string encodeForwardedRequest(const ForwardedRequest &request)
+{
+    const RequestArrived &arrival = request.arrival;
+    Json body = {{"service", request.service},
+                 {"region", request.region},
+                 {"class", static_cast<int>(arrival.kindClass)},
+                 {"deadline_us", arrival.deadline.time_since_epoch().count()},
+                 {"attempts", arrival.maxAttempts},
+                 {"objective_us", arrival.latencyObjective.count()},
+                 {"priority", arrival.priority},
+                 {"waited_us", arrival.priorWait.count()},
+                 {"content", arrival.fingerprint.digest},
+                 {"caller", arrival.fingerprint.caller}};
+    if (!request.workspace.empty()) {
+        body["workspace"] = request.workspace;
+    }
+    return body.dump(-1, ' ', true);
+}
+
+std::optional<ForwardedRequest> decodeForwardedRequest(std::string_view text)
+{
+    const Json body = Json::parse(text, nullptr, false);
+    if (!body.is_object()) {
+        return std::nullopt;
+    }
+    try {
+        ForwardedRequest request;
+        request.service = body.at("service").get<std::string>();
+        request.region = body.at("region").get<std::string>();
+        request.workspace = body.value("workspace", std::string());
+        RequestArrived &arrival = request.arrival;
+        arrival.kindClass = static_cast<KindClass>(body.at("class").get<int>());
+        arrival.deadline = TimePoint(Duration(body.at("deadline_us").get<Duration::rep>()));
+        arrival.maxAttempts = body.at("attempts").get<int>();
+        arrival.latencyObjective = Duration(body.at("objective_us").get<Duration::rep>());
+        arrival.priority = body.at("priority").get<int>();
+        arrival.priorWait = Duration(body.at("waited_us").get<Duration::rep>());
+        arrival.fingerprint = {body.at("content").get<std::string>(), body.at("caller").get<std::string>()};
+        arrival.isForwarded = true;
+        return request.isValid() ? std::optional(std::move(request)) : std::nullopt;
+    } catch (const Json::exception &) {
+        return std::nullopt;
+    }
+}
+
+bool ForwardedRequest::isValid() const
+{
+    const bool isKnownClass = arrival.kindClass == KindClass::Read || arrival.kindClass == KindClass::Write;
+    const bool hasAttempts = arrival.maxAttempts >= 1 && arrival.maxAttempts <= MaxForwardedAttempts;
+    return isKnownClass && hasAttempts && arrival.deadline > TimePoint() && arrival.latencyObjective >= Duration(0) && arrival.priorWait >= Duration(0);
+}
+
+void eraseForwardHeaders(Headers &headers)
+{
+    std::erase_if(headers, [](const Header &header) {
+        return isSameName(header.name, ForwardHeader) || isSameName(header.name, ForwardTagHeader) || isSameName(header.name, ForwardResultHeader);
+    });
+}
+
+void markForwardedAnswer(HttpAnswer &answer, const std::string &tag)
+{
+    eraseForwardHeaders(answer.headers);
+    answer.headers.push_back({ForwardResultHeader, std::string(ResultAnswer)});
+    answer.headers.push_back({ForwardTagHeader, tag});
+}
+
+HttpAnswer forwardedRefusal(const Problem &problem, const std::string &tag)
+{
+    Json body = {{"not_executed", problem.executionStatus == ExecutionStatus::NotExecuted},
+                 {"step", problem.step},
+                 {"peer", problem.peer},
+                 {"detail", problem.detail},
+                 {"local_fault", problem.isLocalFault}};
+    if (problem.retryAfter) {
+        body["retry_after_us"] = problem.retryAfter->count();
+    }
+    // In a header, since answers to HEAD requests have no body.
+    HttpAnswer answer;
+    answer.status = problem.status;
+    answer.headers = {{ForwardResultHeader, std::string(ResultRefusal) + body.dump(-1, ' ', true, Json::error_handler_t::replace)}, {ForwardTagHeader, tag}};
+    return answer;
+}
+
+ForwardOutcome interpretForwardedAnswer(const HttpAnswer &answer)
+{
+    const auto result = findHeader(answer.headers, ForwardResultHeader);
+    if (result == ResultAnswer) {
+        return ForwardAnswered{};
+    }
+    if (!result && answer.status >= ClientError && answer.status < HttpStatus::ServerError) {
+        return NotSent{"the entry VM does not accept forwarded requests"};
+    }
+    const bool isRefusal = result && result->starts_with(ResultRefusal);
+    const Json body = isRefusal ? Json::parse(result->substr(ResultRefusal.size()), nullptr, false) : Json();
+    if (!body.is_object()) {
+        return LostAnswer{"the entry VM gave an invalid answer", false};
+    }
+    try {
+        Problem problem;
+        problem.status = answer.status;
+        problem.executionStatus = body.at("not_executed").get<bool>() ? ExecutionStatus::NotExecuted : ExecutionStatus::Unknown;
+        problem.step = body.at("step").get<std::string>();
+        problem.peer = body.at("peer").get<std::string>();
+        problem.detail = body.at("detail").get<std::string>();
+        problem.isLocalFault = body.at("local_fault").get<bool>();
+        if (body.contains("retry_after_us")) {
+            problem.retryAfter = Duration(body.at("retry_after_us").get<Duration::rep>());
+        }
+        return ForwardRefused{std::move(problem)};
+    } catch (const Json::exception &) {
+        return LostAnswer{"the entry VM gave an invalid refusal", false};
+    }
+}
+
+} // namespace Cloverbarrow
--- a/src/net/httptransfer.cpp
+++ b/src/net/httptransfer.cpp
@@ -217,9 +217,7 @@
     return code == CURLE_COULDNT_CONNECT || code == CURLE_GOT_NOTHING || code == CURLE_RECV_ERROR || code == CURLE_SEND_ERROR;
 }
 
-} // namespace
-
-HttpOutcome outcomeOf(Transfer &transfer, CURLcode code)
+HttpOutcome interpretResult(Transfer &transfer, CURLcode code)
 {
     if (transfer.isTooLong) {
         return HttpFailure{true, false, "the answer is too long"};
@@ -242,4 +240,17 @@
     return std::move(transfer.answer);
 }
 
+} // namespace
+
+HttpOutcome outcomeOf(Transfer &transfer, CURLcode code)
+{
+    HttpOutcome outcome = interpretResult(transfer, code);
+    if (auto *failure = std::get_if<HttpFailure>(&outcome)) {
+        long newConnections = 0;
+        curl_easy_getinfo(transfer.easy.get(), CURLINFO_NUM_CONNECTS, &newConnections);
+        failure->usedNewConnection = !failure->wasSent || newConnections > 0;
+    }
+    return outcome;
+}
+
 } // namespace Cloverbarrow
--- a/src/net/relaymessages.cpp
+++ b/src/net/relaymessages.cpp
@@ -26,6 +26,8 @@
 constexpr std::string_view ProofPath = "/relay/proof/";
 // More standbys than a relay ever names.
 constexpr std::size_t MaxStandbys = 16;
+// More than any relay names.
+constexpr std::size_t MaxPeers = 64;
 // Far more than the entry VMs of one availability zone.
 constexpr int MaxEntryVms = 100'000;
 /// Indexed by Collection.
@@ -185,6 +187,9 @@
     if (!proof.standbys.empty()) {
         body["standbys"] = proof.standbys;
     }
+    if (proof.peers) {
+        body["peers"] = {{"same_zone", proof.peers->sameZone}, {"other_zones", proof.peers->otherZones}};
+    }
     if (proof.rank) {
         body["place"] = {{"number", proof.rank->number}, {"count", proof.rank->count}};
         if (!proof.rank->vacant.empty()) {
@@ -217,6 +222,13 @@
             throw std::invalid_argument(std::to_string(proof.standbys.size()) + " standbys exceed the maximum");
         }
     }
+    if (body.contains("peers")) {
+        const Json &peers = body.at("peers");
+        proof.peers = PeerAddresses{peers.at("same_zone").get<std::vector<std::string>>(), peers.at("other_zones").get<std::vector<std::string>>()};
+        if (proof.peers->sameZone.size() > MaxPeers || proof.peers->otherZones.size() > MaxPeers) {
+            throw std::invalid_argument("too many peers");
+        }
+    }
     if (body.contains("place")) {
         proof.rank = rankIn(body.at("place"));
     }
--- a/src/net/relayserver.cpp
+++ b/src/net/relayserver.cpp
@@ -9,6 +9,7 @@
 
 #include "core/support/httpstatus.h"
 #include "net/bootclock.h"
+#include "net/forwarding.h"
 #include "net/quotamessages.h"
 #include "net/relaymessages.h"
 #include "net/rolloutmessages.h"
@@ -50,7 +51,7 @@
     options.threads = 1;
     options.connectionOptions.treatsHalfCloseAsClosed = true;
     server_ = std::make_unique<CallerServer>(
-        options, [this](const std::shared_ptr<CallerConnection> &connection, const HttpRequest &request) { accept(connection, request); });
+        options, [this](const std::shared_ptr<CallerConnection> &connection, HttpRequest request) { accept(connection, std::move(request)); });
 }
 
 RelayServer::~RelayServer() = default;
@@ -60,8 +61,17 @@
     return server_->port();
 }
 
-void RelayServer::accept(const std::shared_ptr<CallerConnection> &connection, const HttpRequest &request)
+std::size_t RelayServer::unsentAnswers() const
 {
+    return server_->unsentAnswers();
+}
+
+void RelayServer::accept(const std::shared_ptr<CallerConnection> &connection, HttpRequest request)
+{
+    if (source_.acceptForwarded && findHeader(request.headers, ForwardHeader)) {
+        source_.acceptForwarded(connection, std::move(request));
+        return;
+    }
     if (const auto follower = parseProofTarget(request.target)) {
         acceptProofRequest(connection, *follower);
         return;
--- a/src/net/relayserver.h
+++ b/src/net/relayserver.h
@@ -12,6 +12,7 @@
 #include "net/relaylistcache.h"
 
 #include <array>
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <memory>
@@ -39,6 +40,8 @@
     std::function<std::optional<std::string>(const std::string &text)> grantQuota;
     /// Processes another entry VM's counts of answers by version. @return whether they were decoded.
     std::function<bool(const std::string &text)> acceptRolloutReports;
+    /// Handles a caller's request that another entry VM has forwarded; answers it through the connection.
+    RequestHandler acceptForwarded;
 };
 
 /// Serves the directory state of this entry VM to the other entry VMs of its availability zone, and accepts crash updates and reports on
@@ -52,6 +55,8 @@
 
     /// @return the port that the server listens on.
     std::uint16_t port() const;
+    /// @return number of connections with an answer that the peer has not read completely.
+    std::size_t unsentAnswers() const;
     /// Answers waiting followers for which there are changes or a proof. Call after each change.
     void answerWaitingFollowers();
     /// Answers followers whose wait has ended and those that wait for a list, and closes connections of slow followers.
@@ -72,7 +77,7 @@
         TimePoint until;
     };
 
-    void accept(const std::shared_ptr<CallerConnection> &connection, const HttpRequest &request);
+    void accept(const std::shared_ptr<CallerConnection> &connection, HttpRequest request);
     void acceptProofRequest(const std::shared_ptr<CallerConnection> &connection, const std::string &follower);
     /// Answers followers that wait for a proof, if one is available or their wait has ended.
     void answerProofs(TimePoint now);
--- a/tests/property/directoryproperties.cpp
+++ b/tests/property/directoryproperties.cpp
@@ -324,6 +324,22 @@
         return entryVms_[index % entryVms_.size()].isProxyReporter && !entryVms_[index % entryVms_.size()].isGone;
     }
 
+    /// @return whether the entry VM knows others to which it can forward requests: of its zone and of others, as far as there are any, and not itself.
+    bool knowsForwardingPeers(std::size_t index) const
+    {
+        const EntryVm &entryVm = entryVms_[index];
+        const auto countOthers = [this, &entryVm](bool isSameZone) {
+            return std::count_if(entryVms_.begin(), entryVms_.end(), [&](const EntryVm &other) {
+                return &other != &entryVm && !other.isGone && (other.zone == entryVm.zone) == isSameZone;
+            });
+        };
+        const auto isSelf = [&entryVm](const std::string &peer) { return peer == entryVm.address; };
+        const PeerAddresses &peers = entryVm.forwardingPeers;
+        const bool namesSelf =
+            std::any_of(peers.sameZone.begin(), peers.sameZone.end(), isSelf) || std::any_of(peers.otherZones.begin(), peers.otherZones.end(), isSelf);
+        return !namesSelf && (!peers.sameZone.empty() || countOthers(true) == 0) && (!peers.otherZones.empty() || countOthers(false) == 0);
+    }
+
     /// Fails all watches at the store and drops the history shortly after. A watch that starts in between does not fail, and receives nothing before the next
     /// change of its collection.
     void compact()
@@ -443,6 +459,7 @@
         TimePoint startedAt;
         LimitExchange limits;
         std::set<std::string> limitedServers{};
+        PeerAddresses forwardingPeers{};
         SentCrashUpdates sentCrashUpdates{};
     };
 
@@ -756,6 +773,11 @@
         entryVm.published = action.intent;
     }
 
+    void perform(EntryVm &entryVm, const PublishForwardingPeers &action)
+    {
+        entryVm.forwardingPeers = action.peers;
+    }
+
     void perform(EntryVm &, const LogDirectoryEvent &)
     {
     }
@@ -1405,6 +1427,27 @@
 // Guards against a zone that refuses all requests because its relay does not receive the end of an evacuation; this lasted 26 s. The relay's watches wait on
 // connections to the store that have become unresponsive, until they time out after 31.5 s. The checks of the store use other connections and succeed, so
 // that the store is not considered unreachable (fault-soak seeds 503 and 61047).
+TEST_CASE("Each entry VM knows others, of its zone and of others, to which it can forward requests", "[property][directory][forward]")
+{
+    CHECK(rc::check("some seconds after any changes, disconnections, outages and restarts", [] {
+        constexpr int EntryVms = 9;
+        ModelFleet fleet(EntryVms, *rc::gen::inRange(1, 4));
+        fleet.store.putServer("i-1", false);
+        fleet.advance(seconds(6));
+        const int steps = *rc::gen::inRange(0, 20);
+        for (int step = 0; step < steps; ++step) {
+            applyRandomEvent(fleet);
+            fleet.advance(milliseconds(*rc::gen::inRange(10, 500)));
+        }
+        fleet.store.isDown = false;
+        fleet.reconnectAll();
+        fleet.advance(seconds(15));
+        for (std::size_t index = 0; index < EntryVms; ++index) {
+            RC_ASSERT(fleet.knowsForwardingPeers(index));
+        }
+    }));
+}
+
 TEST_CASE("Watches on connections that have become unresponsive are restarted soon", "[property][directory][relay][silent]")
 {
     CHECK(rc::check("whichever collection has changed, at any entry VM, while calls on other connections are answered", [] {
--- a/tests/soak/faultinjector.cpp
+++ b/tests/soak/faultinjector.cpp
@@ -29,6 +29,7 @@
 constexpr std::uint64_t LimitStream = 0x6c696d69;
 constexpr std::uint64_t LeavingStream = 0x6c656176;
 constexpr std::uint64_t BackoffStream = 0x6261636b;
+constexpr std::uint64_t PartitionStream = 0x70617274;
 
 using Standins::AnswerMode;
 
@@ -66,6 +67,7 @@
     , limitRandom_(seed ^ LimitStream)
     , leavingRandom_(seed ^ LeavingStream)
     , backoffRandom_(seed ^ BackoffStream)
+    , partitionRandom_(seed ^ PartitionStream)
 {
 }
 
@@ -82,6 +84,7 @@
     injectRequestLimit();
     injectLeaving();
     injectBackoff();
+    injectPartition();
     return milliseconds(random_.below(MaxIntervalMs));
 }
 
@@ -117,6 +120,25 @@
     (this->*Injectors.at(random_.below(Injectors.size())))();
 }
 
+void FaultInjector::injectPartition()
+{
+    constexpr std::size_t StepsPerPartition = 8;
+    constexpr std::array Modes = {Standins::PartitionMode::Hang, Standins::PartitionMode::Reset, Standins::PartitionMode::RejectNew};
+    if (partitionRandom_.below(StepsPerPartition) > 0 || isPartitioned_) {
+        return;
+    }
+    const std::size_t entryVm = partitionRandom_.below(site_.entryVms());
+    const std::vector<std::size_t> entryVms = partitionRandom_.below(2) == 0 ? std::vector<std::size_t>{entryVm} : site_.zoneMembers(entryVm);
+    const Standins::PartitionMode mode = Modes.at(partitionRandom_.below(Modes.size()));
+    recordEvent((entryVms.size() == 1 ? "entry-" : "zone of entry-") + std::to_string(entryVm) + " is partitioned from all backend servers: " + nameOf(mode));
+    isPartitioned_ = true;
+    site_.partition(entryVms, mode);
+    endLater(partitionRandom_, [this] {
+        site_.endPartition();
+        isPartitioned_ = false;
+    });
+}
+
 void FaultInjector::injectSignal()
 {
     const std::size_t entryVm = randomEntryVm();
--- a/tests/soak/faultinjector.h
+++ b/tests/soak/faultinjector.h
@@ -58,6 +58,8 @@
     void injectLeaving();
     /// Lets a backend server reject requests with Retry-After, valid or not.
     void injectBackoff();
+    /// Partitions an entry VM, or all of an availability zone, from all backend servers.
+    void injectPartition();
     void recordEvent(const std::string &what);
     /// Calls @p end after a random time.
     void endLater(std::function<void()> end);
@@ -74,9 +76,11 @@
     Random limitRandom_;
     Random leavingRandom_;
     Random backoffRandom_;
+    Random partitionRandom_;
     Clock::time_point start_ = Clock::now();
     std::size_t leavingServers_ = 0; ///< Backend servers that announce that they are leaving.
     bool isEvacuated_ = false; ///< Whether any availability zone is evacuated.
+    bool isPartitioned_ = false; ///< Whether any entry VM is partitioned from all backend servers.
     std::multimap<Clock::time_point, std::function<void()>> pendingEnds_; ///< Ends of active faults by due time.
     std::vector<std::future<int>> pendingExits_;
     std::vector<std::string> journal_;
--- a/tests/soak/soaksite.cpp
+++ b/tests/soak/soaksite.cpp
@@ -158,6 +158,36 @@
     return codes;
 }
 
+void SoakSite::partition(const std::vector<std::size_t> &entryVms, Standins::PartitionMode mode)
+{
+    const std::lock_guard lock(mutex_);
+    std::vector<pid_t> processes;
+    for (const std::size_t entryVm : entryVms) {
+        if (entryVms_[entryVm].process) {
+            processes.push_back(entryVms_[entryVm].process->pid());
+        }
+    }
+    for (const BackendServer &backend : backends_) {
+        backend.link->setPartition(processes, mode);
+    }
+}
+
+void SoakSite::endPartition()
+{
+    partition({}, Standins::PartitionMode::Hang);
+}
+
+std::vector<std::size_t> SoakSite::zoneMembers(std::size_t entryVm) const
+{
+    std::vector<std::size_t> members;
+    for (std::size_t other = 0; other < entryVms_.size(); ++other) {
+        if (zoneOf(other) == zoneOf(entryVm)) {
+            members.push_back(other);
+        }
+    }
+    return members;
+}
+
 FaultProxy &SoakSite::storeLink(std::size_t entryVm)
 {
     return *entryVms_[entryVm].storeLink;
--- a/tests/soak/soaksite.h
+++ b/tests/soak/soaksite.h
@@ -75,6 +75,11 @@
     /// Stops all processes. @return their exit codes.
     std::vector<int> stopAll();
 
+    /// Partitions the current processes of these entry VMs from all backend servers, until endPartition(). Processes that start later are not affected.
+    void partition(const std::vector<std::size_t> &entryVms, Standins::PartitionMode mode);
+    void endPartition();
+    /// @return the entry VMs of the availability zone of @p entryVm.
+    std::vector<std::size_t> zoneMembers(std::size_t entryVm) const;
     FaultProxy &storeLink(std::size_t entryVm);
     FaultProxy &backendLink(std::size_t backend);
     Standins::DirectoryStore &store();
--- a/tests/standins/faultproxy.cpp
+++ b/tests/standins/faultproxy.cpp
@@ -85,7 +85,8 @@
         throw std::runtime_error("fault proxy cannot listen on a loopback port");
     }
     ::getsockname(listener_.get(), reinterpret_cast<sockaddr *>(&local), &size);
-    address_ = "127.0.0.1:" + std::to_string(ntohs(local.sin_port));
+    port_ = ntohs(local.sin_port);
+    address_ = "127.0.0.1:" + std::to_string(port_);
     thread_ = std::thread([this] { run(); });
 }
 
@@ -149,7 +150,7 @@
     const std::lock_guard lock(partitionMutex_);
     if (hasPartitionChanged_.exchange(false)) {
         for (Link &link : links_) {
-            link.isInPartition = !partition_.processes.empty() && ownerOfLocalPort(link.callerPort, partition_.processes);
+            link.isInPartition = !partition_.processes.empty() && ownerOfConnection(link.callerPort, port_, partition_.processes);
         }
     }
     return partition_;
@@ -206,7 +207,7 @@
         return;
     }
     link.callerPort = ntohs(caller.sin_port);
-    link.isInPartition = !partition.processes.empty() && ownerOfLocalPort(link.callerPort, partition.processes);
+    link.isInPartition = !partition.processes.empty() && ownerOfConnection(link.callerPort, port_, partition.processes);
     if (link.isInPartition && partition.mode == PartitionMode::RejectNew) {
         resetOnClose(link.caller);
         return;
--- a/tests/standins/faultproxy.h
+++ b/tests/standins/faultproxy.h
@@ -117,6 +117,7 @@
     std::string target_; ///< Guarded by the mutex.
     Descriptor listener_;
     std::string address_;
+    std::uint16_t port_ = 0;
     mutable std::mutex faultsMutex_;
     std::vector<FaultPeriod> faults_; ///< In order; guarded by the mutex.
     std::atomic<LinkFault> fault_{LinkFault::None};
--- a/tests/standins/socketowner.h
+++ b/tests/standins/socketowner.h
@@ -16,7 +16,8 @@
 namespace Cloverbarrow::Standins
 {
 
-/// @return the process among @p candidates that holds the TCP socket bound to the local @p port; nothing if none of them does.
-std::optional<pid_t> ownerOfLocalPort(std::uint16_t port, std::span<const pid_t> candidates);
+/// @return the process among @p candidates that holds the client's socket of the TCP connection from @p clientPort to @p serverPort, both on 127.0.0.1;
+/// nothing if none of them does.
+std::optional<pid_t> ownerOfConnection(std::uint16_t clientPort, std::uint16_t serverPort, std::span<const pid_t> candidates);
 
 } // namespace Cloverbarrow::Standins
--- a/tests/support/describe.cpp
+++ b/tests/support/describe.cpp
@@ -49,6 +49,14 @@
         return "start" + request(action.request) + " attempt " + std::to_string(action.attempt) + " at " + action.backend + " " + action.address
             + (action.mayReuseConnection ? " reuse" : " fresh");
     }
+    std::string operator()(const StartForward &action) const
+    {
+        return "forward " + std::to_string(action.request) + "/" + std::to_string(action.attempt) + " to " + action.peer;
+    }
+    std::string operator()(const ServerReachabilityChanged &action) const
+    {
+        return std::string("servers ") + (action.isPartitioned ? "unreachable" : action.rejectsNewConnections ? "reject new connections" : "reachable");
+    }
     std::string operator()(const CancelAttempt &action) const
     {
         return "cancel" + request(action.request) + " attempt " + std::to_string(action.attempt);
