--- a/src/core/directory/directorymanager.cpp
+++ b/src/core/directory/directorymanager.cpp
@@ -302,6 +302,8 @@
     }
     if (event.proof && event.proof->peers) {
         otherZonePeers_[event.relay] = event.proof->peers->sameZone;
+        const auto &relays = election_.otherRelays();
+        std::erase_if(otherZonePeers_, [&relays](const auto &named) { return std::find(relays.begin(), relays.end(), named.first) == relays.end(); });
     }
 }
 
--- a/src/core/requests/serviceshardforwarding.cpp
+++ b/src/core/requests/serviceshardforwarding.cpp
@@ -185,7 +185,11 @@
 bool ServiceShard::forwardHedge(TimePoint now, Request &request, ServiceActions &actions)
 {
     // The first attempt may reach its server when the partition ends.
-    return tryForward(now, request, actions) && retryBudget_.take(now);
+    if (!tryForward(now, request, actions)) {
+        return false;
+    }
+    retryBudget_.take(now);
+    return true;
 }
 
 void ServiceShard::checkReachability(TimePoint now, ServiceActions &actions)
