--- a/tests/platform/partitiontests.cpp
+++ b/tests/platform/partitiontests.cpp
@@ -86,6 +86,7 @@
     void partition(const std::vector<std::size_t> &entryVms, PartitionMode mode)
     {
         std::vector<pid_t> processes;
+        processes.reserve(entryVms.size());
         for (const std::size_t entryVm : entryVms) {
             processes.push_back(processes_[entryVm]->pid());
         }
