--- a/src/core/crashes/poisonrequesttracker.cpp
+++ b/src/core/crashes/poisonrequesttracker.cpp
@@ -501,7 +501,7 @@
 void PoisonRequestTracker::addCrashedServers(const std::vector<ServerCrash> &crashes)
 {
     for (const ServerCrash &crash : crashes) {
-        if (!isExonerated(crash) && !isExoneratedForAnyCaller(crash)) {
+        if (!isExoneratedForAnyCaller(crash)) {
             crashedServers_[crash.fingerprint.digest].insert(crash.server);
         }
     }
