--- a/src/core/requests/serviceshard.cpp
+++ b/src/core/requests/serviceshard.cpp
@@ -381,7 +381,7 @@
     logContext.limitShare = pool_.limitShare(backend, now).value_or(0);
     // libcurl may resend a request when a reused connection turns out to be closed, and only the echoed exchange tag
     // distinguishes the right answer from a stray one. So only reads with a tag use an existing connection.
-    const bool mayReuse = service_->echoesExchangeTag && kindClass(request) == KindClass::Read;
+    const bool mayReuse = !needsNewConnection(kindClass(request));
     actions.emplace_back(
         StartAttempt{request.arrival.request, request.attempts, backend.server.name, backend.server.address, request.arrival.deadline, mayReuse, logContext});
 }
