Forwarding peers are compared twice a second, not at each tick

A relay hashed the addresses of all its followers 33 times a second. Peers that change are known up to 0.5 s later. The property on forwarding peers passes; processor time was not measured.

--- a/src/core/directory/directorymanager.cpp
+++ b/src/core/directory/directorymanager.cpp
@@ -75,7 +75,7 @@
     switchSource(now, actions);
     exchangeWithNewRelays(actions);
     exchangeWithSubstitutes(now, actions);
-    publishForwardingPeers(actions);
+    publishForwardingPeers(now, actions);
     // While the store is unreachable, only the cheap check is made; a successful one restarts the other calls.
     const bool isWaiting = election_.state() == RelayElection::State::Deciding || (isAtStore() && isStoreUnreachable_ && storeAnsweredAt_);
     if (!isWaiting) {
--- a/src/core/directory/directorymanager.h
+++ b/src/core/directory/directorymanager.h
@@ -164,8 +164,8 @@
     PeerAddresses forwardingPeers() const;
     /// @return a selection of the entry VMs of other zones, as their relays have named them.
     std::vector<std::string> peersOfOtherZones() const;
-    /// Publishes the forwarding peers if they have changed.
-    void publishForwardingPeers(DirectoryActions &actions);
+    /// Publishes the forwarding peers if they have changed, as seen at intervals.
+    void publishForwardingPeers(TimePoint now, DirectoryActions &actions);
     /// Divides the shared budgets again if the estimated fleet size has changed. @param entryVms number of entry VMs in the zone.
     void updateFleetSize(TimePoint now, int entryVms, DirectoryActions &actions);
 
@@ -199,6 +199,7 @@
     std::optional<PeerAddresses> namedPeers_; ///< As last named by the followed relay.
     PeerAddresses publishedPeers_;
     std::uint64_t peersPublished_ = 0;
+    TimePoint nextPeersCheck_; ///< When the forwarding peers are compared with those published.
     std::string initialReportRelay_; ///< Relay from which crash reports are requested before the first state is published.
     bool hasInitialReports_ = false; ///< Whether that relay has answered or there is none.
     bool hasRequestedLeaderRead_ = false;
--- a/src/core/directory/directorymanagerpeers.cpp
+++ b/src/core/directory/directorymanagerpeers.cpp
@@ -18,6 +18,9 @@
 namespace
 {
 
+// Peers change when entry VMs start or end, or the relay does; a peer that has ended is replaced by others meanwhile.
+constexpr Duration PeersCheckInterval = milliseconds(500);
+
 void addIfMissing(std::vector<std::string> &addresses, const std::string &address)
 {
     if (std::find(addresses.begin(), addresses.end(), address) == addresses.end()) {
@@ -180,8 +183,13 @@
     return addresses;
 }
 
-void DirectoryManager::publishForwardingPeers(DirectoryActions &actions)
+void DirectoryManager::publishForwardingPeers(TimePoint now, DirectoryActions &actions)
 {
+    // A relay hashes the addresses of all its followers for this.
+    if (now < nextPeersCheck_) {
+        return;
+    }
+    nextPeersCheck_ = now + PeersCheckInterval;
     PeerAddresses peers = forwardingPeers();
     if (peers != publishedPeers_) {
         publishedPeers_ = std::move(peers);
