--- a/src/core/node.cpp
+++ b/src/core/node.cpp
@@ -168,7 +168,7 @@
             shard = std::make_shared<GuardedShard>(service.name,
                                                    ServiceShard(settings_.self.id, {settings_.self.zone, settings_.self.region}, service.name, policy_, seed));
             internal.emplace_back(EventForService{service.name, FleetSizeChanged{entryVms_.value(), entryVms_.order()}});
-            internal.emplace_back(EventForService{service.name, forwardingPeers_});
+            internal.emplace_back(EventForService{service.name, ForwardingPeersChanged{forwardingPeers_.value(), forwardingPeers_.order()}});
             if (blocklist_.value()) {
                 internal.emplace_back(EventForService{service.name, BlocklistChanged{blocklist_.value(), blocklist_.order()}});
             }
@@ -215,9 +215,7 @@
 {
     {
         const std::lock_guard lock(mapMutex_);
-        if (peers.order > forwardingPeers_.order) {
-            forwardingPeers_ = peers;
-        }
+        forwardingPeers_.take(peers.order, peers.peers);
     }
     enqueueForAllServices(peers, internal);
 }
--- a/src/core/node.h
+++ b/src/core/node.h
@@ -120,7 +120,7 @@
     std::shared_ptr<const ActiveIntent> intent_;
     Latest<int> entryVms_{1};
     Latest<std::shared_ptr<const RequestBlocklist>> blocklist_{nullptr};
-    ForwardingPeersChanged forwardingPeers_; ///< The newest such event; guarded by mapMutex_.
+    Latest<PeerAddresses> forwardingPeers_{{}}; ///< Guarded by mapMutex_.
     std::map<std::string, LimitReport> limitReports_; ///< The newest report for each server; guarded by mapMutex_.
 };
 
