--- a/src/core/requests/retryafter.h
+++ b/src/core/requests/retryafter.h
@@ -19,7 +19,7 @@
 // A poison request is refused again, which costs little. A request that was merely in flight when the servers crashed has been answered elsewhere by then,
 // and all entry VMs have been notified of that within two seconds.
 constexpr Duration RetryAfterWhenBlocked = seconds(2);
-// A retry reaches another entry VM, which may reach the servers.
+// A retry reaches another entry VM, which may serve the request; besides, a new process has read the directory by then.
 constexpr Duration RetryAfterAtOtherEntryVm = milliseconds(150);
 // Within this time, the servers that are suspected to have crashed are probed.
 constexpr Duration RetryAfterWhenSuspected = milliseconds(400);
--- a/src/daemon/gateway.cpp
+++ b/src/daemon/gateway.cpp
@@ -7,6 +7,7 @@
 
 #include "daemon/gateway.h"
 
+#include "core/requests/retryafter.h"
 #include "core/support/httpstatus.h"
 #include "core/support/stablehash.h"
 #include "net/bootclock.h"
@@ -26,8 +27,6 @@
 constexpr Duration ProbeTimeout = seconds(1);
 // The server has been chosen by then, so a later result is of no use.
 constexpr Duration ChoiceProbeTimeout = milliseconds(300);
-// Advised to refused callers: a new process has read the directory by then, and in any case a retry reaches another entry VM.
-constexpr Duration RetryAfterElsewhere = milliseconds(150);
 // Probes use the upper half of the range of call ids.
 constexpr HttpCallId FirstProbeCall = HttpCallId(1) << 63U;
 constexpr std::size_t MaxLoggedText = 64;
@@ -71,7 +70,7 @@
     const auto intent = node_.intent();
     if (!intent || !isAccepting_) {
         const char *detail = isAccepting_ ? "no configuration is in force here yet" : "this entry VM is shutting down";
-        const Problem problem{503, ExecutionStatus::NotExecuted, "admit", "entry VM", detail, RetryAfterElsewhere};
+        const Problem problem{503, ExecutionStatus::NotExecuted, "admit", "entry VM", detail, RetryAfterAtOtherEntryVm};
         log_.refusedOnArrival(callerIdOf(request, 0), problem, intent.get(), request.target);
         connection->answerTo(request.number, protocol_.refusalAnswer(problem), isHead);
         return;
@@ -157,7 +156,7 @@
                                     "check quota",
                                     "entry VM",
                                     "no entry VM that counts the requests of the workspace answers",
-                                    RetryAfterElsewhere}});
+                                    RetryAfterAtOtherEntryVm}});
         }
     };
     std::visit(Handler{*this, event, service}, verdict);
@@ -200,7 +199,7 @@
         const auto &services = configuration.services;
         const auto found = std::find_if(services.begin(), services.end(), [&name](const Service &service) { return service.name == name; });
         if (found == services.end()) {
-            return Problem{503, ExecutionStatus::NotExecuted, "find route", name, "the route's service does not exist", RetryAfterElsewhere};
+            return Problem{503, ExecutionStatus::NotExecuted, "find route", name, "the route's service does not exist", RetryAfterAtOtherEntryVm};
         }
         route.service = static_cast<std::size_t>(found - services.begin());
     }
