--- a/src/core/requests/startupqueue.cpp
+++ b/src/core/requests/admissionqueue.cpp
@@ -5,7 +5,7 @@
     SPDX-License-Identifier: Apache-2.0
 */
 
-#include "core/requests/startupqueue.h"
+#include "core/requests/admissionqueue.h"
 
 #include "core/requests/retryafter.h"
 
@@ -27,17 +27,17 @@
 
 } // namespace
 
-StartupQueue::StartupQueue(const StartupQueueLimits &limits, TimePoint startedAt, std::uint64_t seed)
+AdmissionQueue::AdmissionQueue(const AdmissionQueueLimits &limits, TimePoint startedAt, std::uint64_t seed)
     : limits_(limits)
     , startedAt_(startedAt)
     , random_(seed)
 {
 }
 
-StartupDecision StartupQueue::offer(TimePoint now, const StartupOffer &offer)
+AdmissionDecision AdmissionQueue::offer(TimePoint now, const AdmissionOffer &offer)
 {
     if (isReleased_ && !isStopping_) {
-        return StartupOver{};
+        return AdmissionOver{};
     }
     const Duration maxWait = offer.timeLeft ? std::min(limits_.maxWait, *offer.timeLeft / MaxWaitDivisor) : limits_.maxWait;
     const std::optional<TimePoint> deadline = offer.timeLeft ? std::optional(now + *offer.timeLeft) : std::nullopt;
@@ -46,63 +46,63 @@
     }
     heldBytes_ += offer.bytes;
     held_.push_back({offer.id, offer.bytes, now, now + maxWait, deadline});
-    return StartupHeld{maxWait};
+    return AdmissionHeld{maxWait};
 }
 
-std::optional<StartupRefusalCause> StartupQueue::obstacle(TimePoint now, const StartupOffer &offer, Duration maxWait) const
+std::optional<AdmissionRefusalCause> AdmissionQueue::obstacle(TimePoint now, const AdmissionOffer &offer, Duration maxWait) const
 {
     if (isStopping_) {
-        return StartupRefusalCause::Stopping;
+        return AdmissionRefusalCause::Stopping;
     }
     if (held_.size() >= static_cast<std::size_t>(limits_.maxRequests)) {
-        return StartupRefusalCause::TooManyRequests;
+        return AdmissionRefusalCause::TooManyRequests;
     }
     if (heldBytes_ + offer.bytes > static_cast<std::size_t>(limits_.maxBytes)) {
-        return StartupRefusalCause::TooManyBytes;
+        return AdmissionRefusalCause::TooManyBytes;
     }
     if (startedAt_ + limits_.expectedStart > now + maxWait || now > startedAt_ + limits_.expectedStart * OverdueFactor) {
-        return StartupRefusalCause::NotInTime;
+        return AdmissionRefusalCause::NotInTime;
     }
     return std::nullopt;
 }
 
-std::vector<StartupRefused> StartupQueue::expire(TimePoint now)
+std::vector<AdmissionRefused> AdmissionQueue::expire(TimePoint now)
 {
-    std::vector<StartupRefused> expired;
+    std::vector<AdmissionRefused> expired;
     std::erase_if(held_, [this, now, &expired](const Held &item) {
         if (now < item.until) {
             return false;
         }
         heldBytes_ -= item.bytes;
-        expired.push_back(refused(now, item.id, StartupRefusalCause::Expired, item.deadline));
+        expired.push_back(refused(now, item.id, AdmissionRefusalCause::Expired, item.deadline));
         return true;
     });
     return expired;
 }
 
-std::vector<StartupReleased> StartupQueue::release()
+std::vector<AdmissionReleased> AdmissionQueue::release()
 {
     isReleased_ = true;
     heldBytes_ = 0;
-    std::vector<StartupReleased> released;
+    std::vector<AdmissionReleased> released;
     for (const Held &item : std::exchange(held_, {})) {
         released.push_back({item.id, item.arrivedAt});
     }
     return released;
 }
 
-std::vector<StartupRefused> StartupQueue::stop(TimePoint now)
+std::vector<AdmissionRefused> AdmissionQueue::stop(TimePoint now)
 {
     isStopping_ = true;
     heldBytes_ = 0;
-    std::vector<StartupRefused> stopped;
+    std::vector<AdmissionRefused> stopped;
     for (const Held &item : std::exchange(held_, {})) {
-        stopped.push_back(refused(now, item.id, StartupRefusalCause::Stopping, item.deadline));
+        stopped.push_back(refused(now, item.id, AdmissionRefusalCause::Stopping, item.deadline));
     }
     return stopped;
 }
 
-void StartupQueue::remove(std::uint64_t id)
+void AdmissionQueue::remove(std::uint64_t id)
 {
     const auto found = std::find_if(held_.begin(), held_.end(), [id](const Held &item) { return item.id == id; });
     if (found != held_.end()) {
@@ -111,15 +111,15 @@
     }
 }
 
-std::size_t StartupQueue::size() const
+std::size_t AdmissionQueue::size() const
 {
     return held_.size();
 }
 
-StartupRefused StartupQueue::refused(TimePoint now, std::uint64_t id, StartupRefusalCause cause, std::optional<TimePoint> deadline)
+AdmissionRefused AdmissionQueue::refused(TimePoint now, std::uint64_t id, AdmissionRefusalCause cause, std::optional<TimePoint> deadline)
 {
     // An entry VM that stops does not become ready, and one that is overdue may not; another one may serve the request.
-    const Duration untilReady = cause == StartupRefusalCause::Stopping ? Duration(0) : startedAt_ + limits_.expectedStart - now;
+    const Duration untilReady = cause == AdmissionRefusalCause::Stopping ? Duration(0) : startedAt_ + limits_.expectedStart - now;
     const Duration wait = std::max(untilReady, RetryAfterAtOtherEntryVm);
     if (deadline && now + wait >= *deadline) {
         return {id, cause, std::nullopt};
--- a/src/core/requests/startupqueue.h
+++ b/src/core/requests/admissionqueue.h
@@ -20,23 +20,23 @@
 {
 
 /// Bounds on the requests that a starting entry VM holds.
-struct StartupQueueLimits {
+struct AdmissionQueueLimits {
     int maxRequests = 0; ///< With 0 requests are refused and not held.
     int maxBytes = 4 * 1024 * 1024; ///< All held requests together.
     Duration maxWait = seconds(1); ///< For each request; also bounded by a quarter of the time that its caller has.
     Duration expectedStart = milliseconds(400); ///< Usual time from the start of the process until requests are served.
 
-    bool operator==(const StartupQueueLimits &) const = default;
+    bool operator==(const AdmissionQueueLimits &) const = default;
 };
 
 /// A request that arrived before requests are served.
-struct StartupOffer {
+struct AdmissionOffer {
     std::uint64_t id = 0;
     std::size_t bytes = 0;
     std::optional<Duration> timeLeft; ///< How long the caller waits; nothing if it does not state it.
 };
 
-enum class StartupRefusalCause {
+enum class AdmissionRefusalCause {
     TooManyRequests,
     TooManyBytes,
     NotInTime, ///< Requests will probably not be served before the request has waited for its longest time.
@@ -45,42 +45,42 @@
 };
 
 /// The request will be released, or refused when its time is over.
-struct StartupHeld {
+struct AdmissionHeld {
     Duration maxWait{0};
 };
 
 /// The request is to be refused. It has not been executed and never will be.
-struct StartupRefused {
+struct AdmissionRefused {
     std::uint64_t id = 0;
-    StartupRefusalCause cause = StartupRefusalCause::Expired;
+    AdmissionRefusalCause cause = AdmissionRefusalCause::Expired;
     std::optional<Duration> retryAfter; ///< Nothing if the caller has no time to come back.
 };
 
 /// Requests are served now, this one too.
-struct StartupOver {
+struct AdmissionOver {
 };
 
-using StartupDecision = std::variant<StartupHeld, StartupRefused, StartupOver>;
+using AdmissionDecision = std::variant<AdmissionHeld, AdmissionRefused, AdmissionOver>;
 
 /// A held request that is to be served now.
-struct StartupReleased {
+struct AdmissionReleased {
     std::uint64_t id = 0;
     TimePoint arrivedAt;
 };
 
 /// Decides which requests a starting entry VM holds until it has applied its configuration, and when it refuses them.
-class StartupQueue
+class AdmissionQueue
 {
 public:
-    StartupQueue(const StartupQueueLimits &limits, TimePoint startedAt, std::uint64_t seed);
+    AdmissionQueue(const AdmissionQueueLimits &limits, TimePoint startedAt, std::uint64_t seed);
 
-    StartupDecision offer(TimePoint now, const StartupOffer &offer);
+    AdmissionDecision offer(TimePoint now, const AdmissionOffer &offer);
     /// @return the held requests whose time is over; they are no longer held.
-    std::vector<StartupRefused> expire(TimePoint now);
+    std::vector<AdmissionRefused> expire(TimePoint now);
     /// Requests are served from now on. @return the held requests, oldest first; they are no longer held.
-    std::vector<StartupReleased> release();
+    std::vector<AdmissionReleased> release();
     /// The process has been told to stop. @return the held requests; they are no longer held.
-    std::vector<StartupRefused> stop(TimePoint now);
+    std::vector<AdmissionRefused> stop(TimePoint now);
     /// The caller of a held request has disconnected.
     void remove(std::uint64_t id);
 
@@ -95,11 +95,11 @@
         std::optional<TimePoint> deadline; ///< Of the caller.
     };
 
-    StartupRefused refused(TimePoint now, std::uint64_t id, StartupRefusalCause cause, std::optional<TimePoint> deadline);
+    AdmissionRefused refused(TimePoint now, std::uint64_t id, AdmissionRefusalCause cause, std::optional<TimePoint> deadline);
     /// @return why the request is not held; nothing if it is.
-    std::optional<StartupRefusalCause> obstacle(TimePoint now, const StartupOffer &offer, Duration maxWait) const;
+    std::optional<AdmissionRefusalCause> obstacle(TimePoint now, const AdmissionOffer &offer, Duration maxWait) const;
 
-    StartupQueueLimits limits_;
+    AdmissionQueueLimits limits_;
     TimePoint startedAt_;
     Random random_;
     std::vector<Held> held_; ///< Oldest first.
--- a/src/daemon/startupgate.cpp
+++ b/src/daemon/admissiongate.cpp
@@ -5,7 +5,7 @@
     SPDX-License-Identifier: Apache-2.0
 */
 
-#include "daemon/startupgate.h"
+#include "daemon/admissiongate.h"
 
 #include "core/support/httpstatus.h"
 
@@ -24,7 +24,7 @@
     const char *detail;
 };
 
-/// Indexed by StartupRefusalCause.
+/// Indexed by AdmissionRefusalCause.
 constexpr std::array RefusalTexts = {
     RefusalText{"too_many_requests", "this entry VM is starting and holds as many requests as it may"},
     RefusalText{"too_many_bytes", "this entry VM is starting and holds as many bytes of requests as it may"},
@@ -41,14 +41,14 @@
 
 } // namespace
 
-StartupGate::StartupGate(const StartupQueueLimits &limits, TimePoint startedAt, std::uint64_t seed, Telemetry &telemetry, Callbacks callbacks)
+AdmissionGate::AdmissionGate(const AdmissionQueueLimits &limits, TimePoint startedAt, std::uint64_t seed, Telemetry &telemetry, Callbacks callbacks)
     : telemetry_(telemetry)
     , callbacks_(std::move(callbacks))
     , queue_(limits, startedAt, seed)
 {
 }
 
-bool StartupGate::accept(TimePoint now,
+bool AdmissionGate::accept(TimePoint now,
                          const std::shared_ptr<CallerConnection> &connection,
                          HttpRequest &request,
                          const std::string &callerId,
@@ -56,22 +56,22 @@
 {
     std::unique_lock lock(mutex_);
     const std::uint64_t id = ++lastId_;
-    const StartupDecision decision = queue_.offer(now, {id, sizeOf(request), timeLeft});
-    if (const auto *held = std::get_if<StartupHeld>(&decision)) {
+    const AdmissionDecision decision = queue_.offer(now, {id, sizeOf(request), timeLeft});
+    if (const auto *held = std::get_if<AdmissionHeld>(&decision)) {
         telemetry_.startupRequest("held");
         log_.heldAtStart(callerId, held->maxWait, queue_.size(), request.target);
         held_.emplace(id, Held{connection, std::move(request), callerId, now});
         return true;
     }
     lock.unlock();
-    if (const auto *refused = std::get_if<StartupRefused>(&decision)) {
+    if (const auto *refused = std::get_if<AdmissionRefused>(&decision)) {
         refuse(connection, request, *refused, Duration(0));
         return true;
     }
     return false;
 }
 
-void StartupGate::tick(TimePoint now)
+void AdmissionGate::tick(TimePoint now)
 {
     if (isOpen_) {
         return;
@@ -85,7 +85,7 @@
     refuseAll(now, refusals);
 }
 
-void StartupGate::open(TimePoint now)
+void AdmissionGate::open(TimePoint now)
 {
     if (isOpen_.exchange(true)) {
         return;
@@ -93,7 +93,7 @@
     std::vector<Held> released;
     {
         const std::lock_guard lock(mutex_);
-        for (const StartupReleased &item : queue_.release()) {
+        for (const AdmissionReleased &item : queue_.release()) {
             released.push_back(std::move(held_.extract(item.id).mapped()));
         }
     }
@@ -109,7 +109,7 @@
     }
 }
 
-void StartupGate::stop(TimePoint now)
+void AdmissionGate::stop(TimePoint now)
 {
     std::vector<Refusal> refusals;
     {
@@ -119,29 +119,29 @@
     refuseAll(now, refusals);
 }
 
-std::size_t StartupGate::size() const
+std::size_t AdmissionGate::size() const
 {
     const std::lock_guard lock(mutex_);
     return queue_.size();
 }
 
-std::vector<StartupGate::Refusal> StartupGate::takeRefused(std::span<const StartupRefused> refused)
+std::vector<AdmissionGate::Refusal> AdmissionGate::takeRefused(std::span<const AdmissionRefused> refused)
 {
     std::vector<Refusal> refusals;
-    for (const StartupRefused &decision : refused) {
+    for (const AdmissionRefused &decision : refused) {
         refusals.push_back({std::move(held_.extract(decision.id).mapped()), decision});
     }
     return refusals;
 }
 
-void StartupGate::refuseAll(TimePoint now, std::span<const Refusal> refusals)
+void AdmissionGate::refuseAll(TimePoint now, std::span<const Refusal> refusals)
 {
     for (const Refusal &refusal : refusals) {
         refuse(refusal.held.connection, refusal.held.request, refusal.decision, now - refusal.held.arrivedAt);
     }
 }
 
-void StartupGate::refuse(const std::shared_ptr<CallerConnection> &connection, const HttpRequest &request, const StartupRefused &decision, Duration waited)
+void AdmissionGate::refuse(const std::shared_ptr<CallerConnection> &connection, const HttpRequest &request, const AdmissionRefused &decision, Duration waited)
 {
     const auto &[label, detail] = RefusalTexts.at(static_cast<std::size_t>(decision.cause));
     telemetry_.startupRequest(label);
@@ -153,7 +153,7 @@
         connection, request, {HttpStatus::ServiceUnavailable, ExecutionStatus::NotExecuted, "admit", "entry VM", std::move(text), decision.retryAfter});
 }
 
-void StartupGate::dropDisconnected(TimePoint now)
+void AdmissionGate::dropDisconnected(TimePoint now)
 {
     const std::lock_guard lock(mutex_);
     std::erase_if(held_, [this, now](const auto &item) {
--- a/src/daemon/startupgate.h
+++ b/src/daemon/admissiongate.h
@@ -8,7 +8,7 @@
 #pragma once
 
 #include "core/requests/serviceevents.h"
-#include "core/requests/startupqueue.h"
+#include "core/requests/admissionqueue.h"
 #include "daemon/requestlog.h"
 #include "daemon/telemetry.h"
 #include "net/callerconnection.h"
@@ -26,8 +26,8 @@
 namespace Cloverbarrow
 {
 
-/// Holds callers' requests while this entry VM starts, as StartupQueue decides. Thread-safe; the callbacks are called without a lock.
-class StartupGate
+/// Holds callers' requests while this entry VM starts, as AdmissionQueue decides. Thread-safe; the callbacks are called without a lock.
+class AdmissionGate
 {
 public:
     struct Callbacks {
@@ -38,7 +38,7 @@
     };
 
     /// @param startedAt when this process started.
-    StartupGate(const StartupQueueLimits &limits, TimePoint startedAt, std::uint64_t seed, Telemetry &telemetry, Callbacks callbacks);
+    AdmissionGate(const AdmissionQueueLimits &limits, TimePoint startedAt, std::uint64_t seed, Telemetry &telemetry, Callbacks callbacks);
 
     /// Holds or refuses a request that arrived before requests are served. @param callerId for the log. @param timeLeft how long the caller waits, if known.
     /// @return whether it did; if not, requests are served now, and @p request is unchanged.
@@ -65,13 +65,13 @@
     };
     struct Refusal {
         Held held;
-        StartupRefused decision;
+        AdmissionRefused decision;
     };
 
     /// Takes the refused requests out of held_. The mutex must be held.
-    std::vector<Refusal> takeRefused(std::span<const StartupRefused> refused);
+    std::vector<Refusal> takeRefused(std::span<const AdmissionRefused> refused);
     void refuseAll(TimePoint now, std::span<const Refusal> refusals);
-    void refuse(const std::shared_ptr<CallerConnection> &connection, const HttpRequest &request, const StartupRefused &decision, Duration waited);
+    void refuse(const std::shared_ptr<CallerConnection> &connection, const HttpRequest &request, const AdmissionRefused &decision, Duration waited);
     void dropDisconnected(TimePoint now);
 
     Telemetry &telemetry_;
@@ -79,7 +79,7 @@
     Callbacks callbacks_;
     std::atomic<bool> isOpen_{false};
     mutable std::mutex mutex_;
-    StartupQueue queue_; ///< Guarded by mutex_.
+    AdmissionQueue queue_; ///< Guarded by mutex_.
     std::map<std::uint64_t, Held> held_; ///< Guarded by mutex_.
     std::uint64_t lastId_ = 0; ///< Guarded by mutex_.
 };
--- a/src/daemon/gateway.h
+++ b/src/daemon/gateway.h
@@ -16,7 +16,7 @@
 #include "daemon/quotarunner.h"
 #include "daemon/requestcheck.h"
 #include "daemon/requestlog.h"
-#include "daemon/startupgate.h"
+#include "daemon/admissiongate.h"
 #include "daemon/telemetry.h"
 #include "net/callerconnection.h"
 #include "net/exchangeprotocol.h"
@@ -52,7 +52,7 @@
     void setQuotas(QuotaRunner *quotas);
 
     /// Holds requests that arrive before the configuration is applied, within @p limits. @param startedAt when this process started.
-    void setStartupLimits(const StartupQueueLimits &limits, TimePoint startedAt, std::uint64_t seed);
+    void setStartupLimits(const AdmissionQueueLimits &limits, TimePoint startedAt, std::uint64_t seed);
     /// Serves the requests that were held during the start. Call when this entry VM is ready.
     void releaseHeld();
     /// Refuses the requests that are held, and holds no more.
@@ -157,7 +157,7 @@
     PlatformClient *platform_;
     const ExchangeProtocol &protocol_;
     QuotaRunner *quotas_ = nullptr;
-    std::unique_ptr<StartupGate> startup_; ///< Null if requests that arrive too early are not held.
+    std::unique_ptr<AdmissionGate> startup_; ///< Null if requests that arrive too early are not held.
     HttpClient *forwardClient_ = nullptr; ///< Null if requests are not forwarded.
     std::string region_;
     Telemetry &telemetry_;
--- a/src/daemon/gatewaystartup.cpp
+++ b/src/daemon/gatewaystartup.cpp
@@ -24,18 +24,18 @@
 
 } // namespace
 
-void Gateway::setStartupLimits(const StartupQueueLimits &limits, TimePoint startedAt, std::uint64_t seed)
+void Gateway::setStartupLimits(const AdmissionQueueLimits &limits, TimePoint startedAt, std::uint64_t seed)
 {
     if (limits.maxRequests == 0) {
         return;
     }
-    const StartupGate::Callbacks callbacks{[this](const std::shared_ptr<CallerConnection> &connection, HttpRequest request, TimePoint arrivedAt) {
+    const AdmissionGate::Callbacks callbacks{[this](const std::shared_ptr<CallerConnection> &connection, HttpRequest request, TimePoint arrivedAt) {
                                                serve(connection, std::move(request), arrivedAt);
                                            },
                                            [this](const std::shared_ptr<CallerConnection> &connection, const HttpRequest &request, const Problem &problem) {
                                                refuseOnArrival(connection, request, 0, problem, nullptr);
                                            }};
-    startup_ = std::make_unique<StartupGate>(limits, startedAt, seed, telemetry_, callbacks);
+    startup_ = std::make_unique<AdmissionGate>(limits, startedAt, seed, telemetry_, callbacks);
 }
 
 bool Gateway::holdUntilReady(TimePoint now, const std::shared_ptr<CallerConnection> &connection, HttpRequest &request)
--- a/src/daemon/settings.cpp
+++ b/src/daemon/settings.cpp
@@ -79,7 +79,7 @@
     settings.shutdownLimit = grace - std::min<Duration>(MaxExitReserve, grace / ExitReserveDivisor);
 }
 
-void readStartup(YamlReader &reader, StartupQueueLimits &limits)
+void readStartup(YamlReader &reader, AdmissionQueueLimits &limits)
 {
     reader.integer("max_requests", limits.maxRequests, 0, MaxHeldRequests);
     reader.integer("max_bytes", limits.maxBytes, 0, MaxBodyBytes);
--- a/src/daemon/settings.h
+++ b/src/daemon/settings.h
@@ -8,7 +8,7 @@
 #pragma once
 
 #include "core/requests/fleetbudgets.h"
-#include "core/requests/startupqueue.h"
+#include "core/requests/admissionqueue.h"
 #include "core/support/time.h"
 #include "core/support/yamlreader.h"
 #include "core/workspaces/quotagrant.h"
@@ -49,7 +49,7 @@
     std::string platformAddress; ///< Empty with a directory, as are the addresses for peers and administration.
     std::optional<DirectorySettings> directory;
     std::vector<std::string> seedPeers;
-    StartupQueueLimits startup; ///< Bounds on the requests that are held until this entry VM is ready.
+    AdmissionQueueLimits startup; ///< Bounds on the requests that are held until this entry VM is ready.
     Duration shutdownNotice = seconds(2);
     Duration shutdownLimit = seconds(60);
     int callerThreads = 2;
