After a stall requests wait until the directory is confirmed, and their waiting time counts

Callers saw requests handled by a configuration that had been replaced 5 s before, and requests executed after their deadline, at two of 123 entry VMs. Cause: a process that gets no processor time for seconds goes on as if no time had passed. It routes what has waited in its sockets by the configuration from before the stall, and counts each deadline from the moment at which it reads the request.

The main loop's pause shows a stall. The kernel tells how long a request has lain in its socket (TCP_INFO). The watches in flight stay, so a process that stalls often leaves no watches behind at its relay. Stalls are logged and counted (cloverbarrow_stalls_total, cloverbarrow_stalled_seconds_total), which tells an entry VM that does not run from one with a stale source.

--- a/src/core/directory/collectionwatch.cpp
+++ b/src/core/directory/collectionwatch.cpp
@@ -22,6 +22,8 @@
 constexpr Duration StoreWatchPause = milliseconds(500);
 // Answers of a relay are not billed, and the relay has already paused before it received the change.
 constexpr Duration RelayWatchPause = milliseconds(20);
+// The shortest that can be stated.
+constexpr Duration ConfirmationTimeout = milliseconds(1);
 constexpr Duration FirstRetryPause = milliseconds(100);
 constexpr int MaxRetryPauseDoublings = 3;
 
@@ -34,12 +36,17 @@
 
 void CollectionWatch::tick(TimePoint now, const std::string &relay, DirectoryActions &actions)
 {
+    if (confirmation_ == Confirmation::Due && !isListing_) {
+        confirmation_ = Confirmation::Requested;
+        confirmationCall_ = ++lastCall_;
+        actions.emplace_back(WatchDirectory{collection_, watchRevision_, ConfirmationTimeout, relay, confirmationCall_});
+    }
     if (isCallPending_ || now < nextCall_) {
         return;
     }
     isCallPending_ = true;
     wasRelayCall_ = !relay.empty();
-    ++call_;
+    call_ = ++lastCall_;
     if (isListing_) {
         actions.emplace_back(ListDirectory{collection_, lastListedName_, relay, call_});
     } else {
@@ -92,6 +99,10 @@
 {
     isListing_ = true;
     lastListedName_.clear();
+    if (confirmation_ == Confirmation::Requested) {
+        // The list may come from another source, whose revisions are others.
+        confirmation_ = Confirmation::Due;
+    }
 }
 
 void CollectionWatch::onFailure(TimePoint now, Random &random)
@@ -111,6 +122,27 @@
     beginList();
 }
 
+void CollectionWatch::requestConfirmation()
+{
+    confirmation_ = Confirmation::Due;
+}
+
+bool CollectionWatch::isConfirmation(int call) const
+{
+    return confirmation_ == Confirmation::Requested && call == confirmationCall_;
+}
+
+void CollectionWatch::onConfirmed(std::int64_t revision)
+{
+    confirmation_ = Confirmation::Received;
+    watchRevision_ = std::max(watchRevision_, revision);
+}
+
+bool CollectionWatch::isConfirmed() const
+{
+    return confirmation_ == Confirmation::Received && isCurrent();
+}
+
 std::int64_t CollectionWatch::listedStoreRevision() const
 {
     return listStoreRevision_;
--- a/src/core/directory/collectionwatch.h
+++ b/src/core/directory/collectionwatch.h
@@ -20,7 +20,7 @@
 public:
     explicit CollectionWatch(Collection collection);
 
-    /// Starts the next list or watch if it is due. @param relay address to call; empty for the store.
+    /// Starts the next list or watch if it is due, and a confirmation. @param relay address to call; empty for the store.
     void tick(TimePoint now, const std::string &relay, DirectoryActions &actions);
     /// @return whether @p call is the call in flight; answers to other calls are ignored.
     bool isAwaiting(int call) const;
@@ -33,6 +33,15 @@
     /// history is about to be dropped would wait for the next change without reporting what it missed.
     void restart(TimePoint now);
 
+    /// Requests the changes since the last known revision in a call of its own, which is answered at once also if there are none. The watch in flight goes on.
+    void requestConfirmation();
+    /// @return whether @p call is the one that confirms the collection.
+    bool isConfirmation(int call) const;
+    /// The source has sent all changes up to this revision in answer to a confirmation.
+    void onConfirmed(std::int64_t revision);
+    /// @return whether the latest confirmation that was requested has been received.
+    bool isConfirmed() const;
+
     /// @return whether a complete list has been read at least once.
     bool isComplete() const;
     /// @return whether the collection is kept up to date by a watch and no list is due or in flight.
@@ -41,6 +50,12 @@
     std::int64_t listedStoreRevision() const;
 
 private:
+    enum class Confirmation {
+        Received,
+        Due,
+        Requested,
+    };
+
     void beginList();
 
     Collection collection_;
@@ -48,7 +63,8 @@
     bool isComplete_ = false;
     bool isCallPending_ = false;
     bool wasRelayCall_ = false; ///< Whether the last call went to a relay.
-    int call_ = 0;
+    int call_ = 0; ///< The list or watch that was started last.
+    int lastCall_ = 0; ///< The highest number of any call.
     std::string lastListedName_;
     std::int64_t listRevision_ = 0; ///< Revision of the first page; the watch starts there and so covers changes made while later pages were read.
     std::int64_t listStoreRevision_ = 0; ///< Store revision of the first page, also if the list came from a relay.
@@ -56,6 +72,8 @@
     std::int64_t requiredRevision_ = 0; ///< Source's latest revision when it answered the list. Below it the collection is not current.
     TimePoint nextCall_;
     int failures_ = 0;
+    Confirmation confirmation_ = Confirmation::Received;
+    int confirmationCall_ = 0;
 };
 
 } // namespace Cloverbarrow
--- a/src/core/directory/directorymanager.cpp
+++ b/src/core/directory/directorymanager.cpp
@@ -26,6 +26,9 @@
 /// Indexed by indexOf().
 constexpr std::array CollectionNames = {"routing", "servers", "crashes", "evacuations", "rollouts"};
 
+/// What decides where requests are sent.
+constexpr std::array RoutedBy = {Collection::Routing, Collection::Servers, Collection::Evacuations, Collection::Rollouts};
+
 /// @return the collection whose list or watch the event answers, if any.
 std::optional<Collection> collectionOf(const DirectoryEvent &event)
 {
@@ -109,6 +112,10 @@
 void DirectoryManager::handle(TimePoint now, const DirectoryAnswer &answer, DirectoryActions &actions)
 {
     const auto collection = collectionOf(answer.event);
+    if (collection && watchOf(*collection).isConfirmation(answer.call)) {
+        confirmationAnswered(now, *collection, answer.event, actions);
+        return;
+    }
     if (collection && !watchOf(*collection).isAwaiting(answer.call)) {
         return;
     }
@@ -199,6 +206,11 @@
     comparison_.entriesReceived(event.collection, event.entries);
     sourceAnswered(now, actions);
     watchOf(event.collection).onChanges(now, event);
+    applyChanges(now, event, actions);
+}
+
+void DirectoryManager::applyChanges(TimePoint now, const DirectoryChanged &event, DirectoryActions &actions)
+{
     recordStoreRevision(event.collection, event.storeRevision);
     if (event.collection == Collection::Crashes) {
         logFaults(event.entries, actions);
@@ -386,6 +398,38 @@
     }
 }
 
+void DirectoryManager::requestConfirmation(TimePoint now, DirectoryActions &actions)
+{
+    if (publishedVersion_ == 0) {
+        return;
+    }
+    for (const Collection collection : RoutedBy) {
+        watchOf(collection).requestConfirmation();
+    }
+    tick(now, actions);
+}
+
+void DirectoryManager::confirmationAnswered(TimePoint now, Collection collection, const DirectoryEvent &event, DirectoryActions &actions)
+{
+    if (const auto *changed = std::get_if<DirectoryChanged>(&event)) {
+        comparison_.entriesReceived(collection, changed->entries);
+        sourceAnswered(now, actions);
+        watchOf(collection).onConfirmed(changed->revision);
+        applyChanges(now, *changed, actions);
+    } else if (const auto *expired = std::get_if<DirectoryHistoryExpired>(&event)) {
+        on(now, *expired, actions);
+        watchOf(collection).requestConfirmation();
+    } else if (const auto *failed = std::get_if<DirectoryCallFailed>(&event)) {
+        // The watch and the checks decide whether the source is unreachable.
+        actions.emplace_back(LogDirectoryEvent{"not confirmed", std::string(CollectionNames.at(indexOf(collection))) + ": " + failed->reason});
+    }
+}
+
+bool DirectoryManager::isConfirmed() const
+{
+    return std::all_of(RoutedBy.begin(), RoutedBy.end(), [this](Collection collection) { return watchOf(collection).isConfirmed(); });
+}
+
 void DirectoryManager::setBudgets(TimePoint now, const FleetBudgets &budgets, DirectoryActions &actions)
 {
     if (budgets == budgets_) {
@@ -441,7 +485,7 @@
 
 bool DirectoryManager::isCurrent() const
 {
-    return routing_.isCurrent() && servers_.isCurrent() && evacuations_.isCurrent() && rollouts_.isCurrent();
+    return std::all_of(RoutedBy.begin(), RoutedBy.end(), [this](Collection collection) { return watchOf(collection).isCurrent(); });
 }
 
 bool DirectoryManager::isAtStore() const
--- a/src/core/directory/directorymanager.h
+++ b/src/core/directory/directorymanager.h
@@ -46,6 +46,11 @@
 
     void tick(TimePoint now, DirectoryActions &actions);
     void handle(TimePoint now, const DirectoryAnswer &answer, DirectoryActions &actions);
+    /// This process has not run for a while, so changes may be waiting. Asks the source whether it has any that this entry VM lacks. Before the first state has
+    /// been published there is nothing to confirm.
+    void requestConfirmation(TimePoint now, DirectoryActions &actions);
+    /// @return whether all that decides where requests are sent has been confirmed since requestConfirmation().
+    bool isConfirmed() const;
     void setBudgets(TimePoint now, const FleetBudgets &budgets, DirectoryActions &actions);
     /// Sets the crash report that this entry VM writes to the store. @param sequence increases with each report.
     void setCrashReport(std::uint64_t sequence, const CrashReport &report);
@@ -94,6 +99,9 @@
     void on(TimePoint now, const CrashUpdatesAnswered &event, DirectoryActions &actions);
     void on(TimePoint now, const RolloutStatusWritten &event, DirectoryActions &actions);
 
+    /// Applies the answer to a confirmation.
+    void confirmationAnswered(TimePoint now, Collection collection, const DirectoryEvent &event, DirectoryActions &actions);
+    void applyChanges(TimePoint now, const DirectoryChanged &event, DirectoryActions &actions);
     /// @return whether routes, servers, evacuations and rollouts have been received, without which no request may be sent.
     bool isServable() const;
     /// Ends the wait for crash reports before the first state is published, once they have been received or have not arrived in time. @return whether the wait
--- a/src/core/requests/admissionqueue.cpp
+++ b/src/core/requests/admissionqueue.cpp
@@ -91,6 +91,12 @@
     return released;
 }
 
+void AdmissionQueue::hold(TimePoint now)
+{
+    isReleased_ = false;
+    startedAt_ = now;
+}
+
 std::vector<AdmissionRefused> AdmissionQueue::stop(TimePoint now)
 {
     isStopping_ = true;
--- a/src/core/requests/admissionqueue.h
+++ b/src/core/requests/admissionqueue.h
@@ -19,12 +19,12 @@
 namespace Cloverbarrow
 {
 
-/// Bounds on the requests that a starting entry VM holds.
+/// Bounds on the requests that an entry VM holds until it is ready.
 struct AdmissionQueueLimits {
     int maxRequests = 0; ///< With 0 requests are refused and not held.
     int maxBytes = 4 * 1024 * 1024; ///< All held requests together.
     Duration maxWait = seconds(1); ///< For each request; also bounded by a quarter of the time that its caller has.
-    Duration expectedStart = milliseconds(400); ///< Usual time from the start of the process until requests are served.
+    Duration expectedStart = milliseconds(400); ///< Usual time from the start of the process, or from hold(), until requests are served.
 
     bool operator==(const AdmissionQueueLimits &) const = default;
 };
@@ -68,7 +68,7 @@
     TimePoint arrivedAt;
 };
 
-/// Decides which requests a starting entry VM holds until it has applied its configuration, and when it refuses them.
+/// Decides which requests an entry VM holds until it is ready, after its start or after hold(), and when it refuses them.
 class AdmissionQueue
 {
 public:
@@ -79,6 +79,8 @@
     std::vector<AdmissionRefused> expire(TimePoint now);
     /// Requests are served from now on. @return the held requests, oldest first; they are no longer held.
     std::vector<AdmissionReleased> release();
+    /// Requests are held again from now on.
+    void hold(TimePoint now);
     /// The process has been told to stop. @return the held requests; they are no longer held.
     std::vector<AdmissionRefused> stop(TimePoint now);
     /// The caller of a held request has disconnected.
--- a/src/daemon/admissiongate.cpp
+++ b/src/daemon/admissiongate.cpp
@@ -21,16 +21,16 @@
 
 struct RefusalText {
     const char *label; ///< Of the counter.
-    const char *detail;
+    const char *detail; ///< Follows the state of this entry VM.
 };
 
 /// Indexed by AdmissionRefusalCause.
 constexpr std::array RefusalTexts = {
-    RefusalText{"too_many_requests", "this entry VM is starting and holds as many requests as it may"},
-    RefusalText{"too_many_bytes", "this entry VM is starting and holds as many bytes of requests as it may"},
-    RefusalText{"not_in_time", "this entry VM is starting and will probably not be ready in time"},
-    RefusalText{"expired", "this entry VM has not become ready in time"},
-    RefusalText{"stopping", "this entry VM is shutting down"},
+    RefusalText{"too_many_requests", " and holds as many requests as it may"},
+    RefusalText{"too_many_bytes", " and holds as many bytes of requests as it may"},
+    RefusalText{"not_in_time", " and will probably not be ready in time"},
+    RefusalText{"expired", " and has not become ready in time"},
+    RefusalText{"stopping", " and has been told to stop"},
 };
 
 std::size_t sizeOf(const HttpRequest &request)
@@ -41,26 +41,27 @@
 
 } // namespace
 
-AdmissionGate::AdmissionGate(const AdmissionQueueLimits &limits, TimePoint startedAt, std::uint64_t seed, Telemetry &telemetry, Callbacks callbacks)
-    : telemetry_(telemetry)
+AdmissionGate::AdmissionGate(const AdmissionQueueLimits &limits, TimePoint startedAt, std::uint64_t seed, std::string state, Callbacks callbacks)
+    : state_(std::move(state))
     , callbacks_(std::move(callbacks))
     , queue_(limits, startedAt, seed)
 {
 }
 
 bool AdmissionGate::accept(TimePoint now,
-                         const std::shared_ptr<CallerConnection> &connection,
-                         HttpRequest &request,
-                         const std::string &callerId,
-                         const std::optional<Duration> &timeLeft)
+                           const std::shared_ptr<CallerConnection> &connection,
+                           HttpRequest &request,
+                           const std::string &callerId,
+                           const std::optional<Duration> &timeLeft)
 {
     std::unique_lock lock(mutex_);
     const std::uint64_t id = ++lastId_;
     const AdmissionDecision decision = queue_.offer(now, {id, sizeOf(request), timeLeft});
     if (const auto *held = std::get_if<AdmissionHeld>(&decision)) {
-        telemetry_.startupRequest("held");
+        callbacks_.count("held");
         log_.heldAtStart(callerId, held->maxWait, queue_.size(), request.target);
-        held_.emplace(id, Held{connection, std::move(request), callerId, now});
+        const TimePoint arrivedAt = now - request.waited;
+        held_.emplace(id, Held{connection, std::move(request), callerId, arrivedAt});
         return true;
     }
     lock.unlock();
@@ -87,28 +88,38 @@
 
 void AdmissionGate::open(TimePoint now)
 {
-    if (isOpen_.exchange(true)) {
+    if (isOpen_) {
         return;
     }
     std::vector<Held> released;
     {
         const std::lock_guard lock(mutex_);
+        isOpen_ = true;
         for (const AdmissionReleased &item : queue_.release()) {
             released.push_back(std::move(held_.extract(item.id).mapped()));
         }
     }
     for (Held &held : released) {
         if (held.connection->isGone()) {
-            telemetry_.startupRequest("caller_gone");
+            callbacks_.count("caller_gone");
             log_.callerGone(held.callerId, now - held.arrivedAt);
             continue;
         }
-        telemetry_.startupRequest("released");
+        callbacks_.count("released");
         log_.releasedAtStart(held.callerId, now - held.arrivedAt);
         callbacks_.serve(held.connection, std::move(held.request), held.arrivedAt);
     }
 }
 
+void AdmissionGate::close(TimePoint now)
+{
+    const std::lock_guard lock(mutex_);
+    if (isOpen_) {
+        isOpen_ = false;
+        queue_.hold(now);
+    }
+}
+
 void AdmissionGate::stop(TimePoint now)
 {
     std::vector<Refusal> refusals;
@@ -144,8 +155,8 @@
 void AdmissionGate::refuse(const std::shared_ptr<CallerConnection> &connection, const HttpRequest &request, const AdmissionRefused &decision, Duration waited)
 {
     const auto &[label, detail] = RefusalTexts.at(static_cast<std::size_t>(decision.cause));
-    telemetry_.startupRequest(label);
-    std::string text = detail;
+    callbacks_.count(label);
+    std::string text = "this entry VM " + state_ + detail;
     if (waited > Duration(0)) {
         text += ", held for " + std::to_string(std::chrono::duration_cast<milliseconds>(waited).count()) + " ms";
     }
@@ -161,7 +172,7 @@
         if (!held.connection->isGone()) {
             return false;
         }
-        telemetry_.startupRequest("caller_gone");
+        callbacks_.count("caller_gone");
         log_.callerGone(held.callerId, now - held.arrivedAt);
         queue_.remove(id);
         return true;
--- a/src/daemon/admissiongate.h
+++ b/src/daemon/admissiongate.h
@@ -7,10 +7,9 @@
 
 #pragma once
 
-#include "core/requests/serviceevents.h"
 #include "core/requests/admissionqueue.h"
+#include "core/requests/serviceevents.h"
 #include "daemon/requestlog.h"
-#include "daemon/telemetry.h"
 #include "net/callerconnection.h"
 
 #include <atomic>
@@ -26,7 +25,7 @@
 namespace Cloverbarrow
 {
 
-/// Holds callers' requests while this entry VM starts, as AdmissionQueue decides. Thread-safe; the callbacks are called without a lock.
+/// Holds callers' requests until this entry VM is ready, as AdmissionQueue decides. Thread-safe; the callbacks are called without a lock.
 class AdmissionGate
 {
 public:
@@ -35,10 +34,13 @@
         std::function<void(const std::shared_ptr<CallerConnection> &connection, HttpRequest request, TimePoint arrivedAt)> serve;
         /// Refuses a request.
         std::function<void(const std::shared_ptr<CallerConnection> &connection, const HttpRequest &request, const Problem &problem)> refuse;
+        /// Counts an outcome of a request.
+        std::function<void(const char *outcome)> count;
     };
 
-    /// @param startedAt when this process started.
-    AdmissionGate(const AdmissionQueueLimits &limits, TimePoint startedAt, std::uint64_t seed, Telemetry &telemetry, Callbacks callbacks);
+    /// The gate is closed. @param startedAt when this process started. @param state what this entry VM does meanwhile, for callers and the log, e.g. "is
+    /// starting".
+    AdmissionGate(const AdmissionQueueLimits &limits, TimePoint startedAt, std::uint64_t seed, std::string state, Callbacks callbacks);
 
     /// Holds or refuses a request that arrived before requests are served. @param callerId for the log. @param timeLeft how long the caller waits, if known.
     /// @return whether it did; if not, requests are served now, and @p request is unchanged.
@@ -49,8 +51,10 @@
                 const std::optional<Duration> &timeLeft);
     /// Refuses held requests whose time is over and drops those whose callers have disconnected. Call several times a second.
     void tick(TimePoint now);
-    /// Serves held requests, oldest first, and lets later ones pass. Call when the configuration has been applied; later calls have no effect.
+    /// Serves held requests, oldest first, and lets later ones pass. Has no effect if the gate is open.
     void open(TimePoint now);
+    /// Holds requests again. Has no effect if the gate is closed.
+    void close(TimePoint now);
     /// Refuses all held requests, and later ones until the process ends.
     void stop(TimePoint now);
     /// @return number of held requests.
@@ -74,10 +78,10 @@
     void refuse(const std::shared_ptr<CallerConnection> &connection, const HttpRequest &request, const AdmissionRefused &decision, Duration waited);
     void dropDisconnected(TimePoint now);
 
-    Telemetry &telemetry_;
+    std::string state_;
     RequestLog log_;
     Callbacks callbacks_;
-    std::atomic<bool> isOpen_{false};
+    std::atomic<bool> isOpen_{false}; ///< Changed with mutex_ held.
     mutable std::mutex mutex_;
     AdmissionQueue queue_; ///< Guarded by mutex_.
     std::map<std::uint64_t, Held> held_; ///< Guarded by mutex_.
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -37,6 +37,7 @@
 {
     int ticks = 0;
     while (true) {
+        checkStall();
         handleStopRequests();
         handleReloadRequest();
         tick(ticks % TicksPerControl == 0);
@@ -337,6 +338,22 @@
     gateway_->checkCallers();
 }
 
+void Daemon::checkStall()
+{
+    StallGuard *guard = gateway_->stallGuard();
+    if (!guard) {
+        return;
+    }
+    const TimePoint now = bootNow();
+    if (const auto stall = guard->tick(now)) {
+        log_.warn("resumed after a stall", {{"stalled_ms", toMilliseconds(*stall)}});
+        telemetry_.stalled(*stall);
+        directory_->requestConfirmation();
+    } else if (guard->isUnconfirmed(now) && directory_->isConfirmed()) {
+        guard->confirmed();
+    }
+}
+
 void Daemon::handleStopRequests()
 {
     while (handledStopRequests_ < stopRequests_) {
--- a/src/daemon/daemon.h
+++ b/src/daemon/daemon.h
@@ -100,6 +100,8 @@
     void tick(bool isControl);
     void updateGauges();
     void checkCallers();
+    /// Detects stalls of this process, and has the directory confirmed after one.
+    void checkStall();
     void handleStopRequests();
     void handleReloadRequest();
     void reload();
--- a/src/daemon/daemonstart.cpp
+++ b/src/daemon/daemonstart.cpp
@@ -60,6 +60,7 @@
     gateway_->setStartupLimits(settings_.startup, bootNow(), seedOf(nonce_));
     gateway_->setQuotas(directory_ ? &directory_->quotas() : nullptr);
     if (directory_) {
+        gateway_->enableStallGuard(bootNow(), seedOf(nonce_));
         gateway_->setForwarding(forwardClient_.get(), settings_.region);
         directory_->setForwardedRequestHandler(
             [this](const std::shared_ptr<CallerConnection> &connection, HttpRequest request) { gateway_->acceptForwarded(connection, std::move(request)); });
--- a/src/daemon/directoryrunner.cpp
+++ b/src/daemon/directoryrunner.cpp
@@ -83,6 +83,22 @@
     perform(actions);
 }
 
+void DirectoryRunner::requestConfirmation()
+{
+    DirectoryActions actions;
+    {
+        const std::lock_guard lock(mutex_);
+        manager_->requestConfirmation(bootNow(), actions);
+    }
+    perform(actions);
+}
+
+bool DirectoryRunner::isConfirmed()
+{
+    const std::lock_guard lock(mutex_);
+    return manager_->isConfirmed() && answersInProgress_ == 0;
+}
+
 void DirectoryRunner::publishCrashes(const PublishCrashReport &action)
 {
     const std::lock_guard lock(mutex_);
@@ -321,9 +337,11 @@
     DirectoryActions actions;
     {
         const std::lock_guard lock(mutex_);
+        ++answersInProgress_;
         manager_->handle(bootNow(), answer, actions);
     }
     perform(actions);
+    --answersInProgress_;
     if (relayServer_) {
         relayServer_->answerWaitingFollowers();
     }
--- a/src/daemon/directoryrunner.h
+++ b/src/daemon/directoryrunner.h
@@ -47,6 +47,10 @@
     void tick();
     /// Applies budgets that changed while the process runs.
     void setBudgets(const FleetBudgets &budgets);
+    /// Asks the source for changes that this entry VM lacks, after a stall of this process.
+    void requestConfirmation();
+    /// @return whether the directory has been confirmed since requestConfirmation(), and what was received is in force.
+    bool isConfirmed();
     /// Publishes this entry VM's report on server crashes to the store.
     void publishCrashes(const PublishCrashReport &action);
     /// Sends crash updates directly to other entry VMs, in addition to the report in the store.
@@ -104,6 +108,7 @@
     RelayClient relayClient_;
     CrashUpdateRunner crashUpdates_;
     std::atomic<bool> isStopped_{false};
+    std::atomic<int> answersInProgress_{0}; ///< Answers of the source whose actions have not all been performed. Raised with mutex_ held.
     std::mutex mutex_;
     std::optional<DirectoryManager> manager_; ///< Guarded by mutex_.
     std::mutex limitsMutex_;
--- a/src/daemon/gateway.cpp
+++ b/src/daemon/gateway.cpp
@@ -66,9 +66,11 @@
 void Gateway::accept(const std::shared_ptr<CallerConnection> &connection, HttpRequest request)
 {
     const TimePoint now = bootNow();
-    if (!isAccepting_ || node_.intent() || !holdUntilReady(now, connection, request)) {
-        serve(connection, std::move(request), now);
+    if (isAccepting_ && (node_.intent() ? holdAfterStall(now, connection, request) : holdUntilReady(now, connection, request))) {
+        return;
     }
+    const TimePoint arrivedAt = now - request.waited;
+    serve(connection, std::move(request), arrivedAt);
 }
 
 void Gateway::serve(const std::shared_ptr<CallerConnection> &connection, HttpRequest request, TimePoint arrivedAt)
@@ -385,6 +387,9 @@
     if (startup_) {
         startup_->tick(bootNow());
     }
+    if (stallGuard_) {
+        stallGuard_->expire(bootNow());
+    }
     std::vector<std::pair<std::string, RequestId>> abandoned;
     for (Shard &shard : shards_) {
         const std::lock_guard lock(shard.mutex);
--- a/src/daemon/gateway.h
+++ b/src/daemon/gateway.h
@@ -12,11 +12,12 @@
 #include "core/routing/routingtable.h"
 #include "core/routing/trafficsplitter.h"
 #include "core/workspaces/access.h"
+#include "daemon/admissiongate.h"
 #include "daemon/eventhandler.h"
 #include "daemon/quotarunner.h"
 #include "daemon/requestcheck.h"
 #include "daemon/requestlog.h"
-#include "daemon/admissiongate.h"
+#include "daemon/stallguard.h"
 #include "daemon/telemetry.h"
 #include "net/callerconnection.h"
 #include "net/exchangeprotocol.h"
@@ -57,6 +58,10 @@
     void releaseHeld();
     /// Refuses the requests that are held, and holds no more.
     void refuseHeld();
+    /// Holds requests after a stall of this process until confirmed() is called. @param startedAt when this process started.
+    void enableStallGuard(TimePoint startedAt, std::uint64_t seed);
+    /// @return what holds requests after a stall; null if none are held.
+    StallGuard *stallGuard();
     /// @return number of requests that are held until this entry VM is ready.
     std::size_t heldRequests() const;
 
@@ -107,6 +112,11 @@
 
     /// Holds or refuses a request that arrived before a configuration is in force. @return whether it did; if not, one is in force now.
     bool holdUntilReady(TimePoint now, const std::shared_ptr<CallerConnection> &connection, HttpRequest &request);
+    /// Holds or refuses a request while the state of the directory is not confirmed after a stall. @return whether it did.
+    bool holdAfterStall(TimePoint now, const std::shared_ptr<CallerConnection> &connection, HttpRequest &request);
+    /// @return how long the caller waits, if it states that.
+    std::optional<Duration> callerTimeLeft(const HttpRequest &request) const;
+    AdmissionGate::Callbacks admissionCallbacks(std::function<void(const char *)> count);
     /// Routes a request. @param arrivedAt when it arrived, which is earlier if it was held.
     void serve(const std::shared_ptr<CallerConnection> &connection, HttpRequest request, TimePoint arrivedAt);
     /// Refuses a request before it reaches a service. @param id 0 if the request has none yet. @param intent null if no configuration is active yet.
@@ -158,6 +168,7 @@
     const ExchangeProtocol &protocol_;
     QuotaRunner *quotas_ = nullptr;
     std::unique_ptr<AdmissionGate> startup_; ///< Null if requests that arrive too early are not held.
+    std::unique_ptr<StallGuard> stallGuard_; ///< Null if no requests are held after a stall.
     HttpClient *forwardClient_ = nullptr; ///< Null if requests are not forwarded.
     std::string region_;
     Telemetry &telemetry_;
--- a/src/daemon/gatewayforwarding.cpp
+++ b/src/daemon/gatewayforwarding.cpp
@@ -151,6 +151,7 @@
 void Gateway::acceptForwarded(const std::shared_ptr<CallerConnection> &connection, HttpRequest request)
 {
     const TimePoint now = bootNow();
+    const TimePoint arrivedAt = now - request.waited;
     const auto forwarded = decodeForwardedRequest(findHeader(request.headers, ForwardHeader).value_or(""));
     const std::string tag(findHeader(request.headers, ForwardTagHeader).value_or(""));
     eraseForwardHeaders(request.headers);
@@ -167,6 +168,10 @@
         refuse(isAccepting_ ? "no configuration is in force here yet" : "this entry VM is shutting down");
         return;
     }
+    if (stallGuard_ && stallGuard_->isUnconfirmed(now)) {
+        refuse("the configuration is not confirmed after a stall");
+        return;
+    }
     const Service *service = intent->configuration.findService(forwarded->service);
     const Workspace *workspace = findWorkspace(intent->configuration, forwarded->workspace);
     if (!service || forwarded->region != region_ || (!workspace && !forwarded->workspace.empty())) {
@@ -176,7 +181,8 @@
     const RequestId id = nextRequest_++;
     RequestArrived event = forwarded->arrival;
     event.request = id;
-    event.deadline = now + event.deadline.time_since_epoch();
+    event.heldFor = now - arrivedAt;
+    event.deadline = arrivedAt + event.deadline.time_since_epoch();
     Route route;
     route.service = static_cast<std::size_t>(service - intent->configuration.services.data());
     std::string callerId = callerIdOf(request, id);
@@ -191,7 +197,7 @@
                                          std::move(sharedRequest),
                                          intent,
                                          route,
-                                         now,
+                                         arrivedAt,
                                          event.fingerprint,
                                          std::move(callerId),
                                          1,
--- a/src/daemon/gatewaystartup.cpp
+++ b/src/daemon/gatewaystartup.cpp
@@ -11,7 +11,7 @@
 
 #include <utility>
 
-// Requests that arrive at Gateway before a configuration is in force.
+// Requests that arrive at Gateway before a configuration is in force, or while it is not confirmed after a stall.
 
 namespace Cloverbarrow
 {
@@ -29,13 +29,42 @@
     if (limits.maxRequests == 0) {
         return;
     }
-    const AdmissionGate::Callbacks callbacks{[this](const std::shared_ptr<CallerConnection> &connection, HttpRequest request, TimePoint arrivedAt) {
-                                               serve(connection, std::move(request), arrivedAt);
-                                           },
-                                           [this](const std::shared_ptr<CallerConnection> &connection, const HttpRequest &request, const Problem &problem) {
-                                               refuseOnArrival(connection, request, 0, problem, nullptr);
-                                           }};
-    startup_ = std::make_unique<AdmissionGate>(limits, startedAt, seed, telemetry_, callbacks);
+    auto callbacks = admissionCallbacks([this](const char *outcome) { telemetry_.startupRequest(outcome); });
+    startup_ = std::make_unique<AdmissionGate>(limits, startedAt, seed, "is starting", std::move(callbacks));
+}
+
+void Gateway::enableStallGuard(TimePoint startedAt, std::uint64_t seed)
+{
+    auto callbacks = admissionCallbacks([this](const char *outcome) { telemetry_.requestAfterStall(outcome); });
+    stallGuard_ = std::make_unique<StallGuard>(startedAt, seed, std::move(callbacks));
+}
+
+StallGuard *Gateway::stallGuard()
+{
+    return stallGuard_.get();
+}
+
+AdmissionGate::Callbacks Gateway::admissionCallbacks(std::function<void(const char *)> count)
+{
+    return {[this](const std::shared_ptr<CallerConnection> &connection, HttpRequest request, TimePoint arrivedAt) {
+                serve(connection, std::move(request), arrivedAt);
+            },
+            [this](const std::shared_ptr<CallerConnection> &connection, const HttpRequest &request, const Problem &problem) {
+                refuseOnArrival(connection, request, 0, problem, nullptr);
+            },
+            std::move(count)};
+}
+
+std::optional<Duration> Gateway::callerTimeLeft(const HttpRequest &request) const
+{
+    const auto text = findHeader(request.headers, protocol_.deadlineHeader());
+    const auto deadlineMs = text ? parseNumber(*text, MaxDeadlineMs) : std::nullopt;
+    return deadlineMs ? std::optional<Duration>(milliseconds(*deadlineMs) - request.waited) : std::nullopt;
+}
+
+bool Gateway::holdAfterStall(TimePoint now, const std::shared_ptr<CallerConnection> &connection, HttpRequest &request)
+{
+    return stallGuard_ && stallGuard_->accept(now, connection, request, callerIdOf(request, 0), callerTimeLeft(request));
 }
 
 bool Gateway::holdUntilReady(TimePoint now, const std::shared_ptr<CallerConnection> &connection, HttpRequest &request)
@@ -43,10 +72,7 @@
     if (!startup_) {
         return false;
     }
-    const auto text = findHeader(request.headers, protocol_.deadlineHeader());
-    const auto deadlineMs = text ? parseNumber(*text, MaxDeadlineMs) : std::nullopt;
-    const auto timeLeft = deadlineMs ? std::optional<Duration>(milliseconds(*deadlineMs)) : std::nullopt;
-    return startup_->accept(now, connection, request, callerIdOf(request, 0), timeLeft);
+    return startup_->accept(now, connection, request, callerIdOf(request, 0), callerTimeLeft(request));
 }
 
 void Gateway::releaseHeld()
@@ -61,6 +87,9 @@
     if (startup_) {
         startup_->stop(bootNow());
     }
+    if (stallGuard_) {
+        stallGuard_->stop(bootNow());
+    }
 }
 
 std::size_t Gateway::heldRequests() const
--- a/src/daemon/settings.h
+++ b/src/daemon/settings.h
@@ -7,8 +7,8 @@
 
 #pragma once
 
-#include "core/requests/fleetbudgets.h"
 #include "core/requests/admissionqueue.h"
+#include "core/requests/fleetbudgets.h"
 #include "core/support/time.h"
 #include "core/support/yamlreader.h"
 #include "core/workspaces/quotagrant.h"
--- a/src/daemon/telemetry.cpp
+++ b/src/daemon/telemetry.cpp
@@ -114,6 +114,13 @@
                       .Name("cloverbarrow_startup_requests_total")
                       .Help("Requests that arrived before this entry VM served requests: held, and what became of them")
                       .Register(registry))
+        , afterStall(prometheus::BuildCounter()
+                         .Name("cloverbarrow_stall_requests_total")
+                         .Help("Requests that arrived before the directory was confirmed after a stall: held, and what became of them")
+                         .Register(registry))
+        , stalls(
+              prometheus::BuildCounter().Name("cloverbarrow_stalls_total").Help("Times at which this process had not run for 0.5 s or more").Register(registry))
+        , stalledSeconds(prometheus::BuildCounter().Name("cloverbarrow_stalled_seconds_total").Help("Length of all stalls").Register(registry))
         , slowServerHints(prometheus::BuildCounter()
                               .Name("cloverbarrow_slow_server_hints_total")
                               .Help("Hints that backend servers are slow, observed here, received or overridden")
@@ -139,6 +146,9 @@
     prometheus::Family<prometheus::Counter> &backoffs;
     prometheus::Family<prometheus::Counter> &scarcityRefusals;
     prometheus::Family<prometheus::Counter> &startup;
+    prometheus::Family<prometheus::Counter> &afterStall;
+    prometheus::Family<prometheus::Counter> &stalls;
+    prometheus::Family<prometheus::Counter> &stalledSeconds;
     prometheus::Family<prometheus::Counter> &slowServerHints;
     prometheus::Family<prometheus::Gauge> &slowServers;
     prometheus::Family<prometheus::Counter> &slowServerAttempts;
@@ -196,6 +206,17 @@
     families_->startup.Add({{"outcome", outcome}}).Increment();
 }
 
+void Telemetry::requestAfterStall(const char *outcome)
+{
+    families_->afterStall.Add({{"outcome", outcome}}).Increment();
+}
+
+void Telemetry::stalled(Duration duration)
+{
+    families_->stalls.Add({}).Increment();
+    families_->stalledSeconds.Add({}).Increment(std::chrono::duration<double>(duration).count());
+}
+
 void Telemetry::limitChanged(const std::string &service, const std::string &server, const std::optional<double> &perSecond)
 {
     families_->limits.Add({{"service", service}, {"change", perSecond ? "named" : "ended"}}).Increment();
--- a/src/daemon/telemetry.h
+++ b/src/daemon/telemetry.h
@@ -92,6 +92,10 @@
     void probeStarted(const std::string &service);
     /// A request arrived before requests are served, or one that was held is not held any more. @param outcome one of a fixed set of names.
     void startupRequest(const char *outcome);
+    /// A request arrived before the directory was confirmed after a stall. @param outcome as for startupRequest().
+    void requestAfterStall(const char *outcome);
+    /// This process has not run for a while.
+    void stalled(Duration duration);
     /// A backend server's request limit has changed. @param perSecond nothing if the limit was removed.
     void limitChanged(const std::string &service, const std::string &server, const std::optional<double> &perSecond);
     void limitUnreadable(const std::string &service);
--- a/src/net/callerconnection.cpp
+++ b/src/net/callerconnection.cpp
@@ -9,6 +9,7 @@
 
 #include "net/bootclock.h"
 #include "net/problemjson.h"
+#include "net/tcpstatus.h"
 
 #include <poll.h>
 #include <sys/socket.h>
@@ -275,6 +276,9 @@
         return false;
     }
     request = std::move(std::get<HttpRequest>(result));
+    if (const auto status = tcpStatus(socket_.get())) {
+        request.waited = status->sinceLastData;
+    }
     request.number = pending_.add(request.keepsConnection, isSafe);
     hasSentContinue_ = false;
     lastParsedSize_ = 0;
--- a/src/net/httpmessage.h
+++ b/src/net/httpmessage.h
@@ -7,6 +7,8 @@
 
 #pragma once
 
+#include "core/support/time.h"
+
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -34,6 +36,7 @@
     std::string body;
     bool keepsConnection = true;
     std::uint64_t number = 0; ///< Identifies the request on its connection until it is answered.
+    Duration waited{0}; ///< How long it has waited at least since it arrived in full, e.g. unread in the socket.
 };
 
 /// A complete HTTP answer.
--- /dev/null
+++ b/src/net/tcpstatus.cpp
@@ -0,0 +1,31 @@
+/*
+    This file is part of cloverbarrow.
+
+    SPDX-FileCopyrightText: 2026 The cloverbarrow authors
+    SPDX-License-Identifier: Apache-2.0
+*/
+
+#include "net/tcpstatus.h"
+
+// The struct of <netinet/tcp.h> ends before the number of received bytes.
+#include <linux/tcp.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+
+#include <cstddef>
+
+namespace Cloverbarrow
+{
+
+std::optional<TcpStatus> tcpStatus(int fd)
+{
+    tcp_info info{};
+    socklen_t size = sizeof info;
+    const bool isKnown = ::getsockopt(fd, IPPROTO_TCP, TCP_INFO, &info, &size) == 0;
+    if (!isKnown || size < offsetof(tcp_info, tcpi_bytes_received) + sizeof info.tcpi_bytes_received) {
+        return std::nullopt;
+    }
+    return TcpStatus{milliseconds(info.tcpi_last_data_recv), info.tcpi_bytes_received};
+}
+
+} // namespace Cloverbarrow
--- /dev/null
+++ b/src/net/tcpstatus.h
@@ -0,0 +1,27 @@
+/*
+    This file is part of cloverbarrow.
+
+    SPDX-FileCopyrightText: 2026 The cloverbarrow authors
+    SPDX-License-Identifier: Apache-2.0
+*/
+
+#pragma once
+
+#include "core/support/time.h"
+
+#include <cstdint>
+#include <optional>
+
+namespace Cloverbarrow
+{
+
+/// What the kernel knows of a TCP connection (TCP_INFO of Linux).
+struct TcpStatus {
+    Duration sinceLastData{0}; ///< Time since the kernel last received data, in whole milliseconds. The data may not have been read yet.
+    std::uint64_t bytesReceived = 0; ///< Since the connection was opened, whether or not they have been read.
+};
+
+/// @return nothing if @p fd is no TCP socket, or its kernel does not have these values.
+std::optional<TcpStatus> tcpStatus(int fd);
+
+} // namespace Cloverbarrow
--- a/tests/unit/admissionqueuetests.cpp
+++ b/tests/unit/admissionqueuetests.cpp
@@ -116,3 +116,15 @@
     CHECK(*waits.rbegin() - *waits.begin() > milliseconds(50));
     CHECK_FALSE(std::get<AdmissionRefused>(queue.offer(Start + milliseconds(100), {1, 10, milliseconds(300)})).retryAfter);
 }
+
+TEST_CASE("A queue that holds requests again counts its expected time from then on", "[startup][stall]")
+{
+    AdmissionQueue queue = queueOf(4);
+    queue.release();
+    const TimePoint later = Start + seconds(60);
+    queue.hold(later);
+    CHECK(isHeld(queue.offer(later + milliseconds(5), {1, 10, seconds(8)})));
+    CHECK(causeOf(queue.offer(later + milliseconds(5), {2, 10, -seconds(1)})) == AdmissionRefusalCause::NotInTime);
+    CHECK(queue.release().size() == 1);
+    CHECK(std::holds_alternative<AdmissionOver>(queue.offer(later + milliseconds(9), {3, 10, seconds(2)})));
+}
--- a/tests/unit/directorytests.cpp
+++ b/tests/unit/directorytests.cpp
@@ -99,6 +99,18 @@
         advance(milliseconds(10));
     }
 
+    void requestConfirmation()
+    {
+        DirectoryActions actions;
+        manager_.requestConfirmation(now_, actions);
+        process(actions);
+    }
+
+    bool isConfirmed() const
+    {
+        return manager_.isConfirmed();
+    }
+
     int lastListCall(Collection collection) const
     {
         const auto found = std::find_if(lists.rbegin(), lists.rend(), [collection](const ListDirectory &list) { return list.collection == collection; });
@@ -776,3 +788,66 @@
                      DirectoryListed{Collection::Servers, {serverEntry("i-2", 3), deletedEntry("i-1", 20)}, false, "i-2", 40, 40});
     CHECK(directory.publishedServers() == Names{"i-2"});
 }
+
+TEST_CASE("A confirmation brings changes that the watch in flight has not brought, and leaves that watch in flight", "[directory][stall]")
+{
+    DirectoryFixture fixture;
+    fixture.answerInitialLists({serverEntry("i-1", 2)});
+    const WatchDirectory waiting = fixture.lastWatch(Collection::Routing);
+    fixture.requestConfirmation();
+    CHECK_FALSE(fixture.isConfirmed());
+    for (const Collection collection : {Collection::Servers, Collection::Evacuations, Collection::Rollouts}) {
+        fixture.answer(fixture.lastWatch(collection).call, DirectoryChanged{collection, {}, 10, 10});
+    }
+    CHECK_FALSE(fixture.isConfirmed());
+    const WatchDirectory confirmation = fixture.lastWatch(Collection::Routing);
+    CHECK(confirmation.call != waiting.call);
+    CHECK(confirmation.wait == milliseconds(1));
+    fixture.answer(confirmation.call, DirectoryChanged{Collection::Routing, {planEntry(2, 11)}, 11, 11});
+    CHECK(fixture.isConfirmed());
+    CHECK(fixture.published->value == "r2");
+
+    fixture.answer(waiting.call, DirectoryChanged{Collection::Routing, {planEntry(3, 12)}, 12, 12});
+    CHECK(fixture.published->value == "r3");
+}
+
+TEST_CASE("A failed confirmation confirms nothing, and is not repeated", "[directory][stall]")
+{
+    DirectoryFixture fixture;
+    fixture.answerInitialLists({serverEntry("i-1", 2)});
+    fixture.requestConfirmation();
+    const std::size_t calls = fixture.watches.size();
+    fixture.answer(fixture.lastWatch(Collection::Routing).call, DirectoryCallFailed{Collection::Routing, "timeout"});
+    fixture.advance(seconds(1));
+    CHECK_FALSE(fixture.isConfirmed());
+    CHECK(fixture.watches.size() == calls);
+}
+
+TEST_CASE("A confirmation whose collection is listed again meanwhile is repeated after the list", "[directory][stall]")
+{
+    DirectoryFixture fixture;
+    fixture.answerInitialLists({serverEntry("i-1", 2)});
+    const WatchDirectory waiting = fixture.lastWatch(Collection::Routing);
+    fixture.requestConfirmation();
+    const WatchDirectory confirmation = fixture.lastWatch(Collection::Routing);
+    fixture.answer(waiting.call, DirectoryHistoryExpired{Collection::Routing});
+    fixture.advance(milliseconds(10));
+    fixture.answer(fixture.lastListCall(Collection::Routing), DirectoryListed{Collection::Routing, {planEntry(2, 20)}, false, "main", 20, 20});
+    fixture.answer(confirmation.call, DirectoryChanged{Collection::Routing, {}, 10, 10});
+    CHECK_FALSE(fixture.isConfirmed());
+    fixture.advance(milliseconds(10));
+    const auto repeated = std::find_if(fixture.watches.rbegin(), fixture.watches.rend(), [](const WatchDirectory &watch) {
+        return watch.collection == Collection::Routing && watch.wait == milliseconds(1);
+    });
+    REQUIRE(repeated != fixture.watches.rend());
+    CHECK(repeated->since == 20);
+    CHECK(repeated->call != confirmation.call);
+}
+
+TEST_CASE("Before the first state has been published there is nothing to confirm", "[directory][stall]")
+{
+    DirectoryFixture fixture;
+    fixture.advance(milliseconds(10));
+    fixture.requestConfirmation();
+    CHECK(fixture.watches.empty());
+}
