Connections on which bytes without end are received are closed after a bounded number

A server or peer may send bytes that are no answer, in a head or a body, until its caller closes. Interim answers were bounded by libcurl only, with a reason that counts as a refused connection. Each body may take 16 MiB, but the bodies of all calls together were not bounded, and a small VM has 112 MB.

The bytes received on a connection (TCP_INFO) are compared with the longest answer, heads are counted with interim answers, a success without the server's signature is not read beyond its head, answers to probes and exchanges have bounds of their own, and large bodies are given up beyond 48 MiB for all calls of a client.

--- a/src/core/support/httpstatus.h
+++ b/src/core/support/httpstatus.h
@@ -25,4 +25,10 @@
 constexpr int ServiceUnavailable = 503;
 constexpr int GatewayTimeout = 504;
 
+/// @return whether @p status is in the class of successes (2xx).
+constexpr bool isSuccess(int status)
+{
+    return status >= 200 && status < 300;
+}
+
 } // namespace Cloverbarrow::HttpStatus
--- a/src/daemon/gateway.cpp
+++ b/src/daemon/gateway.cpp
@@ -29,6 +29,8 @@
 constexpr Duration ChoiceProbeTimeout = milliseconds(300);
 // Probes use the upper half of the range of call ids.
 constexpr HttpCallId FirstProbeCall = HttpCallId(1) << 63U;
+// Only the head of the answer is used.
+constexpr std::size_t MaxProbeAnswerBytes = 64 * 1024;
 constexpr std::size_t MaxLoggedText = 64;
 
 AttemptOutcome attemptOutcome(const HttpOutcome &outcome, const ExchangeProtocol &protocol)
@@ -521,6 +523,7 @@
     call.address = action.address;
     call.timeout = action.request || action.isStatusCheck ? ChoiceProbeTimeout : ProbeTimeout;
     call.mayReuseConnection = action.request.has_value();
+    call.maxAnswerBytes = MaxProbeAnswerBytes;
     backendClient_.start(nextProbeCall_++, std::move(call), [this, service = serviceAction.service, action, sentAt = bootNow()](const HttpOutcome &outcome) {
         ProbeEnded ended;
         ended.backend = action.backend;
--- a/src/net/httpclient.cpp
+++ b/src/net/httpclient.cpp
@@ -31,6 +31,8 @@
 // Covers the transit time of a request and the rounding to whole seconds.
 constexpr Duration IdleMargin = seconds(1);
 constexpr int MaxAnnouncedIdleSeconds = 3600;
+// How often the bytes received on connections are counted. In one iteration libcurl reads at most 1.6 MB from a connection.
+constexpr int IterationsPerFloodCheck = 4;
 constexpr std::string_view TimeoutParameter = "timeout=";
 
 struct MultiDeleter {
@@ -53,8 +55,9 @@
 class HttpClient::Worker
 {
 public:
-    Worker()
-        : multi_(curl_multi_init())
+    explicit Worker(BodyBuffer &buffer)
+        : buffer_(buffer)
+        , multi_(curl_multi_init())
     {
         curl_multi_setopt(multi_.get(), CURLMOPT_MAXCONNECTS, MaxIdleConnections);
         thread_ = std::thread([this] { run(); });
@@ -74,6 +77,8 @@
         transfer->id = id;
         transfer->call = std::move(call);
         transfer->done = std::move(done);
+        transfer->buffer = &buffer_;
+        transfer->sockets = &sockets_;
         if (!enqueue(transfer)) {
             transfer->done(HttpFailure{false, false, "shutting down"});
             return;
@@ -126,6 +131,7 @@
             int running = 0;
             curl_multi_perform(multi_.get(), &running);
             finishCompleted();
+            finishFlooded();
             curl_multi_poll(multi_.get(), nullptr, 0, PollMs, nullptr);
         }
         while (!transfers_.empty()) {
@@ -207,11 +213,30 @@
         }
     }
 
+    /// Ends transfers on whose connections too many bytes have been received.
+    void finishFlooded()
+    {
+        if (++iterations_ % IterationsPerFloodCheck != 0) {
+            return;
+        }
+        std::vector<Transfer *> flooded;
+        for (const auto &[id, transfer] : transfers_) {
+            if (transfer->wasSent && isFlooded(*transfer)) {
+                flooded.push_back(transfer.get());
+            }
+        }
+        for (Transfer *transfer : flooded) {
+            transfer->isTooLong = true;
+            finish(*transfer, CURLE_ABORTED_BY_CALLBACK);
+        }
+    }
+
     void finish(Transfer &finished, CURLcode code)
     {
         auto node = transfers_.extract(finished.id);
         Transfer &transfer = *node.mapped();
         curl_multi_remove_handle(multi_.get(), transfer.easy.get());
+        buffer_.bytes -= transfer.answer.body.size();
         HttpOutcome outcome = outcomeOf(transfer, code);
         updateIdleTimeout(transfer.call.address, outcome);
         if (spare_.size() < MaxSpareHandles) {
@@ -221,6 +246,7 @@
         transfer.done(std::move(outcome));
     }
 
+    BodyBuffer &buffer_;
     MultiHandle multi_;
     std::mutex mutex_;
     std::deque<std::unique_ptr<Transfer>> queue_;
@@ -232,14 +258,17 @@
     std::map<HttpCallId, std::unique_ptr<Transfer>> transfers_;
     std::vector<EasyHandle> spare_;
     std::map<std::string, Duration> idleTimeouts_;
+    SocketsByPort sockets_;
+    unsigned iterations_ = 0;
     std::thread thread_;
 };
 
-HttpClient::HttpClient(std::size_t threads)
+HttpClient::HttpClient(std::size_t threads, std::size_t maxBufferedBytes)
+    : buffer_{maxBufferedBytes}
 {
     initialiseOnce();
     for (std::size_t index = 0; index < std::max<std::size_t>(1, threads); ++index) {
-        workers_.push_back(std::make_unique<Worker>());
+        workers_.push_back(std::make_unique<Worker>(buffer_));
     }
 }
 
--- a/src/net/httpclient.h
+++ b/src/net/httpclient.h
@@ -10,6 +10,7 @@
 #include "core/support/time.h"
 #include "net/httpmessage.h"
 
+#include <atomic>
 #include <cstddef>
 #include <cstdint>
 #include <functional>
@@ -22,6 +23,12 @@
 namespace Cloverbarrow
 {
 
+/// Counts the bytes of the bodies that a client is receiving.
+struct BodyBuffer {
+    std::size_t maxBytes = 0;
+    std::atomic<std::size_t> bytes{0};
+};
+
 /// A header that the answer must echo to be accepted as the answer to this call.
 struct ExpectedEcho {
     std::string header; ///< Empty when nothing is expected.
@@ -38,8 +45,9 @@
     ExpectedEcho echo;
     bool acceptsCloseDelimited = false; ///< An answer without a length is complete when its connection is closed cleanly (RFC 9112).
     bool acceptsGzip = false; ///< Requests a gzip-compressed answer and decompresses it.
+    std::string successHeader = {}; ///< If set, a success (2xx) without this header is complete after its head, and its body is not read.
     bool usesTcpKeepAlive = false; ///< TCP keep-alive: a peer that is cut off is noticed while waiting for its answer, and not only when sending.
-    std::size_t maxAnswerBytes = 16 * 1024 * 1024;
+    std::size_t maxAnswerBytes = 16 * 1024 * 1024; ///< Of the body. The bytes on the connection are bounded as well, with what frames the body.
 };
 
 /// Header with a unique tag of the exchange. A backend server that echoes it proves that the answer belongs to the request.
@@ -63,12 +71,16 @@
 
 /// Sends HTTP requests through libcurl on its own threads. Each request is sent at most once: libcurl is kept from resending a request
 /// on a new connection after a dead one. An answer that is truncated, whose end cannot be determined, or that belongs to another exchange
-/// is a failure.
+/// is a failure. So is one that does not end within the bounds on its size.
 class HttpClient
 {
 public:
+    /// Bound on the received parts of all bodies that are not complete, in bytes. A small VM has 112 MB.
+    static constexpr std::size_t DefaultMaxBufferedBytes = 48 * 1024 * 1024;
+
     /// @param threads number of threads. All calls to one address use the same thread, so that it can limit its connections.
-    explicit HttpClient(std::size_t threads);
+    /// @param maxBufferedBytes beyond it, answers that are already large are given up.
+    explicit HttpClient(std::size_t threads, std::size_t maxBufferedBytes = DefaultMaxBufferedBytes);
     ~HttpClient();
     HttpClient(const HttpClient &) = delete;
     HttpClient &operator=(const HttpClient &) = delete;
@@ -87,6 +99,7 @@
 
     Worker &workerOf(const std::string &address);
 
+    BodyBuffer buffer_;
     std::vector<std::unique_ptr<Worker>> workers_;
 };
 
--- a/src/net/httptransfer.cpp
+++ b/src/net/httptransfer.cpp
@@ -7,6 +7,9 @@
 
 #include "net/httptransfer.h"
 
+#include "core/support/httpstatus.h"
+#include "net/tcpstatus.h"
+
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <sys/socket.h>
@@ -21,6 +24,10 @@
 
 constexpr long ConnectTimeoutMs = 1000;
 constexpr std::size_t MaxAnswerHead = 64 * 1024;
+// A chunked body takes more bytes on the connection than its content.
+constexpr std::size_t MaxFramingFactor = 2;
+// Answers below this size are received even if the client buffers as much as it may.
+constexpr std::size_t LargeAnswerBytes = 1024 * 1024;
 // A peer that does not acknowledge sent data for this long is cut off or powered off.
 constexpr int UserTimeoutMs = 2000;
 constexpr int KeepAliveSeconds = 1;
@@ -34,7 +41,8 @@
 
 int prepareSocket(void *context, curl_socket_t socket, curlsocktype)
 {
-    const auto *transfer = static_cast<const Transfer *>(context);
+    auto *transfer = static_cast<Transfer *>(context);
+    transfer->socket = socket;
     setOption(socket, IPPROTO_TCP, TCP_USER_TIMEOUT, UserTimeoutMs);
     if (transfer->call.usesTcpKeepAlive) {
         setOption(socket, SOL_SOCKET, SO_KEEPALIVE, 1);
@@ -47,7 +55,7 @@
 
 /// libcurl calls this right before it sends a request. A second call for one transfer means that libcurl wants to resend the request
 /// on a new connection after a dead one; only the core may decide on retries.
-int beforeSend(void *context, char *, char *, int, int)
+int beforeSend(void *context, char *, char *, int, int localPort)
 {
     auto *transfer = static_cast<Transfer *>(context);
     if (transfer->wasSent) {
@@ -55,6 +63,11 @@
         return CURL_PREREQFUNC_ABORT;
     }
     transfer->wasSent = true;
+    if (transfer->socket >= 0) {
+        transfer->sockets->insert_or_assign(localPort, transfer->socket);
+    } else if (const auto found = transfer->sockets->find(localPort); found != transfer->sockets->end()) {
+        transfer->socket = found->second;
+    }
     return CURL_PREREQFUNC_OK;
 }
 
@@ -65,6 +78,12 @@
         transfer->isTooLong = true;
         return 0;
     }
+    BodyBuffer &buffer = *transfer->buffer;
+    if (transfer->answer.body.size() > LargeAnswerBytes && buffer.bytes + count > buffer.maxBytes) {
+        transfer->exceedsBuffer = true;
+        return 0;
+    }
+    buffer.bytes += count;
     transfer->answer.body.append(bytes, count);
     return count;
 }
@@ -86,6 +105,15 @@
     }
 }
 
+/// @return whether the received head is a success that lacks the header without which its body is of no use.
+bool lacksSuccessHeader(const Transfer &transfer)
+{
+    const std::string &name = transfer.call.successHeader;
+    long status = 0;
+    curl_easy_getinfo(transfer.easy.get(), CURLINFO_RESPONSE_CODE, &status);
+    return !name.empty() && !transfer.isInterim && HttpStatus::isSuccess(static_cast<int>(status)) && !findHeader(transfer.answer.headers, name);
+}
+
 /// @return whether the received head has the echo that the call expects.
 bool hasExpectedEcho(const Transfer &transfer)
 {
@@ -109,10 +137,13 @@
         transfer->hasWrongEcho = true;
         return 0;
     }
+    if (line.empty() && lacksSuccessHeader(*transfer)) {
+        transfer->isHeadOnly = true;
+        return 0;
+    }
     if (line.starts_with("HTTP/")) {
         startAnswer(line, transfer->answer);
         transfer->isInterim = isInterimStatus(line);
-        transfer->headBytes = 0;
     } else if (const std::size_t colon = line.find(':'); colon != std::string_view::npos) {
         std::string_view value = line.substr(colon + 1);
         value.remove_prefix(std::min(value.find_first_not_of(" \t"), value.size()));
@@ -222,19 +253,25 @@
     if (transfer.isTooLong) {
         return HttpFailure{true, false, "the answer is too long"};
     }
+    if (transfer.exceedsBuffer) {
+        return HttpFailure{true, false, "too many bytes of answers are being received"};
+    }
     if (transfer.hasWrongEcho) {
         return HttpFailure{true, false, "the answer belongs to another exchange", true};
     }
     if (transfer.isResend) {
         return HttpFailure{true, false, "the connection closed without an answer", true};
     }
-    if (code != CURLE_OK) {
+    if (code == CURLE_OUT_OF_MEMORY) {
+        return HttpFailure{transfer.wasSent, false, "a line of the head is too long, or there is no memory"};
+    }
+    if (code != CURLE_OK && !transfer.isHeadOnly) {
         return HttpFailure{transfer.wasSent, code == CURLE_OPERATION_TIMEDOUT, curl_easy_strerror(code), isRejectedConnection(code)};
     }
     long status = 0;
     curl_easy_getinfo(transfer.easy.get(), CURLINFO_RESPONSE_CODE, &status);
     transfer.answer.status = static_cast<int>(status);
-    if (!hasExplicitEnd(transfer) && !transfer.call.acceptsCloseDelimited) {
+    if (!transfer.isHeadOnly && !hasExplicitEnd(transfer) && !transfer.call.acceptsCloseDelimited) {
         return HttpFailure{true, false, "the answer ended with its connection, so it may be cut"};
     }
     return std::move(transfer.answer);
@@ -242,6 +279,18 @@
 
 } // namespace
 
+bool isFlooded(Transfer &transfer)
+{
+    const auto status = transfer.socket < 0 ? std::nullopt : tcpStatus(transfer.socket);
+    if (!status) {
+        return false;
+    }
+    if (!transfer.bytesBefore) {
+        transfer.bytesBefore = status->bytesReceived;
+    }
+    return status->bytesReceived - *transfer.bytesBefore > MaxAnswerHead + MaxFramingFactor * transfer.call.maxAnswerBytes;
+}
+
 HttpOutcome outcomeOf(Transfer &transfer, CURLcode code)
 {
     HttpOutcome outcome = interpretResult(transfer, code);
--- a/src/net/httptransfer.h
+++ b/src/net/httptransfer.h
@@ -12,7 +12,10 @@
 #include <curl/curl.h>
 
 #include <cstddef>
+#include <cstdint>
+#include <map>
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace Cloverbarrow
@@ -34,6 +37,9 @@
 };
 using HeaderList = std::unique_ptr<curl_slist, ListDeleter>;
 
+/// Sockets of connections by their local port, since libcurl does not tell which connection a transfer in flight uses.
+using SocketsByPort = std::map<int, int>;
+
 /// One call in flight.
 struct Transfer {
     HttpCallId id = 0;
@@ -43,10 +49,16 @@
     HeaderList headers;
     std::string url;
     HttpAnswer answer;
-    std::size_t headBytes = 0;
+    BodyBuffer *buffer = nullptr; ///< Shared by the transfers of a client.
+    SocketsByPort *sockets = nullptr; ///< Shared by the transfers of a thread.
+    int socket = -1; ///< Socket of the connection, once the request is being sent.
+    std::size_t headBytes = 0; ///< With interim answers.
+    std::optional<std::uint64_t> bytesBefore; ///< Bytes received on the connection when they were first counted for this transfer.
     bool wasSent = false;
     bool isResend = false;
     bool isTooLong = false;
+    bool exceedsBuffer = false; ///< The bodies of all transfers together are too long, and this one is large.
+    bool isHeadOnly = false; ///< The answer is complete after its head, and its body is not read.
     bool isInterim = false; ///< Whether the head being read belongs to an interim (1xx) answer.
     bool hasWrongEcho = false; ///< The answer does not have the expected echo, so it belongs to another exchange.
 };
@@ -54,6 +66,9 @@
 /// Sets the options of the transfer's libcurl handle for its call.
 /// @param maxIdle longest time for which a reused connection may have been idle.
 void configureTransfer(Transfer &transfer, Duration maxIdle);
+/// @return whether more bytes have been received on the connection than an answer may take. libcurl reads some of them, e.g. chunk extensions, without a
+/// callback.
+bool isFlooded(Transfer &transfer);
 /// @return the outcome of the call after libcurl has finished it with @p code.
 HttpOutcome outcomeOf(Transfer &transfer, CURLcode code);
 
--- a/src/net/relayclient.cpp
+++ b/src/net/relayclient.cpp
@@ -28,6 +28,8 @@
 // other. A relay that has failed is detected much earlier, by the relay checks.
 constexpr Duration ListTimeout = seconds(10);
 constexpr Duration CheckTimeout = milliseconds(400);
+// Answers to checks and exchanges are far shorter; lists are not bounded by it.
+constexpr std::size_t MaxExchangeAnswerBytes = 1024 * 1024;
 constexpr Duration WatchTimeoutMargin = milliseconds(1500);
 // A separate range, so that ids do not collide with those of other users of the client.
 constexpr HttpCallId FirstCallId = HttpCallId(3) << 61U;
@@ -190,6 +192,7 @@
     std::move(extraHeaders.begin(), extraHeaders.end(), std::back_inserter(call.request.headers));
     call.request.body = std::move(body);
     call.timeout = CheckTimeout;
+    call.maxAnswerBytes = MaxExchangeAnswerBytes;
     call.mayReuseConnection = true;
     client_.start(nextCall_++, std::move(call), std::move(done));
 }
--- a/tests/platform/stalltests.cpp
+++ b/tests/platform/stalltests.cpp
@@ -96,6 +96,7 @@
     std::vector<std::future<HttpOutcome>> sendAll(const std::string &deadlineMs)
     {
         std::vector<std::future<HttpOutcome>> answers;
+        answers.reserve(Requests);
         for (int request = 0; request < Requests; ++request) {
             answers.push_back(send("late-" + std::to_string(request), deadlineMs));
         }
--- a/tests/unit/endlessanswertests.cpp
+++ b/tests/unit/endlessanswertests.cpp
@@ -21,12 +21,15 @@
 #include <memory>
 #include <string>
 #include <thread>
+#include <vector>
 
 using namespace Cloverbarrow;
 
 namespace
 {
 
+const std::string Ok = "HTTP/1.1 200 OK\r\n";
+const std::string Chunked = Ok + "Transfer-Encoding: chunked\r\n\r\n";
 constexpr std::size_t MiB = 1024 * 1024;
 constexpr std::size_t MaxAnswerBytes = 2 * MiB;
 // More than the socket buffers of both sides hold.
@@ -89,9 +92,12 @@
         std::string block = bytes_.start;
         std::size_t sent = 0;
         while (sent < MaxSentBytes) {
-            while (block.size() < 64 * 1024) {
+            while (!bytes_.repeated.empty() && block.size() < 64 * 1024) {
                 block += bytes_.repeated;
             }
+            if (block.empty()) {
+                break;
+            }
             const ssize_t count = ::send(connection.get(), block.data(), block.size(), MSG_NOSIGNAL);
             if (count <= 0) {
                 break;
@@ -109,42 +115,83 @@
     std::thread thread_;
 };
 
-HttpOutcome get(HttpClient &client, const std::string &address)
+HttpCall callTo(const std::string &address)
 {
-    auto done = std::make_shared<std::promise<HttpOutcome>>();
     HttpCall call;
     call.address = address;
     call.request = {"GET", "/", {{"Host", "x"}}, "", true};
     call.timeout = seconds(20);
     call.acceptsCloseDelimited = true;
     call.maxAnswerBytes = MaxAnswerBytes;
-    client.start(1, std::move(call), [done](HttpOutcome outcome) { done->set_value(std::move(outcome)); });
-    return done->get_future().get();
+    return call;
+}
+
+std::future<HttpOutcome> start(HttpClient &client, HttpCallId id, HttpCall call)
+{
+    auto done = std::make_shared<std::promise<HttpOutcome>>();
+    client.start(id, std::move(call), [done](HttpOutcome outcome) { done->set_value(std::move(outcome)); });
+    return done->get_future();
 }
 
 } // namespace
 
 TEST_CASE("A connection on which bytes without end are received is closed after a bounded number of them", "[net][endless]")
 {
-    const std::string ok = "HTTP/1.1 200 OK\r\n";
-    const std::string chunked = ok + "Transfer-Encoding: chunked\r\n\r\n";
     const auto bytes = GENERATE_COPY(EndlessBytes{"no answer", "", "0123456789abcdef"},
                                      EndlessBytes{"a status line", "HTTP/1.1 200 ", "a"},
-                                     EndlessBytes{"a header", ok + "X-Filler: ", "a"},
-                                     EndlessBytes{"headers", ok, "X-Filler: a\r\n"},
-                                     EndlessBytes{"headers that look like status lines", ok, ok},
+                                     EndlessBytes{"a header", Ok + "X-Filler: ", "a"},
+                                     EndlessBytes{"headers", Ok, "X-Filler: a\r\n"},
+                                     EndlessBytes{"headers that look like status lines", Ok, Ok},
                                      EndlessBytes{"interim answers", "", "HTTP/1.1 100 Continue\r\n\r\n"},
-                                     EndlessBytes{"a body that ends with the connection", ok + "\r\n", "a"},
-                                     EndlessBytes{"chunks", chunked, "10\r\n0123456789abcdef\r\n"},
-                                     EndlessBytes{"a chunk extension", chunked + "10;", "a"},
-                                     EndlessBytes{"trailers", chunked + "0\r\n", "X-Filler: a\r\n"});
+                                     EndlessBytes{"a body that ends with the connection", Ok + "\r\n", "a"},
+                                     EndlessBytes{"chunks", Chunked, "10\r\n0123456789abcdef\r\n"},
+                                     EndlessBytes{"a chunk extension", Chunked + "10;", "a"},
+                                     EndlessBytes{"trailers", Chunked + "0\r\n", "X-Filler: a\r\n"});
     CAPTURE(bytes.description);
     EndlessServer server(bytes);
     HttpClient client(1);
-    const HttpOutcome outcome = get(client, server.address());
+    const HttpOutcome outcome = start(client, 1, callTo(server.address())).get();
     REQUIRE(std::holds_alternative<HttpFailure>(outcome));
     CAPTURE(std::get<HttpFailure>(outcome).reason);
     CHECK(std::get<HttpFailure>(outcome).wasSent);
     CHECK_FALSE(std::get<HttpFailure>(outcome).isTimeout);
     CHECK(server.sentBytes() <= MaxAnswerBytes + BufferedBytes);
 }
+
+TEST_CASE("The body of a success without the server's signature is not read", "[net][endless]")
+{
+    EndlessServer server({"an unsigned body", Ok + "\r\n", "a"});
+    HttpClient client(1);
+    HttpCall call = callTo(server.address());
+    call.successHeader = "Signature";
+    const HttpOutcome outcome = start(client, 1, std::move(call)).get();
+    REQUIRE(std::holds_alternative<HttpAnswer>(outcome));
+    CHECK(std::get<HttpAnswer>(outcome).status == 200);
+    CHECK(std::get<HttpAnswer>(outcome).body.empty());
+    CHECK(server.sentBytes() <= BufferedBytes);
+}
+
+TEST_CASE("Large answers are given up when a client buffers as much as it may, and small ones are still received", "[net][endless]")
+{
+    constexpr std::size_t Servers = 8;
+    constexpr std::size_t MaxBufferedBytes = 4 * MiB;
+    HttpClient client(2, MaxBufferedBytes);
+    std::vector<std::unique_ptr<EndlessServer>> servers;
+    std::vector<std::future<HttpOutcome>> outcomes;
+    for (std::size_t server = 0; server < Servers; ++server) {
+        servers.push_back(std::make_unique<EndlessServer>(EndlessBytes{"chunks", Chunked, "10\r\n0123456789abcdef\r\n"}));
+        HttpCall call = callTo(servers.back()->address());
+        call.maxAnswerBytes = 16 * MiB;
+        outcomes.push_back(start(client, server, std::move(call)));
+    }
+    std::size_t sent = 0;
+    for (std::size_t server = 0; server < Servers; ++server) {
+        const HttpOutcome outcome = outcomes[server].get();
+        REQUIRE(std::holds_alternative<HttpFailure>(outcome));
+        CHECK(std::get<HttpFailure>(outcome).reason == "too many bytes of answers are being received");
+        sent += servers[server]->sentBytes();
+    }
+    CHECK(sent < Servers * 16 * MiB);
+    EndlessServer small({"a small answer", Ok + "Content-Length: 2\r\n\r\nok", ""});
+    CHECK(std::get<HttpAnswer>(start(client, Servers, callTo(small.address())).get()).body == "ok");
+}
