Trailers of an answer neither add headers nor begin another answer

A faulty server's chunked body could end with a trailer that starts with "HTTP/": it was taken for the status line of a further answer, and the caller got an empty 200 in place of the body; another trailer could add the server's signature. Seen in a new test, which failed for both before (body "" in place of "ok", header present). Trailers count for the size of the head and are dropped otherwise (RFC 9110 forbids merging them).

--- a/src/net/httptransfer.cpp
+++ b/src/net/httptransfer.cpp
@@ -125,6 +125,28 @@
     return found ? *found == echo.value : !echo.isRequired;
 }
 
+/// @return whether the rest of the answer is to be read.
+bool endHead(Transfer &transfer)
+{
+    // Aborting closes the connection, so that the rest of its data cannot reach another call.
+    transfer.hasWrongEcho = !hasExpectedEcho(transfer);
+    transfer.isHeadOnly = !transfer.hasWrongEcho && lacksSuccessHeader(transfer);
+    transfer.hasWholeHead = !transfer.isInterim;
+    return !transfer.hasWrongEcho && !transfer.isHeadOnly;
+}
+
+void receiveHeaderLine(std::string_view line, Transfer &transfer)
+{
+    if (line.starts_with("HTTP/")) {
+        startAnswer(line, transfer.answer);
+        transfer.isInterim = isInterimStatus(line);
+    } else if (const std::size_t colon = line.find(':'); colon != std::string_view::npos) {
+        std::string_view value = line.substr(colon + 1);
+        value.remove_prefix(std::min(value.find_first_not_of(" \t"), value.size()));
+        transfer.answer.headers.push_back({std::string(line.substr(0, colon)), std::string(value)});
+    }
+}
+
 std::size_t receiveHeader(char *bytes, std::size_t, std::size_t count, void *context)
 {
     auto *transfer = static_cast<Transfer *>(context);
@@ -132,28 +154,19 @@
     while (!line.empty() && (line.back() == '\r' || line.back() == '\n')) {
         line.remove_suffix(1);
     }
-    if (line.empty() && !hasExpectedEcho(*transfer)) {
-        // Aborting closes the connection, so that the rest of its data cannot reach another call.
-        transfer->hasWrongEcho = true;
-        return 0;
-    }
-    if (line.empty() && lacksSuccessHeader(*transfer)) {
-        transfer->isHeadOnly = true;
-        return 0;
-    }
-    if (line.starts_with("HTTP/")) {
-        startAnswer(line, transfer->answer);
-        transfer->isInterim = isInterimStatus(line);
-    } else if (const std::size_t colon = line.find(':'); colon != std::string_view::npos) {
-        std::string_view value = line.substr(colon + 1);
-        value.remove_prefix(std::min(value.find_first_not_of(" \t"), value.size()));
-        transfer->answer.headers.push_back({std::string(line.substr(0, colon)), std::string(value)});
-    }
     transfer->headBytes += count;
     if (transfer->headBytes > MaxAnswerHead) {
         transfer->isTooLong = true;
         return 0;
     }
+    // Trailers are not merged into the head (RFC 9110): a server's faulty body must not add headers or begin another answer.
+    if (transfer->hasWholeHead) {
+        return count;
+    }
+    if (line.empty()) {
+        return endHead(*transfer) ? count : 0;
+    }
+    receiveHeaderLine(line, *transfer);
     return count;
 }
 
--- a/tests/unit/endlessanswertests.cpp
+++ b/tests/unit/faultyanswertests.cpp
@@ -37,18 +37,18 @@
 // Ends a test that fails.
 constexpr std::size_t MaxSentBytes = 128 * MiB;
 
-/// What a server sends in place of an answer.
-struct EndlessBytes {
+/// What a server sends in answer to a request.
+struct RawAnswer {
     std::string description;
     std::string start;
     std::string repeated;
 };
 
-/// Accepts one connection, reads a request and sends bytes until its client closes the connection.
-class EndlessServer
+/// Accepts one connection, reads a request and sends bytes, without end or until its client closes the connection.
+class RawServer
 {
 public:
-    explicit EndlessServer(EndlessBytes bytes)
+    explicit RawServer(RawAnswer bytes)
         : bytes_(std::move(bytes))
         , listener_(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0))
     {
@@ -63,14 +63,14 @@
         thread_ = std::thread([this] { serve(); });
     }
 
-    ~EndlessServer()
+    ~RawServer()
     {
         ::shutdown(listener_.get(), SHUT_RDWR);
         thread_.join();
     }
 
-    EndlessServer(const EndlessServer &) = delete;
-    EndlessServer &operator=(const EndlessServer &) = delete;
+    RawServer(const RawServer &) = delete;
+    RawServer &operator=(const RawServer &) = delete;
 
     const std::string &address() const
     {
@@ -108,7 +108,7 @@
         sent_.set_value(sent);
     }
 
-    EndlessBytes bytes_;
+    RawAnswer bytes_;
     Descriptor listener_;
     std::string address_;
     std::promise<std::size_t> sent_;
@@ -137,18 +137,18 @@
 
 TEST_CASE("A connection on which bytes without end are received is closed after a bounded number of them", "[net][endless]")
 {
-    const auto bytes = GENERATE_COPY(EndlessBytes{"no answer", "", "0123456789abcdef"},
-                                     EndlessBytes{"a status line", "HTTP/1.1 200 ", "a"},
-                                     EndlessBytes{"a header", Ok + "X-Filler: ", "a"},
-                                     EndlessBytes{"headers", Ok, "X-Filler: a\r\n"},
-                                     EndlessBytes{"headers that look like status lines", Ok, Ok},
-                                     EndlessBytes{"interim answers", "", "HTTP/1.1 100 Continue\r\n\r\n"},
-                                     EndlessBytes{"a body that ends with the connection", Ok + "\r\n", "a"},
-                                     EndlessBytes{"chunks", Chunked, "10\r\n0123456789abcdef\r\n"},
-                                     EndlessBytes{"a chunk extension", Chunked + "10;", "a"},
-                                     EndlessBytes{"trailers", Chunked + "0\r\n", "X-Filler: a\r\n"});
+    const auto bytes = GENERATE_COPY(RawAnswer{"no answer", "", "0123456789abcdef"},
+                                     RawAnswer{"a status line", "HTTP/1.1 200 ", "a"},
+                                     RawAnswer{"a header", Ok + "X-Filler: ", "a"},
+                                     RawAnswer{"headers", Ok, "X-Filler: a\r\n"},
+                                     RawAnswer{"headers that look like status lines", Ok, Ok},
+                                     RawAnswer{"interim answers", "", "HTTP/1.1 100 Continue\r\n\r\n"},
+                                     RawAnswer{"a body that ends with the connection", Ok + "\r\n", "a"},
+                                     RawAnswer{"chunks", Chunked, "10\r\n0123456789abcdef\r\n"},
+                                     RawAnswer{"a chunk extension", Chunked + "10;", "a"},
+                                     RawAnswer{"trailers", Chunked + "0\r\n", "X-Filler: a\r\n"});
     CAPTURE(bytes.description);
-    EndlessServer server(bytes);
+    RawServer server(bytes);
     HttpClient client(1);
     const HttpOutcome outcome = start(client, 1, callTo(server.address())).get();
     REQUIRE(std::holds_alternative<HttpFailure>(outcome));
@@ -160,7 +160,7 @@
 
 TEST_CASE("The body of a success without the server's signature is not read", "[net][endless]")
 {
-    EndlessServer server({"an unsigned body", Ok + "\r\n", "a"});
+    RawServer server({"an unsigned body", Ok + "\r\n", "a"});
     HttpClient client(1);
     HttpCall call = callTo(server.address());
     call.successHeader = "Signature";
@@ -176,10 +176,10 @@
     constexpr std::size_t Servers = 8;
     constexpr std::size_t MaxBufferedBytes = 4 * MiB;
     HttpClient client(2, MaxBufferedBytes);
-    std::vector<std::unique_ptr<EndlessServer>> servers;
+    std::vector<std::unique_ptr<RawServer>> servers;
     std::vector<std::future<HttpOutcome>> outcomes;
     for (std::size_t server = 0; server < Servers; ++server) {
-        servers.push_back(std::make_unique<EndlessServer>(EndlessBytes{"chunks", Chunked, "10\r\n0123456789abcdef\r\n"}));
+        servers.push_back(std::make_unique<RawServer>(RawAnswer{"chunks", Chunked, "10\r\n0123456789abcdef\r\n"}));
         HttpCall call = callTo(servers.back()->address());
         call.maxAnswerBytes = 16 * MiB;
         outcomes.push_back(start(client, server, std::move(call)));
@@ -192,6 +192,17 @@
         sent += servers[server]->sentBytes();
     }
     CHECK(sent < Servers * 16 * MiB);
-    EndlessServer small({"a small answer", Ok + "Content-Length: 2\r\n\r\nok", ""});
+    RawServer small({"a small answer", Ok + "Content-Length: 2\r\n\r\nok", ""});
     CHECK(std::get<HttpAnswer>(start(client, Servers, callTo(small.address())).get()).body == "ok");
 }
+
+TEST_CASE("Trailers add no headers to an answer and do not replace its body", "[net]")
+{
+    const auto *trailer = GENERATE("Signature: forged\r\n", "HTTP/1.1: 200 OK\r\n");
+    RawServer server({"trailers", Chunked + "2\r\nok\r\n0\r\n" + trailer + "\r\n", ""});
+    HttpClient client(1);
+    const HttpOutcome outcome = start(client, 1, callTo(server.address())).get();
+    REQUIRE(std::holds_alternative<HttpAnswer>(outcome));
+    CHECK(std::get<HttpAnswer>(outcome).body == "ok");
+    CHECK_FALSE(findHeader(std::get<HttpAnswer>(outcome).headers, "Signature"));
+}
