--- a/src/net/httptransfer.cpp
+++ b/src/net/httptransfer.cpp
@@ -301,7 +301,7 @@
     if (!transfer.bytesBefore) {
         transfer.bytesBefore = status->bytesReceived;
     }
-    return status->bytesReceived - *transfer.bytesBefore > MaxAnswerHead + MaxFramingFactor * transfer.call.maxAnswerBytes;
+    return status->bytesReceived > *transfer.bytesBefore + MaxAnswerHead + MaxFramingFactor * transfer.call.maxAnswerBytes;
 }
 
 HttpOutcome outcomeOf(Transfer &transfer, CURLcode code)
