A request that is accepted while a shutdown stops accepting is finished

Cause: the remaining work is counted while requests are still accepted, and the sequence could go from serving to done in that one call. A sequence that has just begun to finish now ends with the next count at the earliest. The new test failed before (Done in place of Finishing, twice).

--- a/src/core/shutdownsequence.cpp
+++ b/src/core/shutdownsequence.cpp
@@ -34,11 +34,13 @@
 
 ShutdownSequence::Phase ShutdownSequence::advance(TimePoint now, const RemainingWork &remaining)
 {
+    // The remaining work was counted while requests were still accepted, so it is only complete from the next call on.
+    const bool wasFinishing = phase_ == Phase::Finishing;
     if (phase_ == Phase::NotReady && now - requestedAt_ >= notice_) {
         phase_ = Phase::Finishing;
     }
     const bool isReleased = (!remaining.holdsShares && !remaining.hasUnpublishedReports) || now - requestedAt_ >= notice_ + ReleaseTimeout;
-    const bool isFinished = phase_ == Phase::Finishing && remaining.isEmpty() && isReleased;
+    const bool isFinished = wasFinishing && remaining.isEmpty() && isReleased;
     const bool isOverdue = phase_ != Phase::Serving && now - requestedAt_ >= limit_;
     if (isFinished || isOverdue) {
         phase_ = Phase::Done;
--- a/tests/unit/shutdowntests.cpp
+++ b/tests/unit/shutdowntests.cpp
@@ -37,6 +37,15 @@
     CHECK(shutdown.advance(Start + seconds(50), {0, 0, false}) == Phase::Done);
 }
 
+TEST_CASE("A request that is accepted while a shutdown stops accepting is still finished", "[shutdown]")
+{
+    ShutdownSequence shutdown = stoppingSequence();
+    // The work is counted before connections are closed, so a request may have come since.
+    CHECK(shutdown.advance(Start + Notice, {}) == Phase::Finishing);
+    CHECK(shutdown.advance(Start + Notice + milliseconds(30), {1, 0, false}) == Phase::Finishing);
+    CHECK(shutdown.advance(Start + Notice + milliseconds(60), {}) == Phase::Done);
+}
+
 TEST_CASE("A shutdown waits for requests and payouts, but not beyond its limit", "[shutdown]")
 {
     ShutdownSequence shutdown = stoppingSequence();
