Review: a lost answer leaves the configuration stale

Cause: a watch whose answer was lost hangs for up to 30 s, while checks of the store on other connections let the entry VM take what it has for current.

Done: a script loses the answers that would bring a version to the two relays, 2 of 8 in one second, and has the operator move a route 4.5 s after that.

For 15 s all four entry VMs send the route's requests to the old service.

--- a/review/standins/harness.h
+++ b/review/standins/harness.h
@@ -351,6 +351,23 @@
         changed_.notify_all();
     }
 
+    /// While set, answers to watches of @p kind that bring a change are lost; their connections return nothing further. Empty: none is lost.
+    void loseChangesOf(const std::string &kind)
+    {
+        const std::lock_guard lock(mutex_);
+        lostKind_ = kind;
+        if (!kind.empty()) {
+            answeredMeanwhile_ = 0;
+            lostMeanwhile_ = 0;
+        }
+    }
+    /// Since the last call of loseChangesOf() with a kind: answers given until it was ended, and answers lost.
+    std::pair<int, int> answeredAndLost()
+    {
+        const std::lock_guard lock(mutex_);
+        return {answeredMeanwhile_, lostMeanwhile_};
+    }
+
 private:
     struct Change {
         std::string kind;
@@ -362,7 +379,7 @@
     {
         const auto found = objects_[kind].find(name);
         const bool isNew = found == objects_[kind].end();
-        if (!isNew && found->second.at("specification") == specification && status.is_null()) {
+        if (!isNew && status.is_null() && isSame(kind, found->second.at("specification"), specification)) {
             return found->second.at("metadata").at("revision").get<std::int64_t>();
         }
         ++revision_;
@@ -376,6 +393,16 @@
         return revision_;
     }
 
+    /// A backend's entry changes when more than its sequence changes.
+    static bool isSame(const std::string &kind, Json left, Json right)
+    {
+        if (kind == "servers") {
+            left.erase("sequence");
+            right.erase("sequence");
+        }
+        return left == right;
+    }
+
     static std::string query(const std::string &target, const std::string &name)
     {
         const std::size_t mark = target.find('?');
@@ -419,10 +446,25 @@
                 status = changeLocked(request, kind, name, isStatus, body);
                 changed_.notify_all();
             }
+            const bool isLost = !lostKind_.empty() && kind == lostKind_ && body.contains("events") && !body.at("events").empty();
+            answeredMeanwhile_ += !lostKind_.empty() && !isLost ? 1 : 0;
+            lostMeanwhile_ += isLost ? 1 : 0;
+            if (isLost) {
+                lock.unlock();
+                awaitClose(fd);
+                return false;
+            }
         }
         return sendAll(fd, answerText(status, "Answer", "Content-Type: application/json\r\n", body.dump()));
     }
 
+    static void awaitClose(int fd)
+    {
+        char bytes[4096];
+        while (::recv(fd, bytes, sizeof bytes, 0) > 0) {
+        }
+    }
+
     void listLocked(const std::string &kind, const std::string &after, Json &body)
     {
         Json items = Json::array();
@@ -487,6 +529,9 @@
     std::vector<Change> history_;
     std::int64_t revision_ = 1;
     bool isDown_ = false;
+    std::string lostKind_;
+    int answeredMeanwhile_ = 0;
+    int lostMeanwhile_ = 0;
     Server server_;
 };
 
@@ -553,28 +598,40 @@
     std::string address() const { return server_.address(); }
     const std::string &id() const { return id_; }
     void setWork(double work) { work_ = work; }
+    /// Reports draining before a planned end. @return when the store accepted the report.
+    double drain()
+    {
+        isDraining_ = true;
+        report();
+        return now();
+    }
 
 private:
     void beat()
     {
-        int sequence = 0;
         while (!isStopping_) {
-            store_.put("servers",
-                       id_,
-                       {{"service", service_},
-                        {"address", address()},
-                        {"zone", zone_},
-                        {"version", "v1"},
-                        {"slots", slots_},
-                        {"state", "ready"},
-                        {"warmup_remaining_s", 0},
-                        {"sequence", ++sequence}});
+            report();
             for (int step = 0; step < 30 && !isStopping_; ++step) {
                 sleepFor(0.05);
             }
         }
     }
 
+    void report()
+    {
+        const std::lock_guard lock(reportMutex_);
+        store_.put("servers",
+                   id_,
+                   {{"service", service_},
+                    {"address", address()},
+                    {"zone", zone_},
+                    {"version", "v1"},
+                    {"slots", slots_},
+                    {"state", isDraining_ ? "draining" : "ready"},
+                    {"warmup_remaining_s", 0},
+                    {"sequence", ++sequence_}});
+    }
+
     std::string load()
     {
         return "X-Cloverbarrow-Server-Load: " + std::to_string(running_) + "," + std::to_string(waiting_) + "," + std::to_string(slots_) + ",100\r\n";
@@ -584,7 +641,8 @@
     {
         if (request.target() == "/health") {
             const std::lock_guard lock(mutex_);
-            return sendAll(fd, answerText(200, "OK", "X-Cloverbarrow-Instance-Id: " + id_ + "\r\n" + load(), "well"));
+            const int status = isDraining_ ? 503 : 200;
+            return sendAll(fd, answerText(status, status == 200 ? "OK" : "Service Unavailable", "X-Cloverbarrow-Instance-Id: " + id_ + "\r\n" + load(), "health"));
         }
         const std::string id = request.header("x-cloverbarrow-request-id");
         const std::string echo = "X-Cloverbarrow-Request-Id: " + id + "\r\n";
@@ -651,6 +709,9 @@
     int running_ = 0;
     int waiting_ = 0;
     std::atomic<bool> isStopping_{false};
+    std::mutex reportMutex_;
+    int sequence_ = 0;
+    std::atomic<bool> isDraining_{false};
     Server server_;
     std::thread beats_;
 };
