Review: an answer that ends in its head passes as a success

Cause: when a backend's connection closes in order amid the head, the library reports no error, and the answer is taken though its head never ended.

--- a/review/standins/harness.h
+++ b/review/standins/harness.h
@@ -27,6 +27,7 @@
 #include <map>
 #include <memory>
 #include <mutex>
+#include <random>
 #include <set>
 #include <string>
 #include <thread>
@@ -598,6 +599,16 @@
     std::string address() const { return server_.address(); }
     const std::string &id() const { return id_; }
     void setWork(double work) { work_ = work; }
+    /// From now on breaks off the given share of its answers, at any byte, and closes the connection in order.
+    void breakOff(double share) { brokenShare_ = share; }
+    /// Ids of the requests whose answers were broken off.
+    std::set<std::string> brokenOff() const
+    {
+        const std::lock_guard lock(mutex_);
+        return broken_;
+    }
+    /// The body of the answer to a request.
+    static std::string bodyFor(const std::string &id) { return "answer to " + id + std::string(400, '.') + "end"; }
     /// Reports draining before a planned end. @return when the store accepted the report.
     double drain()
     {
@@ -692,8 +703,25 @@
         if (now() >= deadline) {
             return sendAll(fd, answerText(504, "Gateway Timeout", echo + "X-Cloverbarrow-Server-Stamp: " + id_ + ".late\r\n" + loadHeader, "late"));
         }
-        return sendAll(fd,
-                       answerText(200, "OK", echo + "X-Cloverbarrow-Server-Stamp: " + id_ + "." + id + "\r\nKeep-Alive: timeout=10\r\n" + loadHeader, id_ + " ran " + id));
+        const std::string answer =
+            answerText(200, "OK", echo + "X-Cloverbarrow-Server-Stamp: " + id_ + "." + id + "\r\nKeep-Alive: timeout=10\r\n" + loadHeader, bodyFor(id));
+        if (const std::size_t length = lengthToSend(id, answer.size()); length < answer.size()) {
+            record_.line("broken  " + id + " at " + id_ + " after " + std::to_string(length) + " of " + std::to_string(answer.size()) + " bytes, of which "
+                         + std::to_string(answer.find("\r\n\r\n") + 4) + " are the head");
+            sendAll(fd, answer.substr(0, length));
+            return false;
+        }
+        return sendAll(fd, answer);
+    }
+
+    std::size_t lengthToSend(const std::string &id, std::size_t whole)
+    {
+        const std::lock_guard lock(mutex_);
+        if (std::uniform_real_distribution<double>(0, 1)(random_) >= brokenShare_) {
+            return whole;
+        }
+        broken_.insert(id);
+        return std::uniform_int_distribution<std::size_t>(1, whole - 1)(random_);
     }
 
     Store &store_;
@@ -704,8 +732,11 @@
     std::string zone_;
     std::atomic<double> work_;
     int slots_;
-    std::mutex mutex_;
+    mutable std::mutex mutex_;
     std::condition_variable free_;
+    std::mt19937 random_{std::random_device{}()};
+    std::atomic<double> brokenShare_{0};
+    std::set<std::string> broken_;
     int running_ = 0;
     int waiting_ = 0;
     std::atomic<bool> isStopping_{false};
