--- a/review/1/case.cpp
+++ b/review/1/case.cpp
@@ -24,12 +24,21 @@
     Store store("127.0.0.1");
     std::vector<std::unique_ptr<Backend>> backends;
     for (int number = 0; number < 10; ++number) {
-        backends.push_back(std::make_unique<Backend>(store, runs, record, "127.0.1." + std::to_string(number + 1), "i-" + std::to_string(number),
-                                                     number < 5 ? "readings" : "payments", "zone-a", 0.03, 12));
+        backends.push_back(std::make_unique<Backend>(store,
+                                                     runs,
+                                                     record,
+                                                     "127.0.1." + std::to_string(number + 1),
+                                                     "i-" + std::to_string(number),
+                                                     number < 5 ? "readings" : "payments",
+                                                     "zone-a",
+                                                     0.03,
+                                                     12));
     }
-    store.put("config", "main",
+    store.put("config",
+              "main",
               configuration(3,
-                            Json::array({route("r-1", "read.example", "/read/", "safe", 1.0, "readings"), route("r-2", "pay.example", "/pay/", "unsafe", 1.0, "payments")}),
+                            Json::array({route("r-1", "read.example", "/read/", "safe", 1.0, "readings"),
+                                         route("r-2", "pay.example", "/pay/", "unsafe", 1.0, "payments")}),
                             Json::array({serviceEntry("readings"), serviceEntry("payments")})));
     std::vector<std::unique_ptr<EntryVm>> vms;
     for (int number = 0; number < 2; ++number) {
@@ -64,7 +73,8 @@
                 const Reply reply = isPayment ? client.ask("POST", "pay.example", "/pay/1", id, DeadlineMs, "amount=1")
                                               : client.ask("GET", "read.example", "/read/1", id, DeadlineMs);
                 const bool isMixed = reply.status == 200 && reply.message.body != Backend::bodyFor(id);
-                record.line((isPayment ? "sent    " + id + " POST /pay/1; answered " : "sent    " + id + " GET /read/1; answered ") + std::to_string(reply.status));
+                record.line((isPayment ? "sent    " + id + " POST /pay/1; answered " : "sent    " + id + " GET /read/1; answered ")
+                            + std::to_string(reply.status));
                 if (isMixed) {
                     record.line("mixed   " + id + ": success with a body of " + std::to_string(reply.message.body.size()) + " bytes, stamp "
                                 + reply.message.header("x-cloverbarrow-server-stamp"));
@@ -89,8 +99,8 @@
     for (const auto &[status, count] : statuses) {
         text += " " + std::to_string(status) + ": " + std::to_string(count) + ";";
     }
-    record.say("answers by status:" + text + " broken off by backends: " + std::to_string(broken) + "; successes without the backend's whole body: "
-               + std::to_string(mixed));
+    record.say("answers by status:" + text + " broken off by backends: " + std::to_string(broken)
+               + "; successes without the backend's whole body: " + std::to_string(mixed));
     const bool isBroken = mixed > 0;
     record.say(isBroken ? "rule MIXED is broken" : "the rule held");
     for (const auto &vm : vms) {
--- a/review/4/case.cpp
+++ b/review/4/case.cpp
@@ -46,10 +46,18 @@
     std::vector<std::unique_ptr<Backend>> backends;
     for (int number = 0; number < 6; ++number) {
         const bool isPayments = number % 2 == 0;
-        backends.push_back(std::make_unique<Backend>(store, runs, record, "127.0.1." + std::to_string(number + 1), "i-" + std::to_string(number),
-                                                     isPayments ? "payments" : "documents", "zone-a", isPayments ? 0.6 : 0.03, 12));
+        backends.push_back(std::make_unique<Backend>(store,
+                                                     runs,
+                                                     record,
+                                                     "127.0.1." + std::to_string(number + 1),
+                                                     "i-" + std::to_string(number),
+                                                     isPayments ? "payments" : "documents",
+                                                     "zone-a",
+                                                     isPayments ? 0.6 : 0.03,
+                                                     12));
     }
-    store.put("config", "main",
+    store.put("config",
+              "main",
               configuration(3,
                             Json::array({route("r-1", "docs.example", "/docs/", "safe", RouteTimeout, "documents"),
                                          route("r-2", "pay.example", "/pay/", "unsafe", RouteTimeout, "payments")}),
@@ -106,8 +114,7 @@
             record.line("sent    " + id + " POST /docs/1 with 4 MB; answered " + std::to_string(reply.status));
             sent += reply.status == 200 ? 1 : 0;
             while (!isOver && !isKilled) {
-                for (const double until = now() + Pause; now() < until && !isOver && !isKilled; sleepFor(0.1)) {
-                }
+                for (const double until = now() + Pause; now() < until && !isOver && !isKilled; sleepFor(0.1)) { }
                 id = nextId();
                 reply = client.ask("GET", "docs.example", "/docs/1", id, DeadlineMs);
                 record.line("sent    " + id + " GET /docs/1; answered " + std::to_string(reply.status));
@@ -118,15 +125,15 @@
         addUser(number);
     }
     sleepFor(0.2 * UsualUsers + 3);
-    record.say("users: " + std::to_string(UsualUsers) + ", documents sent: " + std::to_string(sent) + ", memory: " + std::to_string(residentMb(vm.pid())) + " MB");
+    record.say("users: " + std::to_string(UsualUsers) + ", documents sent: " + std::to_string(sent) + ", memory: " + std::to_string(residentMb(vm.pid()))
+               + " MB");
     if (!isCalm()) {
         record.say("users come at once, 1.8 times as many in all");
         for (int number = 0; number < static_cast<int>(UsualUsers * (Burst - 1)); ++number) {
             addUser(number);
         }
     }
-    for (const double until = now() + 12; now() < until && !isKilled; sleepFor(0.1)) {
-    }
+    for (const double until = now() + 12; now() < until && !isKilled; sleepFor(0.1)) { }
     sleepFor(0.5);
     isOver = true;
     for (std::thread &thread : threads) {
--- a/review/standins/harness.h
+++ b/review/standins/harness.h
@@ -180,13 +180,19 @@
         const auto found = headers.find(name);
         return found == headers.end() ? std::string() : found->second;
     }
-    std::string method() const { return first.substr(0, first.find(' ')); }
+    std::string method() const
+    {
+        return first.substr(0, first.find(' '));
+    }
     std::string target() const
     {
         const std::size_t begin = first.find(' ') + 1;
         return first.substr(begin, first.find(' ', begin) - begin);
     }
-    int status() const { return first.size() > 12 ? std::atoi(first.substr(9, 3).c_str()) : 0; }
+    int status() const
+    {
+        return first.size() > 12 ? std::atoi(first.substr(9, 3).c_str()) : 0;
+    }
 };
 
 enum class ReadEnd { Whole, Closed, Reset, Timeout };
@@ -268,7 +274,10 @@
         ::close(listener_);
     }
 
-    std::string address() const { return ip_ + ":" + std::to_string(port_); }
+    std::string address() const
+    {
+        return ip_ + ":" + std::to_string(port_);
+    }
 
 private:
     void run()
@@ -292,8 +301,7 @@
     {
         std::string buffer;
         Message request;
-        while (!isStopping_ && readMessage(fd, buffer, request, now() + 600) == ReadEnd::Whole && handler_(fd, request)) {
-        }
+        while (!isStopping_ && readMessage(fd, buffer, request, now() + 600) == ReadEnd::Whole && handler_(fd, request)) { }
         ::close(fd);
     }
 
@@ -314,7 +322,10 @@
     {
     }
 
-    std::string address() const { return server_.address(); }
+    std::string address() const
+    {
+        return server_.address();
+    }
 
     /// Writes an object as the operator or a backend does. @return its revision.
     std::int64_t put(const std::string &kind, const std::string &name, const Json &specification)
@@ -329,9 +340,10 @@
     {
         const std::lock_guard lock(mutex_);
         if (objects_[kind].erase(name) > 0) {
-            const Json object = {{"metadata", {{"name", name}, {"revision", ++revision_}, {"created_rev", 1}, {"finalizers", Json::array()}, {"deleting", true}}},
-                                 {"specification", Json::object()},
-                                 {"status", nullptr}};
+            const Json object = {
+                {"metadata", {{"name", name}, {"revision", ++revision_}, {"created_rev", 1}, {"finalizers", Json::array()}, {"deleting", true}}},
+                {"specification", Json::object()},
+                {"status", nullptr}};
             history_.push_back({kind, revision_, {{"deleted", true}, {"object", object}}});
             changed_.notify_all();
         }
@@ -462,8 +474,7 @@
     static void awaitClose(int fd)
     {
         char bytes[4096];
-        while (::recv(fd, bytes, sizeof bytes, 0) > 0) {
-        }
+        while (::recv(fd, bytes, sizeof bytes, 0) > 0) { }
     }
 
     void listLocked(const std::string &kind, const std::string &after, Json &body)
@@ -519,7 +530,8 @@
             body = {{"object", found->second}};
             return 409;
         }
-        writeLocked(kind, name, isStatus ? found->second.at("specification") : sent.value("specification", Json::object()), isStatus ? sent.at("status") : Json());
+        writeLocked(
+            kind, name, isStatus ? found->second.at("specification") : sent.value("specification", Json::object()), isStatus ? sent.at("status") : Json());
         body = objects_[kind][name];
         return 200;
     }
@@ -596,11 +608,23 @@
         beats_.join();
     }
 
-    std::string address() const { return server_.address(); }
-    const std::string &id() const { return id_; }
-    void setWork(double work) { work_ = work; }
+    std::string address() const
+    {
+        return server_.address();
+    }
+    const std::string &id() const
+    {
+        return id_;
+    }
+    void setWork(double work)
+    {
+        work_ = work;
+    }
     /// From now on breaks off the given share of its answers, at any byte, and closes the connection in order.
-    void breakOff(double share) { brokenShare_ = share; }
+    void breakOff(double share)
+    {
+        brokenShare_ = share;
+    }
     /// Ids of the requests whose answers were broken off.
     std::set<std::string> brokenOff() const
     {
@@ -608,7 +632,10 @@
         return broken_;
     }
     /// The body of the answer to a request.
-    static std::string bodyFor(const std::string &id) { return "answer to " + id + std::string(400, '.') + "end"; }
+    static std::string bodyFor(const std::string &id)
+    {
+        return "answer to " + id + std::string(400, '.') + "end";
+    }
     /// Reports draining before a planned end. @return when the store accepted the report.
     double drain()
     {
@@ -653,7 +680,8 @@
         if (request.target() == "/health") {
             const std::lock_guard lock(mutex_);
             const int status = isDraining_ ? 503 : 200;
-            return sendAll(fd, answerText(status, status == 200 ? "OK" : "Service Unavailable", "X-Cloverbarrow-Instance-Id: " + id_ + "\r\n" + load(), "health"));
+            return sendAll(fd,
+                           answerText(status, status == 200 ? "OK" : "Service Unavailable", "X-Cloverbarrow-Instance-Id: " + id_ + "\r\n" + load(), "health"));
         }
         const std::string id = request.header("x-cloverbarrow-request-id");
         const std::string echo = "X-Cloverbarrow-Request-Id: " + id + "\r\n";
@@ -751,7 +779,13 @@
 class EntryVm
 {
 public:
-    EntryVm(Record &record, const std::string &folder, const std::string &name, const std::string &ip, const std::string &zone, const std::string &store, int descriptors = 4100)
+    EntryVm(Record &record,
+            const std::string &folder,
+            const std::string &name,
+            const std::string &ip,
+            const std::string &zone,
+            const std::string &store,
+            int descriptors = 4100)
         : record_(record)
         , name_(name)
         , ip_(ip)
@@ -768,7 +802,10 @@
         writeSettings(true);
     }
 
-    ~EntryVm() { kill(SIGKILL); }
+    ~EntryVm()
+    {
+        kill(SIGKILL);
+    }
 
     void writeSettings(bool isFirstStart)
     {
@@ -778,7 +815,13 @@
                      "  first_start: %s\n  link_mbps: 1000.0\n  zones: [zone-a,zone-b]\n  repeat_ratio: 0.2\n  repeat_slack: 56\n  probes_per_server: 60\n"
                      "  share_slow_servers: false\nstartup: {max_requests: 64, max_bytes: 4194304, max_wait_ms: 1000, expected_ms: 400}\n"
                      "shutdown: {notice_ms: 2800, grace_s: 6}\nlimits: {max_body_bytes: 67108864}\nthreads: {callers: 1, backends: 1}\nlog_level: info\n",
-                     name_.c_str(), zone_.c_str(), callers_.c_str(), readiness_.c_str(), metrics_.c_str(), store_.c_str(), relay_.c_str(),
+                     name_.c_str(),
+                     zone_.c_str(),
+                     callers_.c_str(),
+                     readiness_.c_str(),
+                     metrics_.c_str(),
+                     store_.c_str(),
+                     relay_.c_str(),
                      isFirstStart ? "true" : "false");
         std::fclose(file);
     }
@@ -864,10 +907,22 @@
         return count;
     }
 
-    pid_t pid() const { return pid_; }
-    const std::string &name() const { return name_; }
-    const std::string &callers() const { return callers_; }
-    const std::string &relay() const { return relay_; }
+    pid_t pid() const
+    {
+        return pid_;
+    }
+    const std::string &name() const
+    {
+        return name_;
+    }
+    const std::string &callers() const
+    {
+        return callers_;
+    }
+    const std::string &relay() const
+    {
+        return relay_;
+    }
 
 private:
     Record &record_;
@@ -901,10 +956,12 @@
     return text;
 }
 
-inline std::string requestText(const std::string &method, const std::string &host, const std::string &path, const std::string &id, int deadlineMs, const std::string &body = {})
+inline std::string requestText(
+    const std::string &method, const std::string &host, const std::string &path, const std::string &id, int deadlineMs, const std::string &body = {})
 {
-    return method + " " + path + " HTTP/1.1\r\nHost: " + host + "\r\nX-Cloverbarrow-Request-Id: " + id + "\r\nX-Cloverbarrow-Deadline-Ms: " + std::to_string(deadlineMs)
-        + "\r\n" + (body.empty() && method == "GET" ? std::string() : "Content-Length: " + std::to_string(body.size()) + "\r\n") + "\r\n" + body;
+    return method + " " + path + " HTTP/1.1\r\nHost: " + host + "\r\nX-Cloverbarrow-Request-Id: " + id
+        + "\r\nX-Cloverbarrow-Deadline-Ms: " + std::to_string(deadlineMs) + "\r\n"
+        + (body.empty() && method == "GET" ? std::string() : "Content-Length: " + std::to_string(body.size()) + "\r\n") + "\r\n" + body;
 }
 
 /// One kept connection of a client.
@@ -915,7 +972,10 @@
         : address_(std::move(address))
     {
     }
-    ~Client() { close(); }
+    ~Client()
+    {
+        close();
+    }
 
     void close()
     {
@@ -954,10 +1014,18 @@
     std::string buffer_;
 };
 
-inline Json route(const std::string &name, const std::string &host, const std::string &prefix, const std::string &kind, double timeout, const std::string &service)
+inline Json route(
+    const std::string &name, const std::string &host, const std::string &prefix, const std::string &kind, double timeout, const std::string &service)
 {
-    return {{"name", name},         {"host", host},   {"path_prefix", prefix}, {"kind", kind},      {"timeout_s", timeout},
-            {"target_latency_s", 0.25}, {"priority", 1}, {"service", service},    {"max_attempts", 2}};
+    return {{"name", name},
+            {"host", host},
+            {"path_prefix", prefix},
+            {"kind", kind},
+            {"timeout_s", timeout},
+            {"target_latency_s", 0.25},
+            {"priority", 1},
+            {"service", service},
+            {"max_attempts", 2}};
 }
 
 inline Json serviceEntry(const std::string &name)
