Review: late second answers that end in their head reach the next client

Cause: without a whole head the echo of the request's id isn't checked, so that what a backend sends late passes as the answer that is due.

Done: half of the answers that the first case's backends spoil are followed by a late second one that is broken off.

--- a/review/1/case.cpp
+++ b/review/1/case.cpp
@@ -1,4 +1,4 @@
-// Backends break off some of their answers, at any byte, and close the connection in order.
+// Backends break off some of their answers, or late second answers, at any byte, and close the connection in order.
 #include "harness.h"
 
 using namespace Review;
@@ -57,11 +57,12 @@
         for (int number = 0; number < 10; ++number) {
             backends[static_cast<std::size_t>(number)]->breakOff(number % 5 < 3 ? BrokenShare : 0);
         }
-        record.say("three in five backends of each service break off one answer in twenty");
+        record.say("three in five backends of each service spoil one answer in twenty");
     }
     std::mutex mutex;
     std::map<int, int> statuses;
     int mixed = 0;
+    int foreign = 0;
     std::vector<std::thread> threads;
     const double end = now() + BreaksFor;
     for (int number = 0; number < Clients; ++number) {
@@ -75,14 +76,16 @@
                 const bool isMixed = reply.status == 200 && reply.message.body != Backend::bodyFor(id);
                 record.line((isPayment ? "sent    " + id + " POST /pay/1; answered " : "sent    " + id + " GET /read/1; answered ")
                             + std::to_string(reply.status));
+                const std::string stamp = reply.message.header("x-cloverbarrow-server-stamp");
+                const bool isForeign = isMixed && !stamp.ends_with("." + id);
                 if (isMixed) {
-                    record.line("mixed   " + id + ": success with a body of " + std::to_string(reply.message.body.size()) + " bytes, stamp "
-                                + reply.message.header("x-cloverbarrow-server-stamp"));
+                    record.line("mixed   " + id + ": success with a body of " + std::to_string(reply.message.body.size()) + " bytes, stamp " + stamp);
                 }
                 {
                     const std::lock_guard lock(mutex);
                     ++statuses[reply.status];
                     mixed += isMixed ? 1 : 0;
+                    foreign += isForeign ? 1 : 0;
                 }
                 sleepFor(0.05);
             }
@@ -99,8 +102,8 @@
     for (const auto &[status, count] : statuses) {
         text += " " + std::to_string(status) + ": " + std::to_string(count) + ";";
     }
-    record.say("answers by status:" + text + " broken off by backends: " + std::to_string(broken)
-               + "; successes without the backend's whole body: " + std::to_string(mixed));
+    record.say("answers by status:" + text + " spoiled by backends: " + std::to_string(broken) + "; successes without the backend's whole body: "
+               + std::to_string(mixed) + ", of these with the stamp of another request: " + std::to_string(foreign));
     const bool isBroken = mixed > 0;
     record.say(isBroken ? "rule MIXED is broken" : "the rule held");
     for (const auto &vm : vms) {
--- a/review/standins/harness.h
+++ b/review/standins/harness.h
@@ -620,12 +620,13 @@
     {
         work_ = work;
     }
-    /// From now on breaks off the given share of its answers, at any byte, and closes the connection in order.
+    /// From now on spoils the given share of its answers: breaks them off at any byte and closes the connection in order. Every second one is given whole
+    /// instead, and a second answer to the same request, broken off in that way, comes where the next answer on the connection is due.
     void breakOff(double share)
     {
         brokenShare_ = share;
     }
-    /// Ids of the requests whose answers were broken off.
+    /// Ids of the requests whose answers were spoiled.
     std::set<std::string> brokenOff() const
     {
         const std::lock_guard lock(mutex_);
@@ -684,6 +685,14 @@
                            answerText(status, status == 200 ? "OK" : "Service Unavailable", "X-Cloverbarrow-Instance-Id: " + id_ + "\r\n" + load(), "health"));
         }
         const std::string id = request.header("x-cloverbarrow-request-id");
+        // Each connection has a thread of its own.
+        thread_local std::string lateAnswer;
+        if (!lateAnswer.empty()) {
+            record_.line("late    " + std::to_string(lateAnswer.size()) + " bytes of a second answer from " + id_ + ", where that to " + id + " is due");
+            sendAll(fd, lateAnswer);
+            lateAnswer.clear();
+            return false;
+        }
         const std::string echo = "X-Cloverbarrow-Request-Id: " + id + "\r\n";
         const std::string expected = request.header("x-cloverbarrow-expect-instance");
         if (!expected.empty() && expected != id_) {
@@ -733,7 +742,10 @@
         }
         const std::string answer =
             answerText(200, "OK", echo + "X-Cloverbarrow-Server-Stamp: " + id_ + "." + id + "\r\nKeep-Alive: timeout=10\r\n" + loadHeader, bodyFor(id));
-        if (const std::size_t length = lengthToSend(id, answer.size()); length < answer.size()) {
+        const auto [length, isLate] = spoil(id, answer.size());
+        if (isLate) {
+            lateAnswer = answer.substr(0, length);
+        } else if (length < answer.size()) {
             record_.line("broken  " + id + " at " + id_ + " after " + std::to_string(length) + " of " + std::to_string(answer.size()) + " bytes, of which "
                          + std::to_string(answer.find("\r\n\r\n") + 4) + " are the head");
             sendAll(fd, answer.substr(0, length));
@@ -742,14 +754,15 @@
         return sendAll(fd, answer);
     }
 
-    std::size_t lengthToSend(const std::string &id, std::size_t whole)
+    /// @return the bytes of the answer that are sent, and whether they are those of a late second answer.
+    std::pair<std::size_t, bool> spoil(const std::string &id, std::size_t whole)
     {
         const std::lock_guard lock(mutex_);
         if (std::uniform_real_distribution<double>(0, 1)(random_) >= brokenShare_) {
-            return whole;
+            return {whole, false};
         }
         broken_.insert(id);
-        return std::uniform_int_distribution<std::size_t>(1, whole - 1)(random_);
+        return {std::uniform_int_distribution<std::size_t>(1, whole - 1)(random_), broken_.size() % 2 == 0};
     }
 
     Store &store_;
