--- a/review/1/case.cpp
+++ b/review/1/case.cpp
@@ -6,10 +6,10 @@
 namespace
 {
 
-constexpr double BrokenShare = 0.05; // of the answers of three in five backends
-constexpr double BreaksFor = 6.0;
+constexpr double BrokenShare = 0.03; // of the answers of three in five backends
+constexpr double BreaksFor = 5.0;
 constexpr int DeadlineMs = 1000;
-constexpr int Clients = 40;
+constexpr int Clients = 60;
 
 } // namespace
 
@@ -57,7 +57,7 @@
         for (int number = 0; number < 10; ++number) {
             backends[static_cast<std::size_t>(number)]->breakOff(number % 5 < 3 ? BrokenShare : 0);
         }
-        record.say("three in five backends of each service spoil one answer in twenty");
+        record.say("three in five backends of each service spoil three answers in a hundred");
     }
     std::mutex mutex;
     std::map<int, int> statuses;
--- a/review/4/case.cpp
+++ b/review/4/case.cpp
@@ -13,6 +13,7 @@
 constexpr std::size_t DocumentBytes = 4 * 1024 * 1024; // the limit is 64 MB
 constexpr int UsualUsers = 36;
 constexpr double Burst = 1.8;
+constexpr double BurstFor = 3.2;
 constexpr double RouteTimeout = 5.0;
 constexpr int DeadlineMs = 5000;
 constexpr int Payers = 12;
@@ -107,7 +108,7 @@
     std::atomic<int> sent{0};
     const auto addUser = [&](int number) {
         threads.emplace_back([&, number] {
-            sleepFor(0.2 * number);
+            sleepFor(0.1 * number);
             Client client(vm.callers());
             std::string id = nextId();
             Reply reply = client.ask("POST", "docs.example", "/docs/1", id, DeadlineMs, std::string(DocumentBytes, 'd'));
@@ -124,7 +125,7 @@
     for (int number = 0; number < UsualUsers; ++number) {
         addUser(number);
     }
-    sleepFor(0.2 * UsualUsers + 3);
+    sleepFor(0.1 * UsualUsers + 3);
     record.say("users: " + std::to_string(UsualUsers) + ", documents sent: " + std::to_string(sent) + ", memory: " + std::to_string(residentMb(vm.pid()))
                + " MB");
     if (!isCalm()) {
@@ -133,7 +134,7 @@
             addUser(number);
         }
     }
-    for (const double until = now() + 12; now() < until && !isKilled; sleepFor(0.1)) { }
+    for (const double until = now() + BurstFor; now() < until && !isKilled; sleepFor(0.1)) { }
     sleepFor(0.5);
     isOver = true;
     for (std::thread &thread : threads) {
