Answers that end within their head are logged

Before any change of logic: whoever is called (servers, peers, relays, the store), an answer whose connection ends within its head is logged with the server, the bytes of the head and whether it is passed on. This tells truncated heads from truncated bodies and from answers of other requests.

--- a/src/net/httpclient.cpp
+++ b/src/net/httpclient.cpp
@@ -10,6 +10,7 @@
 #include "core/support/stablehash.h"
 #include "core/support/text.h"
 #include "net/httptransfer.h"
+#include "net/log.h"
 
 #include <atomic>
 #include <deque>
@@ -56,7 +57,8 @@
 {
 public:
     explicit Worker(BodyBuffer &buffer)
-        : buffer_(buffer)
+        : log_("http")
+        , buffer_(buffer)
         , multi_(curl_multi_init())
     {
         curl_multi_setopt(multi_.get(), CURLMOPT_MAXCONNECTS, MaxIdleConnections);
@@ -238,6 +240,12 @@
         curl_multi_remove_handle(multi_.get(), transfer.easy.get());
         buffer_.bytes -= transfer.answer.body.size();
         HttpOutcome outcome = outcomeOf(transfer, code);
+        if (isHeadTruncated(transfer, code)) {
+            log_.warn("answer truncated in its head",
+                      {{"server", transfer.call.address},
+                       {"head_bytes", static_cast<std::int64_t>(transfer.headBytes)},
+                       {"passed_on", std::holds_alternative<HttpAnswer>(outcome) ? "yes" : "no"}});
+        }
         updateIdleTimeout(transfer.call.address, outcome);
         if (spare_.size() < MaxSpareHandles) {
             curl_easy_reset(transfer.easy.get());
@@ -246,6 +254,7 @@
         transfer.done(std::move(outcome));
     }
 
+    Log log_;
     BodyBuffer &buffer_;
     MultiHandle multi_;
     std::mutex mutex_;
--- a/src/net/httptransfer.cpp
+++ b/src/net/httptransfer.cpp
@@ -304,6 +304,13 @@
     return status->bytesReceived > *transfer.bytesBefore + MaxAnswerHead + MaxFramingFactor * transfer.call.maxAnswerBytes;
 }
 
+bool isHeadTruncated(const Transfer &transfer, CURLcode code)
+{
+    // libcurl reports no error if the connection is closed in order, unless it has read a length.
+    const bool hasEnded = code == CURLE_OK || code == CURLE_PARTIAL_FILE || code == CURLE_RECV_ERROR;
+    return hasEnded && transfer.headBytes > 0 && !transfer.hasWholeHead;
+}
+
 HttpOutcome outcomeOf(Transfer &transfer, CURLcode code)
 {
     HttpOutcome outcome = interpretResult(transfer, code);
--- a/src/net/httptransfer.h
+++ b/src/net/httptransfer.h
@@ -70,6 +70,8 @@
 /// @return whether more bytes have been received on the connection than an answer may take. libcurl reads some of them, e.g. chunk extensions, without a
 /// callback.
 bool isFlooded(Transfer &transfer);
+/// @return whether the connection ended after a part of the answer's head.
+bool isHeadTruncated(const Transfer &transfer, CURLcode code);
 /// @return the outcome of the call after libcurl has finished it with @p code.
 HttpOutcome outcomeOf(Transfer &transfer, CURLcode code);
 
