An answer that ends within its head is no answer

Cause: libcurl reports no error when a connection is closed in order within the head, and interpretResult() took what had been received for the answer. The id and the signature are checked at the end of the head, which never came.

Without its end of head an answer is a failure now, for every user of HttpClient. The attempt counts as sent and lost, so that an unsafe request is not sent again.

--- a/src/net/httpclient.cpp
+++ b/src/net/httpclient.cpp
@@ -241,10 +241,7 @@
         buffer_.bytes -= transfer.answer.body.size();
         HttpOutcome outcome = outcomeOf(transfer, code);
         if (isHeadTruncated(transfer, code)) {
-            log_.warn("answer truncated in its head",
-                      {{"server", transfer.call.address},
-                       {"head_bytes", static_cast<std::int64_t>(transfer.headBytes)},
-                       {"passed_on", std::holds_alternative<HttpAnswer>(outcome) ? "yes" : "no"}});
+            log_.warn("answer truncated in its head", {{"server", transfer.call.address}, {"head_bytes", static_cast<std::int64_t>(transfer.headBytes)}});
         }
         updateIdleTimeout(transfer.call.address, outcome);
         if (spare_.size() < MaxSpareHandles) {
--- a/src/net/httptransfer.cpp
+++ b/src/net/httptransfer.cpp
@@ -281,6 +281,9 @@
     if (code != CURLE_OK && !transfer.isHeadOnly) {
         return HttpFailure{transfer.wasSent, code == CURLE_OPERATION_TIMEDOUT, curl_easy_strerror(code), isRejectedConnection(code)};
     }
+    if (!transfer.hasWholeHead) {
+        return HttpFailure{true, false, "the connection ended within the head of the answer", true};
+    }
     long status = 0;
     curl_easy_getinfo(transfer.easy.get(), CURLINFO_RESPONSE_CODE, &status);
     transfer.answer.status = static_cast<int>(status);
--- a/tests/unit/faultyanswertests.cpp
+++ b/tests/unit/faultyanswertests.cpp
@@ -37,14 +37,33 @@
 // Ends a test that fails.
 constexpr std::size_t MaxSentBytes = 128 * MiB;
 
-/// What a server sends in answer to a request.
+/// What a server sends in answer to the requests on a connection.
 struct RawAnswer {
+    RawAnswer(std::string text, std::string first, std::string rest)
+        : RawAnswer(std::move(text), std::vector<std::string>{std::move(first)}, std::move(rest))
+    {
+    }
+    RawAnswer(std::string text, std::vector<std::string> first, std::string rest)
+        : description(std::move(text))
+        , starts(std::move(first))
+        , repeated(std::move(rest))
+    {
+    }
+
+    std::string description;
+    std::vector<std::string> starts; ///< One for each request.
+    std::string repeated; ///< Follows the last one.
+};
+
+/// An answer of which a server sends only a part before it closes the connection.
+struct TruncatedAnswer {
     std::string description;
-    std::string start;
-    std::string repeated;
+    std::string method;
+    std::string head;
+    std::string rest;
 };
 
-/// Accepts one connection, reads a request and sends bytes, without end or until its client closes the connection.
+/// Accepts one connection, reads requests and sends bytes, without end or until its client closes the connection.
 class RawServer
 {
 public:
@@ -87,13 +106,22 @@
     void serve()
     {
         const Descriptor connection(::accept4(listener_.get(), nullptr, nullptr, SOCK_CLOEXEC));
-        std::array<char, 4096> request{};
-        static_cast<void>(::recv(connection.get(), request.data(), request.size(), 0));
-        std::string block = bytes_.start;
+        std::size_t sent = 0;
+        for (const std::string &start : bytes_.starts) {
+            std::array<char, 4096> request{};
+            static_cast<void>(::recv(connection.get(), request.data(), request.size(), 0));
+            sent += sendAll(connection, start, &start == &bytes_.starts.back() ? bytes_.repeated : std::string());
+        }
+        sent_.set_value(sent);
+    }
+
+    /// Sends @p block and then @p repeated without end, unless it is empty. @return the number of bytes sent.
+    static std::size_t sendAll(const Descriptor &connection, std::string block, const std::string &repeated)
+    {
         std::size_t sent = 0;
         while (sent < MaxSentBytes) {
-            while (!bytes_.repeated.empty() && block.size() < 64 * 1024) {
-                block += bytes_.repeated;
+            while (!repeated.empty() && block.size() < 64 * 1024) {
+                block += repeated;
             }
             if (block.empty()) {
                 break;
@@ -105,7 +133,7 @@
             sent += static_cast<std::size_t>(count);
             block.erase(0, static_cast<std::size_t>(count));
         }
-        sent_.set_value(sent);
+        return sent;
     }
 
     RawAnswer bytes_;
@@ -206,3 +234,58 @@
     CHECK(std::get<HttpAnswer>(outcome).body == "ok");
     CHECK_FALSE(findHeader(std::get<HttpAnswer>(outcome).headers, "Signature"));
 }
+
+TEST_CASE("An answer whose head is truncated is not passed on as a success", "[net][truncated]")
+{
+    const std::string head = "Request-Id: 7\r\nSignature: abc\r\nContent-Type: text/plain\r\n";
+    const auto answer =
+        GENERATE_COPY(TruncatedAnswer{"with a length", "GET", Ok + head + "Content-Length: 2\r\n\r\n", "ok"},
+                      TruncatedAnswer{"without a body", "GET", Ok + "Content-Length: 0\r\n" + head + "\r\n", ""},
+                      TruncatedAnswer{"in chunks", "GET", Ok + head + "Transfer-Encoding: chunked\r\n\r\n", "2\r\nok\r\n0\r\n\r\n"},
+                      TruncatedAnswer{"that ends with the connection", "GET", Ok + head + "\r\n", ""},
+                      TruncatedAnswer{"to HEAD", "HEAD", Ok + head + "Content-Length: 2\r\n\r\n", ""},
+                      TruncatedAnswer{"with status 204", "GET", "HTTP/1.1 204 No Content\r\n" + head + "\r\n", ""},
+                      TruncatedAnswer{"with status 304", "GET", "HTTP/1.1 304 Not Modified\r\n" + head + "\r\n", ""},
+                      TruncatedAnswer{"after an interim answer", "GET", "HTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\n" + Ok + head + "\r\n", ""});
+    CAPTURE(answer.description);
+    HttpClient client(1);
+    const std::string bytes = answer.head + answer.rest;
+    for (std::size_t size = 1; size < bytes.size(); ++size) {
+        CAPTURE(size, bytes.substr(0, size));
+        RawServer server({answer.description, bytes.substr(0, size), ""});
+        HttpCall call = callTo(server.address());
+        call.request.method = answer.method;
+        call.successHeader = "Signature";
+        call.echo = {"Request-Id", "7", false};
+        const HttpOutcome outcome = start(client, size, std::move(call)).get();
+        if (bytes.substr(size) == "\n" && answer.rest.size() > 1) {
+            // Only the end of the last chunk's line is missing; the body is whole.
+            CHECK((std::holds_alternative<HttpFailure>(outcome) || std::get<HttpAnswer>(outcome).body == "ok"));
+            continue;
+        }
+        REQUIRE(std::holds_alternative<HttpFailure>(outcome));
+        CHECK(std::get<HttpFailure>(outcome).wasSent);
+        CHECK_FALSE(std::get<HttpFailure>(outcome).isTimeout);
+    }
+    RawServer server({answer.description, bytes, ""});
+    HttpCall call = callTo(server.address());
+    call.request.method = answer.method;
+    CHECK(std::holds_alternative<HttpAnswer>(start(client, bytes.size(), std::move(call)).get()));
+}
+
+TEST_CASE("A truncated late answer to an earlier request is not passed on to the next request", "[net][truncated]")
+{
+    const std::string head = "Signature: abc\r\nContent-Length: 2\r\n\r\n";
+    const std::string first = Ok + "Request-Id: 1\r\n" + head + "ok";
+    for (std::size_t size = 1; size < first.size(); ++size) {
+        CAPTURE(size);
+        RawServer server({"two answers to the same request", {first, first.substr(0, size)}, ""});
+        HttpClient client(1);
+        HttpCall call = callTo(server.address());
+        call.mayReuseConnection = true;
+        call.echo = {"Request-Id", "1", true};
+        REQUIRE(std::holds_alternative<HttpAnswer>(start(client, 1, call).get()));
+        call.echo = {"Request-Id", "2", true};
+        CHECK(std::holds_alternative<HttpFailure>(start(client, 2, call).get()));
+    }
+}
