A status line within a head makes an answer invalid

Found beside the truncated heads: a head that breaks off and is followed by another answer on the same connection reads as one head with two status lines. libcurl keeps the first status, and the headers collected after the second one, with the expected id and the signature, were taken for those of the answer: a caller got the status of one answer with the signature of another. libcurl itself refuses a second status line unless it contains a colon.

The new test failed before for a status line with a colon. Such an answer is a failure now.

--- a/src/net/httptransfer.cpp
+++ b/src/net/httptransfer.cpp
@@ -132,12 +132,16 @@
     transfer.hasWrongEcho = !hasExpectedEcho(transfer);
     transfer.isHeadOnly = !transfer.hasWrongEcho && lacksSuccessHeader(transfer);
     transfer.hasWholeHead = !transfer.isInterim;
+    transfer.isWithinHead = false;
     return !transfer.hasWrongEcho && !transfer.isHeadOnly;
 }
 
 void receiveHeaderLine(std::string_view line, Transfer &transfer)
 {
     if (line.starts_with("HTTP/")) {
+        // libcurl keeps the status of the first line, but the headers after the second one may be those of another answer.
+        transfer.hasRepeatedStatus = transfer.isWithinHead;
+        transfer.isWithinHead = true;
         startAnswer(line, transfer.answer);
         transfer.isInterim = isInterimStatus(line);
     } else if (const std::size_t colon = line.find(':'); colon != std::string_view::npos) {
@@ -167,7 +171,7 @@
         return endHead(*transfer) ? count : 0;
     }
     receiveHeaderLine(line, *transfer);
-    return count;
+    return transfer->hasRepeatedStatus ? 0 : count;
 }
 
 HeaderList headerList(const HttpCall &call)
@@ -269,6 +273,9 @@
     if (transfer.exceedsBuffer) {
         return HttpFailure{true, false, "too many bytes of answers are being received"};
     }
+    if (transfer.hasRepeatedStatus) {
+        return HttpFailure{true, false, "a status line within the head of the answer", true};
+    }
     if (transfer.hasWrongEcho) {
         return HttpFailure{true, false, "the answer belongs to another exchange", true};
     }
--- a/src/net/httptransfer.h
+++ b/src/net/httptransfer.h
@@ -59,6 +59,8 @@
     bool isTooLong = false;
     bool exceedsBuffer = false; ///< The bodies of all transfers together are too long, and this one is large.
     bool isHeadOnly = false; ///< The answer is complete after its head, and its body is not read.
+    bool isWithinHead = false; ///< The status line of a head has been read, and its end has not.
+    bool hasRepeatedStatus = false; ///< There is another status line within a head.
     bool isInterim = false; ///< Whether the head being read belongs to an interim (1xx) answer.
     bool hasWholeHead = false; ///< The head of the final answer is complete. Header lines after it are trailers.
     bool hasWrongEcho = false; ///< The answer does not have the expected echo, so it belongs to another exchange.
--- a/tests/unit/faultyanswertests.cpp
+++ b/tests/unit/faultyanswertests.cpp
@@ -289,3 +289,15 @@
         CHECK(std::holds_alternative<HttpFailure>(start(client, 2, call).get()));
     }
 }
+
+TEST_CASE("A status line within a head does not replace the answer that it belongs to", "[net][truncated]")
+{
+    const auto *second = GENERATE("HTTP/1.1 200 OK\r\n", "HTTP/1.1 200 OK: fine\r\n");
+    RawServer server({"a truncated answer before another one",
+                      "HTTP/1.1 500 Failed\r\nRequest-Id: 1\r\n" + (second + std::string("Request-Id: 2\r\nContent-Length: 0\r\n\r\n")),
+                      ""});
+    HttpClient client(1);
+    HttpCall call = callTo(server.address());
+    call.echo = {"Request-Id", "2", true};
+    CHECK(std::holds_alternative<HttpFailure>(start(client, 1, std::move(call)).get()));
+}
