--- a/src/daemon/builtinprotocol.cpp
+++ b/src/daemon/builtinprotocol.cpp
@@ -90,7 +90,7 @@
     interpreted.contentType = std::string(findHeader(answer.headers, "content-type").value_or(""));
     interpreted.isResultComplete = answer.body.size() <= MaxStoredResultBytes;
     if (interpreted.isResultComplete) {
-        interpreted.shortResult = answer.body;
+        interpreted.shortResult = std::string(answer.body);
     }
     return interpreted;
 }
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -323,6 +323,7 @@
         return current;
     });
     gauges.heldAtStart = gateway_->heldRequests();
+    gauges.memory = memory_->counts();
     gauges.platformCalls = directory_ ? directory_->storeCallCount() : platform_->calls();
     if (directory_) {
         gauges.crashMessages = directory_->crashUpdates().counts();
@@ -391,6 +392,9 @@
     settings_.logLevel = next.logLevel;
     settings_.maxBodyBytes = next.maxBodyBytes;
     settings_.slowCallerTimeout = next.slowCallerTimeout;
+    settings_.memoryBytes = next.memoryBytes;
+    memory_->setMaxBytes(MemoryBudget::shareOf(next.memoryBytes));
+    warnIfBodiesExceedMemory();
     const auto intent = node_->intent();
     const bool hasLimits = intent && intent->configuration.callerLimits;
     callerServer_->setBounds(hasLimits ? callerBoundsFor(*intent->configuration.callerLimits) : callerBoundsFromSettings());
--- a/src/daemon/daemon.h
+++ b/src/daemon/daemon.h
@@ -89,6 +89,8 @@
     void listVms();
     void setReady(const SetReady &action);
     void applyConfiguration(const ActiveIntent &intent);
+    /// Logs a warning if the settings allow longer bodies than the memory.
+    void warnIfBodiesExceedMemory() const;
     /// @return limits for callers according to the settings only.
     CallerBounds callerBoundsFromSettings() const;
     /// @return limits for callers according to the settings and to the configuration's @p limits.
@@ -115,6 +117,7 @@
     Log log_;
     Telemetry telemetry_;
     ListenAddresses addresses_;
+    std::shared_ptr<MemoryBudget> memory_; ///< For requests and answers on all connections.
     HttpClient backendClient_;
     std::unique_ptr<HttpClient> forwardClient_; ///< For requests that are forwarded to other entry VMs; null without a directory.
     std::unique_ptr<HttpClient> directoryHttpClient_; ///< For calls to the store and to relays; null without a directory.
--- a/src/daemon/daemonstart.cpp
+++ b/src/daemon/daemonstart.cpp
@@ -48,8 +48,10 @@
     , settingsFile_(std::move(file))
     , nonce_(randomHex(NonceBytes))
     , log_("daemon")
-    , backendClient_(static_cast<std::size_t>(settings_.backendThreads))
+    , memory_(std::make_shared<MemoryBudget>(MemoryBudget::shareOf(settings_.memoryBytes)))
+    , backendClient_(static_cast<std::size_t>(settings_.backendThreads), memory_)
 {
+    warnIfBodiesExceedMemory();
     if (settings_.directory) {
         startDirectory(adapters);
     } else {
@@ -66,7 +68,9 @@
             [this](const std::shared_ptr<CallerConnection> &connection, HttpRequest request) { gateway_->acceptForwarded(connection, std::move(request)); });
     }
     CallerServerOptions options{settings_.callersAddress, static_cast<std::size_t>(settings_.callerThreads), callerBoundsFromSettings(), {}};
-    options.connectionOptions = {settings_.directory.has_value(), MaxRequestsInFlight};
+    options.connectionOptions = {settings_.directory.has_value(), MaxRequestsInFlight, memory_, [this](const HttpRequest &head, const MemoryCounts &counts) {
+                                     return gateway_->refuseForMemory(head, counts);
+                                 }};
     callerServer_ = std::make_unique<CallerServer>(
         options, [this](const std::shared_ptr<CallerConnection> &connection, HttpRequest request) { gateway_->accept(connection, std::move(request)); });
     addresses_.callers = withPort(settings_.callersAddress, callerServer_->port());
@@ -86,7 +90,7 @@
 void Daemon::startFleetProtocols()
 {
     protocol_ = std::make_shared<BuiltInProtocol>();
-    platform_ = std::make_unique<HttpPlatformClient>(settings_.platformAddress);
+    platform_ = std::make_unique<HttpPlatformClient>(settings_.platformAddress, memory_);
     peerService_ = std::make_shared<PeerService>();
     adminService_ = std::make_shared<AdminService>(*platform_, telemetry_);
     peerServer_ = std::make_unique<ThriftServer>(settings_.peersAddress, std::make_shared<Wire::PeerProcessor>(peerService_));
@@ -101,11 +105,17 @@
     // The directory needs a separate client because the backend client limits connections per address to this entry VM's share (5 when 142 entry VMs share
     // 1,040). With a shared client four watches and a check used all connections to the store, so that later calls waited until a watch was answered, and
     // configurations arrived up to 13 s late.
-    directoryHttpClient_ = std::make_unique<HttpClient>(1);
+    directoryHttpClient_ = std::make_unique<HttpClient>(1, memory_);
     // A separate client, so that large bodies do not delay calls to the store and to relays.
-    forwardClient_ = std::make_unique<HttpClient>(1);
-    directory_ = std::make_unique<DirectoryRunner>(
-        *settings_.directory, settings_.name, settings_.zone, seedOf(nonce_), adapters.makeClient(*directoryHttpClient_), *directoryHttpClient_, *this);
+    forwardClient_ = std::make_unique<HttpClient>(1, memory_);
+    directory_ = std::make_unique<DirectoryRunner>(*settings_.directory,
+                                                   settings_.name,
+                                                   settings_.zone,
+                                                   seedOf(nonce_),
+                                                   adapters.makeClient(*directoryHttpClient_),
+                                                   *directoryHttpClient_,
+                                                   memory_,
+                                                   *this);
 }
 
 Daemon::~Daemon()
@@ -144,10 +154,19 @@
     return control;
 }
 
+void Daemon::warnIfBodiesExceedMemory() const
+{
+    if (const auto longest = memory_->longestBody(); static_cast<std::size_t>(settings_.maxBodyBytes) > longest) {
+        log_.warn("bodies are limited by the memory",
+                  {{"max_body_bytes", std::int64_t(settings_.maxBodyBytes)}, {"longest", static_cast<std::int64_t>(longest)}});
+    }
+}
+
 CallerBounds Daemon::callerBoundsFromSettings() const
 {
     CallerBounds bounds;
-    bounds.limits.body = static_cast<std::size_t>(settings_.maxBodyBytes);
+    // A body that never fits into the memory is refused for good, and not with the advice to come back.
+    bounds.limits.body = std::min(static_cast<std::size_t>(settings_.maxBodyBytes), memory_->longestBody());
     bounds.headTimeout = settings_.slowCallerTimeout;
     bounds.transferTimeout = settings_.slowCallerTimeout;
     return bounds;
--- a/src/daemon/directoryrunner.cpp
+++ b/src/daemon/directoryrunner.cpp
@@ -25,6 +25,7 @@
                                  std::uint64_t seed,
                                  std::unique_ptr<DirectoryClient> client,
                                  HttpClient &http,
+                                 std::shared_ptr<MemoryBudget> memory,
                                  EventHandler &events)
     : name_(std::move(name))
     , zone_(std::move(zone))
@@ -48,7 +49,7 @@
     slowServers_.setEnabled(settings.budgets.sharesSlowServers);
     std::string relayAddress;
     if (!settings.relayAddress.empty()) {
-        startRelayServer(settings.relayAddress);
+        startRelayServer(settings.relayAddress, std::move(memory));
         relayAddress = withPort(settings.relayAddress, relayServer_->port());
     }
     const std::lock_guard lock(mutex_);
@@ -265,7 +266,7 @@
     return store_->calls();
 }
 
-void DirectoryRunner::startRelayServer(const std::string &address)
+void DirectoryRunner::startRelayServer(const std::string &address, std::shared_ptr<MemoryBudget> memory)
 {
     const auto collectionUpdate = [this](Collection collection, std::int64_t since) {
         const std::lock_guard lock(mutex_);
@@ -298,7 +299,8 @@
                     [this](const std::string &text) { return quotas_.acceptClaims(text); },
                     [this](const std::string &text) { return acceptRolloutReports(text); },
                     [this](const std::shared_ptr<CallerConnection> &connection, HttpRequest request) { acceptForwarded(connection, std::move(request)); },
-                    [this](const std::string &follower, const std::string &text) { return slowServers_.accept(follower, text); }});
+                    [this](const std::string &follower, const std::string &text) { return slowServers_.accept(follower, text); }},
+        std::move(memory));
 }
 
 void DirectoryRunner::setForwardedRequestHandler(RequestHandler handler)
--- a/src/daemon/directoryrunner.h
+++ b/src/daemon/directoryrunner.h
@@ -41,6 +41,7 @@
                     std::uint64_t seed,
                     std::unique_ptr<DirectoryClient> client,
                     HttpClient &http,
+                    std::shared_ptr<MemoryBudget> memory,
                     EventHandler &events);
 
     /// Call several times a second.
@@ -94,7 +95,7 @@
     void forwardLearnedLimits();
     QuotaPeers quotaPeers();
     void acceptForwarded(const std::shared_ptr<CallerConnection> &connection, HttpRequest request);
-    void startRelayServer(const std::string &address);
+    void startRelayServer(const std::string &address, std::shared_ptr<MemoryBudget> memory);
     void handleAnswer(const DirectoryAnswer &answer);
     /// @return the callback for a request for the proof of @p relay that was sent with @p request.
     DirectoryCallback proofCallback(std::string relay, SlowServerRunner::Request request);
--- a/src/daemon/gateway.h
+++ b/src/daemon/gateway.h
@@ -70,6 +70,8 @@
     /// Handles a request that another entry VM has forwarded.
     void acceptForwarded(const std::shared_ptr<CallerConnection> &connection, HttpRequest request);
 
+    /// @return the answer to a request whose body does not fit into memory. @param head the request without its body.
+    HttpAnswer refuseForMemory(const HttpRequest &head, const MemoryCounts &counts) const;
     /// Handles a complete request of a caller.
     void accept(const std::shared_ptr<CallerConnection> &connection, HttpRequest request);
     /// Performs an action of the core.
--- a/src/daemon/gatewayanswers.cpp
+++ b/src/daemon/gatewayanswers.cpp
@@ -10,6 +10,7 @@
 #include "core/support/httpstatus.h"
 #include "net/bootclock.h"
 #include "net/forwarding.h"
+#include "net/problemjson.h"
 
 #include <utility>
 
@@ -79,6 +80,13 @@
     }
 }
 
+HttpAnswer Gateway::refuseForMemory(const HttpRequest &head, const MemoryCounts &counts) const
+{
+    const Problem problem = memoryProblem(counts);
+    log_.refusedOnArrival(callerIdOf(head, 0), problem, node_.intent().get(), head.target);
+    return protocol_.refusalAnswer(problem);
+}
+
 std::optional<Gateway::Exchange> Gateway::takeExchange(RequestId request)
 {
     Shard &shard = shardOf(request);
--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -14,6 +14,8 @@
 #include <absl/flags/parse.h>
 #include <absl/flags/usage.h>
 
+#include <malloc.h>
+
 #include <csignal>
 #include <cstdio>
 #include <iostream>
@@ -67,6 +69,14 @@
             std::make_shared<Platform::PlatformProtocol>()};
 }
 
+void configureAllocator()
+{
+    // Larger buffers get mappings of their own, whose memory returns to the system as soon as they are freed. Without a fixed threshold the allocator
+    // raises it to the size of the largest buffer freed so far, and keeps such buffers between smaller ones.
+    constexpr int MmapThreshold = 128 * 1024;
+    static_cast<void>(::mallopt(M_MMAP_THRESHOLD, MmapThreshold));
+}
+
 int runDaemon(const Settings &settings, const SettingsFile &file)
 {
     // SIGHUP is ignored until the reload handler is installed because its default action would end the process.
@@ -103,6 +113,7 @@
         std::cout << "cloverbarrowd " << VersionText << "\n";
         return ExitOk;
     }
+    configureAllocator();
     const std::string path = absl::GetFlag(FLAGS_settings);
     SettingsFile file(path);
     const auto parsed = file.read();
--- a/src/daemon/settings.cpp
+++ b/src/daemon/settings.cpp
@@ -22,6 +22,8 @@
 
 constexpr double MaxLinkMbps = 1e6;
 constexpr int MaxThreads = 64;
+constexpr double MinMemoryMb = 48;
+constexpr double MaxMemoryMb = 1e6;
 constexpr int MaxBodyBytes = 64 * 1024 * 1024;
 constexpr int MaxShutdownMs = 3'600'000;
 constexpr double MaxGraceSeconds = 3600;
@@ -96,6 +98,14 @@
     }
 }
 
+void readMemory(YamlReader &reader, Settings &settings)
+{
+    constexpr double BytesPerMegabyte = 1e6;
+    double megabytes = static_cast<double>(settings.memoryBytes) / BytesPerMegabyte;
+    reader.real("memory_mb", megabytes, MinMemoryMb, MaxMemoryMb);
+    settings.memoryBytes = static_cast<std::size_t>(megabytes * BytesPerMegabyte);
+}
+
 void readQuotaTolerance(YamlReader &reader, QuotaTolerance &tolerance)
 {
     double windowSeconds = std::chrono::duration<double>(tolerance.window).count();
@@ -141,6 +151,7 @@
         item.integer("backends", settings.backendThreads, 1, MaxThreads);
     });
     reader.mapping("limits", [&settings](YamlReader &item) {
+        readMemory(item, settings);
         item.integer("max_body_bytes", settings.maxBodyBytes, 0, MaxBodyBytes);
         item.milliseconds("slow_caller_ms", settings.slowCallerTimeout, 100, MaxSlowCallerMs);
     });
--- a/src/daemon/settings.h
+++ b/src/daemon/settings.h
@@ -54,6 +54,7 @@
     Duration shutdownLimit = seconds(60);
     int callerThreads = 2;
     int backendThreads = 2;
+    std::size_t memoryBytes = 256'000'000; ///< Memory that this process may use.
     int maxBodyBytes = 8 * 1024 * 1024;
     Duration slowCallerTimeout = seconds(10);
     std::string logLevel = "info";
--- a/src/daemon/telemetry.cpp
+++ b/src/daemon/telemetry.cpp
@@ -288,6 +288,11 @@
     set("slow_server_reports_sent", static_cast<double>(gauges.slowServers.sent));
     set("slow_server_reports_received", static_cast<double>(gauges.slowServers.received));
     set("slow_server_messages_rejected", static_cast<double>(gauges.slowServers.rejected));
+    set("message_bytes_max", static_cast<double>(gauges.memory.maxBytes));
+    set("message_bytes", static_cast<double>(gauges.memory.usedBytes));
+    set("message_bytes_peak", static_cast<double>(gauges.memory.peakBytes));
+    set("memory_refusals", static_cast<double>(gauges.memory.refusedRequests));
+    set("memory_lost_answers", static_cast<double>(gauges.memory.refusedAnswers));
 }
 
 std::vector<Telemetry::Burn> Telemetry::burn(TimePoint now) const
--- a/src/daemon/telemetry.h
+++ b/src/daemon/telemetry.h
@@ -10,6 +10,7 @@
 #include "core/burn/burncounter.h"
 #include "core/crashes/crashupdate.h"
 #include "core/intent/configuration.h"
+#include "core/requests/memorybudget.h"
 #include "core/requests/serviceevents.h"
 #include "core/support/time.h"
 #include "core/workspaces/quotagranter.h"
@@ -70,6 +71,7 @@
     std::size_t heldAtStart = 0; ///< Requests that wait until this entry VM is ready.
     QuotaCounts quotas;
     SlowServerCounts slowServers;
+    MemoryCounts memory;
 };
 
 /// Metrics of this entry VM and the counts for the burn report of service-level objectives.
--- a/src/net/callerconnection.cpp
+++ b/src/net/callerconnection.cpp
@@ -22,18 +22,18 @@
 namespace
 {
 
-constexpr std::string_view HeadEnd = "\r\n\r\n";
 constexpr std::string_view ContinueAnswer = "HTTP/1.1 100 Continue\r\n\r\n";
-// Input below this size is parsed with every read, larger input only after it has grown by an eighth: each attempt parses all of it.
-constexpr std::size_t AlwaysParseBytes = 64 * 1024;
-constexpr std::size_t GrowthDivisor = 8;
+// A connection that is in use keeps a buffer up to this size for its next request.
+constexpr std::size_t MaxKeptInput = 64 * 1024;
+// After this time without a request it keeps none.
+constexpr Duration KeptInputTime = seconds(1);
 // Bytes that a caller may send ahead while requests are in flight; beyond that the connection closes after their answers.
 constexpr std::size_t MaxPipelinedBytes = 256 * 1024;
 
 /// @return whether the request that starts with @p input has a safe method (RFC 9110), so that it may be processed in parallel with others.
 bool isSafeRequest(std::string_view input)
 {
-    return input.starts_with("GET ") || input.starts_with("HEAD ");
+    return isSafeMethod(input.substr(0, input.find(' ')));
 }
 
 } // namespace
@@ -44,6 +44,8 @@
     , handler_(std::move(handler))
     , caller_(std::move(caller))
     , socket_(::dup(fd))
+    , framer_(options_.memory)
+    , buffers_(options_.memory, MemoryUse::Request)
     , timeoutStart_(bootNow())
 {
 }
@@ -65,7 +67,7 @@
     if (state_ != State::Open) {
         return;
     }
-    if (isIdle() && input_.empty()) {
+    if (isIdle() && !hasPartialRequest()) {
         timeoutStart_ = now;
     }
     if (!isIdle() && input_.size() + bytes.size() > MaxPipelinedBytes) {
@@ -74,6 +76,17 @@
     }
     input_.append(bytes);
     dispatchRequests(lock);
+    if (input_.empty() && input_.capacity() > MaxKeptInput) {
+        releaseInput();
+    }
+    if (state_ != State::Open || reserveBuffers()) {
+        return;
+    }
+    if (hasPartialRequest()) {
+        refuseForMemory({});
+    } else {
+        releaseInput();
+    }
 }
 
 void CallerConnection::inputEnded()
@@ -115,18 +128,22 @@
 void CallerConnection::sendReadyAnswers()
 {
     for (auto next = pending_.takeNext(); next; next = pending_.takeNext()) {
-        if (const auto *bytes = std::get_if<std::string>(&next->answer)) {
-            output_.append(*bytes);
+        if (auto *bytes = std::get_if<std::string>(&next->answer)) {
+            output_.add(std::move(*bytes));
         } else {
             // Later requests may already be in flight, so only the last answer may close the connection.
-            const bool isLast = pending_.isEmpty() && (closesAfterAnswer_ || (hasInputEnded_ && input_.empty()));
+            const bool isLast = pending_.isEmpty() && (closesAfterAnswer_ || (hasInputEnded_ && !hasPartialRequest()));
             next->closes = next->closes || isLast;
-            output_.append(serialize(std::get<HttpAnswer>(next->answer), next->isHead, next->closes));
+            const auto &answer = std::get<HttpAnswer>(next->answer);
+            output_.add(serializeHead(answer, next->isHead, next->closes), hasBody(answer, next->isHead) ? answer.body : Body());
         }
         closesAfterAnswer_ = closesAfterAnswer_ || next->closes;
         timeoutStart_ = bootNow();
     }
     flushLocked();
+    if (!output_.isEmpty()) {
+        static_cast<void>(reserveBuffers());
+    }
 }
 
 void CallerConnection::closeAfterAnswer()
@@ -140,7 +157,7 @@
     const std::unique_lock lock(mutex_);
     closesAfterAnswer_ = true;
     // A request that has arrived in part is still handled; its answer announces that the connection closes.
-    if (isIdle() && input_.empty()) {
+    if (isIdle() && !hasPartialRequest()) {
         lingerLocked();
     }
 }
@@ -153,7 +170,12 @@
 
 bool CallerConnection::isIdle() const
 {
-    return state_ == State::Open && pending_.isEmpty() && output_.empty();
+    return state_ == State::Open && pending_.isEmpty() && output_.isEmpty();
+}
+
+bool CallerConnection::hasPartialRequest() const
+{
+    return !input_.empty() || framer_.isReadingBody();
 }
 
 void CallerConnection::checkTimeouts(TimePoint now)
@@ -161,14 +183,13 @@
     std::unique_lock lock(mutex_);
     switch (state_) {
     case State::Open:
-        if (!output_.empty()) {
+        if (!output_.isEmpty()) {
             flushLocked();
-            if (!output_.empty() && now - timeoutStart_ > bounds_.transferTimeout) {
+            if (!output_.isEmpty() && now - timeoutStart_ > bounds_.transferTimeout) {
                 closeLocked();
                 return;
             }
         }
-        lastParsedSize_ = 0;
         dispatchRequests(lock);
         checkReadTimeouts(now);
         break;
@@ -187,14 +208,17 @@
     if (!isIdle()) {
         return;
     }
-    if (input_.empty()) {
+    if (!hasPartialRequest()) {
+        if (now - timeoutStart_ > KeptInputTime) {
+            releaseInput();
+            static_cast<void>(reserveBuffers());
+        }
         if (bounds_.idleTimeout && now - timeoutStart_ > *bounds_.idleTimeout) {
             lingerLocked();
         }
         return;
     }
-    const bool hasHead = input_.find(HeadEnd) != std::string::npos;
-    if (now - timeoutStart_ > (hasHead ? bounds_.transferTimeout : bounds_.headTimeout)) {
+    if (now - timeoutStart_ > (framer_.isReadingBody() ? bounds_.transferTimeout : bounds_.headTimeout)) {
         rejectInput({408, "the request did not arrive in time"});
     }
 }
@@ -208,7 +232,7 @@
 bool CallerConnection::isSending() const
 {
     const std::lock_guard lock(mutex_);
-    return !output_.empty();
+    return !output_.isEmpty();
 }
 
 bool CallerConnection::isGone() const
@@ -241,14 +265,15 @@
 
 bool CallerConnection::mayDispatchRequest() const
 {
-    if (state_ != State::Open || input_.empty() || !output_.empty()) {
+    if (state_ != State::Open || input_.empty() || !output_.isEmpty()) {
         return false;
     }
     if (pending_.isEmpty()) {
         return true;
     }
     // Requests after the last answer are not processed, so the caller may safely send them again on another connection.
-    return !closesAfterAnswer_ && pending_.size() < options_.maxRequestsInFlight && pending_.acceptsSafeRequests() && isSafeRequest(input_);
+    const bool isSafe = framer_.isReadingBody() ? framer_.isReadingSafeRequest() : isSafeRequest(input_);
+    return !closesAfterAnswer_ && pending_.size() < options_.maxRequestsInFlight && pending_.acceptsSafeRequests() && isSafe;
 }
 
 bool CallerConnection::extractRequest(HttpRequest &request)
@@ -256,21 +281,19 @@
     if (!mayDispatchRequest()) {
         return false;
     }
-    const bool hasGrown = input_.size() >= lastParsedSize_ + lastParsedSize_ / GrowthDivisor;
-    if (input_.size() > AlwaysParseBytes && !hasGrown && !input_.ends_with("\r\n")) {
-        return false;
-    }
-    lastParsedSize_ = input_.size();
-    const bool isSafe = isSafeRequest(input_);
-    FramingResult result = frameRequest(input_, bounds_.limits);
+    FramingResult result = framer_.next(input_, bounds_.limits);
     if (const auto *fault = std::get_if<FramingFault>(&result)) {
         rejectInput(*fault);
         return false;
     }
+    if (const auto *refused = std::get_if<BodyTooLarge>(&result)) {
+        refuseForMemory(refused->head);
+        return false;
+    }
     if (const auto *more = std::get_if<NeedsMore>(&result)) {
         if (more->wantsContinue && !hasSentContinue_) {
             hasSentContinue_ = true;
-            output_.append(ContinueAnswer);
+            output_.add(std::string(ContinueAnswer));
             flushLocked();
         }
         return false;
@@ -279,43 +302,57 @@
     if (const auto status = tcpStatus(socket_.get())) {
         request.waited = status->sinceLastData;
     }
-    request.number = pending_.add(request.keepsConnection, isSafe);
+    request.number = pending_.add(request.keepsConnection, isSafeMethod(request.method));
     hasSentContinue_ = false;
-    lastParsedSize_ = 0;
     return true;
 }
 
 void CallerConnection::rejectInput(const FramingFault &fault)
 {
-    input_.clear();
-    const Problem problem{fault.status, ExecutionStatus::NotExecuted, "read request", "caller", fault.message, std::nullopt};
-    pending_.complete(pending_.add(false, false), {problemAnswer(problem), false, true});
+    endInput(problemAnswer({fault.status, ExecutionStatus::NotExecuted, "read request", "caller", fault.message, std::nullopt}), false);
+}
+
+void CallerConnection::refuseForMemory(const HttpRequest &head)
+{
+    const MemoryCounts counts = options_.memory->counts();
+    endInput(options_.refusal ? options_.refusal(head, counts) : problemAnswer(memoryProblem(counts)), head.method == "HEAD");
+}
+
+void CallerConnection::endInput(HttpAnswer answer, bool isHead)
+{
+    framer_.reset();
+    releaseInput();
+    pending_.complete(pending_.add(false, false), {std::move(answer), isHead, true});
     sendReadyAnswers();
 }
 
+bool CallerConnection::reserveBuffers()
+{
+    // Short strings need no memory of their own.
+    const std::size_t inputBytes = input_.capacity() > std::string().capacity() ? input_.capacity() : 0;
+    return buffers_.resize(inputBytes + output_.headBytes());
+}
+
+void CallerConnection::releaseInput()
+{
+    std::string().swap(input_);
+}
+
 void CallerConnection::flushLocked()
 {
-    if (output_.empty()) {
+    if (output_.isEmpty()) {
         return;
     }
-    while (outputSent_ < output_.size()) {
-        const ssize_t sent = ::send(socket_.get(), output_.data() + outputSent_, output_.size() - outputSent_, MSG_NOSIGNAL | MSG_DONTWAIT);
-        if (sent < 0 && errno == EINTR) {
-            continue;
-        }
-        if (sent < 0) {
-            if (errno != EAGAIN && errno != EWOULDBLOCK) {
-                closeLocked();
-            }
-            return;
-        }
-        outputSent_ += static_cast<std::size_t>(sent);
+    const auto [state, hasProgressed] = output_.sendTo(socket_.get());
+    if (hasProgressed) {
         // The timeout is for callers that make no progress, not for slow ones.
         timeoutStart_ = bootNow();
     }
-    output_.clear();
-    outputSent_ = 0;
-    finishSendLocked();
+    if (state == SendQueue::State::Failed) {
+        closeLocked();
+    } else if (state == SendQueue::State::Sent) {
+        finishSendLocked();
+    }
 }
 
 void CallerConnection::finishSendLocked()
@@ -323,7 +360,7 @@
     if (!pending_.isEmpty()) {
         return;
     }
-    if (closesAfterAnswer_ || (hasInputEnded_ && input_.empty())) {
+    if (closesAfterAnswer_ || (hasInputEnded_ && !hasPartialRequest())) {
         lingerLocked();
         return;
     }
@@ -349,10 +386,11 @@
         ::shutdown(socket_.get(), SHUT_RDWR);
     }
     socket_.reset();
-    input_.clear();
+    framer_.reset();
+    releaseInput();
     pending_.clear();
     output_.clear();
-    outputSent_ = 0;
+    buffers_.resize(0);
 }
 
 } // namespace Cloverbarrow
--- a/src/net/callerconnection.h
+++ b/src/net/callerconnection.h
@@ -11,6 +11,7 @@
 #include "net/answerqueue.h"
 #include "net/descriptor.h"
 #include "net/requestframer.h"
+#include "net/sendqueue.h"
 
 #include <cstddef>
 #include <cstdint>
@@ -37,6 +38,10 @@
 /// Handles a complete request; answers with CallerConnection::answerTo() or answer(), at once or later, from any thread.
 using RequestHandler = std::function<void(const std::shared_ptr<CallerConnection> &, HttpRequest)>;
 
+/// @return the answer to a request that is refused since there is no memory for it. Called with the connection's lock held.
+/// @param head the request without its body; without a method if its head is not complete. @param counts of the memory budget.
+using MemoryRefusal = std::function<HttpAnswer(const HttpRequest &head, const MemoryCounts &counts)>;
+
 /// One connection of a caller. Answers are sent in the order of the requests, in whatever order they become available.
 ///
 /// If several requests may be in flight, pipelined requests are dispatched at once as long as all of them have safe methods. A slow
@@ -52,6 +57,8 @@
     struct Options {
         bool treatsHalfCloseAsClosed = false; ///< A caller that closed its sending half no longer waits for an answer.
         std::size_t maxRequestsInFlight = 1; ///< Maximum; further requests are read when answers have been sent.
+        std::shared_ptr<MemoryBudget> memory = nullptr; ///< For what the connection keeps; null if it is not bounded.
+        MemoryRefusal refusal = nullptr; ///< If null, such requests are refused with a general answer.
     };
 
     /// @param fd is duplicated. @param caller IP address of the caller.
@@ -95,11 +102,19 @@
     };
 
     bool isIdle() const;
+    bool hasPartialRequest() const;
     void checkReadTimeouts(TimePoint now);
     void dispatchRequests(std::unique_lock<std::mutex> &lock);
     bool mayDispatchRequest() const;
     bool extractRequest(HttpRequest &request);
     void rejectInput(const FramingFault &fault);
+    /// Refuses a request for which there is no memory, and closes the connection after that.
+    void refuseForMemory(const HttpRequest &head);
+    /// Sends the answer to the request that is being read, and reads no further.
+    void endInput(HttpAnswer answer, bool isHead);
+    /// Reserves memory for the buffers of the connection. @return whether there is enough.
+    bool reserveBuffers();
+    void releaseInput();
     /// Sends the answers that are ready and next in order.
     void sendReadyAnswers();
     void flushLocked();
@@ -114,11 +129,11 @@
     mutable std::mutex mutex_;
     Descriptor socket_;
     State state_ = State::Open;
+    RequestFramer framer_;
+    MemoryReservation buffers_; ///< For input_ and the heads in output_; bodies have their own.
     std::string input_;
-    std::size_t lastParsedSize_ = 0;
     AnswerQueue pending_;
-    std::string output_;
-    std::size_t outputSent_ = 0;
+    SendQueue output_;
     bool closesAfterAnswer_ = false;
     bool hasInputEnded_ = false;
     bool hasSentContinue_ = false;
--- a/src/net/httpclient.cpp
+++ b/src/net/httpclient.cpp
@@ -56,9 +56,9 @@
 class HttpClient::Worker
 {
 public:
-    explicit Worker(BodyBuffer &buffer)
+    explicit Worker(std::shared_ptr<MemoryBudget> memory)
         : log_("http")
-        , buffer_(buffer)
+        , memory_(std::move(memory))
         , multi_(curl_multi_init())
     {
         curl_multi_setopt(multi_.get(), CURLMOPT_MAXCONNECTS, MaxIdleConnections);
@@ -79,7 +79,7 @@
         transfer->id = id;
         transfer->call = std::move(call);
         transfer->done = std::move(done);
-        transfer->buffer = &buffer_;
+        transfer->body = BodyBuilder(memory_, MemoryUse::Answer);
         transfer->sockets = &sockets_;
         if (!enqueue(transfer)) {
             transfer->done(HttpFailure{false, false, "shutting down"});
@@ -238,7 +238,6 @@
         auto node = transfers_.extract(finished.id);
         Transfer &transfer = *node.mapped();
         curl_multi_remove_handle(multi_.get(), transfer.easy.get());
-        buffer_.bytes -= transfer.answer.body.size();
         HttpOutcome outcome = outcomeOf(transfer, code);
         if (isHeadTruncated(transfer, code)) {
             log_.warn("answer truncated in its head", {{"server", transfer.call.address}, {"head_bytes", static_cast<std::int64_t>(transfer.headBytes)}});
@@ -252,7 +251,7 @@
     }
 
     Log log_;
-    BodyBuffer &buffer_;
+    std::shared_ptr<MemoryBudget> memory_;
     MultiHandle multi_;
     std::mutex mutex_;
     std::deque<std::unique_ptr<Transfer>> queue_;
@@ -269,12 +268,11 @@
     std::thread thread_;
 };
 
-HttpClient::HttpClient(std::size_t threads, std::size_t maxBufferedBytes)
-    : buffer_{maxBufferedBytes}
+HttpClient::HttpClient(std::size_t threads, std::shared_ptr<MemoryBudget> memory)
 {
     initialiseOnce();
     for (std::size_t index = 0; index < std::max<std::size_t>(1, threads); ++index) {
-        workers_.push_back(std::make_unique<Worker>(buffer_));
+        workers_.push_back(std::make_unique<Worker>(memory));
     }
 }
 
--- a/src/net/httpclient.h
+++ b/src/net/httpclient.h
@@ -10,7 +10,6 @@
 #include "core/support/time.h"
 #include "net/httpmessage.h"
 
-#include <atomic>
 #include <cstddef>
 #include <cstdint>
 #include <functional>
@@ -23,12 +22,6 @@
 namespace Cloverbarrow
 {
 
-/// Counts the bytes of the bodies that a client is receiving.
-struct BodyBuffer {
-    std::size_t maxBytes = 0;
-    std::atomic<std::size_t> bytes{0};
-};
-
 /// A header that the answer must echo to be accepted as the answer to this call.
 struct ExpectedEcho {
     std::string header; ///< Empty when nothing is expected.
@@ -75,12 +68,12 @@
 class HttpClient
 {
 public:
-    /// Bound on the received parts of all bodies that are not complete, in bytes. A small VM has 112 MB.
-    static constexpr std::size_t DefaultMaxBufferedBytes = 48 * 1024 * 1024;
+    /// Bound on the bytes of all answers of a client that has no memory budget in common with others.
+    static constexpr std::size_t DefaultMaxAnswerBytes = 48 * 1024 * 1024;
 
     /// @param threads number of threads. All calls to one address use the same thread, so that it can limit its connections.
-    /// @param maxBufferedBytes beyond it, answers that are already large are given up.
-    explicit HttpClient(std::size_t threads, std::size_t maxBufferedBytes = DefaultMaxBufferedBytes);
+    /// @param memory for the answers, from their first byte until they are not used any more. An answer for which there is none is a failure.
+    explicit HttpClient(std::size_t threads, std::shared_ptr<MemoryBudget> memory = std::make_shared<MemoryBudget>(DefaultMaxAnswerBytes));
     ~HttpClient();
     HttpClient(const HttpClient &) = delete;
     HttpClient &operator=(const HttpClient &) = delete;
@@ -99,7 +92,6 @@
 
     Worker &workerOf(const std::string &address);
 
-    BodyBuffer buffer_;
     std::vector<std::unique_ptr<Worker>> workers_;
 };
 
--- a/src/net/httpmessage.cpp
+++ b/src/net/httpmessage.cpp
@@ -40,6 +40,11 @@
     return names;
 }
 
+bool isBodiless(const HttpAnswer &answer)
+{
+    return answer.status == 204 || answer.status == 304;
+}
+
 } // namespace
 
 bool isSameName(std::string_view left, std::string_view right)
@@ -75,11 +80,10 @@
     return kept;
 }
 
-std::string serialize(const HttpAnswer &answer, bool isHead, bool closes)
+std::string serializeHead(const HttpAnswer &answer, bool isHead, bool closes)
 {
     const std::string_view reason = answer.reason.empty() ? reasonOf(answer.status) : std::string_view(answer.reason);
     std::string text = "HTTP/1.1 " + std::to_string(answer.status) + " " + std::string(reason) + "\r\n";
-    const bool isBodiless = answer.status == 204 || answer.status == 304;
     for (const Header &header : answer.headers) {
         const bool isLength = isSameName(header.name, "content-length");
         // Answers to HEAD and with 304 keep the backend server's length, since they have no body to count.
@@ -88,12 +92,23 @@
         }
     }
     const bool hasLength = (isHead || answer.status == 304) && answer.body.empty() && findHeader(answer.headers, "content-length");
-    if (!isBodiless && !hasLength) {
+    if (!isBodiless(answer) && !hasLength) {
         text += "Content-Length: " + std::to_string(answer.body.size()) + "\r\n";
     }
     text += closes ? "Connection: close\r\n\r\n" : "Connection: keep-alive\r\n\r\n";
-    if (!isHead && !isBodiless) {
-        text += answer.body;
+    return text;
+}
+
+bool hasBody(const HttpAnswer &answer, bool isHead)
+{
+    return !isHead && !isBodiless(answer);
+}
+
+std::string serialize(const HttpAnswer &answer, bool isHead, bool closes)
+{
+    std::string text = serializeHead(answer, isHead, closes);
+    if (hasBody(answer, isHead)) {
+        text += answer.body.view();
     }
     return text;
 }
--- a/src/net/httpmessage.h
+++ b/src/net/httpmessage.h
@@ -8,6 +8,7 @@
 #pragma once
 
 #include "core/support/time.h"
+#include "net/body.h"
 
 #include <cstdint>
 #include <optional>
@@ -33,7 +34,7 @@
     std::string method;
     std::string target; ///< Exactly as received.
     Headers headers;
-    std::string body;
+    Body body;
     bool keepsConnection = true;
     std::uint64_t number = 0; ///< Identifies the request on its connection until it is answered.
     Duration waited{0}; ///< How long it has waited at least since it arrived in full, e.g. unread in the socket.
@@ -44,7 +45,7 @@
     int status = 200;
     std::string reason;
     Headers headers;
-    std::string body;
+    Body body;
     bool usedNewConnection = false; ///< A connection was opened for the call.
 };
 
@@ -56,9 +57,13 @@
 /// @return the headers without hop-by-hop ones: those that RFC 9110 lists and those that a Connection header names.
 Headers withoutHopByHop(const Headers &headers);
 
-/// Serializes an answer and sets its Content-Length.
+/// Serializes the head of an answer and sets its Content-Length.
 /// @param isHead whether the request was HEAD, so that the length is sent but not the body.
 /// @param closes whether to announce that the connection closes.
+std::string serializeHead(const HttpAnswer &answer, bool isHead, bool closes);
+/// @return whether the body of @p answer is sent after its head.
+bool hasBody(const HttpAnswer &answer, bool isHead);
+/// Serializes a whole answer; the parameters are those of serializeHead().
 std::string serialize(const HttpAnswer &answer, bool isHead, bool closes);
 
 /// @return the standard reason phrase of @p status.
--- a/src/net/httptransfer.cpp
+++ b/src/net/httptransfer.cpp
@@ -26,8 +26,6 @@
 constexpr std::size_t MaxAnswerHead = 64 * 1024;
 // A chunked body takes more bytes on the connection than its content.
 constexpr std::size_t MaxFramingFactor = 2;
-// Answers below this size are received even if the client buffers as much as it may.
-constexpr std::size_t LargeAnswerBytes = 1024 * 1024;
 // A peer that does not acknowledge sent data for this long is cut off or powered off.
 constexpr int UserTimeoutMs = 2000;
 constexpr int KeepAliveSeconds = 1;
@@ -71,20 +69,29 @@
     return CURL_PREREQFUNC_OK;
 }
 
+/// Reserves memory for the body when its first @p count bytes arrive. @return whether there is enough.
+bool reserveBody(Transfer &transfer, std::size_t count)
+{
+    if (transfer.body.size() > 0) {
+        return true;
+    }
+    curl_off_t length = -1;
+    curl_easy_getinfo(transfer.easy.get(), CURLINFO_CONTENT_LENGTH_DOWNLOAD_T, &length);
+    const std::size_t announced = length > 0 ? static_cast<std::size_t>(length) : 0;
+    return transfer.body.reserve(std::max(count, std::min(announced, transfer.call.maxAnswerBytes)));
+}
+
 std::size_t receiveBody(char *bytes, std::size_t, std::size_t count, void *context)
 {
     auto *transfer = static_cast<Transfer *>(context);
-    if (transfer->answer.body.size() + count > transfer->call.maxAnswerBytes) {
+    if (transfer->body.size() + count > transfer->call.maxAnswerBytes) {
         transfer->isTooLong = true;
         return 0;
     }
-    BodyBuffer &buffer = *transfer->buffer;
-    if (transfer->answer.body.size() > LargeAnswerBytes && buffer.bytes + count > buffer.maxBytes) {
-        transfer->exceedsBuffer = true;
+    if (!reserveBody(*transfer, count) || !transfer->body.append({bytes, count})) {
+        transfer->exceedsMemory = true;
         return 0;
     }
-    buffer.bytes += count;
-    transfer->answer.body.append(bytes, count);
     return count;
 }
 
@@ -270,8 +277,8 @@
     if (transfer.isTooLong) {
         return HttpFailure{true, false, "the answer is too long"};
     }
-    if (transfer.exceedsBuffer) {
-        return HttpFailure{true, false, "too many bytes of answers are being received"};
+    if (transfer.exceedsMemory) {
+        return HttpFailure{true, false, "there is no memory for the answer"};
     }
     if (transfer.hasRepeatedStatus) {
         return HttpFailure{true, false, "a status line within the head of the answer", true};
@@ -297,6 +304,7 @@
     if (!transfer.isHeadOnly && !hasExplicitEnd(transfer) && !transfer.call.acceptsCloseDelimited) {
         return HttpFailure{true, false, "the answer ended with its connection, so it may be cut"};
     }
+    transfer.answer.body = transfer.body.take();
     return std::move(transfer.answer);
 }
 
--- a/src/net/httptransfer.h
+++ b/src/net/httptransfer.h
@@ -49,7 +49,7 @@
     HeaderList headers;
     std::string url;
     HttpAnswer answer;
-    BodyBuffer *buffer = nullptr; ///< Shared by the transfers of a client.
+    BodyBuilder body; ///< Of the answer.
     SocketsByPort *sockets = nullptr; ///< Shared by the transfers of a thread.
     int socket = -1; ///< Socket of the connection, once the request is being sent.
     std::size_t headBytes = 0; ///< With interim answers.
@@ -57,7 +57,7 @@
     bool wasSent = false;
     bool isResend = false;
     bool isTooLong = false;
-    bool exceedsBuffer = false; ///< The bodies of all transfers together are too long, and this one is large.
+    bool exceedsMemory = false; ///< There is no memory for the body of the answer.
     bool isHeadOnly = false; ///< The answer is complete after its head, and its body is not read.
     bool isWithinHead = false; ///< The status line of a head has been read, and its end has not.
     bool hasRepeatedStatus = false; ///< There is another status line within a head.
--- a/src/net/problemjson.cpp
+++ b/src/net/problemjson.cpp
@@ -7,6 +7,9 @@
 
 #include "net/problemjson.h"
 
+#include "core/requests/retryafter.h"
+#include "core/support/httpstatus.h"
+
 #include <nlohmann/json.hpp>
 
 namespace Cloverbarrow
@@ -36,4 +39,11 @@
     return answer;
 }
 
+Problem memoryProblem(const MemoryCounts &counts)
+{
+    std::string detail =
+        "there is no memory for the request: " + std::to_string(counts.usedBytes) + " of " + std::to_string(counts.maxBytes) + " bytes are in use";
+    return {HttpStatus::ServiceUnavailable, ExecutionStatus::NotExecuted, "read request", "entry VM", std::move(detail), RetryAfterAtOtherEntryVm};
+}
+
 } // namespace Cloverbarrow
--- a/src/net/problemjson.h
+++ b/src/net/problemjson.h
@@ -20,4 +20,7 @@
 /// @return the answer that reports @p problem to a caller, as application/problem+json.
 HttpAnswer problemAnswer(const Problem &problem);
 
+/// @return the refusal of a request for which there is no memory. @param counts of the memory budget.
+Problem memoryProblem(const MemoryCounts &counts);
+
 } // namespace Cloverbarrow
--- a/src/net/relayserver.cpp
+++ b/src/net/relayserver.cpp
@@ -11,6 +11,7 @@
 #include "net/bootclock.h"
 #include "net/crashjson.h"
 #include "net/forwarding.h"
+#include "net/problemjson.h"
 #include "net/quotamessages.h"
 #include "net/relaymessages.h"
 #include "net/rolloutmessages.h"
@@ -27,6 +28,7 @@
 constexpr Duration MaxListWait = seconds(1);
 // Shorter than the timeout of a follower's relay check.
 constexpr Duration MaxProofWait = milliseconds(300);
+constexpr std::size_t MaxLoggedText = 64;
 
 HttpAnswer answerOf(int status, std::string body)
 {
@@ -48,13 +50,16 @@
 
 } // namespace
 
-RelayServer::RelayServer(const std::string &address, RelaySource source)
+RelayServer::RelayServer(const std::string &address, RelaySource source, std::shared_ptr<MemoryBudget> memory)
     : source_(std::move(source))
+    , log_("relay")
 {
     CallerServerOptions options;
     options.address = address;
     options.threads = 1;
     options.connectionOptions.treatsHalfCloseAsClosed = true;
+    options.connectionOptions.memory = std::move(memory);
+    options.connectionOptions.refusal = [this](const HttpRequest &head, const MemoryCounts &counts) { return refuseForMemory(head, counts); };
     server_ = std::make_unique<CallerServer>(
         options, [this](const std::shared_ptr<CallerConnection> &connection, HttpRequest request) { accept(connection, std::move(request)); });
 }
@@ -78,28 +83,28 @@
         return;
     }
     if (const auto follower = parseProofTarget(request.target)) {
-        acceptProofRequest(connection, *follower, request.body);
+        acceptProofRequest(connection, *follower, std::string(request.body));
         return;
     }
     if (request.target == CrashUpdatesTarget) {
         const bool isUrgent = findHeader(request.headers, UrgentHeader).has_value();
-        const auto response = source_.acceptCrashUpdates ? source_.acceptCrashUpdates(request.body, isUrgent) : std::nullopt;
+        const auto response = source_.acceptCrashUpdates ? source_.acceptCrashUpdates(std::string(request.body), isUrgent) : std::nullopt;
         const int status = !response ? HttpStatus::NotFound : response->isAccepted ? HttpStatus::Ok : HttpStatus::TooManyRequests;
         connection->answer(answerOf(status, response ? encodeCrashUpdatesAnswer(response->isReplySent) : "{}"), false);
         return;
     }
     if (request.target == RolloutReportsTarget) {
-        const bool isAccepted = source_.acceptRolloutReports && source_.acceptRolloutReports(request.body);
+        const bool isAccepted = source_.acceptRolloutReports && source_.acceptRolloutReports(std::string(request.body));
         connection->answer(answerOf(isAccepted ? HttpStatus::Ok : HttpStatus::NotFound, "{}"), false);
         return;
     }
     if (request.target == LimitsTarget) {
-        const auto localReports = source_.exchangeLimits ? source_.exchangeLimits(request.body) : std::nullopt;
+        const auto localReports = source_.exchangeLimits ? source_.exchangeLimits(std::string(request.body)) : std::nullopt;
         connection->answer(answerOf(localReports ? HttpStatus::Ok : HttpStatus::NotFound, localReports.value_or("{}")), false);
         return;
     }
     if (request.target == QuotaTarget) {
-        const auto grants = source_.grantQuota ? source_.grantQuota(request.body) : std::nullopt;
+        const auto grants = source_.grantQuota ? source_.grantQuota(std::string(request.body)) : std::nullopt;
         connection->answer(answerOf(grants ? HttpStatus::Ok : HttpStatus::NotFound, grants.value_or("{}")), false);
         return;
     }
@@ -124,6 +129,19 @@
     }
 }
 
+HttpAnswer RelayServer::refuseForMemory(const HttpRequest &head, const MemoryCounts &counts) const
+{
+    Problem problem = memoryProblem(counts);
+    log_.warn("message refused", {{"detail", problem.detail}, {"target", std::string_view(head.target).substr(0, MaxLoggedText)}});
+    const auto tag = findHeader(head.headers, ForwardTagHeader);
+    if (!tag) {
+        return problemAnswer(problem);
+    }
+    // The entry VM that has forwarded the request may try another one.
+    problem.isLocalFault = true;
+    return forwardedRefusal(problem, std::string(*tag));
+}
+
 void RelayServer::acceptProofRequest(const std::shared_ptr<CallerConnection> &connection, const std::string &follower, const std::string &body)
 {
     const auto slowServers = source_.acceptSlowServers && !body.empty() ? source_.acceptSlowServers(follower, body) : nullptr;
--- a/src/net/relayserver.h
+++ b/src/net/relayserver.h
@@ -9,6 +9,7 @@
 
 #include "core/directory/directoryevents.h"
 #include "net/callerserver.h"
+#include "net/log.h"
 #include "net/relaylistcache.h"
 
 #include <array>
@@ -59,7 +60,8 @@
 class RelayServer
 {
 public:
-    RelayServer(const std::string &address, RelaySource source);
+    /// @param memory for the messages of all connections; may be null.
+    RelayServer(const std::string &address, RelaySource source, std::shared_ptr<MemoryBudget> memory = nullptr);
     ~RelayServer();
 
     /// @return the port that the server listens on.
@@ -88,6 +90,8 @@
     };
 
     void accept(const std::shared_ptr<CallerConnection> &connection, HttpRequest request);
+    /// @return the answer to a request for which there is no memory.
+    HttpAnswer refuseForMemory(const HttpRequest &head, const MemoryCounts &counts) const;
     void acceptProofRequest(const std::shared_ptr<CallerConnection> &connection, const std::string &follower, const std::string &body);
     /// Answers followers that wait for a proof, if one is available or their wait has ended.
     void answerProofs(TimePoint now);
@@ -109,6 +113,7 @@
     void sendAnswers(const ReadyAnswers &ready);
 
     RelaySource source_;
+    Log log_;
     std::mutex mutex_;
     std::vector<WaitingFollower> waiting_;
     std::vector<WaitingProofRequest> waitingProofRequests_;
--- a/src/net/requestframer.cpp
+++ b/src/net/requestframer.cpp
@@ -12,6 +12,7 @@
 #include <algorithm>
 #include <charconv>
 #include <optional>
+#include <utility>
 
 namespace Cloverbarrow
 {
@@ -175,11 +176,6 @@
     return std::nullopt;
 }
 
-enum class ChunkProgress {
-    Incomplete,
-    Complete,
-};
-
 /// @return the size in a chunk's size line, or nothing if it is malformed.
 std::optional<std::size_t> chunkSize(std::string_view line)
 {
@@ -192,101 +188,66 @@
     return size;
 }
 
-/// Decodes a chunked body. @param consumed set to the number of bytes read when the body is complete.
-std::variant<ChunkProgress, FramingFault> readChunks(std::string_view bytes, const RequestLimits &limits, std::string &body, std::size_t &consumed)
+} // namespace
+
+RequestFramer::RequestFramer(std::shared_ptr<MemoryBudget> budget)
+    : budget_(std::move(budget))
 {
-    std::size_t position = 0;
-    while (true) {
-        const std::size_t end = bytes.find(LineEnd, position);
-        if (end == std::string_view::npos) {
-            if (bytes.size() - position > MaxChunkLine) {
-                return FramingFault{400, "a chunk's size line is too long"};
-            }
-            return ChunkProgress::Incomplete;
-        }
-        const auto size = chunkSize(bytes.substr(position, end - position));
-        if (!size || end - position > MaxChunkLine) {
-            return FramingFault{400, "malformed chunk size"};
-        }
-        position = end + LineEnd.size();
-        if (*size == 0) {
-            break;
-        }
-        if (*size > limits.body || body.size() + *size > limits.body) {
-            return FramingFault{413, "the body is too long"};
-        }
-        if (bytes.size() < position + *size + LineEnd.size()) {
-            return ChunkProgress::Incomplete;
-        }
-        body.append(bytes.substr(position, *size));
-        position += *size;
-        if (bytes.substr(position, LineEnd.size()) != LineEnd) {
-            return FramingFault{400, "malformed chunk end"};
+}
+
+FramingResult RequestFramer::next(std::string &input, const RequestLimits &limits)
+{
+    if (!partial_) {
+        if (auto result = readHead(input, limits)) {
+            return std::move(*result);
         }
-        position += LineEnd.size();
     }
-    // Trailers are skipped and not forwarded.
-    while (true) {
-        const std::size_t end = bytes.find(LineEnd, position);
-        if (end == std::string_view::npos) {
-            if (bytes.size() - position > limits.head) {
-                return FramingFault{431, "the trailers are too long"};
-            }
-            return ChunkProgress::Incomplete;
-        }
-        const bool isLast = end == position;
-        position = end + LineEnd.size();
-        if (isLast) {
-            consumed = position;
-            return ChunkProgress::Complete;
-        }
+    std::string_view rest(input);
+    const BodyProgress progress = readBody(rest, limits);
+    input.erase(0, input.size() - rest.size());
+    if (const auto *fault = std::get_if<FramingFault>(&progress)) {
+        return *fault;
+    }
+    switch (std::get<Progress>(progress)) {
+    case Progress::Incomplete:
+        return NeedsMore{findHeader(partial_->request.headers, "expect").has_value() && !partial_->hasStarted};
+    case Progress::NoMemory:
+        return BodyTooLarge{std::exchange(partial_, std::nullopt)->request};
+    case Progress::Complete:
+        break;
     }
+    HttpRequest request = std::move(partial_->request);
+    request.body = partial_->body.take();
+    partial_.reset();
+    return request;
 }
 
-NeedsMore needsMore(const HttpRequest &request, bool hasBody)
+bool RequestFramer::isReadingBody() const
 {
-    const auto expect = findHeader(request.headers, "expect");
-    return {expect.has_value() && !hasBody};
+    return partial_.has_value();
 }
 
-FramingResult frameBody(std::string &buffer, std::size_t headSize, HttpRequest request, const RequestLimits &limits)
+bool RequestFramer::isReadingSafeRequest() const
 {
-    const auto framing = bodyFramingOf(request, limits);
-    if (const auto *fault = std::get_if<FramingFault>(&framing)) {
-        return *fault;
-    }
-    const auto &[isChunked, length] = std::get<BodyFraming>(framing);
-    std::size_t bodySize = length;
-    if (isChunked) {
-        const auto progress = readChunks(std::string_view(buffer).substr(headSize), limits, request.body, bodySize);
-        if (const auto *fault = std::get_if<FramingFault>(&progress)) {
-            return *fault;
-        }
-        if (std::get<ChunkProgress>(progress) == ChunkProgress::Incomplete) {
-            return needsMore(request, buffer.size() > headSize);
-        }
-    } else if (buffer.size() < headSize + length) {
-        return needsMore(request, buffer.size() > headSize);
-    } else {
-        request.body = buffer.substr(headSize, length);
-    }
-    buffer.erase(0, headSize + bodySize);
-    return request;
+    return partial_ && isSafeMethod(partial_->request.method);
 }
 
-} // namespace
+void RequestFramer::reset()
+{
+    partial_.reset();
+}
 
-FramingResult frameRequest(std::string &buffer, const RequestLimits &limits)
+std::optional<FramingResult> RequestFramer::readHead(std::string &input, const RequestLimits &limits)
 {
     // RFC 9112 allows empty lines before a request.
-    while (buffer.starts_with(LineEnd)) {
-        buffer.erase(0, LineEnd.size());
+    while (input.starts_with(LineEnd)) {
+        input.erase(0, LineEnd.size());
     }
-    const std::size_t headEnd = buffer.find(HeadEnd);
-    if (std::min(headEnd, buffer.size()) > limits.head) {
+    const std::size_t headEnd = input.find(HeadEnd);
+    if (std::min(headEnd, input.size()) > limits.head) {
         return FramingFault{431, "the request head is too long"};
     }
-    const std::string_view bytes(buffer);
+    const std::string_view bytes(input);
     const std::size_t lineEnd = bytes.find(LineEnd);
     if (lineEnd == std::string_view::npos) {
         const bool isGarbage = !bytes.empty()
@@ -312,7 +273,119 @@
     if (const auto fault = checkHeaders(request)) {
         return *fault;
     }
-    return frameBody(buffer, headEnd + HeadEnd.size(), std::move(request), limits);
+    const auto framing = bodyFramingOf(request, limits);
+    if (const auto *fault = std::get_if<FramingFault>(&framing)) {
+        return *fault;
+    }
+    input.erase(0, headEnd + HeadEnd.size());
+    const auto &[isChunked, length] = std::get<BodyFraming>(framing);
+    if (!isChunked && length == 0) {
+        return request;
+    }
+    BodyBuilder body(budget_, MemoryUse::Request);
+    if (!body.reserve(length)) {
+        return BodyTooLarge{std::move(request)};
+    }
+    partial_ = PartialRequest{std::move(request), std::move(body), isChunked, length};
+    return std::nullopt;
+}
+
+RequestFramer::BodyProgress RequestFramer::readBody(std::string_view &input, const RequestLimits &limits)
+{
+    partial_->hasStarted = partial_->hasStarted || !input.empty();
+    return partial_->isChunked ? readChunks(input, limits) : BodyProgress(readData(input));
+}
+
+RequestFramer::Progress RequestFramer::readData(std::string_view &input)
+{
+    const std::string_view bytes = input.substr(0, partial_->length);
+    if (!partial_->body.append(bytes)) {
+        return Progress::NoMemory;
+    }
+    input.remove_prefix(bytes.size());
+    partial_->length -= bytes.size();
+    return partial_->length == 0 ? Progress::Complete : Progress::Incomplete;
+}
+
+RequestFramer::BodyProgress RequestFramer::readChunks(std::string_view &input, const RequestLimits &limits)
+{
+    const auto readPart = [&]() -> BodyProgress {
+        switch (partial_->part) {
+        case ChunkPart::Size:
+            return readChunkSize(input, limits);
+        case ChunkPart::Data: {
+            const Progress progress = readData(input);
+            if (progress == Progress::Complete) {
+                partial_->part = ChunkPart::DataEnd;
+            }
+            return progress;
+        }
+        case ChunkPart::DataEnd:
+            if (!LineEnd.starts_with(input.substr(0, LineEnd.size()))) {
+                return FramingFault{400, "malformed chunk end"};
+            }
+            if (input.size() < LineEnd.size()) {
+                return Progress::Incomplete;
+            }
+            input.remove_prefix(LineEnd.size());
+            partial_->part = ChunkPart::Size;
+            return Progress::Complete;
+        case ChunkPart::Trailers:
+            break;
+        }
+        return readTrailers(input, limits);
+    };
+    while (true) {
+        const bool isLastPart = partial_->part == ChunkPart::Trailers;
+        const BodyProgress progress = readPart();
+        const auto *state = std::get_if<Progress>(&progress);
+        if (!state || *state != Progress::Complete || isLastPart) {
+            return progress;
+        }
+    }
+}
+
+RequestFramer::BodyProgress RequestFramer::readChunkSize(std::string_view &input, const RequestLimits &limits)
+{
+    const std::size_t end = input.find(LineEnd);
+    if (end == std::string_view::npos) {
+        return input.size() > MaxChunkLine ? BodyProgress(FramingFault{400, "a chunk's size line is too long"}) : Progress::Incomplete;
+    }
+    const auto size = chunkSize(input.substr(0, end));
+    if (!size || end > MaxChunkLine) {
+        return FramingFault{400, "malformed chunk size"};
+    }
+    if (*size > limits.body || partial_->body.size() + *size > limits.body) {
+        return FramingFault{413, "the body is too long"};
+    }
+    input.remove_prefix(end + LineEnd.size());
+    partial_->length = *size;
+    partial_->part = *size == 0 ? ChunkPart::Trailers : ChunkPart::Data;
+    return Progress::Complete;
+}
+
+RequestFramer::BodyProgress RequestFramer::readTrailers(std::string_view &input, const RequestLimits &limits)
+{
+    // Trailers are skipped and not forwarded.
+    while (true) {
+        const std::size_t end = input.find(LineEnd);
+        if (partial_->trailerBytes + std::min(end, input.size()) > limits.head) {
+            return FramingFault{431, "the trailers are too long"};
+        }
+        if (end == std::string_view::npos) {
+            return Progress::Incomplete;
+        }
+        input.remove_prefix(end + LineEnd.size());
+        partial_->trailerBytes += end + LineEnd.size();
+        if (end == 0) {
+            return Progress::Complete;
+        }
+    }
+}
+
+bool isSafeMethod(std::string_view method)
+{
+    return method == "GET" || method == "HEAD";
 }
 
 } // namespace Cloverbarrow
--- a/tests/platform/deploytests.cpp
+++ b/tests/platform/deploytests.cpp
@@ -96,3 +96,16 @@
     CHECK(budgetsOf().coldRateFactor == 1.25);
     CHECK(budgetsOf().coldSlack == 5);
 }
+
+TEST_CASE("The memory of the VM bounds the requests and answers that an entry VM keeps", "[platform][deploy][memory]")
+{
+    Fields fields = fieldsWithGrace("6");
+    const auto memoryOf = [&fields] { return std::get<Settings>(parseSettings(rendered(fields))).memoryBytes; };
+    CHECK(memoryOf() == Settings().memoryBytes);
+    fields["limits.memory_mb"] = "112";
+    CHECK(memoryOf() == 112'000'000);
+    fields["limits.memory_mb"] = "260.0";
+    CHECK(memoryOf() == 260'000'000);
+    fields["limits.memory_mb"] = "little";
+    CHECK(std::holds_alternative<std::vector<DocumentFault>>(parseSettings(rendered(fields))));
+}
--- a/tests/process/fleet.h
+++ b/tests/process/fleet.h
@@ -30,6 +30,8 @@
     Fleet(const Fleet &) = delete;
     Fleet &operator=(const Fleet &) = delete;
 
+    /// Adds settings to the limits of entry VMs that are started later. @param limits as in the settings file, e.g. "memory_mb: 64".
+    void setLimits(const std::string &limits);
     /// Starts an entry VM. @param noticeMs how long it continues to accept requests after SIGTERM.
     void startEntryVm(const std::string &name, const std::string &zone = "bog-a", int noticeMs = 50);
     Process &entryVm(const std::string &name);
@@ -66,6 +68,7 @@
 
 private:
     std::string folder_;
+    std::string limits_;
     std::unique_ptr<Process> platform_;
     std::vector<std::unique_ptr<Process>> backends_;
     std::map<std::string, std::unique_ptr<Process>> entryVms_;
