--- a/bench/processes/pathbench.cpp
+++ b/bench/processes/pathbench.cpp
@@ -41,31 +41,33 @@
     }
 };
 
-void runCaller(const std::string &address, int caller, int count, CallResults &results)
+void runCaller(const std::string &address, int caller, int count, const std::string &body, CallResults &results)
 {
     RawCaller connection(address);
     results.latenciesMs.reserve(static_cast<std::size_t>(count));
     for (int number = 0; number < count; ++number) {
         const std::string id = std::to_string(caller) + "-" + std::to_string(number);
         const auto start = Clock::now();
-        std::string request = "GET /state/";
-        request.append(id).append(" HTTP/1.1\r\nHost: liquidacion.example\r\nX-Id: ").append(id).append("\r\n\r\n");
+        std::string request = body.empty() ? "GET /state/" + id : "POST /notes";
+        request.append(" HTTP/1.1\r\nHost: liquidacion.example\r\nX-Id: ").append(id).append("\r\n");
+        request.append(body.empty() ? "" : "Content-Length: " + std::to_string(body.size()) + "\r\n").append("\r\n").append(body);
         connection.send(request);
-        const std::string answer = connection.readUntil("body=\n");
+        const std::string expected = "id=" + id + " body=" + body + "\n";
+        const std::string answer = connection.readUntil(expected);
         results.latenciesMs.push_back(std::chrono::duration<double, std::milli>(Clock::now() - start).count());
         ++results.calls;
-        results.wrong += answer.find("id=" + id + " body=\n") == std::string::npos || RawCaller::occurrences(answer, "HTTP/1.1 ") != 1 ? 1 : 0;
+        results.wrong += answer.find(expected) == std::string::npos || RawCaller::occurrences(answer, "HTTP/1.1 ") != 1 ? 1 : 0;
     }
 }
 
-CallResults runCallers(const std::vector<std::string> &addresses, int callers, int callsEach)
+CallResults runCallers(const std::vector<std::string> &addresses, int callers, int callsEach, const std::string &body)
 {
     std::vector<CallResults> resultsByCaller(static_cast<std::size_t>(callers));
     std::vector<std::thread> threads;
     const auto start = Clock::now();
     for (int caller = 0; caller < callers; ++caller) {
         const auto index = static_cast<std::size_t>(caller);
-        threads.emplace_back([&, caller, index] { runCaller(addresses[index % addresses.size()], caller, callsEach, resultsByCaller[index]); });
+        threads.emplace_back([&, caller, index] { runCaller(addresses[index % addresses.size()], caller, callsEach, body, resultsByCaller[index]); });
     }
     for (std::thread &thread : threads) {
         thread.join();
@@ -100,6 +102,7 @@
 int main(int argc, char **argv)
 {
     const int callsEach = argc > 1 ? std::atoi(argv[1]) : 4000;
+    const std::string body(argc > 2 ? static_cast<std::size_t>(std::atoi(argv[2])) : 0, 'b');
     constexpr int Backends = 6;
     constexpr int Rounds = 3;
     for (const bool echoesTag : {true, false}) {
@@ -122,10 +125,10 @@
         const pid_t pid = fleet.entryVm("entry-1").pid();
         for (const int callers : {4, 12}) {
             for (int round = 0; round < Rounds; ++round) {
-                const CallResults directResults = runCallers(direct, callers, callsEach);
+                const CallResults directResults = runCallers(direct, callers, callsEach, body);
                 print(("direct, " + std::to_string(callers) + " callers").c_str(), directResults, 0);
                 const double before = processorSeconds(pid);
-                const CallResults entryVmResults = runCallers({fleet.address("entry-1", "callers")}, callers, callsEach);
+                const CallResults entryVmResults = runCallers({fleet.address("entry-1", "callers")}, callers, callsEach, body);
                 const double processorTime = processorSeconds(pid) - before;
                 print(("through entry VM, " + std::to_string(callers) + " callers").c_str(),
                       entryVmResults,
@@ -136,7 +139,7 @@
             fleet.setBehaviour(number, R"({"service_us":0})");
         }
         const double before = processorSeconds(pid);
-        const CallResults saturatedResults = runCallers({fleet.address("entry-1", "callers")}, 48, callsEach);
+        const CallResults saturatedResults = runCallers({fleet.address("entry-1", "callers")}, 48, callsEach, body);
         print("through entry VM, 48 callers, no service time",
               saturatedResults,
               (processorSeconds(pid) - before) * 1e6 / static_cast<double>(saturatedResults.calls));
