Forwarded requests and unread answers under the memory budget: tests

A forwarded request that finds no memory is refused so that the forwarding entry VM asks another one, and answers that callers read late count, too. Besides: findings of the linter.

--- a/src/net/httpclient.cpp
+++ b/src/net/httpclient.cpp
@@ -268,7 +268,7 @@
     std::thread thread_;
 };
 
-HttpClient::HttpClient(std::size_t threads, std::shared_ptr<MemoryBudget> memory)
+HttpClient::HttpClient(std::size_t threads, const std::shared_ptr<MemoryBudget> &memory)
 {
     initialiseOnce();
     for (std::size_t index = 0; index < std::max<std::size_t>(1, threads); ++index) {
--- a/src/net/httpclient.h
+++ b/src/net/httpclient.h
@@ -73,7 +73,7 @@
 
     /// @param threads number of threads. All calls to one address use the same thread, so that it can limit its connections.
     /// @param memory for the answers, from their first byte until they are not used any more. An answer for which there is none is a failure.
-    explicit HttpClient(std::size_t threads, std::shared_ptr<MemoryBudget> memory = std::make_shared<MemoryBudget>(DefaultMaxAnswerBytes));
+    explicit HttpClient(std::size_t threads, const std::shared_ptr<MemoryBudget> &memory = std::make_shared<MemoryBudget>(DefaultMaxAnswerBytes));
     ~HttpClient();
     HttpClient(const HttpClient &) = delete;
     HttpClient &operator=(const HttpClient &) = delete;
--- a/src/net/httpplatformclient.cpp
+++ b/src/net/httpplatformclient.cpp
@@ -120,9 +120,9 @@
 
 } // namespace
 
-HttpPlatformClient::HttpPlatformClient(std::string address, std::shared_ptr<MemoryBudget> memory)
+HttpPlatformClient::HttpPlatformClient(std::string address, const std::shared_ptr<MemoryBudget> &memory)
     : address_(std::move(address))
-    , client_(1, std::move(memory))
+    , client_(1, memory)
 {
 }
 
--- a/src/net/httpplatformclient.h
+++ b/src/net/httpplatformclient.h
@@ -21,7 +21,7 @@
 {
 public:
     /// @param address `IP:port`. @param memory for its answers; may be null.
-    HttpPlatformClient(std::string address, std::shared_ptr<MemoryBudget> memory);
+    HttpPlatformClient(std::string address, const std::shared_ptr<MemoryBudget> &memory);
 
     void call(StoreCall call, std::function<void(StoreResult)> done) override;
     void watch(const StoreObject &object, std::int64_t afterVersion, Duration wait, std::function<void(WatchResult)> done) override;
--- a/src/net/requestframer.cpp
+++ b/src/net/requestframer.cpp
@@ -337,7 +337,7 @@
     };
     while (true) {
         const bool isLastPart = partial_->part == ChunkPart::Trailers;
-        const BodyProgress progress = readPart();
+        BodyProgress progress = readPart();
         const auto *state = std::get_if<Progress>(&progress);
         if (!state || *state != Progress::Complete || isLastPart) {
             return progress;
--- a/tests/process/memorytests.cpp
+++ b/tests/process/memorytests.cpp
@@ -42,6 +42,12 @@
     return kibibytes * 1024 / 1e6;
 }
 
+enum class Scenario {
+    ReadsAtOnce,
+    ReadsLate, ///< Callers read their answers late.
+    ProcessStops,
+};
+
 std::string noteHead(const std::string &id, std::size_t bytes)
 {
     return "POST /notes HTTP/1.1\r\nHost: liquidacion.example\r\nX-Id: " + id + "\r\nContent-Length: " + std::to_string(bytes) + "\r\n\r\n";
@@ -74,22 +80,27 @@
     CHECK(callers.front()->readUntil("body=\n").starts_with("HTTP/1.1 200"));
 }
 
-TEST_CASE("Large bodies that arrive at the same time, also while the process stops, do not exceed its memory limit", "[process][memory][shutdown]")
+TEST_CASE("Large bodies and unread answers, also while the process stops, do not exceed its memory limit", "[process][memory][shutdown]")
 {
     constexpr double MemoryMb = 64;
     constexpr int Callers = 16;
-    const bool stops = GENERATE(false, true);
-    CAPTURE(stops);
+    const auto scenario = GENERATE(Scenario::ReadsAtOnce, Scenario::ReadsLate, Scenario::ProcessStops);
+    const bool stops = scenario == Scenario::ProcessStops;
+    CAPTURE(scenario);
     Fleet fleet;
     fleet.setLimits("memory_mb: 64");
     fleet.startAll({"entry-1"});
     Process &vm = fleet.entryVm("entry-1");
     std::vector<std::string> answers(Callers);
     std::vector<std::thread> threads;
+    threads.reserve(Callers);
     for (int number = 0; number < Callers; ++number) {
         threads.emplace_back([&, number] {
             RawCaller caller(fleet.address("entry-1", "callers"));
             caller.send(noteHead("note-" + std::to_string(number) + ".", BodyBytes) + std::string(BodyBytes, 'd'));
+            if (scenario == Scenario::ReadsLate) {
+                std::this_thread::sleep_for(std::chrono::milliseconds(700));
+            }
             answers[static_cast<std::size_t>(number)] = caller.readUntil("\n", 1000);
         });
     }
--- a/tests/unit/faultyanswertests.cpp
+++ b/tests/unit/faultyanswertests.cpp
@@ -270,7 +270,8 @@
     RawServer server({answer.description, bytes, ""});
     HttpCall call = callTo(server.address());
     call.request.method = answer.method;
-    CHECK(std::holds_alternative<HttpAnswer>(start(client, bytes.size(), std::move(call)).get()));
+    const HttpOutcome outcome = start(client, bytes.size(), std::move(call)).get();
+    CHECK(std::holds_alternative<HttpAnswer>(outcome));
 }
 
 TEST_CASE("A truncated late answer to an earlier request is not passed on to the next request", "[net][truncated]")
@@ -299,5 +300,6 @@
     HttpClient client(1);
     HttpCall call = callTo(server.address());
     call.echo = {"Request-Id", "2", true};
-    CHECK(std::holds_alternative<HttpFailure>(start(client, 1, std::move(call)).get()));
+    const HttpOutcome outcome = start(client, 1, std::move(call)).get();
+    CHECK(std::holds_alternative<HttpFailure>(outcome));
 }
--- a/tests/unit/relayservertests.cpp
+++ b/tests/unit/relayservertests.cpp
@@ -5,6 +5,7 @@
     SPDX-License-Identifier: Apache-2.0
 */
 
+#include "net/forwarding.h"
 #include "net/httpclient.h"
 #include "net/relaymessages.h"
 #include "net/relayserver.h"
@@ -121,3 +122,32 @@
     }
     client.stop();
 }
+
+TEST_CASE("A forwarded request for which there is no memory is refused as not executed, so that another entry VM is asked", "[relay][memory]")
+{
+    RelaySource source;
+    bool wasAccepted = false;
+    source.acceptForwarded = [&wasAccepted](const auto &, const HttpRequest &) { wasAccepted = true; };
+    RelayServer server("127.0.0.1:0", source, std::make_shared<MemoryBudget>(1024 * 1024));
+    HttpClient client(1);
+    HttpCall call;
+    call.address = "127.0.0.1:" + std::to_string(server.port());
+    call.request.method = "POST";
+    call.request.target = "/a";
+    call.request.headers = {{"Host", call.address}, {ForwardHeader, "{}"}, {ForwardTagHeader, "tag-1"}};
+    call.request.body = std::string(2 * 1024 * 1024, 'd');
+    call.timeout = seconds(20);
+    call.echo = {ForwardTagHeader, "tag-1", true};
+    std::promise<HttpOutcome> done;
+    client.start(1, std::move(call), [&done](HttpOutcome outcome) { done.set_value(std::move(outcome)); });
+    const HttpOutcome outcome = done.get_future().get();
+    client.stop();
+    REQUIRE(std::holds_alternative<HttpAnswer>(outcome));
+    const ForwardOutcome interpreted = interpretForwardedAnswer(std::get<HttpAnswer>(outcome));
+    REQUIRE(std::holds_alternative<ForwardRefused>(interpreted));
+    const Problem &problem = std::get<ForwardRefused>(interpreted).problem;
+    CHECK(problem.executionStatus == ExecutionStatus::NotExecuted);
+    CHECK(problem.isLocalFault);
+    CHECK(problem.retryAfter);
+    CHECK_FALSE(wasAccepted);
+}
