--- a/bench/processes/pathbench.cpp
+++ b/bench/processes/pathbench.cpp
@@ -52,7 +52,8 @@
         request.append(" HTTP/1.1\r\nHost: liquidacion.example\r\nX-Id: ").append(id).append("\r\n");
         request.append(body.empty() ? "" : "Content-Length: " + std::to_string(body.size()) + "\r\n").append("\r\n").append(body);
         connection.send(request);
-        const std::string expected = "id=" + id + " body=" + body + "\n";
+        std::string expected = "id=";
+        expected.append(id).append(" body=").append(body).append("\n");
         const std::string answer = connection.readUntil(expected);
         results.latenciesMs.push_back(std::chrono::duration<double, std::milli>(Clock::now() - start).count());
         ++results.calls;
