--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -75,6 +75,10 @@
     // raises it to the size of the largest buffer freed so far, and keeps such buffers between smaller ones.
     constexpr int MmapThreshold = 128 * 1024;
     static_cast<void>(::mallopt(M_MMAP_THRESHOLD, MmapThreshold));
+    // With a fixed threshold the allocator does not adjust this one either. Its initial value would return the end of the heap to the system, and fetch
+    // it again, in short intervals.
+    constexpr int TrimThreshold = 2 * 1024 * 1024;
+    static_cast<void>(::mallopt(M_TRIM_THRESHOLD, TrimThreshold));
 }
 
 int runDaemon(const Settings &settings, const SettingsFile &file)
--- a/src/net/callerconnection.cpp
+++ b/src/net/callerconnection.cpp
@@ -25,8 +25,9 @@
 constexpr std::string_view ContinueAnswer = "HTTP/1.1 100 Continue\r\n\r\n";
 // A connection that is in use keeps a buffer up to this size for its next request.
 constexpr std::size_t MaxKeptInput = 64 * 1024;
-// After this time without a request it keeps none.
+// After this time without a request it keeps a small one at most, which the usual request does not outgrow.
 constexpr Duration KeptInputTime = seconds(1);
+constexpr std::size_t MaxIdleInput = 4 * 1024;
 // Bytes that a caller may send ahead while requests are in flight; beyond that the connection closes after their answers.
 constexpr std::size_t MaxPipelinedBytes = 256 * 1024;
 
@@ -209,7 +210,7 @@
         return;
     }
     if (!hasPartialRequest()) {
-        if (now - timeoutStart_ > KeptInputTime) {
+        if (now - timeoutStart_ > KeptInputTime && input_.capacity() > MaxIdleInput) {
             releaseInput();
             static_cast<void>(reserveBuffers());
         }
@@ -330,7 +331,7 @@
 {
     // Short strings need no memory of their own.
     const std::size_t inputBytes = input_.capacity() > std::string().capacity() ? input_.capacity() : 0;
-    return buffers_.resize(inputBytes + output_.headBytes());
+    return buffers_.resize(inputBytes + output_.ownBytes());
 }
 
 void CallerConnection::releaseInput()
--- a/src/net/callerconnection.h
+++ b/src/net/callerconnection.h
@@ -130,7 +130,7 @@
     Descriptor socket_;
     State state_ = State::Open;
     RequestFramer framer_;
-    MemoryReservation buffers_; ///< For input_ and the heads in output_; bodies have their own.
+    MemoryReservation buffers_; ///< For input_ and output_; large bodies have their own.
     std::string input_;
     AnswerQueue pending_;
     SendQueue output_;
--- a/src/net/sendqueue.cpp
+++ b/src/net/sendqueue.cpp
@@ -23,6 +23,8 @@
 {
 
 constexpr std::size_t MaxParts = 16; // of one call; two for each message
+// Copying a smaller body costs less than sending it as a part of its own.
+constexpr std::size_t MaxCopiedBytes = 16 * 1024;
 
 iovec partOf(std::string_view bytes)
 {
@@ -34,7 +36,11 @@
 
 void SendQueue::add(std::string head, Body body)
 {
-    headBytes_ += head.size();
+    if (body.size() <= MaxCopiedBytes) {
+        head.append(body.view());
+        body = {};
+    }
+    ownBytes_ += head.size();
     messages_.push_back({std::move(head), std::move(body)});
 }
 
@@ -42,20 +48,7 @@
 {
     bool hasProgressed = false;
     while (!messages_.empty()) {
-        std::array<iovec, MaxParts> parts{};
-        std::size_t count = 0;
-        std::size_t skipped = sentBytes_;
-        for (auto message = messages_.begin(); message != messages_.end() && count + 2 <= MaxParts; ++message) {
-            for (const std::string_view bytes : {std::string_view(message->head), message->body.view()}) {
-                const std::size_t skip = std::min(skipped, bytes.size());
-                skipped -= skip;
-                parts.at(count++) = partOf(bytes.substr(skip));
-            }
-        }
-        msghdr header{};
-        header.msg_iov = parts.data();
-        header.msg_iovlen = count;
-        const ssize_t sent = ::sendmsg(socket, &header, MSG_NOSIGNAL | MSG_DONTWAIT);
+        const ssize_t sent = sendOnce(socket);
         if (sent < 0 && errno == EINTR) {
             continue;
         }
@@ -68,12 +61,35 @@
     return {State::Sent, hasProgressed};
 }
 
+ssize_t SendQueue::sendOnce(int socket) const
+{
+    constexpr int Flags = MSG_NOSIGNAL | MSG_DONTWAIT;
+    if (messages_.size() == 1 && messages_.front().body.empty()) {
+        const std::string_view rest = std::string_view(messages_.front().head).substr(sentBytes_);
+        return ::send(socket, rest.data(), rest.size(), Flags);
+    }
+    std::array<iovec, MaxParts> parts{};
+    std::size_t count = 0;
+    std::size_t skipped = sentBytes_;
+    for (auto message = messages_.begin(); message != messages_.end() && count + 2 <= MaxParts; ++message) {
+        for (const std::string_view bytes : {std::string_view(message->head), message->body.view()}) {
+            const std::size_t skip = std::min(skipped, bytes.size());
+            skipped -= skip;
+            parts.at(count++) = partOf(bytes.substr(skip));
+        }
+    }
+    msghdr header{};
+    header.msg_iov = parts.data();
+    header.msg_iovlen = count;
+    return ::sendmsg(socket, &header, Flags);
+}
+
 void SendQueue::remove(std::size_t count)
 {
     sentBytes_ += count;
     while (!messages_.empty() && sentBytes_ >= messages_.front().head.size() + messages_.front().body.size()) {
         sentBytes_ -= messages_.front().head.size() + messages_.front().body.size();
-        headBytes_ -= messages_.front().head.size();
+        ownBytes_ -= messages_.front().head.size();
         messages_.pop_front();
     }
 }
@@ -82,7 +98,7 @@
 {
     messages_.clear();
     sentBytes_ = 0;
-    headBytes_ = 0;
+    ownBytes_ = 0;
 }
 
 bool SendQueue::isEmpty() const
@@ -90,9 +106,9 @@
     return messages_.empty();
 }
 
-std::size_t SendQueue::headBytes() const
+std::size_t SendQueue::ownBytes() const
 {
-    return headBytes_;
+    return ownBytes_;
 }
 
 } // namespace Cloverbarrow
--- a/src/net/sendqueue.h
+++ b/src/net/sendqueue.h
@@ -9,6 +9,8 @@
 
 #include "net/body.h"
 
+#include <sys/types.h>
+
 #include <cstddef>
 #include <deque>
 #include <string>
@@ -16,7 +18,7 @@
 namespace Cloverbarrow
 {
 
-/// Messages that are being sent on a socket. Bodies are sent from where they are and not copied.
+/// Messages that are being sent on a socket. Large bodies are sent from where they are and not copied.
 class SendQueue
 {
 public:
@@ -37,21 +39,22 @@
     void clear();
 
     bool isEmpty() const;
-    /// @return bytes of the queued heads, including those of the first message that have been sent.
-    std::size_t headBytes() const;
+    /// @return bytes of the queue's own memory, i.e. of heads and small bodies, including those of the first message that have been sent.
+    std::size_t ownBytes() const;
 
 private:
     struct Message {
-        std::string head;
+        std::string head; ///< With the body, if that is small.
         Body body;
     };
 
+    ssize_t sendOnce(int socket) const;
     /// Removes sent messages. @param count number of bytes sent.
     void remove(std::size_t count);
 
     std::deque<Message> messages_;
     std::size_t sentBytes_ = 0; ///< Of the first message.
-    std::size_t headBytes_ = 0;
+    std::size_t ownBytes_ = 0;
 };
 
 } // namespace Cloverbarrow
