Memory of answers that have been sent is not counted any more

Heads and small bodies that waited behind an answer read late were counted until the next request of the connection. With many slow readers the budget would have shrunk although nothing was kept. Besides, the framer's result for a body without memory is named after it.

--- a/src/net/callerconnection.cpp
+++ b/src/net/callerconnection.cpp
@@ -210,8 +210,11 @@
         return;
     }
     if (!hasPartialRequest()) {
-        if (now - timeoutStart_ > KeptInputTime && input_.capacity() > MaxIdleInput) {
-            releaseInput();
+        if (now - timeoutStart_ > KeptInputTime) {
+            if (input_.capacity() > MaxIdleInput) {
+                releaseInput();
+            }
+            // Counts less than before, which is always possible.
             static_cast<void>(reserveBuffers());
         }
         if (bounds_.idleTimeout && now - timeoutStart_ > *bounds_.idleTimeout) {
@@ -287,7 +290,7 @@
         rejectInput(*fault);
         return false;
     }
-    if (const auto *refused = std::get_if<BodyTooLarge>(&result)) {
+    if (const auto *refused = std::get_if<NoMemoryForBody>(&result)) {
         refuseForMemory(refused->head);
         return false;
     }
--- a/src/net/requestframer.cpp
+++ b/src/net/requestframer.cpp
@@ -212,7 +212,7 @@
     case Progress::Incomplete:
         return NeedsMore{findHeader(partial_->request.headers, "expect").has_value() && !partial_->hasStarted};
     case Progress::NoMemory:
-        return BodyTooLarge{std::exchange(partial_, std::nullopt)->request};
+        return NoMemoryForBody{std::exchange(partial_, std::nullopt)->request};
     case Progress::Complete:
         break;
     }
@@ -284,7 +284,7 @@
     }
     BodyBuilder body(budget_, MemoryUse::Request);
     if (!body.reserve(length)) {
-        return BodyTooLarge{std::move(request)};
+        return NoMemoryForBody{std::move(request)};
     }
     partial_ = PartialRequest{std::move(request), std::move(body), isChunked, length};
     return std::nullopt;
--- a/src/net/requestframer.h
+++ b/src/net/requestframer.h
@@ -38,11 +38,11 @@
 };
 
 /// There is no memory for the body of the request. The rest of the body still follows on the connection.
-struct BodyTooLarge {
+struct NoMemoryForBody {
     HttpRequest head;
 };
 
-using FramingResult = std::variant<NeedsMore, HttpRequest, FramingFault, BodyTooLarge>;
+using FramingResult = std::variant<NeedsMore, HttpRequest, FramingFault, NoMemoryForBody>;
 
 /// Extracts HTTP/1.1 requests from a caller's bytes. The parser is strict: it rejects whatever two parsers could interpret
 /// differently, which prevents request smuggling. It keeps target and headers as received, since the maps of headers and query keys of
--- a/tests/unit/callerconnectiontests.cpp
+++ b/tests/unit/callerconnectiontests.cpp
@@ -242,3 +242,20 @@
     CHECK(caller.connection->isClosed());
     CHECK(budget->counts().usedBytes == 0);
 }
+
+TEST_CASE("Answers that wait behind one that is read late are not counted any more once they have been sent", "[caller][memory]")
+{
+    const auto budget = std::make_shared<MemoryBudget>(64 * 1024 * 1024);
+    ConnectedCaller caller(4, budget);
+    caller.send("GET", "/a");
+    caller.send("GET", "/b");
+    caller.answer(0, std::string(4 * 1024 * 1024, 'a'));
+    caller.answer(1, std::string(10'000, 'b'));
+    CHECK(budget->counts().usedBytes >= 10'000);
+    while (caller.connection->isSending()) {
+        caller.readBytes();
+        caller.connection->checkTimeouts(bootNow());
+    }
+    caller.connection->checkTimeouts(bootNow() + seconds(2));
+    CHECK(budget->counts().usedBytes <= 4096);
+}
