--- a/tests/process/callertests.cpp
+++ b/tests/process/callertests.cpp
@@ -151,6 +151,26 @@
         CHECK(bodyOf(fleet.get("entry-1", "/state/a", {{"X-Id", "a"}})).find("id=a body=") != std::string::npos);
         CHECK(fleet.logMatchCount("id=a") == 2);
     }
+    SECTION("a read whose answer is truncated in its head is retried")
+    {
+        fleet.setBehaviour(1, R"({"cut_head_next":1})");
+        CHECK(bodyOf(fleet.get("entry-1", "/state/a", {{"X-Id", "a"}})).find("id=a body=") != std::string::npos);
+        CHECK(fleet.logMatchCount("id=a") == 2);
+    }
+    SECTION("a write whose answer is truncated in its head is executed once, and its outcome is unknown")
+    {
+        fleet.setBehaviour(1, R"({"cut_head_next":1})");
+        HttpRequest note;
+        note.method = "POST";
+        note.target = "/notes";
+        note.headers = {{"Host", "liquidacion.example"}, {"X-Id", "a"}};
+        note.body = "text";
+        const auto answer = fleet.send(fleet.address("entry-1", "callers"), note);
+        REQUIRE(answer);
+        CHECK(answer->status == 502);
+        CHECK(answer->body.view().find("\"outcome\":\"unknown\"") != std::string::npos);
+        CHECK(fleet.logMatchCount("id=a") == 1);
+    }
     SECTION("a read whose answer ends with the connection is retried, since the answer may be truncated")
     {
         fleet.setBehaviour(1, R"({"unframed_next":1})");
--- a/tests/standins/backendstandin.cpp
+++ b/tests/standins/backendstandin.cpp
@@ -137,6 +137,7 @@
 void BackendStandin::executeJob(const Job &job)
 {
     bool isTruncated = false;
+    bool isHeadTruncated = false;
     bool isDropped = false;
     bool isStray = false;
     bool isStrayFirst = false;
@@ -157,6 +158,7 @@
         }
         time += std::chrono::milliseconds(std::exchange(behaviour_.stallNextMs, 0));
         isTruncated = takeOneIfAny(behaviour_.truncateNext);
+        isHeadTruncated = takeOneIfAny(behaviour_.truncateHeadNext);
         isDropped = takeOneIfAny(behaviour_.dropNext);
         isStray = takeOneIfAny(behaviour_.strayNext);
         isStrayFirst = takeOneIfAny(behaviour_.strayBeforeNext);
@@ -175,6 +177,9 @@
     } else if (isTruncated) {
         const std::string length = std::to_string(answer.body.size() + 1);
         job.connection->answerBytes("HTTP/1.1 200 OK\r\nContent-Length: " + length + "\r\n\r\n" + std::string(answer.body), true);
+    } else if (isHeadTruncated) {
+        const std::string tag = header(job.request, "Cloverbarrow-Exchange");
+        job.connection->answerBytes("HTTP/1.1 200 OK\r\nContent-Length: 0\r\nCloverbarrow-Exchange: " + tag + "\r\n", true);
     } else if (isUnframed) {
         const std::string tag = header(job.request, "Cloverbarrow-Exchange");
         job.connection->answerBytes("HTTP/1.1 200 OK\r\nCloverbarrow-Exchange: " + tag + "\r\n\r\n" + std::string(answer.body), true);
@@ -247,6 +252,7 @@
         behaviour_.reportsNoLoad = json.value("health_lags", behaviour_.reportsNoLoad);
         behaviour_.failStatus = json.value("fail_status", behaviour_.failStatus);
         behaviour_.truncateNext = json.value("cut_next", behaviour_.truncateNext);
+        behaviour_.truncateHeadNext = json.value("cut_head_next", behaviour_.truncateHeadNext);
         behaviour_.dropNext = json.value("drop_next", behaviour_.dropNext);
         behaviour_.stallNextMs = json.value("stall_next_ms", behaviour_.stallNextMs);
         behaviour_.warmUp = json.value("warm_up", behaviour_.warmUp);
--- a/tests/standins/backendstandin.h
+++ b/tests/standins/backendstandin.h
@@ -29,6 +29,7 @@
     bool reportsNoLoad = false; ///< The load endpoint reports neither load nor leaving.
     int failStatus = 0; ///< Answers all requests with this status at once, without a slot; 0 for none.
     int truncateNext = 0; ///< Number of next answers that end in the middle of the body.
+    int truncateHeadNext = 0; ///< Number of next answers that end after the last header, before the end of the head.
     int dropNext = 0; ///< Number of next requests that are executed and whose connection is closed without an answer.
     int stallNextMs = 0; ///< Additional time for which the next request occupies its slot.
     int warmUp = 0; ///< Number of next requests that take ten times as long.
