Blocks up to 1 MiB stay in the heap

Suspected, from reading: lists of some hundred servers exceed 128 KiB, so that each copy of one got a mapping of its own. Bodies of several MB, which the threshold is for, are mapped as before.

--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -73,7 +73,7 @@
 {
     // Larger buffers get mappings of their own, whose memory returns to the system as soon as they are freed. Without a fixed threshold the allocator
     // raises it to the size of the largest buffer freed so far, and keeps such buffers between smaller ones.
-    constexpr int MmapThreshold = 128 * 1024;
+    constexpr int MmapThreshold = 1024 * 1024;
     static_cast<void>(::mallopt(M_MMAP_THRESHOLD, MmapThreshold));
     // With a fixed threshold the allocator does not adjust this one either. Its initial value would return the end of the heap to the system, and fetch
     // it again, in short intervals.
