A process that ends by a fault reports the signal and a backtrace

Cause: an entry VM that ended by a segmentation fault left nothing that said where in the program it ended, so hypotheses could not be told apart.

Change: the failure handler of Abseil, which the project links already, writes the signal and the backtrace of the thread to the standard error output; the process still ends by the signal. Threads of the HTTP clients, of callers' connections and of the operations endpoint have a signal stack of their own, so that an overflow of their stack is reported as well. Not covered: threads that only accept connections, and those of Thrift.

--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -6,6 +6,7 @@
 */
 
 #include "daemon/daemon.h"
+#include "daemon/failurehandler.h"
 #include "daemon/settings.h"
 #include "platformprotocol.h"
 #include "storeclient.h"
@@ -118,6 +119,7 @@
         return ExitOk;
     }
     configureAllocator();
+    installFailureHandler(argv[0]);
     const std::string path = absl::GetFlag(FLAGS_settings);
     SettingsFile file(path);
     const auto parsed = file.read();
--- a/src/daemon/operationsserver.cpp
+++ b/src/daemon/operationsserver.cpp
@@ -8,6 +8,7 @@
 #include "daemon/operationsserver.h"
 
 #include "core/support/address.h"
+#include "net/signalstack.h"
 
 #include <pistache/endpoint.h>
 
@@ -30,6 +31,7 @@
     void onRequest(const Pistache::Http::Request &request, Pistache::Http::ResponseWriter response) override
     {
         using Pistache::Http::Code;
+        ensureSignalStack();
         if (request.method() != Pistache::Http::Method::Get) {
             response.send(Code::Method_Not_Allowed, "only GET is served here\n");
         } else if (request.resource() == "/metrics") {
--- a/src/net/callerserver.cpp
+++ b/src/net/callerserver.cpp
@@ -9,6 +9,7 @@
 
 #include "core/support/address.h"
 #include "net/bootclock.h"
+#include "net/signalstack.h"
 
 #include <pistache/listener.h>
 #include <pistache/peer.h>
@@ -105,6 +106,7 @@
 
     void onConnection(const std::shared_ptr<Pistache::Tcp::Peer> &peer) override
     {
+        ensureSignalStack();
         auto connection = std::make_shared<CallerConnection>(peer->fd(), connections_->bounds(), options_, handler_, peer->address().host());
         peer->putData(ConnectionKey, connection);
         connections_->add(std::move(connection));
--- a/src/net/httpclient.cpp
+++ b/src/net/httpclient.cpp
@@ -11,6 +11,7 @@
 #include "core/support/text.h"
 #include "net/httptransfer.h"
 #include "net/log.h"
+#include "net/signalstack.h"
 
 #include <atomic>
 #include <deque>
@@ -129,6 +130,7 @@
 
     void run()
     {
+        const SignalStack signalStack;
         while (processQueue()) {
             int running = 0;
             curl_multi_perform(multi_.get(), &running);
--- a/tests/process/fleet.cpp
+++ b/tests/process/fleet.cpp
@@ -76,11 +76,16 @@
                         << "listen: {callers: 127.0.0.1:0, peers: 127.0.0.1:0, admin: 127.0.0.1:0, operations: 127.0.0.1:0}\n"
                         << "platform: " << platformAddress() << "\nfirst_peers: [" << peers << "]\n"
                         << "shutdown: {notice_ms: " << noticeMs << ", limit_ms: 30000}\nlimits: {slow_caller_ms: 1000" << limits_ << "}\nlog_level: off\n";
-    auto process = std::make_unique<Process>(std::vector<std::string>{program("cloverbarrowd"), "--settings=" + path});
+    auto process = std::make_unique<Process>(std::vector<std::string>{program("cloverbarrowd"), "--settings=" + path}, std::string(), errorPath(name));
     listenAddresses_[name] = process->firstLine();
     entryVms_[name] = std::move(process);
 }
 
+std::string Fleet::errorPath(const std::string &name) const
+{
+    return folder_ + "/" + name + ".err";
+}
+
 Process &Fleet::entryVm(const std::string &name)
 {
     return *entryVms_.at(name);
--- a/tests/process/fleet.h
+++ b/tests/process/fleet.h
@@ -35,6 +35,8 @@
     /// Starts an entry VM. @param noticeMs how long it continues to accept requests after SIGTERM.
     void startEntryVm(const std::string &name, const std::string &zone = "bog-a", int noticeMs = 50);
     Process &entryVm(const std::string &name);
+    /// @return file with the error output of an entry VM.
+    std::string errorPath(const std::string &name) const;
     /// Kills an entry VM's process with SIGKILL.
     void killEntryVm(const std::string &name);
     /// @param listener callers, peers, admin or operations.
--- a/tests/process/process.cpp
+++ b/tests/process/process.cpp
@@ -53,11 +53,11 @@
 
 } // namespace
 
-Process::Process(std::vector<std::string> command, const std::string &outputPath)
+Process::Process(std::vector<std::string> command, const std::string &outputPath, const std::string &errorPath)
 {
     if (!outputPath.empty()) {
         const Descriptor file(::open(outputPath.c_str(), O_CREAT | O_WRONLY | O_TRUNC | O_CLOEXEC, 0644));
-        spawn(command, file.get());
+        spawn(command, file.get(), errorPath);
         firstLine_ = awaitLine(outputPath);
         return;
     }
@@ -67,16 +67,19 @@
     }
     const Descriptor readEnd(ends[0]);
     Descriptor writeEnd(ends[1]);
-    spawn(command, writeEnd.get());
+    spawn(command, writeEnd.get(), errorPath);
     writeEnd.reset();
     firstLine_ = readLine(readEnd);
 }
 
-void Process::spawn(std::vector<std::string> &command, int output)
+void Process::spawn(std::vector<std::string> &command, int output, const std::string &errorPath)
 {
     posix_spawn_file_actions_t actions;
     posix_spawn_file_actions_init(&actions);
     posix_spawn_file_actions_adddup2(&actions, output, 1);
+    if (!errorPath.empty()) {
+        posix_spawn_file_actions_addopen(&actions, 2, errorPath.c_str(), O_CREAT | O_WRONLY | O_TRUNC, 0644);
+    }
     std::vector<char *> arguments;
     arguments.reserve(command.size() + 1);
     for (std::string &argument : command) {
--- a/tests/process/process.h
+++ b/tests/process/process.h
@@ -23,7 +23,8 @@
 public:
     /// @param outputPath file for its output; without one, output after the first line is lost.
     /// @throws std::runtime_error or std::system_error if the process cannot be started.
-    explicit Process(std::vector<std::string> command, const std::string &outputPath = {});
+    /// @param errorPath file for its error output; without one, that is the test's own.
+    explicit Process(std::vector<std::string> command, const std::string &outputPath = {}, const std::string &errorPath = {});
     ~Process();
     Process(const Process &) = delete;
     Process &operator=(const Process &) = delete;
@@ -35,7 +36,7 @@
     int wait();
 
 private:
-    void spawn(std::vector<std::string> &command, int output);
+    void spawn(std::vector<std::string> &command, int output, const std::string &errorPath);
 
     pid_t pid_ = -1;
     bool hasExited_ = false;
