JSON text of other processes is bounded before any value is built

Callers saw: after another writer left one entry that was nested 100,000 levels deep among the backend servers (or in any other collection of the store), every entry VM that read it ended by a segmentation fault, and so did each that started while the entry stood. An entry with a number beyond a double ended none, but its whole list was given up: changes beside it were not followed, and entry VMs that started did not become ready.

Cause: the parser of the JSON library does not recurse, but copying, comparing and writing a value does, for each level; and the library reports a number beyond a double in a way that gives up the whole text. Class: input that is bounded in bytes only, while the work and the stack that it takes depend on its structure.

Change: parseBoundedJson() rejects text with more than 64 levels or 250,000 values before anything is built; all readers use it: the store, relays and peers, quotas, limits, crash updates, rollouts, forwarded requests and refusals, leases, payout records, configurations, and the log lines that cloverbarrowctl explains.

--- a/src/core/intent/operatorintent.cpp
+++ b/src/core/intent/operatorintent.cpp
@@ -8,6 +8,7 @@
 #include "core/intent/operatorintent.h"
 
 #include "core/intent/configurationparser.h"
+#include "core/support/boundedjson.h"
 
 #include <nlohmann/json.hpp>
 
@@ -43,7 +44,7 @@
 
 OperatorIntent intentFrom(std::string_view value)
 {
-    const Json json = Json::parse(value);
+    const Json json = parseBoundedJson(value);
     OperatorIntent intent;
     intent.document = json.at("document").get<std::string>();
     intent.drains = json.at("drains").get<std::vector<std::string>>();
@@ -74,7 +75,7 @@
 {
     try {
         return intentFrom(value);
-    } catch (const Json::exception &exception) {
+    } catch (const std::exception &exception) {
         return unreadable(exception.what());
     }
 }
--- a/src/core/measuring/lease.cpp
+++ b/src/core/measuring/lease.cpp
@@ -7,8 +7,12 @@
 
 #include "core/measuring/lease.h"
 
+#include "core/support/boundedjson.h"
+
 #include <nlohmann/json.hpp>
 
+#include <exception>
+
 namespace Cloverbarrow
 {
 
@@ -25,9 +29,9 @@
 std::optional<LeaseRecord> decodeLease(std::string_view value)
 {
     try {
-        const auto json = nlohmann::json::parse(value);
+        const auto json = parseBoundedJson(value);
         return LeaseRecord{{json.at("name").get<std::string>(), json.at("nonce").get<std::string>()}, json.at("renewal").get<std::uint64_t>()};
-    } catch (const nlohmann::json::exception &) {
+    } catch (const std::exception &) {
         return std::nullopt;
     }
 }
--- a/src/core/measuring/sharetable.cpp
+++ b/src/core/measuring/sharetable.cpp
@@ -7,8 +7,12 @@
 
 #include "core/measuring/sharetable.h"
 
+#include "core/support/boundedjson.h"
+
 #include <nlohmann/json.hpp>
 
+#include <exception>
+
 namespace Cloverbarrow
 {
 
@@ -52,12 +56,12 @@
 {
     try {
         ShareTable table;
-        const Json json = Json::parse(value);
+        const Json json = parseBoundedJson(value);
         for (const Json &share : json.at("shares")) {
             table.shares.push_back({holderFrom(share.at("holder")), holderFrom(share.at("unconfirmed"))});
         }
         return table;
-    } catch (const Json::exception &) {
+    } catch (const std::exception &) {
         return std::nullopt;
     }
 }
--- a/src/core/payouts/payoutrecord.cpp
+++ b/src/core/payouts/payoutrecord.cpp
@@ -7,9 +7,12 @@
 
 #include "core/payouts/payoutrecord.h"
 
+#include "core/support/boundedjson.h"
+
 #include <nlohmann/json.hpp>
 
 #include <array>
+#include <exception>
 
 namespace Cloverbarrow
 {
@@ -61,7 +64,7 @@
 std::optional<PayoutRecord> decodePayout(std::string_view value)
 {
     try {
-        const auto json = nlohmann::json::parse(value);
+        const auto json = parseBoundedJson(value);
         const auto state = stateOf(json.at("state").get<std::string>());
         if (!state) {
             return std::nullopt;
@@ -76,7 +79,7 @@
         record.result = json.at("result").get<std::string>();
         record.isResultComplete = json.at("whole").get<bool>();
         return record;
-    } catch (const nlohmann::json::exception &) {
+    } catch (const std::exception &) {
         return std::nullopt;
     }
 }
--- a/src/ctl/requesttimeline.cpp
+++ b/src/ctl/requesttimeline.cpp
@@ -7,6 +7,8 @@
 
 #include "ctl/requesttimeline.h"
 
+#include "core/support/boundedjson.h"
+
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
@@ -77,7 +79,8 @@
     if (begin == std::string_view::npos) {
         return;
     }
-    const Json json = Json::parse(line.substr(begin), nullptr, false);
+    const std::string_view text = line.substr(begin);
+    const Json json = isWithinJsonBounds(text) ? Json::parse(text, nullptr, false) : Json();
     if (!json.is_object() || !json.contains("entry_vm") || !json.contains("message")) {
         return;
     }
--- a/src/net/crashjson.cpp
+++ b/src/net/crashjson.cpp
@@ -7,6 +7,8 @@
 
 #include "net/crashjson.h"
 
+#include "core/support/boundedjson.h"
+
 #include <nlohmann/json.hpp>
 
 #include <stdexcept>
@@ -109,7 +111,7 @@
 
 CrashUpdateMessage decodeCrashUpdates(std::string_view text)
 {
-    const Json body = Json::parse(text);
+    const Json body = parseBoundedJson(text);
     CrashUpdateMessage message;
     message.replyTo = body.at("answer_to").get<std::string>();
     message.replyFrom = body.value("answer_of", std::string());
@@ -134,7 +136,7 @@
 
 CrashExchangeOutcome decodeCrashUpdatesAnswer(std::string_view text)
 {
-    const bool isReplySent = Json::parse(text).value("answer_follows", true);
+    const bool isReplySent = parseBoundedJson(text).value("answer_follows", true);
     return isReplySent ? CrashExchangeOutcome::ReplyFollows : CrashExchangeOutcome::NothingToSend;
 }
 
--- a/src/net/forwarding.cpp
+++ b/src/net/forwarding.cpp
@@ -7,11 +7,13 @@
 
 #include "net/forwarding.h"
 
+#include "core/support/boundedjson.h"
 #include "core/support/httpstatus.h"
 
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
+#include <exception>
 #include <utility>
 
 namespace Cloverbarrow
@@ -64,11 +66,8 @@
 
 std::optional<ForwardedRequest> decodeForwardedRequest(std::string_view text)
 {
-    const Json body = Json::parse(text, nullptr, false);
-    if (!body.is_object()) {
-        return std::nullopt;
-    }
     try {
+        const Json body = parseBoundedJson(text);
         ForwardedRequest request;
         request.service = body.at("service").get<std::string>();
         request.region = body.at("region").get<std::string>();
@@ -85,7 +84,7 @@
         arrival.fingerprint = {body.at("content").get<std::string>(), body.at("caller").get<std::string>()};
         arrival.isForwarded = true;
         return request.isValid() ? std::optional(std::move(request)) : std::nullopt;
-    } catch (const Json::exception &) {
+    } catch (const std::exception &) {
         return std::nullopt;
     }
 }
@@ -111,11 +110,11 @@
 
 std::optional<std::vector<ServerBackoff>> decodeServerBackoffs(std::string_view text)
 {
-    const Json body = Json::parse(text, nullptr, false);
-    if (!body.is_array() || body.size() > MaxServers) {
-        return std::nullopt;
-    }
     try {
+        const Json body = parseBoundedJson(text);
+        if (!body.is_array() || body.size() > MaxServers) {
+            return std::nullopt;
+        }
         std::vector<ServerBackoff> backoffs;
         for (const Json &item : body) {
             ServerBackoff backoff{item.at("server").get<std::string>(), Duration(item.at("left_us").get<Duration::rep>())};
@@ -125,7 +124,7 @@
             backoffs.push_back(std::move(backoff));
         }
         return backoffs;
-    } catch (const Json::exception &) {
+    } catch (const std::exception &) {
         return std::nullopt;
     }
 }
@@ -172,11 +171,11 @@
         return NotSent{"the entry VM does not accept forwarded requests"};
     }
     const bool isRefusal = result && result->starts_with(ResultRefusal);
-    const Json body = isRefusal ? Json::parse(result->substr(ResultRefusal.size()), nullptr, false) : Json();
-    if (!body.is_object()) {
+    if (!isRefusal) {
         return LostAnswer{"the entry VM gave an invalid answer", false};
     }
     try {
+        const Json body = parseBoundedJson(result->substr(ResultRefusal.size()));
         Problem problem;
         problem.status = answer.status;
         problem.executionStatus = body.at("not_executed").get<bool>() ? ExecutionStatus::NotExecuted : ExecutionStatus::Unknown;
@@ -188,7 +187,7 @@
             problem.retryAfter = Duration(body.at("retry_after_us").get<Duration::rep>());
         }
         return ForwardRefused{std::move(problem)};
-    } catch (const Json::exception &) {
+    } catch (const std::exception &) {
         return LostAnswer{"the entry VM gave an invalid refusal", false};
     }
 }
--- a/src/net/httpplatformclient.cpp
+++ b/src/net/httpplatformclient.cpp
@@ -6,10 +6,14 @@
 */
 
 #include "net/httpplatformclient.h"
+
+#include "core/support/boundedjson.h"
 #include "core/support/httpstatus.h"
 
 #include <nlohmann/json.hpp>
 
+#include <exception>
+
 namespace Cloverbarrow
 {
 
@@ -47,9 +51,9 @@
 std::optional<StoreFound> parseObject(const HttpAnswer &answer)
 {
     try {
-        const Json json = Json::parse(answer.body);
+        const Json json = parseBoundedJson(answer.body);
         return StoreFound{json.at("version").get<std::int64_t>(), json.value("value", std::string())};
-    } catch (const Json::exception &) {
+    } catch (const std::exception &) {
         return std::nullopt;
     }
 }
@@ -108,12 +112,12 @@
     }
     try {
         VmListResult result{true, {}};
-        const Json json = Json::parse(answer->body);
+        const Json json = parseBoundedJson(answer->body);
         for (const Json &vm : json.at("vms")) {
             result.vms.push_back({vm.at("name").get<std::string>(), vm.value("peer_address", std::string()), vm.at("state").get<std::string>() == "leaving"});
         }
         return result;
-    } catch (const Json::exception &) {
+    } catch (const std::exception &) {
         return {};
     }
 }
--- a/src/net/quotamessages.cpp
+++ b/src/net/quotamessages.cpp
@@ -7,6 +7,8 @@
 
 #include "net/quotamessages.h"
 
+#include "core/support/boundedjson.h"
+
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
@@ -102,7 +104,7 @@
 
 QuotaRequest decodeQuotaRequest(std::string_view text)
 {
-    const Json body = Json::parse(text);
+    const Json body = parseBoundedJson(text);
     QuotaRequest request;
     request.entryVm = body.at("entry_vm").get<std::string>();
     for (const Json &claim : body.at("claims")) {
@@ -142,7 +144,7 @@
 
 QuotaAnswer decodeQuotaAnswer(std::string_view text)
 {
-    const Json body = Json::parse(text);
+    const Json body = parseBoundedJson(text);
     QuotaAnswer answer;
     answer.incarnation = body.value("incarnation", std::uint64_t(0));
     for (const Json &grant : body.at("grants")) {
--- a/src/net/relayclient.cpp
+++ b/src/net/relayclient.cpp
@@ -220,6 +220,17 @@
     client_.start(nextCall_++, std::move(call), std::move(done));
 }
 
+DirectoryEntry RelayClient::decodeEntry(Collection collection, DirectoryEntry received) const
+{
+    try {
+        return codec_.decode(collection, received.text);
+    } catch (const std::exception &exception) {
+        // The other entries of the update stay valid.
+        received.fault = exception.what();
+        return received;
+    }
+}
+
 std::optional<CollectionUpdate> RelayClient::decodeUpdate(Collection collection, const HttpOutcome &outcome, std::string &failure) const
 {
     if (const auto *callFailure = std::get_if<HttpFailure>(&outcome)) {
@@ -235,7 +246,7 @@
         CollectionUpdate update = decodeCollectionUpdate(answer.body);
         for (DirectoryEntry &entry : update.entries) {
             if (!entry.isDeleted) {
-                entry = codec_.decode(collection, entry.text);
+                entry = decodeEntry(collection, std::move(entry));
             }
         }
         return update;
--- a/src/net/relayclient.h
+++ b/src/net/relayclient.h
@@ -55,6 +55,8 @@
     void get(const std::string &relay, const std::string &target, Duration timeout, HttpCallback done);
     /// Requests a proof. @param body sent with the request if it is not empty.
     void requestProof(const std::string &relay, const std::string &follower, std::string body, HttpCallback done);
+    /// @return the entry with its value, or with the fault of its text.
+    DirectoryEntry decodeEntry(Collection collection, DirectoryEntry received) const;
     /// @return the update; nothing if there is no valid answer. @param failure receives the reason.
     std::optional<CollectionUpdate> decodeUpdate(Collection collection, const HttpOutcome &outcome, std::string &failure) const;
 
--- a/src/net/relaymessages.cpp
+++ b/src/net/relaymessages.cpp
@@ -7,6 +7,8 @@
 
 #include "net/relaymessages.h"
 
+#include "core/support/boundedjson.h"
+
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
@@ -109,7 +111,7 @@
 
 LimitUpdate decodeLimitUpdate(TimePoint now, std::string_view text)
 {
-    const Json body = Json::parse(text);
+    const Json body = parseBoundedJson(text);
     LimitUpdate update{decodeVersion(body.at("version")), decodeVersion(body.at("known")), {}};
     for (const Json &report : body.at("reports")) {
         const Duration age(std::max<Duration::rep>(0, report.at("age_us").get<Duration::rep>()));
@@ -152,7 +154,7 @@
 
 CollectionUpdate decodeCollectionUpdate(std::string_view text)
 {
-    const Json body = Json::parse(text);
+    const Json body = parseBoundedJson(text);
     CollectionUpdate update;
     update.revision = body.at("revision").get<std::int64_t>();
     update.storeRevision = body.at("store_revision").get<std::int64_t>();
@@ -204,7 +206,7 @@
 
 RelayProof decodeProof(std::string_view text)
 {
-    const Json body = Json::parse(text);
+    const Json body = parseBoundedJson(text);
     RelayProof proof{Duration(body.at("age_us").get<Duration::rep>()),
                      body.at("hears_from_store").get<bool>(),
                      body.at("entry_vms").get<int>(),
--- a/src/net/rolloutmessages.cpp
+++ b/src/net/rolloutmessages.cpp
@@ -7,6 +7,8 @@
 
 #include "net/rolloutmessages.h"
 
+#include "core/support/boundedjson.h"
+
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
@@ -51,7 +53,7 @@
 
 RolloutReports decodeRolloutReports(std::string_view text)
 {
-    const Json body = Json::parse(text);
+    const Json body = parseBoundedJson(text);
     RolloutReports reports{body.at("origin").get<std::string>(), body.at("zone_total").get<bool>(), {}};
     for (const Json &item : body.at("reports")) {
         RolloutReport report;
--- a/src/net/slowservermessages.cpp
+++ b/src/net/slowservermessages.cpp
@@ -7,6 +7,8 @@
 
 #include "net/slowservermessages.h"
 
+#include "core/support/boundedjson.h"
+
 #include <nlohmann/json.hpp>
 
 #include <stdexcept>
@@ -85,7 +87,7 @@
 
 SlowServerMessage decodeSlowServers(TimePoint now, std::string_view text)
 {
-    const Json body = Json::parse(text);
+    const Json body = parseBoundedJson(text);
     if (!body.is_object()) {
         throw std::invalid_argument("slow server reports are not an object");
     }
--- a/tests/platform/pathtests.cpp
+++ b/tests/platform/pathtests.cpp
@@ -454,3 +454,42 @@
     };
     CHECK(eventually(isExhausted));
 }
+
+TEST_CASE("An invalid object of another writer ends no entry VM and is the only one that is not used", "[platform][path][servers]")
+{
+    constexpr std::size_t Depth = 100'000;
+    const std::string deep = std::string(Depth, '[') + std::string(Depth, ']');
+    const std::string start = R"({"service":"reclamos","zone":"bog-a","version":"v1","state":"ready","warmup_remaining_s":0,"sequence":1)";
+    const auto [kind, specification] = GENERATE_COPY(table<std::string, std::string>({
+        {"servers", deep},
+        {"servers", start + R"(,"address":"127.0.0.1:9","slots":3,"more":)" + deep + "}"},
+        {"servers", start + R"(,"address":"127.0.0.1:9","slots":1e999})"},
+        {"servers", start + R"(,"address":"127.0.0.1:70000","slots":3})"},
+        {"servers", "[1]"},
+        {"servers", "null"},
+        {"config", deep},
+        {"cloverbarrow-crashes", deep},
+        {"cloverbarrow-crashes", R"({"ends":1e999})"},
+        {"cloverbarrow-relays", deep},
+        {"cloverbarrow-relays", R"({"address":1e999})"},
+        {"evacuations", deep},
+        {"rollouts", deep},
+        {"rollouts", R"({"duration_s":1e999})"},
+    }));
+    CAPTURE(kind, specification.substr(0, start.size() + 60));
+    PathFixture fixture;
+    fixture.store.putText(kind, "odd", specification);
+    fixture.backends.push_back(std::make_unique<RegisteredBackend>("i-4"));
+    fixture.store.put("servers", "i-4", fixture.backends.back()->registration("reclamos"));
+    for (const char *id : {"i-1", "i-2", "i-3"}) {
+        fixture.store.put("servers", id, fixture.backends.front()->registration("reclamos", "draining"));
+    }
+    int requests = 0;
+    const auto isNewServerUsed = [&] {
+        const auto answer = fixture.send("GET", "/read/1", "id-" + std::to_string(++requests));
+        return answer && answer->status == 200 && !fixture.backends.back()->executedRequestIds().empty();
+    };
+    CHECK(eventually(isNewServerUsed));
+    fixture.start("entry-2", true);
+    CHECK(fixture.send("GET", "/read/1", "id-0")->status == 200);
+}
--- a/tests/standins/directorystore.cpp
+++ b/tests/standins/directorystore.cpp
@@ -20,15 +20,6 @@
 // Small, so that tests read lists of several pages.
 constexpr std::size_t PageSize = 2;
 
-HttpAnswer jsonAnswer(const Json &body, int status = 200)
-{
-    HttpAnswer answer;
-    answer.status = status;
-    answer.headers.push_back({"Content-Type", "application/json"});
-    answer.body = body.dump();
-    return answer;
-}
-
 /// @return the value of the query parameter @p name in @p target; nothing when it has none.
 std::optional<std::string> queryValue(const std::string &target, const std::string &name)
 {
@@ -74,6 +65,16 @@
     answerPendingWatches();
 }
 
+void DirectoryStore::putText(const std::string &kind, const std::string &name, const std::string &specification)
+{
+    const std::string standIn = "unparsed " + kind + " " + name;
+    {
+        const std::lock_guard lock(mutex_);
+        texts_[Json(standIn).dump()] = specification;
+    }
+    put(kind, name, standIn);
+}
+
 void DirectoryStore::remove(const std::string &kind, const std::string &name)
 {
     {
@@ -169,6 +170,21 @@
     return found != objects_.end() && found->second.contains(name) ? found->second.at(name).at("specification") : Json();
 }
 
+HttpAnswer DirectoryStore::jsonAnswer(const Json &body, int status) const
+{
+    std::string text = body.dump();
+    for (const auto &[standIn, specification] : texts_) {
+        for (std::size_t at = text.find(standIn); at != std::string::npos; at = text.find(standIn, at + specification.size())) {
+            text.replace(at, standIn.size(), specification);
+        }
+    }
+    HttpAnswer answer;
+    answer.status = status;
+    answer.headers.push_back({"Content-Type", "application/json"});
+    answer.body = text;
+    return answer;
+}
+
 HttpAnswer DirectoryStore::listPage(const std::string &kind, const std::string &after) const
 {
     Json items = Json::array();
--- a/tests/standins/directorystore.h
+++ b/tests/standins/directorystore.h
@@ -30,6 +30,8 @@
 
     std::string address() const;
     void put(const std::string &kind, const std::string &name, const nlohmann::json &specification);
+    /// Writes an object as a faulty writer does. @param specification JSON text, which is neither checked nor parsed.
+    void putText(const std::string &kind, const std::string &name, const std::string &specification);
     void remove(const std::string &kind, const std::string &name);
     /// Watches since an earlier revision are answered with 410 from now on.
     void discardHistory();
@@ -55,6 +57,7 @@
 
     void accept(const std::shared_ptr<CallerConnection> &connection, const HttpRequest &request);
     HttpAnswer handleObjectCall(const HttpRequest &request, const std::string &kind, const std::string &name);
+    HttpAnswer jsonAnswer(const nlohmann::json &body, int status = 200) const;
     HttpAnswer listPage(const std::string &kind, const std::string &after) const;
     /// @return the answer to a watch; nothing while there are no changes.
     std::optional<HttpAnswer> changesSince(const std::string &kind, std::int64_t since) const;
@@ -65,6 +68,7 @@
     std::int64_t oldestRevision_ = 0; ///< Oldest revision since which the history is complete.
     std::map<std::string, std::map<std::string, nlohmann::json>> objects_;
     std::vector<Change> changes_;
+    std::map<std::string, std::string> texts_; ///< Unparsed specifications by the strings that stand for them in objects.
     std::vector<PendingWatch> pendingWatches_;
     bool isBusy_ = false;
     int callCount_ = 0;
