The relay server exists until no thread can use it any more

Callers saw: an entry VM could end by a fault at a stop. The process destroyed the relay server while other threads still used it: an answer to a forwarded request starts the next request of its connection at the relay server, and an answer of the store that is being handled answers the followers that wait there.

Cause: DirectoryRunner::stop() destroyed the server; its connections, which open requests hold, and the threads of the HTTP clients outlived it. Callers' server was destroyed likewise while other members could be asked for it.

Change: both servers can be stopped, which ends their threads, and are destroyed with their owner, after all threads have ended. The pointer of DirectoryRunner does not change after its construction.

--- a/src/daemon/daemonstart.cpp
+++ b/src/daemon/daemonstart.cpp
@@ -120,6 +120,7 @@
 
 Daemon::~Daemon()
 {
+    // First all threads end, while every object that they may use still exists.
     isStopped_ = true;
     operationsServer_->stop();
     metricsServer_.reset();
@@ -135,7 +136,7 @@
         platform_->stop();
     }
     backendClient_.stop();
-    callerServer_.reset();
+    callerServer_->stop();
 }
 
 ControlSettings Daemon::controlSettings() const
--- a/src/daemon/directoryrunner.cpp
+++ b/src/daemon/directoryrunner.cpp
@@ -237,7 +237,9 @@
 void DirectoryRunner::stop()
 {
     isStopped_ = true;
-    relayServer_.reset();
+    if (relayServer_) {
+        relayServer_->stop();
+    }
 }
 
 QuotaRunner &DirectoryRunner::quotas()
--- a/src/daemon/directoryrunner.h
+++ b/src/daemon/directoryrunner.h
@@ -63,7 +63,7 @@
     void reportVersionOutcome(const std::string &service, const VersionOutcome &outcome);
     /// @return whether the store does not hold the latest crash report yet.
     bool hasUnwrittenCrashReport();
-    /// Stops relaying and ignores all later answers.
+    /// Stops relaying and ignores all later answers. End all threads that may be inside this object or answer connections to it before it is destroyed.
     void stop();
     /// @return number of calls made to the store.
     std::uint64_t storeCallCount() const;
@@ -118,7 +118,7 @@
     SlowServerRunner slowServers_;
     std::mutex forwardHandlerMutex_;
     RequestHandler forwardHandler_; ///< Guarded by forwardHandlerMutex_.
-    std::unique_ptr<RelayServer> relayServer_; ///< Null if the settings name no relay address.
+    std::unique_ptr<RelayServer> relayServer_; ///< Null if the settings name no relay address. Not replaced after the construction; several threads use it.
 };
 
 } // namespace Cloverbarrow
--- a/src/net/callerserver.cpp
+++ b/src/net/callerserver.cpp
@@ -148,20 +148,30 @@
         using Pistache::Tcp::Options;
         const Pistache::Flags<Options> flags = Pistache::Flags<Options>(Options::ReuseAddr) | Options::NoDelay;
         const auto address = parseSocketAddress(options.address).value();
-        listener_.init(options.threads, flags, "callers", Backlog);
-        listener_.setHandler(std::make_shared<CallerHandler>(options.connectionOptions, std::move(handler), connections_));
-        listener_.bind(Pistache::Address(address.host, Pistache::Port(address.port)));
-        listener_.runThreaded();
+        listener_->init(options.threads, flags, "callers", Backlog);
+        listener_->setHandler(std::make_shared<CallerHandler>(options.connectionOptions, std::move(handler), connections_));
+        listener_->bind(Pistache::Address(address.host, Pistache::Port(address.port)));
+        listener_->runThreaded();
+        port_ = static_cast<std::uint16_t>(listener_->getPort());
     }
 
     ~Impl()
     {
-        listener_.shutdown();
+        stop();
     }
 
     std::uint16_t port() const
     {
-        return static_cast<std::uint16_t>(listener_.getPort());
+        return port_;
+    }
+
+    void stop()
+    {
+        if (listener_) {
+            listener_->shutdown();
+            // Only its destructor waits for the threads.
+            listener_.reset();
+        }
     }
 
     void checkTimeouts(TimePoint now)
@@ -199,7 +209,8 @@
 
 private:
     std::shared_ptr<ConnectionList> connections_;
-    Pistache::Tcp::Listener listener_;
+    std::uint16_t port_ = 0;
+    std::unique_ptr<Pistache::Tcp::Listener> listener_ = std::make_unique<Pistache::Tcp::Listener>(); ///< Null once stopped.
 };
 
 CallerServer::CallerServer(const CallerServerOptions &options, RequestHandler handler)
@@ -239,4 +250,9 @@
     return impl_->unsentAnswers();
 }
 
+void CallerServer::stop()
+{
+    impl_->stop();
+}
+
 } // namespace Cloverbarrow
--- a/src/net/callerserver.h
+++ b/src/net/callerserver.h
@@ -48,6 +48,8 @@
     void closeConnections();
     /// @return number of connections with an answer that the caller has not read completely.
     std::size_t unsentAnswers() const;
+    /// Stops listening and ends the threads, after which no more bytes are read. Open connections can still be answered by other threads.
+    void stop();
 
 private:
     class Impl;
--- a/src/net/relayserver.cpp
+++ b/src/net/relayserver.cpp
@@ -76,6 +76,11 @@
     return server_->unsentAnswers();
 }
 
+void RelayServer::stop()
+{
+    server_->stop();
+}
+
 void RelayServer::accept(const std::shared_ptr<CallerConnection> &connection, HttpRequest request)
 {
     if (source_.acceptForwarded && findHeader(request.headers, ForwardHeader)) {
--- a/src/net/relayserver.h
+++ b/src/net/relayserver.h
@@ -72,6 +72,8 @@
     void answerWaitingFollowers();
     /// Answers followers whose wait has ended and those that wait for a list, and closes connections of slow followers.
     void checkTimeouts(TimePoint now);
+    /// Stops listening. Its connections, and other threads, may use the object until it is destroyed.
+    void stop();
 
 private:
     struct WaitingFollower {
