The operations endpoint ends before what it reports on

Callers saw: a process could end by a fault at a stop while its readiness or its metrics were read.

Cause: OperationsServer::stop() only told the threads of the endpoint to end. They ended with the server, which Daemon destroys after the text that says why the entry VM is not ready, and after the lock of that text.

Change: stop() waits for the threads, and the server for metrics is stopped in the same way.

--- a/src/daemon/daemonstart.cpp
+++ b/src/daemon/daemonstart.cpp
@@ -123,7 +123,9 @@
     // First all threads end, while every object that they may use still exists.
     isStopped_ = true;
     operationsServer_->stop();
-    metricsServer_.reset();
+    if (metricsServer_) {
+        metricsServer_->stop();
+    }
     if (directory_) {
         directory_->stop();
         directoryHttpClient_->stop();
--- a/src/daemon/operationsserver.cpp
+++ b/src/daemon/operationsserver.cpp
@@ -56,22 +56,27 @@
 {
 public:
     Impl(const std::string &address, OperationsSource source)
-        : endpoint_(addressOf(address))
+        : endpoint_(std::make_unique<Pistache::Http::Endpoint>(addressOf(address)))
     {
         const auto flags = Pistache::Tcp::Options::ReuseAddr;
-        endpoint_.init(Pistache::Http::Endpoint::options().threads(1).flags(flags));
-        endpoint_.setHandler(std::make_shared<OperationsHandler>(std::move(source)));
-        endpoint_.serveThreaded();
+        endpoint_->init(Pistache::Http::Endpoint::options().threads(1).flags(flags));
+        endpoint_->setHandler(std::make_shared<OperationsHandler>(std::move(source)));
+        endpoint_->serveThreaded();
+        port_ = static_cast<std::uint16_t>(endpoint_->getPort());
     }
 
     std::uint16_t port() const
     {
-        return static_cast<std::uint16_t>(endpoint_.getPort());
+        return port_;
     }
 
     void stop()
     {
-        endpoint_.shutdown();
+        if (endpoint_) {
+            endpoint_->shutdown();
+            // Only its destructor waits for the threads.
+            endpoint_.reset();
+        }
     }
 
 private:
@@ -81,7 +86,8 @@
         return {parsed.host, Pistache::Port(parsed.port)};
     }
 
-    Pistache::Http::Endpoint endpoint_;
+    std::uint16_t port_ = 0;
+    std::unique_ptr<Pistache::Http::Endpoint> endpoint_; ///< Null once stopped.
 };
 
 OperationsServer::OperationsServer(const std::string &address, OperationsSource source)
--- a/src/daemon/operationsserver.h
+++ b/src/daemon/operationsserver.h
@@ -33,6 +33,7 @@
     OperationsServer &operator=(const OperationsServer &) = delete;
 
     std::uint16_t port() const;
+    /// Stops listening and waits for the threads, so that the source is not used any more.
     void stop();
 
 private:
