Signals reach an object that outlives the daemon, from the start of main()

Callers saw: processes that were told to stop or to reload while they ended did so by SIGBUS or SIGSEGV. A process that was told to reload while it started ended by SIGHUP.

Cause: the handlers kept a pointer to the daemon on the stack of runDaemon(), and stayed installed when it had ended, so they wrote into the stack of whatever ran then. The default action of SIGHUP was in force until the settings had been read.

Change: handlers write to a static object, which the daemon reads. That of SIGHUP is installed first in main(), so a request to reload during the start is carried out after it. Interrupted system calls are restarted.

--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -51,7 +51,7 @@
             updateGauges();
             // The file may also change without a reload signal.
             if (settingsFile_.hasChanged()) {
-                requestReload();
+                requests_.requestReload();
             }
         }
         ++ticks;
@@ -65,16 +65,6 @@
     }
 }
 
-void Daemon::requestStop()
-{
-    ++stopRequests_;
-}
-
-void Daemon::requestReload()
-{
-    isReloadRequested_ = true;
-}
-
 void Daemon::handle(NodeEvent event)
 {
     if (isStopped_) {
@@ -357,7 +347,7 @@
 
 void Daemon::handleStopRequests()
 {
-    while (handledStopRequests_ < stopRequests_) {
+    while (handledStopRequests_ < requests_.stops()) {
         ++handledStopRequests_;
         log_.info(handledStopRequests_ == 1 ? "stop requested" : "immediate stop requested");
         gateway_->refuseHeld();
@@ -367,7 +357,7 @@
 
 void Daemon::handleReloadRequest()
 {
-    if (isReloadRequested_.exchange(false)) {
+    if (requests_.takeReload()) {
         reload();
     }
 }
--- a/src/daemon/daemon.h
+++ b/src/daemon/daemon.h
@@ -14,6 +14,7 @@
 #include "daemon/eventhandler.h"
 #include "daemon/gateway.h"
 #include "daemon/operationsserver.h"
+#include "daemon/operatorrequests.h"
 #include "daemon/peerclient.h"
 #include "daemon/peerservice.h"
 #include "daemon/settings.h"
@@ -60,17 +61,13 @@
 {
 public:
     /// Starts to listen. @param file from which @p settings were read. @param adapters used if the settings name a directory.
-    /// @throws std::exception if the process cannot listen on an address.
-    Daemon(Settings settings, SettingsFile file, const DirectoryAdapters &adapters);
+    /// @param requests what signals have requested. @throws std::exception if the process cannot listen on an address.
+    Daemon(Settings settings, SettingsFile file, const DirectoryAdapters &adapters, OperatorRequests &requests);
     ~Daemon() override;
 
     const ListenAddresses &addresses() const;
     /// Runs until the shutdown has finished. @return work that was not completed.
     RemainingWork run();
-    /// Requests a graceful shutdown; a second call requests an immediate one. Async-signal-safe.
-    void requestStop();
-    /// Requests that the settings file is read again. Async-signal-safe.
-    void requestReload();
 
     void handle(NodeEvent event) override;
 
@@ -113,6 +110,7 @@
 
     Settings settings_;
     SettingsFile settingsFile_;
+    OperatorRequests &requests_;
     std::string nonce_;
     Log log_;
     Telemetry telemetry_;
@@ -136,9 +134,7 @@
     std::unique_ptr<CallerServer> callerServer_;
     std::unique_ptr<OperationsServer> operationsServer_;
     std::unique_ptr<OperationsServer> metricsServer_; ///< Null if the settings name no address for metrics.
-    std::atomic<int> stopRequests_{0};
     int handledStopRequests_ = 0;
-    std::atomic<bool> isReloadRequested_{false};
     std::atomic<bool> isStopped_{false};
     // Threads may perform actions out of order, so only the latest value of each kind is kept.
     mutable std::mutex latestStateMutex_;
--- a/src/daemon/daemonstart.cpp
+++ b/src/daemon/daemonstart.cpp
@@ -43,9 +43,10 @@
     return nlohmann::ordered_json{{"callers", callers}, {"peers", peers}, {"admin", admin}, {"operations", operations}}.dump();
 }
 
-Daemon::Daemon(Settings settings, SettingsFile file, const DirectoryAdapters &adapters)
+Daemon::Daemon(Settings settings, SettingsFile file, const DirectoryAdapters &adapters, OperatorRequests &requests)
     : settings_(std::move(settings))
     , settingsFile_(std::move(file))
+    , requests_(requests)
     , nonce_(randomHex(NonceBytes))
     , log_("daemon")
     , memory_(std::make_shared<MemoryBudget>(MemoryBudget::shareOf(settings_.memoryBytes)))
--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -7,6 +7,7 @@
 
 #include "daemon/daemon.h"
 #include "daemon/failurehandler.h"
+#include "daemon/operatorrequests.h"
 #include "daemon/settings.h"
 #include "platformprotocol.h"
 #include "storeclient.h"
@@ -36,29 +37,26 @@
 constexpr int ExitBadSettings = 2;
 constexpr int ExitWorkLeft = 3;
 
-Daemon *runningDaemon = nullptr;
+// Static, since signals arrive until the process has ended.
+constinit OperatorRequests operatorRequests;
 
 void onStopSignal(int)
 {
-    runningDaemon->requestStop();
+    operatorRequests.requestStop();
 }
 
 void onReloadSignal(int)
 {
-    runningDaemon->requestReload();
+    operatorRequests.requestReload();
 }
 
-void installSignals(Daemon &daemon)
+void handleSignal(int number, void (*handler)(int))
 {
-    runningDaemon = &daemon;
     struct sigaction action {
     };
-    action.sa_handler = onStopSignal;
-    sigaction(SIGTERM, &action, nullptr);
-    sigaction(SIGINT, &action, nullptr);
-    action.sa_handler = onReloadSignal;
-    sigaction(SIGHUP, &action, nullptr);
-    std::signal(SIGPIPE, SIG_IGN);
+    action.sa_handler = handler;
+    action.sa_flags = SA_RESTART;
+    sigaction(number, &action, nullptr);
 }
 
 DirectoryAdapters directoryAdapters(const Settings &settings)
@@ -84,13 +82,13 @@
 
 int runDaemon(const Settings &settings, const SettingsFile &file)
 {
-    // SIGHUP is ignored until the reload handler is installed because its default action would end the process.
-    std::signal(SIGHUP, SIG_IGN);
     startLogging(settings.name, settings.logLevel);
     const Log log("main");
     try {
-        Daemon daemon(settings, file, directoryAdapters(settings));
-        installSignals(daemon);
+        std::signal(SIGPIPE, SIG_IGN);
+        Daemon daemon(settings, file, directoryAdapters(settings), operatorRequests);
+        handleSignal(SIGTERM, onStopSignal);
+        handleSignal(SIGINT, onStopSignal);
         std::cout << daemon.addresses().toJson() << std::endl;
         log.info("started", {{"zone", settings.zone}, {"version", VersionText}});
         const RemainingWork remaining = daemon.run();
@@ -110,6 +108,8 @@
 
 int main(int argc, char **argv)
 {
+    // Its default action would end the process.
+    handleSignal(SIGHUP, onReloadSignal);
     absl::SetProgramUsageMessage(
         "cloverbarrowd --settings=FILE [--check_settings] [--version]\nRuns one entry VM of the load balancer. SIGTERM stops it gracefully, a second one at "
         "once; SIGHUP reads the settings again.\nExit codes: 0 stopped, 1 cannot run, 2 settings refused, 3 stopped with work left.");
