Operations: requests are read by the own framer

What callers saw: the operations and metrics addresses could stop answering for good while requests went on, so that readiness calls failed, and calls sent ahead on one connection got one answer.

Cause: these addresses used the HTTP layer of Pistache 0.0.5. If a chunk of a body is cut within its line end, the layer computes a negative length, and its thread advances through 2^64 bytes. If a request is cut right after a carriage return, it reads one byte beyond its buffer and decides by it (memcheck: invalid read of size 1 in StreamCursor::next, and branches on uninitialised bytes).

Change: the addresses are served by CallerServer, as callers' requests are, with bounds on head and body and with timeouts for slow and idle connections.

--- a/src/core/support/httpstatus.h
+++ b/src/core/support/httpstatus.h
@@ -16,6 +16,7 @@
 constexpr int NotModified = 304;
 constexpr int Unauthorized = 401;
 constexpr int NotFound = 404;
+constexpr int MethodNotAllowed = 405;
 constexpr int Conflict = 409;
 constexpr int Gone = 410;
 constexpr int MisdirectedRequest = 421;
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -325,7 +325,12 @@
 
 void Daemon::checkCallers()
 {
-    callerServer_->checkTimeouts(bootNow());
+    const TimePoint now = bootNow();
+    callerServer_->checkTimeouts(now);
+    operationsServer_->checkTimeouts(now);
+    if (metricsServer_) {
+        metricsServer_->checkTimeouts(now);
+    }
     gateway_->checkCallers();
 }
 
--- a/src/daemon/operationsserver.cpp
+++ b/src/daemon/operationsserver.cpp
@@ -7,10 +7,10 @@
 
 #include "daemon/operationsserver.h"
 
-#include "core/support/address.h"
-#include "net/signalstack.h"
+#include "core/support/httpstatus.h"
+#include "net/callerserver.h"
 
-#include <pistache/endpoint.h>
+#include <string_view>
 
 namespace Cloverbarrow
 {
@@ -18,96 +18,74 @@
 namespace
 {
 
-class OperationsHandler : public Pistache::Http::Handler
-{
-public:
-    HTTP_PROTOTYPE(OperationsHandler)
-
-    explicit OperationsHandler(OperationsSource source)
-        : source_(std::move(source))
-    {
-    }
-
-    void onRequest(const Pistache::Http::Request &request, Pistache::Http::ResponseWriter response) override
-    {
-        using Pistache::Http::Code;
-        ensureSignalStack();
-        if (request.method() != Pistache::Http::Method::Get) {
-            response.send(Code::Method_Not_Allowed, "only GET is served here\n");
-        } else if (request.resource() == "/metrics") {
-            response.send(Code::Ok, source_.metrics());
-        } else if (request.resource() == "/healthz") {
-            response.send(Code::Ok, "alive\n");
-        } else if (request.resource() == "/readyz") {
-            const std::string reason = source_.unreadyReason();
-            response.send(reason.empty() ? Code::Ok : Code::Service_Unavailable, reason.empty() ? "ready\n" : "not ready: " + reason + "\n");
-        } else {
-            response.send(Code::Not_Found, "known are /metrics, /healthz and /readyz\n");
-        }
-    }
+// Requests have no body and a short head.
+constexpr std::size_t MaxHead = 16 * 1024;
+constexpr std::size_t MaxBody = 64 * 1024;
+// Collectors of metrics keep their connection between two readings, which are minutes apart at most.
+constexpr Duration IdleTimeout = seconds(300);
 
-private:
-    OperationsSource source_;
-};
-
-} // namespace
+HttpAnswer textAnswer(int status, std::string text)
+{
+    HttpAnswer answer;
+    answer.status = status;
+    answer.body = std::move(text);
+    return answer;
+}
 
-class OperationsServer::Impl
+HttpAnswer answerTo(const HttpRequest &request, const OperationsSource &source)
 {
-public:
-    Impl(const std::string &address, OperationsSource source)
-        : endpoint_(std::make_unique<Pistache::Http::Endpoint>(addressOf(address)))
-    {
-        const auto flags = Pistache::Tcp::Options::ReuseAddr;
-        endpoint_->init(Pistache::Http::Endpoint::options().threads(1).flags(flags));
-        endpoint_->setHandler(std::make_shared<OperationsHandler>(std::move(source)));
-        endpoint_->serveThreaded();
-        port_ = static_cast<std::uint16_t>(endpoint_->getPort());
+    if (request.method != "GET") {
+        return textAnswer(HttpStatus::MethodNotAllowed, "only GET is served here\n");
     }
-
-    std::uint16_t port() const
-    {
-        return port_;
+    const std::string_view path = std::string_view(request.target).substr(0, request.target.find('?'));
+    if (path == "/metrics") {
+        return textAnswer(HttpStatus::Ok, source.metrics());
     }
-
-    void stop()
-    {
-        if (endpoint_) {
-            endpoint_->shutdown();
-            // Only its destructor waits for the threads.
-            endpoint_.reset();
-        }
+    if (path == "/healthz") {
+        return textAnswer(HttpStatus::Ok, "alive\n");
     }
-
-private:
-    static Pistache::Address addressOf(const std::string &address)
-    {
-        const auto parsed = parseSocketAddress(address).value();
-        return {parsed.host, Pistache::Port(parsed.port)};
+    if (path == "/readyz") {
+        const std::string reason = source.unreadyReason();
+        return reason.empty() ? textAnswer(HttpStatus::Ok, "ready\n") : textAnswer(HttpStatus::ServiceUnavailable, "not ready: " + reason + "\n");
     }
+    return textAnswer(HttpStatus::NotFound, "known are /metrics, /healthz and /readyz\n");
+}
+
+CallerServerOptions serverOptions(const std::string &address)
+{
+    CallerServerOptions options;
+    options.address = address;
+    options.threads = 1;
+    options.bounds.limits = {MaxHead, MaxHead, MaxBody};
+    options.bounds.idleTimeout = IdleTimeout;
+    return options;
+}
 
-    std::uint16_t port_ = 0;
-    std::unique_ptr<Pistache::Http::Endpoint> endpoint_; ///< Null once stopped.
-};
+} // namespace
 
 OperationsServer::OperationsServer(const std::string &address, OperationsSource source)
-    : impl_(std::make_unique<Impl>(address, std::move(source)))
+    : source_(std::move(source))
+    , server_(std::make_unique<CallerServer>(serverOptions(address), [this](const std::shared_ptr<CallerConnection> &connection, const HttpRequest &request) {
+        connection->answerTo(request.number, Cloverbarrow::answerTo(request, source_), request.method == "HEAD");
+    }))
 {
 }
 
-OperationsServer::~OperationsServer()
+OperationsServer::~OperationsServer() = default;
+
+std::uint16_t OperationsServer::port() const
 {
-    impl_->stop();
+    return server_->port();
 }
 
-std::uint16_t OperationsServer::port() const
+void OperationsServer::checkTimeouts(TimePoint now)
 {
-    return impl_->port();
+    server_->checkTimeouts(now);
 }
 
 void OperationsServer::stop()
 {
-    impl_->stop();
+    server_->stop();
 }
 
 } // namespace Cloverbarrow
--- a/src/daemon/operationsserver.h
+++ b/src/daemon/operationsserver.h
@@ -7,6 +7,8 @@
 
 #pragma once
 
+#include "core/support/time.h"
+
 #include <cstdint>
 #include <functional>
 #include <memory>
@@ -22,7 +24,10 @@
     std::function<std::string()> unreadyReason;
 };
 
-/// Serves /metrics, /healthz and /readyz on a separate address.
+class CallerServer;
+
+/// Serves /metrics, /healthz and /readyz on a separate address. Like callers' requests, these are read by the own framer: in Pistache's HTTP layer a chunked
+/// body that arrives in parts can keep the thread in a loop without end, and a request that ends within a line end is read beyond its end.
 class OperationsServer
 {
 public:
@@ -33,13 +38,14 @@
     OperationsServer &operator=(const OperationsServer &) = delete;
 
     std::uint16_t port() const;
+    /// Closes connections of idle and slow callers. Call several times a second.
+    void checkTimeouts(TimePoint now);
     /// Stops listening and waits for the threads, so that the source is not used any more.
     void stop();
 
 private:
-    class Impl;
-
-    std::unique_ptr<Impl> impl_;
+    OperationsSource source_;
+    std::unique_ptr<CallerServer> server_;
 };
 
 } // namespace Cloverbarrow
