A request near a bound is read in the same way however its bytes arrive

Callers saw 431 for a request head or trailers up to three bytes below the bound, and 400 for a chunk's size line at its bound, if the bytes arrived in several pieces; the same bytes in one piece were accepted.

Cause: while the end of the part has not arrived, the framer compared all bytes of its input with the bound, also those of an end that has arrived in part. They are left out now.

--- a/src/net/requestframer.cpp
+++ b/src/net/requestframer.cpp
@@ -188,6 +188,15 @@
     return size;
 }
 
+/// @return length of @p input without the part of @p end that it may end with, so that a bound holds alike for bytes that arrive in pieces.
+std::size_t lengthWithout(std::string_view end, std::string_view input)
+{
+    while (!input.ends_with(end)) {
+        end.remove_suffix(1);
+    }
+    return input.size() - end.size();
+}
+
 } // namespace
 
 RequestFramer::RequestFramer(std::shared_ptr<MemoryBudget> budget)
@@ -244,7 +253,7 @@
         input.erase(0, LineEnd.size());
     }
     const std::size_t headEnd = input.find(HeadEnd);
-    if (std::min(headEnd, input.size()) > limits.head) {
+    if (std::min(headEnd, lengthWithout(HeadEnd, input)) > limits.head) {
         return FramingFault{431, "the request head is too long"};
     }
     const std::string_view bytes(input);
@@ -349,7 +358,7 @@
 {
     const std::size_t end = input.find(LineEnd);
     if (end == std::string_view::npos) {
-        return input.size() > MaxChunkLine ? BodyProgress(FramingFault{400, "a chunk's size line is too long"}) : Progress::Incomplete;
+        return lengthWithout(LineEnd, input) > MaxChunkLine ? BodyProgress(FramingFault{400, "a chunk's size line is too long"}) : Progress::Incomplete;
     }
     const auto size = chunkSize(input.substr(0, end));
     if (!size || end > MaxChunkLine) {
@@ -369,7 +378,7 @@
     // Trailers are skipped and not forwarded.
     while (true) {
         const std::size_t end = input.find(LineEnd);
-        if (partial_->trailerBytes + std::min(end, input.size()) > limits.head) {
+        if (partial_->trailerBytes + std::min(end, lengthWithout(LineEnd, input)) > limits.head) {
             return FramingFault{431, "the trailers are too long"};
         }
         if (end == std::string_view::npos) {
--- a/tests/unit/requestframertests.cpp
+++ b/tests/unit/requestframertests.cpp
@@ -83,6 +83,31 @@
     CHECK(faultStatus("GET /a HTTP/1.1\r\nHost: h\r\nX: " + std::string(40000, 'a') + "\r\n\r\n") == 431);
 }
 
+TEST_CASE("A part of a request that reaches its bound exactly is read in the same way when its bytes arrive one by one", "[framing]")
+{
+    constexpr RequestLimits Limits = {64, 16, 16};
+    const auto padded = [](std::string start, std::size_t size) { return start.append(size - start.size(), 'a'); };
+    const std::string chunked = "POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n";
+    const std::size_t extra = GENERATE(0, 1);
+    const std::string bytes = GENERATE_COPY(padded("GET /a HTTP/1.1\r\nHost: h\r\nX: ", Limits.head + extra) + "\r\n\r\n",
+                                            chunked + padded("3;x=", 256 + extra) + "\r\nabc\r\n0\r\n\r\n",
+                                            chunked + "0\r\n" + padded("T: ", Limits.head - 2 + extra) + "\r\n\r\n");
+    CAPTURE(bytes);
+    RequestFramer framer;
+    std::string input;
+    FramingResult result;
+    for (const char byte : bytes) {
+        input.push_back(byte);
+        result = framer.next(input, Limits);
+        if (std::holds_alternative<FramingFault>(result)) {
+            break;
+        }
+    }
+    std::string whole = bytes;
+    CHECK(std::holds_alternative<HttpRequest>(result) == (extra == 0));
+    CHECK(RequestFramer().next(whole, Limits).index() == result.index());
+}
+
 TEST_CASE("Paths that a server could normalize to another route are rejected", "[framing]")
 {
     for (const char *path : {"/a/../b", "/a/%2e%2E/b", "/a%2Fb", "/a//b", "/a/.", "/a\\b", "/a%00"}) {
