Numbers in messages that do not fit into their type are rejected

The conversion of a double out of range is undefined, one of an integer gave another number, and such a duration overflows as soon as it is added to a time (age of a relay's proof, Retry-After of a refusal, wait of a quota's grant, deadline of a forwarded request, ages of limits and of counts of a rollout).

Cause: the decoders used the library's conversions, which check nothing. They use integerFrom() and durationFrom() now, which throw like for any malformed value; so do the lists of the store and the records.

--- a/src/core/intent/operatorintent.cpp
+++ b/src/core/intent/operatorintent.cpp
@@ -9,6 +9,7 @@
 
 #include "core/intent/configurationparser.h"
 #include "core/support/boundedjson.h"
+#include "core/support/jsonnumber.h"
 
 #include <nlohmann/json.hpp>
 
@@ -37,9 +38,9 @@
     return {json.at("id").get<std::string>(),
             json.at("author").get<std::string>(),
             json.at("reason").get<std::string>(),
-            json.at("time_ms").get<std::int64_t>(),
+            integerFrom<std::int64_t>(json.at("time_ms")),
             json.at("what").get<std::string>(),
-            json.at("over_version").get<std::int64_t>()};
+            integerFrom<std::int64_t>(json.at("over_version"))};
 }
 
 OperatorIntent intentFrom(std::string_view value)
--- a/src/core/measuring/lease.cpp
+++ b/src/core/measuring/lease.cpp
@@ -8,6 +8,7 @@
 #include "core/measuring/lease.h"
 
 #include "core/support/boundedjson.h"
+#include "core/support/jsonnumber.h"
 
 #include <nlohmann/json.hpp>
 
@@ -30,7 +31,7 @@
 {
     try {
         const auto json = parseBoundedJson(value);
-        return LeaseRecord{{json.at("name").get<std::string>(), json.at("nonce").get<std::string>()}, json.at("renewal").get<std::uint64_t>()};
+        return LeaseRecord{{json.at("name").get<std::string>(), json.at("nonce").get<std::string>()}, integerFrom<std::uint64_t>(json.at("renewal"))};
     } catch (const std::exception &) {
         return std::nullopt;
     }
--- a/src/core/payouts/payoutrecord.cpp
+++ b/src/core/payouts/payoutrecord.cpp
@@ -8,6 +8,7 @@
 #include "core/payouts/payoutrecord.h"
 
 #include "core/support/boundedjson.h"
+#include "core/support/jsonnumber.h"
 
 #include <nlohmann/json.hpp>
 
@@ -73,8 +74,8 @@
         record.state = *state;
         record.digest = json.at("digest").get<std::string>();
         record.creator = {json.at("creator").at("name").get<std::string>(), json.at("creator").at("nonce").get<std::string>()};
-        record.tryNumber = json.at("mark").get<std::uint64_t>();
-        record.status = json.at("status").get<int>();
+        record.tryNumber = integerFrom<std::uint64_t>(json.at("mark"));
+        record.status = integerFrom<int>(json.at("status"));
         record.contentType = json.at("content_type").get<std::string>();
         record.result = json.at("result").get<std::string>();
         record.isResultComplete = json.at("whole").get<bool>();
--- a/src/net/crashjson.cpp
+++ b/src/net/crashjson.cpp
@@ -8,6 +8,7 @@
 #include "net/crashjson.h"
 
 #include "core/support/boundedjson.h"
+#include "core/support/jsonnumber.h"
 
 #include <nlohmann/json.hpp>
 
@@ -72,7 +73,7 @@
 {
     return {textIn(body, "entry_vm"),
             textIn(body, "process"),
-            body.at("number").get<std::uint64_t>(),
+            integerFrom<std::uint64_t>(body.at("number")),
             decodeCrashReport(body),
             decodeCrashes(body.at("suspected"))};
 }
@@ -123,7 +124,7 @@
     }
     if (body.contains("held")) {
         for (const Json &version : body.at("held")) {
-            message.held.push_back({version.at(0).get<std::string>(), version.at(1).get<std::string>(), version.at(2).get<std::uint64_t>()});
+            message.held.push_back({version.at(0).get<std::string>(), version.at(1).get<std::string>(), integerFrom<std::uint64_t>(version.at(2))});
         }
     }
     return message;
--- a/src/net/forwarding.cpp
+++ b/src/net/forwarding.cpp
@@ -9,6 +9,7 @@
 
 #include "core/support/boundedjson.h"
 #include "core/support/httpstatus.h"
+#include "core/support/jsonnumber.h"
 
 #include <nlohmann/json.hpp>
 
@@ -75,12 +76,12 @@
         request.takesBackoffs = body.value("takes_backoffs", false);
         RequestArrived &arrival = request.arrival;
         arrival.avoidedServers = body.value("avoid", std::vector<std::string>());
-        arrival.kindClass = static_cast<KindClass>(body.at("class").get<int>());
-        arrival.deadline = TimePoint(Duration(body.at("deadline_us").get<Duration::rep>()));
-        arrival.maxAttempts = body.at("attempts").get<int>();
-        arrival.latencyObjective = Duration(body.at("objective_us").get<Duration::rep>());
-        arrival.priority = body.at("priority").get<int>();
-        arrival.priorWait = Duration(body.at("waited_us").get<Duration::rep>());
+        arrival.kindClass = static_cast<KindClass>(integerFrom<int>(body.at("class")));
+        arrival.deadline = TimePoint(durationFrom(body.at("deadline_us")));
+        arrival.maxAttempts = integerFrom<int>(body.at("attempts"));
+        arrival.latencyObjective = durationFrom(body.at("objective_us"));
+        arrival.priority = integerFrom<int>(body.at("priority"));
+        arrival.priorWait = durationFrom(body.at("waited_us"));
         arrival.fingerprint = {body.at("content").get<std::string>(), body.at("caller").get<std::string>()};
         arrival.isForwarded = true;
         return request.isValid() ? std::optional(std::move(request)) : std::nullopt;
@@ -117,7 +118,7 @@
         }
         std::vector<ServerBackoff> backoffs;
         for (const Json &item : body) {
-            ServerBackoff backoff{item.at("server").get<std::string>(), Duration(item.at("left_us").get<Duration::rep>())};
+            ServerBackoff backoff{item.at("server").get<std::string>(), durationFrom(item.at("left_us"))};
             if (!isServerName(backoff.server) || backoff.remaining < Duration(0) || backoff.remaining > MaxBackoff) {
                 return std::nullopt;
             }
@@ -184,7 +185,7 @@
         problem.detail = body.at("detail").get<std::string>();
         problem.isLocalFault = body.at("local_fault").get<bool>();
         if (body.contains("retry_after_us")) {
-            problem.retryAfter = Duration(body.at("retry_after_us").get<Duration::rep>());
+            problem.retryAfter = durationFrom(body.at("retry_after_us"));
         }
         return ForwardRefused{std::move(problem)};
     } catch (const std::exception &) {
--- a/src/net/httpplatformclient.cpp
+++ b/src/net/httpplatformclient.cpp
@@ -9,6 +9,7 @@
 
 #include "core/support/boundedjson.h"
 #include "core/support/httpstatus.h"
+#include "core/support/jsonnumber.h"
 
 #include <nlohmann/json.hpp>
 
@@ -52,7 +53,7 @@
 {
     try {
         const Json json = parseBoundedJson(answer.body);
-        return StoreFound{json.at("version").get<std::int64_t>(), json.value("value", std::string())};
+        return StoreFound{integerFrom<std::int64_t>(json.at("version")), json.value("value", std::string())};
     } catch (const std::exception &) {
         return std::nullopt;
     }
--- a/src/net/quotamessages.cpp
+++ b/src/net/quotamessages.cpp
@@ -8,6 +8,7 @@
 #include "net/quotamessages.h"
 
 #include "core/support/boundedjson.h"
+#include "core/support/jsonnumber.h"
 
 #include <nlohmann/json.hpp>
 
@@ -49,13 +50,19 @@
 /// @return the number of requests. @throws std::exception if it is missing or out of range.
 int requestsIn(const Json &body)
 {
-    const auto requests = body.at("requests").get<int>();
+    const auto requests = integerFrom<int>(body.at("requests"));
     if (requests < 0 || requests > MaxClaimedRequests) {
         throw std::invalid_argument("invalid number of requests: " + std::to_string(requests));
     }
     return requests;
 }
 
+/// @return the process of the granter; 0 if it is missing, since the previous release does not send it.
+std::uint64_t incarnationIn(const Json &body)
+{
+    return body.contains("incarnation") ? integerFrom<std::uint64_t>(body.at("incarnation")) : 0;
+}
+
 /// @return the reports in the array. @throws std::exception if one is malformed or there are too many.
 std::vector<QuotaReport> reportsIn(const Json &items)
 {
@@ -64,7 +71,7 @@
     }
     std::vector<QuotaReport> reports;
     for (const Json &item : items) {
-        QuotaReport report{item.at("workspace").get<std::string>(), item.at("admitted").get<std::vector<int>>()};
+        QuotaReport report{item.at("workspace").get<std::string>(), integersFrom(item.at("admitted"))};
         const auto isValid = [](int requests) { return requests >= 0 && requests <= MaxClaimedRequests; };
         if (report.admitted.size() > QuotaReportParts || !std::all_of(report.admitted.begin(), report.admitted.end(), isValid)) {
             throw std::invalid_argument("invalid report on workspace " + report.workspace);
@@ -109,22 +116,24 @@
     request.entryVm = body.at("entry_vm").get<std::string>();
     for (const Json &claim : body.at("claims")) {
         request.claims.push_back({claim.at("workspace").get<std::string>(),
-                                  claim.at("version").get<std::int64_t>(),
+                                  integerFrom<std::int64_t>(claim.at("version")),
                                   {numberIn(claim, "per_second"), numberIn(claim, "burst")},
                                   requestsIn(claim)});
     }
     // The fields below are missing in messages of the previous release.
     request.granter = body.value("granter", std::string());
-    request.incarnation = body.value("incarnation", std::uint64_t(0));
+    request.incarnation = incarnationIn(body);
     if (body.contains("granters")) {
         request.granters = body.at("granters").get<std::vector<std::string>>();
         if (request.granters->size() > MaxGranters) {
             throw std::invalid_argument("invalid number of granters: " + std::to_string(request.granters->size()));
         }
     }
-    request.historyLength = Duration(body.value("history_us", Duration::max().count()));
-    if (request.historyLength < Duration(0)) {
-        throw std::invalid_argument("invalid history_us");
+    if (body.contains("history_us")) {
+        request.historyLength = durationFrom(body.at("history_us"));
+        if (request.historyLength < Duration(0)) {
+            throw std::invalid_argument("invalid history_us");
+        }
     }
     request.hasAllReports = body.value("all_reports", false);
     if (body.contains("reports")) {
@@ -146,10 +155,10 @@
 {
     const Json body = parseBoundedJson(text);
     QuotaAnswer answer;
-    answer.incarnation = body.value("incarnation", std::uint64_t(0));
+    answer.incarnation = incarnationIn(body);
     for (const Json &grant : body.at("grants")) {
         answer.grants.push_back(
-            {grant.at("workspace").get<std::string>(), requestsIn(grant), Duration(grant.at("retry_us").get<Duration::rep>()), optionalNumberIn(grant, "use")});
+            {grant.at("workspace").get<std::string>(), requestsIn(grant), durationFrom(grant.at("retry_us")), optionalNumberIn(grant, "use")});
     }
     return answer;
 }
--- a/src/net/relaymessages.cpp
+++ b/src/net/relaymessages.cpp
@@ -8,6 +8,7 @@
 #include "net/relaymessages.h"
 
 #include "core/support/boundedjson.h"
+#include "core/support/jsonnumber.h"
 
 #include <nlohmann/json.hpp>
 
@@ -56,11 +57,13 @@
 /// @throws std::exception if the rank is out of range.
 FleetRank rankIn(const Json &body)
 {
-    FleetRank rank{body.at("number").get<int>(), body.at("count").get<int>()};
+    FleetRank rank{integerFrom<int>(body.at("number")), integerFrom<int>(body.at("count"))};
     if (rank.number < 0 || rank.number >= rank.count || rank.count > MaxEntryVms) {
         throw std::invalid_argument("invalid rank " + std::to_string(rank.number) + " of " + std::to_string(rank.count));
     }
-    rank.vacant = body.value("vacant", std::vector<int>());
+    if (body.contains("vacant")) {
+        rank.vacant = integersFrom(body.at("vacant"));
+    }
     int next = 0;
     for (const int vacant : rank.vacant) {
         if (vacant < next || vacant >= rank.count || vacant == rank.number) {
@@ -78,7 +81,7 @@
 
 LimitVersion decodeVersion(const Json &body)
 {
-    return {body.at("process").get<std::uint64_t>(), body.at("sequence").get<std::uint64_t>()};
+    return {integerFrom<std::uint64_t>(body.at("process")), integerFrom<std::uint64_t>(body.at("sequence"))};
 }
 
 /// @throws std::exception if the limit is negative or not a number.
@@ -114,7 +117,7 @@
     const Json body = parseBoundedJson(text);
     LimitUpdate update{decodeVersion(body.at("version")), decodeVersion(body.at("known")), {}};
     for (const Json &report : body.at("reports")) {
-        const Duration age(std::max<Duration::rep>(0, report.at("age_us").get<Duration::rep>()));
+        const Duration age = std::max(Duration(0), durationFrom(report.at("age_us")));
         update.reports.push_back({report.at("server").get<std::string>(), limitIn(report), now - age});
     }
     return update;
@@ -156,11 +159,11 @@
 {
     const Json body = parseBoundedJson(text);
     CollectionUpdate update;
-    update.revision = body.at("revision").get<std::int64_t>();
-    update.storeRevision = body.at("store_revision").get<std::int64_t>();
+    update.revision = integerFrom<std::int64_t>(body.at("revision"));
+    update.storeRevision = integerFrom<std::int64_t>(body.at("store_revision"));
     for (const Json &entry : body.at("entries")) {
         update.entries.push_back({entry.at("name").get<std::string>(),
-                                  entry.at("revision").get<std::int64_t>(),
+                                  integerFrom<std::int64_t>(entry.at("revision")),
                                   std::nullopt,
                                   entry.at("deleted").get<bool>(),
                                   entry.at("text").get<std::string>()});
@@ -207,15 +210,15 @@
 RelayProof decodeProof(std::string_view text)
 {
     const Json body = parseBoundedJson(text);
-    RelayProof proof{Duration(body.at("age_us").get<Duration::rep>()),
+    RelayProof proof{durationFrom(body.at("age_us")),
                      body.at("hears_from_store").get<bool>(),
-                     body.at("entry_vms").get<int>(),
+                     integerFrom<int>(body.at("entry_vms")),
                      body.at("other_relays").get<std::vector<std::string>>()};
     if (body.contains("newest")) {
         // Relays of earlier releases have fewer collections.
         const Json &newest = body.at("newest");
         for (std::size_t index = 0; index < std::min(newest.size(), proof.newestRevisions.size()); ++index) {
-            proof.newestRevisions.at(index) = newest.at(index).get<std::int64_t>();
+            proof.newestRevisions.at(index) = integerFrom<std::int64_t>(newest.at(index));
         }
     }
     if (body.contains("limits")) {
--- a/src/net/rolloutmessages.cpp
+++ b/src/net/rolloutmessages.cpp
@@ -8,6 +8,7 @@
 #include "net/rolloutmessages.h"
 
 #include "core/support/boundedjson.h"
+#include "core/support/jsonnumber.h"
 
 #include <nlohmann/json.hpp>
 
@@ -29,7 +30,7 @@
 
 AnswerCounts decodeCounts(const Json &body)
 {
-    const AnswerCounts counts{body.at(0).get<std::int64_t>(), body.at(1).get<std::int64_t>(), body.at(2).get<std::int64_t>()};
+    const AnswerCounts counts{integerFrom<std::int64_t>(body.at(0)), integerFrom<std::int64_t>(body.at(1)), integerFrom<std::int64_t>(body.at(2))};
     if (std::min({counts.answers, counts.failures, counts.slow}) < 0 || counts.failures + counts.slow > counts.answers) {
         throw std::invalid_argument("counts of answers contradict each other");
     }
@@ -59,9 +60,9 @@
         RolloutReport report;
         report.service = item.at("service").get<std::string>();
         report.targetVersion = item.at("version").get<std::string>();
-        report.age = Duration(std::max<Duration::rep>(0, item.at("age_us").get<Duration::rep>()));
+        report.age = std::max(Duration(0), durationFrom(item.at("age_us")));
         for (const Json &kind : item.at("kinds")) {
-            report.evidence.set(Duration(kind.at("objective_us").get<Duration::rep>()), {decodeCounts(kind.at("target")), decodeCounts(kind.at("others"))});
+            report.evidence.set(durationFrom(kind.at("objective_us")), {decodeCounts(kind.at("target")), decodeCounts(kind.at("others"))});
         }
         reports.reports.push_back(std::move(report));
     }
--- a/src/net/slowservermessages.cpp
+++ b/src/net/slowservermessages.cpp
@@ -8,6 +8,7 @@
 #include "net/slowservermessages.h"
 
 #include "core/support/boundedjson.h"
+#include "core/support/jsonnumber.h"
 
 #include <nlohmann/json.hpp>
 
@@ -38,7 +39,7 @@
         return {};
     }
     const Json &position = body.at(key);
-    return {position.at("process").get<std::uint64_t>(), position.at("sequence").get<std::uint64_t>()};
+    return {integerFrom<std::uint64_t>(position.at("process")), integerFrom<std::uint64_t>(position.at("sequence"))};
 }
 
 const char *textOf(SlowServerCause cause)
@@ -59,7 +60,7 @@
 
 SlowServerReport decodeReport(TimePoint now, const Json &report)
 {
-    const Duration age(report.at("age_us").get<Duration::rep>());
+    const Duration age = durationFrom(report.at("age_us"));
     if (age < Duration(0) || age > MaxAge) {
         throw std::invalid_argument("invalid age of " + std::to_string(age.count()) + " us of a slow server report");
     }
