Counts of answers in reports of a rollout can be added up

Their sums overflowed, in the check of the message itself and when the evidence was added up for a verdict on the new version, which is undefined and gave negative counts.

Counts above 10^13 are rejected with the message. Found by the fuzzers' property that counts can be added up, from hand-made inputs.

--- a/src/net/rolloutmessages.cpp
+++ b/src/net/rolloutmessages.cpp
@@ -23,6 +23,9 @@
 
 using Json = nlohmann::json;
 
+// The largest fleet gives as many answers in most of a year. The counts of all kinds in one message can still be added up.
+constexpr std::int64_t MaxAnswers = 10'000'000'000'000;
+
 Json encodeCounts(const AnswerCounts &counts)
 {
     return Json::array({counts.answers, counts.failures, counts.slow});
@@ -31,7 +34,10 @@
 AnswerCounts decodeCounts(const Json &body)
 {
     const AnswerCounts counts{integerFrom<std::int64_t>(body.at(0)), integerFrom<std::int64_t>(body.at(1)), integerFrom<std::int64_t>(body.at(2))};
-    if (std::min({counts.answers, counts.failures, counts.slow}) < 0 || counts.failures + counts.slow > counts.answers) {
+    if (std::min({counts.answers, counts.failures, counts.slow}) < 0 || std::max({counts.answers, counts.failures, counts.slow}) > MaxAnswers) {
+        throw std::invalid_argument("counts of answers are out of range");
+    }
+    if (counts.failures + counts.slow > counts.answers) {
         throw std::invalid_argument("counts of answers contradict each other");
     }
     return counts;
--- a/tests/fuzz/peermessages.cpp
+++ b/tests/fuzz/peermessages.cpp
@@ -120,6 +120,10 @@
         requireUsable(report.age);
         total.add(report.evidence);
     }
+    for (const auto &[objective, comparison] : total.byObjective()) {
+        const auto &[answers, failures, slow] = comparison.target;
+        require(answers >= 0 && failures >= 0 && slow >= 0 && failures + slow <= answers, "counts of answers can be added up");
+    }
     total.verdict();
     require(decodeRolloutReports(encodeRolloutReports(*reports)) == *reports, "counts of answers are encoded as decoded");
 }
