A wait in a follower's request that cannot be represented is rejected

The conversion to microseconds overflowed, which is undefined and gave a wait below zero; by reading, the request is then answered at once.

The target is no request for changes if its wait is longer than any duration in a message.

--- a/src/net/relaymessages.cpp
+++ b/src/net/relaymessages.cpp
@@ -140,7 +140,7 @@
     const auto since = parseNonNegative(takeUpTo(target, '/'));
     const auto waitMs = parseNonNegative(target);
     const auto *found = std::find(CollectionNames.begin(), CollectionNames.end(), name);
-    if (found == CollectionNames.end() || !since || !waitMs) {
+    if (found == CollectionNames.end() || !since || !waitMs || *waitMs > std::chrono::floor<milliseconds>(MaxJsonDuration).count()) {
         return std::nullopt;
     }
     return CollectionUpdateRequest{static_cast<Collection>(found - CollectionNames.begin()), *since, milliseconds(*waitMs)};
