JSON text that goes on after a NUL character is rejected

The JSON library takes a NUL character for the end of its input, so parseBoundedJson() accepted a value with any bytes after one, which splitJsonObject() and splitJsonArray() reject. Nothing was misread by this that we know of; the same text was valid for one reader and invalid for another.

--- a/src/core/support/boundedjson.cpp
+++ b/src/core/support/boundedjson.cpp
@@ -196,7 +196,12 @@
     if (const std::string problem = exceededBound(text); !problem.empty()) {
         throw std::invalid_argument(problem);
     }
-    return nlohmann::json::parse(text);
+    nlohmann::json value = nlohmann::json::parse(text);
+    // The library takes a NUL character for the end of the text and ignores what follows.
+    if (text.find('\0') != std::string_view::npos) {
+        throw std::invalid_argument("JSON text goes on after its end");
+    }
+    return value;
 }
 
 std::vector<JsonMember> splitJsonObject(std::string_view object)
--- a/tests/unit/boundedjsontests.cpp
+++ b/tests/unit/boundedjsontests.cpp
@@ -52,6 +52,12 @@
     {
         CHECK_THROWS(parseBoundedJson(R"({"slots":1e999})"));
     }
+    SECTION("text after a NUL character is rejected")
+    {
+        using namespace std::string_literals;
+        CHECK_THROWS(parseBoundedJson("{}\0"s));
+        CHECK_THROWS(parseBoundedJson("12\0 34"s));
+    }
 }
 
 TEST_CASE("JSON objects and arrays are split without parsing their values", "[json][bounds]")
