An event that cannot be read costs its own entry only

What callers saw: when one event of a watch had no object, was no object or did not say clearly whether its object was deleted, none of the changes beside it were used, and the same watch was answered and rejected again.

Cause: the events of an answer were read together, so an error in one of them gave up the whole answer.

An event whose object has a name and a revision but no valid `deleted` is an entry with a fault (of evacuations still an evacuation); one without is logged and left out.

The tests also cover what storeobject already does, for all collections, lists and watches: values 100,000 levels deep, of 1e999 and with 250,001 values in the specification, the metadata, the status and unknown members; deletions of such objects; leader records and crash reports with them in lists and conflicts.

--- a/tests/platform/storeclienttests.cpp
+++ b/tests/platform/storeclienttests.cpp
@@ -5,11 +5,14 @@
     SPDX-License-Identifier: Apache-2.0
 */
 
+#include "core/support/boundedjson.h"
 #include "directorystore.h"
 #include "storeclient.h"
+#include "storeobject.h"
 
 #include <catch2/catch.hpp>
 
+#include <algorithm>
 #include <functional>
 #include <future>
 
@@ -79,12 +82,12 @@
 class FixedStore
 {
 public:
-    explicit FixedStore(const std::string &body)
+    explicit FixedStore(const std::string &body, int status = 200)
     {
         CallerServerOptions options;
         options.address = "127.0.0.1:0";
-        server_ = std::make_unique<CallerServer>(options, [body](const std::shared_ptr<CallerConnection> &connection, const HttpRequest &) {
-            connection->answer({200, "", {{"Content-Type", "application/json"}}, body}, false);
+        server_ = std::make_unique<CallerServer>(options, [body, status](const std::shared_ptr<CallerConnection> &connection, const HttpRequest &) {
+            connection->answer({status, "", {{"Content-Type", "application/json"}}, body}, false);
         });
     }
 
@@ -144,3 +147,275 @@
     checkEntries(std::get<DirectoryChanged>(changeEvent).entries);
     client.stop();
 }
+
+namespace
+{
+
+/// JSON values that cannot be used, each for another reason.
+std::vector<std::string> oddValues()
+{
+    constexpr std::size_t Depth = 100'000;
+    std::string many = "[0";
+    for (std::size_t count = 0; count < MaxJsonValues; ++count) {
+        many += ",0";
+    }
+    return {std::string(Depth, '[') + std::string(Depth, ']'), "1e999", many + "]"};
+}
+
+/// A text in place of each member of an object of the store.
+struct ObjectParts {
+    std::string name;
+    std::string specification;
+    std::string metadata = "1"; ///< Of an unknown member of the metadata.
+    std::string status = "{}";
+    std::string unknown = "1"; ///< Of an unknown member of the object.
+};
+
+std::string objectOf(const ObjectParts &parts)
+{
+    return R"({"metadata":{"name":")" + parts.name + R"(","revision":4,"later":)" + parts.metadata + R"(},"specification":)" + parts.specification
+        + R"(,"status":)" + parts.status + R"(,"later":)" + parts.unknown + "}";
+}
+
+std::string eventOf(const std::string &object, const std::string &deleted)
+{
+    return R"({"deleted":)" + deleted + R"(,"object":)" + object + "}";
+}
+
+std::string joined(std::initializer_list<std::string> values)
+{
+    std::string text;
+    for (const std::string &value : values) {
+        text.append(text.empty() ? "" : ",").append(value);
+    }
+    return text;
+}
+
+std::string specificationOf(Collection collection)
+{
+    switch (collection) {
+    case Collection::Routing:
+        return R"({"version":"r3","routes":[],"services":[]})";
+    case Collection::Servers:
+        return R"({"service":"s1","address":"10.0.0.1:80","zone":"bog-a","version":"v1","slots":3,"state":"ready","warmup_remaining_s":0,"sequence":4})";
+    case Collection::Crashes:
+        return R"({"ends":[],"excused":[]})";
+    case Collection::Evacuations:
+        return "{}";
+    case Collection::Rollouts:
+        return R"({"service":"s1","target_version":"v2","duration_s":60})";
+    }
+    return {};
+}
+
+/// Where an odd value stands, and whether it is used there.
+struct OddPlace {
+    std::string ObjectParts::*part = nullptr;
+    bool isUsed = false;
+};
+
+std::vector<OddPlace> oddPlaces(Collection collection)
+{
+    const bool hasContent = collection != Collection::Evacuations;
+    return {{&ObjectParts::specification, hasContent},
+            {&ObjectParts::metadata, hasContent},
+            {&ObjectParts::status, collection == Collection::Rollouts},
+            {&ObjectParts::unknown, false}};
+}
+
+std::vector<DirectoryEntry> listedFrom(HttpClient &client, Collection collection, const std::string &items)
+{
+    FixedStore store(R"({"items":[)" + items + R"(],"has_more":false,"store_revision":9})");
+    Platform::StoreClient reader(client, store.address());
+    std::promise<DirectoryEvent> page;
+    reader.list(ListDirectory{collection, {}, {}, 1}, [&page](const DirectoryAnswer &answer) { page.set_value(answer.event); });
+    const DirectoryEvent event = page.get_future().get();
+    REQUIRE(std::holds_alternative<DirectoryListed>(event));
+    return std::get<DirectoryListed>(event).entries;
+}
+
+std::vector<DirectoryEntry> watchedFrom(HttpClient &client, Collection collection, const std::string &events)
+{
+    FixedStore store(R"({"events":[)" + events + R"(],"store_revision":9})");
+    Platform::StoreClient reader(client, store.address());
+    std::promise<DirectoryEvent> change;
+    reader.watch(WatchDirectory{collection, 3, seconds(1), {}, 1}, [&change](const DirectoryAnswer &answer) { change.set_value(answer.event); });
+    const DirectoryEvent event = change.get_future().get();
+    REQUIRE(std::holds_alternative<DirectoryChanged>(event));
+    return std::get<DirectoryChanged>(event).entries;
+}
+
+void checkForwardedText(Collection collection, const DirectoryEntry &entry)
+{
+    constexpr std::size_t MaxText = 300;
+    CHECK(entry.text.size() <= MaxText);
+    const DirectoryEntry forwarded = Platform::readObject(collection, entry.text, false);
+    CHECK(forwarded.name == entry.name);
+    CHECK(forwarded.revision == entry.revision);
+    CHECK(forwarded.value == entry.value);
+    CHECK(forwarded.fault.empty() == entry.fault.empty());
+}
+
+} // namespace
+
+TEST_CASE("An object of the store that is too deep, too large or out of range costs its own use only", "[platform][json][bounds]")
+{
+    // Of the first collection only the object with this name is used, whatever stands beside it.
+    const auto collection = GENERATE(Collection::Routing, Collection::Servers, Collection::Crashes, Collection::Evacuations, Collection::Rollouts);
+    const std::string usedName = "main";
+    const std::string valid = objectOf({usedName, specificationOf(collection)});
+    HttpClient client(1);
+    for (const auto &[part, isUsed] : oddPlaces(collection)) {
+        for (const std::string &value : oddValues()) {
+            ObjectParts parts{"odd", specificationOf(collection)};
+            parts.*part = value;
+            const std::string odd = objectOf(parts);
+            CAPTURE(static_cast<int>(collection), odd.substr(0, 200), odd.size());
+            const auto checkEntries = [&, isFault = isUsed](const std::vector<DirectoryEntry> &entries) {
+                REQUIRE(entries.size() == 3);
+                CHECK(entries[0].value.has_value());
+                CHECK(entries[2].value.has_value());
+                CHECK(entries[1].name == "odd");
+                CHECK(entries[1].revision == 4);
+                CHECK(entries[1].fault.empty() != isFault);
+                CHECK((collection == Collection::Routing || entries[1].value.has_value() != isFault));
+                checkForwardedText(collection, entries[1]);
+            };
+            checkEntries(listedFrom(client, collection, joined({valid, odd, valid})));
+            checkEntries(watchedFrom(client, collection, joined({eventOf(valid, "false"), eventOf(odd, "false"), eventOf(valid, "false")})));
+
+            const auto deleted = watchedFrom(client, collection, eventOf(odd, "true"));
+            REQUIRE(deleted.size() == 1);
+            CHECK(deleted.front().isDeleted);
+            CHECK(deleted.front().name == "odd");
+            CHECK(deleted.front().fault.empty());
+        }
+    }
+    client.stop();
+}
+
+TEST_CASE("A configuration that is too deep, too large or out of range is an entry with a fault", "[platform][json][bounds]")
+{
+    HttpClient client(1);
+    for (const std::string &value : oddValues()) {
+        const std::string odd = R"({"version":"r3","routes":[],"services":[],"limits":)" + value + "}";
+        const auto entries = listedFrom(client, Collection::Routing, objectOf({"main", odd}));
+        REQUIRE(entries.size() == 1);
+        CHECK_FALSE(entries.front().value);
+        CHECK_FALSE(entries.front().fault.empty());
+        checkForwardedText(Collection::Routing, entries.front());
+    }
+    client.stop();
+}
+
+TEST_CASE("An event that cannot be read costs its own entry only", "[platform][json][bounds]")
+{
+    const std::string valid = eventOf(serverObject("i-1", "bog-a"), "false");
+    HttpClient client(1);
+    std::vector<std::string> values = oddValues();
+    values.insert(values.end(), {"7", "null"});
+    for (const std::string &value : values) {
+        CAPTURE(value.substr(0, 200));
+        const auto named = watchedFrom(client, Collection::Servers, eventOf(serverObject("i-2", "bog-a"), value) + "," + valid);
+        REQUIRE(named.size() == 2);
+        CHECK(named[0].name == "i-2");
+        CHECK_FALSE(named[0].isDeleted);
+        CHECK_FALSE(named[0].value);
+        CHECK_FALSE(named[0].fault.empty());
+        checkForwardedText(Collection::Servers, named[0]);
+        CHECK(named[1].value.has_value());
+
+        for (const std::string &nameless : {eventOf(value, "false"), value, R"({"deleted":false,"later":)" + value + "}"}) {
+            const auto remaining = watchedFrom(client, Collection::Servers, joined({nameless, valid}));
+            REQUIRE(remaining.size() == 1);
+            CHECK(remaining.front().value.has_value());
+        }
+
+        std::string withUnknown = valid;
+        withUnknown.insert(1, R"("later":)" + value + ",");
+        const auto unknown = watchedFrom(client, Collection::Servers, withUnknown);
+        REQUIRE(unknown.size() == 1);
+        CHECK(unknown.front().value.has_value());
+    }
+    client.stop();
+}
+
+namespace
+{
+
+LeaderRecordAnswered leaderRecordFrom(HttpClient &client,
+                                      const std::string &body,
+                                      int status,
+                                      const std::function<void(Platform::StoreClient &, DirectoryCallback)> &call)
+{
+    FixedStore fixed(body, status);
+    Platform::StoreClient store(client, fixed.address());
+    return leaderRecordAfter([&](DirectoryCallback done) { call(store, std::move(done)); });
+}
+
+std::string leaderObject(const std::string &zone, const std::string &address)
+{
+    return objectOf({zone, R"({"address":)" + address + "}"});
+}
+
+} // namespace
+
+TEST_CASE("A leader record that cannot be read is replaced under its revision, and those of other zones are used", "[platform][relay][json][bounds]")
+{
+    HttpClient client(1);
+    const auto read = [](Platform::StoreClient &store, DirectoryCallback done) { store.readLeaderRecord("bog-a", ReadLeaderRecord{true}, std::move(done)); };
+    const auto write = [](Platform::StoreClient &store, DirectoryCallback done) {
+        store.writeLeaderRecord("bog-a", WriteLeaderRecord{"10.0.0.9:7200", 2}, std::move(done));
+    };
+    const auto listOf = [](const std::string &items) { return R"({"items":[)" + items + R"(],"has_more":false,"store_revision":9})"; };
+    std::vector<std::string> values = oddValues();
+    values.insert(values.end(), {"7", "null", "{}"});
+    for (const std::string &value : values) {
+        CAPTURE(value.substr(0, 200));
+        const LeaderRecordAnswered own =
+            leaderRecordFrom(client, listOf(leaderObject("bog-a", value) + "," + leaderObject("bog-b", R"("10.0.0.2:7200")")), 200, read);
+        CHECK(own.hasAnswered);
+        CHECK(own.leader.empty());
+        CHECK(own.revision == 4);
+        CHECK(own.otherRelays == std::vector<std::string>{"10.0.0.2:7200"});
+
+        for (const std::string &odd : {leaderObject("bog-c", value), value}) {
+            const std::string items = odd + "," + leaderObject("bog-a", R"("10.0.0.1:7200")") + "," + leaderObject("bog-b", R"("10.0.0.2:7200")");
+            const LeaderRecordAnswered other = leaderRecordFrom(client, listOf(items), 200, read);
+            CHECK(other.hasAnswered);
+            CHECK(other.leader == "10.0.0.1:7200");
+            CHECK(other.otherRelays == std::vector<std::string>{"10.0.0.2:7200"});
+        }
+
+        const LeaderRecordAnswered conflict = leaderRecordFrom(client, R"({"object":)" + leaderObject("bog-a", value) + "}", 409, write);
+        CHECK(conflict.hasAnswered);
+        CHECK(conflict.leader.empty());
+        CHECK(conflict.revision == 4);
+
+        CHECK_FALSE(leaderRecordFrom(client, R"({"object":)" + value + "}", 409, write).hasAnswered);
+    }
+    client.stop();
+}
+
+TEST_CASE("A crash report in the store that cannot be read is replaced under its revision", "[platform][crash][json][bounds]")
+{
+    HttpClient client(1);
+    std::vector<std::string> values = oddValues();
+    values.insert(values.end(), {"7", "null", "{}"});
+    const auto writtenOver = [&client](const std::string &body) {
+        FixedStore fixed(body, 409);
+        Platform::StoreClient store(client, fixed.address());
+        std::promise<CrashReportWritten> done;
+        store.writeCrashReport(
+            "vm-1", WriteCrashReport{}, [&done](const DirectoryAnswer &answer) { done.set_value(std::get<CrashReportWritten>(answer.event)); });
+        return done.get_future().get();
+    };
+    for (const std::string &value : values) {
+        CAPTURE(value.substr(0, 200));
+        const CrashReportWritten written = writtenOver(R"({"object":)" + objectOf({"vm-1", R"({"ends":)" + value + R"(,"excused":[]})"}) + "}");
+        CHECK(written.revision == 4);
+        CHECK(written.report.crashes.empty());
+        CHECK(writtenOver(R"({"object":)" + value + "}").revision == 0);
+    }
+    client.stop();
+}
