Limits for callers change whole, whichever thread changes them

Callers saw: after a reload beside a new configuration, limits of the older configuration or of the former settings could stay in force. The race has undefined behaviour as well.

Cause: a reload wrote settings on the main thread, while a new configuration read them on the thread of the store's answers. Each of both computed the limits from what it had read, and the later one to finish won.

Change: CallerBoundsSource owns the two parts and applies their combination under one lock. Threads share no other settings that a reload changes.

--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -257,9 +257,7 @@
                {"routes", static_cast<std::int64_t>(intent.configuration.routes.size())},
                {"servers", servers},
                {"draining", static_cast<std::int64_t>(intent.intent.drains.size())}});
-    if (intent.configuration.callerLimits) {
-        callerServer_->setBounds(callerBoundsFor(*intent.configuration.callerLimits));
-    }
+    callerBounds_.setConfigured(intent.configuration.callerLimits);
 }
 
 void Daemon::updateFleetSize(const UpdateFleetSize &action)
@@ -390,9 +388,7 @@
     settings_.memoryBytes = next.memoryBytes;
     memory_->setMaxBytes(MemoryBudget::shareOf(next.memoryBytes));
     warnIfBodiesExceedMemory();
-    const auto intent = node_->intent();
-    const bool hasLimits = intent && intent->configuration.callerLimits;
-    callerServer_->setBounds(hasLimits ? callerBoundsFor(*intent->configuration.callerLimits) : callerBoundsFromSettings());
+    callerBounds_.setSettings(callerBoundsFromSettings());
     if (directory_ && next.directory) {
         settings_.directory->budgets = next.directory->budgets;
         directory_->setBudgets(next.directory->budgets);
--- a/src/daemon/daemon.h
+++ b/src/daemon/daemon.h
@@ -10,6 +10,7 @@
 #include "core/node.h"
 #include "core/support/latest.h"
 #include "daemon/adminservice.h"
+#include "daemon/callerboundssource.h"
 #include "daemon/directoryrunner.h"
 #include "daemon/eventhandler.h"
 #include "daemon/gateway.h"
@@ -90,8 +91,6 @@
     void warnIfBodiesExceedMemory() const;
     /// @return limits for callers according to the settings only.
     CallerBounds callerBoundsFromSettings() const;
-    /// @return limits for callers according to the settings and to the configuration's @p limits.
-    CallerBounds callerBoundsFor(const CallerLimits &limits) const;
     void updateFleetSize(const UpdateFleetSize &action);
     /// The caller must hold latestStateMutex_.
     void applyConnectionCap();
@@ -116,6 +115,7 @@
     Telemetry telemetry_;
     ListenAddresses addresses_;
     std::shared_ptr<MemoryBudget> memory_; ///< For requests and answers on all connections.
+    CallerBoundsSource callerBounds_;
     HttpClient backendClient_;
     std::unique_ptr<HttpClient> forwardClient_; ///< For requests that are forwarded to other entry VMs; null without a directory.
     std::unique_ptr<HttpClient> directoryHttpClient_; ///< For calls to the store and to relays; null without a directory.
--- a/src/daemon/daemonstart.cpp
+++ b/src/daemon/daemonstart.cpp
@@ -50,6 +50,7 @@
     , nonce_(randomHex(NonceBytes))
     , log_("daemon")
     , memory_(std::make_shared<MemoryBudget>(MemoryBudget::shareOf(settings_.memoryBytes)))
+    , callerBounds_(callerBoundsFromSettings(), [this](const CallerBounds &bounds) { callerServer_->setBounds(bounds); })
     , backendClient_(static_cast<std::size_t>(settings_.backendThreads), memory_)
 {
     warnIfBodiesExceedMemory();
@@ -176,17 +177,4 @@
     return bounds;
 }
 
-CallerBounds Daemon::callerBoundsFor(const CallerLimits &limits) const
-{
-    CallerBounds bounds = callerBoundsFromSettings();
-    bounds.limits.head = limits.headerBytes;
-    bounds.limits.target = limits.headerBytes;
-    // The local setting limits the body as well because it protects the memory of this VM.
-    bounds.limits.body = std::min(limits.bodyBytes, bounds.limits.body);
-    bounds.headTimeout = limits.headerTime;
-    bounds.transferTimeout = std::max(limits.headerTime, bounds.transferTimeout);
-    bounds.idleTimeout = limits.idleTime;
-    return bounds;
-}
-
 } // namespace Cloverbarrow
