A failed start ends in the order of a stop

Callers saw: an entry VM that could not listen on an address, while other entry VMs forwarded requests to it, ended by a fault instead of the exit code for a start that has failed.

Cause: the constructor of Daemon started threads and then failed, so its destructor did not run, and its members were destroyed one after the other while the threads of the relay server still used them.

Change: Daemon::start() starts the threads, and the destructor stops those parts that exist, after a failure as well.

--- a/src/daemon/daemon.h
+++ b/src/daemon/daemon.h
@@ -61,11 +61,14 @@
 class Daemon : public EventHandler
 {
 public:
-    /// Starts to listen. @param file from which @p settings were read. @param adapters used if the settings name a directory.
-    /// @param requests what signals have requested. @throws std::exception if the process cannot listen on an address.
-    Daemon(Settings settings, SettingsFile file, const DirectoryAdapters &adapters, OperatorRequests &requests);
+    /// @param file from which @p settings were read. @param requests what signals have requested.
+    Daemon(Settings settings, SettingsFile file, OperatorRequests &requests);
     ~Daemon() override;
 
+    /// Starts to listen. Call once, before all other functions. @param adapters used if the settings name a directory.
+    /// @throws std::exception if the process cannot listen on an address; then the object can only be destroyed.
+    void start(const DirectoryAdapters &adapters);
+
     const ListenAddresses &addresses() const;
     /// Runs until the shutdown has finished. @return work that was not completed.
     RemainingWork run();
--- a/src/daemon/daemonstart.cpp
+++ b/src/daemon/daemonstart.cpp
@@ -43,7 +43,7 @@
     return nlohmann::ordered_json{{"callers", callers}, {"peers", peers}, {"admin", admin}, {"operations", operations}}.dump();
 }
 
-Daemon::Daemon(Settings settings, SettingsFile file, const DirectoryAdapters &adapters, OperatorRequests &requests)
+Daemon::Daemon(Settings settings, SettingsFile file, OperatorRequests &requests)
     : settings_(std::move(settings))
     , settingsFile_(std::move(file))
     , requests_(requests)
@@ -52,6 +52,10 @@
     , memory_(std::make_shared<MemoryBudget>(MemoryBudget::shareOf(settings_.memoryBytes)))
     , callerBounds_(callerBoundsFromSettings(), [this](const CallerBounds &bounds) { callerServer_->setBounds(bounds); })
     , backendClient_(static_cast<std::size_t>(settings_.backendThreads), memory_)
+{
+}
+
+void Daemon::start(const DirectoryAdapters &adapters)
 {
     warnIfBodiesExceedMemory();
     if (settings_.directory) {
@@ -122,25 +126,24 @@
 
 Daemon::~Daemon()
 {
-    // First all threads end, while every object that they may use still exists.
+    // First all threads end, while every object that they may use still exists. After a failed start some parts do not exist.
+    const auto stop = [](const auto &part) {
+        if (part) {
+            part->stop();
+        }
+    };
     isStopped_ = true;
-    operationsServer_->stop();
-    if (metricsServer_) {
-        metricsServer_->stop();
-    }
-    if (directory_) {
-        directory_->stop();
-        directoryHttpClient_->stop();
-        forwardClient_->stop();
-    }
-    if (!settings_.directory) {
-        adminServer_->stop();
-        peerServer_->stop();
-        peerClient_->stop();
-        platform_->stop();
-    }
+    stop(operationsServer_);
+    stop(metricsServer_);
+    stop(directory_);
+    stop(directoryHttpClient_);
+    stop(forwardClient_);
+    stop(adminServer_);
+    stop(peerServer_);
+    stop(peerClient_);
+    stop(platform_);
     backendClient_.stop();
-    callerServer_->stop();
+    stop(callerServer_);
 }
 
 ControlSettings Daemon::controlSettings() const
--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -86,7 +86,8 @@
     const Log log("main");
     try {
         std::signal(SIGPIPE, SIG_IGN);
-        Daemon daemon(settings, file, directoryAdapters(settings), operatorRequests);
+        Daemon daemon(settings, file, operatorRequests);
+        daemon.start(directoryAdapters(settings));
         handleSignal(SIGTERM, onStopSignal);
         handleSignal(SIGINT, onStopSignal);
         std::cout << daemon.addresses().toJson() << std::endl;
