Callers: a connection without a descriptor is closed at once

What callers saw: when a process had no descriptor left, some accepted connections got no answer and stayed open until the caller gave up; their requests were processed all the same.

Cause: a connection writes through a duplicate of the listener's descriptor. When dup failed, it still dispatched requests, could not write an answer, and could not shut the socket down either.

Change: such a connection shuts down the socket that it was given and dispatches nothing.

Measured: the test brings about a failed dup by the limit on descriptors. Before: 1 request dispatched, the connection not closed, 3 of 7 assertions failed. After: 7 of 7 pass.

--- a/src/net/callerconnection.cpp
+++ b/src/net/callerconnection.cpp
@@ -49,6 +49,11 @@
     , buffers_(options_.memory, MemoryUse::Request)
     , timeoutStart_(bootNow())
 {
+    if (!socket_.isOpen()) {
+        // Requests could be dispatched, but not answered.
+        ::shutdown(fd, SHUT_RDWR);
+        state_ = State::Closed;
+    }
 }
 
 const std::string &CallerConnection::caller() const
--- a/src/net/callerconnection.h
+++ b/src/net/callerconnection.h
@@ -61,7 +61,7 @@
         MemoryRefusal refusal = nullptr; ///< If null, such requests are refused with a general answer.
     };
 
-    /// @param fd is duplicated. @param caller IP address of the caller.
+    /// @param fd is duplicated; if that fails, the connection is closed. @param caller IP address of the caller.
     CallerConnection(int fd, const CallerBounds &bounds, const Options &options, RequestHandler handler, std::string caller = {});
 
     /// Applies to requests and timeouts from now on.
--- a/tests/unit/callerconnectiontests.cpp
+++ b/tests/unit/callerconnectiontests.cpp
@@ -11,6 +11,7 @@
 
 #include <catch2/catch.hpp>
 
+#include <sys/resource.h>
 #include <sys/socket.h>
 
 #include <array>
@@ -259,3 +260,25 @@
     caller.connection->checkTimeouts(bootNow() + seconds(2));
     CHECK(budget->counts().usedBytes <= 4096);
 }
+
+TEST_CASE("A connection for which there is no descriptor is closed instead of staying open without answers", "[caller]")
+{
+    std::array<int, 2> ends{};
+    REQUIRE(::socketpair(AF_UNIX, SOCK_STREAM, 0, ends.data()) == 0);
+    const Descriptor serverEnd(ends[0]);
+    const Descriptor callerEnd(ends[1]);
+    rlimit limit{};
+    REQUIRE(::getrlimit(RLIMIT_NOFILE, &limit) == 0);
+    // No number below the limit is free.
+    const rlimit none{0, limit.rlim_max};
+    REQUIRE(::setrlimit(RLIMIT_NOFILE, &none) == 0);
+    int dispatched = 0;
+    const auto connection = std::make_shared<CallerConnection>(
+        serverEnd.get(), CallerBounds(), CallerConnection::Options(), [&dispatched](const auto &, const HttpRequest &) { ++dispatched; });
+    REQUIRE(::setrlimit(RLIMIT_NOFILE, &limit) == 0);
+    connection->received("GET / HTTP/1.1\r\nHost: tablero.example\r\n\r\n", bootNow());
+    CHECK(dispatched == 0);
+    CHECK(connection->isClosed());
+    char byte = 0;
+    CHECK(::recv(callerEnd.get(), &byte, 1, MSG_DONTWAIT) == 0);
+}
