YAML documents are bounded in the values that their aliases repeat

What callers saw: nothing that was recorded. A configuration of 160 KB whose 20,001 services are aliases of one with 20,001 kinds takes more than 3 GB of memory in the process that parses it.

Cause: an alias takes a few bytes and stands for values of any size, and the size of a document was bounded by its bytes only. Each faulty value also added a fault, without a bound.

Change: loadBoundedYaml() counts values as often as aliases repeat them, up to 500,000 and 64 levels, before any is read; a document without aliases that keeps to the bound on bytes cannot exceed the first. At most 1000 faults are collected.

Documents nested 100,000 deep and settings cut at any byte gave faults without the change as well.

--- a/src/core/intent/configurationparser.cpp
+++ b/src/core/intent/configurationparser.cpp
@@ -189,7 +189,7 @@
     }
     Configuration configuration;
     try {
-        const YAML::Node root = YAML::Load(std::string(document));
+        const YAML::Node root = loadBoundedYaml(document);
         readDocument(root, configuration, faults);
     } catch (const YAML::Exception &exception) {
         faults.push_back({exception.mark.line + 1, "document", "YAML, but: " + exception.msg});
--- a/src/core/support/yamlreader.cpp
+++ b/src/core/support/yamlreader.cpp
@@ -9,12 +9,49 @@
 
 #include <yaml-cpp/yaml.h>
 
+#include <utility>
+
 namespace Cloverbarrow
 {
 
 namespace
 {
 
+// Valid documents have less than ten levels.
+constexpr std::size_t MaxYamlLevels = 64;
+// More than the largest document can have without aliases, at two bytes for each value.
+constexpr std::size_t MaxYamlValues = 500'000;
+
+struct LeveledNode {
+    YAML::Node node;
+    std::size_t level = 0;
+};
+
+/// @throws YAML::Exception if there are too many levels or values below the node.
+void checkBounds(const YAML::Node &root)
+{
+    std::vector<LeveledNode> pending = {{root, 1}};
+    std::size_t values = 1;
+    const auto add = [&pending, &values](const YAML::Node &value, std::size_t level) {
+        if (level > MaxYamlLevels) {
+            throw YAML::Exception(value.Mark(), "more than " + std::to_string(MaxYamlLevels) + " levels");
+        }
+        if (++values > MaxYamlValues) {
+            throw YAML::Exception(value.Mark(), "more than " + std::to_string(MaxYamlValues) + " values");
+        }
+        if (!value.IsScalar()) {
+            pending.push_back({value, level});
+        }
+    };
+    while (!pending.empty()) {
+        const LeveledNode parent = std::move(pending.back());
+        pending.pop_back();
+        for (const auto &item : parent.node) {
+            add(parent.node.IsMap() ? item.second : item, parent.level + 1);
+        }
+    }
+}
+
 template<typename T>
 bool convert(const YAML::Node &node, T &value)
 {
@@ -46,6 +83,13 @@
     return std::string(file) + ":" + std::to_string(line) + ": " + key + ": expected " + expected;
 }
 
+YAML::Node loadBoundedYaml(std::string_view document)
+{
+    YAML::Node root = YAML::Load(std::string(document));
+    checkBounds(root);
+    return root;
+}
+
 YamlReader::YamlReader(const YAML::Node &node, std::string path, std::vector<DocumentFault> &faults)
     : node_(node)
     , path_(std::move(path))
@@ -167,7 +211,7 @@
         fault(key, "a list of mappings");
         return;
     }
-    for (std::size_t index = 0; index < node.size(); ++index) {
+    for (std::size_t index = 0; index < node.size() && faults_.size() < MaxDocumentFaults; ++index) {
         const YAML::Node item = node[index];
         YamlReader reader(item, pathOf(key) + "[" + std::to_string(index) + "]", faults_);
         read(reader);
@@ -183,7 +227,7 @@
             at = node.Mark().line + 1;
         }
     }
-    faults_.push_back({at, pathOf(key), expected});
+    addFault({at, pathOf(key), expected});
 }
 
 void YamlReader::finish()
@@ -194,7 +238,7 @@
     for (const auto &entry : node_) {
         const std::string key = entry.first.IsScalar() ? entry.first.Scalar() : std::string("?");
         if (!known_.contains(key)) {
-            faults_.push_back({entry.first.Mark().line + 1, pathOf(key), "no such key"});
+            addFault({entry.first.Mark().line + 1, pathOf(key), "no such key"});
         }
     }
 }
@@ -212,6 +256,13 @@
     return node;
 }
 
+void YamlReader::addFault(DocumentFault fault)
+{
+    if (faults_.size() < MaxDocumentFaults) {
+        faults_.push_back(std::move(fault));
+    }
+}
+
 int YamlReader::line() const
 {
     return node_.Mark().line + 1;
--- a/src/core/support/yamlreader.h
+++ b/src/core/support/yamlreader.h
@@ -9,6 +9,7 @@
 
 #include "core/support/time.h"
 
+#include <cstddef>
 #include <functional>
 #include <set>
 #include <string>
@@ -33,6 +34,13 @@
     std::string toString(std::string_view file) const;
 };
 
+/// Faults that are collected of one document; those after them are not shown.
+constexpr std::size_t MaxDocumentFaults = 1000;
+
+/// Parses a document. Aliases stand for values of any size, so values that they repeat count as often as they are repeated.
+/// @throws YAML::Exception if the document is not YAML, or has too many levels or values.
+YAML::Node loadBoundedYaml(std::string_view document);
+
 /// Reads one mapping strictly: unknown keys, wrong types and values out of range are faults.
 /// Faults are collected, so that an operator sees all of them at once.
 class YamlReader
@@ -61,6 +69,7 @@
 
 private:
     YAML::Node child(const char *key, bool required);
+    void addFault(DocumentFault fault);
     int line() const;
     std::string pathOf(const std::string &key) const;
 
--- a/src/daemon/settings.cpp
+++ b/src/daemon/settings.cpp
@@ -165,7 +165,7 @@
     std::vector<DocumentFault> faults;
     Settings settings;
     try {
-        const YAML::Node root = YAML::Load(std::string(document));
+        const YAML::Node root = loadBoundedYaml(document);
         YamlReader reader(root, "", faults);
         readAll(reader, settings);
         reader.finish();
--- a/tests/unit/configurationparsertests.cpp
+++ b/tests/unit/configurationparsertests.cpp
@@ -11,6 +11,8 @@
 
 #include <catch2/catch.hpp>
 
+#include <chrono>
+
 using namespace Cloverbarrow;
 using namespace Cloverbarrow::Tests;
 
@@ -91,3 +93,90 @@
     CHECK(settingsFault(replaced(ValidSettings, "127.0.0.1:7900", "platform:1"))
           == "s.yaml:5: platform: expected an IP number and a port, as in 10.0.0.1:8080");
 }
+
+namespace
+{
+
+std::string repeated(std::string_view text, std::size_t count)
+{
+    std::string all;
+    all.reserve(text.size() * count);
+    for (std::size_t number = 0; number < count; ++number) {
+        all += text;
+    }
+    return all;
+}
+
+/// Documents that are small but deep, or have many more values than their text.
+std::vector<std::string> oddDocuments()
+{
+    constexpr std::size_t Depth = 100'000;
+    constexpr std::size_t Aliases = 20'000;
+    std::string indented;
+    for (std::size_t depth = 0; depth < 1000; ++depth) {
+        indented += std::string(depth, ' ') + "a:\n";
+    }
+    // Each level has ten times the values of the one before.
+    std::string laughs = "a0: &a0 [x, x, x, x, x, x, x, x, x, x]\n";
+    for (int level = 1; level < 12; ++level) {
+        const std::string alias = "*a" + std::to_string(level - 1);
+        laughs += "a" + std::to_string(level) + ": &a" + std::to_string(level) + " [" + repeated(alias + ", ", 9) + alias + "]\n";
+    }
+    const std::string aliases = repeated("*k, ", Aliases) + "*k";
+    const std::string aliasedServices = "base: &s {name: s, places: [a], kinds: &l [" + repeated("{}, ", Aliases) + "{}], backend_servers: *l}\n"
+        + "services: [" + repeated("*s, ", Aliases) + "*s]\n";
+    return {repeated("[", Depth),
+            repeated("[", Depth) + repeated("]", Depth),
+            repeated("{a: ", Depth) + repeated("}", Depth),
+            repeated("- ", Depth),
+            repeated("? ", Depth),
+            repeated("a: ", Depth),
+            repeated("!a ", Depth),
+            repeated("&a ", Depth),
+            "services: " + repeated("[", Depth) + repeated("]", Depth),
+            indented,
+            laughs,
+            "services: &s [*s, *s]\n",
+            "services: &s {kinds: *s}\n",
+            "k: &k {name: k}\nservices: [" + aliases + "]\n",
+            aliasedServices};
+}
+
+} // namespace
+
+TEST_CASE("A document that is nested too deep or repeats aliases too often has faults, and takes neither long nor much memory",
+          "[configuration][settings][bounds]")
+{
+    const auto checkFaults = [](const auto &parsed) {
+        const auto *faults = std::get_if<std::vector<DocumentFault>>(&parsed);
+        REQUIRE(faults);
+        CHECK(faults->size() <= MaxDocumentFaults);
+    };
+    for (const std::string &document : oddDocuments()) {
+        CAPTURE(document.substr(0, 100));
+        const auto start = std::chrono::steady_clock::now();
+        checkFaults(parseConfiguration(document));
+        checkFaults(parseSettings(document));
+        CHECK(std::chrono::steady_clock::now() - start < seconds(5));
+    }
+}
+
+TEST_CASE("Aliases are read like the values for which they stand", "[configuration][settings]")
+{
+    const auto parsed = parseSettings("x: &a 127.0.0.1:0\n" + replaced(ValidSettings, "callers: 127.0.0.1:0", "callers: *a"));
+    REQUIRE(std::holds_alternative<std::vector<DocumentFault>>(parsed));
+    CHECK(std::get<std::vector<DocumentFault>>(parsed).size() == 1);
+    CHECK(std::holds_alternative<Settings>(
+        parseSettings(replaced(replaced(ValidSettings, "callers: 127.0.0.1:0", "callers: &a 127.0.0.1:0"), "peers: 127.0.0.1:0", "peers: *a"))));
+}
+
+TEST_CASE("Settings that are cut at any byte have faults or are valid", "[settings][bounds]")
+{
+    std::size_t faulty = 0;
+    for (std::size_t length = 0; length < ValidSettings.size(); ++length) {
+        faulty += std::holds_alternative<Settings>(parseSettings(ValidSettings.substr(0, length))) ? 0 : 1;
+    }
+    // The last value is still an address without its last digits and the line end.
+    CHECK(faulty >= ValidSettings.size() - 4);
+    CHECK(faulty < ValidSettings.size());
+}
