Numbers of all messages between processes are tested at their bounds

The tests take each message that another process sends, put numbers and values out of range in place of each of its members, and check that the message is rejected, and that none is taken for another number. An age in a heartbeat is clamped to what can be added to a time; its receiver ignores it beyond that, as before.

--- a/src/net/wire.cpp
+++ b/src/net/wire.cpp
@@ -7,8 +7,11 @@
 
 #include "net/wire.h"
 
+#include "core/support/jsonnumber.h"
+
 #include <thrift/TOutput.h>
 
+#include <algorithm>
 #include <mutex>
 
 namespace Cloverbarrow
@@ -17,6 +20,8 @@
 namespace
 {
 
+constexpr std::int64_t MaxAgeMs = std::chrono::floor<milliseconds>(MaxJsonDuration).count();
+
 Wire::Member toWire(const Member &member)
 {
     Wire::Member wire;
@@ -90,7 +95,7 @@
         heartbeat.members.push_back(fromWire(member));
     }
     for (const Wire::LeavingSign &sign : wire.leaving) {
-        heartbeat.leavingSigns.push_back({sign.serviceName, sign.backend, milliseconds(sign.ageMs)});
+        heartbeat.leavingSigns.push_back({sign.serviceName, sign.backend, milliseconds(std::clamp(sign.ageMs, -MaxAgeMs, MaxAgeMs))});
     }
     return heartbeat;
 }
--- a/tests/platform/storeclienttests.cpp
+++ b/tests/platform/storeclienttests.cpp
@@ -7,6 +7,9 @@
 
 #include "core/support/boundedjson.h"
 #include "directorystore.h"
+#include "net/httpplatformclient.h"
+#include "net/relayclient.h"
+#include "net/relaymessages.h"
 #include "storeclient.h"
 #include "storeobject.h"
 
@@ -419,3 +422,85 @@
     }
     client.stop();
 }
+
+TEST_CASE("An odd text in a relay's list costs the use of its entry only", "[platform][relay][json][bounds]")
+{
+    HttpClient client(1);
+    const auto listedBy = [&client](const std::string &text) {
+        const std::string valid = serverObject("i-1", "bog-a");
+        CollectionUpdate update;
+        update.revision = 3;
+        update.entries = {{"i-1", 4, std::nullopt, false, valid},
+                          {"odd", 4, std::nullopt, false, text},
+                          {"gone", 5, std::nullopt, true, text},
+                          {"i-1", 4, std::nullopt, false, valid}};
+        FixedStore relay(encodeCollectionUpdate(update));
+        Platform::StoreClient codec(client, relay.address());
+        RelayClient reader(client, codec);
+        std::promise<DirectoryEvent> page;
+        ListDirectory action{Collection::Servers, {}, relay.address(), 1};
+        reader.list(action, [&page](const DirectoryAnswer &answer) { page.set_value(answer.event); });
+        return page.get_future().get();
+    };
+    std::vector<std::string> texts = oddValues();
+    for (const std::string &value : oddValues()) {
+        texts.push_back(objectOf({"odd", value}));
+        texts.push_back(R"({"metadata":)" + value + "}");
+    }
+    texts.insert(texts.end(), {"", "{", "null", "7"});
+    for (const std::string &text : texts) {
+        CAPTURE(text.substr(0, 200));
+        const DirectoryEvent event = listedBy(text);
+        REQUIRE(std::holds_alternative<DirectoryListed>(event));
+        const auto &entries = std::get<DirectoryListed>(event).entries;
+        REQUIRE(entries.size() == 4);
+        CHECK(entries[0].value.has_value());
+        CHECK(entries[1].name == "odd");
+        CHECK_FALSE(entries[1].value);
+        CHECK_FALSE(entries[1].fault.empty());
+        CHECK(entries[2].isDeleted);
+        CHECK(entries[2].name == "gone");
+        CHECK(entries[3].value.has_value());
+    }
+    client.stop();
+}
+
+TEST_CASE("An odd answer to a call for an object of the platform counts as none", "[platform][json][bounds]")
+{
+    std::vector<std::string> values = oddValues();
+    values.emplace_back("1e300");
+    for (const std::string &value : values) {
+        CAPTURE(value.substr(0, 200));
+        for (const std::string &body : {value, R"({"vms":)" + value + R"(,"value":"","version":)" + value + "}"}) {
+            FixedStore store(body);
+            HttpPlatformClient client(store.address(), nullptr);
+            std::promise<StoreResult> read;
+            client.call({{"lease", "a"}, StoreRead{}}, [&read](StoreResult result) { read.set_value(std::move(result)); });
+            CHECK(std::holds_alternative<StoreUnavailable>(read.get_future().get()));
+            std::promise<StoreResult> written;
+            client.call({{"lease", "a"}, StoreWrite{1, "{}"}}, [&written](StoreResult result) { written.set_value(std::move(result)); });
+            CHECK(std::holds_alternative<StoreOutcomeUnknown>(written.get_future().get()));
+            std::promise<VmListResult> vms;
+            client.listVms([&vms](VmListResult result) { vms.set_value(std::move(result)); });
+            CHECK_FALSE(vms.get_future().get().hasAnswered);
+            client.stop();
+        }
+    }
+}
+
+TEST_CASE("A list or watch whose revision is out of range fails instead of being followed from another one", "[platform][json][numbers]")
+{
+    HttpClient client(1);
+    for (const char *revision : {"1e300", "-1e300", "9223372036854775808", "1e999", "null"}) {
+        CAPTURE(revision);
+        FixedStore store(R"({"items":[],"events":[],"has_more":false,"store_revision":)" + std::string(revision) + "}");
+        Platform::StoreClient reader(client, store.address());
+        std::promise<DirectoryEvent> page;
+        reader.list(ListDirectory{Collection::Servers, {}, {}, 1}, [&page](const DirectoryAnswer &answer) { page.set_value(answer.event); });
+        CHECK(std::holds_alternative<DirectoryCallFailed>(page.get_future().get()));
+        std::promise<DirectoryEvent> change;
+        reader.watch(WatchDirectory{Collection::Servers, 3, seconds(1), {}, 1}, [&change](const DirectoryAnswer &answer) { change.set_value(answer.event); });
+        CHECK(std::holds_alternative<DirectoryCallFailed>(change.get_future().get()));
+    }
+    client.stop();
+}
