A call never replaces another one that is in flight

Callers saw: nothing that was recorded. A request with more than 15 attempts shared call ids with the next request, whose call in flight was then destroyed while libcurl used it; its callback was never called, so the request had no end before its caller's deadline.

Cause: ids left room for 16 attempts of a request, while routes and forwarded requests may allow more; and the client replaced the call in its map. Class: use of an object after its end.

--- a/src/daemon/gateway.cpp
+++ b/src/daemon/gateway.cpp
@@ -122,8 +122,8 @@
 
 HttpCallId Gateway::callId(RequestId request, int attempt)
 {
-    // More than the attempts of one request, with those that were never sent.
-    constexpr HttpCallId AttemptsPerRequest = 16;
+    // More than the attempts of one request (at most 100), with those that were never sent or were forwarded.
+    constexpr HttpCallId AttemptsPerRequest = 128;
     return request * AttemptsPerRequest + static_cast<HttpCallId>(attempt);
 }
 
--- a/src/net/httpclient.cpp
+++ b/src/net/httpclient.cpp
@@ -172,6 +172,10 @@
 
     void begin(std::unique_ptr<Transfer> transfer)
     {
+        // Replaced in the map, it would be destroyed while libcurl uses it, and its callback would never be called.
+        if (const auto sameId = transfers_.find(transfer->id); sameId != transfers_.end()) {
+            finish(*sameId->second, CURLE_ABORTED_BY_CALLBACK);
+        }
         if (spare_.empty()) {
             transfer->easy.reset(curl_easy_init());
         } else {
@@ -181,7 +185,7 @@
         configureTransfer(*transfer, maxIdleOf(transfer->call.address));
         curl_multi_add_handle(multi_.get(), transfer->easy.get());
         const HttpCallId id = transfer->id;
-        transfers_.insert_or_assign(id, std::move(transfer));
+        transfers_.emplace(id, std::move(transfer));
     }
 
     Duration maxIdleOf(const std::string &address) const
--- a/tests/platform/directoryrunnertests.cpp
+++ b/tests/platform/directoryrunnertests.cpp
@@ -223,6 +223,7 @@
         std::atomic<int> handled{0};
         std::atomic<bool> isOver{false};
         std::vector<std::thread> threads;
+        threads.reserve(Threads);
         for (int number = 0; number < Threads; ++number) {
             threads.emplace_back([&calls, &handled, &isOver] {
                 while (!isOver) {
