A Thrift message that announces a long list no longer ends the process

What callers saw: nothing that was recorded. A message of under 30 bytes to the port for entry VMs whose list announces 2^31 - 1 members ended the whole process with SIGABRT. The port for the administration has the same server.

Cause: the generated code takes the space of all announced elements before it reads one. Thrift checks announced sizes against the size of a message, but counts structures as nothing, and a failed allocation in the thread of a connection is not caught.

Change: servers and clients read lists of at most 100,000 elements, and texts of at most the size of a message.

--- a/src/net/thriftclient.h
+++ b/src/net/thriftclient.h
@@ -42,7 +42,7 @@
         socket->setRecvTimeout(callTimeoutMs);
         socket->setSendTimeout(callTimeoutMs);
         auto transport = std::make_shared<apache::thrift::transport::TFramedTransport>(socket, configuration);
-        client_ = std::make_unique<Client>(std::make_shared<apache::thrift::protocol::TCompactProtocol>(transport));
+        client_ = std::make_unique<Client>(std::make_shared<apache::thrift::protocol::TCompactProtocol>(transport, MaxThriftMessage, MaxThriftElements));
         transport->open();
     }
 
--- a/src/net/thriftserver.cpp
+++ b/src/net/thriftserver.cpp
@@ -85,7 +85,8 @@
         , socket_(makeSocket(parseSocketAddress(address).value()))
     {
         suppressThriftOutput();
-        server_ = std::make_unique<TThreadedServer>(processor, socket_, std::make_shared<BoundedFrameFactory>(), std::make_shared<TCompactProtocolFactory>());
+        server_ = std::make_unique<TThreadedServer>(
+            processor, socket_, std::make_shared<BoundedFrameFactory>(), std::make_shared<TCompactProtocolFactory>(MaxThriftMessage, MaxThriftElements));
         server_->setConcurrentClientLimit(MaxClients);
         auto eventHandler = std::make_shared<ListenEventHandler>();
         auto listening = eventHandler->future();
