--- a/tests/platform/storeclienttests.cpp
+++ b/tests/platform/storeclienttests.cpp
@@ -471,7 +471,7 @@
     values.emplace_back("1e300");
     for (const std::string &value : values) {
         CAPTURE(value.substr(0, 200));
-        for (const std::string &body : {value, R"({"vms":)" + value + R"(,"value":"","version":)" + value + "}"}) {
+        for (const std::string &body : {value, joined({R"({"vms":)" + value, R"("value":"","version":)" + value + "}"})}) {
             FixedStore store(body);
             HttpPlatformClient client(store.address(), nullptr);
             std::promise<StoreResult> read;
--- a/tests/unit/configurationparsertests.cpp
+++ b/tests/unit/configurationparsertests.cpp
@@ -120,11 +120,13 @@
     std::string laughs = "a0: &a0 [x, x, x, x, x, x, x, x, x, x]\n";
     for (int level = 1; level < 12; ++level) {
         const std::string alias = "*a" + std::to_string(level - 1);
-        laughs += "a" + std::to_string(level) + ": &a" + std::to_string(level) + " [" + repeated(alias + ", ", 9) + alias + "]\n";
+        const std::string name = "a" + std::to_string(level);
+        laughs.append(name).append(": &").append(name).append(" [").append(repeated(alias + ", ", 9)).append(alias).append("]\n");
     }
     const std::string aliases = repeated("*k, ", Aliases) + "*k";
-    const std::string aliasedServices = "base: &s {name: s, places: [a], kinds: &l [" + repeated("{}, ", Aliases) + "{}], backend_servers: *l}\n"
-        + "services: [" + repeated("*s, ", Aliases) + "*s]\n";
+    std::string aliasedServices = "base: &s {name: s, places: [a], kinds: &l [";
+    aliasedServices.append(repeated("{}, ", Aliases)).append("{}], backend_servers: *l}\nservices: [");
+    aliasedServices.append(repeated("*s, ", Aliases)).append("*s]\n");
     return {repeated("[", Depth),
             repeated("[", Depth) + repeated("]", Depth),
             repeated("{a: ", Depth) + repeated("}", Depth),
