--- a/src/net/httpclient.h
+++ b/src/net/httpclient.h
@@ -78,7 +78,8 @@
     HttpClient(const HttpClient &) = delete;
     HttpClient &operator=(const HttpClient &) = delete;
 
-    /// Starts a call. A call in flight with the same id is cancelled. @param done is called once, on a thread of this client, or within this function if the client has been stopped.
+    /// Starts a call. A call in flight with the same id is cancelled. @param done is called once, on a thread of this client, or within this function if the
+    /// client has been stopped.
     void start(HttpCallId id, HttpCall call, HttpCallback done);
     /// Cancels a call; its callback receives a failure.
     void cancel(HttpCallId id, const std::string &address);
