--- a/src/core/support/text.cpp
+++ b/src/core/support/text.cpp
@@ -47,6 +47,23 @@
     return text.substr(first, text.find_last_not_of(" \t") - first + 1);
 }
 
+std::string percentEncoded(std::string_view text)
+{
+    constexpr std::string_view Digits = "0123456789ABCDEF";
+    constexpr std::string_view UnreservedMarks = "-._~";
+    constexpr unsigned Base = 16;
+    std::string encoded;
+    for (const char character : text) {
+        const auto byte = static_cast<unsigned char>(character);
+        if (std::isalnum(byte) != 0 || UnreservedMarks.find(character) != std::string_view::npos) {
+            encoded += character;
+        } else {
+            encoded += {'%', Digits[byte / Base], Digits[byte % Base]};
+        }
+    }
+    return encoded;
+}
+
 bool isSameIgnoringCase(std::string_view left, std::string_view right)
 {
     const auto lower = [](unsigned char character) { return std::tolower(character); };
--- a/src/core/support/text.h
+++ b/src/core/support/text.h
@@ -8,6 +8,7 @@
 #pragma once
 
 #include <optional>
+#include <string>
 #include <string_view>
 
 namespace Cloverbarrow
@@ -22,6 +23,9 @@
 /// @return @p text without leading and trailing spaces and tabs.
 std::string_view trimmed(std::string_view text);
 
+/// @return @p text with each byte that is not an unreserved character of RFC 3986 percent-encoded, for a part of a path or a query.
+std::string percentEncoded(std::string_view text);
+
 /// @return whether the texts are equal, ignoring the case of ASCII letters.
 bool isSameIgnoringCase(std::string_view left, std::string_view right);
 
--- a/src/net/httpplatformclient.cpp
+++ b/src/net/httpplatformclient.cpp
@@ -10,6 +10,7 @@
 #include "core/support/boundedjson.h"
 #include "core/support/httpstatus.h"
 #include "core/support/jsonnumber.h"
+#include "core/support/text.h"
 
 #include <nlohmann/json.hpp>
 
@@ -26,27 +27,9 @@
 constexpr Duration CallTimeout = seconds(1);
 constexpr Duration WatchTimeoutMargin = seconds(2);
 
-std::string hexByte(unsigned char byte)
-{
-    constexpr std::string_view Digits = "0123456789ABCDEF";
-    constexpr unsigned Base = 16;
-    return {'%', Digits[byte / Base], Digits[byte % Base]};
-}
-
-/// Percent-encodes @p text, since names of objects may contain any byte and a path segment may not.
-std::string encodeSegment(std::string_view text)
-{
-    std::string encoded;
-    for (const char character : text) {
-        const bool isPlain = std::isalnum(static_cast<unsigned char>(character)) != 0 || character == '-' || character == '_' || character == '.';
-        encoded += isPlain ? std::string(1, character) : hexByte(static_cast<unsigned char>(character));
-    }
-    return encoded;
-}
-
 std::string targetOf(const StoreObject &object)
 {
-    return "/objects/" + encodeSegment(object.kind) + "/" + encodeSegment(object.name);
+    return "/objects/" + percentEncoded(object.kind) + "/" + percentEncoded(object.name);
 }
 
 std::optional<StoreFound> parseObject(const HttpAnswer &answer)
--- a/tests/platform/storeclienttests.cpp
+++ b/tests/platform/storeclienttests.cpp
@@ -504,3 +504,21 @@
     }
     client.stop();
 }
+
+TEST_CASE("The page after an object with spaces and other special characters in its name can be read", "[platform][servers]")
+{
+    std::promise<std::string> target;
+    CallerServerOptions options;
+    options.address = "127.0.0.1:0";
+    const CallerServer store(options, [&target](const std::shared_ptr<CallerConnection> &connection, const HttpRequest &request) {
+        target.set_value(request.target);
+        connection->answer({200, "", {{"Content-Type", "application/json"}}, R"({"items":[],"has_more":false,"store_revision":9})"}, false);
+    });
+    HttpClient client(1);
+    Platform::StoreClient reader(client, "127.0.0.1:" + std::to_string(store.port()));
+    std::promise<DirectoryEvent> page;
+    reader.list(ListDirectory{Collection::Servers, "i-1 &a=\r\n\xC3\xBC#", {}, 1}, [&page](const DirectoryAnswer &answer) { page.set_value(answer.event); });
+    REQUIRE(std::holds_alternative<DirectoryListed>(page.get_future().get()));
+    CHECK(target.get_future().get() == "/objects/servers?after=i-1%20%26a%3D%0D%0A%C3%BC%23");
+    client.stop();
+}
