Readiness calls need no Host header

Callers saw: nothing yet. Since the operations addresses are read by the own framer, a readiness call of HTTP/1.1 without a Host header got 400, so a balancer that sends none would have taken the VM out of rotation.

Change: the framer accepts such requests where the server does not route by host.

Measured: the new test passes; without the change such a call gets 400 (found by review).

--- a/src/daemon/operationsserver.cpp
+++ b/src/daemon/operationsserver.cpp
@@ -56,7 +56,8 @@
     CallerServerOptions options;
     options.address = address;
     options.threads = 1;
-    options.bounds.limits = {MaxHead, MaxHead, MaxBody};
+    // Whatever checks the readiness of VMs may know nothing but their addresses.
+    options.bounds.limits = {MaxHead, MaxHead, MaxBody, false};
     options.bounds.idleTimeout = IdleTimeout;
     return options;
 }
--- a/src/net/requestframer.cpp
+++ b/src/net/requestframer.cpp
@@ -156,10 +156,10 @@
     return BodyFraming{false, length};
 }
 
-std::optional<FramingFault> checkHeaders(HttpRequest &request)
+std::optional<FramingFault> checkHeaders(HttpRequest &request, const RequestLimits &limits)
 {
     const std::size_t hosts = countHeader(request.headers, "host");
-    if (hosts > 1 || (hosts == 0 && request.keepsConnection)) {
+    if (hosts > 1 || (hosts == 0 && request.keepsConnection && limits.requiresHost)) {
         return FramingFault{400, "exactly one Host header is needed"};
     }
     if (const auto expect = findHeader(request.headers, "expect"); expect && lowered(*expect) != "100-continue") {
@@ -279,7 +279,7 @@
             return *fault;
         }
     }
-    if (const auto fault = checkHeaders(request)) {
+    if (const auto fault = checkHeaders(request, limits)) {
         return *fault;
     }
     const auto framing = bodyFramingOf(request, limits);
--- a/src/net/requestframer.h
+++ b/src/net/requestframer.h
@@ -19,11 +19,12 @@
 namespace Cloverbarrow
 {
 
-/// Size limits of one request, in bytes.
+/// What is accepted as a request. Sizes are in bytes.
 struct RequestLimits {
     std::size_t head = 32 * 1024;
     std::size_t target = 8 * 1024;
     std::size_t body = 8 * 1024 * 1024;
+    bool requiresHost = true; ///< Whether a request of HTTP/1.1 without a Host header is rejected (RFC 9112).
 };
 
 /// The request is not complete yet.
--- a/tests/unit/operationsservertests.cpp
+++ b/tests/unit/operationsservertests.cpp
@@ -80,6 +80,14 @@
     }
 }
 
+TEST_CASE("A readiness call without a Host header is answered", "[operations]")
+{
+    const Endpoint endpoint;
+    RawCaller caller(endpoint.address);
+    caller.send("GET /readyz HTTP/1.1\r\n\r\n");
+    CHECK(caller.readUntil("ready\n", 1, AnswerTimeoutMs).starts_with("HTTP/1.1 200"));
+}
+
 TEST_CASE("Readiness calls sent ahead are all answered", "[operations]")
 {
     const Endpoint endpoint;
