Limits and quotas beyond any int are used as large ones

Callers saw: nothing that was recorded. A limit of 1e9 requests a second or more in a message of a peer was converted to an int, which is undefined, and gave a negative number of senders; so did a quota of that size at its granter.

Change: both decisions bound the number before they convert it.

The granter's conversion saturates on arm64, so no test on it could be seen to fail here.

--- a/src/core/servers/requestlimit.cpp
+++ b/src/core/servers/requestlimit.cpp
@@ -26,6 +26,8 @@
 constexpr double MaxSenderSets = 2;
 // Share of one sender in a window. An entry VM gets only a few requests per second for all servers together and could not use a larger share.
 constexpr int RequestsPerSender = 4;
+// More than all entry VMs can send to one server; higher limits do not fit into the type.
+constexpr double MaxRequestsPerWindow = 1e8;
 // A server with a limit near zero still gets a request at this interval, since its answer shows whether the limit is still in force.
 constexpr double MaxIntervalSeconds = 10;
 
@@ -35,7 +37,7 @@
 {
     const double steady = perSecond * WindowSeconds;
     const double maximum = steady * MaxOverageFactor + MaxOverageRequests;
-    const int requests = static_cast<int>(std::min(steady, maximum / MaxSenderSets));
+    const int requests = static_cast<int>(std::min({steady, maximum / MaxSenderSets, MaxRequestsPerWindow}));
     if (requests < 1) {
         const double interval = std::min(MaxIntervalSeconds, perSecond > 0 ? 1 / perSecond : MaxIntervalSeconds);
         return {1, std::max(Window, std::chrono::round<Duration>(std::chrono::duration<double>(interval))), 1};
--- a/src/core/workspaces/quotagranter.cpp
+++ b/src/core/workspaces/quotagranter.cpp
@@ -45,6 +45,12 @@
 constexpr Duration MaxRetryAfter = seconds(5);
 constexpr Duration MinRetryAfter = milliseconds(20);
 
+/// @return the whole requests in @p requests, from 0 to @p highest. Quotas may be larger than any int.
+int wholeRequests(double requests, int highest)
+{
+    return static_cast<int>(std::clamp(std::floor(requests), 0.0, static_cast<double>(highest)));
+}
+
 } // namespace
 
 QuotaGranter::QuotaGranter(const QuotaTolerance &tolerance, std::uint64_t incarnation)
@@ -86,13 +92,13 @@
     const Limits limits = limitsOf(now, claim.workspace, account, coverage, requesters_.isCounted(now, entryVm, claim.workspace));
     const double unused = std::min(limits.unused, limits.burst);
     const double left = std::min(unused, std::max(limits.confirmed, limits.unconfirmed));
-    const int granted = std::clamp(static_cast<int>(std::floor(left)), 0, std::max(0, claim.requests));
+    const int granted = wholeRequests(left, std::max(0, claim.requests));
     account.granted.add(now, granted);
-    account.unconfirmed.add(now, granted - std::clamp(static_cast<int>(std::floor(limits.confirmed)), 0, granted));
+    account.unconfirmed.add(now, granted - wholeRequests(limits.confirmed, granted));
     counts_.granted += static_cast<std::uint64_t>(granted);
     QuotaGrant answer{claim.workspace, granted, Duration(0), use(now, claim.workspace, account)};
     if (granted < claim.requests) {
-        const bool isUnconfirmed = granted < static_cast<int>(std::floor(unused));
+        const bool isUnconfirmed = granted < std::floor(unused);
         const Duration wait = isUnconfirmed ? LearningRetryAfter : timeUntilGrant(now, claim.workspace, account, limits);
         answer.retryAfter = std::clamp(wait, MinRetryAfter, MaxRetryAfter);
         const auto refused = static_cast<std::uint64_t>(claim.requests - granted);
--- a/tests/unit/requestlimittests.cpp
+++ b/tests/unit/requestlimittests.cpp
@@ -71,6 +71,16 @@
     CHECK(quotaFor(1e-9).window == seconds(10));
 }
 
+TEST_CASE("A limit beyond any number of requests does not give a negative number of senders", "[limit][budget]")
+{
+    for (const double perSecond : {1e9, 1e18, 1e300}) {
+        const ServerQuota quota = quotaFor(perSecond);
+        CAPTURE(perSecond, quota.requests, quota.maxSenders);
+        CHECK(quota.requests >= 1'000'000);
+        CHECK(quota.maxSenders >= 1);
+    }
+}
+
 TEST_CASE("Each rank has its share of a quota", "[limit][budget]")
 {
     const ServerQuota quota{9, seconds(4), 3};
