--- a/tests/platform/pathtests.cpp
+++ b/tests/platform/pathtests.cpp
@@ -493,3 +493,28 @@
     fixture.start("entry-2", true);
     CHECK(fixture.send("GET", "/read/1", "id-0")->status == 200);
 }
+
+TEST_CASE("A configuration that cannot be read leaves the last valid one in force until the next", "[platform][path][routing]")
+{
+    constexpr std::size_t Depth = 100'000;
+    const std::string specification =
+        GENERATE(std::string(Depth, '[') + std::string(Depth, ']'),
+                 std::string(R"({"version":"r3","routes":[],"services":[],"limits":{"max_body_bytes":1e999}})"),
+                 std::string(R"({"version":"r3","routes":[],"services":[],"limits":{"max_body_bytes":1e300}})"),
+                 std::string(R"({"version":"r3","routes":[],"services":[],"tenants":[{"name":"a","api_keys":[],"rate_per_s":-1}]})"),
+                 std::string("null"));
+    CAPTURE(specification.substr(0, 60));
+    PathFixture fixture;
+    fixture.store.putText("config", "main", specification);
+    // Shows that what was written before has arrived.
+    fixture.store.put("servers", "i-1", fixture.backends[0]->registration("reclamos", "draining"));
+    REQUIRE(eventually([&fixture] {
+        const std::size_t before = fixture.backends[0]->executedRequestIds().size();
+        for (int number = 0; number < 20; ++number) {
+            CHECK(fixture.send("GET", "/read/1", "id-1")->status == 200);
+        }
+        return fixture.backends[0]->executedRequestIds().size() == before;
+    }));
+    fixture.configure(5, 5, "new.example");
+    CHECK(eventually([&fixture] { return fixture.send("GET", "/", "id-2", "new.example")->status == 200; }));
+}
--- a/tests/process/failuretests.cpp
+++ b/tests/process/failuretests.cpp
@@ -42,7 +42,7 @@
     CHECK(errors.find("    @     ") != std::string::npos);
 }
 
-TEST_CASE("A process that is told to stop while it starts reports no fault", "[process][failure]")
+TEST_CASE("A process that is told to stop reports no fault", "[process][failure]")
 {
     Fleet fleet;
     fleet.startEntryVm("entry-1");
