--- a/tests/process/failuretests.cpp
+++ b/tests/process/failuretests.cpp
@@ -42,7 +42,7 @@
     CHECK(errors.find("    @     ") != std::string::npos);
 }
 
-TEST_CASE("A process that is told to stop reports no fault", "[process][failure]")
+TEST_CASE("A process that is asked to stop reports no fault", "[process][failure]")
 {
     Fleet fleet;
     fleet.startEntryVm("entry-1");
@@ -51,7 +51,7 @@
     CHECK(std::ifstream(fleet.errorPath("entry-1")).peek() == std::ifstream::traits_type::eof());
 }
 
-TEST_CASE("A process that is told to reload before it has read its settings does not end by that", "[process][failure]")
+TEST_CASE("A process that is asked to reload before it has read its settings does not end by that", "[process][failure]")
 {
     // The process waits for its settings until they are written to the pipe.
     const std::string path = std::filesystem::temp_directory_path() / ("cloverbarrow-settings-" + std::to_string(::getpid()));
@@ -78,7 +78,7 @@
     CHECK(WEXITSTATUS(status) == ExitBadSettings);
 }
 
-TEST_CASE("A process that is told to stop until it has ended ends without a fault", "[process][failure][lifetime]")
+TEST_CASE("A process that is asked to stop until it has ended ends without a fault", "[process][failure][lifetime]")
 {
     constexpr int Rounds = 20;
     Fleet fleet(0);
