The reason why an object cannot be read quotes nothing of it

Operators saw: the log line "object cannot be used" of a configuration with an invalid escape in an API key contained that key.

Cause: the JSON library's message quotes the token that it has read last, and the message is the logged reason. The text that is passed on was without keys already.

--- a/tests/platform/storeclienttests.cpp
+++ b/tests/platform/storeclienttests.cpp
@@ -505,6 +505,19 @@
     client.stop();
 }
 
+TEST_CASE("The reason why a configuration cannot be read quotes none of its keys", "[platform][routing][json]")
+{
+    const std::string keys = R"(["secret-1","secret-2\q"])";
+    const DirectoryEntry entry =
+        Platform::readObject(Collection::Routing,
+                             R"({"metadata":{"name":"main","revision":5},"specification":{"version":"r3","tenants":[{"name":"a","api_keys":)" + keys + "}]}}",
+                             false);
+    CHECK_FALSE(entry.value);
+    CHECK_THAT(entry.fault, Catch::Contains("malformed"));
+    CHECK(entry.fault.find("secret") == std::string::npos);
+    CHECK(entry.text.find("secret") == std::string::npos);
+}
+
 TEST_CASE("The page after an object with spaces and other special characters in its name can be read", "[platform][servers]")
 {
     std::promise<std::string> target;
