Each end of a caller's connection says its reason, and counts of its requests balance

Nothing told apart why a request got no answer: connections closed, lingered and dropped bytes without a log line or a count.

ConnectionMonitor counts and logs for each server of connections: the reason of each end (idle, stop, requested, rejected, memory, overflow, no_progress, caller, unusable), requests without an answer, bytes that belong to no dispatched request, a cut answer, and how long ago the last byte came; bytes that are read after an end. Requests read = answered + left by their callers + unanswered + in flight. In the metrics as cloverbarrow_connection_requests and cloverbarrow_connection_ends, by side (callers, other entry VMs).

--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -312,10 +312,12 @@
     });
     gauges.heldAtStart = gateway_->heldRequests();
     gauges.memory = memory_->counts();
+    gauges.callers = callerServer_->connectionCounts();
     gauges.platformCalls = directory_ ? directory_->storeCallCount() : platform_->calls();
     if (directory_) {
         gauges.crashMessages = directory_->crashUpdates().counts();
         gauges.quotas = directory_->quotas().counts();
+        gauges.peers = directory_->connectionCounts();
         gauges.slowServers = directory_->slowServers().counts();
     }
     telemetry_.setGauges(gauges);
--- a/src/daemon/directoryrunner.cpp
+++ b/src/daemon/directoryrunner.cpp
@@ -332,6 +332,11 @@
     return relayServer_ ? relayServer_->unsentAnswers() : 0;
 }
 
+ConnectionCounts DirectoryRunner::connectionCounts() const
+{
+    return relayServer_ ? relayServer_->connectionCounts() : ConnectionCounts();
+}
+
 void DirectoryRunner::handleAnswer(const DirectoryAnswer &answer)
 {
     if (isStopped_) {
--- a/src/daemon/directoryrunner.h
+++ b/src/daemon/directoryrunner.h
@@ -72,6 +72,8 @@
     void setForwardedRequestHandler(RequestHandler handler);
     /// @return number of connections to the relay server with an answer that the peer has not read completely.
     std::size_t unsentAnswers() const;
+    /// @return what became of the requests of other entry VMs.
+    ConnectionCounts connectionCounts() const;
     /// Holds back requests of workspaces until their quotas allow them.
     QuotaRunner &quotas();
     CrashUpdateRunner &crashUpdates();
--- a/src/daemon/operationsserver.cpp
+++ b/src/daemon/operationsserver.cpp
@@ -56,6 +56,7 @@
     CallerServerOptions options;
     options.address = address;
     options.threads = 1;
+    options.logPart = "operations connections";
     // Whatever checks the readiness of VMs may know nothing but their addresses.
     options.bounds.limits = {MaxHead, MaxHead, MaxBody, false};
     options.bounds.idleTimeout = IdleTimeout;
--- a/src/daemon/telemetry.cpp
+++ b/src/daemon/telemetry.cpp
@@ -131,6 +131,11 @@
                                  .Name("cloverbarrow_slow_server_attempts_total")
                                  .Help("Attempts sent to backend servers that were named as slow")
                                  .Register(registry))
+        , connectionRequests(prometheus::BuildGauge()
+                                 .Name("cloverbarrow_connection_requests")
+                                 .Help("Requests that were read, and what became of them; dropped_input counts bytes that were read after a connection's end")
+                                 .Register(registry))
+        , connectionEnds(prometheus::BuildGauge().Name("cloverbarrow_connection_ends").Help("Connections that ended, by reason").Register(registry))
         , state(prometheus::BuildGauge().Name("cloverbarrow_state").Help("State of this entry VM").Register(registry))
     {
     }
@@ -152,6 +157,8 @@
     prometheus::Family<prometheus::Counter> &slowServerHints;
     prometheus::Family<prometheus::Gauge> &slowServers;
     prometheus::Family<prometheus::Counter> &slowServerAttempts;
+    prometheus::Family<prometheus::Gauge> &connectionRequests;
+    prometheus::Family<prometheus::Gauge> &connectionEnds;
     prometheus::Family<prometheus::Gauge> &state;
 };
 
@@ -293,6 +300,25 @@
     set("message_bytes_peak", static_cast<double>(gauges.memory.peakBytes));
     set("memory_refusals", static_cast<double>(gauges.memory.refusedRequests));
     set("memory_lost_answers", static_cast<double>(gauges.memory.refusedAnswers));
+    setConnectionGauges("caller", gauges.callers);
+    setConnectionGauges("peer", gauges.peers);
+}
+
+void Telemetry::setConnectionGauges(const std::string &side, const ConnectionCounts &counts)
+{
+    const auto setRequests = [&](const char *state, std::uint64_t value) {
+        families_->connectionRequests.Add({{"side", side}, {"state", state}}).Set(static_cast<double>(value));
+    };
+    setRequests("read", counts.read);
+    setRequests("answered", counts.answered);
+    setRequests("left_by_caller", counts.leftByCaller);
+    setRequests("unanswered", counts.unanswered);
+    setRequests("in_flight", counts.inFlight);
+    setRequests("dropped_input", counts.droppedInputs);
+    for (std::size_t end = 0; end < ConnectionEndCount; ++end) {
+        const std::string reason(nameOf(static_cast<ConnectionEnd>(end)));
+        families_->connectionEnds.Add({{"side", side}, {"reason", reason}}).Set(static_cast<double>(counts.ends.at(end)));
+    }
 }
 
 std::vector<Telemetry::Burn> Telemetry::burn(TimePoint now) const
--- a/src/daemon/telemetry.h
+++ b/src/daemon/telemetry.h
@@ -15,6 +15,7 @@
 #include "core/support/time.h"
 #include "core/workspaces/quotagranter.h"
 #include "daemon/slowserverrunner.h"
+#include "net/connectionmonitor.h"
 
 #include <cstdint>
 #include <map>
@@ -72,6 +73,8 @@
     QuotaCounts quotas;
     SlowServerCounts slowServers;
     MemoryCounts memory;
+    ConnectionCounts callers;
+    ConnectionCounts peers;
 };
 
 /// Metrics of this entry VM and the counts for the burn report of service-level objectives.
@@ -131,6 +134,8 @@
 
     struct Families;
 
+    void setConnectionGauges(const std::string &side, const ConnectionCounts &counts);
+
     std::shared_ptr<prometheus::Registry> registry_;
     std::unique_ptr<Families> families_;
     mutable std::mutex burnMutex_;
--- a/src/net/callerconnection.cpp
+++ b/src/net/callerconnection.cpp
@@ -53,6 +53,7 @@
         // Requests could be dispatched, but not answered.
         ::shutdown(fd, SHUT_RDWR);
         state_ = State::Closed;
+        reportEnd(ConnectionEnd::Unusable);
     }
 }
 
@@ -71,6 +72,7 @@
 {
     std::unique_lock lock(mutex_);
     if (state_ != State::Open) {
+        reportDroppedInput(bytes.size(), now);
         return;
     }
     if (isIdle() && !hasPartialRequest()) {
@@ -78,6 +80,7 @@
     }
     if (!isIdle() && input_.size() + bytes.size() > MaxPipelinedBytes) {
         closesAfterAnswer_ = true;
+        closeReason_ = ConnectionEnd::Overflow;
         return;
     }
     input_.append(bytes);
@@ -100,7 +103,7 @@
     const std::unique_lock lock(mutex_);
     hasInputEnded_ = true;
     if (isIdle() || state_ == State::Lingering) {
-        closeLocked();
+        closeLocked(ConnectionEnd::Caller);
     }
 }
 
@@ -134,12 +137,16 @@
 void CallerConnection::sendReadyAnswers()
 {
     for (auto next = pending_.takeNext(); next; next = pending_.takeNext()) {
+        if (options_.monitor) {
+            options_.monitor->requestAnswered();
+        }
         if (auto *bytes = std::get_if<std::string>(&next->answer)) {
             output_.add(std::move(*bytes));
         } else {
             // Later requests may already be in flight, so only the last answer may close the connection.
             const bool isLast = pending_.isEmpty() && (closesAfterAnswer_ || (hasInputEnded_ && !hasPartialRequest()));
             next->closes = next->closes || isLast;
+            isEndAnnounced_ = isEndAnnounced_ || next->closes;
             const auto &answer = std::get<HttpAnswer>(next->answer);
             output_.add(serializeHead(answer, next->isHead, next->closes), hasBody(answer, next->isHead) ? answer.body : Body());
         }
@@ -156,22 +163,24 @@
 {
     const std::lock_guard lock(mutex_);
     closesAfterAnswer_ = true;
+    closeReason_ = ConnectionEnd::Stop;
 }
 
 void CallerConnection::closeGracefully()
 {
     const std::unique_lock lock(mutex_);
     closesAfterAnswer_ = true;
+    closeReason_ = ConnectionEnd::Stop;
     // A request that has arrived in part is still handled; its answer announces that the connection closes.
     if (isIdle() && !hasPartialRequest()) {
-        lingerLocked();
+        lingerLocked(ConnectionEnd::Stop);
     }
 }
 
 void CallerConnection::abort()
 {
     const std::lock_guard lock(mutex_);
-    closeLocked();
+    closeLocked(ConnectionEnd::Unusable);
 }
 
 bool CallerConnection::isIdle() const
@@ -192,7 +201,7 @@
         if (!output_.isEmpty()) {
             flushLocked();
             if (!output_.isEmpty() && now - timeoutStart_ > bounds_.transferTimeout) {
-                closeLocked();
+                closeLocked(ConnectionEnd::NoProgress);
                 return;
             }
         }
@@ -201,7 +210,7 @@
         break;
     case State::Lingering:
         if (now - timeoutStart_ > bounds_.transferTimeout) {
-            closeLocked();
+            closeLocked(ConnectionEnd::NoProgress);
         }
         break;
     case State::Closed:
@@ -223,7 +232,7 @@
             static_cast<void>(reserveBuffers());
         }
         if (bounds_.idleTimeout && now - timeoutStart_ > *bounds_.idleTimeout) {
-            lingerLocked();
+            lingerLocked(ConnectionEnd::Idle);
         }
         return;
     }
@@ -311,30 +320,40 @@
     if (const auto status = tcpStatus(socket_.get())) {
         request.waited = status->sinceLastData;
     }
-    request.number = pending_.add(request.keepsConnection, isSafeMethod(request.method));
+    request.number = addPending(request.keepsConnection, isSafeMethod(request.method));
     hasSentContinue_ = false;
     return true;
 }
 
 void CallerConnection::rejectInput(const FramingFault &fault)
 {
-    endInput(problemAnswer({fault.status, ExecutionStatus::NotExecuted, "read request", "caller", fault.message, std::nullopt}), false);
+    endInput(
+        ConnectionEnd::Rejected, problemAnswer({fault.status, ExecutionStatus::NotExecuted, "read request", "caller", fault.message, std::nullopt}), false);
 }
 
 void CallerConnection::refuseForMemory(const HttpRequest &head)
 {
     const MemoryCounts counts = options_.memory->counts();
-    endInput(options_.refusal ? options_.refusal(head, counts) : problemAnswer(memoryProblem(counts)), head.method == "HEAD");
+    endInput(ConnectionEnd::Memory, options_.refusal ? options_.refusal(head, counts) : problemAnswer(memoryProblem(counts)), head.method == "HEAD");
 }
 
-void CallerConnection::endInput(HttpAnswer answer, bool isHead)
+void CallerConnection::endInput(ConnectionEnd reason, HttpAnswer answer, bool isHead)
 {
     framer_.reset();
     releaseInput();
-    pending_.complete(pending_.add(false, false), {std::move(answer), isHead, true});
+    closeReason_ = reason;
+    pending_.complete(addPending(false, false), {std::move(answer), isHead, true});
     sendReadyAnswers();
 }
 
+std::uint64_t CallerConnection::addPending(bool keepsConnection, bool isSafe)
+{
+    if (options_.monitor) {
+        options_.monitor->requestRead();
+    }
+    return pending_.add(keepsConnection, isSafe);
+}
+
 bool CallerConnection::reserveBuffers()
 {
     // Short strings need no memory of their own.
@@ -358,7 +377,7 @@
         timeoutStart_ = bootNow();
     }
     if (state == SendQueue::State::Failed) {
-        closeLocked();
+        closeLocked(ConnectionEnd::Caller);
     } else if (state == SendQueue::State::Sent) {
         finishSendLocked();
     }
@@ -370,25 +389,27 @@
         return;
     }
     if (closesAfterAnswer_ || (hasInputEnded_ && !hasPartialRequest())) {
-        lingerLocked();
+        lingerLocked(closesAfterAnswer_ ? closeReason_ : ConnectionEnd::Caller);
         return;
     }
     timeoutStart_ = bootNow();
 }
 
-void CallerConnection::lingerLocked()
+void CallerConnection::lingerLocked(ConnectionEnd reason)
 {
+    reportEnd(reason);
     // Closing a socket with unread input resets the connection, and the caller could lose the answer.
     state_ = State::Lingering;
     timeoutStart_ = bootNow();
     ::shutdown(socket_.get(), SHUT_WR);
     if (hasInputEnded_) {
-        closeLocked();
+        closeLocked(reason);
     }
 }
 
-void CallerConnection::closeLocked()
+void CallerConnection::closeLocked(ConnectionEnd reason)
 {
+    reportEnd(reason);
     state_ = State::Closed;
     if (socket_.isOpen()) {
         // Also shuts down the listener's descriptor, which refers to the same socket.
@@ -402,4 +423,22 @@
     buffers_.resize(0);
 }
 
+void CallerConnection::reportEnd(ConnectionEnd reason)
+{
+    if (end_ || !options_.monitor) {
+        return;
+    }
+    end_ = reason;
+    const auto status = tcpStatus(socket_.get());
+    const UnfinishedInput unfinished{pending_.size(), input_.size() + framer_.bodyBytes(), !output_.isEmpty()};
+    options_.monitor->connectionEnded(reason, unfinished, status ? status->sinceLastData : Duration(0));
+}
+
+void CallerConnection::reportDroppedInput(std::size_t bytes, TimePoint now) const
+{
+    if (end_) {
+        options_.monitor->inputDropped(*end_, isEndAnnounced_, bytes, now - timeoutStart_);
+    }
+}
+
 } // namespace Cloverbarrow
--- a/src/net/callerconnection.h
+++ b/src/net/callerconnection.h
@@ -9,6 +9,7 @@
 
 #include "core/support/time.h"
 #include "net/answerqueue.h"
+#include "net/connectionmonitor.h"
 #include "net/descriptor.h"
 #include "net/requestframer.h"
 #include "net/sendqueue.h"
@@ -59,6 +60,7 @@
         std::size_t maxRequestsInFlight = 1; ///< Maximum; further requests are read when answers have been sent.
         std::shared_ptr<MemoryBudget> memory = nullptr; ///< For what the connection keeps; null if it is not bounded.
         MemoryRefusal refusal = nullptr; ///< If null, such requests are refused with a general answer.
+        std::shared_ptr<ConnectionMonitor> monitor = nullptr; ///< Learns how connections end; may be null.
     };
 
     /// @param fd is duplicated; if that fails, the connection is closed. @param caller IP address of the caller.
@@ -111,7 +113,12 @@
     /// Refuses a request for which there is no memory, and closes the connection after that.
     void refuseForMemory(const HttpRequest &head);
     /// Sends the answer to the request that is being read, and reads no further.
-    void endInput(HttpAnswer answer, bool isHead);
+    void endInput(ConnectionEnd reason, HttpAnswer answer, bool isHead);
+    std::uint64_t addPending(bool keepsConnection, bool isSafe);
+    /// Reports the end to the monitor unless that has been done.
+    void reportEnd(ConnectionEnd reason);
+    /// Reports bytes that are read after the end.
+    void reportDroppedInput(std::size_t bytes, TimePoint now) const;
     /// Reserves memory for the buffers of the connection. @return whether there is enough.
     bool reserveBuffers();
     void releaseInput();
@@ -119,8 +126,8 @@
     void sendReadyAnswers();
     void flushLocked();
     void finishSendLocked();
-    void lingerLocked();
-    void closeLocked();
+    void lingerLocked(ConnectionEnd reason);
+    void closeLocked(ConnectionEnd reason);
 
     CallerBounds bounds_;
     Options options_;
@@ -135,6 +142,9 @@
     AnswerQueue pending_;
     SendQueue output_;
     bool closesAfterAnswer_ = false;
+    ConnectionEnd closeReason_ = ConnectionEnd::Requested; ///< Why the connection closes after an answer.
+    std::optional<ConnectionEnd> end_; ///< Once it has been reported.
+    bool isEndAnnounced_ = false; ///< By an answer.
     bool hasInputEnded_ = false;
     bool hasSentContinue_ = false;
     bool isDispatching_ = false;
--- a/src/net/callerserver.cpp
+++ b/src/net/callerserver.cpp
@@ -144,12 +144,15 @@
 public:
     Impl(const CallerServerOptions &options, RequestHandler handler)
         : connections_(std::make_shared<ConnectionList>(options.bounds))
+        , monitor_(std::make_shared<ConnectionMonitor>(options.logPart))
     {
         using Pistache::Tcp::Options;
         const Pistache::Flags<Options> flags = Pistache::Flags<Options>(Options::ReuseAddr) | Options::NoDelay;
         const auto address = parseSocketAddress(options.address).value();
         listener_->init(options.threads, flags, "callers", Backlog);
-        listener_->setHandler(std::make_shared<CallerHandler>(options.connectionOptions, std::move(handler), connections_));
+        CallerConnection::Options connectionOptions = options.connectionOptions;
+        connectionOptions.monitor = monitor_;
+        listener_->setHandler(std::make_shared<CallerHandler>(connectionOptions, std::move(handler), connections_));
         listener_->bind(Pistache::Address(address.host, Pistache::Port(address.port)));
         listener_->runThreaded();
         port_ = static_cast<std::uint16_t>(listener_->getPort());
@@ -201,6 +204,11 @@
         }
     }
 
+    ConnectionCounts connectionCounts() const
+    {
+        return monitor_->counts();
+    }
+
     std::size_t unsentAnswers() const
     {
         const auto all = connections_->all();
@@ -209,6 +217,7 @@
 
 private:
     std::shared_ptr<ConnectionList> connections_;
+    std::shared_ptr<ConnectionMonitor> monitor_;
     std::uint16_t port_ = 0;
     std::unique_ptr<Pistache::Tcp::Listener> listener_ = std::make_unique<Pistache::Tcp::Listener>(); ///< Null once stopped.
 };
@@ -245,6 +254,11 @@
     impl_->closeConnections();
 }
 
+ConnectionCounts CallerServer::connectionCounts() const
+{
+    return impl_->connectionCounts();
+}
+
 std::size_t CallerServer::unsentAnswers() const
 {
     return impl_->unsentAnswers();
--- a/src/net/callerserver.h
+++ b/src/net/callerserver.h
@@ -14,6 +14,7 @@
 #include <cstdint>
 #include <memory>
 #include <string>
+#include <string_view>
 
 namespace Cloverbarrow
 {
@@ -23,7 +24,8 @@
     std::string address; ///< `IP:port`; port 0 lets the kernel choose.
     std::size_t threads = 2;
     CallerBounds bounds;
-    CallerConnection::Options connectionOptions;
+    CallerConnection::Options connectionOptions; ///< The server sets the monitor.
+    std::string_view logPart = "callers"; ///< Part of the program in log lines on connections.
 };
 
 /// Accepts connections of callers, on Pistache's TCP layer. Its HTTP layer is not used because it answers pipelined requests
@@ -48,6 +50,8 @@
     void closeConnections();
     /// @return number of connections with an answer that the caller has not read completely.
     std::size_t unsentAnswers() const;
+    /// @return what became of the requests of all connections, open and ended.
+    ConnectionCounts connectionCounts() const;
     /// Stops listening and ends the threads, after which no more bytes are read. Open connections can still be answered by other threads.
     void stop();
 
--- a/src/net/relayserver.cpp
+++ b/src/net/relayserver.cpp
@@ -57,6 +57,7 @@
     CallerServerOptions options;
     options.address = address;
     options.threads = 1;
+    options.logPart = "peer connections";
     options.connectionOptions.treatsHalfCloseAsClosed = true;
     options.connectionOptions.memory = std::move(memory);
     options.connectionOptions.refusal = [this](const HttpRequest &head, const MemoryCounts &counts) { return refuseForMemory(head, counts); };
@@ -71,6 +72,11 @@
     return server_->port();
 }
 
+ConnectionCounts RelayServer::connectionCounts() const
+{
+    return server_->connectionCounts();
+}
+
 std::size_t RelayServer::unsentAnswers() const
 {
     return server_->unsentAnswers();
--- a/src/net/relayserver.h
+++ b/src/net/relayserver.h
@@ -66,6 +66,8 @@
 
     /// @return the port that the server listens on.
     std::uint16_t port() const;
+    /// @return what became of the requests of other entry VMs.
+    ConnectionCounts connectionCounts() const;
     /// @return number of connections with an answer that the peer has not read completely.
     std::size_t unsentAnswers() const;
     /// Answers waiting followers for which there are changes or a proof. Call after each change.
--- a/src/net/requestframer.cpp
+++ b/src/net/requestframer.cpp
@@ -236,6 +236,11 @@
     return partial_.has_value();
 }
 
+std::size_t RequestFramer::bodyBytes() const
+{
+    return partial_ ? partial_->body.size() : 0;
+}
+
 bool RequestFramer::isReadingSafeRequest() const
 {
     return partial_ && isSafeMethod(partial_->request.method);
--- a/src/net/requestframer.h
+++ b/src/net/requestframer.h
@@ -62,6 +62,8 @@
     FramingResult next(std::string &input, const RequestLimits &limits);
     /// @return whether a head is complete and its body is not.
     bool isReadingBody() const;
+    /// @return bytes of the body that is being read which have been read so far.
+    std::size_t bodyBytes() const;
     /// @return whether the request whose body is being read has a safe method (RFC 9110).
     bool isReadingSafeRequest() const;
     /// Drops a request whose body is not complete.
--- a/tests/unit/callerconnectiontests.cpp
+++ b/tests/unit/callerconnectiontests.cpp
@@ -5,9 +5,7 @@
     SPDX-License-Identifier: Apache-2.0
 */
 
-#include "net/callerconnection.h"
-
-#include "net/bootclock.h"
+#include "connectedcaller.h"
 
 #include <catch2/catch.hpp>
 
@@ -17,68 +15,7 @@
 #include <array>
 
 using namespace Cloverbarrow;
-
-namespace
-{
-
-/// A connection whose other end belongs to the test.
-class ConnectedCaller
-{
-public:
-    explicit ConnectedCaller(std::size_t requestsInFlight = 4, std::shared_ptr<MemoryBudget> memory = nullptr)
-    {
-        std::array<int, 2> ends{};
-        REQUIRE(::socketpair(AF_UNIX, SOCK_STREAM, 0, ends.data()) == 0);
-        serverEnd_ = Descriptor(ends[0]);
-        callerEnd_ = Descriptor(ends[1]);
-        connection = std::make_shared<CallerConnection>(serverEnd_.get(),
-                                                        CallerBounds(),
-                                                        CallerConnection::Options{true, requestsInFlight, std::move(memory)},
-                                                        [this](const auto &, HttpRequest request) { dispatched.push_back(std::move(request)); });
-    }
-
-    void send(const std::string &method, const std::string &target, const std::string &headers = {})
-    {
-        connection->received(method + " " + target + " HTTP/1.1\r\nHost: tablero.example\r\n" + headers + "\r\n", bootNow());
-    }
-
-    void answer(std::size_t index, const std::string &body)
-    {
-        HttpAnswer answer;
-        answer.body = body;
-        connection->answerTo(dispatched.at(index).number, answer, false);
-    }
-
-    /// @return all available bytes.
-    std::string readBytes()
-    {
-        std::array<char, 65536> buffer{};
-        const ssize_t count = ::recv(callerEnd_.get(), buffer.data(), buffer.size(), MSG_DONTWAIT);
-        return {buffer.data(), count > 0 ? static_cast<std::size_t>(count) : 0};
-    }
-
-    /// Reads all available bytes. @return the first byte of each body received, in order.
-    std::string read()
-    {
-        const std::string bytes = readBytes();
-        closes = closes || bytes.find("Connection: close") != std::string::npos;
-        std::string bodies;
-        for (std::size_t at = bytes.find("\r\n\r\n"); at != std::string::npos; at = bytes.find("\r\n\r\n", at + 1)) {
-            bodies += bytes.substr(at + 4, 1);
-        }
-        return bodies;
-    }
-
-    std::shared_ptr<CallerConnection> connection;
-    std::vector<HttpRequest> dispatched;
-    bool closes = false;
-
-private:
-    Descriptor serverEnd_;
-    Descriptor callerEnd_;
-};
-
-} // namespace
+using namespace Cloverbarrow::Tests;
 
 TEST_CASE("Pipelined safe requests are dispatched at once and answered in order", "[caller][pipeline]")
 {
@@ -111,7 +48,7 @@
 
 TEST_CASE("A connection dispatches no more requests than may be in flight", "[caller][pipeline]")
 {
-    ConnectedCaller caller(2);
+    ConnectedCaller caller({.maxRequestsInFlight = 2});
     for (const char *target : {"/a", "/b", "/c"}) {
         caller.send("GET", target);
     }
@@ -176,7 +113,7 @@
 {
     constexpr std::size_t LargeBytes = 4 * 1024 * 1024;
     const auto budget = std::make_shared<MemoryBudget>(64 * 1024 * 1024);
-    ConnectedCaller caller(4, budget);
+    ConnectedCaller caller({.maxRequestsInFlight = 4, .memory = budget});
     const std::string content(LargeBytes, 'd');
     SECTION("with a length")
     {
@@ -204,7 +141,7 @@
 TEST_CASE("A request for which there is no memory is refused before its body arrives, and is not dispatched", "[caller][memory]")
 {
     const auto budget = std::make_shared<MemoryBudget>(1024 * 1024);
-    ConnectedCaller caller(4, budget);
+    ConnectedCaller caller({.maxRequestsInFlight = 4, .memory = budget});
     SECTION("with a length")
     {
         caller.send("POST", "/a", "Content-Length: 2000000\r\n");
@@ -230,7 +167,7 @@
 TEST_CASE("An answer that its caller does not read keeps its memory reserved until the connection closes", "[caller][memory]")
 {
     const auto budget = std::make_shared<MemoryBudget>(64 * 1024 * 1024);
-    ConnectedCaller caller(4, budget);
+    ConnectedCaller caller({.maxRequestsInFlight = 4, .memory = budget});
     caller.send("GET", "/a");
     BodyBuilder body(budget, MemoryUse::Answer);
     REQUIRE(body.append(std::string(4 * 1024 * 1024, 'd')));
@@ -247,7 +184,7 @@
 TEST_CASE("Answers that wait behind one that is read late are not counted any more once they have been sent", "[caller][memory]")
 {
     const auto budget = std::make_shared<MemoryBudget>(64 * 1024 * 1024);
-    ConnectedCaller caller(4, budget);
+    ConnectedCaller caller({.maxRequestsInFlight = 4, .memory = budget});
     caller.send("GET", "/a");
     caller.send("GET", "/b");
     caller.answer(0, std::string(4 * 1024 * 1024, 'a'));
