A lower idle limit ends no connection before its next answer

What callers saw: connections that had been idle for longer than the new limit of a configuration ended at the moment at which an entry VM applied it, all at once, against the requests that were on their way.

Cause: CallerConnection judged the time without a request by the newest limit only. A caller can't know that limit before its next answer, and relies on the former one.

Change: a connection is ended once it has been idle for longer than the limit that was in force when it became idle and than the present one. A higher limit holds at once, and so does one where there was none.

Evidence: "A lower idle limit ends no connection before its next answer" fails on the code before: the second request, 10 s after the first answer and after the limit went from 15 s to 2 s, is not dispatched.

--- a/src/net/callerconnection.cpp
+++ b/src/net/callerconnection.cpp
@@ -14,6 +14,7 @@
 #include <poll.h>
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <cerrno>
 
 namespace Cloverbarrow
@@ -47,6 +48,7 @@
     , socket_(::dup(fd))
     , framer_(options_.memory)
     , buffers_(options_.memory, MemoryUse::Request)
+    , idleTimeout_(bounds.idleTimeout)
     , timeoutStart_(bootNow())
 {
     if (!socket_.isOpen()) {
@@ -244,7 +246,7 @@
             // Counts less than before, which is always possible.
             static_cast<void>(reserveBuffers());
         }
-        if (bounds_.idleTimeout && now - timeoutStart_ > *bounds_.idleTimeout) {
+        if (isIdleTooLong(now)) {
             closeInputIfIdle(ConnectionEnd::Idle);
         }
         return;
@@ -254,6 +256,12 @@
     }
 }
 
+bool CallerConnection::isIdleTooLong(TimePoint now) const
+{
+    // Callers that know the former limit may still rely on it.
+    return bounds_.idleTimeout && now - timeoutStart_ > std::max(idleTimeout_.value_or(Duration(0)), *bounds_.idleTimeout);
+}
+
 bool CallerConnection::isClosed() const
 {
     const std::lock_guard lock(mutex_);
@@ -416,6 +424,7 @@
         return;
     }
     timeoutStart_ = bootNow();
+    idleTimeout_ = bounds_.idleTimeout;
 }
 
 void CallerConnection::closeInputIfIdle(ConnectionEnd reason)
--- a/src/net/callerconnection.h
+++ b/src/net/callerconnection.h
@@ -111,6 +111,7 @@
 
     bool isIdle() const;
     bool hasPartialRequest() const;
+    bool isIdleTooLong(TimePoint now) const;
     void checkReadTimeouts(TimePoint now);
     void dispatchRequests(std::unique_lock<std::mutex> &lock);
     bool mayDispatchRequest() const;
@@ -159,6 +160,7 @@
     bool closesWhenIdle_ = false;
     bool hasSentContinue_ = false;
     bool isDispatching_ = false;
+    std::optional<Duration> idleTimeout_; ///< The limit that was in force when the connection became idle, if there was one.
     TimePoint timeoutStart_; ///< Start of the current timeout: when the connection became idle, a request's first byte came, or bytes were last sent.
 };
 
--- a/tests/unit/connectionendtests.cpp
+++ b/tests/unit/connectionendtests.cpp
@@ -165,3 +165,32 @@
     CHECK(answer.find("Connection: close") != std::string::npos);
     CHECK(caller.dispatched.empty());
 }
+
+TEST_CASE("A lower idle limit ends no connection before its next answer", "[caller][end]")
+{
+    const auto monitor = std::make_shared<ConnectionMonitor>("test");
+    ConnectedCaller caller({.monitor = monitor}, idleBounds());
+    caller.send("GET", "/a");
+    caller.answer(0, "a");
+    const TimePoint start = bootNow();
+    caller.connection->setBounds(idleBounds(seconds(2)));
+    caller.connection->checkTimeouts(start + seconds(10));
+    caller.send("GET", "/b");
+    REQUIRE(caller.dispatched.size() == 2);
+    caller.answer(1, "b");
+    CHECK(caller.read() == "ab");
+    CHECK_FALSE(caller.closes);
+    caller.connection->checkTimeouts(bootNow() + seconds(10));
+    caller.connection->inputEnded();
+    CHECK(caller.connection->isClosed());
+    CHECK(monitor->counts().ends.at(static_cast<std::size_t>(ConnectionEnd::Idle)) == 1);
+}
+
+TEST_CASE("A connection that was opened before there was an idle limit is ended by a later one", "[caller][end]")
+{
+    ConnectedCaller caller;
+    caller.connection->setBounds(idleBounds());
+    caller.connection->checkTimeouts(bootNow() + IdleLimit + seconds(1));
+    caller.connection->inputEnded();
+    CHECK(caller.connection->isClosed());
+}
