A stop announces the end of connections with the answers during its notice

What callers saw: connections without a request ended when a stop had waited for the balancer to notice, without an announcement, against requests that were on their way.

Cause: CallerServer::closeAfterAnswers() announces the end with the next answer of each connection, and nothing called it.

Change: the control shard asks for it (AnnounceClose) when the first stop is requested, before held requests are refused. Callers whose connections are in use learn of the end with an answer; what is ended without one had no request for the whole notice.

--- a/src/core/controlevents.h
+++ b/src/core/controlevents.h
@@ -271,7 +271,12 @@
     }
 };
 
-/// Accept no more connections of callers.
+/// Announce with each answer to a caller that its connection closes.
+struct AnnounceClose {
+    bool operator==(const AnnounceClose &) const = default;
+};
+
+/// Refuse further requests of callers, and close their connections.
 struct StopAccepting {
     bool operator==(const StopAccepting &) const = default;
 };
@@ -303,6 +308,7 @@
                                    BroadcastCrashUpdates,
                                    SendAllCrashUpdates,
                                    UpdateBlocklist,
+                                   AnnounceClose,
                                    StopAccepting,
                                    Exit>;
 using ControlActions = std::vector<ControlAction>;
--- a/src/core/controlshard.cpp
+++ b/src/core/controlshard.cpp
@@ -252,8 +252,12 @@
     }
 }
 
-void ControlShard::on(TimePoint now, const StopRequested &, ControlActions &)
+void ControlShard::on(TimePoint now, const StopRequested &, ControlActions &actions)
 {
+    if (shutdown_.phase() == ShutdownSequence::Phase::Serving) {
+        // Callers that learn of the end with an answer do not send a request on a connection that is about to be closed.
+        actions.emplace_back(AnnounceClose{});
+    }
     shutdown_.requestStop(now);
     membership_.setLeaving();
     shares_.startRelease();
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -182,6 +182,10 @@
         {
             // Handled inside the core.
         }
+        void operator()(const AnnounceClose &) const
+        {
+            daemon.callerServer_->closeAfterAnswers();
+        }
         void operator()(const StopAccepting &) const
         {
             daemon.gateway_->stopAccepting();
@@ -355,8 +359,8 @@
     while (handledStopRequests_ < requests_.stops()) {
         ++handledStopRequests_;
         log_.info(handledStopRequests_ == 1 ? "stop requested" : "immediate stop requested");
-        gateway_->refuseHeld();
         handle(ControlEvent(StopRequested{}));
+        gateway_->refuseHeld();
     }
 }
 
--- a/tests/support/describe.cpp
+++ b/tests/support/describe.cpp
@@ -230,6 +230,10 @@
     {
         return "crash verdicts";
     }
+    std::string operator()(const AnnounceClose &) const
+    {
+        return "announce close";
+    }
     std::string operator()(const StopAccepting &) const
     {
         return "stop accepting";
