Answers announce how long their connection may be used

What callers saw: requests that crossed the end of their connection at the idle limit, and had to be sent again. Nothing told a caller the limit: answers said "Connection: keep-alive" and no time.

Change: Keep-Alive: timeout= with four fifths of the idle limit, in whole seconds. The rest of the limit covers the way of the request and an entry VM that is late in reading.

--- a/src/net/callerconnection.cpp
+++ b/src/net/callerconnection.cpp
@@ -159,7 +159,7 @@
             next->closes = next->closes || isLast;
             isEndAnnounced_ = isEndAnnounced_ || next->closes;
             const auto &answer = std::get<HttpAnswer>(next->answer);
-            output_.add(serializeHead(answer, next->isHead, next->closes), hasBody(answer, next->isHead) ? answer.body : Body());
+            output_.add(serializeHead(answer, next->isHead, next->closes, announcedIdleTimeout()), hasBody(answer, next->isHead) ? answer.body : Body());
         }
         closesAfterAnswer_ = closesAfterAnswer_ || next->closes;
         timeoutStart_ = bootNow();
@@ -256,6 +256,16 @@
     }
 }
 
+std::optional<std::chrono::seconds> CallerConnection::announcedIdleTimeout() const
+{
+    if (!bounds_.idleTimeout) {
+        return std::nullopt;
+    }
+    // A request that is sent at the end of the announced time arrives before the connection is ended, also on a slow link.
+    const auto announced = std::chrono::floor<std::chrono::seconds>(*bounds_.idleTimeout * 4 / 5);
+    return announced.count() > 0 ? std::optional(announced) : std::nullopt;
+}
+
 bool CallerConnection::isIdleTooLong(TimePoint now) const
 {
     // Callers that know the former limit may still rely on it.
--- a/src/net/callerconnection.h
+++ b/src/net/callerconnection.h
@@ -111,6 +111,8 @@
 
     bool isIdle() const;
     bool hasPartialRequest() const;
+    /// @return how long the caller may use the connection after an answer; nothing if that is not limited or less than a second.
+    std::optional<std::chrono::seconds> announcedIdleTimeout() const;
     bool isIdleTooLong(TimePoint now) const;
     void checkReadTimeouts(TimePoint now);
     void dispatchRequests(std::unique_lock<std::mutex> &lock);
--- a/src/net/httpmessage.cpp
+++ b/src/net/httpmessage.cpp
@@ -80,7 +80,7 @@
     return kept;
 }
 
-std::string serializeHead(const HttpAnswer &answer, bool isHead, bool closes)
+std::string serializeHead(const HttpAnswer &answer, bool isHead, bool closes, std::optional<std::chrono::seconds> idleTimeout)
 {
     const std::string_view reason = answer.reason.empty() ? reasonOf(answer.status) : std::string_view(answer.reason);
     std::string text = "HTTP/1.1 " + std::to_string(answer.status) + " " + std::string(reason) + "\r\n";
@@ -95,8 +95,11 @@
     if (!isBodiless(answer) && !hasLength) {
         text += "Content-Length: " + std::to_string(answer.body.size()) + "\r\n";
     }
-    text += closes ? "Connection: close\r\n\r\n" : "Connection: keep-alive\r\n\r\n";
-    return text;
+    text += closes ? "Connection: close\r\n" : "Connection: keep-alive\r\n";
+    if (!closes && idleTimeout) {
+        text += "Keep-Alive: timeout=" + std::to_string(idleTimeout->count()) + "\r\n";
+    }
+    return text + "\r\n";
 }
 
 bool hasBody(const HttpAnswer &answer, bool isHead)
--- a/src/net/httpmessage.h
+++ b/src/net/httpmessage.h
@@ -59,8 +59,8 @@
 
 /// Serializes the head of an answer and sets its Content-Length.
 /// @param isHead whether the request was HEAD, so that the length is sent but not the body.
-/// @param closes whether to announce that the connection closes.
-std::string serializeHead(const HttpAnswer &answer, bool isHead, bool closes);
+/// @param closes whether to announce that the connection closes. @param idleTimeout announced if it does not.
+std::string serializeHead(const HttpAnswer &answer, bool isHead, bool closes, std::optional<std::chrono::seconds> idleTimeout = {});
 /// @return whether the body of @p answer is sent after its head.
 bool hasBody(const HttpAnswer &answer, bool isHead);
 /// Serializes a whole answer; the parameters are those of serializeHead().
--- a/tests/unit/connectionendtests.cpp
+++ b/tests/unit/connectionendtests.cpp
@@ -186,6 +186,22 @@
     CHECK(monitor->counts().ends.at(static_cast<std::size_t>(ConnectionEnd::Idle)) == 1);
 }
 
+TEST_CASE("An answer announces how long its connection may be used, so that no request crosses its end", "[caller][end]")
+{
+    ConnectedCaller caller({}, idleBounds());
+    caller.send("GET", "/a");
+    caller.answer(0, "a");
+    CHECK(caller.readBytes().find("Keep-Alive: timeout=12\r\n") != std::string::npos);
+    caller.connection->setBounds(idleBounds(milliseconds(900)));
+    caller.send("GET", "/b");
+    caller.answer(1, "b");
+    CHECK(caller.readBytes().find("Keep-Alive") == std::string::npos);
+    caller.connection->setBounds(idleBounds());
+    caller.send("GET", "/c", "Connection: close\r\n");
+    caller.answer(2, "c");
+    CHECK(caller.readBytes().find("Keep-Alive") == std::string::npos);
+}
+
 TEST_CASE("A connection that was opened before there was an idle limit is ended by a later one", "[caller][end]")
 {
     ConnectedCaller caller;
