A call times out no earlier than its deadline

Known failure "The remaining deadline is forwarded, and a request that exceeds it gets 504": 502 in place of 504.

Cause, from reading: libcurl's timeout was cut to whole milliseconds, so it could fire within the last millisecond before the deadline; a read was then tried again with less than a millisecond left, the connection was not made, and the end of that attempt gave 502.

Change: the timeout is rounded up.

Evidence: "A call does not time out before its time has passed ..." fails on the code before: 17 of 20 calls ended too early, in each of three runs. The known failure itself was not replayed.

--- a/src/net/httptransfer.cpp
+++ b/src/net/httptransfer.cpp
@@ -231,7 +231,9 @@
     curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
     curl_easy_setopt(easy, CURLOPT_TCP_NODELAY, 1L);
     curl_easy_setopt(easy, CURLOPT_HTTPHEADER, transfer.headers.get());
-    curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, std::max<long>(1, static_cast<long>(toMilliseconds(transfer.call.timeout))));
+    // Rounded up: a request that ends just before its deadline would be tried again with no time left.
+    const auto timeout = std::chrono::ceil<milliseconds>(transfer.call.timeout);
+    curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, std::max<long>(1, static_cast<long>(timeout.count())));
     curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS, ConnectTimeoutMs);
     curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, transfer.call.mayReuseConnection ? 0L : 1L);
     curl_easy_setopt(easy, CURLOPT_FORBID_REUSE, transfer.call.mayReuseConnection ? 0L : 1L);
--- a/tests/unit/httpclienttests.cpp
+++ b/tests/unit/httpclienttests.cpp
@@ -7,6 +7,7 @@
 
 #include "net/httpclient.h"
 
+#include "net/bootclock.h"
 #include "net/callerserver.h"
 
 #include <catch2/catch.hpp>
@@ -40,3 +41,22 @@
     client.stop();
     CHECK(std::holds_alternative<HttpFailure>(second.get_future().get()));
 }
+
+TEST_CASE("A call does not time out before its time has passed, so that its request is not retried just before the deadline", "[http][timeout]")
+{
+    CallerServerOptions options;
+    options.address = "127.0.0.1:0";
+    // Never answers.
+    const CallerServer server(options, [](const std::shared_ptr<CallerConnection> &, const HttpRequest &) {});
+    HttpClient client(1);
+    for (HttpCallId number = 1; number <= 20; ++number) {
+        HttpCall call;
+        call.address = "127.0.0.1:" + std::to_string(server.port());
+        call.request = {"GET", "/", {{"Host", "x"}}, "", true};
+        call.timeout = microseconds(5999);
+        const TimePoint deadline = bootNow() + call.timeout;
+        std::promise<TimePoint> ended;
+        client.start(number, std::move(call), [&ended](const HttpOutcome &) { ended.set_value(bootNow()); });
+        CHECK(ended.get_future().get() >= deadline);
+    }
+}
