Test of payouts: the entry VM freezes when its record is on the way to the store

The test now waits until the store holds the delayed record, freezes the entry VM, and waits until the record is stored. The checks are the same.

--- a/tests/process/faulttests.cpp
+++ b/tests/process/faulttests.cpp
@@ -108,11 +108,13 @@
     }
     SECTION("when its entry VM freezes between storing the record and sending, and resumes after a repeat")
     {
-        fleet.setPlatformFaults(R"({"slow_ms":300})");
+        fleet.setPlatformFaults(R"({"slow_ms":1500})");
         auto answer = payAsync(fleet, "entry-1", "k1");
-        std::this_thread::sleep_for(std::chrono::milliseconds(100));
+        const auto isRecordDelayed = [&] { return fleet.platformState("delayed").find("PUT /objects/payout") != std::string::npos; };
+        REQUIRE(eventually(isRecordDelayed));
         fleet.entryVm("entry-1").signal(SIGSTOP);
-        std::this_thread::sleep_for(std::chrono::milliseconds(400));
+        REQUIRE(isRecordDelayed());
+        REQUIRE(eventually([&] { return fleet.platformState("objects").find("payout/") != std::string::npos; }));
         fleet.setPlatformFaults("{}");
         CHECK(hasOutcome(fleet.pay("entry-2", "k1"), 409, "unknown"));
         fleet.entryVm("entry-1").signal(SIGCONT);
--- a/tests/process/fleet.cpp
+++ b/tests/process/fleet.cpp
@@ -181,6 +181,15 @@
     return records.empty() ? "none" : records.front().state;
 }
 
+std::string Fleet::platformState(const std::string &what)
+{
+    HttpRequest request;
+    request.method = "GET";
+    request.target = "/control/" + what;
+    const auto answer = send(platformAddress(), request);
+    return answer ? std::string(answer->body) : std::string();
+}
+
 void Fleet::setPlatformFaults(const std::string &json)
 {
     HttpRequest request;
--- a/tests/process/fleet.h
+++ b/tests/process/fleet.h
@@ -54,6 +54,8 @@
     bool isReady(const std::string &entryVm);
     std::string payoutState(const std::string &entryVm, const std::string &key);
 
+    /// @param what objects, calls, or the delayed calls of the platform stand-in. @return them as JSON; empty if it does not answer.
+    std::string platformState(const std::string &what);
     /// Sets the faults of the platform stand-in.
     void setPlatformFaults(const std::string &json);
     /// Sets how a backend server behaves.
--- a/tests/standins/platformstandin.cpp
+++ b/tests/standins/platformstandin.cpp
@@ -211,6 +211,13 @@
     if (request.target == "/control/calls") {
         return jsonAnswer(200, callCounts_);
     }
+    if (request.target == "/control/delayed") {
+        Json json = Json::array();
+        for (const DelayedCall &delayed : delayedCalls_) {
+            json.push_back(delayed.request.method + " " + delayed.request.target);
+        }
+        return jsonAnswer(200, json);
+    }
     if (request.target == "/control/objects") {
         Json json = Json::object();
         for (const auto &[key, object] : objects_) {
