A connection closes only after bytes that announced its end

Cause: a connection that was told to close after an answer closed when all bytes had been sent and no request was pending, whatever had been sent. If the last answer was still being sent when the end was requested, it did not announce the end, and what followed it was dropped: requests that had been read and waited for that answer, and requests in the socket. "100 Continue" counted as well, so a caller that was told to send its body saw the connection end instead. A caller that sent too much while it read its last answer saw the connection end without a word.

Callers saw: whole requests, read and without an answer or refusal, beside a stop or a notice of one.

Change: the connection closes after an answer that announced the end. Otherwise it goes on: the notice of a stop takes effect with the next answer, and a stop closes the input in the usual two steps. A caller that sends too much while no answer is pending is refused after the answer that is being sent; nothing is read after the bytes that were dropped.

Found by the property test of connections, which shrank it to an answer that blocks and closeAfterAnswer().

--- a/src/net/callerconnection.cpp
+++ b/src/net/callerconnection.cpp
@@ -83,6 +83,10 @@
     if (!isIdle() && input_.size() + bytes.size() > MaxPipelinedBytes) {
         closesAfterAnswer_ = true;
         closeReason_ = ConnectionEnd::Overflow;
+        // Without a further answer nothing would announce the end.
+        if (pending_.isEmpty() && !isEndAnnounced_) {
+            rejectInput({503, "too many bytes were sent before the answer had been read"}, ConnectionEnd::Overflow);
+        }
         return;
     }
     input_.append(bytes);
@@ -157,11 +161,11 @@
             // Later requests may already be in flight, so only the last answer may close the connection.
             const bool isLast = pending_.isEmpty() && (closesAfterAnswer_ || (hasInputEnded_ && !hasPartialRequest()));
             next->closes = next->closes || isLast;
-            isEndAnnounced_ = isEndAnnounced_ || next->closes;
             const auto &answer = std::get<HttpAnswer>(next->answer);
             output_.add(serializeHead(answer, next->isHead, next->closes, announcedIdleTimeout()), hasBody(answer, next->isHead) ? answer.body : Body());
         }
         closesAfterAnswer_ = closesAfterAnswer_ || next->closes;
+        isEndAnnounced_ = isEndAnnounced_ || next->closes;
         timeoutStart_ = bootNow();
     }
     flushLocked();
@@ -366,10 +370,9 @@
     return true;
 }
 
-void CallerConnection::rejectInput(const FramingFault &fault)
+void CallerConnection::rejectInput(const FramingFault &fault, ConnectionEnd reason)
 {
-    endInput(
-        ConnectionEnd::Rejected, problemAnswer({fault.status, ExecutionStatus::NotExecuted, "read request", "caller", fault.message, std::nullopt}), false);
+    endInput(reason, problemAnswer({fault.status, ExecutionStatus::NotExecuted, "read request", "caller", fault.message, std::nullopt}), false);
 }
 
 void CallerConnection::refuseForMemory(const HttpRequest &head)
@@ -429,12 +432,16 @@
     if (!pending_.isEmpty()) {
         return;
     }
-    if (closesAfterAnswer_ || (hasInputEnded_ && !hasPartialRequest())) {
-        lingerLocked(closesAfterAnswer_ ? closeReason_ : ConnectionEnd::Caller);
+    if (isEndAnnounced_ || (hasInputEnded_ && !hasPartialRequest())) {
+        lingerLocked(isEndAnnounced_ ? closeReason_ : ConnectionEnd::Caller);
         return;
     }
     timeoutStart_ = bootNow();
     idleTimeout_ = bounds_.idleTimeout;
+    // What has been sent did not announce the end: an answer that was serialized before the end was requested, or "100 Continue".
+    if (closesWhenIdle_) {
+        closeInputIfIdle(closeReason_);
+    }
 }
 
 void CallerConnection::closeInputIfIdle(ConnectionEnd reason)
--- a/src/net/callerconnection.h
+++ b/src/net/callerconnection.h
@@ -83,7 +83,7 @@
     void answer(const HttpAnswer &answer, bool isHead);
     /// Answers the oldest request that has no answer yet, with a serialized answer. @param closes whether the connection closes after it.
     void answerBytes(std::string_view bytes, bool closes);
-    /// Closes after the next answer; a request may still arrive before that.
+    /// Closes after the next answer that announces it; a request may still arrive before that.
     void closeAfterAnswer();
     /// Closes after the requests that have arrived are answered.
     void closeGracefully();
@@ -118,7 +118,7 @@
     void dispatchRequests(std::unique_lock<std::mutex> &lock);
     bool mayDispatchRequest() const;
     bool extractRequest(HttpRequest &request);
-    void rejectInput(const FramingFault &fault);
+    void rejectInput(const FramingFault &fault, ConnectionEnd reason = ConnectionEnd::Rejected);
     /// Refuses a request for which there is no memory, and closes the connection after that.
     void refuseForMemory(const HttpRequest &head);
     /// Sends the answer to the request that is being read, and reads no further.
@@ -159,7 +159,7 @@
     bool hasInputEnded_ = false; ///< By the caller.
     bool hasClosedInput_ = false; ///< By this connection.
     bool hasReaderEnded_ = false; ///< Nothing is read any more since the input was closed by this connection.
-    bool closesWhenIdle_ = false;
+    bool closesWhenIdle_ = false; ///< Does not wait for a further request.
     bool hasSentContinue_ = false;
     bool isDispatching_ = false;
     std::optional<Duration> idleTimeout_; ///< The limit that was in force when the connection became idle, if there was one.
--- a/tests/unit/connectionendtests.cpp
+++ b/tests/unit/connectionendtests.cpp
@@ -166,6 +166,70 @@
     CHECK(caller.dispatched.empty());
 }
 
+TEST_CASE("A request that waits behind an answer when its connection is to end gets an answer that announces the end", "[caller][end]")
+{
+    ConnectedCaller caller;
+    caller.send("GET", "/a");
+    caller.answer(0, std::string(4 * 1024 * 1024, 'a'));
+    REQUIRE(caller.connection->isSending());
+    SECTION("read before that, ended by the notice of a stop")
+    {
+        caller.send("POST", "/b");
+        caller.connection->closeAfterAnswer();
+    }
+    SECTION("read before that, ended by a stop")
+    {
+        caller.send("POST", "/b");
+        caller.connection->closeGracefully();
+    }
+    SECTION("read after the answer has been sent")
+    {
+        REQUIRE(caller.sendBytes("POST /b HTTP/1.1\r\nHost: tablero.example\r\n\r\n") > 0);
+        caller.connection->closeGracefully();
+    }
+    while (!caller.readBytes().empty()) {
+        caller.connection->checkTimeouts(bootNow());
+    }
+    caller.passOn(1024);
+    REQUIRE(caller.dispatched.size() == 2);
+    caller.answer(1, "b");
+    CHECK(caller.read() == "b");
+    CHECK(caller.closes);
+}
+
+TEST_CASE("A caller that sends too much while it reads its answer is refused after that answer, and nothing after the gap is read", "[caller][end]")
+{
+    ConnectedCaller caller;
+    caller.send("GET", "/a");
+    caller.answer(0, std::string(4 * 1024 * 1024, 'a'));
+    caller.send("POST", "/b", "Content-Length: 300000\r\n");
+    caller.connection->received(std::string(200'000, 'b'), bootNow());
+    caller.connection->received(std::string(100'000, 'b'), bootNow());
+    caller.send("GET", "/c");
+    std::string output;
+    for (std::string bytes = caller.readBytes(); !bytes.empty(); bytes = caller.readBytes()) {
+        output += bytes;
+        caller.connection->checkTimeouts(bootNow());
+    }
+    CHECK(output.find("HTTP/1.1 503 ") != std::string::npos);
+    CHECK(output.find("\"outcome\":\"not-run\"") != std::string::npos);
+    CHECK(output.find("Connection: close") != std::string::npos);
+    CHECK(caller.dispatched.size() == 1);
+}
+
+TEST_CASE("A caller that was told to send its body gets an answer to it, also if its connection is to end", "[caller][end]")
+{
+    ConnectedCaller caller;
+    caller.connection->closeAfterAnswer();
+    caller.send("POST", "/a", "Content-Length: 1\r\nExpect: 100-continue\r\n");
+    REQUIRE(caller.readBytes().starts_with("HTTP/1.1 100 "));
+    caller.connection->received("x", bootNow());
+    REQUIRE(caller.dispatched.size() == 1);
+    caller.answer(0, "a");
+    CHECK(caller.read() == "a");
+    CHECK(caller.closes);
+}
+
 TEST_CASE("A lower idle limit ends no connection before its next answer", "[caller][end]")
 {
     const auto monitor = std::make_shared<ConnectionMonitor>("test");
