Property test of connections: each request that is read is answered, refused or announced as not read

Plays a caller, the thread that reads from its socket, the handler and the thread that checks timeouts in random order: pipelined requests with lengths and chunks, cut anywhere, answers in any order, some larger than the socket takes, changed limits, notices of stops, stops, time past all limits and half-closed connections. The input goes through a socket pair, so what was sent before the connection closed its input is passed on, and nothing after it.

--- a/tests/support/connectedcaller.h
+++ b/tests/support/connectedcaller.h
@@ -17,6 +17,7 @@
 #include <array>
 #include <memory>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace Cloverbarrow::Tests
@@ -49,6 +50,34 @@
         connection->answerTo(dispatched.at(index).number, answer, false);
     }
 
+    /// Sends through the socket, from which passOn() takes the bytes. @return how many were accepted.
+    std::size_t sendBytes(std::string_view bytes)
+    {
+        const ssize_t count = ::send(callerEnd_.get(), bytes.data(), bytes.size(), MSG_DONTWAIT | MSG_NOSIGNAL);
+        return count > 0 ? static_cast<std::size_t>(count) : 0;
+    }
+
+    void closeSending()
+    {
+        ::shutdown(callerEnd_.get(), SHUT_WR);
+    }
+
+    /// Passes on what has been sent through the socket, up to @p count bytes, or else the end of the input, once. @return the number of bytes.
+    std::size_t passOn(std::size_t count)
+    {
+        std::string bytes(count, '\0');
+        const ssize_t received = serverEnd_.isOpen() ? ::recv(serverEnd_.get(), bytes.data(), count, MSG_DONTWAIT) : -1;
+        if (received > 0) {
+            connection->received(std::string_view(bytes).substr(0, static_cast<std::size_t>(received)), bootNow());
+            return static_cast<std::size_t>(received);
+        }
+        if (received == 0) {
+            connection->inputEnded();
+            serverEnd_.reset();
+        }
+        return 0;
+    }
+
     /// @return all available bytes.
     std::string readBytes()
     {
