A request is sent or forwarded to no server or peer after its deadline

Cause: a choice by probes ends at the first tick after its own deadline, which for a request with little time left is the request's deadline. Ending the choice then still sent the request by earlier reports, and so did a report that arrived between the deadline and the tick. A forwarded request whose peer could not be reached was forwarded again without a look at the clock.

Callers saw: a request that had only waited was sent with a time limit of 1 ms, so it ended as "may have been executed" instead of "not executed", and a write could not be retried, or ran for a caller that had given up.

Change: past the deadline a choice neither probes nor chooses and is refused at the next tick, and no peer is chosen.

--- a/src/core/requests/serviceshardchoice.cpp
+++ b/src/core/requests/serviceshardchoice.cpp
@@ -71,6 +71,10 @@
 
 void ServiceShard::continueChoice(TimePoint now, Request &request, ServiceActions &actions)
 {
+    if (now >= request.arrival.deadline) {
+        // The next tick ends the choice.
+        return;
+    }
     if (const auto limitCheck = request.choice->isHedge || silence_.isActive(now) ? std::nullopt : pool_.takeForLimitCheck(now, filterOf(request))) {
         startChosen(now, limitCheck, request, actions);
         return;
@@ -98,7 +102,7 @@
 {
     std::vector<WaitingRequest> waiting;
     for (const auto &[id, request] : requests_) {
-        if (request.choice) {
+        if (request.choice && now < request.arrival.deadline) {
             const ChoiceRequirements requirements = requirementsOf(now, request);
             waiting.push_back({id, requirements.hasPriority, requirements.missesObjective});
         }
@@ -202,7 +206,9 @@
         request.choice.reset();
         return false;
     }
-    chooseByEarlierReports(now, request, actions);
+    if (now < request.arrival.deadline) {
+        chooseByEarlierReports(now, request, actions);
+    }
     if (!request.choice) {
         return false;
     }
--- a/src/core/requests/serviceshardforwarding.cpp
+++ b/src/core/requests/serviceshardforwarding.cpp
@@ -182,7 +182,8 @@
     // A read that was not sent had found no open connection.
     const KindClass effectiveClass = request.unsentAttempts > 0 ? KindClass::Write : kindClass(request);
     // A forwarded request is not forwarded again, so there are no loops.
-    if (request.arrival.isForwarded || isPayout(request) || request.forwards >= MaxForwards || !isPartitionedFor(now, effectiveClass)) {
+    const bool isForwardable = !request.arrival.isForwarded && !isPayout(request) && request.forwards < MaxForwards && now < request.arrival.deadline;
+    if (!isForwardable || !isPartitionedFor(now, effectiveClass)) {
         return false;
     }
     const int attemptsLeft = request.arrival.maxAttempts - sentAttempts(request);
--- a/tests/unit/forwardingtests.cpp
+++ b/tests/unit/forwardingtests.cpp
@@ -145,6 +145,20 @@
     CHECK(shard.forwards.front().priorWait < milliseconds(60));
 }
 
+TEST_CASE("A request is forwarded to no other peer after its deadline", "[forward][deadline]")
+{
+    ForwardingShard shard;
+    shard.partition();
+    shard.arrive(1);
+    REQUIRE(shard.forwards.size() == 1);
+    shard.advance(milliseconds(1995));
+    shard.now += milliseconds(5);
+    shard.handle(ForwardEnded{1, shard.forwards.back().attempt, NotSent{"no connection"}});
+    CHECK(shard.forwards.size() == 1);
+    REQUIRE(shard.refusals.size() == 1);
+    CHECK(shard.refusals.front().problem.executionStatus == ExecutionStatus::NotExecuted);
+}
+
 TEST_CASE("A partitioned entry VM forwards each request to a peer of its zone, with all attempts that are left", "[forward]")
 {
     ForwardingShard shard;
--- a/tests/unit/probedchoicetests.cpp
+++ b/tests/unit/probedchoicetests.cpp
@@ -92,6 +92,12 @@
         }
     }
 
+    /// Lets time pass without a tick.
+    void wait(Duration duration)
+    {
+        now_ += duration;
+    }
+
     /// Load reports of the servers that answer probes. Other servers are unresponsive.
     std::map<std::string, LoadReport> reports;
     std::vector<StartAttempt> started;
@@ -552,6 +558,22 @@
     CHECK(shard.refused.front().problem.executionStatus == ExecutionStatus::Unknown);
 }
 
+TEST_CASE("A write that has waited for a server until its deadline is refused as not executed instead of being sent after it", "[choice][deadline]")
+{
+    ProbingShard shard(probedService(3));
+    // The choice of a server may take 25 ms, the caller has 18 ms left.
+    shard.arrive(1, KindClass::Write, 0, milliseconds(1982));
+    shard.advance(milliseconds(15));
+    if (GENERATE(true, false)) {
+        shard.wait(milliseconds(3));
+        shard.handle(ProbeEnded{"b1", true, false, LoadReport{0, 0, 3, 1.0}, 1});
+    }
+    shard.advance(milliseconds(10));
+    CHECK(shard.started.empty());
+    REQUIRE(shard.refused.size() == 1);
+    CHECK(shard.refused.front().problem.executionStatus == ExecutionStatus::NotExecuted);
+}
+
 TEST_CASE("A server is checked for a crash even if choices use up all other probes", "[choice][crash]")
 {
     // At 80 requests per second, choices alone would make 400 probes per second, of which 20 are allowed. Without probes reserved for crash detection, a
