A hedge that still waits for a server adds no attempt to a retry without choice probes

Cause: a read's hedge may wait for a server when a configuration turns choice probes off. If the first attempt then ends, the retry is started or queued while the hedge's choice stays open, and a late probe result starts the hedge beside it.

Callers saw: a read at three servers where two are allowed. From reading, not shown: a queued read whose hedge is in flight can be refused without its attempt being released, which keeps a slot of the server in use.

Change: a request that is started or queued without probes has no open choice.

--- a/src/core/requests/serviceshard.cpp
+++ b/src/core/requests/serviceshard.cpp
@@ -368,6 +368,8 @@
         }
         return;
     }
+    // A hedge may still wait for a server since choice probes were in use. It would add another attempt to the one that is started here.
+    request.choice.reset();
     // Requests that are already queued are served first.
     if (!queuedRequests_.empty() || !tryStart(now, request, actions)) {
         queuedRequests_.push_back(request.arrival.request);
--- a/tests/unit/probedchoicetests.cpp
+++ b/tests/unit/probedchoicetests.cpp
@@ -574,6 +574,26 @@
     CHECK(shard.refused.front().problem.executionStatus == ExecutionStatus::NotExecuted);
 }
 
+TEST_CASE("A hedge that waits for a server adds no attempt to the retry that a configuration without choice probes starts", "[choice][hedge]")
+{
+    Service service = probedService(3);
+    service.retry.budgetAtStart = 3;
+    ProbingShard shard(service);
+    shard.reports = {{"b1", {0, 0, 3, 1.0}}, {"b2", {3, 4, 3, 1.0}}, {"b3", {3, 4, 3, 1.0}}};
+    shard.arrive(1);
+    REQUIRE(shard.started.size() == 1);
+    shard.reports.erase("b1");
+    shard.advance(LatencyObjective / 2 + UnresponsiveServers::ProbeAnswerTime + milliseconds(5));
+    service.choiceProbes.probesPerSecond = 0;
+    shard.handle(ServiceConfigured{2, service});
+    shard.handle(AttemptEnded{1, 1, LostAnswer{"reset", false}, std::nullopt});
+    REQUIRE(shard.started.size() == 2);
+    for (const char *name : {"b2", "b3"}) {
+        shard.handle(ProbeEnded{name, true, false, LoadReport{0, 0, 3, 1.0}, 1});
+    }
+    CHECK(shard.started.size() == 2);
+}
+
 TEST_CASE("A server is checked for a crash even if choices use up all other probes", "[choice][crash]")
 {
     // At 80 requests per second, choices alone would make 400 probes per second, of which 20 are allowed. Without probes reserved for crash detection, a
