The connection of a caller that has gone is closed

A request whose caller had gone was dropped, but its connection stayed open: the duplicate of the listener's descriptor was never closed, and the request counted as in flight for good. After some thousands of such callers the process had no descriptor left, and new callers got no answer. The same held for requests that were held during the start, and for followers that waited at a relay.

Whoever drops a request because its caller has gone now closes the connection, with the reason "caller".

--- a/src/daemon/admissiongate.cpp
+++ b/src/daemon/admissiongate.cpp
@@ -103,6 +103,7 @@
         if (held.connection->isGone()) {
             callbacks_.count("caller_gone");
             log_.callerGone(held.callerId, now - held.arrivedAt);
+            held.connection->callerGone();
             continue;
         }
         callbacks_.count("released");
@@ -174,6 +175,7 @@
         }
         callbacks_.count("caller_gone");
         log_.callerGone(held.callerId, now - held.arrivedAt);
+        held.connection->callerGone();
         queue_.remove(id);
         return true;
     });
--- a/src/daemon/gatewayanswers.cpp
+++ b/src/daemon/gatewayanswers.cpp
@@ -23,6 +23,7 @@
 {
     if (const auto exchange = takeExchange(action.request)) {
         log_.callerGone(exchange->callerId, bootNow() - exchange->arrivedAt);
+        exchange->connection->callerGone();
     }
 }
 
--- a/src/net/callerconnection.cpp
+++ b/src/net/callerconnection.cpp
@@ -191,6 +191,12 @@
     closeInputIfIdle(ConnectionEnd::Stop);
 }
 
+void CallerConnection::callerGone()
+{
+    const std::lock_guard lock(mutex_);
+    closeLocked(ConnectionEnd::Caller);
+}
+
 void CallerConnection::abort()
 {
     const std::lock_guard lock(mutex_);
--- a/src/net/callerconnection.h
+++ b/src/net/callerconnection.h
@@ -87,6 +87,8 @@
     void closeAfterAnswer();
     /// Closes after the requests that have arrived are answered.
     void closeGracefully();
+    /// The caller waits for no answer any more, see isGone(): closes the connection, which cannot be used any further.
+    void callerGone();
     /// Drops the connection without an answer.
     void abort();
     /// Closes the connection if the caller is idle or too slow in sending a request, reading an answer or closing. Call several times a second.
--- a/src/net/relayserver.cpp
+++ b/src/net/relayserver.cpp
@@ -174,6 +174,7 @@
         const std::lock_guard lock(mutex_);
         std::erase_if(waitingProofRequests_, [this, now, &ready](const WaitingProofRequest &item) {
             if (item.connection->isGone()) {
+                item.connection->callerGone();
                 return true;
             }
             const auto proof = source_.proof(item.follower);
@@ -260,6 +261,7 @@
                 return false;
             }
             if (item.connection->isGone()) {
+                item.connection->callerGone();
                 return true;
             }
             auto answer = answerFor(item, now);
--- a/tests/platform/pathtests.cpp
+++ b/tests/platform/pathtests.cpp
@@ -137,6 +137,13 @@
         return addresses_.at("callers");
     }
 
+    /// @return number of descriptors that the entry VM has open.
+    std::ptrdiff_t descriptors() const
+    {
+        const std::filesystem::directory_iterator all("/proc/" + std::to_string(entryVm->pid()) + "/fd");
+        return std::distance(begin(all), end(all));
+    }
+
     DirectoryStore store;
     std::vector<std::unique_ptr<RegisteredBackend>> backends;
     std::unique_ptr<Process> entryVm;
@@ -237,6 +244,33 @@
     }));
 }
 
+TEST_CASE("Callers that leave with a read in flight leave no descriptor and no request in flight behind", "[platform][path][gone]")
+{
+    constexpr int Callers = 24;
+    PathFixture fixture;
+    REQUIRE(fixture.send("GET", "/read/1", "id-1")->status == 200);
+    const std::ptrdiff_t before = fixture.descriptors();
+    const auto hasRequests = [&fixture](const std::string &state, int count) {
+        const std::string line = "cloverbarrow_connection_requests{side=\"caller\",state=\"" + state + "\"} " + std::to_string(count) + "\n";
+        return eventually([&] { return fixture.metrics().find(line) != std::string::npos; });
+    };
+    fixture.setAllAnswerModes(AnswerMode::Hang);
+    {
+        std::vector<std::unique_ptr<RawCaller>> callers;
+        for (int number = 0; number < Callers; ++number) {
+            callers.push_back(std::make_unique<RawCaller>(fixture.callerAddress()));
+            callers.back()->send(std::string("GET /read/1 HTTP/1.1\r\nHost: a.example\r\n") + Platform::RequestIdHeader + ": id-1\r\n\r\n");
+        }
+        REQUIRE(hasRequests("read", 1 + Callers));
+        REQUIRE(fixture.executions() > 1);
+    }
+    CHECK(hasRequests("in_flight", 0));
+    // Connections to backend servers may come and go.
+    const bool areClosed = eventually([&] { return fixture.descriptors() <= before + Callers / 4; });
+    CAPTURE(before, fixture.descriptors());
+    CHECK(areClosed);
+}
+
 TEST_CASE("Changes of routes and servers are applied while the process runs", "[platform][path][directory]")
 {
     PathFixture fixture;
--- a/tests/platform/startuptests.cpp
+++ b/tests/platform/startuptests.cpp
@@ -164,6 +164,7 @@
     REQUIRE(fixture.hasCounted("held"));
     fixture.abandon();
     CHECK(fixture.hasCounted("caller_gone"));
+    CHECK(eventually([&fixture] { return fixture.hasMetric("cloverbarrow_connection_requests{side=\"caller\",state=\"left_by_caller\"} 1\n"); }));
     fixture.configure();
     auto other = fixture.send("id-2");
     CHECK(statusOf(other) == 200);
--- a/tests/unit/connectionendtests.cpp
+++ b/tests/unit/connectionendtests.cpp
@@ -14,6 +14,8 @@
 
 #include <atomic>
 #include <future>
+#include <memory>
+#include <string>
 #include <thread>
 
 using namespace Cloverbarrow;
@@ -274,3 +276,21 @@
     caller.connection->inputEnded();
     CHECK(caller.connection->isClosed());
 }
+
+TEST_CASE("A connection whose caller has gone is closed, and its requests are not in flight any more", "[caller][end]")
+{
+    const auto monitor = std::make_shared<ConnectionMonitor>("callers");
+    ConnectedCaller caller({.maxRequestsInFlight = 4, .monitor = monitor});
+    caller.send("GET", "/a");
+    caller.send("GET", "/b");
+    REQUIRE(monitor->counts().inFlight == 2);
+    caller.connection->inputEnded();
+    REQUIRE(caller.connection->isGone());
+    caller.connection->callerGone();
+    caller.answer(0, "a");
+    CHECK(caller.connection->isClosed());
+    const ConnectionCounts counts = monitor->counts();
+    CHECK(counts.inFlight == 0);
+    CHECK(counts.leftByCaller == 2);
+    CHECK(counts.answered == 0);
+}
--- a/tests/unit/relayservertests.cpp
+++ b/tests/unit/relayservertests.cpp
@@ -5,6 +5,9 @@
     SPDX-License-Identifier: Apache-2.0
 */
 
+#include "rawcaller.h"
+
+#include "net/bootclock.h"
 #include "net/forwarding.h"
 #include "net/httpclient.h"
 #include "net/relaymessages.h"
@@ -14,8 +17,11 @@
 
 #include <atomic>
 #include <future>
+#include <string>
+#include <thread>
 
 using namespace Cloverbarrow;
+using namespace Cloverbarrow::Tests;
 
 namespace
 {
@@ -89,6 +95,33 @@
     client.stop();
 }
 
+TEST_CASE("A connection on which a follower waits for the relay is closed when the follower has gone", "[relay][end]")
+{
+    StartingRelay relay;
+    std::string target = proofTarget("10.0.0.1:7200");
+    SECTION("while it waits for a proof")
+    {
+        relay.isStarting = true;
+    }
+    SECTION("while it waits for the entries of a collection")
+    {
+        target = collectionUpdateTarget({Collection::Servers, 0, seconds(20)});
+    }
+    const auto hasInFlight = [&relay](std::size_t count) {
+        for (int wait = 0; wait < 500 && relay.server->connectionCounts().inFlight != count; ++wait) {
+            relay.server->checkTimeouts(bootNow());
+            std::this_thread::sleep_for(milliseconds(2));
+        }
+        return relay.server->connectionCounts().inFlight == count;
+    };
+    {
+        RawCaller follower("127.0.0.1:" + std::to_string(relay.server->port()));
+        follower.send("GET " + target + " HTTP/1.1\r\nHost: x\r\n\r\n");
+        REQUIRE(hasInFlight(1));
+    }
+    CHECK(hasInFlight(0));
+}
+
 TEST_CASE("A proof carries the relay's reports on slow servers only if those of the follower were accepted", "[relay][slow]")
 {
     const std::string sent = GENERATE("", "reports", "invalid");
