A caller that has reset its connection counts as gone whoever reads the reset

The error of a reset is reported once. The listener usually reads it first, and then poll() shows no error any more, so without the platform, where a caller may close its sending half, the request ran on until its deadline. A connection that is closed in both directions now counts as gone as well.

Evidence: the new test failed before the change (isGone() was false 0.1 s after the reset) and passes with it; a caller that has only closed its sending half is still not gone, as before.

--- a/src/net/callerconnection.cpp
+++ b/src/net/callerconnection.cpp
@@ -311,7 +311,8 @@
         return true;
     }
     pollfd entry{socket_.get(), 0, 0};
-    return ::poll(&entry, 1, 0) > 0 && (entry.revents & POLLERR) != 0;
+    // The error of a reset is reported once, which may have been to the listener; after that, the connection is closed in both directions.
+    return ::poll(&entry, 1, 0) > 0 && (entry.revents & (POLLERR | POLLHUP)) != 0;
 }
 
 void CallerConnection::dispatchRequests(std::unique_lock<std::mutex> &lock)
--- a/tests/process/rawcaller.h
+++ b/tests/process/rawcaller.h
@@ -59,6 +59,14 @@
         ::shutdown(socket_.get(), SHUT_WR);
     }
 
+    /// Closes the connection so that the other end sees a reset.
+    void reset()
+    {
+        const linger atOnce{1, 0};
+        ::setsockopt(socket_.get(), SOL_SOCKET, SO_LINGER, &atOnce, sizeof(atOnce));
+        socket_.reset();
+    }
+
     /// Reads until @p text has been received @p count times, the connection ends or nothing is received for @p timeoutMs.
     std::string readUntil(std::string_view text, int count = 1, int timeoutMs = 20'000)
     {
--- a/tests/unit/connectionendtests.cpp
+++ b/tests/unit/connectionendtests.cpp
@@ -294,3 +294,25 @@
     CHECK(counts.leftByCaller == 2);
     CHECK(counts.answered == 0);
 }
+
+TEST_CASE("A connection that its caller has reset counts as gone although the reset has been read", "[caller][end]")
+{
+    std::promise<std::shared_ptr<CallerConnection>> dispatched;
+    CallerServer server({.address = "127.0.0.1:0", .threads = 1},
+                        [&dispatched](const auto &connection, const HttpRequest &) { dispatched.set_value(connection); });
+    RawCaller caller("127.0.0.1:" + std::to_string(server.port()));
+    caller.send(LateReader::request("/a"));
+    const auto connection = dispatched.get_future().get();
+    SECTION("but not one whose caller has only closed its sending half")
+    {
+        caller.closeSending();
+        std::this_thread::sleep_for(milliseconds(100));
+        CHECK_FALSE(connection->isGone());
+    }
+    SECTION("at any time after that")
+    {
+        caller.reset();
+        std::this_thread::sleep_for(milliseconds(100));
+        CHECK(connection->isGone());
+    }
+}
