A request whose rest waits in its socket is not refused as late

The time for a head or a body was judged by what had been read. After a stall of this process, or while the listener is late, the rest of the request may wait in the socket; the request got 408 although its caller had sent it in time.

While bytes wait in the socket, the time starts anew: the caller may have had to wait for room as well. A caller that sends too slowly is refused as before.

--- a/src/net/callerconnection.cpp
+++ b/src/net/callerconnection.cpp
@@ -261,7 +261,13 @@
         }
         return;
     }
-    if (now - timeoutStart_ > (framer_.isReadingBody() ? bounds_.transferTimeout : bounds_.headTimeout)) {
+    if (now - timeoutStart_ <= (framer_.isReadingBody() ? bounds_.transferTimeout : bounds_.headTimeout)) {
+        return;
+    }
+    if (hasUnreadBytes(socket_.get())) {
+        // This process is late, and not the caller, who may have had to wait until there was room for more.
+        timeoutStart_ = now;
+    } else {
         rejectInput({408, "the request did not arrive in time"});
     }
 }
--- a/tests/unit/connectionendtests.cpp
+++ b/tests/unit/connectionendtests.cpp
@@ -295,6 +295,23 @@
     CHECK(counts.answered == 0);
 }
 
+TEST_CASE("A request whose rest waits in its socket is not refused as late", "[caller][end]")
+{
+    LateReader reader;
+    RawCaller blocking(reader.address());
+    RawCaller caller(reader.address());
+    const std::string second = "POST /second HTTP/1.1\r\nHost: tablero.example\r\nContent-Length: 4\r\n\r\nbody";
+    const std::size_t readBytes = GENERATE(20, 70);
+    caller.send(LateReader::request("/first") + second.substr(0, readBytes));
+    REQUIRE(caller.readUntil("/first").find("/first") != std::string::npos);
+    reader.block(blocking);
+    caller.send(second.substr(readBytes));
+    std::this_thread::sleep_for(milliseconds(50));
+    reader.server().checkTimeouts(bootNow() + seconds(11));
+    reader.unblock();
+    CHECK(caller.readUntil("/second", 1, 5000).starts_with("HTTP/1.1 200"));
+}
+
 TEST_CASE("A connection that its caller has reset counts as gone although the reset has been read", "[caller][end]")
 {
     std::promise<std::shared_ptr<CallerConnection>> dispatched;
