Tests: an answer is not cut while its caller reads on

Whether sending makes progress is judged by what the kernel accepts, and each check sends before it judges. So neither a slow reader nor a pause of this process that is longer than the timeout cuts an answer.

--- a/tests/unit/connectionendtests.cpp
+++ b/tests/unit/connectionendtests.cpp
@@ -312,6 +312,33 @@
     CHECK(caller.readUntil("/second", 1, 5000).starts_with("HTTP/1.1 200"));
 }
 
+TEST_CASE("An answer is not cut while its caller reads on, also if this process has not run for longer than the timeout", "[caller][end]")
+{
+    constexpr Duration Timeout = milliseconds(200);
+    CallerBounds bounds;
+    bounds.transferTimeout = Timeout;
+    const std::string body = std::string(8 * 1024 * 1024, 'd') + '!';
+    CallerServer server({.address = "127.0.0.1:0", .threads = 1, .bounds = bounds}, [&body](const auto &connection, const HttpRequest &request) {
+        HttpAnswer answer;
+        answer.body = body;
+        connection->answerTo(request.number, answer, false);
+    });
+    RawCaller caller("127.0.0.1:" + std::to_string(server.port()), 64 * 1024);
+    caller.send(LateReader::request("/a"));
+    const bool hasStalled = GENERATE(false, true);
+    std::string read;
+    for (TimePoint lastCheck = bootNow(); read.find('!') == std::string::npos && server.connectionCounts().ends == decltype(ConnectionCounts::ends)();) {
+        // At this pace the whole answer takes several times the timeout.
+        read = caller.readUntil("d", 1, 10);
+        std::this_thread::sleep_for(milliseconds(10));
+        if (const TimePoint now = bootNow(); now - lastCheck > (hasStalled ? 2 * Timeout : Timeout / 10)) {
+            server.checkTimeouts(now);
+            lastCheck = now;
+        }
+    }
+    CHECK(read.find('!') != std::string::npos);
+}
+
 TEST_CASE("A connection that its caller has reset counts as gone although the reset has been read", "[caller][end]")
 {
     std::promise<std::shared_ptr<CallerConnection>> dispatched;
