Tests: reused descriptor numbers mix up no connections

The listener finds a connection by the number of its descriptor, which is used again while the duplicate of a former connection is still open.

--- a/tests/unit/connectionendtests.cpp
+++ b/tests/unit/connectionendtests.cpp
@@ -13,10 +13,15 @@
 #include <catch2/catch.hpp>
 
 #include <atomic>
+#include <filesystem>
+#include <fstream>
 #include <future>
 #include <memory>
+#include <mutex>
+#include <set>
 #include <string>
 #include <thread>
+#include <vector>
 
 using namespace Cloverbarrow;
 using namespace Cloverbarrow::Tests;
@@ -84,6 +89,19 @@
     CallerServer server_;
 };
 
+/// @return how many descriptors this process waits for with epoll.
+int watchedDescriptors()
+{
+    int count = 0;
+    for (const auto &entry : std::filesystem::directory_iterator("/proc/self/fdinfo")) {
+        std::ifstream info(entry.path());
+        for (std::string line; std::getline(info, line);) {
+            count += line.starts_with("tfd:") ? 1 : 0;
+        }
+    }
+    return count;
+}
+
 } // namespace
 
 TEST_CASE("A request that waits in its socket when its connection is to be ended is answered", "[caller][end]")
@@ -360,3 +378,43 @@
         CHECK(connection->isGone());
     }
 }
+
+TEST_CASE("The number of a closed descriptor is used again without effect on either connection", "[caller][end]")
+{
+    constexpr int Rounds = 300;
+    std::mutex mutex;
+    std::vector<std::shared_ptr<CallerConnection>> connections;
+    CallerServer server({.address = "127.0.0.1:0", .threads = 2}, [&](const auto &connection, const HttpRequest &request) {
+        {
+            // Keeps the duplicate of the descriptor open.
+            const std::lock_guard lock(mutex);
+            connections.push_back(connection);
+        }
+        if (request.target != "/held") {
+            HttpAnswer answer;
+            answer.body = request.target + ".";
+            connection->answerTo(request.number, answer, false);
+        }
+    });
+    const std::string address = "127.0.0.1:" + std::to_string(server.port());
+    const int watchedBefore = watchedDescriptors();
+    int wrongAnswers = 0;
+    for (int round = 0; round < Rounds; ++round) {
+        {
+            RawCaller gone(address);
+            gone.send(LateReader::request("/held"));
+        }
+        const std::string target = "/own" + std::to_string(round);
+        RawCaller caller(address);
+        caller.send(LateReader::request(target));
+        wrongAnswers += caller.readUntil(target + ".", 1, 5000).find(target + ".") == std::string::npos ? 1 : 0;
+    }
+    CHECK(wrongAnswers == 0);
+    for (int wait = 0; wait < 100 && watchedDescriptors() > watchedBefore; ++wait) {
+        std::this_thread::sleep_for(milliseconds(10));
+    }
+    CHECK(watchedDescriptors() <= watchedBefore);
+    const std::lock_guard lock(mutex);
+    const std::set<std::shared_ptr<CallerConnection>> distinct(connections.begin(), connections.end());
+    CHECK(distinct.size() == 2 * Rounds);
+}
