A request that waits for its quota is decided although a configuration removes all quotas

Without quotas the runner no longer ended the waits of requests that had arrived under the configuration before. If their granter did not answer, they waited for good: no service knew them, so no deadline applied. Waits are now ended as long as there are any.

--- a/src/daemon/quotarunner.cpp
+++ b/src/daemon/quotarunner.cpp
@@ -55,15 +55,18 @@
 void QuotaRunner::tick()
 {
     const TimePoint now = bootNow();
+    bool hasWaiting = false;
     {
         const std::lock_guard lock(mutex_);
-        if (now < nextIdleTick_ && !(gate_ && gate_->hasWaiting())) {
+        hasWaiting = gate_ && gate_->hasWaiting();
+        if (now < nextIdleTick_ && !hasWaiting) {
             return;
         }
         nextIdleTick_ = now + IdleTickInterval;
     }
     const QuotaPeers peers = peers_();
-    if (!peers.hasQuotas) {
+    // Requests may wait that arrived under a configuration with quotas.
+    if (!peers.hasQuotas && !hasWaiting) {
         return;
     }
     {
