A connection is not reused in the last second before its server may close it

libcurl compares the idle time of a connection in whole seconds, so connections were reused for almost a second longer than the limit that leaves a margin of a second to the time that the server announces. A request that is sent while the server closes is lost and has to be retried.

Evidence: before, a connection whose server announces 2 or 3 s was reused after 1.2 or 2.2 s; both cases fail before and pass now.

--- a/src/net/httptransfer.cpp
+++ b/src/net/httptransfer.cpp
@@ -248,7 +248,8 @@
     }
     curl_easy_setopt(easy, CURLOPT_SOCKOPTFUNCTION, prepareSocket);
     curl_easy_setopt(easy, CURLOPT_SOCKOPTDATA, &transfer);
-    curl_easy_setopt(easy, CURLOPT_MAXAGE_CONN, static_cast<long>(std::chrono::floor<seconds>(maxIdle).count()));
+    // libcurl compares whole seconds, so it reuses connections that have been idle for almost a second longer.
+    curl_easy_setopt(easy, CURLOPT_MAXAGE_CONN, std::max<long>(0, static_cast<long>(std::chrono::floor<seconds>(maxIdle).count()) - 1));
     curl_easy_setopt(easy, CURLOPT_PRIVATE, &transfer);
     setMethod(easy, transfer.call.request);
 }
--- a/tests/unit/connectionreusetests.cpp
+++ b/tests/unit/connectionreusetests.cpp
@@ -29,6 +29,12 @@
 class PartlySilentServer
 {
 public:
+    /// @param keepAlive value of the Keep-Alive header of its answers.
+    explicit PartlySilentServer(std::string keepAlive = "timeout=60")
+        : keepAlive_(std::move(keepAlive))
+    {
+    }
+
     std::string address() const
     {
         return "127.0.0.1:" + std::to_string(server_.port());
@@ -52,10 +58,11 @@
         const std::lock_guard lock(mutex_);
         connections_.push_back(connection);
         if (request.target != SilentTarget) {
-            connection->answerTo(request.number, {200, "OK", {{"Content-Length", "0"}}, ""}, false);
+            connection->answerTo(request.number, {200, "OK", {{"Content-Length", "0"}, {"Keep-Alive", keepAlive_}}, ""}, false);
         }
     }
 
+    std::string keepAlive_;
     std::mutex mutex_;
     std::vector<std::shared_ptr<CallerConnection>> connections_;
     CallerServer server_{{"127.0.0.1:0", 1, {}, {true, 1}}, [this](const auto &connection, const HttpRequest &request) { accept(connection, request); }};
@@ -100,3 +107,14 @@
     CHECK(connections[2] != connections[1]);
     CHECK(connections[1]->isGone());
 }
+
+TEST_CASE("A connection is not reused within the last second before its server may close it", "[net]")
+{
+    const int announced = GENERATE(2, 3);
+    PartlySilentServer server("timeout=" + std::to_string(announced));
+    HttpClient client(1);
+    CHECK(std::get<HttpAnswer>(get(client, 1, server, "/", seconds(5)).get()).usedNewConnection);
+    CHECK_FALSE(std::get<HttpAnswer>(get(client, 2, server, "/", seconds(5)).get()).usedNewConnection);
+    std::this_thread::sleep_for(seconds(announced - 1) + milliseconds(200));
+    CHECK(std::get<HttpAnswer>(get(client, 3, server, "/", seconds(5)).get()).usedNewConnection);
+}
