Fault soak: requests on kept connections at about the idle limit

A request that was sent 0.2 s or more before its connection ended is answered, or its caller sees a reset. In all runs, when the callers have ended, each running entry VM must account for every request that it has read: read = answered + left_by_caller + unanswered + in_flight; none in flight from callers, only what other entry VMs may wait for at a relay (changes of five collections and a proof each) from peers; unanswered and dropped_input 0.

RawCaller::isReset() also recognises a reset that reading has already reported.

--- a/tests/process/rawcaller.h
+++ b/tests/process/rawcaller.h
@@ -92,11 +92,11 @@
         return readUntil("\x01never", 1, timeoutMs);
     }
 
-    /// @return whether the other end resets the connection within @p timeoutMs.
+    /// @return whether the other end has reset the connection or resets it within @p timeoutMs. Do not call after closeSending().
     bool isReset(int timeoutMs = 5000) const
     {
         pollfd entry{socket_.get(), 0, 0};
-        return ::poll(&entry, 1, timeoutMs) > 0 && (entry.revents & POLLERR) != 0;
+        return ::poll(&entry, 1, timeoutMs) > 0 && (entry.revents & (POLLERR | POLLHUP)) != 0;
     }
 
     static int occurrences(std::string_view in, std::string_view text)
--- a/tests/soak/faultinjector.cpp
+++ b/tests/soak/faultinjector.cpp
@@ -31,6 +31,7 @@
 constexpr std::uint64_t BackoffStream = 0x6261636b;
 constexpr std::uint64_t PartitionStream = 0x70617274;
 constexpr std::uint64_t LoadStream = 0x6c6f6164;
+constexpr std::uint64_t IdleStream = 0x69646c65;
 
 using Standins::AnswerMode;
 
@@ -70,6 +71,7 @@
     , backoffRandom_(seed ^ BackoffStream)
     , partitionRandom_(seed ^ PartitionStream)
     , loadRandom_(seed ^ LoadStream)
+    , idleRandom_(seed ^ IdleStream)
 {
 }
 
@@ -79,6 +81,11 @@
     workspaceCallers_ = &callers;
 }
 
+void FaultInjector::addIdleLimits()
+{
+    hasIdleLimits_ = true;
+}
+
 milliseconds FaultInjector::injectNext()
 {
     while (!pendingEnds_.empty() && pendingEnds_.begin()->first <= Clock::now()) {
@@ -93,6 +100,7 @@
     injectLeaving();
     injectBackoff();
     injectPartition();
+    injectIdleLimit();
     injectHeavyLoad();
     return milliseconds(random_.below(MaxIntervalMs));
 }
@@ -334,6 +342,25 @@
     endLater(backoffRandom_, [this, backend] { site_.stopRejecting(backend); });
 }
 
+void FaultInjector::injectIdleLimit()
+{
+    constexpr std::size_t StepsPerFault = 4;
+    constexpr std::array Limits = {milliseconds(300), milliseconds(600), milliseconds(1000)};
+    if (!hasIdleLimits_ || idleRandom_.below(StepsPerFault) > 0) {
+        return;
+    }
+    if (idleRandom_.below(2) == 0) {
+        const milliseconds limit = Limits.at(idleRandom_.below(Limits.size()));
+        recordEvent("connections end after " + std::to_string(limit.count()) + " ms without a request");
+        site_.setIdleTimeout(limit);
+        return;
+    }
+    const std::size_t entryVm = idleRandom_.below(site_.entryVms());
+    recordEvent("entry-" + std::to_string(entryVm) + " pauses");
+    site_.signal(entryVm, SIGSTOP);
+    endLater(idleRandom_, [this, entryVm] { site_.signal(entryVm, SIGCONT); });
+}
+
 void FaultInjector::injectHeavyLoad()
 {
     constexpr std::size_t StepsPerFault = 6;
--- a/tests/soak/faultinjector.h
+++ b/tests/soak/faultinjector.h
@@ -26,11 +26,16 @@
 class FaultInjector
 {
 public:
+    static constexpr std::chrono::milliseconds InitialIdleLimit{300};
+
     FaultInjector(SoakSite &site, std::uint64_t seed);
 
     /// Injects these faults as well. @param callers must outlive the last fault.
     void addHeavyLoad(const std::vector<HeavyLoadFault> &faults, WorkspaceCallers &callers);
 
+    /// Changes the idle limit of callers' connections as well, from InitialIdleLimit on, and pauses more often.
+    void addIdleLimits();
+
     /// Ends the faults that are due and injects new ones. @return the time until the next call.
     std::chrono::milliseconds injectNext();
     /// Ends all faults and waits for the processes that are stopping.
@@ -64,6 +69,7 @@
     void injectBackoff();
     /// Partitions an entry VM, or all of an availability zone, from all backend servers.
     void injectPartition();
+    void injectIdleLimit();
     void injectHeavyLoad();
     /// Lets servers be silent when full until the returned function is called.
     std::function<void()> injectSilentServers();
@@ -87,7 +93,9 @@
     Random backoffRandom_;
     Random partitionRandom_;
     Random loadRandom_;
+    Random idleRandom_;
     std::vector<HeavyLoadFault> heavyLoadFaults_;
+    bool hasIdleLimits_ = false;
     WorkspaceCallers *workspaceCallers_ = nullptr; ///< Set if there are faults of heavy load.
     Clock::time_point start_ = Clock::now();
     Clock::time_point nextFleetRestart_ = start_; ///< Not before.
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -8,6 +8,7 @@
 #include "faultinjector.h"
 #include "heavyload.h"
 #include "invariants.h"
+#include "keptconnections.h"
 #include "soakcallers.h"
 #include "soaksite.h"
 
@@ -33,6 +34,7 @@
 ABSL_FLAG(int, entry_vms, 6, "entry VMs, each a process");
 ABSL_FLAG(int, backends, 6, "backend servers");
 ABSL_FLAG(int, callers, 12, "callers, each a thread");
+ABSL_FLAG(int, kept_connections, 0, "callers whose requests come at about the idle limit, which changes");
 ABSL_FLAG(std::vector<std::string>, heavy_load, {}, "faults of heavy load to add: surge, quota-use, silent, restart, quota");
 
 namespace
@@ -142,24 +144,36 @@
             workspaceCallers.emplace(site, observations, seed);
             schedule.addHeavyLoad(loads, *workspaceCallers);
         }
+        std::optional<KeptConnectionCallers> keptConnections;
+        if (const int count = absl::GetFlag(FLAGS_kept_connections); count > 0) {
+            schedule.addIdleLimits();
+            site.setIdleTimeout(FaultInjector::InitialIdleLimit);
+            keptConnections.emplace(site, count, seed);
+        }
         {
             const PoisonRequestCallers fatalCallers(site, seed);
             injectFaults(site, schedule, observations, result.violations);
         }
-        site.applyNextConfiguration();
+        if (keptConnections) {
+            keptConnections->stop();
+            append(result.violations, keptConnections->violations());
+            result.load = ", " + keptConnections->figures();
+        }
+        site.setIdleTimeout(DefaultIdleTimeout);
         const auto faultsEnded = std::chrono::steady_clock::now();
         append(result.violations, awaitRecovery(site));
         result.recovery = std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::steady_clock::now() - faultsEnded);
         if (workspaceCallers) {
             HeavyLoadResult checked = checkHeavyLoad(site, *workspaceCallers, observations, loads);
             append(result.violations, std::move(checked.violations));
-            result.load = ", after heavy load alone within " + std::to_string(checked.longestRecovery.count()) + " ms";
+            result.load += ", after heavy load alone within " + std::to_string(checked.longestRecovery.count()) + " ms";
         } else {
             append(result.violations, violationsUnderPoisonRequests(site));
             append(result.violations, violationsUnderEvacuation(site));
             append(result.violations, violationsUnderLimits(site));
         }
     }
+    append(result.violations, violationsOfConnectionCounts(site));
     append(result.violations, violationsAtColdServers(site));
     for (const int code : site.stopAll()) {
         if (code != 0) {
--- a/tests/soak/soaksite.cpp
+++ b/tests/soak/soaksite.cpp
@@ -405,6 +405,7 @@
         }
     }
     nlohmann::json plan = Standins::planSpecification(version_, routes);
+    plan["limits"]["idle_timeout_s"] = std::chrono::duration<double>(idleTimeout_).count();
     if (hasWorkspaces_) {
         plan["tenants"] = {tenantSpecification(LimitedWorkspace, quotas_.back().second), tenantSpecification(AmpleWorkspace, AmpleQuota)};
     }
@@ -474,6 +475,21 @@
     return dropped;
 }
 
+void SoakSite::setIdleTimeout(std::chrono::milliseconds timeout)
+{
+    {
+        const std::lock_guard lock(mutex_);
+        idleTimeout_ = timeout;
+    }
+    applyNextConfiguration();
+}
+
+std::chrono::milliseconds SoakSite::idleTimeout() const
+{
+    const std::lock_guard lock(mutex_);
+    return idleTimeout_;
+}
+
 int SoakSite::newestVersion() const
 {
     const std::lock_guard lock(mutex_);
--- a/tests/soak/soaksite.h
+++ b/tests/soak/soaksite.h
@@ -42,6 +42,8 @@
 constexpr const char *LimitedWorkspace = "limited";
 constexpr const char *AmpleWorkspace = "ample";
 constexpr WorkspaceQuota InitialQuota{10, 5}; ///< Of LimitedWorkspace.
+/// Idle limit of callers' connections, unless SoakSite::setIdleTimeout() sets another one.
+constexpr std::chrono::milliseconds DefaultIdleTimeout(15'000);
 constexpr WorkspaceQuota AmpleQuota{1000, 200};
 
 /// Identifies one process of an entry VM.
@@ -136,6 +138,9 @@
     /// @return the version.
     int applyNextConfiguration();
     int newestVersion() const;
+    /// Sets the idle limit of callers' connections in the next version of the configuration.
+    void setIdleTimeout(std::chrono::milliseconds timeout);
+    std::chrono::milliseconds idleTimeout() const;
     bool hasWorkspaces() const;
     /// Sets the quota of LimitedWorkspace in the next version of the configuration.
     void setQuota(const WorkspaceQuota &quota);
@@ -194,6 +199,7 @@
     std::set<ProcessStart> killedProcesses_;
     std::vector<Pause> pauses_;
     int version_ = 0;
+    std::chrono::milliseconds idleTimeout_ = DefaultIdleTimeout;
     bool hasWorkspaces_ = false;
     std::vector<std::pair<TimePoint, WorkspaceQuota>> quotas_ = {{TimePoint(), InitialQuota}}; ///< Of LimitedWorkspace, by the start of each.
     std::atomic<bool> isStopping_{false};
