A request that is not sent yet when the process exits is refused

Cause: at the limit of a shutdown, or at the second stop signal, the process ended without a decision on the requests that it still had. Those that waited for a server, or whose connection to a server was not established yet, ended with the process.

Callers saw a closed connection, which promises nothing, so a write was lost although it had not run.

Change: ControlShard has the services refuse what is unsent before it lets the process exit (RefuseUnsent, ProcessExiting): 503 and not executed, or 502 if an earlier attempt may have run. The daemon then stops the clients of the servers while the core still handles outcomes, so requests of attempts that were not sent are refused as well. What the process itself aborts counts as no fault of the servers, and no attempt or probe is started any more. Requests that are at a server are cut as before; payouts keep their record.

The guard on results of probes alone is not shown by a test.

--- a/src/core/controlevents.h
+++ b/src/core/controlevents.h
@@ -281,6 +281,11 @@
     bool operator==(const StopAccepting &) const = default;
 };
 
+/// Refuse the requests that have not been sent to a server, and start no more attempts.
+struct RefuseUnsent {
+    bool operator==(const RefuseUnsent &) const = default;
+};
+
 /// The process may exit.
 struct Exit {
     RemainingWork remaining;
@@ -310,6 +315,7 @@
                                    UpdateBlocklist,
                                    AnnounceClose,
                                    StopAccepting,
+                                   RefuseUnsent,
                                    Exit>;
 using ControlActions = std::vector<ControlAction>;
 
--- a/src/core/controlshard.cpp
+++ b/src/core/controlshard.cpp
@@ -289,6 +289,7 @@
     }
     if (phase == ShutdownSequence::Phase::Done && !hasExited_) {
         hasExited_ = true;
+        actions.emplace_back(RefuseUnsent{});
         actions.emplace_back(Exit{all});
     }
 }
--- a/src/core/node.cpp
+++ b/src/core/node.cpp
@@ -138,6 +138,10 @@
             notifyLeavingChanged(internal);
             continue;
         }
+        if (std::holds_alternative<RefuseUnsent>(action)) {
+            enqueueForAllServices(ProcessExiting{}, internal);
+            continue;
+        }
         if (const auto *update = std::get_if<UpdateBlocklist>(&action)) {
             distributeBlocklist(*update, internal);
             continue;
--- a/src/core/requests/serviceevents.h
+++ b/src/core/requests/serviceevents.h
@@ -236,6 +236,10 @@
     std::vector<SlowServerReport> reports;
 };
 
+/// The process is about to exit. Requests that have not been sent to a server by then will not be.
+struct ProcessExiting {
+};
+
 struct Tick {
 };
 
@@ -254,6 +258,7 @@
                                   BlocklistChanged,
                                   LimitsReported,
                                   SlowServersReported,
+                                  ProcessExiting,
                                   Tick>;
 
 // Actions
--- a/src/core/requests/serviceshard.h
+++ b/src/core/requests/serviceshard.h
@@ -113,6 +113,7 @@
     void on(TimePoint now, const BlocklistChanged &event, ServiceActions &actions);
     void on(TimePoint now, const LimitsReported &event, ServiceActions &actions);
     void on(TimePoint now, const SlowServersReported &event, ServiceActions &actions);
+    void on(TimePoint now, const ProcessExiting &event, ServiceActions &actions);
     void on(TimePoint now, const Tick &event, ServiceActions &actions);
 
     /// Processes the end of an attempt for crash detection. After a lost answer, determines by probes whether the server has crashed.
@@ -284,6 +285,12 @@
     void finishRequest(TimePoint now, Request &request, const Attempt &attempt, const AttemptEnded &event, Disposition disposition, ServiceActions &actions);
     /// @return the delay after which the caller should retry a request that was not executed, given its last attempt.
     Duration clientRetryDelay(const Attempt &attempt, const Request &request) const;
+    /// @return the refusal of a request that cannot be sent before the process exits.
+    Problem exitProblem(ExecutionStatus status) const;
+    /// Refuses the request for the exit of the process if it is at no server. @return whether it has its final answer.
+    bool refuseUnsent(const Request &request, ServiceActions &actions);
+    /// Ends an attempt that this process has aborted at its exit, which says nothing about the server.
+    void endAborted(RequestId id, int attempt, bool mayHaveExecuted, ServiceActions &actions);
     void refuse(const Request &request, Problem problem, ServiceActions &actions);
     void applyConnectionCap();
 
@@ -319,6 +326,7 @@
     std::map<RequestId, Request> requests_;
     std::deque<RequestId> queuedRequests_;
     AbandonedAttempts abandonedAttempts_;
+    bool isExiting_ = false; ///< No more attempts are started.
 };
 
 } // namespace Cloverbarrow
--- a/src/core/requests/serviceshardforwarding.cpp
+++ b/src/core/requests/serviceshardforwarding.cpp
@@ -80,6 +80,11 @@
 
 void ServiceShard::on(TimePoint now, const ForwardEnded &event, ServiceActions &actions)
 {
+    const bool isLost = std::holds_alternative<LostAnswer>(event.outcome);
+    if (isExiting_ && (isLost || std::holds_alternative<NotSent>(event.outcome))) {
+        endAborted(event.request, event.attempt, isLost, actions);
+        return;
+    }
     // The servers have rejected a request of this entry VM. Otherwise one that had rejected a forwarded request got 58 requests after the partition had ended.
     for (const ServerBackoff &backoff : event.backoffs) {
         applyBackoffNotice(now, backoff.server, BackoffRequest{backoff.remaining}, actions);
@@ -183,7 +188,7 @@
     const KindClass effectiveClass = request.unsentAttempts > 0 ? KindClass::Write : kindClass(request);
     // A forwarded request is not forwarded again, so there are no loops.
     const bool isForwardable = !request.arrival.isForwarded && !isPayout(request) && request.forwards < MaxForwards && now < request.arrival.deadline;
-    if (!isForwardable || !isPartitionedFor(now, effectiveClass)) {
+    if (isExiting_ || !isForwardable || !isPartitionedFor(now, effectiveClass)) {
         return false;
     }
     const int attemptsLeft = request.arrival.maxAttempts - sentAttempts(request);
--- a/src/core/requests/serviceshardoutcome.cpp
+++ b/src/core/requests/serviceshardoutcome.cpp
@@ -76,6 +76,10 @@
 
 void ServiceShard::on(TimePoint now, const AttemptEnded &event, ServiceActions &actions)
 {
+    if (isExiting_ && !std::holds_alternative<CompleteAnswer>(event.outcome)) {
+        endAborted(event.request, event.attempt, std::holds_alternative<LostAnswer>(event.outcome), actions);
+        return;
+    }
     auto attempt = takeRunning(event.request, event.attempt);
     if (!attempt) {
         if (const auto abandoned = abandonedAttempts_.take(event.request, event.attempt)) {
@@ -226,7 +230,8 @@
     const bool hasAttempts = request.attempts < maxAttempts(request);
     const bool isWanted = !request.isCallerGone || isPayout(request);
     const bool isTolerated = !mayCrashTooManyServers(now, request);
-    const bool isPossible = hasAttempts && !request.isHandedOver && isWanted && isTolerated && hasTimeForAttempt(now, request) && pool_.hasCandidate();
+    const bool isPossible =
+        !isExiting_ && hasAttempts && !request.isHandedOver && isWanted && isTolerated && hasTimeForAttempt(now, request) && pool_.hasCandidate();
     const bool isFree = isUnsent && probesBeforeChoice();
     return isPossible && (isFree || retryBudget_.take(now));
 }
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -58,11 +58,17 @@
         {
             const std::lock_guard lock(remainingWorkMutex_);
             if (remainingWork_) {
-                return *remainingWork_;
+                break;
             }
         }
         std::this_thread::sleep_for(TickInterval);
     }
+    // The core still refuses the requests of attempts that were not sent.
+    backendClient_.stop();
+    if (forwardClient_) {
+        forwardClient_->stop();
+    }
+    return *remainingWork_;
 }
 
 void Daemon::handle(NodeEvent event)
@@ -191,6 +197,10 @@
             daemon.gateway_->stopAccepting();
             daemon.callerServer_->closeConnections();
         }
+        void operator()(const RefuseUnsent &) const
+        {
+            // Handled inside the core.
+        }
         void operator()(const Exit &typed) const
         {
             const std::lock_guard lock(daemon.remainingWorkMutex_);
--- a/tests/process/faulttests.cpp
+++ b/tests/process/faulttests.cpp
@@ -13,6 +13,7 @@
 #include <algorithm>
 #include <csignal>
 #include <future>
+#include <stdexcept>
 #include <thread>
 
 using namespace Cloverbarrow;
@@ -41,6 +42,35 @@
     return false;
 }
 
+/// A listener whose queue is full, so that no further connection to it is established.
+class SilentListener
+{
+public:
+    SilentListener()
+    {
+        sockaddr_in local{};
+        local.sin_family = AF_INET;
+        local.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        socklen_t size = sizeof local;
+        if (::bind(socket_.get(), reinterpret_cast<const sockaddr *>(&local), size) != 0 || ::listen(socket_.get(), 0) != 0) {
+            throw std::runtime_error("listen");
+        }
+        ::getsockname(socket_.get(), reinterpret_cast<sockaddr *>(&local), &size);
+        port_ = ntohs(local.sin_port);
+        filler_.emplace(address());
+    }
+
+    std::string address() const
+    {
+        return "127.0.0.1:" + std::to_string(port_);
+    }
+
+private:
+    Descriptor socket_{::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0)};
+    std::uint16_t port_ = 0;
+    std::optional<RawCaller> filler_;
+};
+
 std::size_t liveCount(const Wire::Status &status)
 {
     std::size_t count = 0;
@@ -357,6 +387,44 @@
     }
 }
 
+TEST_CASE("A request that has not been sent when the process exits is refused as not executed", "[process][shutdown]")
+{
+    Fleet fleet(1);
+    constexpr auto Arrival = std::chrono::milliseconds(300);
+    const auto exitAtOnce = [&fleet] {
+        fleet.entryVm("entry-1").signal(SIGTERM);
+        CHECK(eventually([&] { return !fleet.isReady("entry-1"); }));
+        fleet.entryVm("entry-1").signal(SIGTERM);
+    };
+    SECTION("while it waits for a server")
+    {
+        fleet.startAll({"entry-1"}, "    limits: {connections_per_server: 1}\n");
+        fleet.setBehaviour(1, R"({"service_us":4000000})");
+        auto running = std::async(std::launch::async, [&fleet] { return fleet.get("entry-1", "/state/a", {{"X-Id", "a"}}); });
+        CHECK(eventually([&] { return fleet.logMatchCount("id=a") == 1; }));
+        auto waiting = std::async(std::launch::async, [&fleet] { return fleet.get("entry-1", "/state/b", {{"X-Id", "b"}}); });
+        std::this_thread::sleep_for(Arrival);
+        exitAtOnce();
+        CHECK(hasOutcome(waiting.get(), 503, "not-run"));
+        running.get();
+        CHECK(fleet.logMatchCount("id=b") == 0);
+    }
+    SECTION("while its connection to a server is being opened")
+    {
+        const SilentListener silent;
+        std::string document = fleet.document();
+        document.replace(document.find(fleet.backendAddress(1)), fleet.backendAddress(1).size(), silent.address());
+        fleet.startEntryVm("entry-1");
+        fleet.apply("entry-1", document, 0);
+        CHECK(eventually([&] { return fleet.isReady("entry-1"); }));
+        auto connecting = std::async(std::launch::async, [&fleet] { return fleet.get("entry-1", "/state/a"); });
+        std::this_thread::sleep_for(Arrival);
+        exitAtOnce();
+        CHECK(hasOutcome(connecting.get(), 503, "not-run"));
+    }
+    CHECK(fleet.entryVm("entry-1").wait() == 3);
+}
+
 TEST_CASE("Entry VMs discover each other and detect a shut down or frozen peer", "[process][membership]")
 {
     Fleet fleet;
--- a/tests/support/describe.cpp
+++ b/tests/support/describe.cpp
@@ -238,6 +238,10 @@
     {
         return "stop accepting";
     }
+    std::string operator()(const RefuseUnsent &) const
+    {
+        return "refuse unsent";
+    }
     std::string operator()(const Exit &action) const
     {
         return "exit with " + std::to_string(action.remaining.requests) + " requests and " + std::to_string(action.remaining.payouts) + " payouts left";
--- a/tests/unit/forwardingtests.cpp
+++ b/tests/unit/forwardingtests.cpp
@@ -402,6 +402,23 @@
     CHECK_FALSE(decoded->takesBackoffs);
 }
 
+TEST_CASE("A request that has not reached its peer when the process exits is refused as not executed", "[forward][shutdown]")
+{
+    ForwardingShard shard;
+    shard.partition();
+    shard.arrive(1, KindClass::Write);
+    shard.arrive(2, KindClass::Write);
+    REQUIRE(shard.forwards.size() == 2);
+    shard.handle(ProcessExiting{});
+    shard.handle(ForwardEnded{1, shard.forwards[0].attempt, NotSent{"shutting down"}});
+    shard.handle(ForwardEnded{2, shard.forwards[1].attempt, LostAnswer{"aborted", false}});
+    CHECK(shard.forwards.size() == 2);
+    REQUIRE(shard.refusals.size() == 1);
+    CHECK(shard.refusals.front().request == 1);
+    CHECK(shard.refusals.front().problem.status == 503);
+    CHECK(shard.refusals.front().problem.executionStatus == ExecutionStatus::NotExecuted);
+}
+
 TEST_CASE("An entry VM of an earlier release, which does not know forwarded requests, has executed nothing", "[forward]")
 {
     HttpAnswer answer;
