A process that stops waits for requests that are in no service yet

Cause: the work that a shutdown waits for was counted in the services. A request that waits for its workspace's quota has been read and is in no service yet, and neither is one that another thread is about to route when the process stops accepting. The process exited without them.

Callers of such requests saw a closed connection.

Change: the gateway counts its open exchanges and the requests that threads are about to route, before it reads whether requests are accepted, and the daemon waits for these as well.

The request that is about to be routed was found by reading; no test shows it.

--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -292,6 +292,8 @@
     if (isControl) {
         RemainingWork remaining = node_->remainingWork();
         if (handledStopRequests_ > 0) {
+            // Some requests have been read and are in no service yet: they wait for a quota, or another thread is about to route them.
+            remaining.requests = std::max(remaining.requests, gateway_->openRequests());
             // A request is complete only when the last byte of its answer has been sent.
             remaining.requests += callerServer_->unfinishedConnections() + (directory_ ? directory_->unfinishedConnections() : 0);
             // Crash reports that the store does not hold would be lost with this process. An entry VM that had seen a request crash three servers was once
--- a/src/daemon/gateway.cpp
+++ b/src/daemon/gateway.cpp
@@ -67,6 +67,7 @@
 
 void Gateway::accept(const std::shared_ptr<CallerConnection> &connection, HttpRequest request)
 {
+    const CountScope arrival(arrivals_);
     const TimePoint now = bootNow();
     if (isAccepting_ && (node_.intent() ? holdAfterStall(now, connection, request) : holdUntilReady(now, connection, request))) {
         return;
@@ -411,6 +412,13 @@
     return openExchanges_ > 0;
 }
 
+std::size_t Gateway::openRequests() const
+{
+    // In this order, as a request counts as an arrival until it is an open exchange.
+    const auto arrivals = static_cast<std::size_t>(arrivals_.load());
+    return arrivals + static_cast<std::size_t>(openExchanges_.load());
+}
+
 void Gateway::startAttempt(const ActionOfService &serviceAction, const StartAttempt &action)
 {
     std::optional<HttpCall> call;
--- a/src/daemon/gateway.h
+++ b/src/daemon/gateway.h
@@ -82,8 +82,30 @@
     void checkCallers();
     /// @return whether any caller is waiting for an answer.
     bool hasOpenExchanges() const;
+    /// @return requests that callers are waiting for, with those that other threads are about to route or to refuse.
+    std::size_t openRequests() const;
 
 private:
+    /// Counts something while it exists.
+    class CountScope
+    {
+    public:
+        explicit CountScope(std::atomic<int> &count)
+            : count_(count)
+        {
+            ++count_;
+        }
+        ~CountScope()
+        {
+            --count_;
+        }
+        CountScope(const CountScope &) = delete;
+        CountScope &operator=(const CountScope &) = delete;
+
+    private:
+        std::atomic<int> &count_;
+    };
+
     struct RequestedBackoff {
         std::string server;
         TimePoint until;
@@ -180,6 +202,7 @@
     std::atomic<HttpCallId> nextProbeCall_;
     std::atomic<bool> isAccepting_{true};
     std::atomic<int> openExchanges_{0};
+    std::atomic<int> arrivals_{0}; ///< Requests that threads are about to route or to refuse. Counted before isAccepting_ is read.
     std::mutex splitterMutex_;
     TrafficSplitter splitter_;
     std::array<Shard, ShardCount> shards_;
--- a/src/daemon/gatewayforwarding.cpp
+++ b/src/daemon/gatewayforwarding.cpp
@@ -150,6 +150,7 @@
 
 void Gateway::acceptForwarded(const std::shared_ptr<CallerConnection> &connection, HttpRequest request)
 {
+    const CountScope arrival(arrivals_);
     const TimePoint now = bootNow();
     const TimePoint arrivedAt = now - request.waited;
     const auto forwarded = decodeForwardedRequest(findHeader(request.headers, ForwardHeader).value_or(""));
--- a/tests/platform/pathtests.cpp
+++ b/tests/platform/pathtests.cpp
@@ -489,6 +489,23 @@
     CHECK(eventually(isExhausted));
 }
 
+TEST_CASE("A request that waits for its quota when the process is asked to stop is answered", "[platform][path][workspace][shutdown]")
+{
+    PathFixture fixture;
+    fixture.configureWorkspace(2, Json::array({"secret-1"}), 1000);
+    REQUIRE(eventually([&fixture] {
+        const auto answer = fixture.sendWithKey("unknown", "id-0");
+        return answer && answer->status == 401;
+    }));
+    // There is no relay to grant it, so the request waits for longer than the notice of the shutdown.
+    RawCaller caller(fixture.callerAddress());
+    caller.send("GET /read/1 HTTP/1.1\r\nHost: a.example\r\nX-Cloverbarrow-Request-Id: id-1\r\nX-Cloverbarrow-Deadline-Ms: 4000\r\n"
+                "Authorization: Bearer secret-1\r\n\r\n");
+    fixture.entryVm->signal(SIGTERM);
+    CHECK(caller.readAll().starts_with("HTTP/1.1 "));
+    CHECK(fixture.entryVm->wait() == 0);
+}
+
 TEST_CASE("An invalid object of another writer ends no entry VM and is the only one that is not used", "[platform][path][servers]")
 {
     constexpr std::size_t Depth = 100'000;
