--- a/src/net/callerconnection.cpp
+++ b/src/net/callerconnection.cpp
@@ -505,7 +505,7 @@
     }
     end_ = reason;
     const auto status = tcpStatus(socket_.get());
-    const UnfinishedInput unfinished{pending_.size(), input_.size() + framer_.bodyBytes(), !output_.isEmpty()};
+    const UnfinishedWork unfinished{pending_.size(), input_.size() + framer_.bodyBytes(), !output_.isEmpty()};
     options_.monitor->connectionEnded(reason, unfinished, status ? status->sinceLastData : Duration(0));
 }
 
--- a/src/net/connectionmonitor.cpp
+++ b/src/net/connectionmonitor.cpp
@@ -54,7 +54,7 @@
     --counts_.inFlight;
 }
 
-void ConnectionMonitor::connectionEnded(ConnectionEnd end, const UnfinishedInput &unfinished, Duration sinceLastByte)
+void ConnectionMonitor::connectionEnded(ConnectionEnd end, const UnfinishedWork &unfinished, Duration sinceLastByte)
 {
     {
         const std::lock_guard lock(mutex_);
--- a/src/net/connectionmonitor.h
+++ b/src/net/connectionmonitor.h
@@ -38,7 +38,7 @@
 std::string_view nameOf(ConnectionEnd end);
 
 /// What was unfinished on a connection when it ended.
-struct UnfinishedInput {
+struct UnfinishedWork {
     std::size_t unanswered = 0; ///< Requests that were dispatched and have no answer.
     std::size_t undispatchedBytes = 0; ///< Bytes that were read and belong to no dispatched request.
     bool isAnswerCut = false; ///< Whether an answer was sent in part only.
@@ -70,7 +70,7 @@
     void requestRead();
     void requestAnswered();
     /// @param sinceLastByte time since the kernel received the last byte from the caller.
-    void connectionEnded(ConnectionEnd end, const UnfinishedInput &unfinished, Duration sinceLastByte);
+    void connectionEnded(ConnectionEnd end, const UnfinishedWork &unfinished, Duration sinceLastByte);
     /// Bytes were read after the end of a connection. @param wasAnnounced whether an answer had announced the end.
     void inputDropped(ConnectionEnd end, bool wasAnnounced, std::size_t bytes, Duration sinceEnd);
 
--- a/tests/unit/connectionendtests.cpp
+++ b/tests/unit/connectionendtests.cpp
@@ -18,6 +18,7 @@
 #include <future>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <set>
 #include <string>
 #include <thread>
@@ -102,6 +103,35 @@
     return count;
 }
 
+/// A TCP connection whose test also plays the thread that reads from the socket.
+class AcceptedCaller
+{
+public:
+    AcceptedCaller()
+    {
+        sockaddr_in local{};
+        local.sin_family = AF_INET;
+        local.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        socklen_t size = sizeof local;
+        REQUIRE(::bind(listener_.get(), reinterpret_cast<const sockaddr *>(&local), size) == 0);
+        REQUIRE(::listen(listener_.get(), 1) == 0);
+        REQUIRE(::getsockname(listener_.get(), reinterpret_cast<sockaddr *>(&local), &size) == 0);
+        caller.emplace("127.0.0.1:" + std::to_string(ntohs(local.sin_port)));
+        const Descriptor accepted(::accept(listener_.get(), nullptr, nullptr));
+        CallerConnection::Options options;
+        options.treatsHalfCloseAsClosed = true;
+        connection = std::make_shared<CallerConnection>(
+            accepted.get(), idleBounds(), options, [this](const auto &, const HttpRequest &request) { number = request.number; });
+    }
+
+    std::optional<RawCaller> caller;
+    std::shared_ptr<CallerConnection> connection;
+    std::uint64_t number = 0; ///< Of the last request.
+
+private:
+    Descriptor listener_{::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0)};
+};
+
 } // namespace
 
 TEST_CASE("A request that waits in its socket when its connection is to be ended is answered", "[caller][end]")
@@ -151,6 +181,29 @@
     CHECK(caller.closes);
 }
 
+TEST_CASE("A caller that leaves is noticed although its request was read after its connection's input was closed", "[caller][end]")
+{
+    AcceptedCaller accepted;
+    accepted.connection->checkTimeouts(bootNow() + IdleLimit + seconds(1));
+    accepted.connection->received(LateReader::request("/a"), bootNow());
+    accepted.connection->inputEnded();
+    REQUIRE(accepted.number != 0);
+    CHECK_FALSE(accepted.connection->isGone());
+    SECTION("before it has its answer")
+    {
+        accepted.caller.reset();
+        CHECK(accepted.connection->isGone());
+    }
+    SECTION("after it has its answer")
+    {
+        accepted.connection->answerTo(accepted.number, HttpAnswer(), false);
+        CHECK(accepted.caller->readAll(5000).find("Connection: close") != std::string::npos);
+        accepted.caller.reset();
+        accepted.connection->checkTimeouts(bootNow());
+        CHECK(accepted.connection->isClosed());
+    }
+}
+
 TEST_CASE("What arrives on a connection after its end is not read, and the caller sees a reset", "[caller][end]")
 {
     LateReader reader;
