One reader of TCP_INFO, one listener for tests, a name for the announced share

Cause: the work on ended connections read TCP_INFO in two places, three tests had the same lines to open a listener, and the announced part of the idle limit was a bare fraction. Change: TcpStatus tells whether the other end has closed; LoopbackListener is used by all three; AnnouncedIdlePercent. No behaviour changes.

--- a/src/net/callerconnection.cpp
+++ b/src/net/callerconnection.cpp
@@ -31,6 +31,8 @@
 constexpr std::size_t MaxIdleInput = 4 * 1024;
 // Bytes that a caller may send ahead while requests are in flight; beyond that the connection closes after their answers.
 constexpr std::size_t MaxPipelinedBytes = 256 * 1024;
+// Share of the idle limit that is announced to callers: a request that is sent at its end arrives before the connection is ended, also on a slow link.
+constexpr int AnnouncedIdlePercent = 80;
 
 /// @return whether the request that starts with @p input has a safe method (RFC 9110), so that it may be processed in parallel with others.
 bool isSafeRequest(std::string_view input)
@@ -232,7 +234,7 @@
         checkReadTimeouts(now);
         break;
     case State::Lingering:
-        if (hasReaderEnded_ && hasPeerClosed(socket_.get())) {
+        if (hasReaderEnded_ && hasPeerClosed()) {
             closeLocked(closeReason_);
         } else if (now - timeoutStart_ > bounds_.transferTimeout) {
             closeLocked(ConnectionEnd::NoProgress);
@@ -277,8 +279,7 @@
     if (!bounds_.idleTimeout) {
         return std::nullopt;
     }
-    // A request that is sent at the end of the announced time arrives before the connection is ended, also on a slow link.
-    const auto announced = std::chrono::floor<std::chrono::seconds>(*bounds_.idleTimeout * 4 / 5);
+    const auto announced = std::chrono::floor<std::chrono::seconds>(*bounds_.idleTimeout * AnnouncedIdlePercent / 100);
     return announced.count() > 0 ? std::optional(announced) : std::nullopt;
 }
 
@@ -288,6 +289,12 @@
     return bounds_.idleTimeout && now - timeoutStart_ > std::max(idleTimeout_.value_or(Duration(0)), *bounds_.idleTimeout);
 }
 
+bool CallerConnection::hasPeerClosed() const
+{
+    const auto status = tcpStatus(socket_.get());
+    return status && status->hasPeerClosed;
+}
+
 bool CallerConnection::isClosed() const
 {
     const std::lock_guard lock(mutex_);
@@ -313,7 +320,7 @@
     if (!socket_.isOpen() || (hasInputEnded_ && options_.treatsHalfCloseAsClosed)) {
         return true;
     }
-    if (hasReaderEnded_ && options_.treatsHalfCloseAsClosed && hasPeerClosed(socket_.get())) {
+    if (hasReaderEnded_ && options_.treatsHalfCloseAsClosed && hasPeerClosed()) {
         return true;
     }
     pollfd entry{socket_.get(), 0, 0};
--- a/src/net/callerconnection.h
+++ b/src/net/callerconnection.h
@@ -113,6 +113,8 @@
 
     bool isIdle() const;
     bool hasPartialRequest() const;
+    /// @return whether the caller has closed its sending half; false if that is not known.
+    bool hasPeerClosed() const;
     /// @return how long the caller may use the connection after an answer; nothing if that is not limited or less than a second.
     std::optional<std::chrono::seconds> announcedIdleTimeout() const;
     bool isIdleTooLong(TimePoint now) const;
--- a/src/net/tcpstatus.cpp
+++ b/src/net/tcpstatus.cpp
@@ -18,6 +18,22 @@
 namespace Cloverbarrow
 {
 
+namespace
+{
+
+/// The states of TCP in which the other end has closed its sending half. <linux/tcp.h> does not name them.
+bool isPeerClosedState(int state)
+{
+    constexpr int TimeWait = 6;
+    constexpr int Close = 7;
+    constexpr int CloseWait = 8;
+    constexpr int LastAck = 9;
+    constexpr int Closing = 11;
+    return state == TimeWait || state == Close || state == CloseWait || state == LastAck || state == Closing;
+}
+
+} // namespace
+
 std::optional<TcpStatus> tcpStatus(int fd)
 {
     tcp_info info{};
@@ -26,7 +42,7 @@
     if (!isKnown || size < offsetof(tcp_info, tcpi_bytes_received) + sizeof info.tcpi_bytes_received) {
         return std::nullopt;
     }
-    return TcpStatus{milliseconds(info.tcpi_last_data_recv), info.tcpi_bytes_received};
+    return TcpStatus{milliseconds(info.tcpi_last_data_recv), info.tcpi_bytes_received, isPeerClosedState(info.tcpi_state)};
 }
 
 bool hasUnreadBytes(int fd)
@@ -35,20 +51,4 @@
     return ::ioctl(fd, FIONREAD, &count) == 0 && count > 0;
 }
 
-bool hasPeerClosed(int fd)
-{
-    // The states of TCP, which <linux/tcp.h> does not name.
-    constexpr int CloseWait = 8;
-    constexpr int Closed = 7;
-    constexpr int TimeWait = 6;
-    constexpr int LastAck = 9;
-    constexpr int Closing = 11;
-    tcp_info info{};
-    socklen_t size = sizeof info;
-    if (::getsockopt(fd, IPPROTO_TCP, TCP_INFO, &info, &size) != 0) {
-        return false;
-    }
-    return info.tcpi_state == CloseWait || info.tcpi_state == Closed || info.tcpi_state == TimeWait || info.tcpi_state == LastAck || info.tcpi_state == Closing;
-}
-
 } // namespace Cloverbarrow
--- a/src/net/tcpstatus.h
+++ b/src/net/tcpstatus.h
@@ -19,6 +19,7 @@
 struct TcpStatus {
     Duration sinceLastData{0}; ///< Time since the kernel last received data, in whole milliseconds. The data may not have been read yet.
     std::uint64_t bytesReceived = 0; ///< Since the connection was opened, whether or not they have been read.
+    bool hasPeerClosed = false; ///< The other end has closed its sending half.
 };
 
 /// @return nothing if @p fd is no TCP socket, or its kernel does not have these values.
@@ -26,7 +27,5 @@
 
 /// @return whether bytes have arrived at the socket that have not been read.
 bool hasUnreadBytes(int fd);
-/// @return whether the other end of a TCP connection has closed its sending half; false if that is not known.
-bool hasPeerClosed(int fd);
 
 } // namespace Cloverbarrow
--- a/tests/process/faulttests.cpp
+++ b/tests/process/faulttests.cpp
@@ -6,6 +6,7 @@
 */
 
 #include "fleet.h"
+#include "loopbacklistener.h"
 #include "rawcaller.h"
 
 #include <catch2/catch.hpp>
@@ -46,29 +47,14 @@
 class SilentListener
 {
 public:
-    SilentListener()
+    const std::string &address() const
     {
-        sockaddr_in local{};
-        local.sin_family = AF_INET;
-        local.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-        socklen_t size = sizeof local;
-        if (::bind(socket_.get(), reinterpret_cast<const sockaddr *>(&local), size) != 0 || ::listen(socket_.get(), 0) != 0) {
-            throw std::runtime_error("listen");
-        }
-        ::getsockname(socket_.get(), reinterpret_cast<sockaddr *>(&local), &size);
-        port_ = ntohs(local.sin_port);
-        filler_.emplace(address());
-    }
-
-    std::string address() const
-    {
-        return "127.0.0.1:" + std::to_string(port_);
+        return listener_.address();
     }
 
 private:
-    Descriptor socket_{::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0)};
-    std::uint16_t port_ = 0;
-    std::optional<RawCaller> filler_;
+    LoopbackListener listener_{0};
+    RawCaller filler_{listener_.address()};
 };
 
 std::size_t liveCount(const Wire::Status &status)
--- a/tests/unit/connectionendtests.cpp
+++ b/tests/unit/connectionendtests.cpp
@@ -6,6 +6,7 @@
 */
 
 #include "connectedcaller.h"
+#include "loopbacklistener.h"
 #include "rawcaller.h"
 
 #include "net/callerserver.h"
@@ -109,15 +110,8 @@
 public:
     AcceptedCaller()
     {
-        sockaddr_in local{};
-        local.sin_family = AF_INET;
-        local.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-        socklen_t size = sizeof local;
-        REQUIRE(::bind(listener_.get(), reinterpret_cast<const sockaddr *>(&local), size) == 0);
-        REQUIRE(::listen(listener_.get(), 1) == 0);
-        REQUIRE(::getsockname(listener_.get(), reinterpret_cast<sockaddr *>(&local), &size) == 0);
-        caller.emplace("127.0.0.1:" + std::to_string(ntohs(local.sin_port)));
-        const Descriptor accepted(::accept(listener_.get(), nullptr, nullptr));
+        caller.emplace(listener_.address());
+        const Descriptor accepted(::accept(listener_.fd(), nullptr, nullptr));
         CallerConnection::Options options;
         options.treatsHalfCloseAsClosed = true;
         connection = std::make_shared<CallerConnection>(
@@ -129,7 +123,7 @@
     std::uint64_t number = 0; ///< Of the last request.
 
 private:
-    Descriptor listener_{::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0)};
+    LoopbackListener listener_{1};
 };
 
 } // namespace
--- a/tests/unit/faultyanswertests.cpp
+++ b/tests/unit/faultyanswertests.cpp
@@ -5,13 +5,13 @@
     SPDX-License-Identifier: Apache-2.0
 */
 
+#include "loopbacklistener.h"
+
 #include "net/descriptor.h"
 #include "net/httpclient.h"
 
 #include <catch2/catch.hpp>
 
-#include <arpa/inet.h>
-#include <netinet/in.h>
 #include <sys/socket.h>
 
 #include <algorithm>
@@ -24,6 +24,7 @@
 #include <vector>
 
 using namespace Cloverbarrow;
+using namespace Cloverbarrow::Tests;
 
 namespace
 {
@@ -69,22 +70,13 @@
 public:
     explicit RawServer(RawAnswer bytes)
         : bytes_(std::move(bytes))
-        , listener_(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0))
+        , thread_([this] { serve(); })
     {
-        sockaddr_in address{};
-        address.sin_family = AF_INET;
-        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-        socklen_t size = sizeof address;
-        REQUIRE(::bind(listener_.get(), reinterpret_cast<const sockaddr *>(&address), size) == 0);
-        REQUIRE(::listen(listener_.get(), 1) == 0);
-        REQUIRE(::getsockname(listener_.get(), reinterpret_cast<sockaddr *>(&address), &size) == 0);
-        address_ = "127.0.0.1:" + std::to_string(ntohs(address.sin_port));
-        thread_ = std::thread([this] { serve(); });
     }
 
     ~RawServer()
     {
-        ::shutdown(listener_.get(), SHUT_RDWR);
+        ::shutdown(listener_.fd(), SHUT_RDWR);
         thread_.join();
     }
 
@@ -93,7 +85,7 @@
 
     const std::string &address() const
     {
-        return address_;
+        return listener_.address();
     }
 
     /// Waits until the client has closed the connection. @return the number of bytes sent.
@@ -105,7 +97,7 @@
 private:
     void serve()
     {
-        const Descriptor connection(::accept4(listener_.get(), nullptr, nullptr, SOCK_CLOEXEC));
+        const Descriptor connection(::accept4(listener_.fd(), nullptr, nullptr, SOCK_CLOEXEC));
         std::size_t sent = 0;
         for (const std::string &start : bytes_.starts) {
             std::array<char, 4096> request{};
@@ -137,8 +129,7 @@
     }
 
     RawAnswer bytes_;
-    Descriptor listener_;
-    std::string address_;
+    LoopbackListener listener_{1};
     std::promise<std::size_t> sent_;
     std::thread thread_;
 };
