Fault soak: evidence on a server that is not used after its limit has ended

The output did not tell whether the limit was heard at all, and the logs were not kept. Change: the violation tells how many requests the server executed while limited and afterwards, and the last lines of the entry VMs on limits are printed. The check and its bound are unchanged.

--- a/tests/soak/invariants.cpp
+++ b/tests/soak/invariants.cpp
@@ -333,6 +333,12 @@
 std::vector<Violation> violationsUnderLimits(SoakSite &site)
 {
     constexpr std::array<std::size_t, 2> Limited = {0, 1};
+    const auto executionCounts = [&site, &Limited] {
+        std::array<std::size_t, Limited.size()> counts{};
+        std::transform(Limited.begin(), Limited.end(), counts.begin(), [&site](std::size_t backend) { return site.executionCountAt(backend); });
+        return counts;
+    };
+    const auto atStart = executionCounts();
     for (const std::size_t backend : Limited) {
         site.announceLimit(backend, std::to_string(AnnouncedLimit));
     }
@@ -349,10 +355,14 @@
     }
     // After its limit has ended, a server may get no requests for a moment while others have free capacity.
     const TimePoint unlimitedFrom = bootNow();
+    const auto atEnd = executionCounts();
     std::this_thread::sleep_for(PropagationTime + LimitMargin);
-    for (const std::size_t backend : Limited) {
+    for (std::size_t index = 0; index < Limited.size(); ++index) {
+        const std::size_t backend = Limited.at(index);
         if (site.maxExecutionsAt(backend, LimitMargin, unlimitedFrom) <= static_cast<int>(AnnouncedLimit)) {
-            violations.push_back({"a server whose limit has ended is used again", "backend server " + std::to_string(backend)});
+            violations.push_back({"a server whose limit has ended is used again",
+                                  "backend server " + std::to_string(backend) + " executed " + std::to_string(atEnd.at(index) - atStart.at(index))
+                                      + " while limited and " + std::to_string(site.executionCountAt(backend) - atEnd.at(index)) + " afterwards"});
         }
     }
     return violations;
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -19,6 +19,7 @@
 #include <algorithm>
 #include <atomic>
 #include <csignal>
+#include <deque>
 #include <filesystem>
 #include <fstream>
 #include <iostream>
@@ -45,6 +46,7 @@
 
 constexpr std::size_t StepsPerViolationCheck = 20;
 constexpr auto VersionCheckInterval = std::chrono::milliseconds(20);
+constexpr std::size_t PrintedLimitLines = 8; // Of each log.
 
 std::string makeFolder()
 {
@@ -200,6 +202,27 @@
     return result;
 }
 
+/// Prints what the entry VMs last logged of request limits, because the folder is not kept everywhere.
+void printLimitLog(const std::string &folder)
+{
+    for (const auto &file : std::filesystem::directory_iterator(folder)) {
+        std::ifstream log(file.path());
+        std::deque<std::string> lines;
+        for (std::string line; std::getline(log, line);) {
+            if (line.find("\"part\":\"limits\"") == std::string::npos) {
+                continue;
+            }
+            lines.push_back(line);
+            if (lines.size() > PrintedLimitLines) {
+                lines.pop_front();
+            }
+        }
+        for (const std::string &line : lines) {
+            std::cout << "  " << line << "\n";
+        }
+    }
+}
+
 std::vector<std::uint64_t> seedsToRun()
 {
     std::vector<std::uint64_t> seeds;
@@ -236,6 +259,7 @@
         std::filesystem::remove_all(result.folder);
         return true;
     }
+    printLimitLog(result.folder);
     std::cout << "  logs and journal: " << result.folder << std::endl;
     return false;
 }
