A request whose server reads its body late is not broken off

What callers saw: payments of 4 MB whose servers read on after 3 s got 502 "Failed sending data to the peer" after some 2.5 s. Cause: TCP_USER_TIMEOUT (2 s) also limits how long the peer's receive window may stay closed, although the peer answers each probe. Class: a peer that is busy is taken for one that has gone. Change: while a request waits for its peer to read, the option is taken off for the rest of the request, and the client ends it if the peer acknowledges nothing for 2 s (net/receivewindow). All users of HttpClient gain: servers, entry VMs, relays, the store. Since an option is now set on the socket that a reused connection is looked up by, the look-up uses both ends of a connection instead of its local port, which several peers may share, and forgets closed connections (ConnectionSockets). Evidence: unit test [window], a server that reads after 4 s, its answer first or last: failed in both sections without the change, passes with it; so does one that reads in small pieces with pauses. A server whose kernel drops all segments 1 s or 5 s after its window has closed ends the request 2.0 s later.

--- a/src/net/httpclient.cpp
+++ b/src/net/httpclient.cpp
@@ -9,6 +9,7 @@
 
 #include "core/support/stablehash.h"
 #include "core/support/text.h"
+#include "net/bootclock.h"
 #include "net/httptransfer.h"
 #include "net/log.h"
 #include "net/signalstack.h"
@@ -26,6 +27,8 @@
 {
 
 constexpr int PollMs = 1000;
+// With PollMs, each connection is looked at within UserTimeout.
+constexpr Duration WindowCheckInterval = milliseconds(250);
 constexpr long MaxIdleConnections = 4096;
 constexpr std::size_t MaxSpareHandles = 256;
 // Used until a server announces its own idle timeout; shorter than the usual default of servers.
@@ -136,6 +139,7 @@
             curl_multi_perform(multi_.get(), &running);
             finishCompleted();
             finishFlooded();
+            finishSilent();
             curl_multi_poll(multi_.get(), nullptr, 0, PollMs, nullptr);
         }
         while (!transfers_.empty()) {
@@ -239,6 +243,25 @@
         }
     }
 
+    /// Ends transfers whose peers have gone while they were not reading the request.
+    void finishSilent()
+    {
+        const TimePoint now = bootNow();
+        if (now - windowsCheckedAt_ < WindowCheckInterval) {
+            return;
+        }
+        windowsCheckedAt_ = now;
+        std::vector<Transfer *> silent;
+        for (const auto &[id, transfer] : transfers_) {
+            if (isPeerSilent(*transfer)) {
+                silent.push_back(transfer.get());
+            }
+        }
+        for (Transfer *transfer : silent) {
+            finish(*transfer, CURLE_SEND_ERROR);
+        }
+    }
+
     void finish(Transfer &finished, CURLcode code)
     {
         auto node = transfers_.extract(finished.id);
@@ -258,6 +281,7 @@
 
     Log log_;
     std::shared_ptr<MemoryBudget> memory_;
+    ConnectionSockets sockets_; // Accessed only by the worker's thread, and when libcurl closes its connections.
     MultiHandle multi_;
     std::mutex mutex_;
     std::deque<std::unique_ptr<Transfer>> queue_;
@@ -269,8 +293,8 @@
     std::map<HttpCallId, std::unique_ptr<Transfer>> transfers_;
     std::vector<EasyHandle> spare_;
     std::map<std::string, Duration> idleTimeouts_;
-    SocketsByPort sockets_;
     unsigned iterations_ = 0;
+    TimePoint windowsCheckedAt_;
     std::thread thread_;
 };
 
--- a/src/net/httptransfer.cpp
+++ b/src/net/httptransfer.cpp
@@ -8,11 +8,13 @@
 #include "net/httptransfer.h"
 
 #include "core/support/httpstatus.h"
+#include "net/receivewindow.h"
 #include "net/tcpstatus.h"
 
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <sys/socket.h>
+#include <unistd.h>
 
 #include <algorithm>
 
@@ -26,8 +28,10 @@
 constexpr std::size_t MaxAnswerHead = 64 * 1024;
 // A chunked body takes more bytes on the connection than its content.
 constexpr std::size_t MaxFramingFactor = 2;
-// A peer that does not acknowledge sent data for this long is cut off or powered off.
-constexpr int UserTimeoutMs = 2000;
+// Longest interval between probes of a closed window, with TCP_RTO_MAX_MS (Linux 6.15), which <netinet/tcp.h> does not name. Otherwise it grows to
+// minutes, and a peer that goes meanwhile is noticed late.
+constexpr int MaxProbeIntervalMs = 1000;
+constexpr int RtoMaxOption = 44;
 constexpr int KeepAliveSeconds = 1;
 constexpr int KeepAliveProbes = 2;
 
@@ -37,11 +41,17 @@
     static_cast<void>(::setsockopt(socket, level, option, &value, sizeof value));
 }
 
+/// @param timeout how long data may make no progress; 0: as long as the peer acknowledges probes.
+void setUserTimeout(curl_socket_t socket, Duration timeout)
+{
+    setOption(socket, IPPROTO_TCP, TCP_USER_TIMEOUT, static_cast<int>(std::chrono::duration_cast<std::chrono::milliseconds>(timeout).count()));
+}
+
 int prepareSocket(void *context, curl_socket_t socket, curlsocktype)
 {
     auto *transfer = static_cast<Transfer *>(context);
-    transfer->socket = socket;
-    setOption(socket, IPPROTO_TCP, TCP_USER_TIMEOUT, UserTimeoutMs);
+    transfer->openedSocket = socket;
+    setUserTimeout(socket, UserTimeout);
     if (transfer->call.usesTcpKeepAlive) {
         setOption(socket, SOL_SOCKET, SO_KEEPALIVE, 1);
         setOption(socket, IPPROTO_TCP, TCP_KEEPIDLE, KeepAliveSeconds);
@@ -51,9 +61,17 @@
     return CURL_SOCKOPT_OK;
 }
 
+int closeSocket(void *context, curl_socket_t socket)
+{
+    static_cast<ConnectionSockets *>(context)->erase(socket);
+    // What is still unsent is not kept for a peer that does not read it.
+    setUserTimeout(socket, UserTimeout);
+    return ::close(socket);
+}
+
 /// libcurl calls this right before it sends a request. A second call for one transfer means that libcurl wants to resend the request
 /// on a new connection after a dead one; only the core may decide on retries.
-int beforeSend(void *context, char *, char *, int, int localPort)
+int beforeSend(void *context, char *peerAddress, char *, int peerPort, int localPort)
 {
     auto *transfer = static_cast<Transfer *>(context);
     if (transfer->wasSent) {
@@ -61,10 +79,12 @@
         return CURL_PREREQFUNC_ABORT;
     }
     transfer->wasSent = true;
-    if (transfer->socket >= 0) {
-        transfer->sockets->insert_or_assign(localPort, transfer->socket);
-    } else if (const auto found = transfer->sockets->find(localPort); found != transfer->sockets->end()) {
-        transfer->socket = found->second;
+    transfer->connection = ConnectionEnds{peerAddress, peerPort, localPort};
+    if (transfer->openedSocket >= 0) {
+        transfer->sockets->insert(*transfer->connection, transfer->openedSocket);
+    } else if (const int socket = transfer->sockets->find(*transfer->connection); socket >= 0) {
+        // The previous request on the connection may have waited for its peer to read.
+        setUserTimeout(socket, UserTimeout);
     }
     return CURL_PREREQFUNC_OK;
 }
@@ -248,6 +268,8 @@
     }
     curl_easy_setopt(easy, CURLOPT_SOCKOPTFUNCTION, prepareSocket);
     curl_easy_setopt(easy, CURLOPT_SOCKOPTDATA, &transfer);
+    curl_easy_setopt(easy, CURLOPT_CLOSESOCKETFUNCTION, closeSocket);
+    curl_easy_setopt(easy, CURLOPT_CLOSESOCKETDATA, transfer.sockets);
     // libcurl compares whole seconds, so it reuses connections that have been idle for almost a second longer.
     curl_easy_setopt(easy, CURLOPT_MAXAGE_CONN, std::max<long>(0, static_cast<long>(std::chrono::floor<seconds>(maxIdle).count()) - 1));
     curl_easy_setopt(easy, CURLOPT_PRIVATE, &transfer);
@@ -275,6 +297,12 @@
     return code == CURLE_COULDNT_CONNECT || code == CURLE_GOT_NOTHING || code == CURLE_RECV_ERROR || code == CURLE_SEND_ERROR;
 }
 
+/// @return the socket on which the request is sent; -1 if there is none or it has been closed.
+int socketOf(const Transfer &transfer)
+{
+    return transfer.connection ? transfer.sockets->find(*transfer.connection) : -1;
+}
+
 HttpOutcome interpretResult(Transfer &transfer, CURLcode code)
 {
     if (transfer.isTooLong) {
@@ -315,7 +343,8 @@
 
 bool isFlooded(Transfer &transfer)
 {
-    const auto status = transfer.socket < 0 ? std::nullopt : tcpStatus(transfer.socket);
+    const int socket = socketOf(transfer);
+    const auto status = socket < 0 ? std::nullopt : tcpStatus(socket);
     if (!status) {
         return false;
     }
@@ -325,6 +354,25 @@
     return status->bytesReceived > *transfer.bytesBefore + MaxAnswerHead + MaxFramingFactor * transfer.call.maxAnswerBytes;
 }
 
+bool isPeerSilent(Transfer &transfer)
+{
+    const int socket = transfer.call.request.body.empty() ? -1 : socketOf(transfer);
+    const auto status = socket < 0 ? std::nullopt : tcpStatus(socket);
+    if (!status) {
+        return false;
+    }
+    if (!transfer.hasUserTimeout) {
+        return isSilent(*status);
+    }
+    if (awaitsReceiver(*status)) {
+        // For the rest of the request: the kernel counts from when the window closed first, also if the peer has read a little since.
+        transfer.hasUserTimeout = false;
+        setUserTimeout(socket, Duration(0));
+        setOption(socket, IPPROTO_TCP, RtoMaxOption, MaxProbeIntervalMs);
+    }
+    return false;
+}
+
 bool isHeadTruncated(const Transfer &transfer, CURLcode code)
 {
     // libcurl reports no error if the connection is closed in order, unless it has read a length.
--- a/src/net/httptransfer.h
+++ b/src/net/httptransfer.h
@@ -7,13 +7,13 @@
 
 #pragma once
 
+#include "net/connectionsockets.h"
 #include "net/httpclient.h"
 
 #include <curl/curl.h>
 
 #include <cstddef>
 #include <cstdint>
-#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -37,9 +37,6 @@
 };
 using HeaderList = std::unique_ptr<curl_slist, ListDeleter>;
 
-/// Sockets of connections by their local port, since libcurl does not tell which connection a transfer in flight uses.
-using SocketsByPort = std::map<int, int>;
-
 /// One call in flight.
 struct Transfer {
     HttpCallId id = 0;
@@ -50,10 +47,12 @@
     std::string url;
     HttpAnswer answer;
     BodyBuilder body; ///< Of the answer.
-    SocketsByPort *sockets = nullptr; ///< Shared by the transfers of a thread.
-    int socket = -1; ///< Socket of the connection, once the request is being sent.
+    ConnectionSockets *sockets = nullptr; ///< Shared by the transfers of a thread. Outlives all connections.
+    int openedSocket = -1; ///< The last one that was opened for this transfer; -1 if it reuses a connection.
+    std::optional<ConnectionEnds> connection; ///< Once the request is being sent.
     std::size_t headBytes = 0; ///< With interim answers.
     std::optional<std::uint64_t> bytesBefore; ///< Bytes received on the connection when they were first counted for this transfer.
+    bool hasUserTimeout = true; ///< Whether the kernel ends the connection after UserTimeout.
     bool wasSent = false;
     bool isResend = false;
     bool isTooLong = false;
@@ -72,6 +71,9 @@
 /// @return whether more bytes have been received on the connection than an answer may take. libcurl reads some of them, e.g. chunk extensions, without a
 /// callback.
 bool isFlooded(Transfer &transfer);
+/// Lets a request wait for a peer that does not read yet: takes UserTimeout off its connection. Call at least once within UserTimeout.
+/// @return whether the peer of such a connection is silent.
+bool isPeerSilent(Transfer &transfer);
 /// @return whether the connection ended after a part of the answer's head.
 bool isHeadTruncated(const Transfer &transfer, CURLcode code);
 /// @return the outcome of the call after libcurl has finished it with @p code.
--- a/src/net/tcpstatus.cpp
+++ b/src/net/tcpstatus.cpp
@@ -39,10 +39,18 @@
     tcp_info info{};
     socklen_t size = sizeof info;
     const bool isKnown = ::getsockopt(fd, IPPROTO_TCP, TCP_INFO, &info, &size) == 0;
-    if (!isKnown || size < offsetof(tcp_info, tcpi_bytes_received) + sizeof info.tcpi_bytes_received) {
+    if (!isKnown || size < offsetof(tcp_info, tcpi_notsent_bytes) + sizeof info.tcpi_notsent_bytes) {
         return std::nullopt;
     }
-    return TcpStatus{milliseconds(info.tcpi_last_data_recv), info.tcpi_bytes_received, isPeerClosedState(info.tcpi_state)};
+    return TcpStatus{milliseconds(info.tcpi_last_data_recv),
+                     info.tcpi_bytes_received,
+                     isPeerClosedState(info.tcpi_state),
+                     milliseconds(info.tcpi_last_ack_recv),
+                     info.tcpi_notsent_bytes,
+                     info.tcpi_unacked,
+                     size >= offsetof(tcp_info, tcpi_snd_wnd) + sizeof info.tcpi_snd_wnd && info.tcpi_snd_wnd == 0,
+                     info.tcpi_probes,
+                     info.tcpi_retransmits};
 }
 
 bool hasUnreadBytes(int fd)
