--- a/tests/platform/crashtests.cpp
+++ b/tests/platform/crashtests.cpp
@@ -12,6 +12,7 @@
 #include "net/httpclient.h"
 #include "process.h"
 #include "sampleplan.h"
+#include "startcall.h"
 
 #include <catch2/catch.hpp>
 
@@ -19,7 +20,6 @@
 
 #include <filesystem>
 #include <fstream>
-#include <future>
 #include <set>
 #include <thread>
 
@@ -123,13 +123,11 @@
 private:
     int statusOf(const std::string &address, HttpRequest request)
     {
-        std::promise<HttpOutcome> done;
         HttpCall call;
         call.address = address;
         call.request = std::move(request);
         call.timeout = seconds(20);
-        client_.start(++calls_, std::move(call), [&done](HttpOutcome outcome) { done.set_value(std::move(outcome)); });
-        const HttpOutcome outcome = done.get_future().get();
+        const HttpOutcome outcome = startCall(client_, ++calls_, std::move(call)).get();
         const auto *answer = std::get_if<HttpAnswer>(&outcome);
         return answer ? answer->status : 0;
     }
--- a/tests/platform/directoryrunnertests.cpp
+++ b/tests/platform/directoryrunnertests.cpp
@@ -11,6 +11,7 @@
 #include "net/crashjson.h"
 #include "net/forwarding.h"
 #include "net/relaymessages.h"
+#include "startcall.h"
 #include "storeclient.h"
 
 #include <catch2/catch.hpp>
@@ -30,6 +31,7 @@
 
 using namespace Cloverbarrow;
 using namespace Cloverbarrow::Standins;
+using namespace Cloverbarrow::Tests;
 
 namespace
 {
@@ -156,13 +158,11 @@
     DirectoryRunner runner(settings, "entry-1", "bog-a", 7, std::make_unique<Platform::StoreClient>(client, store.address()), client, nullptr, events);
     HttpCallId calls = 0;
     const auto post = [&] {
-        std::promise<HttpOutcome> done;
         HttpCall call;
         call.address = settings.relayAddress;
         call.request = {"POST", std::string(CrashUpdatesTarget), {{"Host", "x"}}, encodeCrashUpdates({"10.0.0.2:7200", {}}), true};
         call.timeout = seconds(20);
-        client.start(++calls, std::move(call), [&done](HttpOutcome outcome) { done.set_value(std::move(outcome)); });
-        return std::get<HttpAnswer>(done.get_future().get());
+        return std::get<HttpAnswer>(startCall(client, ++calls, std::move(call)).get());
     };
     CHECK(post().status == 404);
     CHECK(events.count == 0);
--- a/tests/platform/loadedzones.cpp
+++ b/tests/platform/loadedzones.cpp
@@ -10,6 +10,7 @@
 #include "eventually.h"
 #include "names.h"
 #include "sampleplan.h"
+#include "startcall.h"
 
 #include <catch2/catch.hpp>
 #include <nlohmann/json.hpp>
@@ -18,7 +19,6 @@
 
 #include <filesystem>
 #include <fstream>
-#include <future>
 
 namespace Cloverbarrow::Tests
 {
@@ -146,13 +146,11 @@
 
 int LoadedZones::statusOf(HttpClient &client, const std::string &address, const std::string &method, const std::string &target, const std::string &id)
 {
-    std::promise<HttpOutcome> done;
     HttpCall call;
     call.address = address;
     call.request = {method, target, {{"Host", "a.example"}, {Platform::RequestIdHeader, id}, {Platform::DeadlineMsHeader, "4000"}}, "", true};
     call.timeout = seconds(20);
-    client.start(++calls_, std::move(call), [&done](HttpOutcome outcome) { done.set_value(std::move(outcome)); });
-    const HttpOutcome outcome = done.get_future().get();
+    const HttpOutcome outcome = startCall(client, ++calls_, std::move(call)).get();
     const auto *answer = std::get_if<HttpAnswer>(&outcome);
     return answer ? answer->status : 0;
 }
--- a/tests/platform/partitiontests.cpp
+++ b/tests/platform/partitiontests.cpp
@@ -14,6 +14,7 @@
 #include "process.h"
 #include "registeredbackend.h"
 #include "sampleplan.h"
+#include "startcall.h"
 
 #include <catch2/catch.hpp>
 
@@ -22,7 +23,6 @@
 #include <algorithm>
 #include <filesystem>
 #include <fstream>
-#include <future>
 #include <map>
 #include <thread>
 
@@ -101,7 +101,6 @@
     {
         const std::string id = method + "-" + std::to_string(++sent_);
         const std::string target = method == "GET" ? "/read/" + id : "/pay/" + id;
-        std::promise<HttpOutcome> done;
         HttpCall call;
         call.address = addresses_[entryVm];
         call.request = {method,
@@ -110,8 +109,7 @@
                         method == "POST" ? "monto=1" : "",
                         true};
         call.timeout = seconds(4);
-        client_.start(++calls_, std::move(call), [&done](HttpOutcome outcome) { done.set_value(std::move(outcome)); });
-        const HttpOutcome outcome = done.get_future().get();
+        const HttpOutcome outcome = startCall(client_, ++calls_, std::move(call)).get();
         const auto *answer = std::get_if<HttpAnswer>(&outcome);
         const int status = answer ? answer->status : 0;
         statuses_.emplace(id, status);
--- a/tests/platform/pathtests.cpp
+++ b/tests/platform/pathtests.cpp
@@ -13,6 +13,7 @@
 #include "rawcaller.h"
 #include "registeredbackend.h"
 #include "sampleplan.h"
+#include "startcall.h"
 
 #include <catch2/catch.hpp>
 
@@ -21,7 +22,6 @@
 #include <csignal>
 #include <filesystem>
 #include <fstream>
-#include <future>
 #include <thread>
 
 using namespace Cloverbarrow;
@@ -151,13 +151,11 @@
 private:
     std::optional<HttpAnswer> answerOf(const std::string &address, HttpRequest request)
     {
-        std::promise<HttpOutcome> done;
         HttpCall call;
         call.address = address;
         call.request = std::move(request);
         call.timeout = seconds(20);
-        client_.start(++callCount_, std::move(call), [&done](HttpOutcome outcome) { done.set_value(std::move(outcome)); });
-        HttpOutcome outcome = done.get_future().get();
+        HttpOutcome outcome = startCall(client_, ++callCount_, std::move(call)).get();
         const auto *answer = std::get_if<HttpAnswer>(&outcome);
         return answer ? std::optional(*answer) : std::nullopt;
     }
--- a/tests/platform/stalltests.cpp
+++ b/tests/platform/stalltests.cpp
@@ -13,6 +13,7 @@
 #include "rawcaller.h"
 #include "registeredbackend.h"
 #include "sampleplan.h"
+#include "startcall.h"
 
 #include <catch2/catch.hpp>
 
@@ -89,9 +90,7 @@
         call.address = callers_;
         call.request = {"POST", "/pay/1", {{"Host", "a.example"}, {Platform::RequestIdHeader, id}, {Platform::DeadlineMsHeader, deadlineMs}}, "monto=1", true};
         call.timeout = seconds(20);
-        auto done = std::make_shared<std::promise<HttpOutcome>>();
-        client_.start(++calls_, std::move(call), [done](HttpOutcome outcome) { done->set_value(std::move(outcome)); });
-        return done->get_future();
+        return startCall(client_, ++calls_, std::move(call));
     }
 
     /// Sends requests on connections of their own. They wait in the sockets of the entry VM when this returns.
--- a/tests/platform/startuptests.cpp
+++ b/tests/platform/startuptests.cpp
@@ -12,6 +12,7 @@
 #include "process.h"
 #include "registeredbackend.h"
 #include "sampleplan.h"
+#include "startcall.h"
 
 #include <catch2/catch.hpp>
 
@@ -98,9 +99,7 @@
     std::future<HttpOutcome> start(HttpCall call)
     {
         call.timeout = seconds(20);
-        auto done = std::make_shared<std::promise<HttpOutcome>>();
-        client_.start(++calls_, std::move(call), [done](HttpOutcome outcome) { done->set_value(std::move(outcome)); });
-        return done->get_future();
+        return startCall(client_, ++calls_, std::move(call));
     }
 
     static std::string makeFolder()
--- a/tests/process/fleet.cpp
+++ b/tests/process/fleet.cpp
@@ -9,6 +9,7 @@
 
 #include "net/httpclient.h"
 #include "net/thriftclient.h"
+#include "startcall.h"
 
 #include <nlohmann/json.hpp>
 
@@ -17,7 +18,6 @@
 #include <cstdlib>
 #include <filesystem>
 #include <fstream>
-#include <future>
 #include <thread>
 
 namespace Cloverbarrow::Tests
@@ -243,10 +243,7 @@
     call.address = address;
     call.request = std::move(request);
     call.timeout = milliseconds(timeoutMs);
-    std::promise<HttpOutcome> promise;
-    auto outcome = promise.get_future();
-    client.start(nextId++, std::move(call), [&promise](HttpOutcome done) { promise.set_value(std::move(done)); });
-    HttpOutcome done = outcome.get();
+    HttpOutcome done = startCall(client, nextId++, std::move(call)).get();
     auto *answer = std::get_if<HttpAnswer>(&done);
     return answer ? std::optional(std::move(*answer)) : std::nullopt;
 }
--- a/tests/soak/soakcallers.cpp
+++ b/tests/soak/soakcallers.cpp
@@ -10,9 +10,9 @@
 #include "core/support/random.h"
 #include "names.h"
 #include "net/bootclock.h"
+#include "startcall.h"
 
 #include <algorithm>
-#include <future>
 #include <utility>
 
 namespace Cloverbarrow::Soak
@@ -53,9 +53,7 @@
     call.request = std::move(request);
     call.timeout = timeout;
     call.mayReuseConnection = true;
-    std::promise<HttpOutcome> done;
-    client_.start(++lastCallId_, std::move(call), [&done](HttpOutcome outcome) { done.set_value(std::move(outcome)); });
-    return done.get_future().get();
+    return Tests::startCall(client_, ++lastCallId_, std::move(call)).get();
 }
 
 HttpRequest callerRequest(const std::string &method, const std::string &host, const std::string &target, const std::string &id, const std::string &workspace)
--- a/tests/unit/connectionreusetests.cpp
+++ b/tests/unit/connectionreusetests.cpp
@@ -5,6 +5,8 @@
     SPDX-License-Identifier: Apache-2.0
 */
 
+#include "startcall.h"
+
 #include "net/callerserver.h"
 #include "net/httpclient.h"
 
@@ -19,6 +21,7 @@
 #include <vector>
 
 using namespace Cloverbarrow;
+using namespace Cloverbarrow::Tests;
 
 namespace
 {
@@ -70,14 +73,12 @@
 
 std::future<HttpOutcome> get(HttpClient &client, HttpCallId id, const PartlySilentServer &server, const std::string &target, Duration timeout)
 {
-    auto done = std::make_shared<std::promise<HttpOutcome>>();
     HttpCall call;
     call.address = server.address();
     call.request = {"GET", target, {{"Host", "x"}}, "", true};
     call.timeout = timeout;
     call.mayReuseConnection = true;
-    client.start(id, std::move(call), [done](HttpOutcome outcome) { done->set_value(std::move(outcome)); });
-    return done->get_future();
+    return startCall(client, id, std::move(call));
 }
 
 } // namespace
--- a/tests/unit/faultyanswertests.cpp
+++ b/tests/unit/faultyanswertests.cpp
@@ -6,6 +6,7 @@
 */
 
 #include "loopbacklistener.h"
+#include "startcall.h"
 
 #include "net/descriptor.h"
 #include "net/httpclient.h"
@@ -145,13 +146,6 @@
     return call;
 }
 
-std::future<HttpOutcome> start(HttpClient &client, HttpCallId id, HttpCall call)
-{
-    auto done = std::make_shared<std::promise<HttpOutcome>>();
-    client.start(id, std::move(call), [done](HttpOutcome outcome) { done->set_value(std::move(outcome)); });
-    return done->get_future();
-}
-
 } // namespace
 
 TEST_CASE("A connection on which bytes without end are received is closed after a bounded number of them", "[net][endless]")
@@ -169,7 +163,7 @@
     CAPTURE(bytes.description);
     RawServer server(bytes);
     HttpClient client(1);
-    const HttpOutcome outcome = start(client, 1, callTo(server.address())).get();
+    const HttpOutcome outcome = startCall(client, 1, callTo(server.address())).get();
     REQUIRE(std::holds_alternative<HttpFailure>(outcome));
     CAPTURE(std::get<HttpFailure>(outcome).reason);
     CHECK(std::get<HttpFailure>(outcome).wasSent);
@@ -183,7 +177,7 @@
     HttpClient client(1);
     HttpCall call = callTo(server.address());
     call.successHeader = "Signature";
-    const HttpOutcome outcome = start(client, 1, std::move(call)).get();
+    const HttpOutcome outcome = startCall(client, 1, std::move(call)).get();
     REQUIRE(std::holds_alternative<HttpAnswer>(outcome));
     CHECK(std::get<HttpAnswer>(outcome).status == 200);
     CHECK(std::get<HttpAnswer>(outcome).body.empty());
@@ -201,7 +195,7 @@
         servers.push_back(std::make_unique<RawServer>(RawAnswer{"chunks", Chunked, "10\r\n0123456789abcdef\r\n"}));
         HttpCall call = callTo(servers.back()->address());
         call.maxAnswerBytes = 16 * MiB;
-        outcomes.push_back(start(client, server, std::move(call)));
+        outcomes.push_back(startCall(client, server, std::move(call)));
     }
     std::size_t sent = 0;
     for (std::size_t server = 0; server < Servers; ++server) {
@@ -212,7 +206,7 @@
     }
     CHECK(sent < Servers * 16 * MiB);
     RawServer small({"a small answer", Ok + "Content-Length: 2\r\n\r\nok", ""});
-    CHECK(std::get<HttpAnswer>(start(client, Servers, callTo(small.address())).get()).body == "ok");
+    CHECK(std::get<HttpAnswer>(startCall(client, Servers, callTo(small.address())).get()).body == "ok");
 }
 
 TEST_CASE("Trailers add no headers to an answer and do not replace its body", "[net]")
@@ -220,7 +214,7 @@
     const auto *trailer = GENERATE("Signature: forged\r\n", "HTTP/1.1: 200 OK\r\n");
     RawServer server({"trailers", Chunked + "2\r\nok\r\n0\r\n" + trailer + "\r\n", ""});
     HttpClient client(1);
-    const HttpOutcome outcome = start(client, 1, callTo(server.address())).get();
+    const HttpOutcome outcome = startCall(client, 1, callTo(server.address())).get();
     REQUIRE(std::holds_alternative<HttpAnswer>(outcome));
     CHECK(std::get<HttpAnswer>(outcome).body == "ok");
     CHECK_FALSE(findHeader(std::get<HttpAnswer>(outcome).headers, "Signature"));
@@ -248,7 +242,7 @@
         call.request.method = answer.method;
         call.successHeader = "Signature";
         call.echo = {"Request-Id", "7", false};
-        const HttpOutcome outcome = start(client, size, std::move(call)).get();
+        const HttpOutcome outcome = startCall(client, size, std::move(call)).get();
         if (bytes.substr(size) == "\n" && answer.rest.size() > 1) {
             // Only the end of the last chunk's line is missing; the body is whole.
             CHECK((std::holds_alternative<HttpFailure>(outcome) || std::get<HttpAnswer>(outcome).body == "ok"));
@@ -261,7 +255,7 @@
     RawServer server({answer.description, bytes, ""});
     HttpCall call = callTo(server.address());
     call.request.method = answer.method;
-    const HttpOutcome outcome = start(client, bytes.size(), std::move(call)).get();
+    const HttpOutcome outcome = startCall(client, bytes.size(), std::move(call)).get();
     CHECK(std::holds_alternative<HttpAnswer>(outcome));
 }
 
@@ -276,9 +270,9 @@
         HttpCall call = callTo(server.address());
         call.mayReuseConnection = true;
         call.echo = {"Request-Id", "1", true};
-        REQUIRE(std::holds_alternative<HttpAnswer>(start(client, 1, call).get()));
+        REQUIRE(std::holds_alternative<HttpAnswer>(startCall(client, 1, call).get()));
         call.echo = {"Request-Id", "2", true};
-        CHECK(std::holds_alternative<HttpFailure>(start(client, 2, call).get()));
+        CHECK(std::holds_alternative<HttpFailure>(startCall(client, 2, call).get()));
     }
 }
 
@@ -291,6 +285,6 @@
     HttpClient client(1);
     HttpCall call = callTo(server.address());
     call.echo = {"Request-Id", "2", true};
-    const HttpOutcome outcome = start(client, 1, std::move(call)).get();
+    const HttpOutcome outcome = startCall(client, 1, std::move(call)).get();
     CHECK(std::holds_alternative<HttpFailure>(outcome));
 }
--- a/tests/unit/relayservertests.cpp
+++ b/tests/unit/relayservertests.cpp
@@ -6,6 +6,7 @@
 */
 
 #include "rawcaller.h"
+#include "startcall.h"
 
 #include "net/bootclock.h"
 #include "net/forwarding.h"
@@ -171,9 +172,7 @@
     call.request.body = std::string(2 * 1024 * 1024, 'd');
     call.timeout = seconds(20);
     call.echo = {ForwardTagHeader, "tag-1", true};
-    std::promise<HttpOutcome> done;
-    client.start(1, std::move(call), [&done](HttpOutcome outcome) { done.set_value(std::move(outcome)); });
-    const HttpOutcome outcome = done.get_future().get();
+    const HttpOutcome outcome = startCall(client, 1, std::move(call)).get();
     client.stop();
     REQUIRE(std::holds_alternative<HttpAnswer>(outcome));
     const ForwardOutcome interpreted = interpretForwardedAnswer(std::get<HttpAnswer>(outcome));
