HTTP client: one loop for transfers to end, and "gone" for a peer that does not answer

Cause: the check for peers that have gone repeated the loop of the check for endless answers, and called such a peer silent, which names servers that drop requests elsewhere. The check whether a request was sent is part of the look-up of its socket already. No behaviour changes.

--- a/src/net/httpclient.cpp
+++ b/src/net/httpclient.cpp
@@ -139,7 +139,7 @@
             curl_multi_perform(multi_.get(), &running);
             finishCompleted();
             finishFlooded();
-            finishSilent();
+            finishWithoutPeer();
             curl_multi_poll(multi_.get(), nullptr, 0, PollMs, nullptr);
         }
         while (!transfers_.empty()) {
@@ -231,35 +231,34 @@
         if (++iterations_ % IterationsPerFloodCheck != 0) {
             return;
         }
-        std::vector<Transfer *> flooded;
-        for (const auto &[id, transfer] : transfers_) {
-            if (transfer->wasSent && isFlooded(*transfer)) {
-                flooded.push_back(transfer.get());
-            }
-        }
-        for (Transfer *transfer : flooded) {
+        for (Transfer *transfer : transfersThat(isFlooded)) {
             transfer->isTooLong = true;
             finish(*transfer, CURLE_ABORTED_BY_CALLBACK);
         }
     }
 
     /// Ends transfers whose peers have gone while they were not reading the request.
-    void finishSilent()
+    void finishWithoutPeer()
     {
         const TimePoint now = bootNow();
         if (now - windowsCheckedAt_ < WindowCheckInterval) {
             return;
         }
         windowsCheckedAt_ = now;
-        std::vector<Transfer *> silent;
+        for (Transfer *transfer : transfersThat(awaitsGonePeer)) {
+            finish(*transfer, CURLE_SEND_ERROR);
+        }
+    }
+
+    std::vector<Transfer *> transfersThat(bool (*condition)(Transfer &)) const
+    {
+        std::vector<Transfer *> found;
         for (const auto &[id, transfer] : transfers_) {
-            if (isPeerSilent(*transfer)) {
-                silent.push_back(transfer.get());
+            if (condition(*transfer)) {
+                found.push_back(transfer.get());
             }
         }
-        for (Transfer *transfer : silent) {
-            finish(*transfer, CURLE_SEND_ERROR);
-        }
+        return found;
     }
 
     void finish(Transfer &finished, CURLcode code)
--- a/src/net/httptransfer.cpp
+++ b/src/net/httptransfer.cpp
@@ -354,7 +354,7 @@
     return status->bytesReceived > *transfer.bytesBefore + MaxAnswerHead + MaxFramingFactor * transfer.call.maxAnswerBytes;
 }
 
-bool isPeerSilent(Transfer &transfer)
+bool awaitsGonePeer(Transfer &transfer)
 {
     const int socket = transfer.call.request.body.empty() ? -1 : socketOf(transfer);
     const auto status = socket < 0 ? std::nullopt : tcpStatus(socket);
@@ -362,7 +362,7 @@
         return false;
     }
     if (!transfer.hasUserTimeout) {
-        return isSilent(*status);
+        return hasPeerGone(*status);
     }
     if (awaitsReceiver(*status)) {
         // For the rest of the request: the kernel counts from when the window closed first, also if the peer has read a little since.
--- a/src/net/httptransfer.h
+++ b/src/net/httptransfer.h
@@ -72,8 +72,8 @@
 /// callback.
 bool isFlooded(Transfer &transfer);
 /// Lets a request wait for a peer that does not read yet: takes UserTimeout off its connection. Call at least once within UserTimeout.
-/// @return whether the peer of such a connection is silent.
-bool isPeerSilent(Transfer &transfer);
+/// @return whether the peer of such a connection has gone.
+bool awaitsGonePeer(Transfer &transfer);
 /// @return whether the connection ended after a part of the answer's head.
 bool isHeadTruncated(const Transfer &transfer, CURLcode code);
 /// @return the outcome of the call after libcurl has finished it with @p code.
--- a/src/net/receivewindow.cpp
+++ b/src/net/receivewindow.cpp
@@ -22,7 +22,7 @@
     return status.unacknowledgedSegments > 0 ? status.hasZeroWindow : status.unsentBytes > 0;
 }
 
-bool isSilent(const TcpStatus &status)
+bool hasPeerGone(const TcpStatus &status)
 {
     const bool hasData = status.unsentBytes > 0 || status.unacknowledgedSegments > 0;
     return hasData && status.unansweredProbes + status.retransmissions >= MinUnanswered && status.sinceLastAcknowledgement >= UserTimeout;
