The state of a connection's input is one value

Cause: three flags said whether the caller or the connection itself had ended the input and whether the reader has reported it; only four of their combinations exist. Change: InputState replaces them. No behaviour changes.

--- a/src/net/callerconnection.cpp
+++ b/src/net/callerconnection.cpp
@@ -109,8 +109,8 @@
 void CallerConnection::inputEnded()
 {
     const std::unique_lock lock(mutex_);
-    if (hasClosedInput_) {
-        hasReaderEnded_ = true;
+    if (inputState_ == InputState::Closing || inputState_ == InputState::Closed) {
+        inputState_ = InputState::Closed;
         if (isIdle() && hasPartialRequest()) {
             rejectInput({408, "the connection ended before the whole request had arrived"});
         } else if (isIdle()) {
@@ -118,7 +118,7 @@
         }
         return;
     }
-    hasInputEnded_ = true;
+    inputState_ = InputState::EndedByCaller;
     if (isIdle() || state_ == State::Lingering) {
         closeLocked(ConnectionEnd::Caller);
     }
@@ -161,7 +161,7 @@
             output_.add(std::move(*bytes));
         } else {
             // Later requests may already be in flight, so only the last answer may close the connection.
-            const bool isLast = pending_.isEmpty() && (closesAfterAnswer_ || (hasInputEnded_ && !hasPartialRequest()));
+            const bool isLast = pending_.isEmpty() && (closesAfterAnswer_ || (inputState_ == InputState::EndedByCaller && !hasPartialRequest()));
             next->closes = next->closes || isLast;
             const auto &answer = std::get<HttpAnswer>(next->answer);
             output_.add(serializeHead(answer, next->isHead, next->closes, announcedIdleTimeout()), hasBody(answer, next->isHead) ? answer.body : Body());
@@ -234,7 +234,7 @@
         checkReadTimeouts(now);
         break;
     case State::Lingering:
-        if (hasReaderEnded_ && hasPeerClosed()) {
+        if (inputState_ == InputState::Closed && hasPeerClosed()) {
             closeLocked(closeReason_);
         } else if (now - timeoutStart_ > bounds_.transferTimeout) {
             closeLocked(ConnectionEnd::NoProgress);
@@ -310,17 +310,16 @@
 bool CallerConnection::isUnfinished() const
 {
     const std::lock_guard lock(mutex_);
-    const bool awaitsReader = hasClosedInput_ ? !hasReaderEnded_ : closesWhenIdle_ && hasUnreadBytes(socket_.get());
+    const bool isReaderLate = inputState_ != InputState::Closed && closesWhenIdle_ && hasUnreadBytes(socket_.get());
+    const bool awaitsReader = inputState_ == InputState::Closing || isReaderLate;
     return !output_.isEmpty() || (state_ == State::Open && awaitsReader);
 }
 
 bool CallerConnection::isGone() const
 {
     const std::lock_guard lock(mutex_);
-    if (!socket_.isOpen() || (hasInputEnded_ && options_.treatsHalfCloseAsClosed)) {
-        return true;
-    }
-    if (hasReaderEnded_ && options_.treatsHalfCloseAsClosed && hasPeerClosed()) {
+    const bool hasCallerClosed = inputState_ == InputState::EndedByCaller || (inputState_ == InputState::Closed && hasPeerClosed());
+    if (!socket_.isOpen() || (options_.treatsHalfCloseAsClosed && hasCallerClosed)) {
         return true;
     }
     pollfd entry{socket_.get(), 0, 0};
@@ -452,7 +451,7 @@
     if (!pending_.isEmpty()) {
         return;
     }
-    if (isEndAnnounced_ || (hasInputEnded_ && !hasPartialRequest())) {
+    if (isEndAnnounced_ || (inputState_ == InputState::EndedByCaller && !hasPartialRequest())) {
         lingerLocked(isEndAnnounced_ ? closeReason_ : ConnectionEnd::Caller);
         return;
     }
@@ -468,10 +467,10 @@
 {
     // With the receiving half shut down, the kernel resets the connection for bytes that come behind the answer, which may then be lost. So a
     // request that already waits is left to the reader.
-    if (!isIdle() || hasPartialRequest() || hasClosedInput_ || hasUnreadBytes(socket_.get())) {
+    if (!isIdle() || hasPartialRequest() || inputState_ != InputState::Open || hasUnreadBytes(socket_.get())) {
         return;
     }
-    hasClosedInput_ = true;
+    inputState_ = InputState::Closing;
     closesAfterAnswer_ = true;
     closeReason_ = reason;
     ::shutdown(socket_.get(), SHUT_RD);
@@ -484,7 +483,7 @@
     state_ = State::Lingering;
     timeoutStart_ = bootNow();
     ::shutdown(socket_.get(), SHUT_WR);
-    if (hasInputEnded_) {
+    if (inputState_ == InputState::EndedByCaller) {
         closeLocked(reason);
     }
 }
--- a/src/net/callerconnection.h
+++ b/src/net/callerconnection.h
@@ -111,6 +111,13 @@
         Closed,
     };
 
+    enum class InputState {
+        Open,
+        EndedByCaller,
+        Closing, ///< Closed by this connection; the reader passes on what has arrived.
+        Closed, ///< Nothing is read any more since it was closed by this connection.
+    };
+
     bool isIdle() const;
     bool hasPartialRequest() const;
     /// @return whether the caller has closed its sending half; false if that is not known.
@@ -160,9 +167,7 @@
     ConnectionEnd closeReason_ = ConnectionEnd::Requested; ///< Why the connection closes after an answer.
     std::optional<ConnectionEnd> end_; ///< Once it has been reported.
     bool isEndAnnounced_ = false; ///< By an answer.
-    bool hasInputEnded_ = false; ///< By the caller.
-    bool hasClosedInput_ = false; ///< By this connection.
-    bool hasReaderEnded_ = false; ///< Nothing is read any more since the input was closed by this connection.
+    InputState inputState_ = InputState::Open;
     bool closesWhenIdle_ = false; ///< Does not wait for a further request.
     bool hasSentContinue_ = false;
     bool isDispatching_ = false;
