Options of a caller server may be given without bounds and without a warning

Cause: two tests of ended connections name some of the options only, and the compiler warned of the missing initializer. Change: the bounds have one, like the other options.

--- a/src/net/callerserver.h
+++ b/src/net/callerserver.h
@@ -23,7 +23,7 @@
 struct CallerServerOptions {
     std::string address; ///< `IP:port`; port 0 lets the kernel choose.
     std::size_t threads = 2;
-    CallerBounds bounds;
+    CallerBounds bounds = {};
     CallerConnection::Options connectionOptions = {}; ///< The server sets the monitor.
     std::string_view logPart = "callers"; ///< Part of the program in log lines on connections.
 };
