Review case: machines that the store serves again keep an old configuration beyond touch_s

Cause: a follower whose relay is cut off looks at the store every 2.4 s, and then waits another 2.2 s for the relay.

--- a/review/standins-2/world.h
+++ b/review/standins-2/world.h
@@ -404,6 +404,21 @@
         removeLocked(kind, name);
     }
 
+    /// @return what is stored under the name; null if there is nothing.
+    Json specification(const std::string &kind, const std::string &name)
+    {
+        const std::lock_guard lock(mutex_);
+        const auto found = objects_[kind].find(name);
+        return found == objects_[kind].end() ? Json() : found->second.at("specification");
+    }
+
+    /// Handles one call, and waits as long as a watch does. @return status and body of the answer.
+    std::pair<int, Json> handle(const Message &request)
+    {
+        sleepFor(AnswerTime);
+        return handleCall(request);
+    }
+
     static constexpr double AnswerTime = 0.004;
 
 protected:
@@ -412,7 +427,6 @@
         Reader reader(fd);
         Message request;
         while (reader.readRequest(request, 120)) {
-            sleepFor(AnswerTime);
             const auto [status, body] = handle(request);
             if (!sendAll(fd, answerText(status, body.dump(), {{"Content-Type", "application/json"}}))) {
                 break;
@@ -469,7 +483,7 @@
         return rest.substr(begin, rest.find('&', begin) - begin);
     }
 
-    std::pair<int, Json> handle(const Message &request)
+    std::pair<int, Json> handleCall(const Message &request)
     {
         std::unique_lock lock(mutex_);
         const std::string path = request.target.substr(0, request.target.find('?'));
@@ -544,6 +558,74 @@
     std::vector<Change> changes_;
 };
 
+/// The path of one machine to the store.
+class StorePath : public Server
+{
+public:
+    enum class State {
+        Open,
+        TurnedAway, ///< The store answers 503 to this machine.
+        Cut, ///< Nothing gets through, in either direction.
+    };
+
+    explicit StorePath(Store &store)
+        : store_(store)
+    {
+    }
+
+    /// Connections of the state before end: they are reset when the path opens again or the store begins to turn the machine away.
+    void set(State state)
+    {
+        const std::lock_guard lock(mutex_);
+        state_ = state;
+        if (state != State::Cut) {
+            for (const int fd : open_) {
+                ::shutdown(fd, SHUT_RDWR);
+            }
+        }
+    }
+
+protected:
+    void serve(int fd) override
+    {
+        {
+            const std::lock_guard lock(mutex_);
+            open_.insert(fd);
+        }
+        Reader reader(fd);
+        Message request;
+        while (reader.readRequest(request, 120)) {
+            const State before = state();
+            std::pair<int, Json> answer = {503, {{"error", "busy"}}};
+            if (before == State::Open) {
+                answer = store_.handle(request);
+            }
+            if (before == State::Cut || state() != before) {
+                // The call, or its answer, is lost in the cut.
+                continue;
+            }
+            if (!sendAll(fd, answerText(answer.first, answer.second.dump(), {{"Content-Type", "application/json"}}))) {
+                break;
+            }
+        }
+        const std::lock_guard lock(mutex_);
+        open_.erase(fd);
+        ::close(fd);
+    }
+
+private:
+    State state() const
+    {
+        const std::lock_guard lock(mutex_);
+        return state_;
+    }
+
+    Store &store_;
+    mutable std::mutex mutex_;
+    State state_ = State::Open;
+    std::set<int> open_;
+};
+
 /// A backend server with slots. `answer` may change what is sent for a request that has run.
 class Backend : public Server
 {
@@ -663,6 +745,18 @@
     std::vector<std::string> ran_;
 };
 
+/// @return a loopback port that was free a moment ago.
+inline int freePort()
+{
+    const int fd = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    sockaddr_in address = loopback(0);
+    socklen_t size = sizeof address;
+    ::bind(fd, reinterpret_cast<sockaddr *>(&address), sizeof address);
+    ::getsockname(fd, reinterpret_cast<sockaddr *>(&address), &size);
+    ::close(fd);
+    return ::ntohs(address.sin_port);
+}
+
 inline int connectTo(const std::string &address)
 {
     const int fd = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
@@ -696,14 +790,16 @@
         std::string store;
         std::string folder;
         bool isFirstStart = true;
+        std::string relay = "127.0.0.1:0";
+        std::string zones = "sala-a, sala-b, sala-c, sala-d";
     };
 
     explicit EntryVm(const Options &options)
     {
         const std::string path = options.folder + "/" + options.name + ".conf";
         std::ofstream(path) << "name: " << options.name << "\nzone: " << options.zone << "\nregion: bogota\nlisten:\n  callers: 127.0.0.1:0\n  operations: 127.0.0.1:0\n"
-                            << "  metrics: 127.0.0.1:0\ndirectory:\n  address: " << options.store << "\n  relay: 127.0.0.1:0\n  first_start: "
-                            << (options.isFirstStart ? "true" : "false") << "\n  link_mbps: 1000.0\n  zones: [sala-a, sala-b, sala-c, sala-d]\n  repeat_ratio: 0.2\n"
+                            << "  metrics: 127.0.0.1:0\ndirectory:\n  address: " << options.store << "\n  relay: " << options.relay << "\n  first_start: "
+                            << (options.isFirstStart ? "true" : "false") << "\n  link_mbps: 1000.0\n  zones: [" << options.zones << "]\n  repeat_ratio: 0.2\n"
                             << "  repeat_slack: 64\n  probes_per_server: 60\n  share_slow_servers: false\nstartup: {max_requests: 64, max_bytes: 4194304, "
                             << "max_wait_ms: 1000, expected_ms: 400}\nshutdown: {notice_ms: 2800, grace_s: 6}\nlimits: { memory_mb: 260, max_body_bytes: 67108864}\n"
                             << "threads: {callers: 1, backends: 1}\nlog_level: info\n";
