Review case: a draining server gets payouts after the store has lost two answers

Cause: the answer to any call counts as proof that all collections are current, and a silent watch lasts for 30 s.

--- a/review/standins-2/world.h
+++ b/review/standins-2/world.h
@@ -584,6 +584,23 @@
         }
     }
 
+    /// The next answer to a watch of objects of this kind is lost: its connection stays open and returns nothing further.
+    void loseNextWatchAnswer(const std::string &kind)
+    {
+        const std::lock_guard lock(mutex_);
+        lostWatch_ = kind;
+    }
+
+    int answered() const
+    {
+        return answered_;
+    }
+
+    int lost() const
+    {
+        return lost_;
+    }
+
 protected:
     void serve(int fd) override
     {
@@ -600,6 +617,13 @@
                 // The call, or its answer, is lost in the cut.
                 continue;
             }
+            if (takeLoss(request, answer.second)) {
+                ++lost_;
+                while (reader.readRequest(request, 120)) {
+                }
+                break;
+            }
+            ++answered_;
             if (!sendAll(fd, answerText(answer.first, answer.second.dump(), {{"Content-Type", "application/json"}}))) {
                 break;
             }
@@ -616,8 +640,21 @@
         return state_;
     }
 
+    bool takeLoss(const Message &request, const Json &answer)
+    {
+        const std::lock_guard lock(mutex_);
+        const bool isLost = !lostWatch_.empty() && request.target.rfind("/objects/" + lostWatch_ + "?watch=", 0) == 0 && !answer.value("events", Json::array()).empty();
+        if (isLost) {
+            lostWatch_.clear();
+        }
+        return isLost;
+    }
+
     Store &store_;
     mutable std::mutex mutex_;
+    std::string lostWatch_;
+    std::atomic<int> answered_{0};
+    std::atomic<int> lost_{0};
     State state_ = State::Open;
     std::set<int> open_;
 };
@@ -681,6 +718,13 @@
         return ran_;
     }
 
+    /// @return when requests arrived that were run.
+    std::vector<double> arrivals() const
+    {
+        const std::lock_guard lock(mutex_);
+        return arrivals_;
+    }
+
     /// @return whether the connection stays open. Set before the start.
     std::function<bool(Backend &, int, const Message &)> answer;
     /// Work on each request in seconds. Set before the start.
@@ -721,6 +765,7 @@
         {
             const std::lock_guard lock(mutex_);
             ran_.push_back(requestId);
+            arrivals_.push_back(now());
         }
         record_.line("server %s runs %s: %s %s", id_.c_str(), requestId.c_str(), request.method.c_str(), request.target.c_str());
         sleepFor(work);
@@ -739,6 +784,7 @@
     std::atomic<int> running_{0};
     mutable std::mutex mutex_;
     std::vector<std::string> ran_;
+    std::vector<double> arrivals_;
 };
 
 /// @return a loopback port that was free a moment ago.
