A follower whose relay has no recent proof asks peers for another relay

Cause: a follower learned of relays from its relay and from the store only. If both were out of reach, it could not tell a partition of a few entry VMs from an outage of the store, and waited as after an outage: up to 2.4 s until its next check of the store, then 2.2 s for a relay that was partitioned itself.

Now an entry VM without a recent proof asks a few peers, which refer it to the relay that they follow; the revisions of the leader records decide which is the newer one. Where no peer has a proof, the follower tells its relay that the store answers. The relay checks the store at once, so that a shorter wait is enough for it to read the directory.

--- a/src/core/directory/directoryevents.h
+++ b/src/core/directory/directoryevents.h
@@ -140,10 +140,21 @@
     std::string slowServers = {}; ///< The relay's reports on slow servers, encoded; empty if none were requested. Invalid ones do not invalidate the proof.
 };
 
+/// Names the relay of an availability zone to another entry VM. The leader records of one zone are ordered by their revisions.
+struct RelayReferral {
+    std::string zone;
+    std::string relay; ///< Address of the zone's relay.
+    std::int64_t revision = 0; ///< Revision of the leader record that names it.
+    Duration age{0}; ///< Time since the store last answered the relay.
+
+    bool operator==(const RelayReferral &) const = default;
+};
+
 /// Result of a relay check (CheckRelay).
 struct RelayChecked {
     std::string relay;
-    std::optional<RelayProof> proof; ///< Empty if the relay did not answer.
+    std::optional<RelayProof> proof; ///< Empty if the relay did not answer or the entry VM is not a relay.
+    std::optional<RelayReferral> referral = {}; ///< The relay that the entry VM leads or follows itself; empty if it has none with a recent proof.
 };
 
 /// Newest revisions of another zone's relay (answer to ReadRelayRevisions).
@@ -229,6 +240,7 @@
 struct CheckRelay {
     std::string relay;
     std::string follower; ///< Address of this entry VM; empty if the relay belongs to another zone.
+    bool reportsStore = false; ///< Whether to report that the store answers this entry VM, so that a relay without a recent proof checks it at once.
 
     bool operator==(const CheckRelay &) const = default;
 };
--- a/src/core/directory/directorymanager.cpp
+++ b/src/core/directory/directorymanager.cpp
@@ -563,6 +563,9 @@
     if (isCurrent()) {
         upToDateAt_ = now;
     }
+    if (!source_.empty()) {
+        logUnprovenState(now, actions);
+    }
     // Any answer replaces a check.
     scheduleCheck(now);
     if (!isStoreUnreachable_) {
@@ -578,6 +581,15 @@
     relistAll(now);
 }
 
+void DirectoryManager::logUnprovenState(TimePoint now, DirectoryActions &actions) const
+{
+    const auto provenBefore = upToDateAt_ ? std::chrono::floor<milliseconds>(now - *upToDateAt_).count() : -1;
+    actions.emplace_back(LogDirectoryEvent{"state without a recent proof while the store answers",
+                                           "configuration " + (plan_ ? plan_->versionText : "none") + " at revision " + std::to_string(planEntry_.revision)
+                                               + ", servers up to revision " + std::to_string(storeRevision_[indexOf(Collection::Servers)]) + ", proven "
+                                               + std::to_string(provenBefore) + " ms ago"});
+}
+
 void DirectoryManager::scheduleCheck(TimePoint now)
 {
     const bool isFrequent = isStoreUnreachable_ || election_.state() == RelayElection::State::Leading;
--- a/src/core/directory/directorymanager.h
+++ b/src/core/directory/directorymanager.h
@@ -83,6 +83,10 @@
     /// @param follower address of the requesting entry VM; may be empty. @return this relay's proof that it receives changes from the store; nothing if it
     /// has not received the whole directory yet or is not a relay.
     std::optional<RelayProof> proofFor(TimePoint now, const std::string &follower);
+    /// @return names the relay of this zone if it has a recent proof, as far as this entry VM knows.
+    std::optional<RelayReferral> referral(TimePoint now) const;
+    /// A follower has reported that the store answers it. A relay that does not reach the store checks it at once.
+    void storeReported(TimePoint now);
     /// @return whether this entry VM may have a proof soon: it has just started and is a relay, or has not decided yet.
     bool mayHaveProofSoon() const;
 
@@ -150,6 +154,8 @@
     /// A call to the store received no answer, not even an error. Other open connections may be unresponsive too, and watches may wait on them.
     void storeCallUnresponsive(TimePoint now, DirectoryActions &actions);
     void storeFailed(TimePoint now, const std::string &reason, DirectoryActions &actions);
+    /// Logs which state is in force, and how old its proof is, when the store answers this entry VM although its relay has no recent proof.
+    void logUnprovenState(TimePoint now, DirectoryActions &actions) const;
     void scheduleCheck(TimePoint now);
     void publish(TimePoint now, DirectoryActions &actions);
     /// @return the followed relay and the relays of other zones.
@@ -222,6 +228,7 @@
     bool hasCheckFailed_ = false; ///< Whether a check has failed since the store last answered.
     bool isChecking_ = false;
     TimePoint nextCheck_;
+    TimePoint nextReportedCheck_; ///< Before this time, reports of followers cause no further check.
 };
 
 } // namespace Cloverbarrow
--- a/src/core/directory/directorymanagerpeers.cpp
+++ b/src/core/directory/directorymanagerpeers.cpp
@@ -75,6 +75,20 @@
     return proof;
 }
 
+std::optional<RelayReferral> DirectoryManager::referral(TimePoint now) const
+{
+    return upToDateAt_ ? election_.referral(now - *upToDateAt_) : std::nullopt;
+}
+
+void DirectoryManager::storeReported(TimePoint now)
+{
+    if (!isAtStore() || !isStoreUnreachable_ || now < nextReportedCheck_) {
+        return;
+    }
+    nextReportedCheck_ = now + RelayElection::CheckInterval;
+    nextCheck_ = std::min(nextCheck_, now);
+}
+
 bool DirectoryManager::mayHaveProofSoon() const
 {
     const bool isDeciding = election_.state() == RelayElection::State::Deciding;
@@ -215,6 +229,7 @@
     PeerAddresses peers = forwardingPeers();
     if (peers != publishedPeers_) {
         publishedPeers_ = std::move(peers);
+        election_.addPeers(publishedPeers_);
         actions.emplace_back(PublishForwardingPeers{publishedPeers_, ++peersPublished_});
     }
 }
--- a/src/core/directory/relayelection.cpp
+++ b/src/core/directory/relayelection.cpp
@@ -16,14 +16,15 @@
 namespace
 {
 
-// Longest pause between a relay's checks of an unreachable store, plus the time to read the directory again. Followers that did not wait this long read
+// While no relay has a recent proof, the store itself is checked with growing pauses, since each check by each entry VM is billed.
+constexpr Duration MaxStoreCheckPause = milliseconds(1500);
+// The followed relay checks the store as soon as a follower reports that it answers, and reads the directory again. Followers that did not wait for that read
 // the directory from the store themselves.
-constexpr Duration RelayRecoveryTime = RelayElection::MaxUnreachableCheckPause * 5 / 4 + milliseconds(700);
+constexpr Duration RelayRecoveryTime = RelayElection::MaxUnprovenTime - MaxStoreCheckPause;
+static_assert(RelayRecoveryTime >= RelayElection::StoreCheckTimeout + milliseconds(300), "a relay that reaches the store has to have time to read it");
 // After a short outage, followers wait until the relay probably reaches the store again. Without the wait, 8 of 16 entry VMs read the whole directory
 // after an outage of 0.5 s. With 0.5 s changes are still applied within 2 s, which the property tests check.
 constexpr Duration ShortOutageRecoveryTime = milliseconds(500);
-// While no relay has a recent proof, the store itself is checked with growing pauses, since each check by each entry VM is billed.
-constexpr Duration MaxStoreCheckPause = milliseconds(2400);
 // When and how often a relay reads which relays other zones have. These cheap reads may be stale by seconds, and at the first
 // one the other relays may have just been elected.
 constexpr Duration FirstOtherRelaysRead = seconds(5);
@@ -43,10 +44,16 @@
 // At the first failure the relay's process may still be restarting.
 constexpr int FailedFollowsBeforeTakeover = 2;
 
+std::string textOf(Duration duration)
+{
+    return std::to_string(std::chrono::floor<milliseconds>(duration).count()) + " ms";
+}
+
 } // namespace
 
-RelayElection::RelayElection(std::string localAddress, bool isFirstStart, std::uint64_t seed, Duration electionDelay)
+RelayElection::RelayElection(std::string localAddress, bool isFirstStart, std::uint64_t seed, Duration electionDelay, std::string zone)
     : localAddress_(std::move(localAddress))
+    , zone_(std::move(zone))
     , isFirstStart_(isFirstStart)
     , electionDelay_(electionDelay)
     , random_(seed)
@@ -103,9 +110,12 @@
     if (!isChecking_ && now >= relayCheckAt_) {
         isChecking_ = true;
         relayCheckAt_ = now + CheckInterval;
-        actions.emplace_back(CheckRelay{followed_, followsOtherZone() ? std::string() : localAddress_});
+        actions.emplace_back(CheckRelay{followed_, followsOtherZone() ? std::string() : localAddress_, std::exchange(hasStoreAnswered_, false)});
+    }
+    if (lacksProof(now)) {
+        askPeers(now, actions);
     }
-    if (now - provenAt_ > ProofLimit && now >= nextSearchAt_) {
+    if (lacksProof(now) && now >= nextSearchAt_) {
         // Either the relay is cut off from the store, or the store is unreachable for all entry VMs.
         nextSearchAt_ = now + storeCheckPause_;
         storeCheckPause_ = std::min(storeCheckPause_ * 2, MaxStoreCheckPause);
@@ -197,12 +207,18 @@
 
 void RelayElection::storeAnswered(TimePoint now, DirectoryActions &actions)
 {
+    isStoreUnresponsive_ = false;
     if (state_ == State::Following && std::exchange(isCheckingStore_, false)) {
         const bool hasJustReturned = std::exchange(wasStoreDown_, false);
         if (hasJustReturned || !std::exchange(hasWaitedForRelay_, true)) {
-            // If the relay can reach the store, it will do so soon.
+            // If the relay can reach the store, it will do so as soon as it is told.
             hasWaitedForRelay_ = true;
-            nextSearchAt_ = now + (hasJustReturned ? RelayRecoveryTime : ShortOutageRecoveryTime);
+            hasStoreAnswered_ = true;
+            relayCheckAt_ = now;
+            const Duration wait = hasJustReturned ? RelayRecoveryTime : ShortOutageRecoveryTime;
+            nextSearchAt_ = now + wait;
+            actions.emplace_back(LogDirectoryEvent{"the store answers, waiting for the relay",
+                                                   followed_ + " without a proof for " + textOf(now - provenAt_) + ", at most " + textOf(wait) + " more"});
             return;
         }
         // The relay has had no proof for longer than it needs to detect the return of the store, so it is not merely restarting.
@@ -226,12 +242,21 @@
 
 void RelayElection::storeUnresponsive(TimePoint now, DirectoryActions &actions)
 {
+    if (!std::exchange(isStoreUnresponsive_, true)) {
+        peers_.reset();
+    }
+    askPeers(now, actions);
     if (now >= nextSearchAt_) {
         nextSearchAt_ = now + ProofLimit;
         searchOtherRelays(now, "the store is unresponsive", Fallback::Nothing, actions);
     }
 }
 
+void RelayElection::addPeers(const PeerAddresses &peers)
+{
+    peers_.addPeers(peers);
+}
+
 void RelayElection::readLeaderSoon(TimePoint now)
 {
     if (state_ == State::Standalone && !localAddress_.empty()) {
@@ -254,6 +279,12 @@
     return state_ == State::Following && !followsOtherZone();
 }
 
+std::optional<RelayReferral> RelayElection::referral(Duration age) const
+{
+    const bool knowsRelay = state_ == State::Leading || isRelaying() || followsOwnZone();
+    return knowsRelay && revision_ > 0 && age < ProofLimit ? std::optional(RelayReferral{zone_, leader_, revision_, age}) : std::nullopt;
+}
+
 const std::string &RelayElection::relay() const
 {
     static const std::string none;
@@ -289,8 +320,11 @@
     storeCheckPause_ = ProofLimit;
     isChecking_ = false;
     isCheckingStore_ = false;
+    hasStoreAnswered_ = false;
     hasWaitedForRelay_ = false;
+    isStoreUnresponsive_ = false;
     pendingAnswers_ = 0;
+    peers_.reset();
     if (followsOtherZone()) {
         scheduleLeaderCheck(now);
     } else {
--- a/src/core/directory/relayelection.h
+++ b/src/core/directory/relayelection.h
@@ -8,6 +8,7 @@
 #pragma once
 
 #include "core/directory/directoryevents.h"
+#include "core/directory/peersearch.h"
 #include "core/support/random.h"
 
 #include <cstdint>
@@ -38,6 +39,10 @@
     /// the store by the follower.
     static constexpr Duration ProofLimit = milliseconds(1200);
 
+    /// Time for which an entry VM may act on old state once its path to the store is back, whatever it waits for until it reads the store itself: the
+    /// users count it as connected 3 s after a disruption. The rest of these is for reading the directory.
+    static constexpr Duration MaxUnprovenTime = milliseconds(2500);
+
     /// Longest pause between checks of an unreachable store, plus or minus a quarter. Changes are applied at most this much later after the store
     /// is reachable again.
     static constexpr Duration MaxUnreachableCheckPause = milliseconds(1200);
@@ -49,7 +54,8 @@
     /// @param localAddress address at which this entry VM serves followers; empty if relays are not used.
     /// @param isFirstStart whether all entry VMs start together, so that the election may take longer.
     /// @param electionDelay additional time for which this entry VM waits before it tries to become the leader.
-    RelayElection(std::string localAddress, bool isFirstStart, std::uint64_t seed, Duration electionDelay = Duration(0));
+    /// @param zone availability zone of this entry VM.
+    RelayElection(std::string localAddress, bool isFirstStart, std::uint64_t seed, Duration electionDelay = Duration(0), std::string zone = {});
     /// @param linkMbps network bandwidth of this VM in Mbit/s, 0 if unknown. @return the election delay that gives precedence to VMs with faster links.
     static Duration electionDelayFor(double linkMbps);
 
@@ -67,6 +73,8 @@
     void readLeaderSoon(TimePoint now);
     /// The store answers again after an outage. Another entry VM may have become the leader meanwhile.
     void storeReturned(DirectoryActions &actions);
+    /// Adds entry VMs that can name another relay while the known ones have no recent proof.
+    void addPeers(const PeerAddresses &peers);
     /// The store has not answered this entry VM, which follows it, for some time. Relays may still reach it.
     void storeUnresponsive(TimePoint now, DirectoryActions &actions);
 
@@ -75,6 +83,9 @@
     bool isRelaying() const;
     /// @return whether the relay of this availability zone is followed.
     bool followsOwnZone() const;
+    /// @param age time since the store last answered this entry VM or the followed relay. @return names the relay of this zone, if this entry VM is that relay
+    /// or follows it.
+    std::optional<RelayReferral> referral(Duration age) const;
     /// @return address of the followed relay; empty if none is followed.
     const std::string &relay() const;
     /// @return address at which this entry VM serves followers; empty if relays are not used.
@@ -98,6 +109,14 @@
     void leaderChecked(TimePoint now, const RelayChecked &check, bool isProven, DirectoryActions &actions);
     void followedChecked(TimePoint now, const RelayChecked &check, bool isProven, DirectoryActions &actions);
     void otherChecked(TimePoint now, const RelayChecked &check, DirectoryActions &actions);
+    /// A peer that was asked for a relay has answered.
+    void peerChecked(TimePoint now, const RelayChecked &check, DirectoryActions &actions);
+    /// Asks some peers for a relay with a recent proof, if they are due.
+    void askPeers(TimePoint now, DirectoryActions &actions);
+    /// @return whether no source of this entry VM has a recent proof.
+    bool lacksProof(TimePoint now) const;
+    /// Accepts a newer leader of this zone. @return whether @p referral names one.
+    bool learnLeader(const std::optional<RelayReferral> &referral, DirectoryActions &actions);
     void follow(TimePoint now, const RelayChecked &check, DirectoryActions &actions);
     /// Gives up the relay, which could not be followed or failed, and searches for another source.
     void leaveRelay(TimePoint now, const std::string &reason, DirectoryActions &actions);
@@ -126,6 +145,7 @@
     Duration randomUpTo(Duration limit);
 
     std::string localAddress_;
+    std::string zone_;
     bool isFirstStart_;
     Duration electionDelay_;
     Random random_;
@@ -136,6 +156,8 @@
     std::size_t pendingAnswers_ = 0; ///< Number of outstanding answers of the current search.
     Fallback fallback_ = Fallback::Nothing; ///< Fallback of the current search.
     std::string searchReason_;
+    PeerSearch peers_;
+    bool isStoreUnresponsive_ = false; ///< Whether the store does not answer this entry VM, which follows it.
     std::int64_t revision_ = 0; ///< Revision of the leader record; 0 while unknown.
     bool isRecordCallPending_ = false;
     bool isChecking_ = false;
@@ -145,6 +167,7 @@
     bool isCheckingStore_ = false; ///< Waiting for a check of the store that was made because the followed relay has no recent proof.
     bool hasWaitedForRelay_ = false; ///< Whether the relay was given time to recover after the store had answered such a check.
     bool wasStoreDown_ = false; ///< Whether the store has left such a check unanswered.
+    bool hasStoreAnswered_ = false; ///< Whether the store has answered such a check, which the followed relay has not been told yet.
     int failedFollows_ = 0; ///< Consecutive failures to follow a leader.
     std::optional<TimePoint> leaderCheckAt_; ///< When the leader or its record is checked next.
     std::optional<TimePoint> awaitLeaderUntil_; ///< In state Deciding, when the wait for the leader ends. Empty before its first check.
--- a/src/core/directory/relayelectionchecks.cpp
+++ b/src/core/directory/relayelectionchecks.cpp
@@ -33,11 +33,57 @@
         leaderChecked(now, check, isProven, actions);
     } else if (state_ == State::Following && check.relay == followed_) {
         followedChecked(now, check, isProven, actions);
+    } else if (peers_.takeAnswered(check.relay)) {
+        peerChecked(now, check, actions);
     } else if (pendingAnswers_ > 0) {
         otherChecked(now, check, actions);
     }
 }
 
+bool RelayElection::lacksProof(TimePoint now) const
+{
+    return state_ == State::Following ? now - provenAt_ > ProofLimit : isStoreUnresponsive_;
+}
+
+void RelayElection::askPeers(TimePoint now, DirectoryActions &actions)
+{
+    std::vector<std::string> excluded = otherRelays_;
+    excluded.push_back(localAddress_);
+    excluded.push_back(leader_);
+    excluded.push_back(followed_);
+    for (const std::string &peer : peers_.takeDue(now, excluded)) {
+        actions.emplace_back(CheckRelay{peer, {}});
+    }
+}
+
+void RelayElection::peerChecked(TimePoint now, const RelayChecked &check, DirectoryActions &actions)
+{
+    if (!lacksProof(now)) {
+        return;
+    }
+    const auto &referral = check.referral;
+    const bool hasNewLeader = learnLeader(referral, actions);
+    if (check.proof && check.proof->isStoreReachable && check.proof->age < ProofLimit) {
+        follow(now, check, actions);
+    } else if (hasNewLeader) {
+        checkLeader(actions);
+    } else if (referral && referral->zone != zone_ && referral->age < ProofLimit && !check.proof) {
+        peers_.addAsked(referral->relay);
+        actions.emplace_back(CheckRelay{referral->relay, {}});
+    }
+}
+
+bool RelayElection::learnLeader(const std::optional<RelayReferral> &referral, DirectoryActions &actions)
+{
+    if (!referral || referral->zone != zone_ || referral->revision <= revision_ || referral->age >= ProofLimit) {
+        return false;
+    }
+    revision_ = referral->revision;
+    leader_ = referral->relay;
+    actions.emplace_back(LogDirectoryEvent{"the relay has changed, as another entry VM reports", leader_});
+    return leader_ != localAddress_;
+}
+
 void RelayElection::leaderChecked(TimePoint now, const RelayChecked &check, bool isProven, DirectoryActions &actions)
 {
     isCheckingLeader_ = false;
@@ -69,6 +115,10 @@
 void RelayElection::followedChecked(TimePoint now, const RelayChecked &check, bool isProven, DirectoryActions &actions)
 {
     isChecking_ = false;
+    if (!check.proof && learnLeader(check.referral, actions)) {
+        checkLeader(actions);
+        return;
+    }
     if (!check.proof) {
         leaveRelay(now, "no answer", actions);
         return;
--- a/src/daemon/directoryrunner.cpp
+++ b/src/daemon/directoryrunner.cpp
@@ -54,7 +54,7 @@
     }
     const std::lock_guard lock(mutex_);
     manager_.emplace(settings.budgets,
-                     RelayElection(relayAddress, settings.isFirstStart, seed, RelayElection::electionDelayFor(settings.linkMbps)),
+                     RelayElection(relayAddress, settings.isFirstStart, seed, RelayElection::electionDelayFor(settings.linkMbps), zone_),
                      seed,
                      DirectoryIdentity{name_, zone_});
 }
@@ -274,17 +274,23 @@
         const std::lock_guard lock(mutex_);
         return manager_ ? manager_->updateSince(collection, since) : std::nullopt;
     };
-    const auto proof = [this](const std::string &follower) {
-        std::optional<RelayProof> current;
+    const auto proof = [this](const ProofRequest &request) {
+        ProofAnswer answer;
+        std::optional<RelayProof> &current = answer.proof;
         {
             const std::lock_guard lock(mutex_);
-            current = manager_ ? manager_->proofFor(bootNow(), follower) : std::nullopt;
+            const TimePoint now = bootNow();
+            if (manager_ && request.reportsStore) {
+                manager_->storeReported(now);
+            }
+            current = manager_ ? manager_->proofFor(now, request.follower) : std::nullopt;
+            answer.referral = manager_ ? manager_->referral(now) : std::nullopt;
         }
         if (current) {
             const std::lock_guard lock(limitsMutex_);
             current->limitVersion = limitExchange_.version();
         }
-        return current;
+        return answer;
     };
     const auto isStarting = [this] {
         const std::lock_guard lock(mutex_);
--- a/src/net/relayclient.cpp
+++ b/src/net/relayclient.cpp
@@ -64,6 +64,20 @@
     }
 }
 
+/// @return the referral in the answer to a request for a proof; nothing if there is none.
+std::optional<RelayReferral> referralIn(const HttpOutcome &outcome, const Log &log, const std::string &peer)
+{
+    if (!hasStatus(outcome, HttpStatus::Ok) && !hasStatus(outcome, HttpStatus::ServiceUnavailable)) {
+        return std::nullopt;
+    }
+    try {
+        return decodeReferral(std::get<HttpAnswer>(outcome).body);
+    } catch (const std::exception &exception) {
+        log.warn("referral to a relay rejected", {{"peer", peer}, {"reason", exception.what()}});
+        return std::nullopt;
+    }
+}
+
 } // namespace
 
 RelayClient::RelayClient(HttpClient &client, const DirectoryClient &codec)
@@ -111,9 +125,10 @@
 
 void RelayClient::check(const CheckRelay &action, std::string slowServers, DirectoryCallback done)
 {
-    requestProof(action.relay, action.follower, std::move(slowServers), [relay = action.relay, done = std::move(done)](const HttpOutcome &outcome) {
-        done({0, RelayChecked{relay, proofIn(outcome)}});
-    });
+    const auto handleOutcome = [this, relay = action.relay, done = std::move(done)](const HttpOutcome &outcome) {
+        done({0, RelayChecked{relay, proofIn(outcome), referralIn(outcome, log_, relay)}});
+    };
+    requestProof(action.relay, action.follower, std::move(slowServers), handleOutcome, action.reportsStore ? Headers{{StoreReportHeader, "1"}} : Headers{});
 }
 
 void RelayClient::readRevisions(const ReadRelayRevisions &action, std::string slowServers, DirectoryCallback done)
@@ -197,22 +212,23 @@
     client_.start(nextCall_++, std::move(call), std::move(done));
 }
 
-void RelayClient::requestProof(const std::string &relay, const std::string &follower, std::string body, HttpCallback done)
+void RelayClient::requestProof(const std::string &relay, const std::string &follower, std::string body, HttpCallback done, Headers extraHeaders)
 {
     if (body.empty()) {
-        get(relay, proofTarget(follower), CheckTimeout, std::move(done));
+        get(relay, proofTarget(follower), CheckTimeout, std::move(done), std::move(extraHeaders));
     } else {
-        post(relay, proofTarget(follower), std::move(body), std::move(done));
+        post(relay, proofTarget(follower), std::move(body), std::move(done), std::move(extraHeaders));
     }
 }
 
-void RelayClient::get(const std::string &relay, const std::string &target, Duration timeout, HttpCallback done)
+void RelayClient::get(const std::string &relay, const std::string &target, Duration timeout, HttpCallback done, Headers extraHeaders)
 {
     HttpCall call;
     call.address = relay;
     call.request.method = "GET";
     call.request.target = target;
     call.request.headers = {{"Host", relay}};
+    std::move(extraHeaders.begin(), extraHeaders.end(), std::back_inserter(call.request.headers));
     call.timeout = timeout;
     call.mayReuseConnection = true;
     call.usesTcpKeepAlive = true;
--- a/src/net/relayclient.h
+++ b/src/net/relayclient.h
@@ -52,9 +52,9 @@
     /// @return what the response to crash updates tells. Logs a failure.
     CrashExchangeOutcome crashExchangeOutcome(const std::string &address, const HttpOutcome &outcome);
     void post(const std::string &address, std::string_view target, std::string body, HttpCallback done, Headers extraHeaders = {});
-    void get(const std::string &relay, const std::string &target, Duration timeout, HttpCallback done);
+    void get(const std::string &relay, const std::string &target, Duration timeout, HttpCallback done, Headers extraHeaders = {});
     /// Requests a proof. @param body sent with the request if it is not empty.
-    void requestProof(const std::string &relay, const std::string &follower, std::string body, HttpCallback done);
+    void requestProof(const std::string &relay, const std::string &follower, std::string body, HttpCallback done, Headers extraHeaders = {});
     /// @return the entry with its value, or with the fault of its text.
     DirectoryEntry decodeEntry(Collection collection, DirectoryEntry received) const;
     /// @return the update; nothing if there is no valid answer. @param failure receives the reason.
--- a/src/net/relaymessages.cpp
+++ b/src/net/relaymessages.cpp
@@ -31,6 +31,8 @@
 constexpr std::size_t MaxStandbys = 16;
 // More than any relay names.
 constexpr std::size_t MaxPeers = 64;
+// An IPv6 address with a zone and a port is shorter.
+constexpr std::size_t MaxAddressLength = 80;
 // Far more than the entry VMs of one availability zone.
 constexpr int MaxEntryVms = 100'000;
 /// Indexed by Collection.
@@ -181,7 +183,10 @@
     return target.starts_with(ProofPath) ? std::optional(std::string(target.substr(ProofPath.size()))) : std::nullopt;
 }
 
-std::string encodeProof(const RelayProof &proof)
+namespace
+{
+
+Json proofJson(const RelayProof &proof)
 {
     Json body = {
         {"age_us", proof.age.count()}, {"hears_from_store", proof.isStoreReachable}, {"entry_vms", proof.entryVms}, {"other_relays", proof.otherRelays}};
@@ -204,9 +209,42 @@
             body["place"]["vacant"] = proof.rank->vacant;
         }
     }
+    return body;
+}
+
+} // namespace
+
+std::string encodeProof(const RelayProof &proof)
+{
+    return proofJson(proof).dump();
+}
+
+std::string encodeProofAnswer(const std::optional<RelayProof> &proof, const std::optional<RelayReferral> &referral)
+{
+    Json body = proof ? proofJson(*proof) : Json::object();
+    if (referral) {
+        body["referral"] = {{"zone", referral->zone}, {"relay", referral->relay}, {"revision", referral->revision}, {"age_us", referral->age.count()}};
+    }
     return body.dump();
 }
 
+std::optional<RelayReferral> decodeReferral(std::string_view text)
+{
+    const Json body = parseBoundedJson(text);
+    if (!body.contains("referral")) {
+        return std::nullopt;
+    }
+    const Json &named = body.at("referral");
+    RelayReferral referral{named.at("zone").get<std::string>(),
+                           named.at("relay").get<std::string>(),
+                           integerFrom<std::int64_t>(named.at("revision")),
+                           durationFrom(named.at("age_us"))};
+    if (referral.relay.empty() || referral.relay.size() > MaxAddressLength || referral.revision <= 0 || referral.age < Duration(0)) {
+        throw std::invalid_argument("invalid referral to " + referral.relay.substr(0, MaxAddressLength));
+    }
+    return referral;
+}
+
 RelayProof decodeProof(std::string_view text)
 {
     const Json body = parseBoundedJson(text);
--- a/src/net/relaymessages.h
+++ b/src/net/relaymessages.h
@@ -51,8 +51,14 @@
 std::string proofTarget(const std::string &follower);
 /// @return the follower named in @p target; nothing if it is not the target of a proof.
 std::optional<std::string> parseProofTarget(std::string_view target);
+/// Header of a request for a proof whose sender reports that the store answers it. The value is not used.
+constexpr const char *StoreReportHeader = "Cloverbarrow-Store-Answers";
 std::string encodeProof(const RelayProof &proof);
 /// @throws std::exception if @p text is malformed.
 RelayProof decodeProof(std::string_view text);
+/// @return the body of an answer to a request for a proof. Either may be missing.
+std::string encodeProofAnswer(const std::optional<RelayProof> &proof, const std::optional<RelayReferral> &referral);
+/// @return the referral in such a body; nothing if it has none, as those of earlier releases. @throws std::exception if @p text is malformed.
+std::optional<RelayReferral> decodeReferral(std::string_view text);
 
 } // namespace Cloverbarrow
--- a/src/net/relayserver.cpp
+++ b/src/net/relayserver.cpp
@@ -40,12 +40,12 @@
 }
 
 /// @param slowServers returns the reports on slow servers to send with it; may be null.
-HttpAnswer proofAnswer(std::optional<RelayProof> proof, const std::function<std::string()> &slowServers)
+HttpAnswer proofAnswer(ProofAnswer answer, const std::function<std::string()> &slowServers)
 {
-    if (proof && slowServers) {
-        proof->slowServers = slowServers();
+    if (answer.proof && slowServers) {
+        answer.proof->slowServers = slowServers();
     }
-    return proof ? answerOf(HttpStatus::Ok, encodeProof(*proof)) : answerOf(HttpStatus::ServiceUnavailable, "{}");
+    return answerOf(answer.proof ? HttpStatus::Ok : HttpStatus::ServiceUnavailable, encodeProofAnswer(answer.proof, answer.referral));
 }
 
 } // namespace
@@ -94,7 +94,8 @@
         return;
     }
     if (const auto follower = parseProofTarget(request.target)) {
-        acceptProofRequest(connection, *follower, std::string(request.body));
+        const bool reportsStore = findHeader(request.headers, StoreReportHeader).has_value();
+        acceptProofRequest(connection, {*follower, reportsStore}, std::string(request.body));
         return;
     }
     if (request.target == CrashUpdatesTarget) {
@@ -153,18 +154,18 @@
     return forwardedRefusal(problem, std::string(*tag));
 }
 
-void RelayServer::acceptProofRequest(const std::shared_ptr<CallerConnection> &connection, const std::string &follower, const std::string &body)
+void RelayServer::acceptProofRequest(const std::shared_ptr<CallerConnection> &connection, const ProofRequest &request, const std::string &body)
 {
-    const auto slowServers = source_.acceptSlowServers && !body.empty() ? source_.acceptSlowServers(follower, body) : nullptr;
-    const auto proof = source_.proof(follower);
-    if (!proof && source_.isStarting()) {
+    const auto slowServers = source_.acceptSlowServers && !body.empty() ? source_.acceptSlowServers(request.follower, body) : nullptr;
+    const ProofAnswer answer = source_.proof(request);
+    if (!answer.proof && source_.isStarting()) {
         // After all entry VMs were killed, the whole zone asks at the same time. Followers that are answered as soon as the first proof
         // is available need not ask again.
         const std::lock_guard lock(mutex_);
-        waitingProofRequests_.push_back({connection, follower, bootNow() + MaxProofWait, slowServers});
+        waitingProofRequests_.push_back({connection, request, bootNow() + MaxProofWait, slowServers});
         return;
     }
-    connection->answer(proofAnswer(proof, slowServers), false);
+    connection->answer(proofAnswer(answer, slowServers), false);
 }
 
 void RelayServer::answerProofs(TimePoint now)
@@ -177,11 +178,11 @@
                 item.connection->callerGone();
                 return true;
             }
-            const auto proof = source_.proof(item.follower);
-            if (!proof && now < item.until) {
+            const ProofAnswer answer = source_.proof(item.request);
+            if (!answer.proof && now < item.until) {
                 return false;
             }
-            ready.emplace_back(item.connection, proofAnswer(proof, item.slowServers));
+            ready.emplace_back(item.connection, proofAnswer(answer, item.slowServers));
             return true;
         });
     }
--- a/src/net/relayserver.h
+++ b/src/net/relayserver.h
@@ -31,12 +31,23 @@
     bool isReplySent = true; ///< Whether this entry VM has updates that it sends if they were requested.
 };
 
+/// A request for this entry VM's proof of contact with the store.
+struct ProofRequest {
+    std::string follower; ///< Address of the entry VM that asks; empty if it belongs to another zone.
+    bool reportsStore = false; ///< Whether it reports that the store answers it.
+};
+
+/// Answer to a ProofRequest.
+struct ProofAnswer {
+    std::optional<RelayProof> proof; ///< Empty if this entry VM is not a relay or has no proof yet.
+    std::optional<RelayReferral> referral; ///< Names the relay of this zone, if it has a recent proof.
+};
+
 /// Callbacks that supply a relay's answers.
 struct RelaySource {
     /// @return the changes of a collection since a revision; nothing if they are not available.
     std::function<std::optional<CollectionUpdate>(Collection collection, std::int64_t since)> collectionUpdate;
-    /// @param follower the entry VM that asks. @return proof of contact with the store; nothing if this entry VM is not a relay.
-    std::function<std::optional<RelayProof>(const std::string &follower)> proof;
+    std::function<ProofAnswer(const ProofRequest &request)> proof;
     /// @return whether this entry VM has just started and may soon have its first proof.
     std::function<bool()> isStarting;
     /// Accepts crash updates received from an entry VM. @return nothing if they cannot be processed.
@@ -88,7 +99,7 @@
     /// A follower that asked for a proof before one was available.
     struct WaitingProofRequest {
         std::shared_ptr<CallerConnection> connection;
-        std::string follower;
+        ProofRequest request;
         TimePoint until;
         std::function<std::string()> slowServers; ///< Returns what to send with the proof; may be null.
     };
@@ -96,7 +107,7 @@
     void accept(const std::shared_ptr<CallerConnection> &connection, HttpRequest request);
     /// @return the answer to a request for which there is no memory.
     HttpAnswer refuseForMemory(const HttpRequest &head, const MemoryCounts &counts) const;
-    void acceptProofRequest(const std::shared_ptr<CallerConnection> &connection, const std::string &follower, const std::string &body);
+    void acceptProofRequest(const std::shared_ptr<CallerConnection> &connection, const ProofRequest &request, const std::string &body);
     /// Answers followers that wait for a proof, if one is available or their wait has ended.
     void answerProofs(TimePoint now);
     /// The last answer with changes of a collection. Followers mostly ask for the same changes, and compression costs processor time.
--- a/tests/property/directoryproperties.cpp
+++ b/tests/property/directoryproperties.cpp
@@ -228,7 +228,7 @@
             const auto seed = static_cast<std::uint64_t>(number) + 1;
             const std::string zone = "zone-" + std::to_string(number % zones);
             const std::string name = "vm-" + std::to_string(number);
-            DirectoryManager manager(FleetBudgets{}, RelayElection(address, false, seed), seed, DirectoryIdentity{name, zone});
+            DirectoryManager manager(FleetBudgets{}, RelayElection(address, false, seed, Duration(0), zone), seed, DirectoryIdentity{name, zone});
             entryVms_.push_back({name,
                                  address,
                                  zone,
@@ -289,7 +289,8 @@
         ++entryVm.process;
         entryVm.startedAt = now_;
         const auto seed = static_cast<std::uint64_t>(index) + 100 + restarts_++;
-        entryVm.manager = DirectoryManager(FleetBudgets{}, RelayElection(entryVm.address, false, seed), seed, DirectoryIdentity{entryVm.name, entryVm.zone});
+        entryVm.manager = DirectoryManager(
+            FleetBudgets{}, RelayElection(entryVm.address, false, seed, Duration(0), entryVm.zone), seed, DirectoryIdentity{entryVm.name, entryVm.zone});
         entryVm.crashTracker = PoisonRequestTracker(entryVm.name, std::to_string(seed));
         entryVm.limits = LimitExchange(seed);
         entryVm.limitedServers.clear();
@@ -430,6 +431,23 @@
         return entryVms_[index % entryVms_.size()].isDisconnected;
     }
 
+    std::size_t size() const
+    {
+        return entryVms_.size();
+    }
+
+    TimePoint now() const
+    {
+        return now_;
+    }
+
+    /// @return the operators' version that the entry VM acts on; 0 if it has none.
+    std::int64_t versionAt(std::size_t index) const
+    {
+        const auto &published = entryVms_[index].published;
+        return published ? std::stoll(published->value.substr(1)) : 0;
+    }
+
     ModelStore store;
     std::function<bool()> losesAnswer = [] { return false; };
     std::array<int, CollectionCount> storeListCalls{}; ///< Number of list calls to the store, by collection.
@@ -634,13 +652,20 @@
 
     void perform(EntryVm &entryVm, const CheckDirectory &)
     {
-        const bool isInTime = store.answerTime < RelayElection::StoreCheckTimeout;
-        scheduleAnswer(entryVm, 0, DirectoryChecked{reachesStore(entryVm) && isInTime}, std::min(store.answerTime, RelayElection::StoreCheckTimeout));
+        const bool isInTime = store.answerTime < RelayElection::StoreCheckTimeout && !entryVm.isDisconnected;
+        // A store that is down refuses at once, while a partition is silent.
+        const Duration delay = entryVm.isDisconnected ? RelayElection::StoreCheckTimeout : std::min(store.answerTime, RelayElection::StoreCheckTimeout);
+        scheduleAnswer(entryVm, 0, DirectoryChecked{reachesStore(entryVm) && isInTime}, delay);
     }
 
     void perform(EntryVm &entryVm, const CheckRelay &action)
     {
-        scheduleAnswer(entryVm, 0, RelayChecked{action.relay, proofOf(entryVm, action.relay, action.follower)});
+        EntryVm *peer = find(action.relay);
+        if (peer && action.reportsStore) {
+            peer->manager.storeReported(now_);
+        }
+        auto proof = proofOf(entryVm, action.relay, action.follower);
+        scheduleAnswer(entryVm, 0, RelayChecked{action.relay, std::move(proof), peer ? peer->manager.referral(now_) : std::nullopt});
     }
 
     void perform(EntryVm &entryVm, const ReadRelayRevisions &action)
@@ -1163,6 +1188,159 @@
 namespace
 {
 
+/// A time during which some entry VMs are partitioned from the store.
+struct Partition {
+    TimePoint from;
+    TimePoint until;
+    std::set<std::size_t> members;
+};
+
+/// @param share probability with which each entry VM is partitioned. @return a partition that begins and ends at random times after @p start.
+Partition drawPartition(const ModelFleet &fleet, TimePoint start, double share, Random &random)
+{
+    constexpr std::size_t PercentCount = 100;
+    const bool includesRelays = random.below(2) == 0;
+    const TimePoint from = start + milliseconds(random.below(6000));
+    Partition partition{from, from + milliseconds(3000 + random.below(10'000)), {}};
+    for (std::size_t index = 0; index < fleet.size(); ++index) {
+        if (static_cast<double>(random.below(PercentCount)) < share * PercentCount || (includesRelays && fleet.isRelay(index))) {
+            partition.members.insert(index);
+        }
+    }
+    return partition;
+}
+
+// The users' bounds: how long after its last disruption an entry VM counts as connected, and how long a change may take.
+constexpr Duration ReconnectLimit = seconds(3);
+constexpr Duration ApplyLimit = seconds(2);
+
+/// Plays partitions while the configuration changes.
+class PartitionPlay
+{
+public:
+    PartitionPlay(ModelFleet &fleet, std::vector<Partition> partitions, Random &random)
+        : fleet_(fleet)
+        , partitions_(std::move(partitions))
+        , random_(random)
+        , partitionedAt_(fleet.size(), fleet.now() - ReconnectLimit)
+        , changeAt_(fleet.now())
+    {
+    }
+
+    /// @return the longest time for which a connected entry VM acted on a configuration that had been replaced more than ApplyLimit before.
+    Duration longestStaleness()
+    {
+        constexpr Duration PlayStep = milliseconds(50);
+        std::vector<Duration> staleness(fleet_.size(), Duration(0));
+        for (const TimePoint end = lastEnd() + ReconnectLimit + ApplyLimit; fleet_.now() < end;) {
+            applyPartitions();
+            applyChange();
+            fleet_.advance(PlayStep);
+            for (std::size_t index = 0; index < fleet_.size(); ++index) {
+                const bool isConnected = fleet_.now() - partitionedAt_[index] > ReconnectLimit;
+                staleness[index] += isConnected && isStale(index) ? PlayStep : Duration(0);
+            }
+        }
+        return *std::max_element(staleness.begin(), staleness.end());
+    }
+
+private:
+    TimePoint lastEnd() const
+    {
+        TimePoint end = fleet_.now();
+        for (const Partition &partition : partitions_) {
+            end = std::max(end, partition.until);
+        }
+        return end;
+    }
+
+    void applyPartitions()
+    {
+        for (std::size_t index = 0; index < fleet_.size(); ++index) {
+            const bool isPartitioned = std::any_of(partitions_.begin(), partitions_.end(), [this, index](const Partition &partition) {
+                return fleet_.now() >= partition.from && fleet_.now() < partition.until && partition.members.contains(index);
+            });
+            fleet_.setDisconnected(index, isPartitioned);
+            partitionedAt_[index] = isPartitioned ? fleet_.now() : partitionedAt_[index];
+        }
+    }
+
+    void applyChange()
+    {
+        if (fleet_.now() < changeAt_) {
+            return;
+        }
+        changeAt_ = fleet_.now() + milliseconds(300 + random_.below(3000));
+        fleet_.store.putPlan();
+        versions_.emplace_back(fleet_.now(), fleet_.store.planVersion);
+    }
+
+    bool isStale(std::size_t index) const
+    {
+        return std::any_of(versions_.begin(), versions_.end(), [this, index](const auto &change) {
+            return change.first + ApplyLimit <= fleet_.now() && fleet_.versionAt(index) < change.second;
+        });
+    }
+
+    ModelFleet &fleet_;
+    std::vector<Partition> partitions_;
+    Random &random_;
+    std::vector<TimePoint> partitionedAt_; ///< By entry VM, when it was last partitioned.
+    TimePoint changeAt_;
+    std::vector<std::pair<TimePoint, std::int64_t>> versions_;
+};
+
+/// Plays partitions in fleets of different sizes. @param draw draws the partitions of a fleet. @return the plays in which staleness was seen.
+std::vector<std::string> stalePlays(std::uint64_t seed, const std::function<std::vector<Partition>(const ModelFleet &, Random &)> &draw)
+{
+    constexpr int Plays = 100;
+    Random random(seed);
+    std::vector<std::string> stale;
+    for (int play = 0; play < Plays; ++play) {
+        const int zones = 1 + static_cast<int>(random.below(3));
+        ModelFleet fleet(zones * (2 + static_cast<int>(random.below(7))), zones);
+        fleet.store.putServer("i-1", false);
+        // Long enough for the relays to have announced each other's addresses.
+        fleet.advance(seconds(20) + milliseconds(random.below(1000)));
+        const Duration staleness = PartitionPlay(fleet, draw(fleet, random), random).longestStaleness();
+        if (staleness > Duration(0)) {
+            stale.push_back("play " + std::to_string(play) + ": " + std::to_string(staleness.count()) + " us");
+        }
+    }
+    return stale;
+}
+
+std::vector<Partition> overlappingPartitions(const ModelFleet &fleet, Random &random)
+{
+    std::vector<Partition> partitions;
+    for (const double share : {0.35, 0.35, 0.35, 0.7}) {
+        partitions.push_back(drawPartition(fleet, fleet.now(), share, random));
+    }
+    return partitions;
+}
+
+/// @return a partition of all entry VMs that ends for each of them at another time.
+std::vector<Partition> partitionsOfAll(const ModelFleet &fleet, Random &random)
+{
+    std::vector<Partition> partitions;
+    for (std::size_t index = 0; index < fleet.size(); ++index) {
+        partitions.push_back({fleet.now(), fleet.now() + milliseconds(2000 + random.below(15'000)), {index}});
+    }
+    return partitions;
+}
+
+} // namespace
+
+// Guards against followers that keep a replaced configuration after their partition has ended, since their relay is still partitioned.
+TEST_CASE("Entry VMs whose partition from the store has ended act on the newest configuration", "[property][directory][relay][partition]")
+{
+    const auto draw = GENERATE(overlappingPartitions, partitionsOfAll);
+    CHECK(stalePlays(20261207, draw) == std::vector<std::string>());
+}
+
+namespace
+{
+
 // Time within which all entry VMs that reach the store must block a request after it has crashed the third server.
 constexpr Duration PropagationLimit = seconds(3);
 
--- a/tests/support/frozenfleet.cpp
+++ b/tests/support/frozenfleet.cpp
@@ -53,7 +53,10 @@
     : name("vm-" + std::to_string(index))
     , address(addressOf(index))
     , zone(index % Zones)
-    , manager(FleetBudgets{}, RelayElection(address, false, seed), seed, DirectoryIdentity{name, "zone-" + std::to_string(zone)})
+    , manager(FleetBudgets{},
+              RelayElection(address, false, seed, Duration(0), "zone-" + std::to_string(zone)),
+              seed,
+              DirectoryIdentity{name, "zone-" + std::to_string(zone)})
     , control(settingsOf(name))
 {
 }
--- a/tests/unit/relayservertests.cpp
+++ b/tests/unit/relayservertests.cpp
@@ -34,7 +34,7 @@
     StartingRelay()
     {
         const auto noUpdate = [](Collection, std::int64_t) { return std::optional<CollectionUpdate>(); };
-        const auto proof = [this](const std::string &) { return hasProof ? std::optional(RelayProof{}) : std::nullopt; };
+        const auto proof = [this](const ProofRequest &) { return ProofAnswer{hasProof ? std::optional(RelayProof{}) : std::nullopt, std::nullopt}; };
         server = std::make_unique<RelayServer>("127.0.0.1:0", RelaySource{noUpdate, proof, [this] { return isStarting.load(); }});
     }
 
@@ -128,7 +128,7 @@
     const std::string sent = GENERATE("", "reports", "invalid");
     RelaySource source;
     source.collectionUpdate = [](Collection, std::int64_t) { return std::optional<CollectionUpdate>(); };
-    source.proof = [](const std::string &) { return std::optional(RelayProof{}); };
+    source.proof = [](const ProofRequest &) { return ProofAnswer{RelayProof{}, std::nullopt}; };
     source.isStarting = [] { return false; };
     std::promise<std::string> accepted;
     source.acceptSlowServers = [&accepted](const std::string &follower, const std::string &text) -> std::function<std::string()> {
