The status line of a server's answer is read strictly

Callers received answers with the statuses 600, 700 and 999 and answers in "HTTP/2" from faulty servers. After 101 (Switching Protocols), which no request asks for, they waited until their deadlines and got 504; reads were not retried.

Cause: libcurl takes any three digits as a status and goes on reading after 101, and nothing else looked at the status line.

Now AnswerHeadReader reads the heads of all answers, of servers, probes, peers and the store. Only 200 to 599 are final and 1xx but 101 interim; anything else closes the connection and counts as no complete answer, so that a read is retried and a write gets 502.

--- a/src/core/support/httpstatus.h
+++ b/src/core/support/httpstatus.h
@@ -11,6 +11,8 @@
 {
 
 // HTTP status codes (RFC 9110) that the core or the adapters use.
+constexpr int Continue = 100; ///< Lowest status of the class of interim answers (1xx).
+constexpr int SwitchingProtocols = 101;
 constexpr int Ok = 200;
 constexpr int Created = 201;
 constexpr int NotModified = 304;
@@ -25,6 +27,7 @@
 constexpr int BadGateway = 502;
 constexpr int ServiceUnavailable = 503;
 constexpr int GatewayTimeout = 504;
+constexpr int Highest = 599; ///< Highest status of an answer; higher ones belong to no class.
 
 /// @return whether @p status is in the class of successes (2xx).
 constexpr bool isSuccess(int status)
--- /dev/null
+++ b/src/net/answerhead.cpp
@@ -0,0 +1,148 @@
+/*
+    This file is part of cloverbarrow.
+
+    SPDX-FileCopyrightText: 2026 The cloverbarrow authors
+    SPDX-License-Identifier: Apache-2.0
+*/
+
+#include "net/answerhead.h"
+
+#include "core/support/httpstatus.h"
+#include "core/support/text.h"
+
+#include <algorithm>
+#include <optional>
+#include <utility>
+
+namespace Cloverbarrow
+{
+
+namespace
+{
+
+constexpr std::string_view VersionPrefix = "HTTP/1.";
+constexpr std::string_view VersionExample = "HTTP/1.1";
+constexpr std::size_t StatusDigits = 3;
+constexpr std::size_t MaxQuotedLength = 40;
+
+bool isDigit(char character)
+{
+    return character >= '0' && character <= '9';
+}
+
+/// @return the status in a status line; nothing if the line is malformed.
+std::optional<int> statusIn(std::string_view line)
+{
+    constexpr std::size_t StatusStart = VersionExample.size() + 1;
+    constexpr std::size_t StatusEnd = StatusStart + StatusDigits;
+    if (!line.starts_with(VersionPrefix) || line.size() < StatusEnd || !isDigit(line[VersionPrefix.size()]) || line[VersionExample.size()] != ' ') {
+        return std::nullopt;
+    }
+    if (line.size() > StatusEnd && line[StatusEnd] != ' ') {
+        return std::nullopt;
+    }
+    constexpr int HighestStatus = 999;
+    return parseNumber(line.substr(StatusStart, StatusDigits), HighestStatus);
+}
+
+bool isInterim(int status)
+{
+    return status >= HttpStatus::Continue && status < HttpStatus::Ok;
+}
+
+bool isFinal(int status)
+{
+    return status >= HttpStatus::Ok && status <= HttpStatus::Highest;
+}
+
+/// @return the beginning of @p line with replacements for what cannot be printed.
+std::string quoted(std::string_view line)
+{
+    std::string text(line.substr(0, MaxQuotedLength));
+    std::replace_if(
+        text.begin(), text.end(), [](char character) { return character < ' ' || character == 0x7f; }, '?');
+    return "'" + text + "'";
+}
+
+} // namespace
+
+AnswerHeadReader::Progress AnswerHeadReader::readLine(std::string_view line)
+{
+    if (line.empty()) {
+        return endHead();
+    }
+    // Also within a head: the lines after it may be those of another answer.
+    return line.starts_with("HTTP/") ? readStatusLine(line) : readHeaderLine(line);
+}
+
+AnswerHeadReader::Progress AnswerHeadReader::readStatusLine(std::string_view line)
+{
+    if (isWithinHead_) {
+        return reject("a status line within the head");
+    }
+    const auto status = statusIn(line);
+    if (!status) {
+        return reject("malformed status line " + quoted(line));
+    }
+    // No request asks for another protocol, and after its acceptance no answer follows.
+    if (*status == HttpStatus::SwitchingProtocols || !(isInterim(*status) || isFinal(*status))) {
+        return reject("status " + std::to_string(*status));
+    }
+    answer_ = {};
+    answer_.status = *status;
+    const std::size_t reason = VersionExample.size() + 1 + StatusDigits + 1;
+    answer_.reason = line.size() > reason ? std::string(line.substr(reason)) : std::string();
+    isWithinHead_ = true;
+    return Progress::Incomplete;
+}
+
+AnswerHeadReader::Progress AnswerHeadReader::readHeaderLine(std::string_view line)
+{
+    if (!isWithinHead_) {
+        return reject("no status line, but " + quoted(line));
+    }
+    if (const std::size_t colon = line.find(':'); colon != std::string_view::npos) {
+        std::string_view value = line.substr(colon + 1);
+        value.remove_prefix(std::min(value.find_first_not_of(" \t"), value.size()));
+        answer_.headers.push_back({std::string(line.substr(0, colon)), std::string(value)});
+    }
+    return Progress::Incomplete;
+}
+
+AnswerHeadReader::Progress AnswerHeadReader::endHead()
+{
+    if (!isWithinHead_) {
+        return reject("no status line");
+    }
+    isWithinHead_ = false;
+    isComplete_ = !isInterim(answer_.status);
+    return isComplete_ ? Progress::Complete : Progress::Interim;
+}
+
+AnswerHeadReader::Progress AnswerHeadReader::reject(std::string fault)
+{
+    fault_ = std::move(fault);
+    return Progress::Malformed;
+}
+
+bool AnswerHeadReader::isComplete() const
+{
+    return isComplete_;
+}
+
+const std::string &AnswerHeadReader::fault() const
+{
+    return fault_;
+}
+
+const HttpAnswer &AnswerHeadReader::answer() const
+{
+    return answer_;
+}
+
+HttpAnswer AnswerHeadReader::takeAnswer()
+{
+    return std::move(answer_);
+}
+
+} // namespace Cloverbarrow
--- a/src/net/httptransfer.cpp
+++ b/src/net/httptransfer.cpp
@@ -115,69 +115,34 @@
     return count;
 }
 
-bool isInterimStatus(std::string_view statusLine)
-{
-    const std::size_t space = statusLine.find(' ');
-    return space != std::string_view::npos && statusLine.substr(space + 1).starts_with('1');
-}
-
-void startAnswer(std::string_view statusLine, HttpAnswer &answer)
-{
-    // After interim answers, a new status line starts the final one.
-    answer = {};
-    const std::size_t space = statusLine.find(' ');
-    const std::size_t reason = statusLine.find(' ', space + 1);
-    if (space != std::string_view::npos && reason != std::string_view::npos) {
-        answer.reason = std::string(statusLine.substr(reason + 1));
-    }
-}
-
 /// @return whether the received head is a success that lacks the header without which its body is of no use.
 bool lacksSuccessHeader(const Transfer &transfer)
 {
     const std::string &name = transfer.call.successHeader;
-    long status = 0;
-    curl_easy_getinfo(transfer.easy.get(), CURLINFO_RESPONSE_CODE, &status);
-    return !name.empty() && !transfer.isInterim && HttpStatus::isSuccess(static_cast<int>(status)) && !findHeader(transfer.answer.headers, name);
+    const HttpAnswer &answer = transfer.head.answer();
+    return !name.empty() && HttpStatus::isSuccess(answer.status) && !findHeader(answer.headers, name);
 }
 
 /// @return whether the received head has the echo that the call expects.
 bool hasExpectedEcho(const Transfer &transfer)
 {
     const ExpectedEcho &echo = transfer.call.echo;
-    if (echo.header.empty() || transfer.isInterim) {
+    if (echo.header.empty()) {
         return true;
     }
-    const auto found = findHeader(transfer.answer.headers, echo.header);
+    const auto found = findHeader(transfer.head.answer().headers, echo.header);
     return found ? *found == echo.value : !echo.isRequired;
 }
 
-/// @return whether the rest of the answer is to be read.
+/// Handles the complete head of the final answer. @return whether the rest of the answer is to be read.
 bool endHead(Transfer &transfer)
 {
-    // Aborting closes the connection, so that the rest of its data cannot reach another call.
     transfer.hasWrongEcho = !hasExpectedEcho(transfer);
     transfer.isHeadOnly = !transfer.hasWrongEcho && lacksSuccessHeader(transfer);
-    transfer.hasWholeHead = !transfer.isInterim;
-    transfer.isWithinHead = false;
     return !transfer.hasWrongEcho && !transfer.isHeadOnly;
 }
 
-void receiveHeaderLine(std::string_view line, Transfer &transfer)
-{
-    if (line.starts_with("HTTP/")) {
-        // libcurl keeps the status of the first line, but the headers after the second one may be those of another answer.
-        transfer.hasRepeatedStatus = transfer.isWithinHead;
-        transfer.isWithinHead = true;
-        startAnswer(line, transfer.answer);
-        transfer.isInterim = isInterimStatus(line);
-    } else if (const std::size_t colon = line.find(':'); colon != std::string_view::npos) {
-        std::string_view value = line.substr(colon + 1);
-        value.remove_prefix(std::min(value.find_first_not_of(" \t"), value.size()));
-        transfer.answer.headers.push_back({std::string(line.substr(0, colon)), std::string(value)});
-    }
-}
-
+/// @return @p count to go on. Anything else aborts the call, which closes its connection, so that the rest of its data cannot reach another call.
 std::size_t receiveHeader(char *bytes, std::size_t, std::size_t count, void *context)
 {
     auto *transfer = static_cast<Transfer *>(context);
@@ -191,14 +156,19 @@
         return 0;
     }
     // Trailers are not merged into the head (RFC 9110): a server's faulty body must not add headers or begin another answer.
-    if (transfer->hasWholeHead) {
+    if (transfer->head.isComplete()) {
         return count;
     }
-    if (line.empty()) {
+    switch (transfer->head.readLine(line)) {
+    case AnswerHeadReader::Progress::Malformed:
+        return 0;
+    case AnswerHeadReader::Progress::Complete:
         return endHead(*transfer) ? count : 0;
+    case AnswerHeadReader::Progress::Incomplete:
+    case AnswerHeadReader::Progress::Interim:
+        break;
     }
-    receiveHeaderLine(line, *transfer);
-    return transfer->hasRepeatedStatus ? 0 : count;
+    return count;
 }
 
 HeaderList headerList(const HttpCall &call)
@@ -282,7 +252,7 @@
 /// @return whether the answer itself delimits its body, rather than the end of the connection.
 bool hasExplicitEnd(const Transfer &transfer)
 {
-    const HttpAnswer &answer = transfer.answer;
+    const HttpAnswer &answer = transfer.head.answer();
     const bool isBodiless = transfer.call.request.method == "HEAD" || answer.status == 204 || answer.status == 304;
     return isBodiless || findHeader(answer.headers, "content-length") || findHeader(answer.headers, "transfer-encoding");
 }
@@ -311,8 +281,8 @@
     if (transfer.exceedsMemory) {
         return HttpFailure{true, false, "there is no memory for the answer"};
     }
-    if (transfer.hasRepeatedStatus) {
-        return HttpFailure{true, false, "a status line within the head of the answer", true};
+    if (!transfer.head.fault().empty()) {
+        return HttpFailure{true, false, "malformed head of the answer: " + transfer.head.fault(), true};
     }
     if (transfer.hasWrongEcho) {
         return HttpFailure{true, false, "the answer belongs to another exchange", true};
@@ -326,17 +296,15 @@
     if (code != CURLE_OK && !transfer.isHeadOnly) {
         return HttpFailure{transfer.wasSent, code == CURLE_OPERATION_TIMEDOUT, curl_easy_strerror(code), isRejectedConnection(code)};
     }
-    if (!transfer.hasWholeHead) {
+    if (!transfer.head.isComplete()) {
         return HttpFailure{true, false, "the connection ended within the head of the answer", true};
     }
-    long status = 0;
-    curl_easy_getinfo(transfer.easy.get(), CURLINFO_RESPONSE_CODE, &status);
-    transfer.answer.status = static_cast<int>(status);
     if (!transfer.isHeadOnly && !hasExplicitEnd(transfer) && !transfer.call.acceptsCloseDelimited) {
         return HttpFailure{true, false, "the answer ended with its connection, so it may be cut"};
     }
-    transfer.answer.body = transfer.body.take();
-    return std::move(transfer.answer);
+    HttpAnswer answer = transfer.head.takeAnswer();
+    answer.body = transfer.body.take();
+    return answer;
 }
 
 } // namespace
@@ -377,7 +345,7 @@
 {
     // libcurl reports no error if the connection is closed in order, unless it has read a length.
     const bool hasEnded = code == CURLE_OK || code == CURLE_PARTIAL_FILE || code == CURLE_RECV_ERROR;
-    return hasEnded && transfer.headBytes > 0 && !transfer.hasWholeHead;
+    return hasEnded && transfer.headBytes > 0 && !transfer.head.isComplete();
 }
 
 HttpOutcome outcomeOf(Transfer &transfer, CURLcode code)
--- a/src/net/httptransfer.h
+++ b/src/net/httptransfer.h
@@ -7,6 +7,7 @@
 
 #pragma once
 
+#include "net/answerhead.h"
 #include "net/connectionsockets.h"
 #include "net/httpclient.h"
 
@@ -45,7 +46,7 @@
     EasyHandle easy;
     HeaderList headers;
     std::string url;
-    HttpAnswer answer;
+    AnswerHeadReader head; ///< Of the answer, after interim answers.
     BodyBuilder body; ///< Of the answer.
     ConnectionSockets *sockets = nullptr; ///< Shared by the transfers of a thread. Outlives all connections.
     int openedSocket = -1; ///< The last one that was opened for this transfer; -1 if it reuses a connection.
@@ -58,10 +59,6 @@
     bool isTooLong = false;
     bool exceedsMemory = false; ///< There is no memory for the body of the answer.
     bool isHeadOnly = false; ///< The answer is complete after its head, and its body is not read.
-    bool isWithinHead = false; ///< The status line of a head has been read, and its end has not.
-    bool hasRepeatedStatus = false; ///< There is another status line within a head.
-    bool isInterim = false; ///< Whether the head being read belongs to an interim (1xx) answer.
-    bool hasWholeHead = false; ///< The head of the final answer is complete. Header lines after it are trailers.
     bool hasWrongEcho = false; ///< The answer does not have the expected echo, so it belongs to another exchange.
 };
 
--- a/tests/platform/pathtests.cpp
+++ b/tests/platform/pathtests.cpp
@@ -221,6 +221,30 @@
     CHECK(answer->body.view().find("ran GET /read/1") != std::string::npos);
 }
 
+// Guards against callers that receive a status that HTTP does not have, or that wait for an answer until their deadline.
+TEST_CASE("An answer with a status that is none is a failure of the server, and a read is retried at once", "[platform][path][status]")
+{
+    const AnswerMode mode = GENERATE(AnswerMode::UnknownStatus, AnswerMode::Switching);
+    PathFixture fixture;
+    SECTION("a payout is executed once, and its outcome is unknown")
+    {
+        fixture.setAllAnswerModes(mode);
+        CHECK(fixture.send("POST", "/pay/1", "id-1")->status == 502);
+        CHECK(fixture.executions() == 1);
+    }
+    SECTION("a read is served by another server")
+    {
+        fixture.backends.front()->setAnswerMode(mode);
+        // Until the faulty server has been chosen.
+        constexpr std::size_t MaxReads = 50;
+        std::size_t reads = 0;
+        while (reads < MaxReads && fixture.executions() == reads) {
+            CHECK(fixture.send("GET", "/read/1", "id-" + std::to_string(++reads))->status == 200);
+        }
+        CHECK(fixture.executions() == reads + 1);
+    }
+}
+
 TEST_CASE("A route's timeout ends a request with 504 although the caller would wait longer", "[platform][path]")
 {
     PathFixture fixture(0.3);
--- a/tests/standins/registeredbackend.cpp
+++ b/tests/standins/registeredbackend.cpp
@@ -333,7 +333,8 @@
         return;
     }
     const AnswerMode mode = answerMode_;
-    if (isExecuted && capacity_ && mode != AnswerMode::Reset && mode != AnswerMode::Unframed) {
+    const bool isRaw = mode == AnswerMode::Unframed || mode == AnswerMode::UnknownStatus || mode == AnswerMode::Switching;
+    if (isExecuted && capacity_ && mode != AnswerMode::Reset && !isRaw) {
         runLocked({connection, std::move(answer), request.method == "HEAD"});
         return;
     }
@@ -342,10 +343,11 @@
     lock.unlock();
     if (isExecuted && mode == AnswerMode::Reset) {
         connection->abort();
-    } else if (isExecuted && mode == AnswerMode::Unframed) {
-        connection->answerBytes(std::string("HTTP/1.1 200 OK\r\n") + Platform::RequestIdHeader + ": " + requestId + "\r\n" + leavingLine + Platform::StampHeader
-                                    + ": s\r\n\r\n" + std::string(answer.body),
-                                true);
+    } else if (isExecuted && isRaw) {
+        const char *status = mode == AnswerMode::Unframed ? "200 OK" : mode == AnswerMode::Switching ? "101 Switching Protocols" : "600 Unknown";
+        connection->answerBytes(std::string("HTTP/1.1 ") + status + "\r\n" + Platform::RequestIdHeader + ": " + requestId + "\r\n" + leavingLine
+                                    + Platform::StampHeader + ": s\r\n\r\n" + std::string(answer.body),
+                                mode == AnswerMode::Unframed);
     } else {
         connection->answer(answer, request.method == "HEAD");
     }
--- a/tests/standins/registeredbackend.h
+++ b/tests/standins/registeredbackend.h
@@ -35,6 +35,8 @@
     Reset, ///< Executes the request and resets the connection.
     Unsigned, ///< Answers without its signature.
     Unframed, ///< Answers without a length and closes the connection.
+    UnknownStatus, ///< Executes the request and answers with a status that HTTP does not have, on a connection that stays open.
+    Switching, ///< Executes the request and answers that it switches to another protocol, which nobody has requested.
 };
 
 /// Which answers announce a request limit.
--- a/tests/unit/faultyanswertests.cpp
+++ b/tests/unit/faultyanswertests.cpp
@@ -259,6 +259,64 @@
     CHECK(std::holds_alternative<HttpAnswer>(outcome));
 }
 
+// Guards against a server's answer with a status that HTTP does not have, which callers received as an answer.
+TEST_CASE("An answer whose status line is malformed or has an unknown status is not passed on", "[net][status]")
+{
+    const std::string line = GENERATE(as<std::string>(),
+                                      "HTTP/1.1 000 None",
+                                      "HTTP/1.1 099 Low",
+                                      "HTTP/1.1 101 Switching Protocols",
+                                      "HTTP/1.1 600 High",
+                                      "HTTP/1.1 700 Higher",
+                                      "HTTP/1.1 999 Highest",
+                                      "HTTP/1.1 20 Short",
+                                      "HTTP/1.1 2000 Long",
+                                      "HTTP/1.1 1 0 Parted",
+                                      "HTTP/1.1 2x0 Letter",
+                                      "HTTP/1.1 -20 Negative",
+                                      "HTTP/1.1  200 Blanks",
+                                      "HTTP/1.1\t200 Tab",
+                                      "HTTP/1.1 200\tTab",
+                                      "HTTP/1.1",
+                                      "HTTP/1.x 200 Version",
+                                      "HTTP/2 200",
+                                      "HTTP/2.0 200 Version",
+                                      "HTTP/0.9 200 Version",
+                                      "HTTP/3 200",
+                                      "HTTP/11 200 Version");
+    CAPTURE(line);
+    const std::string head = line + "\r\nRequest-Id: 1\r\nSignature: abc\r\nContent-Length: 2\r\n\r\n";
+    const std::string method = GENERATE(as<std::string>(), "GET", "HEAD", "POST");
+    const auto *interim = GENERATE("", "HTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\n");
+    // A connection that stays open: the call must not wait for its deadline.
+    RawServer server({"an answer of another kind", {interim + head + "ok", ""}, ""});
+    HttpClient client(1);
+    HttpCall call = callTo(server.address());
+    call.request.method = method;
+    call.mayReuseConnection = true;
+    call.echo = {"Request-Id", "1", true};
+    call.timeout = seconds(5);
+    const HttpOutcome outcome = startCall(client, 1, std::move(call)).get();
+    REQUIRE(std::holds_alternative<HttpFailure>(outcome));
+    CHECK(std::get<HttpFailure>(outcome).wasSent);
+    CHECK_FALSE(std::get<HttpFailure>(outcome).isTimeout);
+}
+
+TEST_CASE("Answers with any status of HTTP are passed on as they are, after interim ones", "[net][status]")
+{
+    const int status = GENERATE(200, 299, 300, 418, 499, 503, 599);
+    const auto *interim = GENERATE("", "HTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\n", "HTTP/1.1 199 Unknown\r\n\r\n");
+    const auto *reason = GENERATE("", " ", " Some reason");
+    CAPTURE(status, interim, reason);
+    RawServer server({"an answer", interim + ("HTTP/1.1 " + std::to_string(status)) + reason + "\r\nContent-Length: 2\r\n\r\nok", ""});
+    HttpClient client(1);
+    const HttpOutcome outcome = startCall(client, 1, callTo(server.address())).get();
+    REQUIRE(std::holds_alternative<HttpAnswer>(outcome));
+    CHECK(std::get<HttpAnswer>(outcome).status == status);
+    CHECK(std::get<HttpAnswer>(outcome).body == "ok");
+    CHECK(std::get<HttpAnswer>(outcome).headers.size() == 1);
+}
+
 TEST_CASE("A truncated late answer to an earlier request is not passed on to the next request", "[net][truncated]")
 {
     const std::string head = "Signature: abc\r\nContent-Length: 2\r\n\r\n";
