A request that may not end before the process exits is refused

Callers lost payouts in a planned stop: requests that were sent 0.7 to 1.8 s after SIGTERM were passed on and cut without an answer when the process exited.

Cause: the process knows when it will exit, but the services, which decide on requests, did not. They accepted and sent requests for as long as the balancer needs to notice the stop, whatever time such requests take.

Now a stop tells the services when the process exits at the latest. A request whose deadline is later is refused as not executed unless the longest recent attempt of its kind, and a quarter more, ends before the exit. This is decided on arrival, on each tick while the request is at no server, and before another attempt. The code about the exit moves to a file of its own.

--- a/src/core/controlevents.h
+++ b/src/core/controlevents.h
@@ -276,6 +276,13 @@
     bool operator==(const AnnounceClose &) const = default;
 };
 
+/// Refuse requests that cannot be expected to finish before the process exits, which it does at this time at the latest.
+struct ScheduleExit {
+    TimePoint at;
+
+    bool operator==(const ScheduleExit &) const = default;
+};
+
 /// Refuse further requests of callers, and close their connections.
 struct StopAccepting {
     bool operator==(const StopAccepting &) const = default;
@@ -314,6 +321,7 @@
                                    SendAllCrashUpdates,
                                    UpdateBlocklist,
                                    AnnounceClose,
+                                   ScheduleExit,
                                    StopAccepting,
                                    RefuseUnsent,
                                    Exit>;
--- a/src/core/controlshard.cpp
+++ b/src/core/controlshard.cpp
@@ -254,11 +254,13 @@
 
 void ControlShard::on(TimePoint now, const StopRequested &, ControlActions &actions)
 {
-    if (shutdown_.phase() == ShutdownSequence::Phase::Serving) {
+    const bool isFirst = shutdown_.phase() == ShutdownSequence::Phase::Serving;
+    shutdown_.requestStop(now);
+    if (isFirst) {
         // Callers that learn of the end with an answer do not send a request on a connection that is about to be closed.
         actions.emplace_back(AnnounceClose{});
+        actions.emplace_back(ScheduleExit{*shutdown_.abandonsAt()});
     }
-    shutdown_.requestStop(now);
     membership_.setLeaving();
     shares_.startRelease();
     speedUpHeartbeats();
--- a/src/core/node.cpp
+++ b/src/core/node.cpp
@@ -138,6 +138,10 @@
             notifyLeavingChanged(internal);
             continue;
         }
+        if (const auto *exit = std::get_if<ScheduleExit>(&action)) {
+            scheduleExit(exit->at, internal);
+            continue;
+        }
         if (std::holds_alternative<RefuseUnsent>(action)) {
             enqueueForAllServices(ProcessExiting{}, internal);
             continue;
@@ -175,6 +179,9 @@
                                                    ServiceShard(settings_.self.id, {settings_.self.zone, settings_.self.region}, service.name, policy_, seed));
             internal.emplace_back(EventForService{service.name, FleetSizeChanged{entryVms_.value(), entryVms_.order()}});
             internal.emplace_back(EventForService{service.name, ForwardingPeersChanged{forwardingPeers_.value(), forwardingPeers_.order()}});
+            if (exitAt_) {
+                internal.emplace_back(EventForService{service.name, ExitScheduled{*exitAt_}});
+            }
             if (blocklist_.value()) {
                 internal.emplace_back(EventForService{service.name, BlocklistChanged{blocklist_.value(), blocklist_.order()}});
             }
@@ -226,6 +233,15 @@
     enqueueForAllServices(peers, internal);
 }
 
+void Node::scheduleExit(TimePoint at, std::vector<NodeEvent> &internal)
+{
+    {
+        const std::lock_guard lock(mapMutex_);
+        exitAt_ = at;
+    }
+    enqueueForAllServices(ExitScheduled{at}, internal);
+}
+
 void Node::resize(const UpdateFleetSize &fleet, std::vector<NodeEvent> &internal)
 {
     {
--- a/src/core/node.h
+++ b/src/core/node.h
@@ -104,6 +104,7 @@
     /// Stores the reports of peers on request limits and passes them to all services.
     void recordLimitReports(const LimitsReported &limits, std::vector<NodeEvent> &internal);
     void distributePeers(const ForwardingPeersChanged &peers, std::vector<NodeEvent> &internal);
+    void scheduleExit(TimePoint at, std::vector<NodeEvent> &internal);
     void resize(const UpdateFleetSize &fleet, std::vector<NodeEvent> &internal);
     void distributeBlocklist(const UpdateBlocklist &update, std::vector<NodeEvent> &internal);
     void notifyLeavingChanged(std::vector<NodeEvent> &internal) const;
@@ -121,6 +122,7 @@
     Latest<int> entryVms_{1};
     Latest<std::shared_ptr<const RequestBlocklist>> blocklist_{nullptr};
     Latest<PeerAddresses> forwardingPeers_{{}}; ///< Guarded by mapMutex_.
+    std::optional<TimePoint> exitAt_; ///< Guarded by mapMutex_.
     std::map<std::string, LimitReport> limitReports_; ///< The newest report for each server; guarded by mapMutex_.
 };
 
--- a/src/core/requests/serviceevents.h
+++ b/src/core/requests/serviceevents.h
@@ -236,6 +236,11 @@
     std::vector<SlowServerReport> reports;
 };
 
+/// The process has been asked to stop and exits at this time, or earlier if it has nothing left to do.
+struct ExitScheduled {
+    TimePoint at;
+};
+
 /// The process is about to exit. Requests that have not been sent to a server by then will not be.
 struct ProcessExiting {
 };
@@ -258,6 +263,7 @@
                                   BlocklistChanged,
                                   LimitsReported,
                                   SlowServersReported,
+                                  ExitScheduled,
                                   ProcessExiting,
                                   Tick>;
 
--- a/src/core/requests/serviceshard.cpp
+++ b/src/core/requests/serviceshard.cpp
@@ -86,8 +86,8 @@
 
 std::optional<Problem> ServiceShard::admissionProblem(TimePoint now, const RequestArrived &event) const
 {
-    if (isExiting_) {
-        return exitProblem(ExecutionStatus::NotExecuted);
+    if (auto problem = exitProblemOf(now, event)) {
+        return problem;
     }
     const bool isRouted = event.maxAttempts > 0;
     if (!isRouted && event.kind >= service_->kinds.size()) {
@@ -330,45 +330,13 @@
     pool_.setPeersInFlight(event.backend, event.count);
 }
 
-void ServiceShard::on(TimePoint, const ProcessExiting &, ServiceActions &actions)
-{
-    isExiting_ = true;
-    queuedRequests_.clear();
-    for (auto entry = requests_.begin(); entry != requests_.end();) {
-        entry->second.choice.reset();
-        entry = refuseUnsent(entry->second, actions) ? requests_.erase(entry) : std::next(entry);
-    }
-}
-
-bool ServiceShard::refuseUnsent(const Request &request, ServiceActions &actions)
-{
-    // The record of a payout could not be updated any more, and it tells other entry VMs that the payout may have been sent.
-    if (!request.running.empty() || isPayout(request)) {
-        return false;
-    }
-    refuse(request, exitProblem(request.mayHaveExecuted ? ExecutionStatus::Unknown : ExecutionStatus::NotExecuted), actions);
-    return true;
-}
-
-void ServiceShard::endAborted(RequestId id, int attempt, bool mayHaveExecuted, ServiceActions &actions)
-{
-    // If the request was sent, the end of the connection tells the caller as much as a refusal would.
-    if (!mayHaveExecuted && takeRunning(id, attempt) && refuseUnsent(requests_.at(id), actions)) {
-        requests_.erase(id);
-    }
-}
-
-Problem ServiceShard::exitProblem(ExecutionStatus status) const
-{
-    return {503, status, "choose backend server", name_, "this entry VM is shutting down", RetryAfterAtOtherEntryVm, true};
-}
-
 void ServiceShard::on(TimePoint now, const Tick &, ServiceActions &actions)
 {
     if (isExiting_) {
         return;
     }
     cancelAbandoned(now, actions);
+    refuseUnfinishable(now, actions);
     expireQueued(now, actions);
     startQueued(now, actions);
     forwardWaiting(now, actions);
--- a/src/core/requests/serviceshard.h
+++ b/src/core/requests/serviceshard.h
@@ -15,6 +15,7 @@
 #include "core/requests/admissionthreshold.h"
 #include "core/requests/callertimeoutestimator.h"
 #include "core/requests/forwardingpeers.h"
+#include "core/requests/longestresponses.h"
 #include "core/requests/retrybudget.h"
 #include "core/requests/serviceevents.h"
 #include "core/requests/workspaceusage.h"
@@ -113,6 +114,7 @@
     void on(TimePoint now, const BlocklistChanged &event, ServiceActions &actions);
     void on(TimePoint now, const LimitsReported &event, ServiceActions &actions);
     void on(TimePoint now, const SlowServersReported &event, ServiceActions &actions);
+    void on(TimePoint now, const ExitScheduled &event, ServiceActions &actions);
     void on(TimePoint now, const ProcessExiting &event, ServiceActions &actions);
     void on(TimePoint now, const Tick &event, ServiceActions &actions);
 
@@ -285,8 +287,17 @@
     void finishRequest(TimePoint now, Request &request, const Attempt &attempt, const AttemptEnded &event, Disposition disposition, ServiceActions &actions);
     /// @return the delay after which the caller should retry a request that was not executed, given its last attempt.
     Duration clientRetryDelay(const Attempt &attempt, const Request &request) const;
-    /// @return the refusal of a request that cannot be sent before the process exits.
-    Problem exitProblem(ExecutionStatus status) const;
+    /// @return the time that an attempt of such a request may take; nothing if it is unknown.
+    std::optional<Duration> requiredTime(TimePoint now, const RequestArrived &arrival) const;
+    /// @return whether a request that is sent now ends before the process does.
+    bool canFinishBeforeExit(TimePoint now, const RequestArrived &arrival) const;
+    /// @return the reason for refusing the request on arrival because the process exits, if there is one.
+    std::optional<Problem> exitProblemOf(TimePoint now, const RequestArrived &arrival) const;
+    std::string unfinishableDetail(TimePoint now, const RequestArrived &arrival) const;
+    /// Refuses the requests at no server that would not finish before the process exits if they were sent now.
+    void refuseUnfinishable(TimePoint now, ServiceActions &actions);
+    /// @return the refusal of a request that cannot be sent or finished before the process exits.
+    Problem exitProblem(ExecutionStatus status, std::string detail) const;
     /// Refuses the request for the exit of the process if it is at no server. @return whether it has its final answer.
     bool refuseUnsent(const Request &request, ServiceActions &actions);
     /// Ends an attempt that this process has aborted at its exit, which says nothing about the server.
@@ -326,6 +337,8 @@
     std::map<RequestId, Request> requests_;
     std::deque<RequestId> queuedRequests_;
     AbandonedAttempts abandonedAttempts_;
+    LongestResponses longestResponses_;
+    std::optional<TimePoint> exitAt_; ///< When the process exits at the latest, once it has been asked to stop.
     bool isExiting_ = false; ///< No more attempts are started.
 };
 
--- a/src/core/requests/serviceshardchoice.cpp
+++ b/src/core/requests/serviceshardchoice.cpp
@@ -317,7 +317,7 @@
 {
     const bool isRead = kindClass(request) == KindClass::Read && !request.arrival.isPartOfRetry;
     const bool isInTime = now < request.arrival.deadline;
-    const bool isTolerated = !mayCrashTooManyServers(now, request);
+    const bool isTolerated = !mayCrashTooManyServers(now, request) && canFinishBeforeExit(now, request.arrival);
     const bool isAtServer = request.running.size() == 1 && !request.running.front().isForward;
     return isRead && isInTime && isTolerated && !request.choice && isAtServer && request.attempts < maxAttempts(request);
 }
--- a/src/core/requests/serviceshardoutcome.cpp
+++ b/src/core/requests/serviceshardoutcome.cpp
@@ -145,6 +145,10 @@
 void ServiceShard::recordOutcome(TimePoint now, Attempt &attempt, const AttemptEnded &event, ServiceActions &actions)
 {
     pool_.release(attempt.backend, qualityOf(attempt, event.outcome), now - attempt.startedAt, now);
+    if (const auto *answer = std::get_if<CompleteAnswer>(&event.outcome);
+        !std::holds_alternative<NotSent>(event.outcome) && !(answer && answer->isNotExecuted)) {
+        longestResponses_.record(now, requests_.at(event.request).arrival.latencyObjective, now - attempt.startedAt);
+    }
     reportEjection(now, attempt.backend, "attempt", actions);
     applyAnnouncements(now, attempt.startedAt, attempt.backend, event, actions);
     if (Cloverbarrow::qualityOf(event.outcome) == AttemptQuality::Good) {
@@ -230,8 +234,8 @@
     const bool hasAttempts = request.attempts < maxAttempts(request);
     const bool isWanted = !request.isCallerGone || isPayout(request);
     const bool isTolerated = !mayCrashTooManyServers(now, request);
-    const bool isPossible =
-        !isExiting_ && hasAttempts && !request.isHandedOver && isWanted && isTolerated && hasTimeForAttempt(now, request) && pool_.hasCandidate();
+    const bool isPossible = !isExiting_ && canFinishBeforeExit(now, request.arrival) && hasAttempts && !request.isHandedOver && isWanted && isTolerated
+        && hasTimeForAttempt(now, request) && pool_.hasCandidate();
     const bool isFree = isUnsent && probesBeforeChoice();
     return isPossible && (isFree || retryBudget_.take(now));
 }
--- a/src/core/shutdownsequence.cpp
+++ b/src/core/shutdownsequence.cpp
@@ -48,6 +48,11 @@
     return phase_;
 }
 
+std::optional<TimePoint> ShutdownSequence::abandonsAt() const
+{
+    return phase_ == Phase::Serving ? std::nullopt : std::optional(requestedAt_ + limit_);
+}
+
 ShutdownSequence::Phase ShutdownSequence::phase() const
 {
     return phase_;
--- a/src/core/shutdownsequence.h
+++ b/src/core/shutdownsequence.h
@@ -49,6 +49,8 @@
     /// @param remaining the unfinished work. @return the resulting phase.
     Phase advance(TimePoint now, const RemainingWork &remaining);
     Phase phase() const;
+    /// @return when unfinished work is abandoned; empty before a stop is requested.
+    std::optional<TimePoint> abandonsAt() const;
 
 private:
     Duration notice_;
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -192,6 +192,10 @@
         {
             daemon.callerServer_->closeAfterAnswers();
         }
+        void operator()(const ScheduleExit &) const
+        {
+            // Handled inside the core.
+        }
         void operator()(const StopAccepting &) const
         {
             daemon.gateway_->stopAccepting();
--- a/tests/platform/pathtests.cpp
+++ b/tests/platform/pathtests.cpp
@@ -22,6 +22,8 @@
 #include <csignal>
 #include <filesystem>
 #include <fstream>
+#include <mutex>
+#include <set>
 #include <thread>
 
 using namespace Cloverbarrow;
@@ -37,7 +39,9 @@
 class PathFixture
 {
 public:
-    explicit PathFixture(double timeoutSeconds = 5)
+    /// @param shutdown settings of the entry VM's shutdown.
+    explicit PathFixture(double timeoutSeconds = 5, std::string shutdown = "{notice_ms: 50, limit_ms: 20000}")
+        : shutdown_(std::move(shutdown))
     {
         for (const char *id : {"i-1", "i-2", "i-3"}) {
             backends.push_back(std::make_unique<RegisteredBackend>(id));
@@ -64,7 +68,7 @@
         std::ofstream(settingsPath_) << "name: " << name << "\nzone: bog-a\nregion: bogota\nlisten: {callers: 127.0.0.1:0, operations: 127.0.0.1:0}\n"
                                      << "directory: {address: " << store.address() << ", " << (mayRelay ? "relay: 127.0.0.1:0, " : "")
                                      << "repeat_ratio: 0.2, repeat_slack: 64, probes_per_server: 60}\n"
-                                     << "shutdown: {notice_ms: 50, limit_ms: 20000}\nlog_level: off\n";
+                                     << "shutdown: " << shutdown_ << "\nlog_level: off\n";
         entryVm = std::make_unique<Process>(std::vector<std::string>{std::string(BINARY_FOLDER) + "/cloverbarrowd", "--settings=" + settingsPath_});
         addresses_ = Json::parse(entryVm->firstLine());
         REQUIRE(eventually([this] { return isReady(); }));
@@ -165,6 +169,74 @@
     Json addresses_;
     std::vector<std::string> folders_;
     std::string settingsPath_;
+    std::string shutdown_;
+};
+
+/// Callers that send payouts over kept connections, one after the other, until the entry VM has ended.
+class PayoutCallers
+{
+public:
+    PayoutCallers(std::string address, int count)
+        : address_(std::move(address))
+    {
+        for (int number = 0; number < count; ++number) {
+            threads_.emplace_back([this, number] { run(number); });
+        }
+    }
+
+    /// Waits until no caller reaches the entry VM any more.
+    void join()
+    {
+        for (std::thread &thread : threads_) {
+            thread.join();
+        }
+    }
+
+    std::vector<std::string> served;
+    std::vector<std::string> refused; ///< Answered with 503.
+    std::vector<std::string> unanswered; ///< Sent, with no complete answer.
+
+private:
+    void run(int number)
+    {
+        HttpClient client(1);
+        for (HttpCallId call = 1;; ++call) {
+            const std::string id = "id-" + std::to_string(number) + "-" + std::to_string(call);
+            HttpCall payout;
+            payout.address = address_;
+            payout.request = {
+                "POST", "/pay/1", {{"Host", "a.example"}, {Platform::RequestIdHeader, id}, {Platform::DeadlineMsHeader, "20000"}}, "monto=1", true};
+            payout.timeout = seconds(20);
+            payout.mayReuseConnection = true;
+            const HttpOutcome outcome = startCall(client, call, std::move(payout)).get();
+            if (!record(id, outcome)) {
+                return;
+            }
+        }
+    }
+
+    /// @return whether the entry VM may still be reached.
+    bool record(const std::string &id, const HttpOutcome &outcome)
+    {
+        const std::lock_guard lock(mutex_);
+        if (const auto *answer = std::get_if<HttpAnswer>(&outcome)) {
+            (answer->status == 200 ? served : refused).push_back(id);
+            // A refused caller returns after the time that it is told.
+            if (answer->status != 200) {
+                std::this_thread::sleep_for(std::chrono::milliseconds(20));
+            }
+            return true;
+        }
+        const auto &failure = std::get<HttpFailure>(outcome);
+        if (failure.wasSent) {
+            unanswered.push_back(id);
+        }
+        return failure.wasSent;
+    }
+
+    std::string address_;
+    std::mutex mutex_;
+    std::vector<std::thread> threads_;
 };
 
 } // namespace
@@ -252,6 +324,33 @@
     CHECK(fixture.send("GET", "/read/1", "id-1")->status == 504);
 }
 
+// Guards against payouts that are sent late in the grace period and cut off when the process exits.
+TEST_CASE("Payouts that come late in the grace period are refused rather than cut off", "[platform][path][shutdown]")
+{
+    constexpr Duration Work = milliseconds(1200);
+    constexpr int Callers = 14; // More than the servers have slots.
+    PathFixture fixture(20, "{notice_ms: 2200, grace_s: 3}");
+    for (const auto &backend : fixture.backends) {
+        backend->setCapacity(SilentCapacity{Callers, Work});
+    }
+    PayoutCallers callers(fixture.callerAddress(), Callers);
+    // Requests that start at the servers 1.8 s after the signal would take until 3 s after it.
+    std::this_thread::sleep_for(Work * 7 / 2);
+    fixture.entryVm->signal(SIGTERM);
+    callers.join();
+    CHECK(callers.served.size() > Callers);
+    CHECK_FALSE(callers.refused.empty());
+    std::set<std::string> executed;
+    for (const auto &backend : fixture.backends) {
+        for (const std::string &id : backend->executedRequestIds()) {
+            executed.insert(id);
+        }
+    }
+    const auto isExecuted = [&executed](const std::string &id) { return executed.contains(id); };
+    CHECK(std::count_if(callers.unanswered.begin(), callers.unanswered.end(), isExecuted) == 0);
+    CHECK(std::count_if(callers.refused.begin(), callers.refused.end(), isExecuted) == 0);
+}
+
 TEST_CASE("A request of a caller that has disconnected is cancelled at the backend server", "[platform][path][gone]")
 {
     PathFixture fixture;
--- a/tests/support/describe.cpp
+++ b/tests/support/describe.cpp
@@ -234,6 +234,10 @@
     {
         return "announce close";
     }
+    std::string operator()(const ScheduleExit &) const
+    {
+        return "schedule exit";
+    }
     std::string operator()(const StopAccepting &) const
     {
         return "stop accepting";
--- a/tests/unit/shutdowntests.cpp
+++ b/tests/unit/shutdowntests.cpp
@@ -53,15 +53,25 @@
         handle(ServiceConfigured{1, service});
     }
 
-    void arrive(RequestId id, KindClass kindClass = KindClass::Read)
+    /// @return the actions that the arrival causes.
+    ServiceActions arrive(RequestId id, KindClass kindClass = KindClass::Read, Duration timeLeft = seconds(2))
     {
         RequestArrived arrived;
         arrived.request = id;
         arrived.kindClass = kindClass;
-        arrived.deadline = Start + seconds(2);
+        arrived.deadline = now + timeLeft;
         arrived.maxAttempts = 2;
         arrived.latencyObjective = milliseconds(200);
-        handle(arrived);
+        return handle(arrived);
+    }
+
+    /// Serves a request that takes @p time.
+    void serve(RequestId id, Duration time)
+    {
+        const auto started = actionsOf<StartAttempt>(arrive(id, KindClass::Write, time * 2));
+        REQUIRE(started.size() == 1);
+        now += time;
+        handle(AttemptEnded{id, 1, CompleteAnswer{}});
     }
 
     /// @return the actions that the event causes.
@@ -239,3 +249,96 @@
         CHECK(service.handle(Tick{}).empty());
     }
 }
+
+// Guards against payouts that are sent late in the grace period and cut off, with an unknown outcome, when the process exits.
+TEST_CASE("A request that may not finish before the process exits is refused as not executed", "[shutdown][late]")
+{
+    ExitingService service(serviceWithOneConnection());
+    constexpr Duration Usual = seconds(4);
+    constexpr Duration Grace = milliseconds(5500);
+    service.serve(1, Usual);
+    service.serve(2, milliseconds(500));
+    const TimePoint exitAt = service.now + Grace;
+    service.handle(ExitScheduled{exitAt});
+    SECTION("on arrival")
+    {
+        service.now += milliseconds(600);
+        checkNotExecuted(service.arrive(3, KindClass::Write, seconds(10)), 3);
+        CHECK(service.openRequests() == 0);
+    }
+    SECTION("when it has waited too long for a server")
+    {
+        CHECK(actionsOf<StartAttempt>(service.arrive(3, KindClass::Write, seconds(10))).size() == 1);
+        CHECK(actionsOf<Refuse>(service.arrive(4, KindClass::Write, seconds(10))).empty());
+        CHECK(service.handle(Tick{}).empty());
+        service.now += milliseconds(600);
+        checkNotExecuted(service.handle(Tick{}), 4);
+        // The other one is at its server and has the whole time that is left.
+        CHECK(service.openRequests() == 1);
+        service.now = exitAt;
+        CHECK(actionsOf<Refuse>(service.handle(Tick{})).empty());
+    }
+    SECTION("rather than sent again")
+    {
+        const auto started = actionsOf<StartAttempt>(service.arrive(3, KindClass::Read, seconds(10)));
+        REQUIRE(started.size() == 1);
+        service.now += seconds(2);
+        const ServiceActions actions = service.handle(AttemptEnded{3, 1, NotSent{"refused"}});
+        CHECK(actionsOf<StartAttempt>(actions).empty());
+        checkNotExecuted(actions, 3);
+    }
+}
+
+TEST_CASE("A request that finishes before the process exits is served while it shuts down", "[shutdown][late]")
+{
+    ExitingService service(sampleService());
+    service.serve(1, milliseconds(800));
+    service.handle(ExitScheduled{service.now + seconds(5)});
+    SECTION("by what similar requests have taken")
+    {
+        service.now += milliseconds(3900);
+        CHECK(actionsOf<StartAttempt>(service.arrive(2, KindClass::Write, seconds(10))).size() == 1);
+        service.now += milliseconds(200);
+        checkNotExecuted(service.arrive(3, KindClass::Write, seconds(10)), 3);
+    }
+    SECTION("by its deadline")
+    {
+        service.now += milliseconds(4500);
+        CHECK(actionsOf<StartAttempt>(service.arrive(2, KindClass::Write, milliseconds(500))).size() == 1);
+    }
+    SECTION("but not if nothing is known of similar requests")
+    {
+        service.now += LongestResponses::Window * 2;
+        service.handle(ExitScheduled{service.now + seconds(5)});
+        checkNotExecuted(service.arrive(2, KindClass::Write, seconds(10)), 2);
+    }
+}
+
+TEST_CASE("A stop request tells the services when the process exits at the latest", "[shutdown][late]")
+{
+    ControlSettings settings;
+    settings.hasDirectory = true;
+    settings.shutdownLimit = Limit;
+    ControlShard control(settings);
+    ControlActions actions;
+    control.handle(Start, StopRequested{}, actions);
+    const auto scheduled = actionsOf<ScheduleExit>(actions);
+    REQUIRE(scheduled.size() == 1);
+    CHECK(scheduled.front().at == Start + Limit);
+}
+
+TEST_CASE("The longest recent response is remembered for a window at least and for two at most", "[shutdown][late]")
+{
+    LongestResponses responses;
+    const Duration objective = milliseconds(200);
+    CHECK_FALSE(responses.longest(Start, objective));
+    responses.record(Start, objective, seconds(3));
+    responses.record(Start + seconds(1), objective, seconds(1));
+    responses.record(Start + seconds(1), milliseconds(900), seconds(9));
+    CHECK(responses.longest(Start + seconds(2), objective) == seconds(3));
+    const TimePoint next = Start + LongestResponses::Window;
+    responses.record(next, objective, seconds(2));
+    CHECK(responses.longest(next, objective) == seconds(3));
+    CHECK(responses.longest(next + LongestResponses::Window, objective) == seconds(2));
+    CHECK_FALSE(responses.longest(next + LongestResponses::Window * 2, objective));
+}
