Header lines of answers are read as strictly as those of requests

Callers received lines of faulty servers that are no headers in HTTP/1.1: with control characters, with a blank before the colon, or folded. Such a line can change where a caller takes the body to begin or to end.

Cause: libcurl passes each line on as it came, and only a colon was looked for.

Now the reader of answers shares the syntax of names and values with the reader of requests; a malformed line makes the answer a failure of its server.

--- a/src/net/answerhead.cpp
+++ b/src/net/answerhead.cpp
@@ -9,6 +9,7 @@
 
 #include "core/support/httpstatus.h"
 #include "core/support/text.h"
+#include "net/headersyntax.h"
 
 #include <algorithm>
 #include <optional>
@@ -92,6 +93,9 @@
     answer_.status = *status;
     const std::size_t reason = VersionExample.size() + 1 + StatusDigits + 1;
     answer_.reason = line.size() > reason ? std::string(line.substr(reason)) : std::string();
+    if (!isHeaderValue(answer_.reason)) {
+        return reject("malformed status line " + quoted(line));
+    }
     isWithinHead_ = true;
     return Progress::Incomplete;
 }
@@ -101,11 +105,16 @@
     if (!isWithinHead_) {
         return reject("no status line, but " + quoted(line));
     }
-    if (const std::size_t colon = line.find(':'); colon != std::string_view::npos) {
-        std::string_view value = line.substr(colon + 1);
-        value.remove_prefix(std::min(value.find_first_not_of(" \t"), value.size()));
-        answer_.headers.push_back({std::string(line.substr(0, colon)), std::string(value)});
+    const std::size_t colon = line.find(':');
+    // A blank before the colon, or at the start of a folded line, would change where a caller takes the body to begin or end.
+    if (colon == std::string_view::npos || !isToken(line.substr(0, colon))) {
+        return reject("malformed header line " + quoted(line));
+    }
+    const std::string_view value = trimmed(line.substr(colon + 1));
+    if (!isHeaderValue(value)) {
+        return reject("control characters in header " + quoted(line));
     }
+    answer_.headers.push_back({std::string(line.substr(0, colon)), std::string(value)});
     return Progress::Incomplete;
 }
 
--- a/src/net/requestframer.cpp
+++ b/src/net/requestframer.cpp
@@ -8,6 +8,7 @@
 #include "net/requestframer.h"
 
 #include "core/support/text.h"
+#include "net/headersyntax.h"
 
 #include <algorithm>
 #include <charconv>
@@ -25,39 +26,11 @@
 constexpr std::size_t MaxChunkLine = 256;
 constexpr int HexBase = 16;
 
-bool isTokenCharacter(char character)
-{
-    constexpr std::string_view Others = "!#$%&'*+-.^_`|~";
-    const bool isDigit = character >= '0' && character <= '9';
-    const bool isLetter = (character >= 'a' && character <= 'z') || (character >= 'A' && character <= 'Z');
-    return isDigit || isLetter || Others.find(character) != std::string_view::npos;
-}
-
-bool isToken(std::string_view text)
-{
-    return !text.empty() && std::all_of(text.begin(), text.end(), isTokenCharacter);
-}
-
 bool isVisible(char character)
 {
     return character > ' ' && character < 0x7f;
 }
 
-bool isValueCharacter(char character)
-{
-    const auto code = static_cast<unsigned char>(character);
-    return code == '\t' || (code >= ' ' && code != 0x7f);
-}
-
-std::string lowered(std::string_view text)
-{
-    std::string result(text);
-    std::transform(result.begin(), result.end(), result.begin(), [](unsigned char character) {
-        return static_cast<char>(character >= 'A' && character <= 'Z' ? character + ('a' - 'A') : character);
-    });
-    return result;
-}
-
 /// @return whether a server that decodes or normalizes the path could arrive at another path.
 bool isAmbiguousPath(std::string_view target)
 {
@@ -112,7 +85,7 @@
             return FramingFault{400, "malformed header line"};
         }
         const std::string_view value = trimmed(line.substr(colon + 1));
-        if (!std::all_of(value.begin(), value.end(), isValueCharacter)) {
+        if (!isHeaderValue(value)) {
             return FramingFault{400, "a header value has control characters"};
         }
         request.headers.push_back({std::string(line.substr(0, colon)), std::string(value)});
--- a/tests/unit/faultyanswertests.cpp
+++ b/tests/unit/faultyanswertests.cpp
@@ -317,6 +317,51 @@
     CHECK(std::get<HttpAnswer>(outcome).headers.size() == 1);
 }
 
+// Guards against header lines that are none in HTTP/1.1, which reached callers and changed where they took the body to begin or end.
+TEST_CASE("An answer with a malformed header line is not passed on", "[net][header]")
+{
+    const std::string line = GENERATE(as<std::string>(),
+                                      "Content\x01Type: text/plain",
+                                      "Content-Length : 7",
+                                      " Folded: line",
+                                      "\tFolded: line",
+                                      "folded line",
+                                      ": no name",
+                                      "No colon",
+                                      "Name with blanks: a",
+                                      "N\xc3\xa4me: a",
+                                      "Value: a\x01b",
+                                      "Value: a\rLocation: b",
+                                      "Value: \x7f");
+    const bool isFirst = GENERATE(true, false);
+    CAPTURE(line, isFirst);
+    const std::string signature = "Signature: abc\r\n";
+    const std::string head = (isFirst ? line + "\r\n" + signature : signature + line + "\r\n") + "Content-Length: 2\r\n\r\n";
+    RawServer server({"a malformed header", Ok + head + "ok", ""});
+    HttpClient client(1);
+    HttpCall call = callTo(server.address());
+    call.successHeader = "Signature";
+    const HttpOutcome outcome = startCall(client, 1, std::move(call)).get();
+    REQUIRE(std::holds_alternative<HttpFailure>(outcome));
+    CHECK(std::get<HttpFailure>(outcome).wasSent);
+    CHECK_FALSE(std::get<HttpFailure>(outcome).isTimeout);
+}
+
+TEST_CASE("Any header of HTTP/1.1 is passed on as it is", "[net][header]")
+{
+    const std::string line =
+        GENERATE(as<std::string>(), "X-Any_Token!#$%&'*+.^`|~1: a", "Empty:", "Blanks: \t a, b \t", "Bytes: \xc3\xa4", "Tab: a\tb", "Colons: a:b");
+    CAPTURE(line);
+    RawServer server({"a header", Ok + line + "\r\nContent-Length: 2\r\n\r\nok", ""});
+    HttpClient client(1);
+    const HttpOutcome outcome = startCall(client, 1, callTo(server.address())).get();
+    REQUIRE(std::holds_alternative<HttpAnswer>(outcome));
+    const auto &headers = std::get<HttpAnswer>(outcome).headers;
+    REQUIRE(headers.size() == 2);
+    CHECK(line.starts_with(headers.front().name + ":"));
+    CHECK(line.find(headers.front().value) != std::string::npos);
+}
+
 TEST_CASE("A truncated late answer to an earlier request is not passed on to the next request", "[net][truncated]")
 {
     const std::string head = "Signature: abc\r\nContent-Length: 2\r\n\r\n";
