The length of an answer's body is read strictly

Callers received cut bodies as whole successes where a faulty server sent two lengths, or a length with other characters in it.

Cause: libcurl takes the last of several lengths and the digits before other characters, and only the presence of the header was checked.

Now a head with a length that is not decimal, with different lengths, with an unknown transfer encoding, or with a length beside one is malformed, so that the answer counts as a failure of its server. The number is read by the same function as in requests.

--- a/src/net/answerhead.cpp
+++ b/src/net/answerhead.cpp
@@ -124,8 +124,35 @@
         return reject("no status line");
     }
     isWithinHead_ = false;
-    isComplete_ = !isInterim(answer_.status);
-    return isComplete_ ? Progress::Complete : Progress::Interim;
+    if (isInterim(answer_.status)) {
+        return Progress::Interim;
+    }
+    if (std::string fault = framingFault(); !fault.empty()) {
+        return reject(std::move(fault));
+    }
+    isComplete_ = true;
+    return Progress::Complete;
+}
+
+std::string AnswerHeadReader::framingFault() const
+{
+    std::optional<std::size_t> length;
+    std::size_t encodings = 0;
+    for (const Header &header : answer_.headers) {
+        if (isSameName(header.name, "content-length")) {
+            const auto found = contentLength(header.value);
+            // Equal lengths, one for each of several servers on the way, leave no doubt.
+            if (!found || (length && *length != *found)) {
+                return "malformed length of the body " + quoted(header.value);
+            }
+            length = found;
+        } else if (isSameName(header.name, "transfer-encoding")) {
+            if (++encodings > 1 || lowered(header.value) != "chunked") {
+                return "unknown transfer encoding " + quoted(header.value);
+            }
+        }
+    }
+    return length && encodings > 0 ? "both a length and a transfer encoding" : std::string();
 }
 
 AnswerHeadReader::Progress AnswerHeadReader::reject(std::string fault)
--- a/src/net/answerhead.h
+++ b/src/net/answerhead.h
@@ -41,6 +41,8 @@
     Progress readStatusLine(std::string_view line);
     Progress readHeaderLine(std::string_view line);
     Progress endHead();
+    /// @return why the length of the body is malformed; empty if it is not.
+    std::string framingFault() const;
     Progress reject(std::string fault);
 
     HttpAnswer answer_;
--- a/src/net/headersyntax.cpp
+++ b/src/net/headersyntax.cpp
@@ -46,12 +46,16 @@
     return std::all_of(text.begin(), text.end(), isValueCharacter);
 }
 
+bool isDecimal(std::string_view text)
+{
+    return !text.empty() && std::all_of(text.begin(), text.end(), isDigit);
+}
+
 std::optional<std::size_t> contentLength(std::string_view value)
 {
     std::size_t length = 0;
     const auto [end, error] = std::from_chars(value.data(), value.data() + value.size(), length);
-    const bool isNumber = !value.empty() && std::all_of(value.begin(), value.end(), isDigit);
-    return isNumber && error == std::errc() ? std::optional(length) : std::nullopt;
+    return isDecimal(value) && error == std::errc() ? std::optional(length) : std::nullopt;
 }
 
 std::string lowered(std::string_view text)
--- a/src/net/headersyntax.h
+++ b/src/net/headersyntax.h
@@ -20,7 +20,9 @@
 bool isToken(std::string_view text);
 /// @return whether @p text has no control characters that the value of a header must not have.
 bool isHeaderValue(std::string_view text);
-/// @return the length in the value of a Content-Length header; nothing if it is not a number of decimal digits that fits.
+/// @return whether @p text consists of decimal digits.
+bool isDecimal(std::string_view text);
+/// @return the length in the value of a Content-Length header; nothing if it is not decimal or too large.
 std::optional<std::size_t> contentLength(std::string_view value);
 /// @return @p text with ASCII letters in lower case.
 std::string lowered(std::string_view text);
--- a/src/net/requestframer.cpp
+++ b/src/net/requestframer.cpp
@@ -117,16 +117,14 @@
         return BodyFraming{};
     }
     const std::string_view text = *findHeader(request.headers, "content-length");
-    std::size_t length = 0;
-    const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), length);
-    const bool isDigits = !text.empty() && std::all_of(text.begin(), text.end(), [](char digit) { return digit >= '0' && digit <= '9'; });
-    if (!isDigits) {
+    if (!isDecimal(text)) {
         return FramingFault{400, "Content-Length must be a number"};
     }
-    if (error != std::errc() || length > limits.body) {
+    const auto length = contentLength(text);
+    if (!length || *length > limits.body) {
         return FramingFault{413, "the body is too long"};
     }
-    return BodyFraming{false, length};
+    return BodyFraming{false, *length};
 }
 
 std::optional<FramingFault> checkHeaders(HttpRequest &request, const RequestLimits &limits)
--- a/tests/unit/faultyanswertests.cpp
+++ b/tests/unit/faultyanswertests.cpp
@@ -347,6 +347,52 @@
     CHECK_FALSE(std::get<HttpFailure>(outcome).isTimeout);
 }
 
+// Guards against answers that were cut at a malformed length and passed on as whole successes.
+TEST_CASE("An answer whose length is malformed or ambiguous is not passed on", "[net][length]")
+{
+    const std::string lines = GENERATE(as<std::string>(),
+                                       "Content-Length: 2\r\nContent-Length: 4\r\n",
+                                       "Content-Length: 4\r\nContent-Length: 2\r\n",
+                                       "Content-Length: 4\r\ncontent-length: 2\r\n",
+                                       "Content-Length: 2x\r\n",
+                                       "Content-Length: 2, 4\r\n",
+                                       "Content-Length: 2 4\r\n",
+                                       "Content-Length: 0x4\r\n",
+                                       "Content-Length: +2\r\n",
+                                       "Content-Length: -2\r\n",
+                                       "Content-Length:\r\n",
+                                       "Content-Length: 99999999999999999999999\r\n",
+                                       "Content-Length: 2\r\nTransfer-Encoding: chunked\r\n",
+                                       "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n",
+                                       "Transfer-Encoding: identity\r\n",
+                                       "Transfer-Encoding: chunked, identity\r\n",
+                                       "Transfer-Encoding: xchunked\r\n");
+    CAPTURE(lines);
+    const bool isChunked = lines.find("Encoding") != std::string::npos;
+    RawServer server({"a malformed length", Ok + "Signature: abc\r\n" + lines + "\r\n" + (isChunked ? "4\r\ndone\r\n0\r\n\r\n" : "done"), ""});
+    HttpClient client(1);
+    HttpCall call = callTo(server.address());
+    call.successHeader = "Signature";
+    const HttpOutcome outcome = startCall(client, 1, std::move(call)).get();
+    REQUIRE(std::holds_alternative<HttpFailure>(outcome));
+    CHECK(std::get<HttpFailure>(outcome).wasSent);
+    CHECK_FALSE(std::get<HttpFailure>(outcome).isTimeout);
+}
+
+TEST_CASE("Equal lengths and chunks are passed on", "[net][length]")
+{
+    const std::string answer = GENERATE(as<std::string>(),
+                                        "Content-Length: 4\r\nContent-Length: 4\r\n\r\ndone",
+                                        "Content-Length: 004\r\n\r\ndone",
+                                        "Transfer-Encoding: Chunked\r\n\r\n4\r\ndone\r\n0\r\n\r\n");
+    CAPTURE(answer);
+    RawServer server({"a length", Ok + answer, ""});
+    HttpClient client(1);
+    const HttpOutcome outcome = startCall(client, 1, callTo(server.address())).get();
+    REQUIRE(std::holds_alternative<HttpAnswer>(outcome));
+    CHECK(std::get<HttpAnswer>(outcome).body == "done");
+}
+
 TEST_CASE("Any header of HTTP/1.1 is passed on as it is", "[net][header]")
 {
     const std::string line =
