Malformed answers: one check for its tests, and clearer words on peers

Cause: three tests ended with the same lines, a condition was stated twice, and three comments left a newcomer guessing.

No behaviour changes. The unit tests of answers, referrals and the directory pass.

--- a/src/core/directory/peersearch.h
+++ b/src/core/directory/peersearch.h
@@ -17,15 +17,16 @@
 namespace Cloverbarrow
 {
 
-/// Chooses which entry VMs are asked for a relay while the known relays have no recent proof. A peer answers without a call to the store, also where a
-/// partition separates this entry VM from it.
+/// Chooses which entry VMs are asked for a relay while the known relays have no recent proof. Peers answer without a call to the store, from which this
+/// entry VM may be partitioned.
 class PeerSearch
 {
 public:
     /// Interval between questions, each to a few peers, for as long as no relay has a recent proof.
     static constexpr Duration Interval = milliseconds(800);
-    /// Peers of this availability zone that are asked at a time; the relays of most other zones would do, but traffic between zones is billed.
+    /// Peers of this availability zone that are asked at a time.
     static constexpr std::size_t SameZonePeers = 2;
+    /// Peers of other availability zones that are asked at a time. Fewer, since traffic between zones is billed.
     static constexpr std::size_t OtherZonePeers = 1;
 
     /// Adds peers. Those known before are kept up to a limit, since a partitioned relay soon forgets followers that have found another one.
--- a/src/core/directory/relayelection.cpp
+++ b/src/core/directory/relayelection.cpp
@@ -281,7 +281,7 @@
 
 std::optional<RelayReferral> RelayElection::referral(Duration age) const
 {
-    const bool knowsRelay = state_ == State::Leading || isRelaying() || followsOwnZone();
+    const bool knowsRelay = isRelaying() || followsOwnZone();
     return knowsRelay && revision_ > 0 && age < ProofLimit ? std::optional(RelayReferral{zone_, leader_, revision_, age}) : std::nullopt;
 }
 
--- a/src/core/directory/relayelection.h
+++ b/src/core/directory/relayelection.h
@@ -39,8 +39,8 @@
     /// the store by the follower.
     static constexpr Duration ProofLimit = milliseconds(1200);
 
-    /// Time for which an entry VM may act on old state once its path to the store is back, whatever it waits for until it reads the store itself: the
-    /// users count it as connected 3 s after a disruption. The rest of these is for reading the directory.
+    /// Longest time between the end of a partition from the store and the decision to read the store without a relay. An entry VM has to act on the newest
+    /// state 3 s after the end; the rest of this time is for reading the directory.
     static constexpr Duration MaxUnprovenTime = milliseconds(2500);
 
     /// Longest pause between checks of an unreachable store, plus or minus a quarter. Changes are applied at most this much later after the store
--- a/tests/unit/faultyanswertests.cpp
+++ b/tests/unit/faultyanswertests.cpp
@@ -146,6 +146,19 @@
     return call;
 }
 
+/// Checks that a call to a server that sends these bytes gets no answer. @param call without an address.
+void checkNoAnswer(const std::string &bytes, HttpCall call)
+{
+    // The connection stays open: the call must not wait for its deadline.
+    RawServer server({"no answer", {bytes, ""}, ""});
+    HttpClient client(1);
+    call.address = server.address();
+    const HttpOutcome outcome = startCall(client, 1, std::move(call)).get();
+    REQUIRE(std::holds_alternative<HttpFailure>(outcome));
+    CHECK(std::get<HttpFailure>(outcome).wasSent);
+    CHECK_FALSE(std::get<HttpFailure>(outcome).isTimeout);
+}
+
 } // namespace
 
 TEST_CASE("A connection on which bytes without end are received is closed after a bounded number of them", "[net][endless]")
@@ -288,18 +301,12 @@
     const std::string head = line + "\r\nRequest-Id: 1\r\nSignature: abc\r\nContent-Length: 2\r\n\r\n";
     const std::string method = GENERATE(as<std::string>(), "GET", "HEAD", "POST");
     const auto *interim = GENERATE("", "HTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\n");
-    // A connection that stays open: the call must not wait for its deadline.
-    RawServer server({"an answer of another kind", {interim + head + "ok", ""}, ""});
-    HttpClient client(1);
-    HttpCall call = callTo(server.address());
+    HttpCall call = callTo({});
     call.request.method = method;
     call.mayReuseConnection = true;
     call.echo = {"Request-Id", "1", true};
     call.timeout = seconds(5);
-    const HttpOutcome outcome = startCall(client, 1, std::move(call)).get();
-    REQUIRE(std::holds_alternative<HttpFailure>(outcome));
-    CHECK(std::get<HttpFailure>(outcome).wasSent);
-    CHECK_FALSE(std::get<HttpFailure>(outcome).isTimeout);
+    checkNoAnswer(interim + head + "ok", std::move(call));
 }
 
 TEST_CASE("Answers with any status of HTTP are passed on as they are, after interim ones", "[net][status]")
@@ -337,14 +344,9 @@
     CAPTURE(line, isFirst);
     const std::string signature = "Signature: abc\r\n";
     const std::string head = (isFirst ? line + "\r\n" + signature : signature + line + "\r\n") + "Content-Length: 2\r\n\r\n";
-    RawServer server({"a malformed header", Ok + head + "ok", ""});
-    HttpClient client(1);
-    HttpCall call = callTo(server.address());
+    HttpCall call = callTo({});
     call.successHeader = "Signature";
-    const HttpOutcome outcome = startCall(client, 1, std::move(call)).get();
-    REQUIRE(std::holds_alternative<HttpFailure>(outcome));
-    CHECK(std::get<HttpFailure>(outcome).wasSent);
-    CHECK_FALSE(std::get<HttpFailure>(outcome).isTimeout);
+    checkNoAnswer(Ok + head + "ok", std::move(call));
 }
 
 // Guards against answers that were cut at a malformed length and passed on as whole successes.
@@ -369,14 +371,9 @@
                                        "Transfer-Encoding: xchunked\r\n");
     CAPTURE(lines);
     const bool isChunked = lines.find("Encoding") != std::string::npos;
-    RawServer server({"a malformed length", Ok + "Signature: abc\r\n" + lines + "\r\n" + (isChunked ? "4\r\ndone\r\n0\r\n\r\n" : "done"), ""});
-    HttpClient client(1);
-    HttpCall call = callTo(server.address());
+    HttpCall call = callTo({});
     call.successHeader = "Signature";
-    const HttpOutcome outcome = startCall(client, 1, std::move(call)).get();
-    REQUIRE(std::holds_alternative<HttpFailure>(outcome));
-    CHECK(std::get<HttpFailure>(outcome).wasSent);
-    CHECK_FALSE(std::get<HttpFailure>(outcome).isTimeout);
+    checkNoAnswer(Ok + "Signature: abc\r\n" + lines + "\r\n" + (isChunked ? "4\r\ndone\r\n0\r\n\r\n" : "done"), std::move(call));
 }
 
 TEST_CASE("Equal lengths and chunks are passed on", "[net][length]")
